Thin whole path: sidecar, control, stand-in target, CLI and local demo fleet

Change: burdockpassd (roles sidecar and control from its YAML settings), the burdockpass CLI (citty: config validate/apply, status), a stand-in target with slots, shedding, cold start, drain, deadlines and fault modes, and scripts/demo.ts that starts 1 control + 12 sidecars + 12 stand-ins on loopback. Sidecars learn each other's targets by push-pull gossip over gRPC; targets announce themselves to their own sidecar; control holds the document with compare-and-set on the version, synced to disk.

--- /dev/null
+++ b/bin/burdockpassd.js
@@ -0,0 +1,6 @@
+#!/usr/bin/env node
+// Runs the TypeScript sources directly through tsx, so no build step is needed.
+import { register } from "tsx/esm/api";
+
+register();
+await import("../src/daemon/main.ts");
--- /dev/null
+++ b/scripts/LocalFleet.ts
@@ -0,0 +1,217 @@
+import { spawn, type ChildProcess } from "node:child_process";
+import { createWriteStream, mkdtempSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { stringify } from "yaml";
+
+const ROOT = fileURLToPath(new URL("..", import.meta.url));
+
+/** One stand-in target and the sidecar beside it. */
+export interface FleetTarget {
+  readonly id: string;
+  readonly service: string;
+  readonly zone: string;
+  readonly slots: number;
+  readonly workMs?: number;
+}
+
+/** A process of the fleet and its ports. */
+interface Member {
+  readonly name: string;
+  readonly proc: ChildProcess;
+  readonly ports: Record<string, number>;
+}
+
+/** How long a process may take to say it is ready, ms. */
+const READY_TIMEOUT_MS = 20_000;
+
+/**
+ * A small fleet on loopback for the demo, the end-to-end tests and the bench:
+ * one control replica, and for each target a stand-in and a sidecar, every
+ * one a separate process. Only this tool starts processes; the daemon never does.
+ */
+export class LocalFleet {
+  readonly dir = mkdtempSync(join(tmpdir(), "burdockpass-fleet-"));
+  readonly #members: Member[] = [];
+  controlPort = 0;
+
+  /** Sidecars by target id. */
+  readonly sidecars = new Map<string, Member>();
+  /** Stand-in targets by id. */
+  readonly targets = new Map<string, Member>();
+
+  /** Starts control, then every sidecar and its stand-in; resolves once all are listening. */
+  async start(targets: readonly FleetTarget[]): Promise<void> {
+    this.controlPort = await freePort();
+    const control = await this.#daemon("control", {
+      role: "control",
+      id: "control-1",
+      zone: "zone-a",
+      listen: `127.0.0.1:${this.controlPort}`,
+      admin: `127.0.0.1:${await freePort()}`,
+      dataDir: join(this.dir, "control-1"),
+    }, { grpc: this.controlPort });
+    this.#members.push(control);
+    const peerPorts: number[] = [];
+    for (const t of targets) {
+      peerPorts.push(await freePort());
+    }
+    await Promise.all(
+      targets.map(async (t, i) => {
+        const ports = { caller: await freePort(), admin: await freePort(), peer: peerPorts[i] ?? 0 };
+        const seeds = peerPorts.slice(0, 2).filter((p) => p !== ports.peer).map((p) => `127.0.0.1:${p}`);
+        const sidecar = await this.#daemon(`sidecar-${t.id}`, {
+          role: "sidecar",
+          id: `sidecar-${t.id}`,
+          zone: t.zone,
+          listen: `127.0.0.1:${ports.caller}`,
+          admin: `127.0.0.1:${ports.admin}`,
+          peer: `127.0.0.1:${ports.peer}`,
+          seeds,
+          control: [`127.0.0.1:${this.controlPort}`],
+          dataDir: join(this.dir, `sidecar-${t.id}`),
+          traceFile: join(this.dir, `trace-${t.id}.jsonl`),
+        }, ports);
+        this.sidecars.set(t.id, sidecar);
+        this.#members.push(sidecar);
+        const target = await this.#standIn(t, ports.admin);
+        this.targets.set(t.id, target);
+        this.#members.push(target);
+      }),
+    );
+  }
+
+  /** Runs the CLI with `args`; resolves with its exit code and output. */
+  cli(args: readonly string[]): Promise<{ code: number; out: string; err: string }> {
+    const proc = spawn(process.execPath, [join(ROOT, "bin/burdockpass.js"), ...args], { cwd: ROOT });
+    let out = "";
+    let err = "";
+    proc.stdout.on("data", (d: Buffer) => (out += d.toString()));
+    proc.stderr.on("data", (d: Buffer) => (err += d.toString()));
+    return new Promise((resolve) => proc.on("exit", (code) => resolve({ code: code ?? -1, out, err })));
+  }
+
+  /** Polls every sidecar's status until each sees `count` ready targets, or throws after `timeoutMs`. */
+  async waitForTargets(count: number, timeoutMs = 15_000): Promise<void> {
+    const until = Date.now() + timeoutMs;
+    while (Date.now() < until) {
+      const seen = await Promise.all([...this.sidecars.values()].map((s) => this.readyTargets(s)));
+      if (seen.every((n) => n >= count)) {
+        return;
+      }
+      await new Promise((r) => setTimeout(r, 100));
+    }
+    throw new Error(`sidecars did not all see ${count} ready targets within ${timeoutMs} ms`);
+  }
+
+  /** Polls until every sidecar has config `version` in force. */
+  async waitForVersion(version: number, timeoutMs = 15_000): Promise<void> {
+    const until = Date.now() + timeoutMs;
+    while (Date.now() < until) {
+      const seen = await Promise.all([...this.sidecars.values()].map((s) => this.status(s)));
+      if (seen.every((st) => st.configVersion >= version)) {
+        return;
+      }
+      await new Promise((r) => setTimeout(r, 50));
+    }
+    throw new Error(`version ${version} not in force everywhere within ${timeoutMs} ms`);
+  }
+
+  /** A sidecar's `/status`. */
+  async status(s: Member): Promise<{ configVersion: number; targets: { state: string }[] }> {
+    const res = await fetch(`http://127.0.0.1:${s.ports.admin}/status`);
+    return (await res.json()) as { configVersion: number; targets: { state: string }[] };
+  }
+
+  async readyTargets(s: Member): Promise<number> {
+    try {
+      return (await this.status(s)).targets.filter((t) => t.state === "ready").length;
+    } catch {
+      return 0;
+    }
+  }
+
+  /** Sends SIGTERM to every process and waits for each to exit. */
+  async stop(): Promise<void> {
+    await Promise.all(
+      this.#members.reverse().map(
+        (m) =>
+          new Promise<void>((resolve) => {
+            if (m.proc.exitCode !== null) {
+              resolve();
+              return;
+            }
+            m.proc.once("exit", () => resolve());
+            m.proc.kill("SIGTERM");
+            setTimeout(() => m.proc.kill("SIGKILL"), 5000).unref();
+          }),
+      ),
+    );
+  }
+
+  async #daemon(name: string, settings: object, ports: Record<string, number>): Promise<Member> {
+    const file = join(this.dir, `${name}.yaml`);
+    writeFileSync(file, stringify(settings));
+    const proc = spawn(process.execPath, [join(ROOT, "bin/burdockpassd.js"), file], {
+      cwd: ROOT,
+      env: { ...process.env, BURDOCKPASS_LOG: process.env.BURDOCKPASS_LOG ?? "info" },
+      stdio: ["ignore", "pipe", "inherit"],
+    });
+    await waitForLine(proc, /"msg":"(control|sidecar) started"/, name, join(this.dir, `${name}.log`));
+    return { name, proc, ports };
+  }
+
+  async #standIn(t: FleetTarget, sidecarAdmin: number): Promise<Member> {
+    const port = await freePort();
+    const args = [
+      "--import=tsx",
+      join(ROOT, "src/standin/main.ts"),
+      `--id=${t.id}`,
+      `--service=${t.service}`,
+      `--port=${port}`,
+      `--sidecar=127.0.0.1:${sidecarAdmin}`,
+      `--slots=${t.slots}`,
+      `--work-ms=${t.workMs ?? 2}`,
+    ];
+    const proc = spawn(process.execPath, args, { cwd: ROOT, stdio: ["ignore", "pipe", "inherit"] });
+    await waitForLine(proc, /standin ready/, t.id, join(this.dir, `${t.id}.log`));
+    return { name: t.id, proc, ports: { http: port } };
+  }
+}
+
+/**
+ * Copies `proc`'s stdout to `logFile` and resolves once it prints a line
+ * matching `pattern`; rejects if it exits first or takes too long.
+ */
+function waitForLine(proc: ChildProcess, pattern: RegExp, name: string, logFile: string): Promise<void> {
+  const log = createWriteStream(logFile);
+  proc.stdout?.pipe(log);
+  return new Promise((resolve, reject) => {
+    let seen = "";
+    const timer = setTimeout(() => reject(new Error(`${name} not ready in ${READY_TIMEOUT_MS} ms`)), READY_TIMEOUT_MS);
+    const watch = (d: Buffer) => {
+      seen += d.toString();
+      if (pattern.test(seen)) {
+        clearTimeout(timer);
+        proc.stdout?.off("data", watch);
+        resolve();
+      }
+    };
+    proc.stdout?.on("data", watch);
+    proc.once("exit", (code) => reject(new Error(`${name} exited with ${code}`)));
+  });
+}
+
+/** A port free on loopback now (the kernel picks it); a race is possible but rare on loopback. */
+export async function freePort(): Promise<number> {
+  return new Promise((resolve) => {
+    const srv = createServer();
+    srv.listen(0, "127.0.0.1", () => {
+      const addr = srv.address();
+      const port = typeof addr === "object" && addr ? addr.port : 0;
+      srv.close(() => resolve(port));
+    });
+  });
+}
--- /dev/null
+++ b/src/common/ControlClient.ts
@@ -0,0 +1,18 @@
+import * as grpc from "@grpc/grpc-js";
+import { loadProto } from "./loadProto.ts";
+import type { ProtoTypes } from "./ProtoTypes.ts";
+
+type Callback<T> = (err: grpc.ServiceError | null, res?: T) => void;
+
+/** A typed gRPC client of the Control service. */
+export type ControlClient = grpc.Client & {
+  Apply(req: ProtoTypes["ApplyRequest"], opts: grpc.CallOptions, cb: Callback<ProtoTypes["ApplyReply"]>): void;
+  Current(req: object, opts: grpc.CallOptions, cb: Callback<ProtoTypes["ConfigVersion"]>): void;
+  Watch(req: ProtoTypes["WatchRequest"]): grpc.ClientReadableStream<ProtoTypes["ConfigVersion"]>;
+};
+
+/** Opens a client to the control replica at `address` (host:port, no TLS). */
+export const ControlClient = (address: string): ControlClient => {
+  const ctor = loadProto().Control as grpc.ServiceClientConstructor;
+  return new ctor(address, grpc.credentials.createInsecure()) as unknown as ControlClient;
+};
--- /dev/null
+++ b/src/common/OperatorDocument.ts
@@ -0,0 +1,49 @@
+import { z } from "zod";
+
+/** Milliseconds, as a positive whole number. */
+const Millis = z.number().int().positive();
+
+/** One kind of request a service takes, matched by method and path prefix. */
+const RequestKind = z.strictObject({
+  kind: z.string().min(1),
+  method: z.enum(["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]),
+  pathPrefix: z.string().startsWith("/"),
+  idempotent: z.boolean(),
+});
+
+/** Retry policy for one service. */
+const RetryPolicy = z.strictObject({
+  /** Tries in all, the first included. */
+  attempts: z.number().int().min(1).max(5),
+  /** Retries may add at most this fraction of first tries (a retry budget). */
+  budgetRatio: z.number().min(0).max(1),
+});
+
+/** One service of the document: its routes, request kinds and limits. */
+const Service = z.strictObject({
+  name: z.string().regex(/^[a-z][a-z0-9-]*$/),
+  customer: z.string().min(1),
+  /** Path prefixes of callers' URLs that reach this service. */
+  routes: z.array(z.string().startsWith("/")).min(1),
+  requests: z.array(RequestKind).min(1),
+  /** Ejection never takes healthy targets below this fraction of announced ones. */
+  floor: z.number().min(0).max(1),
+  timeoutMs: Millis,
+  retry: RetryPolicy,
+});
+
+/**
+ * The operators' document: the one validated YAML file through which
+ * operators drive the whole fleet. Its version is assigned by control.
+ */
+export const OperatorDocument = z.strictObject({
+  services: z
+    .array(Service)
+    .min(1)
+    .refine((list) => new Set(list.map((s) => s.name)).size === list.length, {
+      message: "service names must be unique",
+    }),
+});
+
+/** The parsed, validated operators' document. */
+export type OperatorDocument = z.infer<typeof OperatorDocument>;
--- /dev/null
+++ b/src/common/startGrpcServer.ts
@@ -0,0 +1,39 @@
+import * as grpc from "@grpc/grpc-js";
+import type { IDisposable } from "./IDisposable.ts";
+
+/** A started gRPC server; disposing it shuts it down (forcibly after a grace period). */
+export interface StartedGrpcServer extends IDisposable {
+  readonly server: grpc.Server;
+  readonly port: number;
+}
+
+/** How long a graceful gRPC shutdown may take before open calls are cut, ms. */
+const SHUTDOWN_GRACE_MS = 2000;
+
+/** Binds `server` on `hostPort` (port 0 picks one) without TLS: loopback and private networks. */
+export async function startGrpcServer(server: grpc.Server, hostPort: string): Promise<StartedGrpcServer> {
+  const port = await new Promise<number>((resolve, reject) => {
+    server.bindAsync(hostPort, grpc.ServerCredentials.createInsecure(), (err, bound) => {
+      if (err) {
+        reject(err);
+      } else {
+        resolve(bound);
+      }
+    });
+  });
+  return {
+    server,
+    port,
+    dispose: () =>
+      new Promise<void>((resolve) => {
+        const timer = setTimeout(() => {
+          server.forceShutdown();
+          resolve();
+        }, SHUTDOWN_GRACE_MS);
+        server.tryShutdown(() => {
+          clearTimeout(timer);
+          resolve();
+        });
+      }),
+  };
+}
--- /dev/null
+++ b/src/common/toDisposable.ts
@@ -0,0 +1,15 @@
+import type { IDisposable } from "./IDisposable.ts";
+
+/** Wraps a release function as an {@link IDisposable} that runs it once. */
+export function toDisposable(release: () => Promise<void> | void): IDisposable {
+  let done = false;
+  return {
+    dispose: async () => {
+      if (done) {
+        return;
+      }
+      done = true;
+      await release();
+    },
+  };
+}
--- /dev/null
+++ b/src/sidecar/CallerServer.ts
@@ -0,0 +1,156 @@
+import { randomUUID } from "node:crypto";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { SpanKind, SpanStatusCode, context, propagation, trace, type Tracer } from "@opentelemetry/api";
+import type bunyan from "bunyan";
+import type { OperatorDocument } from "../common/OperatorDocument.ts";
+import type { Verdict } from "../common/Verdict.ts";
+import type { Dispatcher } from "./Dispatcher.ts";
+import type { ForwardResult } from "./ForwardResult.ts";
+import { RETRY_AFTER_S } from "./Forwarder.ts";
+import { matchRoute } from "./matchRoute.ts";
+import type { SidecarMetrics } from "./SidecarMetrics.ts";
+
+/** Largest request body taken from a caller, bytes. */
+const MAX_REQUEST_BYTES = 1 << 20;
+
+/** Headers that belong to one hop and are not passed on (RFC 9110 §7.6.1). */
+const HOP_HEADERS = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-connection",
+  "transfer-encoding",
+  "upgrade",
+  "te",
+  "trailer",
+  "host",
+  "content-length",
+]);
+
+/** What the caller server reads from the rest of the sidecar. */
+export interface CallerServerDeps {
+  readonly document: () => OperatorDocument | undefined;
+  readonly dispatcher: Dispatcher;
+  readonly metrics: SidecarMetrics;
+  readonly tracer: Tracer;
+  readonly log: bunyan;
+}
+
+/**
+ * Takes callers' HTTP requests, forwards each through the {@link Dispatcher}
+ * and writes back that request's own whole answer, with its verdict in
+ * `x-burdockpass-verdict`. A request given up on is answered at once with
+ * `Retry-After`.
+ */
+export class CallerServer {
+  readonly #deps: CallerServerDeps;
+  readonly server: Server;
+
+  constructor(deps: CallerServerDeps) {
+    this.#deps = deps;
+    this.server = createServer((req, res) => {
+      void this.#handle(req, res);
+    });
+    // Callers on slow phones: keep their connections a while, but not forever.
+    this.server.keepAliveTimeout = 30_000;
+  }
+
+  async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const started = performance.now();
+    const parent = propagation.extract(context.active(), req.headers);
+    const span = this.#deps.tracer.startSpan("sidecar.ingress", { kind: SpanKind.SERVER }, parent);
+    const path = req.url ?? "/";
+    const doc = this.#deps.document();
+    const route = doc ? matchRoute(doc, req.method ?? "GET", path) : undefined;
+    if (!route) {
+      const reason = doc ? "no route" : "no accepted configuration yet";
+      this.#reply(res, { verdict: { kind: "not-run", reason, retryAfterS: RETRY_AFTER_S } }, 404);
+      span.end();
+      return;
+    }
+    const body = await readBody(req);
+    if (body === "too-large") {
+      this.#reply(res, { verdict: { kind: "not-run", reason: "request body too large", retryAfterS: 0 } }, 413);
+      span.end();
+      return;
+    }
+    const headers = passOn(req.headers);
+    if (!route.idempotent && !headers["idempotency-key"]) {
+      // Every non-idempotent request gets a key, so a resend can be told from new work.
+      headers["idempotency-key"] = randomUUID();
+    }
+    const forward = this.#deps.tracer.startSpan(
+      "sidecar.forward",
+      { kind: SpanKind.CLIENT },
+      trace.setSpan(parent, span),
+    );
+    propagation.inject(trace.setSpan(parent, forward), headers);
+    const deadline = Date.now() + route.service.timeoutMs;
+    const out = await this.#deps.dispatcher.dispatch(route, {
+      method: req.method ?? "GET",
+      path,
+      headers,
+      body: body.length > 0 ? body : undefined,
+      deadline,
+    });
+    forward.setAttribute("burdockpass.verdict", out.verdict.kind);
+    forward.end();
+    res.setHeader("idempotency-key", headers["idempotency-key"] ?? "");
+    this.#reply(res, out, statusFor(out.verdict));
+    this.#deps.metrics.observe(route.service.name, out.verdict.kind, performance.now() - started);
+    span.setStatus({ code: out.verdict.kind === "done" ? SpanStatusCode.OK : SpanStatusCode.ERROR });
+    span.end();
+  }
+
+  #reply(res: ServerResponse, out: ForwardResult, status: number): void {
+    res.setHeader("x-burdockpass-verdict", out.verdict.kind);
+    if ("body" in out) {
+      for (const [name, value] of Object.entries(out.headers)) {
+        if (!HOP_HEADERS.has(name) && value !== undefined) {
+          res.setHeader(name, value);
+        }
+      }
+      res.statusCode = out.verdict.status;
+      res.setHeader("content-length", out.body.length);
+      res.end(out.body);
+      return;
+    }
+    res.statusCode = status;
+    res.setHeader("retry-after", String(out.verdict.retryAfterS));
+    res.setHeader("content-type", "application/json");
+    res.end(JSON.stringify({ verdict: out.verdict.kind, reason: out.verdict.reason }));
+  }
+}
+
+function statusFor(verdict: Verdict): number {
+  switch (verdict.kind) {
+    case "done":
+      return verdict.status;
+    case "not-run":
+      return 503;
+    case "may-have-run":
+      return 504;
+  }
+}
+
+function passOn(raw: IncomingMessage["headers"]): Record<string, string> {
+  const out: Record<string, string> = {};
+  for (const [name, value] of Object.entries(raw)) {
+    if (!HOP_HEADERS.has(name) && value !== undefined) {
+      out[name] = Array.isArray(value) ? value.join(", ") : value;
+    }
+  }
+  return out;
+}
+
+async function readBody(req: IncomingMessage): Promise<Buffer | "too-large"> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of req as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > MAX_REQUEST_BYTES) {
+      return "too-large";
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks);
+}
--- /dev/null
+++ b/src/sidecar/SidecarRole.ts
@@ -0,0 +1,104 @@
+import * as grpc from "@grpc/grpc-js";
+import type bunyan from "bunyan";
+import { Disposable } from "../common/Disposable.ts";
+import type { DaemonSettings } from "../common/DaemonSettings.ts";
+import { createTracer } from "../common/createTracer.ts";
+import { loadProto } from "../common/loadProto.ts";
+import { SidecarId } from "../common/SidecarId.ts";
+import { startGrpcServer } from "../common/startGrpcServer.ts";
+import { startHttpServer } from "../common/startHttpServer.ts";
+import { ZoneName } from "../common/ZoneName.ts";
+import { AdminServer } from "./AdminServer.ts";
+import { CallerServer } from "./CallerServer.ts";
+import { ConfigFollower } from "./ConfigFollower.ts";
+import { Dispatcher } from "./Dispatcher.ts";
+import { Forwarder } from "./Forwarder.ts";
+import { PeerGossip } from "./PeerGossip.ts";
+import { pickTarget } from "./pickTarget.ts";
+import { SidecarMetrics } from "./SidecarMetrics.ts";
+import { TargetTable } from "./TargetTable.ts";
+
+/** The sidecar's settings. */
+type SidecarSettings = Extract<DaemonSettings, { role: "sidecar" }>;
+
+/**
+ * The sidecar beside one target VM: the root of its process's component
+ * tree. It owns the caller server, the admin server, membership gossip, the
+ * config follower and the forwarder; disposing it stops them in reverse.
+ */
+export class SidecarRole extends Disposable {
+  readonly #cfg: SidecarSettings;
+  readonly #log: bunyan;
+  #ports = { caller: 0, admin: 0, peer: 0 };
+
+  constructor(cfg: SidecarSettings, log: bunyan) {
+    super();
+    this.#cfg = cfg;
+    this.#log = log;
+  }
+
+  /** Ports actually bound (settings may ask for 0). */
+  get ports(): Readonly<{ caller: number; admin: number; peer: number }> {
+    return this.#ports;
+  }
+
+  /** Starts every component; the caller server last, once the rest can serve it. */
+  async start(): Promise<void> {
+    const proto = loadProto();
+    const table = new TargetTable(
+      { id: SidecarId(this.#cfg.id), peerAddress: this.#cfg.peer, zone: ZoneName(this.#cfg.zone) },
+      Date.now,
+    );
+    const metrics = new SidecarMetrics();
+    const follower = this.register(
+      new ConfigFollower({
+        controls: this.#cfg.control,
+        dataDir: this.#cfg.dataDir,
+        sidecarId: this.#cfg.id,
+        log: this.#log,
+      }),
+    );
+    follower.start();
+
+    const gossip = this.register(
+      new PeerGossip({
+        table,
+        seeds: this.#cfg.seeds,
+        ctor: proto.Peer as grpc.ServiceClientConstructor,
+        random: Math.random,
+        log: this.#log,
+      }),
+    );
+    const peerServer = new grpc.Server();
+    peerServer.addService((proto.Peer as grpc.ServiceClientConstructor).service, { Exchange: gossip.exchange });
+    this.#ports.peer = this.register(await startGrpcServer(peerServer, this.#cfg.peer)).port;
+    gossip.start(this.#cfg.gossipIntervalMs);
+
+    const status = () => ({
+      role: "sidecar",
+      id: this.#cfg.id,
+      zone: this.#cfg.zone,
+      configVersion: follower.version,
+      members: table.memberCount,
+      targets: table.allTargets(),
+    });
+    const admin = new AdminServer({ table, metrics, status });
+    this.#ports.admin = this.register(await startHttpServer(admin.server, this.#cfg.admin)).port;
+
+    const forwarder = this.register(new Forwarder());
+    const dispatcher = new Dispatcher({
+      targetsOf: (service) => table.targetsOf(service.name as never),
+      pick: (candidates, outstanding) => pickTarget(candidates, outstanding, Math.random),
+      send: (target, req) => forwarder.send(target, req),
+    });
+    const caller = new CallerServer({
+      document: () => follower.document,
+      dispatcher,
+      metrics,
+      tracer: createTracer("burdockpass-sidecar", this.#cfg.traceFile),
+      log: this.#log,
+    });
+    this.#ports.caller = this.register(await startHttpServer(caller.server, this.#cfg.listen)).port;
+    this.#log.info({ ports: this.#ports }, "sidecar started");
+  }
+}
--- /dev/null
+++ b/src/sidecar/TargetInfo.ts
@@ -0,0 +1,16 @@
+import type { ServiceName } from "../common/ServiceName.ts";
+import type { TargetId } from "../common/TargetId.ts";
+import type { ZoneName } from "../common/ZoneName.ts";
+import type { TargetState } from "./TargetState.ts";
+
+/** One target as this sidecar knows it, from its own announcement or from gossip. */
+export interface TargetInfo {
+  readonly id: TargetId;
+  readonly service: ServiceName;
+  /** Base URL of the target's HTTP, such as `http://127.0.0.1:9001`. */
+  readonly url: string;
+  /** Requests it can work on at once. */
+  readonly slots: number;
+  readonly state: TargetState;
+  readonly zone: ZoneName;
+}
--- /dev/null
+++ b/src/sidecar/TargetTable.ts
@@ -0,0 +1,132 @@
+import type { ProtoTypes } from "../common/ProtoTypes.ts";
+import { ServiceName } from "../common/ServiceName.ts";
+import type { SidecarId } from "../common/SidecarId.ts";
+import { TargetId } from "../common/TargetId.ts";
+import { ZoneName } from "../common/ZoneName.ts";
+import type { TargetInfo } from "./TargetInfo.ts";
+import type { TargetState } from "./TargetState.ts";
+
+type Member = ProtoTypes["Member"];
+
+/**
+ * A target that has not re-announced itself for this long is taken as gone, ms.
+ * Targets announce every 500 ms, so three are missed first.
+ */
+export const ANNOUNCE_TIMEOUT_MS = 1500;
+
+/**
+ * A member whose heartbeat has not risen for this long is taken as gone, with
+ * its targets, ms. With a 200 ms gossip interval that is ten rounds, which
+ * rides out a lost round or two yet removes a dead VM's targets within 2 s.
+ */
+export const MEMBER_TIMEOUT_MS = 2000;
+
+interface Heard {
+  member: Member;
+  /** Local time at which the heartbeat last rose. */
+  seenAt: number;
+}
+
+/**
+ * The fleet's membership as one sidecar sees it: its own targets from their
+ * announcements, and other sidecars' member entries from gossip, each
+ * versioned by (incarnation, heartbeat) so the newest always wins a merge.
+ */
+export class TargetTable {
+  readonly #self: Member;
+  readonly #now: () => number;
+  readonly #local = new Map<string, { target: ProtoTypes["Target"]; at: number }>();
+  readonly #remote = new Map<string, Heard>();
+
+  /** `now` gives the local clock in ms; tests pass a fake. */
+  constructor(self: { id: SidecarId; peerAddress: string; zone: ZoneName }, now: () => number) {
+    this.#now = now;
+    this.#self = {
+      sidecar_id: self.id,
+      peer_address: self.peerAddress,
+      zone: self.zone,
+      heartbeat: 0,
+      incarnation: now(),
+      targets: [],
+    };
+  }
+
+  /** Records an announcement by a target beside this sidecar. */
+  announce(target: ProtoTypes["Target"]): void {
+    this.#local.set(target.target_id, { target, at: this.#now() });
+  }
+
+  /** Raises our own heartbeat; called once a gossip round. */
+  beat(): void {
+    this.#self.heartbeat += 1;
+  }
+
+  /** Our own entry and every live remote one, to send to a peer. */
+  digest(): ProtoTypes["Digest"] {
+    const own = { ...this.#self, targets: this.#liveLocal() };
+    return { members: [own, ...this.#liveRemote().map((h) => h.member)] };
+  }
+
+  /** Takes in a peer's digest: each entry replaces ours when it is newer. */
+  merge(digest: ProtoTypes["Digest"]): void {
+    for (const member of digest.members) {
+      if (member.sidecar_id === this.#self.sidecar_id) {
+        continue;
+      }
+      const known = this.#remote.get(member.sidecar_id);
+      if (!known || isNewer(member, known.member)) {
+        this.#remote.set(member.sidecar_id, { member, seenAt: this.#now() });
+      }
+    }
+  }
+
+  /** Peer addresses of live members, for choosing whom to gossip with. */
+  peerAddresses(): string[] {
+    return this.#liveRemote().map((h) => h.member.peer_address);
+  }
+
+  /** Every live target of `service`, in any state. */
+  targetsOf(service: ServiceName): TargetInfo[] {
+    return this.allTargets().filter((t) => t.service === service);
+  }
+
+  /** Every live target the sidecar knows of. */
+  allTargets(): TargetInfo[] {
+    const own = this.#liveLocal().map((t) => toInfo(t, this.#self.zone));
+    const others = this.#liveRemote().flatMap((h) => h.member.targets.map((t) => toInfo(t, h.member.zone)));
+    return [...own, ...others];
+  }
+
+  /** Number of live members, this one included. */
+  get memberCount(): number {
+    return 1 + this.#liveRemote().length;
+  }
+
+  #liveLocal(): ProtoTypes["Target"][] {
+    const cutoff = this.#now() - ANNOUNCE_TIMEOUT_MS;
+    return [...this.#local.values()].filter((e) => e.at >= cutoff).map((e) => e.target);
+  }
+
+  #liveRemote(): Heard[] {
+    const cutoff = this.#now() - MEMBER_TIMEOUT_MS;
+    return [...this.#remote.values()].filter((h) => h.seenAt >= cutoff);
+  }
+}
+
+function isNewer(a: Member, b: Member): boolean {
+  if (a.incarnation !== b.incarnation) {
+    return a.incarnation > b.incarnation;
+  }
+  return a.heartbeat > b.heartbeat;
+}
+
+function toInfo(t: ProtoTypes["Target"], zone: string): TargetInfo {
+  return {
+    id: TargetId(t.target_id),
+    service: ServiceName(t.service),
+    url: t.url,
+    slots: t.slots,
+    state: t.state as TargetState,
+    zone: ZoneName(zone),
+  };
+}
--- /dev/null
+++ b/src/standin/FaultMode.ts
@@ -0,0 +1,12 @@
+/** How a stand-in target misbehaves; switched at run time through `POST /_standin/fault`. */
+export enum FaultMode {
+  None = "none",
+  /** Every answer takes ten times as long. */
+  Slow = "slow",
+  /** A share of answers are wrong: status 200, but another request's answer. */
+  Wrong = "wrong",
+  /** Alternates between slow and healthy every flap period. */
+  Flapping = "flapping",
+  /** Accepts requests and never answers, as a connection forgotten by a middlebox. */
+  Silent = "silent",
+}
--- /dev/null
+++ b/src/standin/StandInOptions.ts
@@ -0,0 +1,21 @@
+/** How a stand-in target is set up. */
+export interface StandInOptions {
+  readonly id: string;
+  readonly service: string;
+  readonly host: string;
+  readonly port: number;
+  /** The sidecar beside it, `host:port` of its admin server; absent to announce nowhere. */
+  readonly sidecarAdmin: string | undefined;
+  /** Requests it works on at once; more are shed with 503 and `x-not-run`. */
+  readonly slots: number;
+  /** Work time of one request when healthy, ms. */
+  readonly workMs: number;
+  /** Time after start during which it announces itself `cold`, ms. */
+  readonly coldMs: number;
+  /** Share of answers that are wrong in the `wrong` mode. */
+  readonly wrongRate: number;
+  /** How far its health endpoint lags behind its real state, ms. */
+  readonly healthLagMs: number;
+  /** When true, its health endpoint always says healthy. */
+  readonly healthLies: boolean;
+}
--- /dev/null
+++ b/src/standin/StandInTarget.ts
@@ -0,0 +1,202 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { FaultMode } from "./FaultMode.ts";
+import type { StandInOptions } from "./StandInOptions.ts";
+
+/** Interval between announcements to the sidecar, ms: the target's heartbeat. */
+export const ANNOUNCE_INTERVAL_MS = 500;
+
+/** Slow mode multiplies work time by this. */
+const SLOW_FACTOR = 10;
+
+/** Half-period of the flapping mode, ms. */
+const FLAP_PERIOD_MS = 2000;
+
+/**
+ * A stand-in for a customer's back end, spoken to over HTTP as the real ones
+ * are. It has slots and sheds load beyond them, starts cold, drains, honours
+ * deadlines (`x-burdockpass-deadline`) and cancellation, has a health
+ * endpoint that can lag or lie, and fault modes switched at run time. It
+ * counts the effects of non-idempotent requests per idempotency key, so
+ * tests can see any request that ran twice.
+ */
+export class StandInTarget {
+  readonly #opts: StandInOptions;
+  readonly #server: Server;
+  readonly #startedAt = Date.now();
+  readonly #effects = new Map<string, number>();
+  readonly #history: { at: number; healthy: boolean }[] = [];
+  #mode = FaultMode.None;
+  #inFlight = 0;
+  #served = 0;
+  #draining = false;
+  #announcer: NodeJS.Timeout | undefined;
+  #lastAnswer = "";
+
+  constructor(opts: StandInOptions) {
+    this.#opts = opts;
+    this.#server = createServer((req, res) => {
+      void this.#route(req, res);
+    });
+  }
+
+  /** Listens and starts announcing; resolves with the bound port. */
+  async start(): Promise<number> {
+    await new Promise<void>((resolve) => this.#server.listen(this.#opts.port, this.#opts.host, resolve));
+    this.#announce();
+    this.#announcer = setInterval(() => this.#announce(), ANNOUNCE_INTERVAL_MS);
+    return (this.#server.address() as AddressInfo).port;
+  }
+
+  /** Stops announcing and closes; requests in flight finish first. */
+  async stop(): Promise<void> {
+    clearInterval(this.#announcer);
+    await new Promise<void>((resolve) => {
+      this.#server.close(() => resolve());
+      this.#server.closeIdleConnections();
+    });
+  }
+
+  get #url(): string {
+    const port = (this.#server.address() as AddressInfo).port;
+    return `http://${this.#opts.host}:${port}`;
+  }
+
+  #state(): string {
+    if (this.#draining) {
+      return "draining";
+    }
+    return Date.now() - this.#startedAt < this.#opts.coldMs ? "cold" : "ready";
+  }
+
+  #announce(): void {
+    if (!this.#opts.sidecarAdmin) {
+      return;
+    }
+    const body = JSON.stringify({
+      targetId: this.#opts.id,
+      service: this.#opts.service,
+      url: this.#url,
+      slots: this.#opts.slots,
+      state: this.#state(),
+    });
+    fetch(`http://${this.#opts.sidecarAdmin}/v1/announce`, {
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body,
+    }).catch(() => undefined);
+  }
+
+  async #route(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const url = req.url ?? "/";
+    if (url.startsWith("/_standin/")) {
+      await this.#control(url, req, res);
+      return;
+    }
+    await this.#work(req, res);
+  }
+
+  async #control(url: string, req: IncomingMessage, res: ServerResponse): Promise<void> {
+    res.setHeader("content-type", "application/json");
+    if (url === "/_standin/effects") {
+      res.end(JSON.stringify({ served: this.#served, effects: Object.fromEntries(this.#effects) }));
+    } else if (url === "/_standin/health") {
+      res.statusCode = this.#reportedHealthy() ? 200 : 503;
+      res.end(JSON.stringify({ inFlight: this.#inFlight, slots: this.#opts.slots }));
+    } else if (url === "/_standin/fault" && req.method === "POST") {
+      const body = JSON.parse(await readText(req)) as { mode: FaultMode };
+      this.#mode = body.mode;
+      this.#history.push({ at: Date.now(), healthy: body.mode === FaultMode.None });
+      res.end(JSON.stringify({ mode: this.#mode }));
+    } else if (url === "/_standin/drain" && req.method === "POST") {
+      this.#draining = true;
+      this.#announce();
+      res.end(JSON.stringify({ draining: true }));
+    } else {
+      res.statusCode = 404;
+      res.end("{}");
+    }
+  }
+
+  /** Health as the endpoint tells it: the state of `healthLagMs` ago, or always fine when it lies. */
+  #reportedHealthy(): boolean {
+    if (this.#opts.healthLies) {
+      return true;
+    }
+    const asOf = Date.now() - this.#opts.healthLagMs;
+    const known = this.#history.filter((h) => h.at <= asOf).at(-1);
+    return known?.healthy ?? true;
+  }
+
+  async #work(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const body = await readText(req);
+    if (this.#mode === FaultMode.Silent) {
+      return; // Never answers; the socket stays open until the caller gives up.
+    }
+    if (this.#inFlight >= this.#opts.slots || this.#draining) {
+      shed(res, this.#draining ? "draining" : "no free slot");
+      return;
+    }
+    this.#inFlight += 1;
+    let cancelled = false;
+    res.on("close", () => (cancelled = !res.writableFinished));
+    try {
+      const deadline = Number(req.headers["x-burdockpass-deadline"] ?? Infinity);
+      await sleep(Math.min(this.#workTime(), Math.max(0, deadline - Date.now())));
+      if (cancelled || Date.now() >= deadline) {
+        // Cancelled or past its deadline before the effect: it did not run, and says so.
+        if (!res.destroyed) shed(res, "deadline passed");
+        return;
+      }
+      this.#answer(req, body, res);
+    } finally {
+      this.#inFlight -= 1;
+    }
+  }
+
+  #answer(req: IncomingMessage, body: string, res: ServerResponse): void {
+    this.#served += 1;
+    const key = req.headers["idempotency-key"];
+    if (req.method !== "GET" && req.method !== "HEAD" && typeof key === "string") {
+      this.#effects.set(key, (this.#effects.get(key) ?? 0) + 1);
+    }
+    const answer = JSON.stringify({
+      target: this.#opts.id,
+      service: this.#opts.service,
+      path: req.url,
+      tag: req.headers["x-caller-tag"] ?? null,
+      bodyBytes: body.length,
+    });
+    const wrong = this.#mode === FaultMode.Wrong && Math.random() < this.#opts.wrongRate && this.#lastAnswer;
+    const sent = wrong ? this.#lastAnswer : answer;
+    this.#lastAnswer = answer;
+    res.setHeader("content-type", "application/json");
+    res.end(sent);
+  }
+
+  #workTime(): number {
+    const flappingSlow =
+      this.#mode === FaultMode.Flapping && Math.floor(Date.now() / FLAP_PERIOD_MS) % 2 === 0;
+    const slow = this.#mode === FaultMode.Slow || flappingSlow;
+    return this.#opts.workMs * (slow ? SLOW_FACTOR : 1);
+  }
+}
+
+function shed(res: ServerResponse, reason: string): void {
+  res.statusCode = 503;
+  res.setHeader("x-not-run", "1");
+  res.setHeader("retry-after", "1");
+  res.end(JSON.stringify({ notRun: reason }));
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+async function readText(req: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of req as AsyncIterable<Buffer>) {
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString("utf8");
+}
--- /dev/null
+++ b/src/standin/main.ts
@@ -0,0 +1,38 @@
+import { defineCommand, runMain } from "citty";
+import { StandInTarget } from "./StandInTarget.ts";
+
+const main = defineCommand({
+  meta: { name: "standin-target", description: "A stand-in back end for tests, the demo and the bench." },
+  args: {
+    id: { type: "string", required: true },
+    service: { type: "string", required: true },
+    port: { type: "string", default: "0" },
+    sidecar: { type: "string", description: "The sidecar's admin host:port" },
+    slots: { type: "string", default: "5" },
+    "work-ms": { type: "string", default: "2" },
+    "cold-ms": { type: "string", default: "0" },
+    "wrong-rate": { type: "string", default: "0.05" },
+    "health-lag-ms": { type: "string", default: "0" },
+    "health-lies": { type: "boolean", default: false },
+  },
+  async run({ args }) {
+    const target = new StandInTarget({
+      id: args.id,
+      service: args.service,
+      host: "127.0.0.1",
+      port: Number(args.port),
+      sidecarAdmin: args.sidecar,
+      slots: Number(args.slots),
+      workMs: Number(args["work-ms"]),
+      coldMs: Number(args["cold-ms"]),
+      wrongRate: Number(args["wrong-rate"]),
+      healthLagMs: Number(args["health-lag-ms"]),
+      healthLies: args["health-lies"],
+    });
+    const port = await target.start();
+    process.stdout.write(JSON.stringify({ msg: "standin ready", id: args.id, port }) + "\n");
+    process.once("SIGTERM", () => void target.stop().then(() => process.exit(0)));
+  },
+});
+
+void runMain(main);
