--- a/scripts/LocalFleet.ts
+++ b/scripts/LocalFleet.ts
@@ -24,6 +24,9 @@
   readonly ports: Record<string, number>;
 }
 
+/** How long a process may take to stop after SIGTERM before it is killed, ms. */
+const STOP_GRACE_MS = 5000;
+
 /** How long a process may take to say it is ready, ms. */
 const READY_TIMEOUT_MS = 20_000;
 
@@ -45,35 +48,47 @@
   /** Starts control, then every sidecar and its stand-in; resolves once all are listening. */
   async start(targets: readonly FleetTarget[]): Promise<void> {
     this.controlPort = await freePort();
-    const control = await this.#daemon("control", {
-      role: "control",
-      id: "control-1",
-      zone: "zone-a",
-      listen: `127.0.0.1:${this.controlPort}`,
-      admin: `127.0.0.1:${await freePort()}`,
-      dataDir: join(this.dir, "control-1"),
-    }, { grpc: this.controlPort });
+    const control = await this.#daemon(
+      "control",
+      {
+        role: "control",
+        id: "control-1",
+        zone: "zone-a",
+        listen: `127.0.0.1:${this.controlPort}`,
+        admin: `127.0.0.1:${await freePort()}`,
+        dataDir: join(this.dir, "control-1"),
+      },
+      { grpc: this.controlPort },
+    );
     this.#members.push(control);
-    const peerPorts: number[] = [];
-    for (const t of targets) {
-      peerPorts.push(await freePort());
-    }
+    const peerPorts = await Promise.all(targets.map(() => freePort()));
     await Promise.all(
       targets.map(async (t, i) => {
-        const ports = { caller: await freePort(), admin: await freePort(), peer: peerPorts[i] ?? 0 };
-        const seeds = peerPorts.slice(0, 2).filter((p) => p !== ports.peer).map((p) => `127.0.0.1:${p}`);
-        const sidecar = await this.#daemon(`sidecar-${t.id}`, {
-          role: "sidecar",
-          id: `sidecar-${t.id}`,
-          zone: t.zone,
-          listen: `127.0.0.1:${ports.caller}`,
-          admin: `127.0.0.1:${ports.admin}`,
-          peer: `127.0.0.1:${ports.peer}`,
-          seeds,
-          control: [`127.0.0.1:${this.controlPort}`],
-          dataDir: join(this.dir, `sidecar-${t.id}`),
-          traceFile: join(this.dir, `trace-${t.id}.jsonl`),
-        }, ports);
+        const ports = {
+          caller: await freePort(),
+          admin: await freePort(),
+          peer: peerPorts[i] ?? 0,
+        };
+        const seeds = peerPorts
+          .slice(0, 2)
+          .filter((p) => p !== ports.peer)
+          .map((p) => `127.0.0.1:${p}`);
+        const sidecar = await this.#daemon(
+          `sidecar-${t.id}`,
+          {
+            role: "sidecar",
+            id: `sidecar-${t.id}`,
+            zone: t.zone,
+            listen: `127.0.0.1:${ports.caller}`,
+            admin: `127.0.0.1:${ports.admin}`,
+            peer: `127.0.0.1:${ports.peer}`,
+            seeds,
+            control: [`127.0.0.1:${this.controlPort}`],
+            dataDir: join(this.dir, `sidecar-${t.id}`),
+            traceFile: join(this.dir, `trace-${t.id}.jsonl`),
+          },
+          ports,
+        );
         this.sidecars.set(t.id, sidecar);
         this.#members.push(sidecar);
         const target = await this.#standIn(t, ports.admin);
@@ -85,12 +100,18 @@
 
   /** Runs the CLI with `args`; resolves with its exit code and output. */
   cli(args: readonly string[]): Promise<{ code: number; out: string; err: string }> {
-    const proc = spawn(process.execPath, [join(ROOT, "bin/burdockpass.js"), ...args], { cwd: ROOT });
+    const proc = spawn(process.execPath, [join(ROOT, "bin/burdockpass.js"), ...args], {
+      cwd: ROOT,
+    });
     let out = "";
     let err = "";
     proc.stdout.on("data", (d: Buffer) => (out += d.toString()));
     proc.stderr.on("data", (d: Buffer) => (err += d.toString()));
-    return new Promise((resolve) => proc.on("exit", (code) => resolve({ code: code ?? -1, out, err })));
+    return new Promise((resolve) =>
+      proc.on("exit", (code) => {
+        resolve({ code: code ?? -1, out, err });
+      }),
+    );
   }
 
   /** Polls every sidecar's status until each sees `count` ready targets, or throws after `timeoutMs`. */
@@ -143,9 +164,13 @@
               resolve();
               return;
             }
-            m.proc.once("exit", () => resolve());
+            // Not unref'd: if this process ended first, a child that ignored SIGTERM would be orphaned.
+            const kill = setTimeout(() => m.proc.kill("SIGKILL"), STOP_GRACE_MS);
+            m.proc.once("exit", () => {
+              clearTimeout(kill);
+              resolve();
+            });
             m.proc.kill("SIGTERM");
-            setTimeout(() => m.proc.kill("SIGKILL"), 5000).unref();
           }),
       ),
     );
@@ -159,7 +184,12 @@
       env: { ...process.env, BURDOCKPASS_LOG: process.env.BURDOCKPASS_LOG ?? "info" },
       stdio: ["ignore", "pipe", "inherit"],
     });
-    await waitForLine(proc, /"msg":"(control|sidecar) started"/, name, join(this.dir, `${name}.log`));
+    await waitForLine(
+      proc,
+      /"msg":"(control|sidecar) started"/,
+      name,
+      join(this.dir, `${name}.log`),
+    );
     return { name, proc, ports };
   }
 
@@ -185,12 +215,19 @@
  * Copies `proc`'s stdout to `logFile` and resolves once it prints a line
  * matching `pattern`; rejects if it exits first or takes too long.
  */
-function waitForLine(proc: ChildProcess, pattern: RegExp, name: string, logFile: string): Promise<void> {
+function waitForLine(
+  proc: ChildProcess,
+  pattern: RegExp,
+  name: string,
+  logFile: string,
+): Promise<void> {
   const log = createWriteStream(logFile);
   proc.stdout?.pipe(log);
   return new Promise((resolve, reject) => {
     let seen = "";
-    const timer = setTimeout(() => reject(new Error(`${name} not ready in ${READY_TIMEOUT_MS} ms`)), READY_TIMEOUT_MS);
+    const timer = setTimeout(() => {
+      reject(new Error(`${name} not ready in ${READY_TIMEOUT_MS} ms`));
+    }, READY_TIMEOUT_MS);
     const watch = (d: Buffer) => {
       seen += d.toString();
       if (pattern.test(seen)) {
@@ -200,7 +237,9 @@
       }
     };
     proc.stdout?.on("data", watch);
-    proc.once("exit", (code) => reject(new Error(`${name} exited with ${code}`)));
+    proc.once("exit", (code) => {
+      reject(new Error(`${name} exited with ${code}`));
+    });
   });
 }
 
@@ -211,7 +250,9 @@
     srv.listen(0, "127.0.0.1", () => {
       const addr = srv.address();
       const port = typeof addr === "object" && addr ? addr.port : 0;
-      srv.close(() => resolve(port));
+      srv.close(() => {
+        resolve(port);
+      });
     });
   });
 }
--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -26,11 +26,19 @@
 try {
   console.log(`starting fleet in ${fleet.dir} ...`);
   await fleet.start(demoTargets);
-  const applied = await fleet.cli(["config", "apply", DOC, "--control", `127.0.0.1:${fleet.controlPort}`]);
+  const applied = await fleet.cli([
+    "config",
+    "apply",
+    DOC,
+    "--control",
+    `127.0.0.1:${fleet.controlPort}`,
+  ]);
   console.log(applied.out.trim() || applied.err.trim());
   await fleet.waitForVersion(1);
   await fleet.waitForTargets(demoTargets.length);
-  console.log(`fleet ready: ${fleet.sidecars.size} sidecars, ${fleet.targets.size} stand-in targets, 1 control`);
+  console.log(
+    `fleet ready: ${fleet.sidecars.size} sidecars, ${fleet.targets.size} stand-in targets, 1 control`,
+  );
   const callerPorts = [...fleet.sidecars.values()].map((s) => s.ports.caller ?? 0);
   const tally = new Map<string, number>();
   let ownAnswers = 0;
@@ -56,8 +64,11 @@
   const t0 = performance.now();
   await Promise.all(Array.from({ length: CONCURRENCY }, worker));
   const ms = performance.now() - t0;
-  for (const [key, count] of [...tally].sort()) console.log(`  ${String(count).padStart(5)}  ${key}`);
-  console.log(`served ${REQUESTS} requests in ${ms.toFixed(0)} ms; ${ownAnswers} callers got their own answer`);
+  for (const [key, count] of [...tally].sort())
+    console.log(`  ${String(count).padStart(5)}  ${key}`);
+  console.log(
+    `served ${REQUESTS} requests in ${ms.toFixed(0)} ms; ${ownAnswers} callers got their own answer`,
+  );
 } finally {
   await fleet.stop();
 }
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -8,29 +8,42 @@
 /** How long the CLI waits for control, ms. */
 const CALL_DEADLINE_MS = 5000;
 
-
 function fail(message: string): never {
   process.stderr.write(message + "\n");
   process.exit(1);
 }
 
 const validate = defineCommand({
-  meta: { name: "validate", description: "Check an operators' document; print each problem with its line." },
+  meta: {
+    name: "validate",
+    description: "Check an operators' document; print each problem with its line.",
+  },
   args: { file: { type: "positional", required: true, description: "YAML document" } },
   run({ args }) {
     const parsed = parseOperatorDocument(readFileSync(args.file, "utf8"));
     if (!parsed.ok) {
-      fail(parsed.problems.map((p) => `${args.file}:${p.line}: ${p.field || "(yaml)"}: ${p.message}`).join("\n"));
+      fail(
+        parsed.problems
+          .map((p) => `${args.file}:${p.line}: ${p.field || "(yaml)"}: ${p.message}`)
+          .join("\n"),
+      );
     }
     process.stdout.write(`${args.file}: valid, ${parsed.doc.services.length} services\n`);
   },
 });
 
 const apply = defineCommand({
-  meta: { name: "apply", description: "Send a document to control, if the current version is the expected one." },
+  meta: {
+    name: "apply",
+    description: "Send a document to control, if the current version is the expected one.",
+  },
   args: {
     file: { type: "positional", required: true, description: "YAML document" },
-    control: { type: "string", default: "127.0.0.1:7400", description: "A control replica, host:port" },
+    control: {
+      type: "string",
+      default: "127.0.0.1:7400",
+      description: "A control replica, host:port",
+    },
     expect: { type: "string", description: "Expected current version (default: read it first)" },
     "request-id": { type: "string", description: "Reuse to resend the same change safely" },
   },
@@ -38,7 +51,11 @@
     const text = readFileSync(args.file, "utf8");
     const parsed = parseOperatorDocument(text);
     if (!parsed.ok) {
-      fail(parsed.problems.map((p) => `${args.file}:${p.line}: ${p.field || "(yaml)"}: ${p.message}`).join("\n"));
+      fail(
+        parsed.problems
+          .map((p) => `${args.file}:${p.line}: ${p.field || "(yaml)"}: ${p.message}`)
+          .join("\n"),
+      );
     }
     const client = ControlClient(args.control);
     const deadline = () => ({ deadline: Date.now() + CALL_DEADLINE_MS });
@@ -46,12 +63,26 @@
       args.expect !== undefined
         ? Number(args.expect)
         : await new Promise<number>((resolve, reject) => {
-            client.Current({}, deadline(), (err, res) => (err ? reject(err) : resolve(res?.version ?? 0)));
+            client.Current({}, deadline(), (err, res) => {
+              if (err) {
+                reject(err);
+              } else {
+                resolve(res?.version ?? 0);
+              }
+            });
           });
     const requestId = args["request-id"] ?? randomUUID();
     const reply = await new Promise<ProtoTypes["ApplyReply"]>((resolve, reject) => {
-      client.Apply({ document: text, expected_version: expected, request_id: requestId }, deadline(), (err, res) =>
-        err || !res ? reject(err ?? new Error("no reply")) : resolve(res),
+      client.Apply(
+        { document: text, expected_version: expected, request_id: requestId },
+        deadline(),
+        (err, res) => {
+          if (res) {
+            resolve(res);
+          } else {
+            reject(err ?? new Error("no reply"));
+          }
+        },
       );
     });
     client.close();
@@ -63,8 +94,17 @@
 });
 
 const status = defineCommand({
-  meta: { name: "status", description: "Show a sidecar's targets, their states and its config version." },
-  args: { admin: { type: "string", default: "127.0.0.1:7500", description: "A sidecar's admin host:port" } },
+  meta: {
+    name: "status",
+    description: "Show a sidecar's targets, their states and its config version.",
+  },
+  args: {
+    admin: {
+      type: "string",
+      default: "127.0.0.1:7500",
+      description: "A sidecar's admin host:port",
+    },
+  },
   async run({ args }) {
     const res = await fetch(`http://${args.admin}/status`);
     const body = (await res.json()) as {
@@ -73,15 +113,22 @@
       members: number;
       targets: { id: string; service: string; state: string; zone: string; url: string }[];
     };
-    process.stdout.write(`sidecar ${body.id}: config version ${body.configVersion}, ${body.members} members\n`);
+    process.stdout.write(
+      `sidecar ${body.id}: config version ${body.configVersion}, ${body.members} members\n`,
+    );
     for (const t of body.targets) {
-      process.stdout.write(`  ${t.service.padEnd(24)} ${t.id.padEnd(16)} ${t.state.padEnd(9)} ${t.zone.padEnd(8)} ${t.url}\n`);
+      process.stdout.write(
+        `  ${t.service.padEnd(24)} ${t.id.padEnd(16)} ${t.state.padEnd(9)} ${t.zone.padEnd(8)} ${t.url}\n`,
+      );
     }
   },
 });
 
 const main = defineCommand({
-  meta: { name: "burdockpass", description: "Operate a burdockpass fleet through its one document." },
+  meta: {
+    name: "burdockpass",
+    description: "Operate a burdockpass fleet through its one document.",
+  },
   subCommands: {
     config: defineCommand({ meta: { name: "config" }, subCommands: { validate, apply } }),
     status,
--- a/src/common/ControlClient.ts
+++ b/src/common/ControlClient.ts
@@ -6,7 +6,11 @@
 
 /** A typed gRPC client of the Control service. */
 export type ControlClient = grpc.Client & {
-  Apply(req: ProtoTypes["ApplyRequest"], opts: grpc.CallOptions, cb: Callback<ProtoTypes["ApplyReply"]>): void;
+  Apply(
+    req: ProtoTypes["ApplyRequest"],
+    opts: grpc.CallOptions,
+    cb: Callback<ProtoTypes["ApplyReply"]>,
+  ): void;
   Current(req: object, opts: grpc.CallOptions, cb: Callback<ProtoTypes["ConfigVersion"]>): void;
   Watch(req: ProtoTypes["WatchRequest"]): grpc.ClientReadableStream<ProtoTypes["ConfigVersion"]>;
 };
--- a/src/common/OperatorDocument.ts
+++ b/src/common/OperatorDocument.ts
@@ -41,7 +41,7 @@
     .array(Service)
     .min(1)
     .refine((list) => new Set(list.map((s) => s.name)).size === list.length, {
-      message: "service names must be unique",
+      error: "service names must be unique",
     }),
 });
 
--- a/src/common/loadDaemonSettings.ts
+++ b/src/common/loadDaemonSettings.ts
@@ -6,7 +6,9 @@
 export function loadDaemonSettings(path: string): DaemonSettings {
   const checked = DaemonSettings.safeParse(parse(readFileSync(path, "utf8")));
   if (!checked.success) {
-    const problems = checked.error.issues.map((i) => `${i.path.join(".") || "(top)"}: ${i.message}`);
+    const problems = checked.error.issues.map(
+      (i) => `${i.path.join(".") || "(top)"}: ${i.message}`,
+    );
     throw new Error(`${path}: invalid settings\n  ${problems.join("\n  ")}`);
   }
   return checked.data;
--- a/src/common/parseOperatorDocument.ts
+++ b/src/common/parseOperatorDocument.ts
@@ -24,15 +24,24 @@
       })),
     };
   }
+  /** Line of the node at `path`, or of its nearest parent when it is missing. */
+  const lineOf = (path: readonly (string | number)[]): number => {
+    for (let depth = path.length; depth >= 0; depth--) {
+      const node = yamlDoc.getIn(path.slice(0, depth), true) as
+        { range?: [number, number, number] } | undefined;
+      if (node?.range) {
+        return lines.linePos(node.range[0]).line;
+      }
+    }
+    return 1;
+  };
   const checked = OperatorDocument.safeParse(yamlDoc.toJS());
   if (checked.success) {
     return { ok: true, doc: checked.data };
   }
   const problems = checked.error.issues.map((issue) => {
     const path = issue.path.map((p) => (typeof p === "symbol" ? p.toString() : p));
-    const node = yamlDoc.getIn(path, true) as { range?: [number, number, number] } | undefined;
-    const line = node?.range ? lines.linePos(node.range[0]).line : 1;
-    return { line, field: path.join("."), message: issue.message };
+    return { line: lineOf(path), field: path.join("."), message: issue.message };
   });
   return { ok: false, problems };
 }
--- a/src/common/startGrpcServer.ts
+++ b/src/common/startGrpcServer.ts
@@ -11,7 +11,10 @@
 const SHUTDOWN_GRACE_MS = 2000;
 
 /** Binds `server` on `hostPort` (port 0 picks one) without TLS: loopback and private networks. */
-export async function startGrpcServer(server: grpc.Server, hostPort: string): Promise<StartedGrpcServer> {
+export async function startGrpcServer(
+  server: grpc.Server,
+  hostPort: string,
+): Promise<StartedGrpcServer> {
   const port = await new Promise<number>((resolve, reject) => {
     server.bindAsync(hostPort, grpc.ServerCredentials.createInsecure(), (err, bound) => {
       if (err) {
--- a/src/common/startHttpServer.ts
+++ b/src/common/startHttpServer.ts
@@ -8,7 +8,10 @@
 }
 
 /** Listens on `hostPort` (port 0 picks one). */
-export async function startHttpServer(server: Server, hostPort: string): Promise<StartedHttpServer> {
+export async function startHttpServer(
+  server: Server,
+  hostPort: string,
+): Promise<StartedHttpServer> {
   const [host, port] = splitHostPort(hostPort);
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
@@ -22,7 +25,9 @@
     dispose: () =>
       new Promise<void>((resolve) => {
         // close() waits for in-flight requests; idle keep-alive sockets are closed so it can finish.
-        server.close(() => resolve());
+        server.close(() => {
+          resolve();
+        });
         server.closeIdleConnections();
       }),
   };
--- a/src/control/ConfigStore.ts
+++ b/src/control/ConfigStore.ts
@@ -44,7 +44,11 @@
   }
 
   /** Records an answer and, when it accepted, the new version; synced before it returns. */
-  record(requestId: string, outcome: ApplyOutcome, accepted?: { version: number; document: string }): void {
+  record(
+    requestId: string,
+    outcome: ApplyOutcome,
+    accepted?: { version: number; document: string },
+  ): void {
     const answers = [...this.#state.answers, [requestId, outcome] as [string, ApplyOutcome]];
     this.#state = {
       version: accepted?.version ?? this.#state.version,
--- a/src/control/ControlRole.ts
+++ b/src/control/ControlRole.ts
@@ -50,7 +50,11 @@
     const ctor = proto.Control as grpc.ServiceClientConstructor;
     server.addService(ctor.service, service.handlers());
     const started = this.register(await startGrpcServer(server, this.#opts.listen));
-    this.register(toDisposable(() => service.endWatches()));
+    this.register(
+      toDisposable(() => {
+        service.endWatches();
+      }),
+    );
     this.#grpcPort = started.port;
 
     const registry = new Registry();
--- a/src/control/ControlService.ts
+++ b/src/control/ControlService.ts
@@ -50,7 +50,9 @@
     const current = this.#store.version;
     let outcome: ApplyOutcome;
     if (!parsed.ok) {
-      const message = parsed.problems.map((p) => `line ${p.line} ${p.field}: ${p.message}`).join("; ");
+      const message = parsed.problems
+        .map((p) => `line ${p.line} ${p.field}: ${p.message}`)
+        .join("; ");
       outcome = { kind: "invalid", version: current, message };
       // An invalid document is not remembered: the operator will fix it and may reuse the id.
       return outcome;
@@ -89,7 +91,10 @@
     }
   };
 
-  readonly #current: grpc.handleUnaryCall<unknown, ProtoTypes["ConfigVersion"]> = (_call, callback) => {
+  readonly #current: grpc.handleUnaryCall<unknown, ProtoTypes["ConfigVersion"]> = (
+    _call,
+    callback,
+  ) => {
     callback(null, this.#snapshot());
   };
 
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -9,7 +9,10 @@
 const STOP_DEADLINE_MS = 10_000;
 
 const main = defineCommand({
-  meta: { name: "burdockpassd", description: "The burdockpass daemon: a sidecar or a control replica." },
+  meta: {
+    name: "burdockpassd",
+    description: "The burdockpass daemon: a sidecar or a control replica.",
+  },
   args: {
     settings: { type: "positional", description: "Path of the YAML settings file", required: true },
   },
@@ -28,8 +31,12 @@
         process.exit(0);
       });
     };
-    process.once("SIGTERM", () => stop("SIGTERM"));
-    process.once("SIGINT", () => stop("SIGINT"));
+    process.once("SIGTERM", () => {
+      stop("SIGTERM");
+    });
+    process.once("SIGINT", () => {
+      stop("SIGINT");
+    });
   },
 });
 
--- a/src/sidecar/AdminServer.ts
+++ b/src/sidecar/AdminServer.ts
@@ -22,7 +22,11 @@
 export class AdminServer {
   readonly server: Server;
 
-  constructor(deps: { table: TargetTable; metrics: SidecarMetrics; status: () => Record<string, unknown> }) {
+  constructor(deps: {
+    table: TargetTable;
+    metrics: SidecarMetrics;
+    status: () => Record<string, unknown>;
+  }) {
     this.server = createServer((req, res) => {
       void (async () => {
         if (req.method === "POST" && req.url === "/v1/announce") {
--- a/src/sidecar/CallerServer.ts
+++ b/src/sidecar/CallerServer.ts
@@ -1,6 +1,13 @@
 import { randomUUID } from "node:crypto";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { SpanKind, SpanStatusCode, context, propagation, trace, type Tracer } from "@opentelemetry/api";
+import {
+  SpanKind,
+  SpanStatusCode,
+  context,
+  propagation,
+  trace,
+  type Tracer,
+} from "@opentelemetry/api";
 import type bunyan from "bunyan";
 import type { OperatorDocument } from "../common/OperatorDocument.ts";
 import type { Verdict } from "../common/Verdict.ts";
@@ -69,7 +76,11 @@
     }
     const body = await readBody(req);
     if (body === "too-large") {
-      this.#reply(res, { verdict: { kind: "not-run", reason: "request body too large", retryAfterS: 0 } }, 413);
+      this.#reply(
+        res,
+        { verdict: { kind: "not-run", reason: "request body too large", retryAfterS: 0 } },
+        413,
+      );
       span.end();
       return;
     }
@@ -97,7 +108,9 @@
     res.setHeader("idempotency-key", headers["idempotency-key"] ?? "");
     this.#reply(res, out, statusFor(out.verdict));
     this.#deps.metrics.observe(route.service.name, out.verdict.kind, performance.now() - started);
-    span.setStatus({ code: out.verdict.kind === "done" ? SpanStatusCode.OK : SpanStatusCode.ERROR });
+    span.setStatus({
+      code: out.verdict.kind === "done" ? SpanStatusCode.OK : SpanStatusCode.ERROR,
+    });
     span.end();
   }
 
--- /dev/null
+++ b/src/sidecar/ConfigFollower.test.ts
@@ -0,0 +1,40 @@
+import { mkdtempSync, readFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import test from "ava";
+import bunyan from "bunyan";
+import { ConfigFollower } from "./ConfigFollower.ts";
+
+const doc = readFileSync(new URL("../../config/demo.yaml", import.meta.url), "utf8");
+const log = bunyan.createLogger({ name: "test", level: "fatal" });
+
+const follower = (dataDir: string | undefined) =>
+  new ConfigFollower({ controls: ["127.0.0.1:1"], dataDir, sidecarId: "s", log });
+
+const offers: readonly { name: string; versions: number[]; want: number }[] = [
+  { name: "newer versions are taken in order", versions: [1, 2, 3], want: 3 },
+  { name: "an older version after a newer one is dropped", versions: [5, 3], want: 5 },
+  { name: "a replayed equal version is dropped", versions: [2, 2], want: 2 },
+];
+
+for (const c of offers) {
+  test(`offer: ${c.name}`, (t) => {
+    const f = follower(undefined);
+    for (const version of c.versions) {
+      f.offer({ version, document: doc });
+    }
+    t.is(f.version, c.want);
+  });
+}
+
+test("a restarted sidecar comes back with its last accepted version from disk", (t) => {
+  // Story: a sidecar took version 7, then was restarted while control was
+  // unreachable. It must serve version 7 at once, not nothing, and must still
+  // refuse a lagging replica's version 6 afterwards.
+  const dir = mkdtempSync(join(tmpdir(), "bp-follower-"));
+  follower(dir).offer({ version: 7, document: doc });
+  const restarted = follower(dir);
+  t.is(restarted.version, 7);
+  t.truthy(restarted.document);
+  t.false(restarted.offer({ version: 6, document: doc }));
+});
--- a/src/sidecar/ConfigFollower.ts
+++ b/src/sidecar/ConfigFollower.ts
@@ -77,7 +77,10 @@
     const parsed = parseOperatorDocument(v.document);
     if (!parsed.ok) {
       // Control validated it; a document that fails here means a schema skew between versions of us.
-      this.#log.error({ version: v.version, problems: parsed.problems }, "accepted document does not parse here");
+      this.#log.error(
+        { version: v.version, problems: parsed.problems },
+        "accepted document does not parse here",
+      );
       return false;
     }
     this.#persist(v);
@@ -105,7 +108,9 @@
       if (!this.#stopped) {
         // The replica went away or cut us off: try the next one after a pause.
         this.#next += 1;
-        this.#timer = setTimeout(() => this.#watch(), REWATCH_DELAY_MS);
+        this.#timer = setTimeout(() => {
+          this.#watch();
+        }, REWATCH_DELAY_MS);
       }
     });
   }
@@ -115,7 +120,9 @@
       return;
     }
     try {
-      const stored = JSON.parse(readFileSync(join(this.#dataDir, DOC_FILE), "utf8")) as ProtoTypes["ConfigVersion"];
+      const stored = JSON.parse(
+        readFileSync(join(this.#dataDir, DOC_FILE), "utf8"),
+      ) as ProtoTypes["ConfigVersion"];
       this.offer(stored);
     } catch {
       // No file yet, or a lost disk: start from nothing and take control's current version.
--- a/src/sidecar/Dispatcher.ts
+++ b/src/sidecar/Dispatcher.ts
@@ -11,7 +11,10 @@
 /** What the dispatcher needs from the rest of the sidecar; passed in so tests can fake each. */
 export interface DispatcherDeps {
   readonly targetsOf: (service: RouteMatch["service"]) => TargetInfo[];
-  readonly pick: (candidates: readonly TargetInfo[], outstanding: (id: TargetId) => number) => TargetInfo | undefined;
+  readonly pick: (
+    candidates: readonly TargetInfo[],
+    outstanding: (id: TargetId) => number,
+  ) => TargetInfo | undefined;
   readonly send: (target: TargetInfo, req: OutgoingRequest) => Promise<ForwardResult>;
 }
 
@@ -45,7 +48,10 @@
       verdict: { kind: "not-run", reason: "no ready target", retryAfterS: RETRY_AFTER_S },
     };
     for (let attempt = 0; attempt < route.service.retry.attempts; attempt++) {
-      if (attempt > 0 && !(mayRetry(route, last.verdict) && Date.now() < req.deadline && budget.tryRetry())) {
+      if (
+        attempt > 0 &&
+        !(mayRetry(route, last.verdict) && Date.now() < req.deadline && budget.tryRetry())
+      ) {
         break;
       }
       const target = this.#choose(route, tried);
--- a/src/sidecar/Forwarder.ts
+++ b/src/sidecar/Forwarder.ts
@@ -13,7 +13,13 @@
  * Errors raised while connecting, before any byte of the request was sent:
  * the request cannot have run.
  */
-const CONNECT_ERRORS = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "ENOTFOUND", "UND_ERR_CONNECT_TIMEOUT"]);
+const CONNECT_ERRORS = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "ENOTFOUND",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
 
 /** What to send to a target. */
 export interface OutgoingRequest {
@@ -41,7 +47,7 @@
     const signal = AbortSignal.timeout(timeoutMs);
     try {
       const res = await this.#pool(target.url).request({
-        method: req.method as "GET",
+        method: req.method,
         path: req.path,
         headers: { ...req.headers, "x-burdockpass-deadline": String(req.deadline) },
         body: req.body,
@@ -49,7 +55,13 @@
       });
       const body = Buffer.from(await res.body.arrayBuffer());
       if (res.statusCode === 503 && res.headers["x-not-run"] === "1") {
-        return { verdict: { kind: "not-run", reason: "target shed the request", retryAfterS: RETRY_AFTER_S } };
+        return {
+          verdict: {
+            kind: "not-run",
+            reason: "target shed the request",
+            retryAfterS: RETRY_AFTER_S,
+          },
+        };
       }
       return {
         verdict: { kind: "done", target: target.id, status: res.statusCode },
@@ -84,7 +96,10 @@
   }
 }
 
-function classify(err: unknown, target: TargetInfo): Exclude<ForwardResult["verdict"], { kind: "done" }> {
+function classify(
+  err: unknown,
+  target: TargetInfo,
+): Exclude<ForwardResult["verdict"], { kind: "done" }> {
   const code = (err as { code?: string }).code ?? "";
   if (CONNECT_ERRORS.has(code) || err instanceof errors.ConnectTimeoutError) {
     return { kind: "not-run", reason: `connect failed: ${code}`, retryAfterS: RETRY_AFTER_S };
--- a/src/sidecar/PeerGossip.ts
+++ b/src/sidecar/PeerGossip.ts
@@ -49,7 +49,10 @@
   }
 
   /** The Exchange handler: merge theirs, answer with ours. */
-  readonly exchange: grpc.handleUnaryCall<ProtoTypes["Digest"], ProtoTypes["Digest"]> = (call, cb) => {
+  readonly exchange: grpc.handleUnaryCall<ProtoTypes["Digest"], ProtoTypes["Digest"]> = (
+    call,
+    cb,
+  ) => {
     this.#table.merge(call.request);
     cb(null, this.#table.digest());
   };
@@ -59,7 +62,9 @@
     const stopped = new Promise<void>((resolve) => (this.#stop = resolve));
     void periodic(intervalMs)
       .until(fromPromise(stopped))
-      .observe(() => this.#round());
+      .observe(() => {
+        this.#round();
+      });
   }
 
   dispose(): void {
@@ -93,7 +98,11 @@
     const known = this.#table.peerAddresses();
     const pool = known.length > 0 ? known : [...this.#seeds];
     const chosen = new Set<string>();
-    for (let i = 0; i < GOSSIP_FANOUT * 2 && chosen.size < Math.min(GOSSIP_FANOUT, pool.length); i++) {
+    for (
+      let i = 0;
+      i < GOSSIP_FANOUT * 2 && chosen.size < Math.min(GOSSIP_FANOUT, pool.length);
+      i++
+    ) {
       const address = pool[Math.floor(this.#random() * pool.length)];
       if (address) {
         chosen.add(address);
--- a/src/sidecar/SidecarMetrics.ts
+++ b/src/sidecar/SidecarMetrics.ts
@@ -1,7 +1,9 @@
 import { Counter, Histogram, Registry, collectDefaultMetrics } from "prom-client";
 
 /** Buckets for added latency, seconds: fine below 2 ms, where the users' budget is. */
-const LATENCY_BUCKETS = [0.0005, 0.001, 0.0017, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1, 2.5];
+const LATENCY_BUCKETS = [
+  0.0005, 0.001, 0.0017, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1, 2.5,
+];
 
 /** The sidecar's prom-client metrics, in a registry of its own. */
 export class SidecarMetrics {
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -70,7 +70,9 @@
       }),
     );
     const peerServer = new grpc.Server();
-    peerServer.addService((proto.Peer as grpc.ServiceClientConstructor).service, { Exchange: gossip.exchange });
+    peerServer.addService((proto.Peer as grpc.ServiceClientConstructor).service, {
+      Exchange: gossip.exchange,
+    });
     this.#ports.peer = this.register(await startGrpcServer(peerServer, this.#cfg.peer)).port;
     gossip.start(this.#cfg.gossipIntervalMs);
 
--- a/src/sidecar/TargetTable.ts
+++ b/src/sidecar/TargetTable.ts
@@ -4,7 +4,7 @@
 import { TargetId } from "../common/TargetId.ts";
 import { ZoneName } from "../common/ZoneName.ts";
 import type { TargetInfo } from "./TargetInfo.ts";
-import type { TargetState } from "./TargetState.ts";
+import { TargetState } from "./TargetState.ts";
 
 type Member = ProtoTypes["Member"];
 
@@ -93,7 +93,9 @@
   /** Every live target the sidecar knows of. */
   allTargets(): TargetInfo[] {
     const own = this.#liveLocal().map((t) => toInfo(t, this.#self.zone));
-    const others = this.#liveRemote().flatMap((h) => h.member.targets.map((t) => toInfo(t, h.member.zone)));
+    const others = this.#liveRemote().flatMap((h) =>
+      h.member.targets.map((t) => toInfo(t, h.member.zone)),
+    );
     return [...own, ...others];
   }
 
@@ -126,7 +128,19 @@
     service: ServiceName(t.service),
     url: t.url,
     slots: t.slots,
-    state: t.state as TargetState,
+    state: toTargetState(t.state),
     zone: ZoneName(zone),
   };
 }
+
+/** A state name from the wire; an unknown one (a newer peer's) counts as cold, so it gets no work. */
+function toTargetState(raw: string): TargetState {
+  switch (raw) {
+    case "ready":
+      return TargetState.Ready;
+    case "draining":
+      return TargetState.Draining;
+    default:
+      return TargetState.Cold;
+  }
+}
--- a/src/sidecar/matchRoute.ts
+++ b/src/sidecar/matchRoute.ts
@@ -6,7 +6,11 @@
  * request kind by method and longest path prefix. Undefined when no route
  * matches.
  */
-export function matchRoute(doc: OperatorDocument, method: string, path: string): RouteMatch | undefined {
+export function matchRoute(
+  doc: OperatorDocument,
+  method: string,
+  path: string,
+): RouteMatch | undefined {
   let best: { service: OperatorDocument["services"][number]; length: number } | undefined;
   for (const service of doc.services) {
     for (const route of service.routes) {
--- a/src/standin/StandInTarget.ts
+++ b/src/standin/StandInTarget.ts
@@ -9,6 +9,9 @@
 /** Slow mode multiplies work time by this. */
 const SLOW_FACTOR = 10;
 
+/** Time given to requests in flight at a stop before their sockets are closed, ms. */
+const STOP_GRACE_MS = 1000;
+
 /** Half-period of the flapping mode, ms. */
 const FLAP_PERIOD_MS = 2000;
 
@@ -42,9 +45,13 @@
 
   /** Listens and starts announcing; resolves with the bound port. */
   async start(): Promise<number> {
-    await new Promise<void>((resolve) => this.#server.listen(this.#opts.port, this.#opts.host, resolve));
+    await new Promise<void>((resolve) =>
+      this.#server.listen(this.#opts.port, this.#opts.host, resolve),
+    );
     this.#announce();
-    this.#announcer = setInterval(() => this.#announce(), ANNOUNCE_INTERVAL_MS);
+    this.#announcer = setInterval(() => {
+      this.#announce();
+    }, ANNOUNCE_INTERVAL_MS);
     return (this.#server.address() as AddressInfo).port;
   }
 
@@ -52,8 +59,14 @@
   async stop(): Promise<void> {
     clearInterval(this.#announcer);
     await new Promise<void>((resolve) => {
-      this.#server.close(() => resolve());
+      this.#server.close(() => {
+        resolve();
+      });
       this.#server.closeIdleConnections();
+      // A keep-alive socket busy at close time would hold close() open for good.
+      setTimeout(() => {
+        this.#server.closeAllConnections();
+      }, STOP_GRACE_MS).unref();
     });
   }
 
@@ -138,14 +151,19 @@
       return;
     }
     this.#inFlight += 1;
-    let cancelled = false;
-    res.on("close", () => (cancelled = !res.writableFinished));
+    // The caller hung up before the answer: cancellation, so the effect must not happen.
+    const call = { cancelled: false };
+    res.on("close", () => {
+      call.cancelled = !res.writableFinished;
+    });
     try {
       const deadline = Number(req.headers["x-burdockpass-deadline"] ?? Infinity);
       await sleep(Math.min(this.#workTime(), Math.max(0, deadline - Date.now())));
-      if (cancelled || Date.now() >= deadline) {
+      if (call.cancelled || Date.now() >= deadline) {
         // Cancelled or past its deadline before the effect: it did not run, and says so.
-        if (!res.destroyed) shed(res, "deadline passed");
+        if (!res.destroyed) {
+          shed(res, "deadline passed");
+        }
         return;
       }
       this.#answer(req, body, res);
@@ -167,7 +185,8 @@
       tag: req.headers["x-caller-tag"] ?? null,
       bodyBytes: body.length,
     });
-    const wrong = this.#mode === FaultMode.Wrong && Math.random() < this.#opts.wrongRate && this.#lastAnswer;
+    const wrong =
+      this.#mode === FaultMode.Wrong && Math.random() < this.#opts.wrongRate && this.#lastAnswer;
     const sent = wrong ? this.#lastAnswer : answer;
     this.#lastAnswer = answer;
     res.setHeader("content-type", "application/json");
--- a/src/standin/main.ts
+++ b/src/standin/main.ts
@@ -2,7 +2,10 @@
 import { StandInTarget } from "./StandInTarget.ts";
 
 const main = defineCommand({
-  meta: { name: "standin-target", description: "A stand-in back end for tests, the demo and the bench." },
+  meta: {
+    name: "standin-target",
+    description: "A stand-in back end for tests, the demo and the bench.",
+  },
   args: {
     id: { type: "string", required: true },
     service: { type: "string", required: true },
