--- /dev/null
+++ b/bench/latency.ts
@@ -0,0 +1,60 @@
+/**
+ * Added latency of the proxy path, one run: the same stand-in target (work
+ * time 0) called directly, then through a sidecar, one request at a time, on
+ * loopback. Prints p50/p99/p99.9 in ms for both and the difference.
+ * Not a test: run with `npm run bench:latency`.
+ */
+import * as hdr from "hdr-histogram-js";
+import { Pool } from "undici";
+import { fileURLToPath } from "node:url";
+import { LocalFleet } from "../scripts/LocalFleet.ts";
+
+const REQUESTS = Number(process.env.BENCH_REQUESTS ?? 5000);
+const WARMUP = 500;
+const DOC = fileURLToPath(new URL("../config/demo.yaml", import.meta.url));
+
+async function measure(origin: string, path: string): Promise<hdr.Histogram> {
+  const pool = new Pool(origin, { connections: 1 });
+  const histogram = hdr.build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: 10_000_000,
+    numberOfSignificantValueDigits: 3,
+  });
+  for (let i = 0; i < WARMUP + REQUESTS; i++) {
+    const t0 = process.hrtime.bigint();
+    const res = await pool.request({ method: "GET", path });
+    await res.body.arrayBuffer();
+    const us = Number(process.hrtime.bigint() - t0) / 1000;
+    if (i >= WARMUP) {
+      histogram.recordValue(Math.round(us));
+    }
+  }
+  await pool.close();
+  return histogram;
+}
+
+const ms = (h: hdr.Histogram, q: number) => (h.getValueAtPercentile(q) / 1000).toFixed(3);
+
+const fleet = new LocalFleet();
+try {
+  await fleet.start([
+    { id: "results-0", service: "oljelab-results", zone: "zone-a", slots: 5, workMs: 0 },
+  ]);
+  await fleet.cli(["config", "apply", DOC, "--control", `127.0.0.1:${fleet.controlPort}`]);
+  await fleet.waitForVersion(1);
+  await fleet.waitForTargets(1);
+  const target = fleet.targets.get("results-0")?.ports.http ?? 0;
+  const sidecar = fleet.sidecars.get("results-0")?.ports.caller ?? 0;
+  const path = "/oljelab/results/t-17/dga";
+  const direct = await measure(`http://127.0.0.1:${target}`, path);
+  const proxied = await measure(`http://127.0.0.1:${sidecar}`, path);
+  console.log(`requests: ${REQUESTS} each, one at a time, loopback, target work time 0`);
+  console.log(`              p50 ms   p99 ms   p99.9 ms`);
+  console.log(`direct        ${ms(direct, 50)}    ${ms(direct, 99)}    ${ms(direct, 99.9)}`);
+  console.log(`via sidecar   ${ms(proxied, 50)}    ${ms(proxied, 99)}    ${ms(proxied, 99.9)}`);
+  const added = (q: number) =>
+    ((proxied.getValueAtPercentile(q) - direct.getValueAtPercentile(q)) / 1000).toFixed(3);
+  console.log(`added         ${added(50)}    ${added(99)}    ${added(99.9)}`);
+} finally {
+  await fleet.stop();
+}
--- a/src/standin/StandInTarget.ts
+++ b/src/standin/StandInTarget.ts
@@ -158,7 +158,11 @@
     });
     try {
       const deadline = Number(req.headers["x-burdockpass-deadline"] ?? Infinity);
-      await sleep(Math.min(this.#workTime(), Math.max(0, deadline - Date.now())));
+      const ms = Math.min(this.#workTime(), Math.max(0, deadline - Date.now()));
+      if (ms > 0) {
+        // setTimeout(0) still costs about 1 ms; a zero work time must add nothing.
+        await sleep(ms);
+      }
       if (call.cancelled || Date.now() >= deadline) {
         // Cancelled or past its deadline before the effect: it did not run, and says so.
         if (!res.destroyed) {
