--- a/bench/latency.ts
+++ b/bench/latency.ts
@@ -6,11 +6,13 @@
  */
 import * as hdr from "hdr-histogram-js";
 import { Pool } from "undici";
+import { readFileSync } from "node:fs";
 import { fileURLToPath } from "node:url";
 import { LocalFleet } from "../scripts/LocalFleet.ts";
 
 const REQUESTS = Number(process.env.BENCH_REQUESTS ?? 5000);
 const WARMUP = 500;
+const TICKS_PER_S = 100;
 const DOC = fileURLToPath(new URL("../config/demo.yaml", import.meta.url));
 
 async function measure(origin: string, path: string): Promise<hdr.Histogram> {
@@ -33,6 +35,13 @@
   return histogram;
 }
 
+/** CPU seconds (user + system) that process `pid` has used, from /proc. */
+function cpuSeconds(pid: number): number {
+  const stat = readFileSync(`/proc/${pid}/stat`, "utf8");
+  const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
+  return (Number(fields[11]) + Number(fields[12])) / TICKS_PER_S;
+}
+
 const ms = (h: hdr.Histogram, q: number) => (h.getValueAtPercentile(q) / 1000).toFixed(3);
 
 const fleet = new LocalFleet();
@@ -47,7 +56,10 @@
   const sidecar = fleet.sidecars.get("results-0")?.ports.caller ?? 0;
   const path = "/oljelab/results/t-17/dga";
   const direct = await measure(`http://127.0.0.1:${target}`, path);
+  const sidecarPid = fleet.sidecars.get("results-0")?.proc.pid ?? 0;
+  const cpu0 = cpuSeconds(sidecarPid);
   const proxied = await measure(`http://127.0.0.1:${sidecar}`, path);
+  const cpuPerRequestUs = ((cpuSeconds(sidecarPid) - cpu0) / (WARMUP + REQUESTS)) * 1e6;
   console.log(`requests: ${REQUESTS} each, one at a time, loopback, target work time 0`);
   console.log(`              p50 ms   p99 ms   p99.9 ms`);
   console.log(`direct        ${ms(direct, 50)}    ${ms(direct, 99)}    ${ms(direct, 99.9)}`);
@@ -55,6 +67,9 @@
   const added = (q: number) =>
     ((proxied.getValueAtPercentile(q) - direct.getValueAtPercentile(q)) / 1000).toFixed(3);
   console.log(`added         ${added(50)}    ${added(99)}    ${added(99.9)}`);
+  console.log(
+    `sidecar CPU per proxied request: ${cpuPerRequestUs.toFixed(0)} µs (gossip and timers included)`,
+  );
 } finally {
   await fleet.stop();
 }
--- a/scripts/LocalFleet.ts
+++ b/scripts/LocalFleet.ts
@@ -47,57 +47,25 @@
 
   /** Starts control, then every sidecar and its stand-in; resolves once all are listening. */
   async start(targets: readonly FleetTarget[]): Promise<void> {
-    this.controlPort = await freePort();
-    const control = await this.#daemon(
-      "control",
-      {
-        role: "control",
-        id: "control-1",
-        zone: "zone-a",
-        listen: `127.0.0.1:${this.controlPort}`,
-        admin: `127.0.0.1:${await freePort()}`,
-        dataDir: join(this.dir, "control-1"),
-      },
-      { grpc: this.controlPort },
-    );
-    this.#members.push(control);
+    await this.#startControl();
     const peerPorts = await Promise.all(targets.map(() => freePort()));
     await Promise.all(
       targets.map(async (t, i) => {
-        const ports = {
-          caller: await freePort(),
-          admin: await freePort(),
-          peer: peerPorts[i] ?? 0,
-        };
-        const seeds = peerPorts
-          .slice(0, 2)
-          .filter((p) => p !== ports.peer)
-          .map((p) => `127.0.0.1:${p}`);
-        const sidecar = await this.#daemon(
-          `sidecar-${t.id}`,
-          {
-            role: "sidecar",
-            id: `sidecar-${t.id}`,
-            zone: t.zone,
-            listen: `127.0.0.1:${ports.caller}`,
-            admin: `127.0.0.1:${ports.admin}`,
-            peer: `127.0.0.1:${ports.peer}`,
-            seeds,
-            control: [`127.0.0.1:${this.controlPort}`],
-            dataDir: join(this.dir, `sidecar-${t.id}`),
-            traceFile: join(this.dir, `trace-${t.id}.jsonl`),
-          },
-          ports,
-        );
-        this.sidecars.set(t.id, sidecar);
-        this.#members.push(sidecar);
-        const target = await this.#standIn(t, ports.admin);
+        const sidecar = await this.#startSidecar(t.id, t.zone, peerPorts, i);
+        const target = await this.#standIn(t, sidecar.ports.admin ?? 0);
         this.targets.set(t.id, target);
         this.#members.push(target);
       }),
     );
   }
 
+  /** Starts control and sidecars with no stand-ins beside them: the capacity bench announces for them. */
+  async startSidecarsOnly(sidecars: readonly { id: string; zone: string }[]): Promise<void> {
+    await this.#startControl();
+    const peerPorts = await Promise.all(sidecars.map(() => freePort()));
+    await Promise.all(sidecars.map((s, i) => this.#startSidecar(s.id, s.zone, peerPorts, i)));
+  }
+
   /** Runs the CLI with `args`; resolves with its exit code and output. */
   cli(args: readonly string[]): Promise<{ code: number; out: string; err: string }> {
     const proc = spawn(process.execPath, [join(ROOT, "bin/burdockpass.js"), ...args], {
@@ -141,9 +109,15 @@
   }
 
   /** A sidecar's `/status`. */
-  async status(s: Member): Promise<{ configVersion: number; targets: { state: string }[] }> {
+  async status(
+    s: Member,
+  ): Promise<{ configVersion: number; members: number; targets: { state: string }[] }> {
     const res = await fetch(`http://127.0.0.1:${s.ports.admin}/status`);
-    return (await res.json()) as { configVersion: number; targets: { state: string }[] };
+    return (await res.json()) as {
+      configVersion: number;
+      members: number;
+      targets: { state: string }[];
+    };
   }
 
   async readyTargets(s: Member): Promise<number> {
@@ -176,6 +150,49 @@
     );
   }
 
+  async #startControl(): Promise<void> {
+    this.controlPort = await freePort();
+    const settings = {
+      role: "control",
+      id: "control-1",
+      zone: "zone-a",
+      listen: `127.0.0.1:${this.controlPort}`,
+      admin: `127.0.0.1:${await freePort()}`,
+      dataDir: join(this.dir, "control-1"),
+    };
+    this.#members.push(await this.#daemon("control", settings, { grpc: this.controlPort }));
+  }
+
+  /** Starts the sidecar for target `id`; the first two sidecars' peer ports are everyone's seeds. */
+  async #startSidecar(
+    id: string,
+    zone: string,
+    peerPorts: readonly number[],
+    i: number,
+  ): Promise<Member> {
+    const ports = { caller: await freePort(), admin: await freePort(), peer: peerPorts[i] ?? 0 };
+    const seeds = peerPorts
+      .slice(0, 2)
+      .filter((p) => p !== ports.peer)
+      .map((p) => `127.0.0.1:${p}`);
+    const settings = {
+      role: "sidecar",
+      id: `sidecar-${id}`,
+      zone,
+      listen: `127.0.0.1:${ports.caller}`,
+      admin: `127.0.0.1:${ports.admin}`,
+      peer: `127.0.0.1:${ports.peer}`,
+      seeds,
+      control: [`127.0.0.1:${this.controlPort}`],
+      dataDir: join(this.dir, `sidecar-${id}`),
+      traceFile: join(this.dir, `trace-${id}.jsonl`),
+    };
+    const sidecar = await this.#daemon(`sidecar-${id}`, settings, ports);
+    this.sidecars.set(id, sidecar);
+    this.#members.push(sidecar);
+    return sidecar;
+  }
+
   async #daemon(name: string, settings: object, ports: Record<string, number>): Promise<Member> {
     const file = join(this.dir, `${name}.yaml`);
     writeFileSync(file, stringify(settings));
@@ -243,16 +260,30 @@
   });
 }
 
-/** A port free on loopback now (the kernel picks it); a race is possible but rare on loopback. */
+/** Ports handed out by this process, so two parallel calls never get the same one. */
+const handedOut = new Set<number>();
+
+/**
+ * A port free on loopback now (the kernel picks it) and not handed out before
+ * by this process. Seen without the set: two parallel calls got the same port
+ * and a sidecar failed with EADDRINUSE. A race with another program remains
+ * possible, but is rare on loopback.
+ */
 export async function freePort(): Promise<number> {
-  return new Promise((resolve) => {
-    const srv = createServer();
-    srv.listen(0, "127.0.0.1", () => {
-      const addr = srv.address();
-      const port = typeof addr === "object" && addr ? addr.port : 0;
-      srv.close(() => {
-        resolve(port);
+  for (;;) {
+    const port = await new Promise<number>((resolve) => {
+      const srv = createServer();
+      srv.listen(0, "127.0.0.1", () => {
+        const addr = srv.address();
+        const found = typeof addr === "object" && addr ? addr.port : 0;
+        srv.close(() => {
+          resolve(found);
+        });
       });
     });
-  });
+    if (!handedOut.has(port)) {
+      handedOut.add(port);
+      return port;
+    }
+  }
 }
--- a/src/sidecar/ConfigFollower.ts
+++ b/src/sidecar/ConfigFollower.ts
@@ -4,6 +4,7 @@
 import type bunyan from "bunyan";
 import { fromEvent } from "most";
 import { ControlClient } from "../common/ControlClient.ts";
+import { encodedSize } from "../common/encodedSize.ts";
 import type { IDisposable } from "../common/IDisposable.ts";
 import type { OperatorDocument } from "../common/OperatorDocument.ts";
 import { parseOperatorDocument } from "../common/parseOperatorDocument.ts";
@@ -26,6 +27,7 @@
   readonly #dataDir: string | undefined;
   readonly #sidecarId: string;
   readonly #log: bunyan;
+  readonly #onBytes: (bytes: number) => void;
   #version = 0;
   #doc: OperatorDocument | undefined;
   #client: ControlClient | undefined;
@@ -39,11 +41,14 @@
     dataDir: string | undefined;
     sidecarId: string;
     log: bunyan;
+    /** Told the encoded size of every version received, bytes. */
+    onBytes?: (bytes: number) => void;
   }) {
     this.#controls = deps.controls;
     this.#dataDir = deps.dataDir;
     this.#sidecarId = deps.sidecarId;
     this.#log = deps.log;
+    this.#onBytes = deps.onBytes ?? (() => undefined);
     this.#loadFromDisk();
   }
 
@@ -101,6 +106,9 @@
     this.#call = call;
     void fromEvent<ProtoTypes["ConfigVersion"]>("data", call)
       .until(fromEvent("close", call))
+      .tap((v) => {
+        this.#onBytes(encodedSize("burdockpass.v1.ConfigVersion", v));
+      })
       .filter((v) => v.version > this.#version)
       .observe((v) => this.offer(v));
     call.on("error", () => undefined);
--- a/src/sidecar/PeerGossip.ts
+++ b/src/sidecar/PeerGossip.ts
@@ -1,6 +1,7 @@
 import * as grpc from "@grpc/grpc-js";
 import type bunyan from "bunyan";
 import { fromPromise, periodic } from "most";
+import { encodedSize } from "../common/encodedSize.ts";
 import type { IDisposable } from "../common/IDisposable.ts";
 import type { ProtoTypes } from "../common/ProtoTypes.ts";
 import type { TargetTable } from "./TargetTable.ts";
@@ -8,6 +9,8 @@
 /** Peers contacted each round; with push-pull, news reaches all N members in about log2(N) rounds. */
 export const GOSSIP_FANOUT = 2;
 
+const DIGEST_TYPE = "burdockpass.v1.Digest";
+
 /** A gossip call slower than this is dropped, ms: a stuck peer must not hold a round. */
 const EXCHANGE_DEADLINE_MS = 500;
 
@@ -31,6 +34,7 @@
   readonly #ctor: grpc.ServiceClientConstructor;
   readonly #random: () => number;
   readonly #log: bunyan;
+  readonly #onBytes: (bytes: number) => void;
   readonly #clients = new Map<string, PeerClient>();
   #stop: () => void = () => undefined;
 
@@ -40,12 +44,15 @@
     ctor: grpc.ServiceClientConstructor;
     random: () => number;
     log: bunyan;
+    /** Told the encoded size of every digest sent or received, bytes. */
+    onBytes: (bytes: number) => void;
   }) {
     this.#table = deps.table;
     this.#seeds = deps.seeds;
     this.#ctor = deps.ctor;
     this.#random = deps.random;
     this.#log = deps.log;
+    this.#onBytes = deps.onBytes;
   }
 
   /** The Exchange handler: merge theirs, answer with ours. */
@@ -54,7 +61,9 @@
     cb,
   ) => {
     this.#table.merge(call.request);
-    cb(null, this.#table.digest());
+    const reply = this.#table.digest();
+    this.#onBytes(encodedSize(DIGEST_TYPE, call.request) + encodedSize(DIGEST_TYPE, reply));
+    cb(null, reply);
   };
 
   /** Starts a round every `intervalMs` until disposed. */
@@ -77,9 +86,12 @@
 
   #round(): void {
     this.#table.beat();
+    const digest = this.#table.digest();
+    const size = encodedSize(DIGEST_TYPE, digest);
     for (const address of this.#choosePeers()) {
+      this.#onBytes(size);
       this.#client(address).Exchange(
-        this.#table.digest(),
+        digest,
         { deadline: Date.now() + EXCHANGE_DEADLINE_MS },
         (err, res) => {
           if (err) {
@@ -87,6 +99,7 @@
             return;
           }
           if (res) {
+            this.#onBytes(encodedSize(DIGEST_TYPE, res));
             this.#table.merge(res);
           }
         },
--- a/src/sidecar/SidecarMetrics.ts
+++ b/src/sidecar/SidecarMetrics.ts
@@ -10,6 +10,7 @@
   readonly registry = new Registry();
   readonly #requests: Counter;
   readonly #duration: Histogram;
+  readonly #controlBytes: Counter;
 
   constructor() {
     collectDefaultMetrics({ register: this.registry });
@@ -26,6 +27,17 @@
       buckets: LATENCY_BUCKETS,
       registers: [this.registry],
     });
+    this.#controlBytes = new Counter({
+      name: "burdockpass_control_bytes_total",
+      help: "Bytes of burdockpass's own messages (gossip, config), sent and received, protobuf-encoded.",
+      labelNames: ["kind"],
+      registers: [this.registry],
+    });
+  }
+
+  /** Counts bytes of our own protocol (gossip, config) sent or received by `kind`. */
+  controlBytes(kind: "gossip" | "config", bytes: number): void {
+    this.#controlBytes.inc({ kind }, bytes);
   }
 
   /** Counts one answered request; `ms` is its time in the sidecar. */
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -56,6 +56,9 @@
         dataDir: this.#cfg.dataDir,
         sidecarId: this.#cfg.id,
         log: this.#log,
+        onBytes: (bytes) => {
+          metrics.controlBytes("config", bytes);
+        },
       }),
     );
     follower.start();
@@ -67,6 +70,9 @@
         ctor: proto.Peer as grpc.ServiceClientConstructor,
         random: Math.random,
         log: this.#log,
+        onBytes: (bytes) => {
+          metrics.controlBytes("gossip", bytes);
+        },
       }),
     );
     const peerServer = new grpc.Server();
