--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -93,7 +93,6 @@
     const admin = new AdminServer({ table, metrics, status });
     this.#ports.admin = this.register(await startHttpServer(admin.server, this.#cfg.admin)).port;
 
-    const tracing = this.register(createTracer("burdockpass-sidecar", this.#cfg.traceFile));
     const forwarder = this.register(new Forwarder());
     const dispatcher = new Dispatcher({
       targetsOf: (service) => table.targetsOf(service.name as never),
@@ -104,7 +103,7 @@
       document: () => follower.document,
       dispatcher,
       metrics,
-      tracer: tracing.tracer,
+      tracer: createTracer("burdockpass-sidecar", this.#cfg.traceFile),
       log: this.#log,
     });
     this.#ports.caller = this.register(await startHttpServer(caller.server, this.#cfg.listen)).port;
