Planned stop no longer waits out callers' keep-alive; drain and planned-stop tests

Cause: a sidecar given SIGTERM with 8 bookings in flight answered all 8 but exited 1 after its 10 s stop deadline. Found by timing close() on a bare Node http server: with keepAliveTimeout 30 s, close() finished 28,254 ms after it was called. closeIdleConnections() ran once, while the sockets were still busy; after their answers they sat idle on keep-alive, and close() waited for the callers to drop them. Ruled out: gRPC shutdown and the other children (in-process, an idle sidecar disposes in 3 ms); a rejected dispose (no error logged).

Change: a stopping HTTP server closes idle sockets every 100 ms until close() completes. The stand-in counts every request it receives and when, so a test can see when a draining target last got new work.

--- a/src/common/startHttpServer.ts
+++ b/src/common/startHttpServer.ts
@@ -7,6 +7,9 @@
   readonly port: number;
 }
 
+/** How often a stopping server closes sockets that have gone idle, ms. */
+const IDLE_SWEEP_MS = 100;
+
 /** Listens on `hostPort` (port 0 picks one). */
 export async function startHttpServer(
   server: Server,
@@ -24,8 +27,16 @@
     port: (server.address() as AddressInfo).port,
     dispose: () =>
       new Promise<void>((resolve) => {
-        // close() waits for in-flight requests; idle keep-alive sockets are closed so it can finish.
+        // close() waits for every open socket. A socket busy at close time turns
+        // into an idle keep-alive one after its answer, and a single
+        // closeIdleConnections() has already run by then: seen, a planned stop
+        // waited 28 s for callers' keep-alive timeouts. So idle sockets are
+        // closed again and again until close() completes.
+        const sweeper = setInterval(() => {
+          server.closeIdleConnections();
+        }, IDLE_SWEEP_MS);
         server.close(() => {
+          clearInterval(sweeper);
           resolve();
         });
         server.closeIdleConnections();
--- a/src/standin/StandInTarget.ts
+++ b/src/standin/StandInTarget.ts
@@ -32,6 +32,9 @@
   #mode = FaultMode.None;
   #inFlight = 0;
   #served = 0;
+  #received = 0;
+  #lastReceivedAt = 0;
+  #drainedAt = 0;
   #draining = false;
   #announcer: NodeJS.Timeout | undefined;
   #lastAnswer = "";
@@ -112,7 +115,15 @@
   async #control(url: string, req: IncomingMessage, res: ServerResponse): Promise<void> {
     res.setHeader("content-type", "application/json");
     if (url === "/_standin/effects") {
-      res.end(JSON.stringify({ served: this.#served, effects: Object.fromEntries(this.#effects) }));
+      res.end(
+        JSON.stringify({
+          served: this.#served,
+          received: this.#received,
+          lastReceivedAt: this.#lastReceivedAt,
+          drainedAt: this.#drainedAt,
+          effects: Object.fromEntries(this.#effects),
+        }),
+      );
     } else if (url === "/_standin/health") {
       res.statusCode = this.#reportedHealthy() ? 200 : 503;
       res.end(JSON.stringify({ inFlight: this.#inFlight, slots: this.#opts.slots }));
@@ -123,6 +134,7 @@
       res.end(JSON.stringify({ mode: this.#mode }));
     } else if (url === "/_standin/drain" && req.method === "POST") {
       this.#draining = true;
+      this.#drainedAt = Date.now();
       this.#announce();
       res.end(JSON.stringify({ draining: true }));
     } else {
@@ -142,6 +154,8 @@
   }
 
   async #work(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    this.#received += 1;
+    this.#lastReceivedAt = Date.now();
     const body = await readText(req);
     if (this.#mode === FaultMode.Silent) {
       return; // Never answers; the socket stays open until the caller gives up.
--- /dev/null
+++ b/test/lifecycle.test.ts
@@ -0,0 +1,160 @@
+import test from "ava";
+import { LocalFleet, type FleetTarget } from "../scripts/LocalFleet.ts";
+import { fileURLToPath } from "node:url";
+
+const DOC = fileURLToPath(new URL("../config/demo.yaml", import.meta.url));
+
+interface Effects {
+  served: number;
+  received: number;
+  lastReceivedAt: number;
+  drainedAt: number;
+  effects: Record<string, number>;
+}
+
+async function effects(fleet: LocalFleet, id: string): Promise<Effects> {
+  const port = fleet.targets.get(id)?.ports.http ?? 0;
+  return (await (await fetch(`http://127.0.0.1:${port}/_standin/effects`)).json()) as Effects;
+}
+
+async function ready(fleet: LocalFleet, count: number): Promise<void> {
+  const applied = await fleet.cli([
+    "config",
+    "apply",
+    DOC,
+    "--control",
+    `127.0.0.1:${fleet.controlPort}`,
+  ]);
+  if (applied.code !== 0) {
+    throw new Error(applied.err);
+  }
+  await fleet.waitForVersion(1);
+  await fleet.waitForTargets(count);
+}
+
+/** What one drain under load showed: when new work last reached the target, and every caller's status. */
+interface DrainRun {
+  lastWorkAfterDrainMs: number;
+  statuses: number[];
+  refusals: Map<string, number>;
+}
+
+/**
+ * Drains avail-0 of three glenbrae-availability targets while two callers per
+ * sidecar keep checking vans through all three sidecars, for 3 s after the drain.
+ */
+async function drainUnderLoad(): Promise<DrainRun> {
+  const targets: FleetTarget[] = ["avail-0", "avail-1", "avail-2"].map((id, i) => ({
+    id,
+    service: "glenbrae-availability",
+    zone: `zone-${"abc"[i] ?? "a"}`,
+    slots: 4,
+    workMs: 5,
+  }));
+  const fleet = new LocalFleet();
+  try {
+    await fleet.start(targets);
+    await ready(fleet, targets.length);
+    const ports = [...fleet.sidecars.values()].map((s) => s.ports.caller ?? 0);
+    let stop = false;
+    const statuses: number[] = [];
+    const refusals = new Map<string, number>();
+    const caller = async (port: number) => {
+      while (!stop) {
+        const res = await fetch(`http://127.0.0.1:${port}/glenbrae/availability/depot-perth`);
+        const text = await res.text();
+        statuses.push(res.status);
+        if (res.status !== 200) {
+          refusals.set(text, (refusals.get(text) ?? 0) + 1);
+        }
+      }
+    };
+    const load = Promise.all(ports.flatMap((p) => [caller(p), caller(p)]));
+    await new Promise((r) => setTimeout(r, 500));
+    const drainPort = fleet.targets.get("avail-0")?.ports.http ?? 0;
+    await fetch(`http://127.0.0.1:${drainPort}/_standin/drain`, { method: "POST" });
+    await new Promise((r) => setTimeout(r, 3000));
+    stop = true;
+    await load;
+    const seen = await effects(fleet, "avail-0");
+    return { lastWorkAfterDrainMs: seen.lastReceivedAt - seen.drainedAt, statuses, refusals };
+  } finally {
+    await fleet.stop();
+  }
+}
+
+test.serial("a draining target gets no new work from any sidecar within 2 s", async (t) => {
+  // Story: an operator drains avail-0 ahead of replacing its VM while depot
+  // staff keep checking vans through all three sidecars. Its own sidecar hears
+  // at once; the other two only through gossip. Within 2 s no sidecar may send
+  // it new work.
+  const run = await drainUnderLoad();
+  t.log(`last new work reached the draining target ${run.lastWorkAfterDrainMs} ms after the drain`);
+  t.true(
+    run.lastWorkAfterDrainMs <= 2000,
+    `new work ${run.lastWorkAfterDrainMs} ms after the drain`,
+  );
+  t.true(run.statuses.length > 100);
+});
+
+test.serial("no caller sees an error while a target drains under load", async (t) => {
+  // Story: the same drain, seen by the depot staff: two of three targets are
+  // left with eight slots for six callers, so capacity is enough. No caller
+  // may get a refusal meanwhile; a refusal here means the sidecars shed work
+  // the remaining targets could have taken.
+  const run = await drainUnderLoad();
+  for (const [reason, count] of run.refusals) {
+    t.log(`${count} x ${reason}`);
+  }
+  t.true(run.statuses.length > 100);
+  t.deepEqual([...new Set(run.statuses)], [200]);
+});
+
+test.serial("a planned stop of a sidecar cuts no request in flight", async (t) => {
+  // Story: a sidecar is restarted on purpose (SIGTERM) while eight slow van
+  // bookings are in flight through it. Each booking must still get its whole
+  // answer, each must run exactly once, and the sidecar must exit cleanly;
+  // a cut request would leave a hirer not knowing whether the van is booked.
+  const targets: FleetTarget[] = ["vans-0", "vans-1"].map((id, i) => ({
+    id,
+    service: "glenbrae-bookings",
+    zone: `zone-${"ab"[i] ?? "a"}`,
+    slots: 4,
+    workMs: 600,
+  }));
+  const fleet = new LocalFleet();
+  try {
+    await fleet.start(targets);
+    await ready(fleet, targets.length);
+    const sidecar = fleet.sidecars.get("vans-0");
+    const port = sidecar?.ports.caller ?? 0;
+    const bookings = Array.from({ length: 8 }, async (_, n) => {
+      const res = await fetch(`http://127.0.0.1:${port}/glenbrae/bookings/van`, {
+        method: "POST",
+        headers: { "idempotency-key": `booking-${n}` },
+        body: "{}",
+      });
+      const body = (await res.json()) as { target?: string };
+      return { status: res.status, verdict: res.headers.get("x-burdockpass-verdict"), body };
+    });
+    await new Promise((r) => setTimeout(r, 150));
+    const exited = new Promise<number | null>((resolve) => sidecar?.proc.once("exit", resolve));
+    const stopAt = Date.now();
+    sidecar?.proc.kill("SIGTERM");
+    const answers = await Promise.all(bookings);
+    const code = await exited;
+    t.log(`sidecar exited with ${code} ${Date.now() - stopAt} ms after SIGTERM`);
+    const cut = answers.filter((a) => a.status !== 200 || a.verdict !== "done").length;
+    t.is(cut, 0, "requests cut by the planned stop");
+    t.is(code, 0);
+    const counts = await Promise.all(targets.map((x) => effects(fleet, x.id)));
+    const runs = counts.flatMap((c) => Object.values(c.effects));
+    t.is(runs.length, 8);
+    t.true(
+      runs.every((r) => r === 1),
+      "each booking ran exactly once",
+    );
+  } finally {
+    await fleet.stop();
+  }
+});
