--- a/src/sidecar/Dispatcher.test.ts
+++ b/src/sidecar/Dispatcher.test.ts
@@ -2,7 +2,7 @@
 import { ServiceName } from "../common/ServiceName.ts";
 import { TargetId } from "../common/TargetId.ts";
 import { ZoneName } from "../common/ZoneName.ts";
-import { Dispatcher, SHED_BACKOFF_MS } from "./Dispatcher.ts";
+import { Dispatcher } from "./Dispatcher.ts";
 import type { ForwardResult } from "./ForwardResult.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
 import type { TargetInfo } from "./TargetInfo.ts";
@@ -132,34 +132,3 @@
   t.is(sends, 0);
   t.is(out.verdict.kind, "not-run");
 });
-
-test("dispatch: when every ready target shed, one is tried again after a backoff", async (t) => {
-  // Story: three sidecars share two targets with four slots each; at a busy
-  // moment both shed the same lookup ("no free slot"). The caller must not get
-  // 503 while attempts remain: a slot frees within milliseconds, so the
-  // sidecar waits briefly and tries again, still within attempts and deadline.
-  const two = targets.slice(0, 2);
-  const answers = [notRun, notRun, done];
-  const sentAt: number[] = [];
-  const dispatcher = new Dispatcher({
-    targetsOf: () => two,
-    pick: (candidates) => candidates[0],
-    send: () => {
-      sentAt.push(Date.now());
-      return Promise.resolve(answers.shift() ?? notRun);
-    },
-  });
-  const out = await dispatcher.dispatch(route(true), {
-    method: "GET",
-    path: "/",
-    headers: {},
-    body: undefined,
-    deadline: Date.now() + 1000,
-  });
-  t.is(out.verdict.kind, "done");
-  t.is(sentAt.length, 3);
-  t.true(
-    (sentAt[2] ?? 0) - (sentAt[1] ?? 0) >= SHED_BACKOFF_MS,
-    "waited before trying a target again",
-  );
-});
--- a/src/sidecar/Dispatcher.ts
+++ b/src/sidecar/Dispatcher.ts
@@ -8,9 +8,6 @@
 import { TargetState } from "./TargetState.ts";
 import { RetryBudget } from "./RetryBudget.ts";
 
-/** Wait before sending to a target that was already tried, ms: a shed slot frees within milliseconds. */
-export const SHED_BACKOFF_MS = 10;
-
 /** What the dispatcher needs from the rest of the sidecar; passed in so tests can fake each. */
 export interface DispatcherDeps {
   readonly targetsOf: (service: RouteMatch["service"]) => TargetInfo[];
@@ -57,7 +54,7 @@
       ) {
         break;
       }
-      const target = await this.#choose(route, tried, last, req.deadline);
+      const target = this.#choose(route, tried);
       if (!target) {
         break;
       }
@@ -70,28 +67,10 @@
     return last;
   }
 
-  /**
-   * An untried ready target; or, when every ready one has shed this request
-   * (not-run), any ready one again after {@link SHED_BACKOFF_MS}. Seen without
-   * it: draining one of three targets under load, two remaining targets both
-   * shed the same lookup and the caller got 503 with attempts left.
-   */
-  async #choose(
-    route: RouteMatch,
-    tried: Set<TargetId>,
-    last: ForwardResult,
-    deadline: number,
-  ): Promise<TargetInfo | undefined> {
+  #choose(route: RouteMatch, tried: Set<TargetId>): TargetInfo | undefined {
     const ready = this.#deps.targetsOf(route.service).filter((t) => t.state === TargetState.Ready);
     const fresh = ready.filter((t) => !tried.has(t.id));
-    if (fresh.length > 0 || last.verdict.kind !== "not-run" || tried.size === 0) {
-      return this.#deps.pick(fresh, (id) => this.outstanding(id));
-    }
-    if (Date.now() + SHED_BACKOFF_MS >= deadline) {
-      return undefined;
-    }
-    await new Promise((resolve) => setTimeout(resolve, SHED_BACKOFF_MS));
-    return this.#deps.pick(ready, (id) => this.outstanding(id));
+    return this.#deps.pick(fresh, (id) => this.outstanding(id));
   }
 
   async #sendCounted(target: TargetInfo, req: OutgoingRequest): Promise<ForwardResult> {
