--- a/bench/latency.ts
+++ b/bench/latency.ts
@@ -49,7 +49,7 @@
   await fleet.start([
     { id: "results-0", service: "oljelab-results", zone: "zone-a", slots: 5, workMs: 0 },
   ]);
-  await fleet.cli(["config", "apply", DOC, "--control", `127.0.0.1:${fleet.controlPort}`]);
+  await fleet.apply(DOC);
   await fleet.waitForVersion(1);
   await fleet.waitForTargets(1);
   const target = fleet.targets.get("results-0")?.ports.http ?? 0;
--- a/scripts/LocalFleet.ts
+++ b/scripts/LocalFleet.ts
@@ -82,6 +82,11 @@
     );
   }
 
+  /** Applies the operators' document `file` through the CLI, at this fleet's control. */
+  apply(file: string): Promise<{ code: number; out: string; err: string }> {
+    return this.cli(["config", "apply", file, "--control", `127.0.0.1:${this.controlPort}`]);
+  }
+
   /** Polls every sidecar's status until each sees `count` ready targets, or throws after `timeoutMs`. */
   async waitForTargets(count: number, timeoutMs = 15_000): Promise<void> {
     const until = Date.now() + timeoutMs;
--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -26,13 +26,7 @@
 try {
   console.log(`starting fleet in ${fleet.dir} ...`);
   await fleet.start(demoTargets);
-  const applied = await fleet.cli([
-    "config",
-    "apply",
-    DOC,
-    "--control",
-    `127.0.0.1:${fleet.controlPort}`,
-  ]);
+  const applied = await fleet.apply(DOC);
   console.log(applied.out.trim() || applied.err.trim());
   await fleet.waitForVersion(1);
   await fleet.waitForTargets(demoTargets.length);
--- a/test/e2e.test.ts
+++ b/test/e2e.test.ts
@@ -26,13 +26,7 @@
 });
 
 test.serial("every caller gets its own whole answer through separate processes", async (t) => {
-  const applied = await fleet.cli([
-    "config",
-    "apply",
-    DOC,
-    "--control",
-    `127.0.0.1:${fleet.controlPort}`,
-  ]);
+  const applied = await fleet.apply(DOC);
   t.is(applied.code, 0, applied.err);
   await fleet.waitForVersion(1);
   await fleet.waitForTargets(targets.length);
--- a/test/lifecycle.test.ts
+++ b/test/lifecycle.test.ts
@@ -18,13 +18,7 @@
 }
 
 async function ready(fleet: LocalFleet, count: number): Promise<void> {
-  const applied = await fleet.cli([
-    "config",
-    "apply",
-    DOC,
-    "--control",
-    `127.0.0.1:${fleet.controlPort}`,
-  ]);
+  const applied = await fleet.apply(DOC);
   if (applied.code !== 0) {
     throw new Error(applied.err);
   }
