--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -4,6 +4,7 @@
 import type { DaemonSettings } from "../common/DaemonSettings.ts";
 import { createTracer } from "../common/createTracer.ts";
 import { loadProto } from "../common/loadProto.ts";
+import { ServiceName } from "../common/ServiceName.ts";
 import { SidecarId } from "../common/SidecarId.ts";
 import { startGrpcServer } from "../common/startGrpcServer.ts";
 import { startHttpServer } from "../common/startHttpServer.ts";
@@ -95,7 +96,7 @@
 
     const forwarder = this.register(new Forwarder());
     const dispatcher = new Dispatcher({
-      targetsOf: (service) => table.targetsOf(service.name as never),
+      targetsOf: (service) => table.targetsOf(ServiceName(service.name)),
       pick: (candidates, outstanding) => pickTarget(candidates, outstanding, Math.random),
       send: (target, req) => forwarder.send(target, req),
     });
