Outlier detection and ejection over combined evidence; AIMD limits; the drain flake mended

Now each sidecar keeps an AIMD limit per target (halved on a shed), so sheds stop instead of being retried, and a request waits up to 250 ms for room instead of being sent on to be shed.

Change: RoutingPolicy behind an interface; AdaptivePolicy (ours) and NaivePolicy (round robin, 1 s health check, five errors in a row: the baseline). Evidence is two CUSUM scores a target (failed answers; late or missing ones, counted while still unanswered), gossiped and combined: failures add up over observers, lateness counts for others only against those who vouch for the target. chooseRotation holds the floor on every evaluation. Growing ejections, gradual readmission, probes as a backing signal only, a StallClock so that a pause here is not held against targets. echoHeader in the document finds answers to other requests; they are never passed on. A caller that breaks off its body no longer can end the process (an unhandled rejection).

--- a/scripts/LocalFleet.ts
+++ b/scripts/LocalFleet.ts
@@ -15,6 +15,8 @@
   readonly zone: string;
   readonly slots: number;
   readonly workMs?: number;
+  /** More arguments for the stand-in, such as `--net-ms=1.5`. */
+  readonly standInArgs?: readonly string[];
 }
 
 /** A process of the fleet and its ports. */
@@ -39,6 +41,12 @@
   readonly dir = mkdtempSync(join(tmpdir(), "burdockpass-fleet-"));
   readonly #members: Member[] = [];
   controlPort = 0;
+  readonly #policy: "adaptive" | "naive";
+
+  /** `policy` is every sidecar's routing policy; `naive` is the bench's baseline. */
+  constructor(policy: "adaptive" | "naive" = "adaptive") {
+    this.#policy = policy;
+  }
 
   /** Sidecars by target id. */
   readonly sidecars = new Map<string, Member>();
@@ -188,6 +196,7 @@
       admin: `127.0.0.1:${ports.admin}`,
       peer: `127.0.0.1:${ports.peer}`,
       seeds,
+      policy: this.#policy,
       control: [`127.0.0.1:${this.controlPort}`],
       dataDir: join(this.dir, `sidecar-${id}`),
       traceFile: join(this.dir, `trace-${id}.jsonl`),
@@ -226,6 +235,7 @@
       `--sidecar=127.0.0.1:${sidecarAdmin}`,
       `--slots=${t.slots}`,
       `--work-ms=${t.workMs ?? 2}`,
+      ...(t.standInArgs ?? []),
     ];
     const proc = spawn(process.execPath, args, { cwd: ROOT, stdio: ["ignore", "pipe", "inherit"] });
     await waitForLine(proc, /standin ready/, t.id, join(this.dir, `${t.id}.log`));
--- a/src/common/DaemonSettings.ts
+++ b/src/common/DaemonSettings.ts
@@ -21,6 +21,8 @@
   dataDir: z.string().optional(),
   /** JSON-lines file for trace spans; absent to trace nothing. */
   traceFile: z.string().optional(),
+  /** `naive` is the baseline that ours is measured against; never for real traffic. */
+  policy: z.enum(["adaptive", "naive"]).default("adaptive"),
   gossipIntervalMs: z.number().int().positive().default(200),
 });
 
--- a/src/common/OperatorDocument.ts
+++ b/src/common/OperatorDocument.ts
@@ -19,6 +19,22 @@
   budgetRatio: z.number().min(0).max(1),
 });
 
+/** How gray targets of one service are found and for how long they stay out. */
+const Detection = z.strictObject({
+  /** Evidence needed to eject, nats: lower finds gray targets sooner, higher ejects fewer healthy ones. */
+  threshold: z.number().min(3).max(50).default(8),
+  /** An answer is late when slower than this many times its peers' median... */
+  slowFactor: z.number().min(1.5).max(20).default(3),
+  /** ...and slower than the median by this much. */
+  slowMinMs: Millis.default(50),
+  /** The first ejection; each one soon after lasts twice as long... */
+  ejectMs: Millis.default(5_000),
+  /** ...up to this. */
+  maxEjectMs: Millis.default(60_000),
+  /** Time over which a readmitted target's share grows back. */
+  rampMs: Millis.default(3_000),
+});
+
 /** One service of the document: its routes, request kinds and limits. */
 const Service = z.strictObject({
   name: z.string().regex(/^[a-z][a-z0-9-]*$/),
@@ -30,6 +46,15 @@
   floor: z.number().min(0).max(1),
   timeoutMs: Millis,
   retry: RetryPolicy,
+  detection: Detection.prefault({}),
+  /**
+   * A header in which targets echo the id that the sidecar sent in it. An
+   * answer with another id is another request's answer; it is not passed on.
+   */
+  echoHeader: z
+    .string()
+    .regex(/^[a-z][a-z0-9-]*$/, "a lower-case header name")
+    .optional(),
 });
 
 /**
--- a/src/sidecar/AdminServer.ts
+++ b/src/sidecar/AdminServer.ts
@@ -12,6 +12,8 @@
   url: z.url(),
   slots: z.number().int().positive(),
   state: z.enum(TargetState),
+  /** Path of the health endpoint at `url`; empty for none. */
+  healthPath: z.string().default(""),
 });
 
 /**
@@ -54,7 +56,15 @@
 }
 
 function toProto(a: z.infer<typeof Announcement>): ProtoTypes["Target"] {
-  return { target_id: a.targetId, service: a.service, url: a.url, slots: a.slots, state: a.state };
+  return {
+    target_id: a.targetId,
+    service: a.service,
+    url: a.url,
+    slots: a.slots,
+    state: a.state,
+    health_path: a.healthPath,
+    probe_failing: false,
+  };
 }
 
 async function readJson(req: IncomingMessage): Promise<unknown> {
--- a/src/sidecar/CallerServer.ts
+++ b/src/sidecar/CallerServer.ts
@@ -12,9 +12,10 @@
 import type { OperatorDocument } from "../common/OperatorDocument.ts";
 import type { Verdict } from "../common/Verdict.ts";
 import type { Dispatcher } from "./Dispatcher.ts";
+import { AttemptOutcome } from "./AttemptOutcome.ts";
 import type { ForwardResult } from "./ForwardResult.ts";
-import { RETRY_AFTER_S } from "./Forwarder.ts";
 import { matchRoute } from "./matchRoute.ts";
+import { RETRY_AFTER_S } from "./RETRY_AFTER_S.ts";
 import type { SidecarMetrics } from "./SidecarMetrics.ts";
 
 /** Largest request body taken from a caller, bytes. */
@@ -55,7 +56,12 @@
   constructor(deps: CallerServerDeps) {
     this.#deps = deps;
     this.server = createServer((req, res) => {
-      void this.#handle(req, res);
+      this.#handle(req, res).catch((err: unknown) => {
+        // The caller broke off while sending its body, or a fault of ours: only
+        // this request may suffer, never the process and the others in flight.
+        deps.log.warn({ err }, "request abandoned");
+        res.destroy();
+      });
     });
     // Callers on slow phones: keep their connections a while, but not forever.
     this.server.keepAliveTimeout = 30_000;
@@ -70,17 +76,13 @@
     const route = doc ? matchRoute(doc, req.method ?? "GET", path) : undefined;
     if (!route) {
       const reason = doc ? "no route" : "no accepted configuration yet";
-      this.#reply(res, { verdict: { kind: "not-run", reason, retryAfterS: RETRY_AFTER_S } }, 404);
+      this.#refuse(res, reason, RETRY_AFTER_S, 404);
       span.end();
       return;
     }
     const body = await readBody(req);
     if (body === "too-large") {
-      this.#reply(
-        res,
-        { verdict: { kind: "not-run", reason: "request body too large", retryAfterS: 0 } },
-        413,
-      );
+      this.#refuse(res, "request body too large", 0, 413);
       span.end();
       return;
     }
@@ -102,6 +104,9 @@
       headers,
       body: body.length > 0 ? body : undefined,
       deadline,
+      // Work that must not repeat runs to its end even when its caller leaves.
+      cancelled: route.idempotent ? abortOnLeave(res) : undefined,
+      echoHeader: route.service.echoHeader,
     });
     forward.setAttribute("burdockpass.verdict", out.verdict.kind);
     forward.end();
@@ -114,6 +119,11 @@
     span.end();
   }
 
+  #refuse(res: ServerResponse, reason: string, retryAfterS: number, status: number): void {
+    const verdict = { kind: "not-run", reason, retryAfterS } as const;
+    this.#reply(res, { verdict, outcome: AttemptOutcome.Cancelled }, status);
+  }
+
   #reply(res: ServerResponse, out: ForwardResult, status: number): void {
     res.setHeader("x-burdockpass-verdict", out.verdict.kind);
     if ("body" in out) {
@@ -134,6 +144,17 @@
   }
 }
 
+/** A signal that fires when the caller's connection closes before its answer was written. */
+function abortOnLeave(res: ServerResponse): AbortSignal {
+  const left = new AbortController();
+  res.once("close", () => {
+    if (!res.writableFinished) {
+      left.abort();
+    }
+  });
+  return left.signal;
+}
+
 function statusFor(verdict: Verdict): number {
   switch (verdict.kind) {
     case "done":
--- a/src/sidecar/Dispatcher.ts
+++ b/src/sidecar/Dispatcher.ts
@@ -1,25 +1,31 @@
 import type { TargetId } from "../common/TargetId.ts";
-import type { Verdict } from "../common/Verdict.ts";
 import type { ForwardResult } from "./ForwardResult.ts";
-import type { OutgoingRequest } from "./Forwarder.ts";
-import { RETRY_AFTER_S } from "./Forwarder.ts";
+import { AttemptOutcome } from "./AttemptOutcome.ts";
+import type { OutgoingRequest } from "./OutgoingRequest.ts";
+import { RETRY_AFTER_S } from "./RETRY_AFTER_S.ts";
+import { RetryBudget } from "./RetryBudget.ts";
+import { RoomWaiters } from "./RoomWaiters.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
+import type { RoutingPolicy } from "./RoutingPolicy.ts";
 import type { TargetInfo } from "./TargetInfo.ts";
-import { TargetState } from "./TargetState.ts";
-import { RetryBudget } from "./RetryBudget.ts";
+
+/** A request may wait for room this share of the time it has left... */
+const QUEUE_SHARE = 0.25;
+
+/** ...but no longer than this, ms: past it the answer is a refusal, at once. */
+const QUEUE_MAX_MS = 250;
+
+/** Share of the time left that an attempt may use while another can follow it. */
+const ATTEMPT_SHARE = 0.5;
 
 /** What the dispatcher needs from the rest of the sidecar; passed in so tests can fake each. */
 export interface DispatcherDeps {
-  readonly targetsOf: (service: RouteMatch["service"]) => TargetInfo[];
-  readonly pick: (
-    candidates: readonly TargetInfo[],
-    outstanding: (id: TargetId) => number,
-  ) => TargetInfo | undefined;
+  readonly policy: Pick<RoutingPolicy, "pick" | "begin">;
   readonly send: (target: TargetInfo, req: OutgoingRequest) => Promise<ForwardResult>;
 }
 
 /**
- * Runs one caller's request to its end: picks a ready target, forwards, and
+ * Runs one caller's request to its end: picks a target, forwards, and
  * retries by the verdict rules. An idempotent request may be retried on
  * another target after any failure; one that is not idempotent only after a
  * not-run, since a may-have-run retry could run it twice. Retries stay within
@@ -27,58 +33,74 @@
  */
 export class Dispatcher {
   readonly #deps: DispatcherDeps;
-  readonly #outstanding = new Map<TargetId, number>();
   readonly #budgets = new Map<string, RetryBudget>();
+  readonly #waiters = new RoomWaiters();
 
   constructor(deps: DispatcherDeps) {
     this.#deps = deps;
   }
 
-  /** Requests now in flight to `id` from this sidecar. */
-  outstanding(id: TargetId): number {
-    return this.#outstanding.get(id) ?? 0;
-  }
-
   /** Forwards `req` under `route`; always resolves, never throws. */
   async dispatch(route: RouteMatch, req: OutgoingRequest): Promise<ForwardResult> {
     const budget = this.#budget(route);
     budget.onFirstTry();
     const tried = new Set<TargetId>();
-    let last: ForwardResult = {
-      verdict: { kind: "not-run", reason: "no ready target", retryAfterS: RETRY_AFTER_S },
-    };
-    for (let attempt = 0; attempt < route.service.retry.attempts; attempt++) {
-      if (
-        attempt > 0 &&
-        !(mayRetry(route, last.verdict) && Date.now() < req.deadline && budget.tryRetry())
-      ) {
+    let last = notRun("no ready target");
+    for (let attempt = 1; attempt <= route.service.retry.attempts; attempt++) {
+      if (attempt > 1 && !(mayRetry(route, last) && hasTime(req) && budget.tryRetry())) {
         break;
       }
-      const target = this.#choose(route, tried);
+      const target = await this.#choose(route, tried, req);
+      if (target === "full") {
+        return attempt > 1 ? last : notRun("every target is at its limit");
+      }
       if (!target) {
         break;
       }
       tried.add(target.id);
-      last = await this.#sendCounted(target, req);
-      if (last.verdict.kind === "done") {
-        break;
-      }
+      last = await this.#attempt(route, target, req, attempt);
     }
     return last;
   }
 
-  #choose(route: RouteMatch, tried: Set<TargetId>): TargetInfo | undefined {
-    const ready = this.#deps.targetsOf(route.service).filter((t) => t.state === TargetState.Ready);
-    const fresh = ready.filter((t) => !tried.has(t.id));
-    return this.#deps.pick(fresh, (id) => this.outstanding(id));
+  /** A target with room, waiting a little for one; "full" when the wait was in vain. */
+  async #choose(
+    route: RouteMatch,
+    tried: ReadonlySet<TargetId>,
+    req: OutgoingRequest,
+  ): Promise<TargetInfo | "full" | undefined> {
+    const now = Date.now();
+    const giveUpAt = now + Math.min(QUEUE_MAX_MS, (req.deadline - now) * QUEUE_SHARE);
+    for (;;) {
+      const picked = this.#deps.policy.pick(route, tried);
+      if (picked.kind === "target") {
+        return picked.target;
+      }
+      if (picked.kind === "none") {
+        return undefined;
+      }
+      if (Date.now() >= giveUpAt || req.cancelled?.aborted) {
+        return "full";
+      }
+      await this.#waiters.wait();
+    }
   }
 
-  async #sendCounted(target: TargetInfo, req: OutgoingRequest): Promise<ForwardResult> {
-    this.#outstanding.set(target.id, this.outstanding(target.id) + 1);
+  async #attempt(
+    route: RouteMatch,
+    target: TargetInfo,
+    req: OutgoingRequest,
+    attempt: number,
+  ): Promise<ForwardResult> {
+    const end = this.#deps.policy.begin(route, target);
+    let outcome = AttemptOutcome.NoAnswer;
     try {
-      return await this.#deps.send(target, req);
+      const out = await this.#deps.send(target, withAttemptDeadline(route, req, attempt));
+      outcome = out.outcome;
+      return out;
     } finally {
-      this.#outstanding.set(target.id, this.outstanding(target.id) - 1);
+      end(outcome);
+      this.#waiters.wakeOne();
     }
   }
 
@@ -92,9 +114,42 @@
   }
 }
 
-function mayRetry(route: RouteMatch, verdict: Verdict): boolean {
-  if (verdict.kind === "done") {
-    return false;
+/**
+ * Gives an attempt that can be followed by another only part of the time left,
+ * so a silent connection does not use up the whole deadline. Work that must not
+ * repeat keeps all of it: cutting it short would only leave its outcome unknown.
+ */
+function withAttemptDeadline(
+  route: RouteMatch,
+  req: OutgoingRequest,
+  attempt: number,
+): OutgoingRequest {
+  if (!route.idempotent || attempt >= route.service.retry.attempts) {
+    return req;
   }
-  return route.idempotent || verdict.kind === "not-run";
+  const now = Date.now();
+  const attemptMs = Math.ceil((req.deadline - now) * ATTEMPT_SHARE);
+  return { ...req, deadline: now + Math.max(1, attemptMs) };
+}
+
+function hasTime(req: OutgoingRequest): boolean {
+  return Date.now() < req.deadline && !req.cancelled?.aborted;
+}
+
+function mayRetry(route: RouteMatch, last: ForwardResult): boolean {
+  switch (last.verdict.kind) {
+    case "done":
+      return route.idempotent && last.outcome === AttemptOutcome.Failed;
+    case "not-run":
+      return true;
+    case "may-have-run":
+      return route.idempotent;
+  }
+}
+
+function notRun(reason: string): ForwardResult {
+  return {
+    verdict: { kind: "not-run", reason, retryAfterS: RETRY_AFTER_S },
+    outcome: AttemptOutcome.Shed,
+  };
 }
--- a/src/sidecar/Forwarder.ts
+++ b/src/sidecar/Forwarder.ts
@@ -1,13 +1,20 @@
+import { randomUUID } from "node:crypto";
 import { Pool, errors } from "undici";
 import type { IDisposable } from "../common/IDisposable.ts";
-import type { TargetInfo } from "./TargetInfo.ts";
+import { AttemptOutcome } from "./AttemptOutcome.ts";
 import type { ForwardResult } from "./ForwardResult.ts";
+import type { OutgoingRequest } from "./OutgoingRequest.ts";
+import { RETRY_AFTER_S } from "./RETRY_AFTER_S.ts";
+import type { TargetInfo } from "./TargetInfo.ts";
 
 /** Connections kept to one target; more than its slots would only queue at the target. */
 const CONNECTIONS_PER_TARGET = 8;
 
-/** Seconds a caller is told to wait after a failure. */
-export const RETRY_AFTER_S = 1;
+/** A connection that takes longer to open is given up, ms; on a healthy path one takes about 1 ms. */
+const CONNECT_TIMEOUT_MS = 1000;
+
+/** A connection idle this long may have been forgotten by a middlebox; it is dropped first, ms. */
+const IDLE_LIMIT_MS = 4000;
 
 /**
  * Errors raised while connecting, before any byte of the request was sent:
@@ -21,16 +28,6 @@
   "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
-/** What to send to a target. */
-export interface OutgoingRequest {
-  readonly method: string;
-  readonly path: string;
-  readonly headers: Record<string, string>;
-  readonly body: Buffer | undefined;
-  /** Absolute deadline, ms since the epoch. */
-  readonly deadline: number;
-}
-
 /**
  * Sends requests to targets over undici pools, one per target, and turns
  * every outcome into a verdict. A whole answer is read before it counts as
@@ -38,38 +35,51 @@
  */
 export class Forwarder implements IDisposable {
   readonly #pools = new Map<string, Pool>();
+  readonly #via: string;
+
+  /** `via` names this sidecar to targets in the `Via` header (RFC 9110 §7.6.3). */
+  constructor(via: string) {
+    this.#via = `1.1 ${via}`;
+  }
 
   /** Sends `req` to `target` and waits for the whole answer or the deadline. */
   async send(target: TargetInfo, req: OutgoingRequest): Promise<ForwardResult> {
     const timeoutMs = Math.max(1, req.deadline - Date.now());
     // Aborting an undici request in flight destroys its connection, so a late
     // answer can never be read by the next request on that socket.
-    const signal = AbortSignal.timeout(timeoutMs);
+    const timeout = AbortSignal.timeout(timeoutMs);
+    const signal = req.cancelled ? AbortSignal.any([timeout, req.cancelled]) : timeout;
+    const echoId = req.echoHeader ? randomUUID() : undefined;
+    let answering = false;
     try {
       const res = await this.#pool(target.url).request({
         method: req.method,
         path: req.path,
-        headers: { ...req.headers, "x-burdockpass-deadline": String(req.deadline) },
+        headers: this.#headers(req, echoId),
         body: req.body,
         signal,
       });
+      answering = true;
       const body = Buffer.from(await res.body.arrayBuffer());
       if (res.statusCode === 503 && res.headers["x-not-run"] === "1") {
-        return {
-          verdict: {
-            kind: "not-run",
-            reason: "target shed the request",
-            retryAfterS: RETRY_AFTER_S,
-          },
-        };
+        return shed(res.headers["retry-after"]);
+      }
+      if (req.echoHeader && res.headers[req.echoHeader] !== echoId) {
+        // An answer to another request (a target that mixes answers up): whose it
+        // is cannot be told, so no caller gets it, and ours may have run.
+        return mayHaveRun(target, "answer to another request", AttemptOutcome.Failed);
       }
-      return {
-        verdict: { kind: "done", target: target.id, status: res.statusCode },
-        headers: res.headers,
-        body,
-      };
+      const verdict = { kind: "done", target: target.id, status: res.statusCode } as const;
+      const outcome = res.statusCode >= 500 ? AttemptOutcome.Failed : AttemptOutcome.Ok;
+      return { verdict, outcome, headers: res.headers, body };
     } catch (err) {
-      return { verdict: classify(err, target) };
+      if (timeout.aborted) {
+        this.#retirePool(target.url);
+      }
+      if (req.cancelled?.aborted) {
+        return mayHaveRun(target, "caller left", AttemptOutcome.Cancelled);
+      }
+      return classify(err, target, answering ? AttemptOutcome.Failed : AttemptOutcome.NoAnswer);
     }
   }
 
@@ -80,14 +90,38 @@
     await Promise.all(pools.map((p) => p.destroy()));
   }
 
+  #headers(req: OutgoingRequest, echoId: string | undefined): Record<string, string> {
+    const headers: Record<string, string> = {
+      ...req.headers,
+      via: req.headers.via ? `${req.headers.via}, ${this.#via}` : this.#via,
+      "x-burdockpass-deadline": String(req.deadline),
+    };
+    if (req.echoHeader && echoId) {
+      headers[req.echoHeader] = echoId;
+    }
+    return headers;
+  }
+
+  /**
+   * Leaves a target's connections behind after one went silent: whatever lost
+   * track of that connection has likely lost its siblings too, while new ones
+   * work. Requests still open on them finish; the next ones connect afresh.
+   */
+  #retirePool(url: string): void {
+    const pool = this.#pools.get(url);
+    if (pool) {
+      this.#pools.delete(url);
+      void pool.close().catch(() => undefined);
+    }
+  }
+
   #pool(url: string): Pool {
     let pool = this.#pools.get(url);
     if (!pool) {
       pool = new Pool(url, {
         connections: CONNECTIONS_PER_TARGET,
-        connectTimeout: 1000,
-        // A connection idle this long may have been forgotten by a middlebox; drop it first.
-        keepAliveTimeout: 4000,
+        connectTimeout: CONNECT_TIMEOUT_MS,
+        keepAliveTimeout: IDLE_LIMIT_MS,
         pipelining: 1,
       });
       this.#pools.set(url, pool);
@@ -96,14 +130,28 @@
   }
 }
 
-function classify(
-  err: unknown,
-  target: TargetInfo,
-): Exclude<ForwardResult["verdict"], { kind: "done" }> {
+function shed(retryAfter: string | string[] | undefined): ForwardResult {
+  const asked = Number(retryAfter);
+  const retryAfterS = asked > 0 ? asked : RETRY_AFTER_S;
+  return {
+    verdict: { kind: "not-run", reason: "target shed the request", retryAfterS },
+    outcome: AttemptOutcome.Shed,
+  };
+}
+
+function mayHaveRun(target: TargetInfo, reason: string, outcome: AttemptOutcome): ForwardResult {
+  return {
+    verdict: { kind: "may-have-run", target: target.id, reason, retryAfterS: RETRY_AFTER_S },
+    outcome,
+  };
+}
+
+function classify(err: unknown, target: TargetInfo, outcome: AttemptOutcome): ForwardResult {
   const code = (err as { code?: string }).code ?? "";
   if (CONNECT_ERRORS.has(code) || err instanceof errors.ConnectTimeoutError) {
-    return { kind: "not-run", reason: `connect failed: ${code}`, retryAfterS: RETRY_AFTER_S };
+    const reason = `connect failed: ${code}`;
+    return { verdict: { kind: "not-run", reason, retryAfterS: RETRY_AFTER_S }, outcome };
   }
   const reason = err instanceof Error ? `${err.name}: ${code || err.message}` : "unknown error";
-  return { kind: "may-have-run", target: target.id, reason, retryAfterS: RETRY_AFTER_S };
+  return mayHaveRun(target, reason, outcome);
 }
--- /dev/null
+++ b/src/sidecar/Judgement.ts
@@ -0,0 +1,7 @@
+/** What the evidence about one target says in all. */
+export interface Judgement {
+  /** Should leave rotation. */
+  readonly gray: boolean;
+  /** How bad, nats; the floor keeps the least bad. */
+  readonly badness: number;
+}
--- /dev/null
+++ b/src/sidecar/NaivePolicy.ts
@@ -0,0 +1,98 @@
+import type bunyan from "bunyan";
+import { fromPromise, periodic } from "most";
+import { Disposable } from "../common/Disposable.ts";
+import { ServiceName } from "../common/ServiceName.ts";
+import type { TargetId } from "../common/TargetId.ts";
+import { toDisposable } from "../common/toDisposable.ts";
+import { AttemptOutcome } from "./AttemptOutcome.ts";
+import type { PickResult } from "./PickResult.ts";
+import type { RouteMatch } from "./RouteMatch.ts";
+import type { RoutingPolicy } from "./RoutingPolicy.ts";
+import type { TargetInfo } from "./TargetInfo.ts";
+import { TargetState } from "./TargetState.ts";
+import type { TargetTable } from "./TargetTable.ts";
+
+/** Errors in a row that eject a target. */
+const CONSECUTIVE_ERRORS = 5;
+
+/** Time between health checks of each target, ms. */
+const HEALTH_CHECK_MS = 1000;
+
+/** What the policy needs; passed in so tests can fake each. */
+interface NaivePolicyDeps {
+  readonly table: TargetTable;
+  readonly probe: (target: TargetInfo) => Promise<boolean>;
+  readonly log: bunyan;
+}
+
+/**
+ * The baseline that ours is measured against, for the bench and differential
+ * tests only: round robin, a health check a second, ejection after five errors
+ * in a row until a health check passes again. No floor, no peers' evidence.
+ */
+export class NaivePolicy extends Disposable implements RoutingPolicy {
+  readonly #deps: NaivePolicyDeps;
+  readonly #errors = new Map<TargetId, number>();
+  readonly #ejected = new Set<TargetId>();
+  #turn = 0;
+
+  constructor(deps: NaivePolicyDeps) {
+    super();
+    this.#deps = deps;
+  }
+
+  /** Starts health checks until disposed. */
+  start(): void {
+    const stopped = new Promise<void>((resolve) => this.register(toDisposable(resolve)));
+    void periodic(HEALTH_CHECK_MS)
+      .until(fromPromise(stopped))
+      .observe(() => void this.checkHealth());
+  }
+
+  pick(route: RouteMatch, tried: ReadonlySet<TargetId>): PickResult {
+    const candidates = this.#deps.table
+      .targetsOf(ServiceName(route.service.name))
+      .filter((t) => t.state === TargetState.Ready && !this.#ejected.has(t.id) && !tried.has(t.id));
+    const target = candidates[this.#turn++ % Math.max(1, candidates.length)];
+    return target ? { kind: "target", target } : { kind: "none" };
+  }
+
+  begin(_route: RouteMatch, target: TargetInfo): (outcome: AttemptOutcome) => void {
+    return (outcome) => {
+      const bad = outcome === AttemptOutcome.Failed || outcome === AttemptOutcome.NoAnswer;
+      const errors = bad ? (this.#errors.get(target.id) ?? 0) + 1 : 0;
+      this.#errors.set(target.id, errors);
+      if (errors >= CONSECUTIVE_ERRORS) {
+        this.#eject(target.id);
+      }
+    };
+  }
+
+  describe(): { id: TargetId; rotation: "in" | "ejected" }[] {
+    return this.#deps.table
+      .allTargets()
+      .map((t) => ({ id: t.id, rotation: this.#ejected.has(t.id) ? "ejected" : "in" }));
+  }
+
+  /** Checks every target once; a failing one is ejected, a passing one comes back. */
+  async checkHealth(): Promise<void> {
+    const targets = this.#deps.table.allTargets().filter((t) => t.healthPath !== "");
+    await Promise.all(
+      targets.map(async (t) => {
+        if (!(await this.#deps.probe(t))) {
+          this.#eject(t.id);
+        } else if (this.#ejected.delete(t.id)) {
+          this.#errors.delete(t.id);
+          this.#deps.log.info({ target: t.id }, "readmitted");
+        }
+      }),
+    );
+  }
+
+  #eject(target: TargetId): void {
+    if (!this.#ejected.has(target)) {
+      this.#ejected.add(target);
+      this.#deps.log.info({ target }, "ejected");
+    }
+  }
+}
--- a/src/sidecar/PeerGossip.ts
+++ b/src/sidecar/PeerGossip.ts
@@ -9,6 +9,9 @@
 /** Peers contacted each round; with push-pull, news reaches all N members in about log2(N) rounds. */
 export const GOSSIP_FANOUT = 2;
 
+/** Rounds called for by news keep at least this distance, ms. */
+const MIN_ROUND_GAP_MS = 40;
+
 const DIGEST_TYPE = "burdockpass.v1.Digest";
 
 /** A gossip call slower than this is dropped, ms: a stuck peer must not hold a round. */
@@ -36,6 +39,7 @@
   readonly #log: bunyan;
   readonly #onBytes: (bytes: number) => void;
   readonly #clients = new Map<string, PeerClient>();
+  #lastRoundAt = -Infinity;
   #stop: () => void = () => undefined;
 
   constructor(deps: {
@@ -76,6 +80,16 @@
       });
   }
 
+  /**
+   * Holds a round now, unless one was held just before: called on news that
+   * cannot wait for the next period, such as a target turning gray.
+   */
+  nudge(): void {
+    if (performance.now() - this.#lastRoundAt >= MIN_ROUND_GAP_MS) {
+      this.#round();
+    }
+  }
+
   dispose(): void {
     this.#stop();
     for (const client of this.#clients.values()) {
@@ -85,6 +99,7 @@
   }
 
   #round(): void {
+    this.#lastRoundAt = performance.now();
     this.#table.beat();
     const digest = this.#table.digest();
     const size = encodedSize(DIGEST_TYPE, digest);
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -3,19 +3,24 @@
 import { Disposable } from "../common/Disposable.ts";
 import type { DaemonSettings } from "../common/DaemonSettings.ts";
 import { createTracer } from "../common/createTracer.ts";
+import type { OperatorDocument } from "../common/OperatorDocument.ts";
 import { loadProto } from "../common/loadProto.ts";
-import { ServiceName } from "../common/ServiceName.ts";
 import { SidecarId } from "../common/SidecarId.ts";
 import { startGrpcServer } from "../common/startGrpcServer.ts";
+import { StallClock } from "../common/StallClock.ts";
 import { startHttpServer } from "../common/startHttpServer.ts";
 import { ZoneName } from "../common/ZoneName.ts";
+import { AdaptivePolicy } from "./AdaptivePolicy.ts";
 import { AdminServer } from "./AdminServer.ts";
 import { CallerServer } from "./CallerServer.ts";
 import { ConfigFollower } from "./ConfigFollower.ts";
 import { Dispatcher } from "./Dispatcher.ts";
 import { Forwarder } from "./Forwarder.ts";
+import { HealthProber } from "./HealthProber.ts";
+import { NaivePolicy } from "./NaivePolicy.ts";
 import { PeerGossip } from "./PeerGossip.ts";
-import { pickTarget } from "./pickTarget.ts";
+import { probeHealth } from "./probeHealth.ts";
+import type { RoutingPolicy } from "./RoutingPolicy.ts";
 import { SidecarMetrics } from "./SidecarMetrics.ts";
 import { TargetTable } from "./TargetTable.ts";
 
@@ -83,21 +88,23 @@
     this.#ports.peer = this.register(await startGrpcServer(peerServer, this.#cfg.peer)).port;
     gossip.start(this.#cfg.gossipIntervalMs);
 
+    const policy = this.#startPolicy(table, () => follower.document, gossip);
+    this.#startProber(table);
+
     const status = () => ({
       role: "sidecar",
       id: this.#cfg.id,
       zone: this.#cfg.zone,
       configVersion: follower.version,
       members: table.memberCount,
-      targets: table.allTargets(),
+      targets: describeTargets(table, policy),
     });
     const admin = new AdminServer({ table, metrics, status });
     this.#ports.admin = this.register(await startHttpServer(admin.server, this.#cfg.admin)).port;
 
-    const forwarder = this.register(new Forwarder());
+    const forwarder = this.register(new Forwarder(this.#cfg.id));
     const dispatcher = new Dispatcher({
-      targetsOf: (service) => table.targetsOf(ServiceName(service.name)),
-      pick: (candidates, outstanding) => pickTarget(candidates, outstanding, Math.random),
+      policy,
       send: (target, req) => forwarder.send(target, req),
     });
     const caller = new CallerServer({
@@ -110,4 +117,52 @@
     this.#ports.caller = this.register(await startHttpServer(caller.server, this.#cfg.listen)).port;
     this.#log.info({ ports: this.#ports }, "sidecar started");
   }
+
+  #startPolicy(
+    table: TargetTable,
+    document: () => OperatorDocument | undefined,
+    gossip: PeerGossip,
+  ): RoutingPolicy {
+    if (this.#cfg.policy === "naive") {
+      const naive = this.register(new NaivePolicy({ table, probe: probeHealth, log: this.#log }));
+      naive.start();
+      return naive;
+    }
+    const now = () => performance.now();
+    const stalls = this.register(new StallClock(now));
+    stalls.start();
+    const policy = this.register(
+      new AdaptivePolicy({
+        table,
+        document,
+        now,
+        random: Math.random,
+        stallMs: () => stalls.totalMs,
+        onNews: () => {
+          gossip.nudge();
+        },
+        log: this.#log,
+      }),
+    );
+    policy.start();
+    return policy;
+  }
+
+  #startProber(table: TargetTable): void {
+    const prober = this.register(
+      new HealthProber({
+        targets: () => table.localTargets(),
+        probe: probeHealth,
+        note: (target, failing) => {
+          table.noteProbe(target, failing);
+        },
+      }),
+    );
+    prober.start();
+  }
+}
+
+function describeTargets(table: TargetTable, policy: RoutingPolicy) {
+  const rotation = new Map(policy.describe().map((d) => [d.id, d.rotation]));
+  return table.allTargets().map((t) => ({ ...t, rotation: rotation.get(t.id) ?? "in" }));
 }
--- a/src/sidecar/TargetInfo.ts
+++ b/src/sidecar/TargetInfo.ts
@@ -13,4 +13,8 @@
   readonly slots: number;
   readonly state: TargetState;
   readonly zone: ZoneName;
+  /** Path of its health endpoint; empty for none. */
+  readonly healthPath: string;
+  /** The sidecar beside it found its health endpoint failing. */
+  readonly probeFailing: boolean;
 }
--- a/src/sidecar/TargetTable.test.ts
+++ b/src/sidecar/TargetTable.test.ts
@@ -6,6 +6,16 @@
 import { TargetState } from "./TargetState.ts";
 import { ANNOUNCE_TIMEOUT_MS, MEMBER_TIMEOUT_MS, TargetTable } from "./TargetTable.ts";
 
+const wireTarget = (target_id: string, state: string): ProtoTypes["Target"] => ({
+  target_id,
+  service: "svc",
+  url: "http://127.0.0.1:1",
+  slots: 5,
+  state,
+  health_path: "",
+  probe_failing: false,
+});
+
 const member = (
   id: string,
   incarnation: number,
@@ -17,7 +27,8 @@
   zone: "zone-b",
   heartbeat,
   incarnation,
-  targets: [{ target_id: `t-${id}`, service: "svc", url: "http://127.0.0.1:1", slots: 5, state }],
+  targets: [wireTarget(`t-${id}`, state)],
+  evidence: [],
 });
 
 const setup = () => {
@@ -76,13 +87,7 @@
 
 test("a local target that stops announcing is dropped", (t) => {
   const { clock, table } = setup();
-  table.announce({
-    target_id: "mine",
-    service: "svc",
-    url: "http://127.0.0.1:2",
-    slots: 4,
-    state: "ready",
-  });
+  table.announce(wireTarget("mine", "ready"));
   t.is(table.digest().members[0]?.targets.length, 1);
   clock.now += ANNOUNCE_TIMEOUT_MS + 1;
   t.is(table.digest().members[0]?.targets.length, 0);
--- a/src/sidecar/TargetTable.ts
+++ b/src/sidecar/TargetTable.ts
@@ -3,6 +3,7 @@
 import type { SidecarId } from "../common/SidecarId.ts";
 import { TargetId } from "../common/TargetId.ts";
 import { ZoneName } from "../common/ZoneName.ts";
+import type { Evidence } from "./Evidence.ts";
 import type { TargetInfo } from "./TargetInfo.ts";
 import { TargetState } from "./TargetState.ts";
 
@@ -21,6 +22,12 @@
  */
 export const MEMBER_TIMEOUT_MS = 2000;
 
+interface LocalTarget {
+  target: ProtoTypes["Target"];
+  at: number;
+  probeFailing: boolean;
+}
+
 interface Heard {
   member: Member;
   /** Local time at which the heartbeat last rose. */
@@ -35,7 +42,7 @@
 export class TargetTable {
   readonly #self: Member;
   readonly #now: () => number;
-  readonly #local = new Map<string, { target: ProtoTypes["Target"]; at: number }>();
+  readonly #local = new Map<string, LocalTarget>();
   readonly #remote = new Map<string, Heard>();
 
   /** `now` gives the local clock in ms; tests pass a fake. */
@@ -48,12 +55,50 @@
       heartbeat: 0,
       incarnation: now(),
       targets: [],
+      evidence: [],
     };
   }
 
   /** Records an announcement by a target beside this sidecar. */
   announce(target: ProtoTypes["Target"]): void {
-    this.#local.set(target.target_id, { target, at: this.#now() });
+    const probeFailing = this.#local.get(target.target_id)?.probeFailing ?? false;
+    this.#local.set(target.target_id, { target, at: this.#now(), probeFailing });
+  }
+
+  /** Records what a health probe of a target beside this sidecar found. */
+  noteProbe(targetId: TargetId, failing: boolean): void {
+    const local = this.#local.get(targetId);
+    if (local) {
+      local.probeFailing = failing;
+    }
+  }
+
+  /** Sets what this sidecar tells its peers about the targets it uses. */
+  publishEvidence(evidence: readonly Evidence[]): void {
+    this.#self.evidence = evidence.map(toWire);
+  }
+
+  /** What live peers say of each target. */
+  peerEvidence(): Map<TargetId, Evidence[]> {
+    const now = this.#now();
+    const out = new Map<TargetId, Evidence[]>();
+    for (const { member, seenAt } of this.#liveRemote()) {
+      for (const raw of member.evidence) {
+        const e = fromWire(raw, now - seenAt);
+        const list = out.get(e.target);
+        if (list) {
+          list.push(e);
+        } else {
+          out.set(e.target, [e]);
+        }
+      }
+    }
+    return out;
+  }
+
+  /** Live targets beside this sidecar. */
+  localTargets(): TargetInfo[] {
+    return this.#liveLocal().map((t) => toInfo(t, this.#self.zone));
   }
 
   /** Raises our own heartbeat; called once a gossip round. */
@@ -92,7 +137,7 @@
 
   /** Every live target the sidecar knows of. */
   allTargets(): TargetInfo[] {
-    const own = this.#liveLocal().map((t) => toInfo(t, this.#self.zone));
+    const own = this.localTargets();
     const others = this.#liveRemote().flatMap((h) =>
       h.member.targets.map((t) => toInfo(t, h.member.zone)),
     );
@@ -106,7 +151,9 @@
 
   #liveLocal(): ProtoTypes["Target"][] {
     const cutoff = this.#now() - ANNOUNCE_TIMEOUT_MS;
-    return [...this.#local.values()].filter((e) => e.at >= cutoff).map((e) => e.target);
+    return [...this.#local.values()]
+      .filter((e) => e.at >= cutoff)
+      .map((e) => ({ ...e.target, probe_failing: e.probeFailing }));
   }
 
   #liveRemote(): Heard[] {
@@ -130,6 +177,29 @@
     slots: t.slots,
     state: toTargetState(t.state),
     zone: ZoneName(zone),
+    healthPath: t.health_path,
+    probeFailing: t.probe_failing,
+  };
+}
+
+function toWire(e: Evidence): ProtoTypes["Evidence"] {
+  return {
+    target_id: e.target,
+    failure_score: e.failureScore,
+    late_score: e.lateScore,
+    recent_ok: e.recentOk,
+    last_bad_age_ms: Math.round(e.lastBadAgeMs),
+  };
+}
+
+/** `heardMsAgo` is added to the ages in it: evidence grows old while it waits here. */
+function fromWire(e: ProtoTypes["Evidence"], heardMsAgo: number): Evidence {
+  return {
+    target: TargetId(e.target_id),
+    failureScore: e.failure_score,
+    lateScore: e.late_score,
+    recentOk: e.recent_ok,
+    lastBadAgeMs: e.last_bad_age_ms + heardMsAgo,
   };
 }
 
--- a/src/standin/FaultMode.ts
+++ b/src/standin/FaultMode.ts
@@ -9,4 +9,12 @@
   Flapping = "flapping",
   /** Accepts requests and never answers, as a connection forgotten by a middlebox. */
   Silent = "silent",
+  /** A share of answers are errors (status 500). */
+  Error = "error",
+  /** Works well, but its health endpoint says it does not. */
+  HealthBad = "health-bad",
+  /** Runs requests from one sidecar (see `via`) and never answers them: a one-way partition. */
+  OneWay = "one-way",
+  /** Runs the request, then resets the connection instead of answering. */
+  AnswerLost = "answer-lost",
 }
--- a/src/standin/StandInOptions.ts
+++ b/src/standin/StandInOptions.ts
@@ -18,4 +18,8 @@
   readonly healthLagMs: number;
   /** When true, its health endpoint always says healthy. */
   readonly healthLies: boolean;
+  /** One-way network time between a sidecar and this target, ms; added before and after the work. */
+  readonly netMs: number;
+  /** Header echoed from request to answer, so that answers can be told apart. */
+  readonly echoHeader: string;
 }
--- a/src/standin/StandInTarget.ts
+++ b/src/standin/StandInTarget.ts
@@ -12,9 +12,21 @@
 /** Time given to requests in flight at a stop before their sockets are closed, ms. */
 const STOP_GRACE_MS = 1000;
 
+/** Time a health check takes, ms (the brief's 25 ms a probe). */
+const HEALTH_CHECK_WORK_MS = 25;
+
+/** Arrivals remembered for the bench. */
+const MAX_ARRIVALS = 50_000;
+
 /** Half-period of the flapping mode, ms. */
 const FLAP_PERIOD_MS = 2000;
 
+/** One answer: its body, and the id the request asked to have echoed. */
+interface Answer {
+  readonly body: string;
+  readonly echo: string | string[] | undefined;
+}
+
 /**
  * A stand-in for a customer's back end, spoken to over HTTP as the real ones
  * are. It has slots and sheds load beyond them, starts cold, drains, honours
@@ -29,7 +41,10 @@
   readonly #startedAt = Date.now();
   readonly #effects = new Map<string, number>();
   readonly #history: { at: number; healthy: boolean }[] = [];
+  readonly #arrivals: { at: number; via: string }[] = [];
   #mode = FaultMode.None;
+  /** The sidecar that {@link FaultMode.OneWay} cuts off. */
+  #cutVia = "";
   #inFlight = 0;
   #served = 0;
   #received = 0;
@@ -37,7 +52,7 @@
   #drainedAt = 0;
   #draining = false;
   #announcer: NodeJS.Timeout | undefined;
-  #lastAnswer = "";
+  #lastAnswer: Answer | undefined;
 
   constructor(opts: StandInOptions) {
     this.#opts = opts;
@@ -95,6 +110,7 @@
       url: this.#url,
       slots: this.#opts.slots,
       state: this.#state(),
+      healthPath: "/_standin/health",
     });
     fetch(`http://${this.#opts.sidecarAdmin}/v1/announce`, {
       method: "POST",
@@ -124,13 +140,18 @@
           effects: Object.fromEntries(this.#effects),
         }),
       );
+    } else if (url === "/_standin/arrivals") {
+      res.end(JSON.stringify(this.#arrivals));
     } else if (url === "/_standin/health") {
+      await sleep(HEALTH_CHECK_WORK_MS);
       res.statusCode = this.#reportedHealthy() ? 200 : 503;
       res.end(JSON.stringify({ inFlight: this.#inFlight, slots: this.#opts.slots }));
     } else if (url === "/_standin/fault" && req.method === "POST") {
-      const body = JSON.parse(await readText(req)) as { mode: FaultMode };
+      const body = JSON.parse(await readText(req)) as { mode: FaultMode; via?: string };
       this.#mode = body.mode;
-      this.#history.push({ at: Date.now(), healthy: body.mode === FaultMode.None });
+      this.#cutVia = body.via ?? "";
+      const healthy = body.mode === FaultMode.None || body.mode === FaultMode.OneWay;
+      this.#history.push({ at: Date.now(), healthy });
       res.end(JSON.stringify({ mode: this.#mode }));
     } else if (url === "/_standin/drain" && req.method === "POST") {
       this.#draining = true;
@@ -145,6 +166,9 @@
 
   /** Health as the endpoint tells it: the state of `healthLagMs` ago, or always fine when it lies. */
   #reportedHealthy(): boolean {
+    if (this.#mode === FaultMode.HealthBad) {
+      return false;
+    }
     if (this.#opts.healthLies) {
       return true;
     }
@@ -156,6 +180,11 @@
   async #work(req: IncomingMessage, res: ServerResponse): Promise<void> {
     this.#received += 1;
     this.#lastReceivedAt = Date.now();
+    const via = req.headers.via ?? "";
+    this.#arrivals.push({ at: this.#lastReceivedAt, via });
+    if (this.#arrivals.length > MAX_ARRIVALS) {
+      this.#arrivals.shift();
+    }
     const body = await readText(req);
     if (this.#mode === FaultMode.Silent) {
       return; // Never answers; the socket stays open until the caller gives up.
@@ -184,18 +213,32 @@
         }
         return;
       }
-      this.#answer(req, body, res);
+      const lost = this.#mode === FaultMode.OneWay && via.includes(this.#cutVia);
+      await this.#answer(req, body, res, lost);
     } finally {
       this.#inFlight -= 1;
     }
   }
 
-  #answer(req: IncomingMessage, body: string, res: ServerResponse): void {
+  /** Runs the request's effect and answers it, unless the answer is `lost` on the way back. */
+  async #answer(
+    req: IncomingMessage,
+    body: string,
+    res: ServerResponse,
+    lost: boolean,
+  ): Promise<void> {
     this.#served += 1;
     const key = req.headers["idempotency-key"];
     if (req.method !== "GET" && req.method !== "HEAD" && typeof key === "string") {
       this.#effects.set(key, (this.#effects.get(key) ?? 0) + 1);
     }
+    if (lost) {
+      return;
+    }
+    if (this.#mode === FaultMode.AnswerLost) {
+      res.destroy();
+      return;
+    }
     const answer = JSON.stringify({
       target: this.#opts.id,
       service: this.#opts.service,
@@ -203,19 +246,28 @@
       tag: req.headers["x-caller-tag"] ?? null,
       bodyBytes: body.length,
     });
-    const wrong =
-      this.#mode === FaultMode.Wrong && Math.random() < this.#opts.wrongRate && this.#lastAnswer;
-    const sent = wrong ? this.#lastAnswer : answer;
-    this.#lastAnswer = answer;
+    const mine: Answer = { body: answer, echo: req.headers[this.#opts.echoHeader] };
+    const strikes = Math.random() < this.#opts.wrongRate;
+    const sent = strikes && this.#mode === FaultMode.Wrong ? (this.#lastAnswer ?? mine) : mine;
+    this.#lastAnswer = mine;
+    if (this.#opts.netMs > 0) {
+      await sleep(this.#opts.netMs);
+    }
+    if (strikes && this.#mode === FaultMode.Error) {
+      res.statusCode = 500;
+    }
     res.setHeader("content-type", "application/json");
-    res.end(sent);
+    if (sent.echo) {
+      res.setHeader(this.#opts.echoHeader, sent.echo);
+    }
+    res.end(sent.body);
   }
 
   #workTime(): number {
     const flappingSlow =
       this.#mode === FaultMode.Flapping && Math.floor(Date.now() / FLAP_PERIOD_MS) % 2 === 0;
     const slow = this.#mode === FaultMode.Slow || flappingSlow;
-    return this.#opts.workMs * (slow ? SLOW_FACTOR : 1);
+    return this.#opts.netMs + this.#opts.workMs * (slow ? SLOW_FACTOR : 1);
   }
 }
 
--- a/src/standin/main.ts
+++ b/src/standin/main.ts
@@ -16,6 +16,8 @@
     "cold-ms": { type: "string", default: "0" },
     "wrong-rate": { type: "string", default: "0.05" },
     "health-lag-ms": { type: "string", default: "0" },
+    "net-ms": { type: "string", default: "0" },
+    "echo-header": { type: "string", default: "x-burdockpass-request" },
     "health-lies": { type: "boolean", default: false },
   },
   async run({ args }) {
@@ -30,6 +32,8 @@
       coldMs: Number(args["cold-ms"]),
       wrongRate: Number(args["wrong-rate"]),
       healthLagMs: Number(args["health-lag-ms"]),
+      netMs: Number(args["net-ms"]),
+      echoHeader: args["echo-header"],
       healthLies: args["health-lies"],
     });
     const port = await target.start();
