--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -72,90 +72,126 @@
   }
 }
 
+const sleep = (ms: number) => new Promise((r) => setTimeout(r, ms));
 const mean = (xs: number[]) => xs.reduce((a, b) => a + b, 0) / xs.length;
 const quantile = (xs: number[], q: number) =>
   [...xs].sort((a, b) => a - b)[Math.min(xs.length - 1, Math.floor(q * xs.length))] ?? 0;
 
-console.log(`sidecars  targets  cpu%/sidecar  rssMB/sidecar  gossipB/s/sidecar  members seen`);
-for (const n of SIZES) {
-  const fleet = new LocalFleet();
-  const ids = Array.from({ length: n }, (_, i) => `n${i}`);
-  await fleet.startSidecarsOnly(ids.map((id, i) => ({ id, zone: `zone-${"abcd"[i % 4] ?? "a"}` })));
-  const announcer = setInterval(() => {
-    announceAll(fleet);
-  }, 500);
-  announceAll(fleet);
-  await new Promise((r) => setTimeout(r, SETTLE_MS));
+/** One line of the membership table: what a sidecar costs with this many of them. */
+async function measureMembership(fleet: LocalFleet): Promise<void> {
+  const n = fleet.sidecars.size;
+  await sleep(SETTLE_MS);
   const before = await sample(fleet);
   const t0 = Date.now();
-  await new Promise((r) => setTimeout(r, WINDOW_MS));
+  await sleep(WINDOW_MS);
   const after = await sample(fleet);
   const seconds = (Date.now() - t0) / 1000;
-  const cpu = mean(after.map((a, i) => (a.cpuS - (before[i]?.cpuS ?? 0)) / seconds)) * 100;
-  const rss = mean(after.map((a) => a.rssB)) / 2 ** 20;
-  const gossip = mean(after.map((a, i) => (a.gossipB - (before[i]?.gossipB ?? 0)) / seconds));
-  const members = mean(
-    await Promise.all(
-      [...fleet.sidecars.values()].map(async (s) => (await fleet.status(s)).members),
-    ),
-  );
-  console.log(
-    `${String(n).padStart(8)}  ${String(n * TARGETS_PER_SIDECAR).padStart(7)}  ${cpu.toFixed(2).padStart(12)}  ${rss.toFixed(1).padStart(13)}  ${gossip.toFixed(0).padStart(17)}  ${members.toFixed(1)}`,
-  );
+  const perS = (of: (s: Sample) => number) =>
+    mean(after.map((x, i) => (of(x) - of(before[i] ?? x)) / seconds));
+  const rss = mean(after.map((x) => x.rssB)) / 2 ** 20;
+  const statuses = await Promise.all([...fleet.sidecars.values()].map((s) => fleet.status(s)));
+  const cells = [
+    n,
+    n * TARGETS_PER_SIDECAR,
+    `${(perS((x) => x.cpuS) * 100).toFixed(2)}%`,
+    `${rss.toFixed(1)} MB`,
+    perS((x) => x.gossipB).toFixed(0),
+    mean(statuses.map((s) => s.members)).toFixed(1),
+  ];
+  console.log(`| ${cells.join(" | ")} |`);
+}
 
-  if (n === SIZES.at(-1)) {
-    const client = ControlClient(fleet.controlAddresses[0] ?? "");
-    const spreadMs: number[] = [];
-    const configBefore = await sample(fleet);
-    const c0 = Date.now();
-    for (let v = 1; v <= CHANGES; v++) {
-      const doc = DOC.replace("timeoutMs: 2000", `timeoutMs: ${2000 + v}`);
-      await new Promise<number>((resolve, reject) => {
-        client.Apply(
-          { document: doc, expected_version: v - 1, request_id: `bench-${v}` },
-          { deadline: Date.now() + 5000 },
-          (err) => {
-            if (err) reject(err);
-            else resolve(Date.now());
-          },
-        );
+/** Applies changes one after another; resolves with when each was acknowledged, by version. */
+async function applyChanges(fleet: LocalFleet): Promise<Map<number, number>> {
+  const client = ControlClient(fleet.controlAddress(await fleet.waitForLeader()));
+  const acceptedAt = new Map<number, number>();
+  for (let v = 1; v <= CHANGES; v++) {
+    const document = DOC.replace("timeoutMs: 2000", `timeoutMs: ${2000 + v}`);
+    const req = { document, expected_version: v - 1, request_id: `bench-${v}` };
+    await new Promise<void>((resolve, reject) => {
+      client.Apply(req, { deadline: Date.now() + 5000 }, (err, res) => {
+        if (res?.outcome === "accepted") {
+          acceptedAt.set(v, Date.now());
+          resolve();
+        } else {
+          reject(err ?? new Error(`${res?.outcome}: ${res?.message}`));
+        }
       });
-      await fleet.waitForVersion(v, 10_000);
-    }
-    const configAfter = await sample(fleet);
-    const perSidecarBytes =
-      mean(configAfter.map((a, i) => a.configB - (configBefore[i]?.configB ?? 0))) / CHANGES;
-    // In force times from each sidecar's own log line, against control's accept log line.
-    const acceptAt = new Map<number, number>();
-    for (const line of readFileSync(join(fleet.dir, "control.log"), "utf8").split("\n")) {
-      const m = /"outcome":\{"kind":"accepted","version":(\d+)\}.*"time":"([^"]+)"/.exec(line);
-      if (m) acceptAt.set(Number(m[1]), Date.parse(m[2] ?? ""));
+    });
+    await fleet.waitForVersion(v, 10_000);
+  }
+  client.close();
+  return acceptedAt;
+}
+
+/** When each version came into force at one sidecar, from its log. */
+function inForceAt(fleet: LocalFleet, id: string): Map<number, number> {
+  const seen = new Map<number, number>();
+  for (const line of readFileSync(join(fleet.dir, `sidecar-${id}.log`), "utf8").split("\n")) {
+    const m = /"version":(\d+),"msg":"configuration in force","time":"([^"]+)"/.exec(line);
+    if (m) {
+      seen.set(Number(m[1]), Date.parse(m[2] ?? ""));
     }
-    const lastInForce = new Map<number, number>();
-    for (const id of ids) {
-      for (const line of readFileSync(join(fleet.dir, `sidecar-${id}.log`), "utf8").split("\n")) {
-        const m = /"version":(\d+),"msg":"configuration in force","time":"([^"]+)"/.exec(line);
-        if (m) {
-          const v = Number(m[1]);
-          const at = Date.parse(m[2] ?? "");
-          spreadMs.push(at - (acceptAt.get(v) ?? at));
-          lastInForce.set(v, Math.max(lastInForce.get(v) ?? 0, at - (acceptAt.get(v) ?? at)));
-        }
-      }
+  }
+  return seen;
+}
+
+/** How long accepted changes take to be in force, and what they cost. */
+async function measureSpread(fleet: LocalFleet): Promise<void> {
+  const controls = [...fleet.controls.values()].map((c) => c.proc.pid ?? 0);
+  const before = await sample(fleet);
+  const controlBefore = controls.map(procStat);
+  const t0 = Date.now();
+  const acceptedAt = await applyChanges(fleet);
+  const seconds = (Date.now() - t0) / 1000;
+  const after = await sample(fleet);
+  const controlCpu = controls.map((pid, i) => procStat(pid).cpuS - (controlBefore[i]?.cpuS ?? 0));
+  const bytesEach = mean(after.map((x, i) => x.configB - (before[i]?.configB ?? 0))) / CHANGES;
+  const one: number[] = [];
+  const every = new Map<number, number>();
+  for (const id of fleet.sidecars.keys()) {
+    for (const [v, at] of inForceAt(fleet, id)) {
+      // In force before the operator hears of it counts as 0.
+      const ms = Math.max(0, at - (acceptedAt.get(v) ?? at));
+      one.push(ms);
+      every.set(v, Math.max(every.get(v) ?? 0, ms));
     }
-    const everywhere = [...lastInForce.values()];
-    console.log(`config: ${CHANGES} changes, ${n} sidecars, ${(Date.now() - c0) / 1000} s`);
-    console.log(
-      `  accept -> in force at one sidecar: p50 ${quantile(spreadMs, 0.5)} ms, p99 ${quantile(spreadMs, 0.99)} ms`,
-    );
-    console.log(
-      `  accept -> in force at every sidecar: p50 ${quantile(everywhere, 0.5)} ms, p99 ${quantile(everywhere, 0.99)} ms`,
-    );
-    console.log(
-      `  config bytes per sidecar per change: ${perSidecarBytes.toFixed(0)} (document ${Buffer.byteLength(DOC)} B)`,
+  }
+  const all = [...every.values()];
+  const { size } = fleet.sidecars;
+  console.log(`config: ${CHANGES} changes, ${size} sidecars, 3 replicas, ${seconds} s`);
+  console.log(
+    `  accepted -> in force at one: p50 ${quantile(one, 0.5)}, p99 ${quantile(one, 0.99)} ms`,
+  );
+  console.log(
+    `  accepted -> in force at every: p50 ${quantile(all, 0.5)}, p99 ${quantile(all, 0.99)} ms`,
+  );
+  console.log(`  ${bytesEach.toFixed(0)} B per sidecar per change (document ${DOC.length} B)`);
+  console.log(
+    `  control replicas: CPU ${controlCpu.map((s) => ((s / seconds) * 100).toFixed(1)).join(", ")}%, ` +
+      `RSS ${controls.map((pid) => (procStat(pid).rssB / 2 ** 20).toFixed(0)).join(", ")} MB`,
+  );
+}
+
+console.log("| sidecars | targets | CPU each | RSS each | gossip B/s each | members seen |");
+console.log("| --- | --- | --- | --- | --- | --- |");
+for (const n of SIZES) {
+  const fleet = new LocalFleet({ controls: 3 });
+  const ids = Array.from({ length: n }, (_, i) => `n${i}`);
+  try {
+    await fleet.startSidecarsOnly(
+      ids.map((id, i) => ({ id, zone: `zone-${"abcd"[i % 4] ?? "a"}` })),
     );
-    client.close();
+    const announcer = setInterval(() => {
+      announceAll(fleet);
+    }, 500);
+    announceAll(fleet);
+    await measureMembership(fleet);
+    if (n === SIZES.at(-1)) {
+      await measureSpread(fleet);
+    }
+    clearInterval(announcer);
+  } finally {
+    await fleet.stop();
   }
-  clearInterval(announcer);
-  await fleet.stop();
 }
--- a/bench/document.ts
+++ b/bench/document.ts
@@ -1,11 +1,13 @@
 /**
  * Slopes of the operators' document for docs/CAPACITY.md: generates
  * documents of S services with 12 routes each (40,000 routes / 3,300
- * services), and measures YAML bytes, parse-and-validate time and retained
- * heap. Not a test: `node --expose-gc --import tsx bench/document.ts`.
+ * services), and measures YAML bytes, parse-and-validate time, retained heap and
+ * the time of one route lookup, by the index and by a look at every route. Not a test: `node --expose-gc --import tsx bench/document.ts`.
  */
 import { stringify } from "yaml";
 import { parseOperatorDocument } from "../src/common/parseOperatorDocument.ts";
+import { RouteIndex } from "../src/sidecar/RouteIndex.ts";
+import { matchRouteNaively } from "../test/fixtures/matchRouteNaively.ts";
 
 const ROUTES_PER_SERVICE = 12;
 const SIZES = [100, 500, 1000, 3300];
@@ -32,8 +34,20 @@
   });
 }
 
+const LOOKUPS = 2000;
+
+/** Mean time of one lookup over paths spread through the document, µs. */
+function lookupUs(services: number, lookUp: (path: string) => unknown): number {
+  const t0 = performance.now();
+  for (let i = 0; i < LOOKUPS; i++) {
+    const at = (i * 7919) % services;
+    lookUp(`/c${at % 50}/svc-${at}/r${i % ROUTES_PER_SERVICE}/42`);
+  }
+  return ((performance.now() - t0) * 1000) / LOOKUPS;
+}
+
 const gc = (globalThis as { gc?: () => void }).gc ?? (() => undefined);
-console.log("services  routes  yamlKB  parseMs  heapKB");
+console.log("services  routes  yamlKB  parseMs  heapKB  indexUs  linearUs");
 const keep: unknown[] = [];
 for (const s of SIZES) {
   const text = makeDoc(s);
@@ -43,11 +57,15 @@
   const parsed = parseOperatorDocument(text);
   const ms = performance.now() - t0;
   if (!parsed.ok) throw new Error("generated document invalid");
-  keep.push(parsed.doc);
+  const { doc } = parsed;
+  keep.push(doc);
   gc();
   const heapKB = (process.memoryUsage().heapUsed - heap0) / 1024;
+  const index = new RouteIndex(doc);
+  const indexUs = lookupUs(s, (path) => index.match("GET", path));
+  const linearUs = lookupUs(s, (path) => matchRouteNaively(doc, path));
   console.log(
-    `${String(s).padStart(8)}  ${String(s * ROUTES_PER_SERVICE).padStart(6)}  ${(text.length / 1024).toFixed(0).padStart(6)}  ${ms.toFixed(0).padStart(7)}  ${heapKB.toFixed(0).padStart(6)}`,
+    `${String(s).padStart(8)}  ${String(s * ROUTES_PER_SERVICE).padStart(6)}  ${(text.length / 1024).toFixed(0).padStart(6)}  ${ms.toFixed(0).padStart(7)}  ${heapKB.toFixed(0).padStart(6)}  ${indexUs.toFixed(1).padStart(7)}  ${linearUs.toFixed(0).padStart(8)}`,
   );
 }
 console.log(`kept ${keep.length} documents`);
--- a/src/common/ControlClient.ts
+++ b/src/common/ControlClient.ts
@@ -1,6 +1,7 @@
 import * as grpc from "@grpc/grpc-js";
 import { CHANNEL_OPTIONS } from "./CHANNEL_OPTIONS.ts";
 import { loadProto } from "./loadProto.ts";
+import { meterService, type NoteBytes } from "./meterService.ts";
 import type { ProtoTypes } from "./ProtoTypes.ts";
 
 type Callback<T> = (err: grpc.ServiceError | null, res?: T) => void;
@@ -16,9 +17,11 @@
   Watch(req: ProtoTypes["WatchRequest"]): grpc.ClientReadableStream<ProtoTypes["ConfigVersion"]>;
 };
 
-/** Opens a client to the control replica at `address` (host:port, no TLS). */
-export const ControlClient = (address: string): ControlClient => {
-  const ctor = loadProto().Control as grpc.ServiceClientConstructor;
+/** Opens a client to the control replica at `address` (host:port, no TLS); `note` hears of every message. */
+export const ControlClient = (address: string, note?: NoteBytes): ControlClient => {
+  const { service } = loadProto().Control as grpc.ServiceClientConstructor;
+  const metered = note ? meterService(service, note) : service;
+  const ctor = grpc.makeGenericClientConstructor(metered, "Control");
   return new ctor(
     address,
     grpc.credentials.createInsecure(),
--- a/src/common/StallClock.ts
+++ b/src/common/StallClock.ts
@@ -1,6 +1,5 @@
-import { periodic, fromPromise } from "most";
 import { Disposable } from "./Disposable.ts";
-import { toDisposable } from "./toDisposable.ts";
+import { every } from "./every.ts";
 
 /** How often the clock looks for a late timer, ms. */
 const TICK_MS = 10;
@@ -28,12 +27,11 @@
 
   /** Starts watching until disposed. */
   start(): void {
-    const stopped = new Promise<void>((resolve) => this.register(toDisposable(resolve)));
-    void periodic(TICK_MS)
-      .until(fromPromise(stopped))
-      .observe(() => {
+    this.register(
+      every(TICK_MS, () => {
         this.tick();
-      });
+      }),
+    );
   }
 
   /** Notes one timer firing. */
--- a/src/sidecar/AdaptivePolicy.ts
+++ b/src/sidecar/AdaptivePolicy.ts
@@ -1,10 +1,9 @@
 import type bunyan from "bunyan";
-import { fromPromise, periodic } from "most";
 import { Disposable } from "../common/Disposable.ts";
+import { every } from "../common/every.ts";
 import type { OperatorDocument } from "../common/OperatorDocument.ts";
 import { ServiceName } from "../common/ServiceName.ts";
 import type { TargetId } from "../common/TargetId.ts";
-import { toDisposable } from "../common/toDisposable.ts";
 import { AttemptOutcome } from "./AttemptOutcome.ts";
 import { chooseRotation } from "./chooseRotation.ts";
 import { combineEvidence } from "./combineEvidence.ts";
@@ -85,12 +84,11 @@
 
   /** Starts weighing evidence until disposed. */
   start(): void {
-    const stopped = new Promise<void>((resolve) => this.register(toDisposable(resolve)));
-    void periodic(EVALUATE_MS)
-      .until(fromPromise(stopped))
-      .observe(() => {
+    this.register(
+      every(EVALUATE_MS, () => {
         this.evaluate();
-      });
+      }),
+    );
   }
 
   pick(route: RouteMatch, tried: ReadonlySet<TargetId>): PickResult {
@@ -135,10 +133,15 @@
     const own = new Map(this.#detector.evidence().map((e) => [e.target, e]));
     this.#deps.table.publishEvidence([...own.values()]);
     const peers = this.#deps.table.peerEvidence();
+    const targets = this.#deps.table.allTargets();
+    const byService = groupByService(targets);
     for (const service of this.#deps.document()?.services ?? []) {
-      this.#evaluateService(service, own, peers);
+      const mine = byService.get(ServiceName(service.name)) ?? [];
+      if (mine.length > 0 || this.#rotations.has(service.name)) {
+        this.#evaluateService(service, mine, own, peers);
+      }
     }
-    this.#forgetGone();
+    this.#forgetGone(new Set(targets.map((t) => t.id)));
     if ([...own.values()].some((e) => isNews(e))) {
       this.#deps.onNews();
     }
@@ -146,10 +149,10 @@
 
   #evaluateService(
     service: Service,
+    targets: readonly TargetInfo[],
     own: ReadonlyMap<TargetId, Evidence>,
     peers: ReadonlyMap<TargetId, readonly Evidence[]>,
   ): void {
-    const targets = this.#deps.table.targetsOf(ServiceName(service.name));
     this.#warmUp(service, targets);
     const judged = targets.map((t) => ({
       target: t,
@@ -245,8 +248,7 @@
       .filter((t) => t.state === TargetState.Ready);
   }
 
-  #forgetGone(): void {
-    const live = new Set(this.#deps.table.allTargets().map((t) => t.id));
+  #forgetGone(live: ReadonlySet<TargetId>): void {
     this.#detector.retain(live);
     for (const [id, standing] of this.#standings) {
       if (!live.has(id) && standing.outstanding === 0) {
@@ -273,6 +275,19 @@
   }
 }
 
+function groupByService(targets: readonly TargetInfo[]): Map<ServiceName, TargetInfo[]> {
+  const groups = new Map<ServiceName, TargetInfo[]>();
+  for (const target of targets) {
+    const group = groups.get(target.service);
+    if (group) {
+      group.push(target);
+    } else {
+      groups.set(target.service, [target]);
+    }
+  }
+  return groups;
+}
+
 function isNews(e: Evidence): boolean {
   const score = Math.max(e.failureScore, e.lateScore);
   return score >= NEWS_SCORE && e.lastBadAgeMs < EVALUATE_MS;
--- a/src/sidecar/CallerServer.ts
+++ b/src/sidecar/CallerServer.ts
@@ -10,13 +10,13 @@
   type Tracer,
 } from "@opentelemetry/api";
 import type bunyan from "bunyan";
-import type { OperatorDocument } from "../common/OperatorDocument.ts";
 import type { Verdict } from "../common/Verdict.ts";
 import type { Dispatcher } from "./Dispatcher.ts";
 import { AttemptOutcome } from "./AttemptOutcome.ts";
+import { flattenHeaders } from "./flattenHeaders.ts";
 import type { ForwardResult } from "./ForwardResult.ts";
-import { matchRoute } from "./matchRoute.ts";
 import { RETRY_AFTER_S } from "./RETRY_AFTER_S.ts";
+import type { RouteIndex } from "./RouteIndex.ts";
 import type { SidecarMetrics } from "./SidecarMetrics.ts";
 
 /** Largest request body taken from a caller, bytes. */
@@ -37,7 +37,8 @@
 
 /** What the caller server reads from the rest of the sidecar. */
 export interface CallerServerDeps {
-  readonly document: () => OperatorDocument | undefined;
+  /** The routes in force; undefined before any document. */
+  readonly routes: () => RouteIndex | undefined;
   readonly dispatcher: Dispatcher;
   readonly metrics: SidecarMetrics;
   readonly tracer: Tracer;
@@ -73,11 +74,11 @@
     const parent = propagation.extract(context.active(), req.headers);
     const span = this.#deps.tracer.startSpan("sidecar.ingress", { kind: SpanKind.SERVER }, parent);
     const path = req.url ?? "/";
-    const doc = this.#deps.document();
-    const route = doc ? matchRoute(doc, req.method ?? "GET", path) : undefined;
+    const routes = this.#deps.routes();
+    const route = routes?.match(req.method ?? "GET", path);
     if (!route) {
-      const reason = doc ? "no route" : "no accepted configuration yet";
-      this.#refuse(res, reason, RETRY_AFTER_S, 404);
+      const reason = routes ? "no route" : "no accepted configuration yet";
+      this.#refuse(res, reason, RETRY_AFTER_S, routes ? 404 : 503);
       span.end();
       return;
     }
@@ -192,13 +193,8 @@
 }
 
 function passOn(raw: IncomingMessage["headers"]): Record<string, string> {
-  const out: Record<string, string> = {};
-  for (const [name, value] of Object.entries(raw)) {
-    if (!HOP_HEADERS.has(name) && value !== undefined) {
-      out[name] = Array.isArray(value) ? value.join(", ") : value;
-    }
-  }
-  return out;
+  const endToEnd = Object.entries(raw).filter(([name]) => !HOP_HEADERS.has(name));
+  return flattenHeaders(Object.fromEntries(endToEnd));
 }
 
 async function readBody(req: IncomingMessage): Promise<Buffer | "too-large"> {
--- a/src/sidecar/ConfigFollower.ts
+++ b/src/sidecar/ConfigFollower.ts
@@ -4,12 +4,13 @@
 import type bunyan from "bunyan";
 import { fromEvent } from "most";
 import { ControlClient } from "../common/ControlClient.ts";
-import { encodedSize } from "../common/encodedSize.ts";
 import type { IDisposable } from "../common/IDisposable.ts";
+import type { NoteBytes } from "../common/meterService.ts";
 import type { OperatorDocument } from "../common/OperatorDocument.ts";
 import { parseOperatorDocument } from "../common/parseOperatorDocument.ts";
 import type { ProtoTypes } from "../common/ProtoTypes.ts";
 import { writeFileSynced } from "../common/writeFileSynced.ts";
+import { RouteIndex } from "./RouteIndex.ts";
 
 const DOC_FILE = "accepted-config.json";
 
@@ -27,10 +28,11 @@
   readonly #dataDir: string | undefined;
   readonly #sidecarId: string;
   readonly #log: bunyan;
-  readonly #onBytes: (bytes: number) => void;
+  readonly #note: NoteBytes | undefined;
   #version = 0;
   #doc: OperatorDocument | undefined;
   #text = "";
+  #routes: RouteIndex | undefined;
   #client: ControlClient | undefined;
   #call: grpc.ClientReadableStream<ProtoTypes["ConfigVersion"]> | undefined;
   #next = 0;
@@ -42,14 +44,14 @@
     dataDir: string | undefined;
     sidecarId: string;
     log: bunyan;
-    /** Told the encoded size of every version received, bytes. */
-    onBytes?: (bytes: number) => void;
+    /** Told the size of every message to and from control. */
+    note?: NoteBytes;
   }) {
     this.#controls = deps.controls;
     this.#dataDir = deps.dataDir;
     this.#sidecarId = deps.sidecarId;
     this.#log = deps.log;
-    this.#onBytes = deps.onBytes ?? (() => undefined);
+    this.#note = deps.note;
     this.#loadFromDisk();
   }
 
@@ -63,6 +65,11 @@
     return this.#doc;
   }
 
+  /** The routes in force here; undefined before any document. */
+  get routes(): RouteIndex | undefined {
+    return this.#routes;
+  }
+
   /** The document in force here as it was accepted, to pass on to a peer. */
   get accepted(): ProtoTypes["ConfigVersion"] {
     return { version: this.#version, document: this.#text };
@@ -98,6 +105,7 @@
     this.#version = v.version;
     this.#doc = parsed.doc;
     this.#text = v.document;
+    this.#routes = new RouteIndex(parsed.doc);
     this.#log.info({ version: v.version }, "configuration in force");
     return true;
   }
@@ -108,14 +116,11 @@
     }
     const address = this.#controls[this.#next % this.#controls.length] ?? "";
     this.#client?.close();
-    this.#client = ControlClient(address);
+    this.#client = ControlClient(address, this.#note);
     const call = this.#client.Watch({ sidecar_id: this.#sidecarId, have_version: this.#version });
     this.#call = call;
     void fromEvent<ProtoTypes["ConfigVersion"]>("data", call)
       .until(fromEvent("close", call))
-      .tap((v) => {
-        this.#onBytes(encodedSize("burdockpass.v1.ConfigVersion", v));
-      })
       .filter((v) => v.version > this.#version)
       .observe((v) => this.offer(v));
     call.on("error", () => undefined);
--- a/src/sidecar/HealthProber.ts
+++ b/src/sidecar/HealthProber.ts
@@ -1,7 +1,6 @@
-import { fromPromise, periodic } from "most";
 import { Disposable } from "../common/Disposable.ts";
+import { every } from "../common/every.ts";
 import type { TargetId } from "../common/TargetId.ts";
-import { toDisposable } from "../common/toDisposable.ts";
 import type { TargetInfo } from "./TargetInfo.ts";
 
 /** One probe per target this often, ms: by the sidecar beside it only, however large the fleet. */
@@ -29,10 +28,7 @@
 
   /** Starts probing until disposed. */
   start(): void {
-    const stopped = new Promise<void>((resolve) => this.register(toDisposable(resolve)));
-    void periodic(PROBE_INTERVAL_MS)
-      .until(fromPromise(stopped))
-      .observe(() => void this.probeAll());
+    this.register(every(PROBE_INTERVAL_MS, () => void this.probeAll()));
   }
 
   /** Probes each target beside this sidecar once. */
--- a/src/sidecar/NaivePolicy.ts
+++ b/src/sidecar/NaivePolicy.ts
@@ -1,9 +1,8 @@
 import type bunyan from "bunyan";
-import { fromPromise, periodic } from "most";
 import { Disposable } from "../common/Disposable.ts";
+import { every } from "../common/every.ts";
 import { ServiceName } from "../common/ServiceName.ts";
 import type { TargetId } from "../common/TargetId.ts";
-import { toDisposable } from "../common/toDisposable.ts";
 import { AttemptOutcome } from "./AttemptOutcome.ts";
 import type { PickResult } from "./PickResult.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
@@ -43,10 +42,7 @@
 
   /** Starts health checks until disposed. */
   start(): void {
-    const stopped = new Promise<void>((resolve) => this.register(toDisposable(resolve)));
-    void periodic(HEALTH_CHECK_MS)
-      .until(fromPromise(stopped))
-      .observe(() => void this.checkHealth());
+    this.register(every(HEALTH_CHECK_MS, () => void this.checkHealth()));
   }
 
   pick(route: RouteMatch, tried: ReadonlySet<TargetId>): PickResult {
--- a/src/sidecar/OnceRunner.ts
+++ b/src/sidecar/OnceRunner.ts
@@ -3,6 +3,7 @@
 import { chooseRecordGroup } from "./chooseRecordGroup.ts";
 import { claimQuorum } from "./claimQuorum.ts";
 import type { ClaimReply } from "./ClaimReply.ts";
+import { flattenHeaders } from "./flattenHeaders.ts";
 import type { ForwardResult } from "./ForwardResult.ts";
 import type { OutgoingRequest } from "./OutgoingRequest.ts";
 import type { RecordPeer } from "./RecordPeer.ts";
@@ -185,22 +186,12 @@
   }
   const answer = {
     status: out.verdict.status,
-    headers: flatten(out.headers),
+    headers: flattenHeaders(out.headers),
     body: out.body.toString("base64"),
   };
   return { state: "done", attempt, fingerprint: digest, deadline, answer };
 }
 
-function flatten(headers: Record<string, string | string[] | undefined>): Record<string, string> {
-  const flat: Record<string, string> = {};
-  for (const [name, value] of Object.entries(headers)) {
-    if (value !== undefined) {
-      flat[name] = Array.isArray(value) ? value.join(", ") : value;
-    }
-  }
-  return flat;
-}
-
 function fingerprint(req: OutgoingRequest): string {
   const digest = createHash("sha256").update(`${req.method}\n${req.path}\n`);
   return digest.update(req.body ?? "").digest("base64");
--- a/src/sidecar/PeerClients.ts
+++ b/src/sidecar/PeerClients.ts
@@ -1,14 +1,18 @@
 import * as grpc from "@grpc/grpc-js";
 import { CHANNEL_OPTIONS } from "../common/CHANNEL_OPTIONS.ts";
 import type { IDisposable } from "../common/IDisposable.ts";
-import { loadProto } from "../common/loadProto.ts";
 import type { PeerClient } from "./PeerClient.ts";
 
 /** One gRPC client per peer address, shared by all that talk to that peer. */
 export class PeerClients implements IDisposable {
-  readonly #ctor = loadProto().Peer as grpc.ServiceClientConstructor;
+  readonly #ctor: grpc.ServiceClientConstructor;
   readonly #clients = new Map<string, PeerClient>();
 
+  /** `service` is the Peer service's definition, metered or not. */
+  constructor(service: grpc.ServiceDefinition) {
+    this.#ctor = grpc.makeGenericClientConstructor(service, "Peer");
+  }
+
   /** The client of the sidecar at `address` (host:port), opened on first use. */
   get(address: string): PeerClient {
     let client = this.#clients.get(address);
--- a/src/sidecar/PeerGossip.ts
+++ b/src/sidecar/PeerGossip.ts
@@ -1,20 +1,17 @@
 import type * as grpc from "@grpc/grpc-js";
 import type bunyan from "bunyan";
-import { fromPromise, periodic } from "most";
-import { encodedSize } from "../common/encodedSize.ts";
-import type { IDisposable } from "../common/IDisposable.ts";
+import { Disposable } from "../common/Disposable.ts";
+import { every } from "../common/every.ts";
 import type { ProtoTypes } from "../common/ProtoTypes.ts";
 import type { PeerClients } from "./PeerClients.ts";
 import type { TargetTable } from "./TargetTable.ts";
 
 /** Peers contacted each round; with push-pull, news reaches all N members in about log2(N) rounds. */
-export const GOSSIP_FANOUT = 2;
+const GOSSIP_FANOUT = 2;
 
 /** Rounds called for by news keep at least this distance, ms. */
 const MIN_ROUND_GAP_MS = 40;
 
-const DIGEST_TYPE = "burdockpass.v1.Digest";
-
 /** A gossip call slower than this is dropped, ms: a stuck peer must not hold a round. */
 const EXCHANGE_DEADLINE_MS = 500;
 
@@ -33,17 +30,15 @@
  * sidecar raises its heartbeat and swaps its whole digest with a few random
  * peers. Seeds from the settings are tried until a live member is known.
  */
-export class PeerGossip implements IDisposable {
+export class PeerGossip extends Disposable {
   readonly #table: TargetTable;
   readonly #seeds: readonly string[];
   readonly #clients: PeerClients;
   readonly #random: () => number;
   readonly #log: bunyan;
-  readonly #onBytes: (bytes: number) => void;
   readonly #config: ConfigSource;
   #fetchingConfig = false;
   #lastRoundAt = -Infinity;
-  #stop: () => void = () => undefined;
 
   constructor(deps: {
     table: TargetTable;
@@ -52,15 +47,13 @@
     random: () => number;
     log: bunyan;
     config: ConfigSource;
-    /** Told the encoded size of every digest sent or received, bytes. */
-    onBytes: (bytes: number) => void;
   }) {
+    super();
     this.#table = deps.table;
     this.#seeds = deps.seeds;
     this.#clients = deps.clients;
     this.#random = deps.random;
     this.#log = deps.log;
-    this.#onBytes = deps.onBytes;
     this.#config = deps.config;
   }
 
@@ -70,19 +63,16 @@
     cb,
   ) => {
     this.#table.merge(call.request);
-    const reply = this.#digest();
-    this.#onBytes(encodedSize(DIGEST_TYPE, call.request) + encodedSize(DIGEST_TYPE, reply));
-    cb(null, reply);
+    cb(null, this.#digest());
   };
 
   /** Starts a round every `intervalMs` until disposed. */
   start(intervalMs: number): void {
-    const stopped = new Promise<void>((resolve) => (this.#stop = resolve));
-    void periodic(intervalMs)
-      .until(fromPromise(stopped))
-      .observe(() => {
+    this.register(
+      every(intervalMs, () => {
         this.#round();
-      });
+      }),
+    );
   }
 
   /**
@@ -95,17 +85,11 @@
     }
   }
 
-  dispose(): void {
-    this.#stop();
-  }
-
   #round(): void {
     this.#lastRoundAt = performance.now();
     this.#table.beat();
     const digest = this.#digest();
-    const size = encodedSize(DIGEST_TYPE, digest);
     for (const address of this.#choosePeers()) {
-      this.#onBytes(size);
       this.#clients
         .get(address)
         .Exchange(digest, { deadline: Date.now() + EXCHANGE_DEADLINE_MS }, (err, res) => {
@@ -114,7 +98,6 @@
             return;
           }
           if (res) {
-            this.#onBytes(encodedSize(DIGEST_TYPE, res));
             this.#table.merge(res);
             this.#catchUp(address, res.config_version);
           }
--- a/src/sidecar/RecordHandover.ts
+++ b/src/sidecar/RecordHandover.ts
@@ -1,6 +1,5 @@
-import { fromPromise, periodic } from "most";
 import { Disposable } from "../common/Disposable.ts";
-import { toDisposable } from "../common/toDisposable.ts";
+import { every } from "../common/every.ts";
 import { chooseRecordGroup } from "./chooseRecordGroup.ts";
 import type { RunRecord } from "./RunRecord.ts";
 import type { RunRecords } from "./RunRecords.ts";
@@ -42,10 +41,7 @@
 
   /** Starts looking for new members until disposed. */
   start(): void {
-    const stopped = new Promise<void>((resolve) => this.register(toDisposable(resolve)));
-    void periodic(CHECK_MS)
-      .until(fromPromise(stopped))
-      .observe(() => void this.check());
+    this.register(every(CHECK_MS, () => void this.check()));
   }
 
   /** Hands records to members not served yet; one that cannot be reached is tried again next time. */
--- a/src/sidecar/matchRoute.test.ts
+++ b/src/sidecar/RouteIndex.test.ts
@@ -1,7 +1,10 @@
 import { readFileSync } from "node:fs";
 import test from "ava";
+import fc from "fast-check";
 import { parseOperatorDocument } from "../common/parseOperatorDocument.ts";
-import { matchRoute } from "./matchRoute.ts";
+import { makeService } from "../../test/fixtures/makeService.ts";
+import { matchRouteNaively } from "../../test/fixtures/matchRouteNaively.ts";
+import { RouteIndex } from "./RouteIndex.ts";
 
 const parsed = parseOperatorDocument(
   readFileSync(new URL("../../config/demo.yaml", import.meta.url), "utf8"),
@@ -9,7 +12,7 @@
 if (!parsed.ok) {
   throw new Error("demo document invalid");
 }
-const doc = parsed.doc;
+const index = new RouteIndex(parsed.doc);
 
 const cases: readonly [string, string, string | undefined, string, boolean][] = [
   ["GET", "/oljelab/results/t-17", "oljelab-results", "gas-lookup", true],
@@ -23,7 +26,7 @@
 
 for (const [method, path, service, kind, idempotent] of cases) {
   test(`${method} ${path} -> ${service ?? "no route"}`, (t) => {
-    const match = matchRoute(doc, method, path);
+    const match = index.match(method, path);
     t.is(match?.service.name, service);
     if (match) {
       t.is(match.kind, kind);
@@ -31,3 +34,21 @@
     }
   });
 }
+
+test("the index finds what a look at every route finds", (t) => {
+  // Short routes over two letters, so that prefixes of each other and ties are common.
+  const path = fc.stringMatching(/^\/[ab/]{0,6}$/);
+  const services = fc.array(fc.array(path, { minLength: 1, maxLength: 4 }), {
+    minLength: 1,
+    maxLength: 5,
+  });
+  fc.assert(
+    fc.property(services, path, (routes, wanted) => {
+      const doc = { services: routes.map((r, n) => makeService({ name: `s${n}`, routes: r })) };
+      const found = new RouteIndex(doc).match("GET", wanted)?.service.name;
+      return found === matchRouteNaively(doc, wanted)?.name;
+    }),
+    { numRuns: 2000, seed: 5 },
+  );
+  t.pass();
+});
--- a/src/sidecar/RunRecords.test.ts
+++ b/src/sidecar/RunRecords.test.ts
@@ -2,7 +2,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import test from "ava";
-import { RETENTION_MS, RunRecords } from "./RunRecords.ts";
+import { RunRecords } from "./RunRecords.ts";
 import type { RunRecord } from "./RunRecord.ts";
 import { SyncedJournal } from "./SyncedJournal.ts";
 
@@ -82,7 +82,10 @@
   const { clock, reopen } = setup();
   const records = reopen();
   await records.claim("a", claimed("1"));
-  clock.now = RETENTION_MS + 1;
+  clock.now = 3_600_000;
+  records.expire();
+  t.is(records.size, 1);
+  clock.now += 1;
   records.expire();
   t.is(records.size, 0);
 });
--- a/src/sidecar/RunRecords.ts
+++ b/src/sidecar/RunRecords.ts
@@ -16,7 +16,7 @@
 }
 
 /** How long a record is kept after its last change, ms: resends come within minutes. */
-export const RETENTION_MS = 3_600_000;
+const RETENTION_MS = 3_600_000;
 
 /** The journal is rewritten when it has this many lines more than live records. */
 const COMPACT_AFTER = 10_000;
--- a/src/sidecar/SidecarMetrics.ts
+++ b/src/sidecar/SidecarMetrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Histogram, Registry, collectDefaultMetrics } from "prom-client";
+import type { TrafficKind } from "./TrafficKind.ts";
 
 /** Buckets for added latency, seconds: fine below 2 ms, where the users' budget is. */
 const LATENCY_BUCKETS = [
@@ -29,14 +30,14 @@
     });
     this.#controlBytes = new Counter({
       name: "burdockpass_control_bytes_total",
-      help: "Bytes of burdockpass's own messages (gossip, config), sent and received, protobuf-encoded.",
+      help: "Bytes of burdockpass's own messages , sent and received, protobuf-encoded, by what they are for.",
       labelNames: ["kind"],
       registers: [this.registry],
     });
   }
 
-  /** Counts bytes of our own protocol (gossip, config) sent or received by `kind`. */
-  controlBytes(kind: "gossip" | "config", bytes: number): void {
+  /** Counts bytes of our own protocol, sent or received. */
+  controlBytes(kind: TrafficKind, bytes: number): void {
     this.#controlBytes.inc({ kind }, bytes);
   }
 
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -4,14 +4,15 @@
 import { Disposable } from "../common/Disposable.ts";
 import type { DaemonSettings } from "../common/DaemonSettings.ts";
 import { createTracer } from "../common/createTracer.ts";
+import { every } from "../common/every.ts";
 import type { OperatorDocument } from "../common/OperatorDocument.ts";
 import { loadProto } from "../common/loadProto.ts";
+import { meterService, type NoteBytes } from "../common/meterService.ts";
 import type { ProtoTypes } from "../common/ProtoTypes.ts";
 import { SidecarId } from "../common/SidecarId.ts";
 import { startGrpcServer } from "../common/startGrpcServer.ts";
 import { StallClock } from "../common/StallClock.ts";
 import { startHttpServer } from "../common/startHttpServer.ts";
-import { toDisposable } from "../common/toDisposable.ts";
 import { ZoneName } from "../common/ZoneName.ts";
 import { adoptAt } from "./adoptAt.ts";
 import { AdaptivePolicy } from "./AdaptivePolicy.ts";
@@ -35,6 +36,18 @@
 import { SidecarMetrics } from "./SidecarMetrics.ts";
 import { SyncedJournal } from "./SyncedJournal.ts";
 import { TargetTable } from "./TargetTable.ts";
+import type { TrafficKind } from "./TrafficKind.ts";
+
+/** What each method's messages count as in the traffic metrics. */
+const TRAFFIC_KINDS: Readonly<Record<string, TrafficKind>> = {
+  Exchange: "gossip",
+  Config: "config",
+  Watch: "config",
+  Run: "work",
+  Claim: "records",
+  Settle: "records",
+  Adopt: "records",
+};
 
 /** The journal of run records, under the data folder. */
 const RECORDS_FILE = "run-records.jsonl";
@@ -76,20 +89,23 @@
       Date.now,
     );
     const metrics = new SidecarMetrics();
+    const note: NoteBytes = (method, bytes) => {
+      metrics.controlBytes(TRAFFIC_KINDS[method] ?? "other", bytes);
+    };
+    const { service } = loadProto().Peer as grpc.ServiceClientConstructor;
+    const peerService = meterService(service, note);
     const follower = this.register(
       new ConfigFollower({
         controls: this.#cfg.control,
         dataDir: this.#cfg.dataDir,
         sidecarId: this.#cfg.id,
         log: this.#log,
-        onBytes: (bytes) => {
-          metrics.controlBytes("config", bytes);
-        },
+        note,
       }),
     );
     follower.start();
 
-    const clients = this.register(new PeerClients());
+    const clients = this.register(new PeerClients(peerService));
     const gossip = this.register(
       new PeerGossip({
         table,
@@ -98,9 +114,6 @@
         random: Math.random,
         log: this.#log,
         config: follower,
-        onBytes: (bytes) => {
-          metrics.controlBytes("gossip", bytes);
-        },
       }),
     );
     const forwarder = this.register(new Forwarder(this.#cfg.id));
@@ -108,7 +121,7 @@
     const runner = this.#createRunner(table, records, clients, forwarder);
     const once = new OnceService({ records, runner, localTargets: () => table.localTargets() });
     const peerServer = new grpc.Server();
-    peerServer.addService((loadProto().Peer as grpc.ServiceClientConstructor).service, {
+    peerServer.addService(peerService, {
       Exchange: gossip.exchange,
       Config: (_call: unknown, cb: grpc.sendUnaryData<ProtoTypes["ConfigVersion"]>) => {
         cb(null, follower.accepted);
@@ -146,7 +159,7 @@
       },
     });
     const caller = new CallerServer({
-      document: () => follower.document,
+      routes: () => follower.routes,
       dispatcher,
       metrics,
       tracer: createTracer("burdockpass-sidecar", this.#cfg.traceFile),
@@ -225,12 +238,9 @@
       }),
     );
     handover.start();
-    const expiry = setInterval(() => {
-      records.expire();
-    }, EXPIRE_MS);
     this.register(
-      toDisposable(() => {
-        clearInterval(expiry);
+      every(EXPIRE_MS, () => {
+        records.expire();
       }),
     );
   }
--- a/src/sidecar/runWire.ts
+++ b/src/sidecar/runWire.ts
@@ -1,5 +1,6 @@
 import type { ProtoTypes } from "../common/ProtoTypes.ts";
 import { AttemptOutcome } from "./AttemptOutcome.ts";
+import { flattenHeaders } from "./flattenHeaders.ts";
 import type { ForwardResult } from "./ForwardResult.ts";
 import type { TargetInfo } from "./TargetInfo.ts";
 
@@ -13,7 +14,7 @@
       reason: "reason" in verdict ? verdict.reason : "",
       retry_after_s: "retryAfterS" in verdict ? verdict.retryAfterS : 0,
       outcome: out.outcome,
-      headers: "body" in out ? singleValued(out.headers) : {},
+      headers: "body" in out ? flattenHeaders(out.headers) : {},
       body: "body" in out && Buffer.isBuffer(out.body) ? out.body : Buffer.alloc(0),
     };
   },
@@ -41,18 +42,6 @@
   },
 };
 
-function singleValued(
-  headers: Record<string, string | string[] | undefined>,
-): Record<string, string> {
-  const out: Record<string, string> = {};
-  for (const [name, value] of Object.entries(headers)) {
-    if (value !== undefined) {
-      out[name] = Array.isArray(value) ? value.join(", ") : value;
-    }
-  }
-  return out;
-}
-
 function toOutcome(raw: string): AttemptOutcome {
   const known = Object.values(AttemptOutcome).find((o) => (o as string) === raw);
   return known ?? AttemptOutcome.Cancelled;
--- a/test/lifecycle.test.ts
+++ b/test/lifecycle.test.ts
@@ -1,30 +1,9 @@
 import test from "ava";
-import { LocalFleet, type FleetTarget } from "../scripts/LocalFleet.ts";
-import { fileURLToPath } from "node:url";
+import type { FleetTarget } from "../scripts/LocalFleet.ts";
+import { standIn } from "./fixtures/standIn.ts";
+import { withFleet } from "./fixtures/withFleet.ts";
 
-const DOC = fileURLToPath(new URL("../config/demo.yaml", import.meta.url));
-
-interface Effects {
-  served: number;
-  received: number;
-  lastReceivedAt: number;
-  drainedAt: number;
-  effects: Record<string, number>;
-}
-
-async function effects(fleet: LocalFleet, id: string): Promise<Effects> {
-  const port = fleet.targets.get(id)?.ports.http ?? 0;
-  return (await (await fetch(`http://127.0.0.1:${port}/_standin/effects`)).json()) as Effects;
-}
-
-async function ready(fleet: LocalFleet, count: number): Promise<void> {
-  const applied = await fleet.apply(DOC);
-  if (applied.code !== 0) {
-    throw new Error(applied.err);
-  }
-  await fleet.waitForVersion(1);
-  await fleet.waitForTargets(count);
-}
+const sleep = (ms: number) => new Promise((r) => setTimeout(r, ms));
 
 /** What one drain under load showed: when new work last reached the target, and every caller's status. */
 interface DrainRun {
@@ -45,10 +24,7 @@
     slots: 4,
     workMs: 5,
   }));
-  const fleet = new LocalFleet();
-  try {
-    await fleet.start(targets);
-    await ready(fleet, targets.length);
+  return withFleet(targets, async (fleet) => {
     const ports = [...fleet.sidecars.values()].map((s) => s.ports.caller ?? 0);
     let stop = false;
     const statuses: number[] = [];
@@ -64,17 +40,14 @@
       }
     };
     const load = Promise.all(ports.flatMap((p) => [caller(p), caller(p)]));
-    await new Promise((r) => setTimeout(r, 500));
-    const drainPort = fleet.targets.get("avail-0")?.ports.http ?? 0;
-    await fetch(`http://127.0.0.1:${drainPort}/_standin/drain`, { method: "POST" });
-    await new Promise((r) => setTimeout(r, 3000));
+    await sleep(500);
+    await standIn.drain(fleet, "avail-0");
+    await sleep(3000);
     stop = true;
     await load;
-    const seen = await effects(fleet, "avail-0");
+    const seen = await standIn.effects(fleet, "avail-0");
     return { lastWorkAfterDrainMs: seen.lastReceivedAt - seen.drainedAt, statuses, refusals };
-  } finally {
-    await fleet.stop();
-  }
+  });
 }
 
 test.serial("a draining target gets no new work from any sidecar within 2 s", async (t) => {
@@ -116,10 +89,7 @@
     slots: 4,
     workMs: 600,
   }));
-  const fleet = new LocalFleet();
-  try {
-    await fleet.start(targets);
-    await ready(fleet, targets.length);
+  await withFleet(targets, async (fleet) => {
     const sidecar = fleet.sidecars.get("vans-0");
     const port = sidecar?.ports.caller ?? 0;
     const bookings = Array.from({ length: 8 }, async (_, n) => {
@@ -131,7 +101,7 @@
       const body = (await res.json()) as { target?: string };
       return { status: res.status, verdict: res.headers.get("x-burdockpass-verdict"), body };
     });
-    await new Promise((r) => setTimeout(r, 150));
+    await sleep(150);
     const exited = new Promise<number | null>((resolve) => sidecar?.proc.once("exit", resolve));
     const stopAt = Date.now();
     sidecar?.proc.kill("SIGTERM");
@@ -141,14 +111,12 @@
     const cut = answers.filter((a) => a.status !== 200 || a.verdict !== "done").length;
     t.is(cut, 0, "requests cut by the planned stop");
     t.is(code, 0);
-    const counts = await Promise.all(targets.map((x) => effects(fleet, x.id)));
+    const counts = await Promise.all(targets.map((x) => standIn.effects(fleet, x.id)));
     const runs = counts.flatMap((c) => Object.values(c.effects));
     t.is(runs.length, 8);
     t.true(
       runs.every((r) => r === 1),
       "each booking ran exactly once",
     );
-  } finally {
-    await fleet.stop();
-  }
+  });
 });
