Membership in the manner of SWIM and evidence on demand, in place of full-state gossip

Evidence about targets rode in the same digests, so it could not be left out of them.

Change: Membership probes two random members a round, has others probe those that do not answer (a one-way cut takes nobody for dead), and passes changed entries on a limited number of times; revisions rise only when content changes; checksums find gaps, whole views are synced rarely. EvidenceExchange tells the sidecars concerned with a service what was seen of its targets only when there is something bad to tell, and carries the good word with it; lateness counts for others only when half the group has been heard. The table's clock is the steady one now (a step of the time of day dropped members), and an incarnation set back by a clock is refuted.

A first run at 40 sidecars never settled (load 46, connect timeouts): every suspect was probed every round, each failure asking three others. Ruled out: sync storms (bounded per member), announcements.

--- a/src/common/ProtoTypes.ts
+++ b/src/common/ProtoTypes.ts
@@ -31,12 +31,20 @@
     sidecar_id: string;
     peer_address: string;
     zone: string;
-    heartbeat: number;
+    revision: number;
     incarnation: number;
     targets: ProtoTypes["Target"][];
-    evidence: ProtoTypes["Evidence"][];
+    gone: boolean;
   };
-  Digest: { members: ProtoTypes["Member"][]; config_version: number };
+  News: {
+    sender: string;
+    members: ProtoTypes["Member"][];
+    checksum: number;
+    config_version: number;
+  };
+  Members: { members: ProtoTypes["Member"][] };
+  Testimony: { observer: string; evidence: ProtoTypes["Evidence"] | null; age_ms: number };
+  EvidenceBundle: { sender_address: string; testimonies: ProtoTypes["Testimony"][] };
   RunRequest: {
     key: string;
     target_id: string;
--- a/src/sidecar/AdaptivePolicy.ts
+++ b/src/sidecar/AdaptivePolicy.ts
@@ -10,6 +10,7 @@
 import { ConcurrencyLimit } from "./ConcurrencyLimit.ts";
 import { EjectionTerm } from "./EjectionTerm.ts";
 import type { Evidence } from "./Evidence.ts";
+import type { EvidenceSource } from "./EvidenceSource.ts";
 import type { Judgement } from "./Judgement.ts";
 import { OutlierDetector } from "./OutlierDetector.ts";
 import type { PickResult } from "./PickResult.ts";
@@ -57,8 +58,7 @@
   readonly random: () => number;
   /** Time this process stood still so far, ms. */
   readonly stallMs: () => number;
-  /** Called when there is fresh evidence that peers should hear at once. */
-  readonly onNews: () => void;
+  readonly evidence: EvidenceSource;
   readonly log: bunyan;
 }
 
@@ -131,35 +131,34 @@
   evaluate(): void {
     this.#detector.checkOverdue();
     const own = new Map(this.#detector.evidence().map((e) => [e.target, e]));
-    this.#deps.table.publishEvidence([...own.values()]);
-    const peers = this.#deps.table.peerEvidence();
+    this.#deps.evidence.publish(own);
     const targets = this.#deps.table.allTargets();
     const byService = groupByService(targets);
     for (const service of this.#deps.document()?.services ?? []) {
       const mine = byService.get(ServiceName(service.name)) ?? [];
       if (mine.length > 0 || this.#rotations.has(service.name)) {
-        this.#evaluateService(service, mine, own, peers);
+        this.#evaluateService(service, mine, own);
       }
     }
     this.#forgetGone(new Set(targets.map((t) => t.id)));
-    if ([...own.values()].some((e) => isNews(e))) {
-      this.#deps.onNews();
-    }
   }
 
   #evaluateService(
     service: Service,
     targets: readonly TargetInfo[],
     own: ReadonlyMap<TargetId, Evidence>,
-    peers: ReadonlyMap<TargetId, readonly Evidence[]>,
   ): void {
+    const suspicious = targets.filter((t) => isNews(own.get(t.id)));
+    if (suspicious.length > 0) {
+      this.#deps.evidence.share(service.name, suspicious);
+    }
     this.#warmUp(service, targets);
     const judged = targets.map((t) => ({
       target: t,
       id: t.id,
       slots: t.slots,
       ready: t.state === TargetState.Ready,
-      ...this.#judge(t, service, own.get(t.id), peers.get(t.id) ?? []),
+      ...this.#judge(t, service, own.get(t.id)),
     }));
     const rotation = chooseRotation(judged, service.floor);
     for (const { target, badness, ready } of judged) {
@@ -190,12 +189,7 @@
     }
   }
 
-  #judge(
-    target: TargetInfo,
-    service: Service,
-    own: Evidence | undefined,
-    peers: readonly Evidence[],
-  ): Judgement {
+  #judge(target: TargetInfo, service: Service, own: Evidence | undefined): Judgement {
     const standing = this.#standing(target);
     if (standing.term.takeReadmission()) {
       this.#detector.reset(target.id);
@@ -206,9 +200,12 @@
     }
     // Evidence from before the readmission already had its ejection.
     const sinceReadmission = this.#deps.now() - standing.term.endsAt;
-    const current = peers.filter((e) => e.lastBadAgeMs < sinceReadmission);
+    const current = this.#deps.evidence
+      .about(target.id)
+      .filter((e) => e.lastBadAgeMs < sinceReadmission);
     const threshold = service.detection.threshold * standing.term.thresholdFactor;
-    return combineEvidence(own, current, target.probeFailing, threshold);
+    const groupSize = this.#deps.evidence.groupSize(service.name);
+    return combineEvidence(own, current, target.probeFailing, threshold, groupSize);
   }
 
   #carryOut(service: Service, target: TargetInfo, out: boolean, badness: number): void {
@@ -288,7 +285,10 @@
   return groups;
 }
 
-function isNews(e: Evidence): boolean {
+function isNews(e: Evidence | undefined): boolean {
+  if (!e) {
+    return false;
+  }
   const score = Math.max(e.failureScore, e.lateScore);
   return score >= NEWS_SCORE && e.lastBadAgeMs < EVALUATE_MS;
 }
--- a/src/sidecar/AdminServer.ts
+++ b/src/sidecar/AdminServer.ts
@@ -28,6 +28,8 @@
     table: TargetTable;
     metrics: SidecarMetrics;
     status: () => Record<string, unknown>;
+    /** Called after each announcement. */
+    onAnnounce: () => void;
   }) {
     this.server = createServer((req, res) => {
       void (async () => {
@@ -39,6 +41,7 @@
             return;
           }
           deps.table.announce(toProto(parsed.data));
+          deps.onAnnounce();
           res.statusCode = 204;
           res.end();
           return;
--- /dev/null
+++ b/src/sidecar/Membership.ts
@@ -0,0 +1,275 @@
+import { Disposable } from "../common/Disposable.ts";
+import { every } from "../common/every.ts";
+import type { ProtoTypes } from "../common/ProtoTypes.ts";
+import type { MembershipPeers } from "./MembershipPeers.ts";
+import { RumorQueue } from "./RumorQueue.ts";
+import type { TargetTable } from "./TargetTable.ts";
+
+type Member = ProtoTypes["Member"];
+
+/** Members probed each round. */
+const FANOUT = 2;
+
+/** Suspects probed again each round, besides. */
+const SUSPECTS_PER_ROUND = 2;
+
+/**
+ * Probes under way at once, at most. When many members are slow at the same time
+ * (a fleet starting on a busy machine) every failed probe calls for more; without
+ * a bound they feed on each other until nobody answers. Seen: 40 sidecars
+ * starting together on 8 cores never settled.
+ */
+const MAX_PROBES = 6;
+
+/** A probe that failed only after this long failed here: this process stood still past its deadline, ms. */
+const STALLED_MS = 2000;
+
+/** Members asked to probe one that does not answer us. */
+const INDIRECT_PROBES = 3;
+
+/** A member that nobody asked could reach is dead after this long, ms: a pause for garbage collection is not death. */
+const SUSPECT_MS = 1000;
+
+/** Entries of news per message. */
+const NEWS_PER_MESSAGE = 16;
+
+/** Checksums that differ this often in a row are no news in flight but a gap. */
+const GAP_AFTER = 3;
+
+/** Whole views are synced at most once in this long per member, ms, so their cost per second does not grow with the fleet. */
+const SYNC_MS_PER_MEMBER = 100;
+
+/** One round in this many also tries a member found dead or a seed, to find the other side of a healed partition. */
+const RETRY_GONE_EVERY = 5;
+
+/** Rounds called for by news keep at least this distance, ms. */
+const MIN_ROUND_GAP_MS = 40;
+
+/** The document in force here, and the gate for newer ones. */
+interface ConfigSource {
+  readonly version: number;
+  offer(v: ProtoTypes["ConfigVersion"]): boolean;
+}
+
+interface MembershipDeps {
+  readonly table: TargetTable;
+  readonly peers: MembershipPeers;
+  /** Sidecars to join through, host:port. */
+  readonly seeds: readonly string[];
+  readonly config: ConfigSource;
+  /** Monotonic clock, ms. */
+  readonly now: () => number;
+  /** In [0, 1); tests pass a seeded one. */
+  readonly random: () => number;
+}
+
+/**
+ * Membership in the manner of SWIM (Das, Gupta, Motivala, "SWIM: Scalable
+ * Weakly-consistent Infection-style Process Group Membership Protocol", 2002):
+ * each round probes a few random members, asks others to probe those that do not
+ * answer (so one cut path is not taken for a death), and carries changes along.
+ * A quiet fleet costs each sidecar the same whatever its size.
+ */
+export class Membership extends Disposable {
+  readonly #deps: MembershipDeps;
+  readonly #rumors = new RumorQueue();
+  readonly #suspects = new Map<string, number>();
+  readonly #probing = new Set<string>();
+  #rounds = 0;
+  #gaps = 0;
+  #syncedAt = -Infinity;
+  #lastRoundAt = -Infinity;
+  #fetchingConfig = false;
+
+  constructor(deps: MembershipDeps) {
+    super();
+    this.#deps = deps;
+    this.#pass([deps.table.own]);
+  }
+
+  /** Starts a round every `intervalMs` until disposed. */
+  start(intervalMs: number): void {
+    this.register(every(intervalMs, () => void this.round()));
+  }
+
+  /** Passes on at once what has changed beside this sidecar: a drain cannot wait for the next round. */
+  noteLocalChange(): void {
+    const changed = this.#deps.table.refreshOwn();
+    if (changed) {
+      this.#pass([this.#deps.table.own]);
+    }
+    if (changed && this.#deps.now() - this.#lastRoundAt >= MIN_ROUND_GAP_MS) {
+      void this.round();
+    }
+  }
+
+  /** One round: probes a few members and passes news on; resolves when all have answered or not. */
+  async round(): Promise<void> {
+    this.#lastRoundAt = this.#deps.now();
+    this.#rounds += 1;
+    if (this.#deps.table.refreshOwn()) {
+      this.#pass([this.#deps.table.own]);
+    }
+    await Promise.all([
+      ...this.#probeList().map((m) => this.#probeMember(m)),
+      ...this.#joinList().map((address) => this.#tryJoin(address)),
+    ]);
+  }
+
+  /** Answers another sidecar's probe. */
+  onExchange(news: ProtoTypes["News"]): ProtoTypes["News"] {
+    this.#takeIn(news);
+    return this.#news();
+  }
+
+  /** Answers another sidecar's whole view with ours. */
+  onSync(members: readonly Member[]): Member[] {
+    this.#pass(this.#deps.table.merge(members));
+    return this.#deps.table.entries();
+  }
+
+  /** Probes a member on behalf of a sidecar that cannot reach it; rejects when it does not answer. */
+  async onProbe(address: string): Promise<void> {
+    this.#takeIn(await this.#deps.peers.exchange(address, this.#news()));
+  }
+
+  async #probeMember(member: Member): Promise<void> {
+    const { peer_address: address, sidecar_id: id } = member;
+    const startedAt = this.#deps.now();
+    this.#probing.add(id);
+    try {
+      const news = await this.#deps.peers.exchange(address, this.#news());
+      this.#takeIn(news);
+      await this.#closeGap(address, news.checksum);
+      await this.#catchUp(address, news.config_version);
+    } catch {
+      if (await this.#reachedByOthers(address)) {
+        this.#clear(id);
+      } else if (this.#deps.now() - startedAt < STALLED_MS) {
+        this.#suspect(id);
+      }
+    } finally {
+      this.#probing.delete(id);
+    }
+  }
+
+  /** Joins, or finds a lost part of the fleet, through an address that may be anyone's. */
+  async #tryJoin(address: string): Promise<void> {
+    try {
+      const members = await this.#deps.peers.sync(address, this.#deps.table.entries());
+      this.#pass(this.#deps.table.merge(members));
+    } catch {
+      // Not up, or still cut off; a later round tries again.
+    }
+  }
+
+  async #reachedByOthers(address: string): Promise<boolean> {
+    const helpers = this.#sample(
+      this.#deps.table.liveMembers().filter((m) => m.peer_address !== address),
+      INDIRECT_PROBES,
+    );
+    const asked = helpers.map((h) => this.#deps.peers.probe(h.peer_address, address));
+    const answers = await Promise.allSettled(asked);
+    return answers.some((a) => a.status === "fulfilled");
+  }
+
+  #suspect(id: string): void {
+    const since = this.#suspects.get(id);
+    if (since === undefined) {
+      this.#suspects.set(id, this.#deps.now());
+    } else if (this.#deps.now() - since >= SUSPECT_MS) {
+      this.#suspects.delete(id);
+      if (this.#deps.table.declareGone(id)) {
+        this.#announceNews(id);
+      }
+    }
+  }
+
+  #clear(id: string): void {
+    this.#suspects.delete(id);
+    this.#deps.table.noteAlive(id);
+  }
+
+  #takeIn(news: ProtoTypes["News"]): void {
+    this.#clear(news.sender);
+    this.#pass(this.#deps.table.merge(news.members));
+  }
+
+  /** Syncs whole views when the checksums go on differing with no news to explain it. */
+  async #closeGap(address: string, checksum: number): Promise<void> {
+    this.#gaps = checksum === this.#deps.table.checksum ? 0 : this.#gaps + 1;
+    const pause = SYNC_MS_PER_MEMBER * this.#deps.table.memberCount;
+    if (this.#gaps < GAP_AFTER || this.#deps.now() - this.#syncedAt < pause) {
+      return;
+    }
+    this.#gaps = 0;
+    this.#syncedAt = this.#deps.now();
+    await this.#tryJoin(address);
+  }
+
+  /**
+   * Takes a newer document from the peer that has it. This carries an accepted
+   * change to sidecars that cannot reach control, or whose replica was cut off.
+   */
+  async #catchUp(address: string, version: number): Promise<void> {
+    if (version <= this.#deps.config.version || this.#fetchingConfig) {
+      return;
+    }
+    this.#fetchingConfig = true;
+    try {
+      this.#deps.config.offer(await this.#deps.peers.config(address));
+    } finally {
+      this.#fetchingConfig = false;
+    }
+  }
+
+  #probeList(): Member[] {
+    const live = this.#deps.table.liveMembers().filter((m) => !this.#probing.has(m.sidecar_id));
+    const suspects = live.filter((m) => this.#suspects.has(m.sidecar_id));
+    const chosen = [...this.#sample(live, FANOUT), ...this.#sample(suspects, SUSPECTS_PER_ROUND)];
+    return [...new Set(chosen)].slice(0, Math.max(0, MAX_PROBES - this.#probing.size));
+  }
+
+  #joinList(): string[] {
+    const { table, seeds } = this.#deps;
+    const live = new Set(table.liveMembers().map((m) => m.peer_address));
+    const strangers = seeds.filter((s) => s !== table.selfAddress && !live.has(s));
+    if (live.size === 0) {
+      return strangers;
+    }
+    if (this.#rounds % RETRY_GONE_EVERY !== 0) {
+      return [];
+    }
+    return this.#sample([...strangers, ...table.goneMembers().map((m) => m.peer_address)], 1);
+  }
+
+  #news(): ProtoTypes["News"] {
+    const { table, config } = this.#deps;
+    const ids = this.#rumors.take(NEWS_PER_MESSAGE);
+    return {
+      sender: table.selfId,
+      members: ids.flatMap((id) => table.entry(id) ?? []),
+      checksum: table.checksum,
+      config_version: config.version,
+    };
+  }
+
+  #pass(members: readonly Member[]): void {
+    for (const m of members) {
+      this.#announceNews(m.sidecar_id);
+    }
+  }
+
+  #announceNews(id: string): void {
+    this.#rumors.add(id, this.#deps.table.memberCount);
+  }
+
+  #sample<T>(pool: readonly T[], most: number): T[] {
+    const left = [...pool];
+    const chosen: T[] = [];
+    while (chosen.length < most && left.length > 0) {
+      chosen.push(...left.splice(Math.floor(this.#deps.random() * left.length), 1));
+    }
+    return chosen;
+  }
+}
--- a/src/sidecar/PeerClient.ts
+++ b/src/sidecar/PeerClient.ts
@@ -9,7 +9,10 @@
 
 /** A typed gRPC client of another sidecar's Peer service. */
 export interface PeerClient {
-  Exchange: Unary<ProtoTypes["Digest"], ProtoTypes["Digest"]>;
+  Exchange: Unary<ProtoTypes["News"], ProtoTypes["News"]>;
+  Sync: Unary<ProtoTypes["Members"], ProtoTypes["Members"]>;
+  Probe: Unary<{ address: string }, object>;
+  Share: Unary<ProtoTypes["EvidenceBundle"], ProtoTypes["EvidenceBundle"]>;
   Config: Unary<object, ProtoTypes["ConfigVersion"]>;
   Run: Unary<ProtoTypes["RunRequest"], ProtoTypes["RunReply"]>;
   Claim: Unary<ProtoTypes["KeyedRecord"], ProtoTypes["ClaimReply"]>;
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -9,10 +9,12 @@
 import { loadProto } from "../common/loadProto.ts";
 import { meterService, type NoteBytes } from "../common/meterService.ts";
 import type { ProtoTypes } from "../common/ProtoTypes.ts";
+import { ServiceName } from "../common/ServiceName.ts";
 import { SidecarId } from "../common/SidecarId.ts";
 import { startGrpcServer } from "../common/startGrpcServer.ts";
 import { StallClock } from "../common/StallClock.ts";
 import { startHttpServer } from "../common/startHttpServer.ts";
+import type { TargetId } from "../common/TargetId.ts";
 import { ZoneName } from "../common/ZoneName.ts";
 import { adoptAt } from "./adoptAt.ts";
 import { AdaptivePolicy } from "./AdaptivePolicy.ts";
@@ -20,19 +22,22 @@
 import { CallerServer } from "./CallerServer.ts";
 import { ConfigFollower } from "./ConfigFollower.ts";
 import { Dispatcher } from "./Dispatcher.ts";
+import { EvidenceExchange } from "./EvidenceExchange.ts";
 import { Forwarder } from "./Forwarder.ts";
+import { GrpcPeers } from "./GrpcPeers.ts";
 import { HealthProber } from "./HealthProber.ts";
+import { Membership } from "./Membership.ts";
 import { NaivePolicy } from "./NaivePolicy.ts";
 import { OnceRunner } from "./OnceRunner.ts";
 import { OnceService } from "./OnceService.ts";
 import { PeerClients } from "./PeerClients.ts";
-import { PeerGossip } from "./PeerGossip.ts";
 import { probeHealth } from "./probeHealth.ts";
 import type { RoutingPolicy } from "./RoutingPolicy.ts";
 import { RecordHandover } from "./RecordHandover.ts";
 import { RemoteRecordPeer } from "./RemoteRecordPeer.ts";
 import { RunRecords } from "./RunRecords.ts";
 import { sendOnce } from "./sendOnce.ts";
+import { shareWith } from "./shareWith.ts";
 import { SidecarMetrics } from "./SidecarMetrics.ts";
 import { SyncedJournal } from "./SyncedJournal.ts";
 import { TargetTable } from "./TargetTable.ts";
@@ -41,6 +46,9 @@
 /** What each method's messages count as in the traffic metrics. */
 const TRAFFIC_KINDS: Readonly<Record<string, TrafficKind>> = {
   Exchange: "gossip",
+  Sync: "gossip",
+  Probe: "gossip",
+  Share: "gossip",
   Config: "config",
   Watch: "config",
   Run: "work",
@@ -85,8 +93,13 @@
   /** Starts every component; the caller server last, once the rest can serve it. */
   async start(): Promise<void> {
     const table = new TargetTable(
-      { id: SidecarId(this.#cfg.id), peerAddress: this.#cfg.peer, zone: ZoneName(this.#cfg.zone) },
-      Date.now,
+      {
+        id: SidecarId(this.#cfg.id),
+        peerAddress: this.#cfg.peer,
+        zone: ZoneName(this.#cfg.zone),
+        incarnation: Date.now(),
+      },
+      () => performance.now(),
     );
     const metrics = new SidecarMetrics();
     const note: NoteBytes = (method, bytes) => {
@@ -106,23 +119,24 @@
     follower.start();
 
     const clients = this.register(new PeerClients(peerService));
-    const gossip = this.register(
-      new PeerGossip({
+    const membership = this.register(
+      new Membership({
         table,
+        peers: new GrpcPeers(clients),
         seeds: this.#cfg.seeds,
-        clients,
-        random: Math.random,
-        log: this.#log,
         config: follower,
+        now: () => performance.now(),
+        random: Math.random,
       }),
     );
+    const evidence = this.#createEvidenceExchange(table, clients);
     const forwarder = this.register(new Forwarder(this.#cfg.id));
     const records = this.register(this.#openRecords());
     const runner = this.#createRunner(table, records, clients, forwarder);
     const once = new OnceService({ records, runner, localTargets: () => table.localTargets() });
     const peerServer = new grpc.Server();
     peerServer.addService(peerService, {
-      Exchange: gossip.exchange,
+      ...peerHandlers(membership, evidence, table),
       Config: (_call: unknown, cb: grpc.sendUnaryData<ProtoTypes["ConfigVersion"]>) => {
         cb(null, follower.accepted);
       },
@@ -131,10 +145,10 @@
     // Stopping it waits for runs in flight here on behalf of other sidecars' callers.
     const startedPeer = await startGrpcServer(peerServer, this.#cfg.peer, RUN_GRACE_MS);
     this.#ports.peer = this.register(startedPeer).port;
-    gossip.start(this.#cfg.gossipIntervalMs);
+    membership.start(this.#cfg.gossipIntervalMs);
     this.#startHandover(table, records, clients);
 
-    const policy = this.#startPolicy(table, () => follower.document, gossip);
+    const policy = this.#startPolicy(table, () => follower.document, evidence);
     this.#startProber(table);
 
     const status = () => ({
@@ -145,7 +159,14 @@
       members: table.memberCount,
       targets: describeTargets(table, policy),
     });
-    const admin = new AdminServer({ table, metrics, status });
+    const admin = new AdminServer({
+      table,
+      metrics,
+      status,
+      onAnnounce: () => {
+        membership.noteLocalChange();
+      },
+    });
     this.#ports.admin = this.register(await startHttpServer(admin.server, this.#cfg.admin)).port;
 
     const dispatcher = new Dispatcher({
@@ -169,10 +190,23 @@
     this.#log.info({ ports: this.#ports }, "sidecar started");
   }
 
+  #createEvidenceExchange(table: TargetTable, clients: PeerClients): EvidenceExchange {
+    return new EvidenceExchange({
+      selfId: table.selfId,
+      selfAddress: table.selfAddress,
+      hosts: (service) => [
+        ...new Set(table.targetsOf(ServiceName(service)).map((t) => t.peerAddress)),
+      ],
+      share: (address, bundle) => shareWith(clients.get(address), bundle),
+      now: () => performance.now(),
+      random: Math.random,
+    });
+  }
+
   #startPolicy(
     table: TargetTable,
     document: () => OperatorDocument | undefined,
-    gossip: PeerGossip,
+    evidence: EvidenceExchange,
   ): RoutingPolicy {
     if (this.#cfg.policy === "naive") {
       const naive = this.register(new NaivePolicy({ table, probe: probeHealth, log: this.#log }));
@@ -189,9 +223,7 @@
         now,
         random: Math.random,
         stallMs: () => stalls.totalMs,
-        onNews: () => {
-          gossip.nudge();
-        },
+        evidence,
         log: this.#log,
       }),
     );
@@ -259,6 +291,37 @@
   }
 }
 
+function peerHandlers(
+  membership: Membership,
+  evidence: EvidenceExchange,
+  table: TargetTable,
+): grpc.UntypedServiceImplementation {
+  const exchange: grpc.handleUnaryCall<ProtoTypes["News"], ProtoTypes["News"]> = (call, cb) => {
+    cb(null, membership.onExchange(call.request));
+  };
+  const sync: grpc.handleUnaryCall<ProtoTypes["Members"], ProtoTypes["Members"]> = (call, cb) => {
+    cb(null, { members: membership.onSync(call.request.members) });
+  };
+  const probe: grpc.handleUnaryCall<{ address: string }, object> = (call, cb) => {
+    membership.onProbe(call.request.address).then(
+      () => {
+        cb(null, {});
+      },
+      (err: unknown) => {
+        cb({ code: grpc.status.UNAVAILABLE, details: String(err) });
+      },
+    );
+  };
+  const share: grpc.handleUnaryCall<ProtoTypes["EvidenceBundle"], ProtoTypes["EvidenceBundle"]> = (
+    call,
+    cb,
+  ) => {
+    const serviceOf = (id: TargetId) => table.target(id)?.service;
+    cb(null, evidence.onShare(call.request, serviceOf));
+  };
+  return { Exchange: exchange, Sync: sync, Probe: probe, Share: share };
+}
+
 function describeTargets(table: TargetTable, policy: RoutingPolicy) {
   const rotation = new Map(policy.describe().map((d) => [d.id, d.rotation]));
   return table.allTargets().map((t) => ({ ...t, rotation: rotation.get(t.id) ?? "in" }));
--- a/src/sidecar/TargetTable.test.ts
+++ b/src/sidecar/TargetTable.test.ts
@@ -4,7 +4,7 @@
 import { SidecarId } from "../common/SidecarId.ts";
 import { ZoneName } from "../common/ZoneName.ts";
 import { TargetState } from "./TargetState.ts";
-import { ANNOUNCE_TIMEOUT_MS, MEMBER_TIMEOUT_MS, TargetTable } from "./TargetTable.ts";
+import { ANNOUNCE_TIMEOUT_MS, TargetTable } from "./TargetTable.ts";
 
 const wireTarget = (target_id: string, state: string): ProtoTypes["Target"] => ({
   target_id,
@@ -19,22 +19,27 @@
 const member = (
   id: string,
   incarnation: number,
-  heartbeat: number,
+  revision: number,
   state = "ready",
 ): ProtoTypes["Member"] => ({
   sidecar_id: id,
   peer_address: `127.0.0.1:${id.length}`,
   zone: "zone-b",
-  heartbeat,
+  revision,
   incarnation,
   targets: [wireTarget(`t-${id}`, state)],
-  evidence: [],
+  gone: false,
 });
 
 const setup = () => {
   const clock = { now: 1000 };
   const table = new TargetTable(
-    { id: SidecarId("self"), peerAddress: "127.0.0.1:1", zone: ZoneName("zone-a") },
+    {
+      id: SidecarId("self"),
+      peerAddress: "127.0.0.1:1",
+      zone: ZoneName("zone-a"),
+      incarnation: 5,
+    },
     () => clock.now,
   );
   return { clock, table };
@@ -47,19 +52,19 @@
   want: TargetState;
 }[] = [
   {
-    name: "higher heartbeat wins",
+    name: "higher revision wins",
     first: member("p", 1, 5),
     second: member("p", 1, 6, "draining"),
     want: TargetState.Draining,
   },
   {
-    name: "older heartbeat is ignored",
+    name: "older revision is ignored",
     first: member("p", 1, 6),
     second: member("p", 1, 5, "draining"),
     want: TargetState.Ready,
   },
   {
-    name: "a restart (higher incarnation) wins over a high heartbeat",
+    name: "a restart (higher incarnation) wins over a high revision",
     first: member("p", 1, 900),
     second: member("p", 2, 1, "draining"),
     want: TargetState.Draining,
@@ -69,26 +74,66 @@
 for (const c of mergeCases) {
   test(`merge: ${c.name}`, (t) => {
     const { table } = setup();
-    table.merge({ members: [c.first] });
-    table.merge({ members: [c.second] });
+    table.merge([c.first]);
+    table.merge([c.second]);
     t.is(table.targetsOf(ServiceName("svc"))[0]?.state, c.want);
   });
 }
 
-test("a member whose heartbeat stops rising is dropped with its targets", (t) => {
-  const { clock, table } = setup();
-  table.merge({ members: [member("p", 1, 1)] });
-  clock.now += MEMBER_TIMEOUT_MS - 1;
+test("a member found dead is dropped with its targets, and late news does not bring it back", (t) => {
+  const { table } = setup();
+  table.merge([member("p", 1, 1)]);
   t.is(table.allTargets().length, 1);
-  table.merge({ members: [member("p", 1, 1)] }); // the same heartbeat again is no sign of life
-  clock.now += 2;
+  t.true(table.declareGone("p"));
+  t.is(table.allTargets().length, 0);
+  t.deepEqual(table.merge([member("p", 1, 1)]), []);
   t.is(table.allTargets().length, 0);
+  // Only the member itself brings itself back, with a higher revision.
+  t.is(table.merge([member("p", 1, 2)]).length, 1);
+  t.is(table.allTargets().length, 1);
+});
+
+test("a sidecar refutes word of its own death, and an entry from before its clock was set back", (t) => {
+  // Story: a sidecar restarts after its VM's time of day was set back an hour. Its
+  // incarnation is lower than before; peers would ignore it for that hour.
+  const { table } = setup();
+  t.is(table.merge([{ ...table.own, gone: true }]).length, 1);
+  t.false(table.own.gone);
+  t.is(table.own.revision, 1);
+  const before = { ...table.own, incarnation: 3_600_000, revision: 9 };
+  t.is(table.merge([before]).length, 1);
+  t.true(table.own.incarnation > before.incarnation);
+});
+
+test("equal views have equal checksums, however they came about", (t) => {
+  const a = setup().table;
+  const b = setup().table;
+  a.merge([member("p", 1, 1), member("q", 1, 1)]);
+  a.merge([member("p", 1, 2)]);
+  t.not(a.checksum, b.checksum);
+  b.merge([member("q", 1, 1)]);
+  b.merge([member("r", 1, 1)]);
+  b.declareGone("r");
+  b.merge([member("p", 1, 2)]);
+  t.is(a.checksum, b.checksum);
+});
+
+test("a dead member stays among the record keepers for 30 s", (t) => {
+  const { clock, table } = setup();
+  table.merge([member("p", 1, 1)]);
+  table.declareGone("p");
+  t.is(table.recordPool().length, 2);
+  clock.now += 30_001;
+  t.is(table.recordPool().length, 1);
 });
 
 test("a local target that stops announcing is dropped", (t) => {
   const { clock, table } = setup();
   table.announce(wireTarget("mine", "ready"));
-  t.is(table.digest()[0]?.targets.length, 1);
+  t.true(table.refreshOwn());
+  t.is(table.own.targets.length, 1);
+  t.false(table.refreshOwn(), "nothing changed");
   clock.now += ANNOUNCE_TIMEOUT_MS + 1;
-  t.is(table.digest()[0]?.targets.length, 0);
+  t.true(table.refreshOwn());
+  t.is(table.own.targets.length, 0);
 });
--- a/src/sidecar/TargetTable.ts
+++ b/src/sidecar/TargetTable.ts
@@ -1,9 +1,9 @@
+import { createHash } from "node:crypto";
 import type { ProtoTypes } from "../common/ProtoTypes.ts";
 import { ServiceName } from "../common/ServiceName.ts";
 import type { SidecarId } from "../common/SidecarId.ts";
 import { TargetId } from "../common/TargetId.ts";
 import { ZoneName } from "../common/ZoneName.ts";
-import type { Evidence } from "./Evidence.ts";
 import type { TargetInfo } from "./TargetInfo.ts";
 import { TargetState } from "./TargetState.ts";
 
@@ -16,14 +16,7 @@
 export const ANNOUNCE_TIMEOUT_MS = 1500;
 
 /**
- * A member whose heartbeat has not risen for this long is taken as gone, with
- * its targets, ms. With a 200 ms gossip interval that is ten rounds, which
- * rides out a lost round or two yet removes a dead VM's targets within 2 s.
- */
-export const MEMBER_TIMEOUT_MS = 2000;
-
-/**
- * A silent member stays in the pool of record keepers for this long, ms. Cut
+ * A member found dead stays in the pool of record keepers for this long, ms. Cut
  * off is not gone: while it may still hold records, and may still be asked for
  * claims on its side of a cut, quorums must go on counting it. Long enough for
  * a cut to be noticed and callers' quick resends to end; short enough that a
@@ -40,41 +33,78 @@
   readonly incarnation: number;
 }
 
+interface Self {
+  readonly id: SidecarId;
+  readonly peerAddress: string;
+  readonly zone: ZoneName;
+  readonly incarnation: number;
+}
+
 interface LocalTarget {
   target: ProtoTypes["Target"];
   at: number;
   probeFailing: boolean;
 }
 
-interface Heard {
-  member: Member;
-  /** Local time at which the heartbeat last rose. */
-  seenAt: number;
+interface Known {
+  readonly member: Member;
+  /** Local time at which it was last known to be alive. */
+  readonly aliveAt: number;
 }
 
+/** A member found dead is remembered for this long, so that late news does not bring it back, ms. */
+const GONE_MEMORY_MS = 600_000;
+
 /**
- * The fleet's membership as one sidecar sees it: its own targets from their
- * announcements, and other sidecars' member entries from gossip, each
- * versioned by (incarnation, heartbeat) so the newest always wins a merge.
+ * The fleet's members as one sidecar sees them: its own targets from their
+ * announcements, and other sidecars' entries from their news. Entries are
+ * versioned by (incarnation, revision), so the newest always wins; a revision
+ * rises only when the entry's content changes, so a quiet fleet has no news.
  */
 export class TargetTable {
   readonly #self: Member;
   readonly #now: () => number;
   readonly #local = new Map<string, LocalTarget>();
-  readonly #remote = new Map<string, Heard>();
+  readonly #remote = new Map<string, Known>();
+  #ownContent = "[]";
+  #checksum: number;
 
-  /** `now` gives the local clock in ms; tests pass a fake. */
-  constructor(self: { id: SidecarId; peerAddress: string; zone: ZoneName }, now: () => number) {
+  /**
+   * @param self this sidecar; its incarnation is the time of day of its start, ms
+   * @param now monotonic clock, ms
+   */
+  constructor(self: Self, now: () => number) {
     this.#now = now;
     this.#self = {
       sidecar_id: self.id,
       peer_address: self.peerAddress,
       zone: self.zone,
-      heartbeat: 0,
-      incarnation: now(),
+      revision: 0,
+      incarnation: self.incarnation,
       targets: [],
-      evidence: [],
+      gone: false,
     };
+    this.#checksum = digestOf(this.#self);
+  }
+
+  /** Id of this sidecar. */
+  get selfId(): string {
+    return this.#self.sidecar_id;
+  }
+
+  /** Address at which peers reach this sidecar. */
+  get selfAddress(): string {
+    return this.#self.peer_address;
+  }
+
+  /** This sidecar's own entry. */
+  get own(): Member {
+    return this.#self;
+  }
+
+  /** Digest of every live entry's version: equal views have equal checksums. */
+  get checksum(): number {
+    return this.#checksum;
   }
 
   /** Records an announcement by a target beside this sidecar. */
@@ -91,68 +121,75 @@
     }
   }
 
-  /** Sets what this sidecar tells its peers about the targets it uses. */
-  publishEvidence(evidence: readonly Evidence[]): void {
-    this.#self.evidence = evidence.map(toWire);
-  }
-
-  /** What live peers say of each target. */
-  peerEvidence(): Map<TargetId, Evidence[]> {
-    const now = this.#now();
-    const out = new Map<TargetId, Evidence[]>();
-    for (const { member, seenAt } of this.#liveRemote()) {
-      for (const raw of member.evidence) {
-        const e = fromWire(raw, now - seenAt);
-        const list = out.get(e.target);
-        if (list) {
-          list.push(e);
-        } else {
-          out.set(e.target, [e]);
-        }
-      }
-    }
-    return out;
-  }
-
   /** Live targets beside this sidecar. */
   localTargets(): TargetInfo[] {
     return this.#liveLocal().map((t) => toInfo(t, this.#self));
   }
 
-  /** Raises our own heartbeat; called once a gossip round. */
-  beat(): void {
-    this.#self.heartbeat += 1;
+  /** Brings our own entry up to date; true when it changed, which peers should hear. */
+  refreshOwn(): boolean {
+    const targets = this.#liveLocal();
+    const content = JSON.stringify(targets);
+    if (content === this.#ownContent) {
+      return false;
+    }
+    this.#ownContent = content;
+    this.#reviseOwn({ targets, revision: this.#self.revision + 1 });
+    return true;
   }
 
-  /** Our own entry and every live remote one, to send to a peer. */
-  digest(): Member[] {
-    const own = { ...this.#self, targets: this.#liveLocal() };
-    return [own, ...this.#liveRemote().map((h) => h.member)];
+  /** Every entry, the dead ones included, for a peer's whole view. */
+  entries(): Member[] {
+    return [this.#self, ...[...this.#remote.values()].map((k) => k.member)];
   }
 
-  /** Takes in a peer's digest: each entry replaces ours when it is newer. */
-  merge(digest: Pick<ProtoTypes["Digest"], "members">): void {
-    for (const member of digest.members) {
-      if (member.sidecar_id === this.#self.sidecar_id) {
-        continue;
-      }
-      const known = this.#remote.get(member.sidecar_id);
-      if (!known || isNewer(member, known.member)) {
-        this.#remote.set(member.sidecar_id, { member, seenAt: this.#now() });
-      }
+  /** The entry of one member. */
+  entry(id: string): Member | undefined {
+    return id === this.#self.sidecar_id ? this.#self : this.#remote.get(id)?.member;
+  }
+
+  /** Takes in entries; returns those that were news here, to be passed on. */
+  merge(members: readonly Member[]): Member[] {
+    return members.filter((m) =>
+      m.sidecar_id === this.#self.sidecar_id ? this.#refute(m) : this.#take(m),
+    );
+  }
+
+  /** Notes that a member was heard just now. */
+  noteAlive(id: string): void {
+    const known = this.#remote.get(id);
+    if (known && !known.member.gone) {
+      this.#remote.set(id, { ...known, aliveAt: this.#now() });
     }
   }
 
-  /** Peer addresses of live members, for choosing whom to gossip with. */
-  peerAddresses(): string[] {
-    return this.#liveRemote().map((h) => h.member.peer_address);
+  /** Declares a member dead; true when that is news. */
+  declareGone(id: string): boolean {
+    const known = this.#remote.get(id);
+    return known !== undefined && this.#take({ ...known.member, gone: true });
+  }
+
+  /** Live members other than this one. */
+  liveMembers(): Member[] {
+    return this.#liveRemote();
+  }
+
+  /** Members found dead and not forgotten yet: a healed partition is found by trying them. */
+  goneMembers(): Member[] {
+    const cutoff = this.#now() - GONE_MEMORY_MS;
+    for (const [id, known] of this.#remote) {
+      if (known.member.gone && known.aliveAt < cutoff) {
+        this.#remote.delete(id);
+      }
+    }
+    return [...this.#remote.values()].map((k) => k.member).filter((m) => m.gone);
   }
 
   /** Sidecars that keep records of non-idempotent requests, this one included. */
   recordPool(): RecordMember[] {
     const cutoff = this.#now() - RECORD_MEMBER_TIMEOUT_MS;
-    const heard = [...this.#remote.values()].filter((h) => h.seenAt >= cutoff);
-    return [this.#self, ...heard.map((h) => h.member)].map((m) => ({
+    const heard = [...this.#remote.values()].filter((k) => !k.member.gone || k.aliveAt >= cutoff);
+    return [this.#self, ...heard.map((k) => k.member)].map((m) => ({
       id: m.sidecar_id,
       zone: m.zone,
       peerAddress: m.peer_address,
@@ -168,12 +205,15 @@
   /** Every live target the sidecar knows of. */
   allTargets(): TargetInfo[] {
     const own = this.localTargets();
-    const others = this.#liveRemote().flatMap((h) =>
-      h.member.targets.map((t) => toInfo(t, h.member)),
-    );
+    const others = this.#liveRemote().flatMap((m) => m.targets.map((t) => toInfo(t, m)));
     return [...own, ...others];
   }
 
+  /** One live target, by id. */
+  target(id: TargetId): TargetInfo | undefined {
+    return this.allTargets().find((t) => t.id === id);
+  }
+
   /** Number of live members, this one included. */
   get memberCount(): number {
     return 1 + this.#liveRemote().length;
@@ -186,9 +226,40 @@
       .map((e) => ({ ...e.target, probe_failing: e.probeFailing }));
   }
 
-  #liveRemote(): Heard[] {
-    const cutoff = this.#now() - MEMBER_TIMEOUT_MS;
-    return [...this.#remote.values()].filter((h) => h.seenAt >= cutoff);
+  #liveRemote(): Member[] {
+    return [...this.#remote.values()].map((k) => k.member).filter((m) => !m.gone);
+  }
+
+  #take(member: Member): boolean {
+    const known = this.#remote.get(member.sidecar_id);
+    if (known && !isNewer(member, known.member)) {
+      return false;
+    }
+    const aliveAt = member.gone ? (known?.aliveAt ?? this.#now()) : this.#now();
+    this.#remote.set(member.sidecar_id, { member, aliveAt });
+    this.#checksum = (this.#checksum ^ digestOf(known?.member) ^ digestOf(member)) >>> 0;
+    return true;
+  }
+
+  /**
+   * Contradicts news of ourselves that we did not give: a word that we are dead, or an
+   * entry from before a restart whose incarnation is higher than ours, since the
+   * time of day has been set back in between.
+   */
+  #refute(said: Member): boolean {
+    if (!isNewer(said, this.#self)) {
+      return false;
+    }
+    const stale = said.incarnation > this.#self.incarnation;
+    const incarnation = stale ? said.incarnation + 1 : this.#self.incarnation;
+    this.#reviseOwn({ incarnation, revision: said.revision + 1 });
+    return true;
+  }
+
+  #reviseOwn(change: Partial<Member>): void {
+    const before = digestOf(this.#self);
+    Object.assign(this.#self, change);
+    this.#checksum = (this.#checksum ^ before ^ digestOf(this.#self)) >>> 0;
   }
 }
 
@@ -196,7 +267,19 @@
   if (a.incarnation !== b.incarnation) {
     return a.incarnation > b.incarnation;
   }
-  return a.heartbeat > b.heartbeat;
+  if (a.revision !== b.revision) {
+    return a.revision > b.revision;
+  }
+  return a.gone && !b.gone;
+}
+
+/** 32 bits of a hash of a live entry's version; 0 for one that is dead or missing. */
+function digestOf(member: Member | undefined): number {
+  if (!member || member.gone) {
+    return 0;
+  }
+  const version = `${member.sidecar_id}@${member.incarnation}.${member.revision}`;
+  return createHash("sha256").update(version).digest().readUInt32BE(0);
 }
 
 function toInfo(t: ProtoTypes["Target"], beside: Member): TargetInfo {
@@ -213,27 +296,6 @@
   };
 }
 
-function toWire(e: Evidence): ProtoTypes["Evidence"] {
-  return {
-    target_id: e.target,
-    failure_score: e.failureScore,
-    late_score: e.lateScore,
-    recent_ok: e.recentOk,
-    last_bad_age_ms: Math.round(e.lastBadAgeMs),
-  };
-}
-
-/** `heardMsAgo` is added to the ages in it: evidence grows old while it waits here. */
-function fromWire(e: ProtoTypes["Evidence"], heardMsAgo: number): Evidence {
-  return {
-    target: TargetId(e.target_id),
-    failureScore: e.failure_score,
-    lateScore: e.late_score,
-    recentOk: e.recent_ok,
-    lastBadAgeMs: e.last_bad_age_ms + heardMsAgo,
-  };
-}
-
 /** A state name from the wire; an unknown one (a newer peer's) counts as cold, so it gets no work. */
 function toTargetState(raw: string): TargetState {
   switch (raw) {
--- a/src/sidecar/combineEvidence.test.ts
+++ b/src/sidecar/combineEvidence.test.ts
@@ -23,6 +23,7 @@
   own?: Evidence;
   others: Evidence[];
   probeFailing?: boolean;
+  groupSize?: number;
   gray: boolean;
 }[] = [
   { name: "no evidence", others: [], gray: false },
@@ -41,6 +42,13 @@
     others: [silent, silent, vouching, vouching, vouching, vouching, vouching],
     gray: false,
   },
+  {
+    name: "late for the few heard of a large group",
+    own: undefined,
+    others: [silent, silent],
+    groupSize: 8,
+    gray: false,
+  },
   {
     name: "late for most observers",
     own: seen({ lateScore: 2.8, lastBadAgeMs: 20 }),
@@ -85,7 +93,13 @@
 
 for (const c of cases) {
   test(`combineEvidence: ${c.name}`, (t) => {
-    const judged = combineEvidence(c.own, c.others, c.probeFailing ?? false, THRESHOLD);
+    const judged = combineEvidence(
+      c.own,
+      c.others,
+      c.probeFailing ?? false,
+      THRESHOLD,
+      c.groupSize ?? c.others.length + 1,
+    );
     t.is(judged.gray, c.gray);
   });
 }
--- a/src/sidecar/combineEvidence.ts
+++ b/src/sidecar/combineEvidence.ts
@@ -26,14 +26,18 @@
  *   over observers, each capped, so two at least must agree.
  * - Late or missing answers may come of a cut path (a one-way partition, a
  *   connection a middlebox forgot): they count for others only where more
- *   observers find it late than vouch for it, so that a cut-off sidecar, or
- *   a cut-off zone of them, does not eject a healthy target for everyone.
+ *   observers find it late than vouch for it, and half of the group at least
+ *   has been heard, so that a cut-off sidecar, or a cut-off zone of them, does
+ *   not eject a healthy target for everyone.
+ *
+ * @param groupSize sidecars concerned with the target's service, this one included
  */
 export function combineEvidence(
   own: Evidence | undefined,
   others: readonly Evidence[],
   probeFailing: boolean,
   threshold: number,
+  groupSize: number,
 ): Judgement {
   const cap = threshold * OBSERVER_CAP;
   let failures = 0;
@@ -49,7 +53,9 @@
       vouching += 1;
     }
   }
-  const fromTraffic = failures + (lateWitnesses > vouching ? late : 0);
+  const heard = others.length + 1;
+  const lateForAll = lateWitnesses > vouching && heard * 2 >= groupSize;
+  const fromTraffic = failures + (lateForAll ? late : 0);
   const probe = probeFailing && fromTraffic > 0 ? threshold * PROBE_SHARE : 0;
   const ownScore = own ? Math.max(own.failureScore, own.lateScore) : 0;
   const badness = Math.max(ownScore, fromTraffic + probe);
--- a/src/sidecar/policies.test.ts
+++ b/src/sidecar/policies.test.ts
@@ -17,6 +17,14 @@
   readonly outcome: AttemptOutcome;
 }
 
+/** No peers to hear from. */
+const alone = {
+  publish: () => undefined,
+  share: () => undefined,
+  about: () => [],
+  groupSize: () => 1,
+};
+
 const healthy: FakeAnswer = { ms: 20, outcome: AttemptOutcome.Ok };
 
 /** A linear congruential generator (Numerical Recipes' constants), so runs repeat. */
@@ -57,7 +65,12 @@
       streams: [{ type: "raw", stream: { write: note } as unknown as NodeJS.WritableStream }],
     });
     this.table = new TargetTable(
-      { id: SidecarId("self"), peerAddress: "127.0.0.1:1", zone: ZoneName("zone-a") },
+      {
+        id: SidecarId("self"),
+        peerAddress: "127.0.0.1:1",
+        zone: ZoneName("zone-a"),
+        incarnation: 1,
+      },
       now,
     );
     this.ids = Array.from({ length: 8 }, (_, i) => TargetId(`t${i}`));
@@ -71,7 +84,7 @@
         now,
         random: this.random,
         stallMs: () => 0,
-        onNews: () => undefined,
+        evidence: alone,
         log,
       });
       this.policy = policy;
