--- a/src/sidecar/Forwarder.ts
+++ b/src/sidecar/Forwarder.ts
@@ -50,31 +50,31 @@
   async send(target: TargetInfo, req: OutgoingRequest): Promise<ForwardResult> {
     // Aborting an undici request in flight destroys its connection, so a late
     // answer can never be read by the next request on that socket.
-    const timeout = new AbortController();
-    const timer = setTimeout(
-      () => {
-        timeout.abort();
-      },
-      Math.max(1, req.deadline - Date.now()),
-    );
-    const signal = req.cancelled
-      ? AbortSignal.any([timeout.signal, req.cancelled])
-      : timeout.signal;
+    const stop = new AbortController();
+    const progress = { answering: false, timedOut: false };
+    const onTimeout = () => {
+      progress.timedOut = true;
+      stop.abort();
+    };
+    const onLeave = () => {
+      stop.abort();
+    };
+    const timer = setTimeout(onTimeout, Math.max(1, req.deadline - Date.now()));
+    req.cancelled?.addEventListener("abort", onLeave);
     const echoId = req.echoHeader ? randomUUID() : undefined;
-    const progress = { answering: false };
     try {
       const res = await this.#pool(target.url).request({
         method: req.method,
         path: req.path,
         headers: this.#headers(req, echoId),
         body: req.body,
-        signal,
+        signal: stop.signal,
         bodyTimeout: BODY_SILENCE_MS,
       });
       progress.answering = true;
       return await toResult(target, req, res, echoId);
     } catch (err) {
-      if (timeout.signal.aborted) {
+      if (progress.timedOut) {
         this.#retirePool(target.url);
       }
       if (req.cancelled?.aborted) {
