Trace context crosses hops; a span for the run beside the target

The run beside the target, a hop of its own since at-most-once work goes there, had no span at all. Ruled out: the exporter (spans were written, under different trace ids).

--- a/src/sidecar/OnceService.ts
+++ b/src/sidecar/OnceService.ts
@@ -1,4 +1,5 @@
 import type * as grpc from "@grpc/grpc-js";
+import { SpanKind, context, propagation, trace, type Tracer } from "@opentelemetry/api";
 import type { ProtoTypes } from "../common/ProtoTypes.ts";
 import { AttemptOutcome } from "./AttemptOutcome.ts";
 import type { ForwardResult } from "./ForwardResult.ts";
@@ -15,6 +16,7 @@
   readonly records: RunRecords;
   readonly runner: OnceRunner;
   readonly localTargets: () => readonly TargetInfo[];
+  readonly tracer: Tracer;
 }
 
 /** The gRPC handlers for at-most-once work: runs beside our target, and the records we keep. */
@@ -40,15 +42,22 @@
         outcome: AttemptOutcome.Shed,
       };
     }
-    return this.#deps.runner.run(req.key, target, {
+    const parent = propagation.extract(context.active(), req.headers);
+    const span = this.#deps.tracer.startSpan("sidecar.run", { kind: SpanKind.SERVER }, parent);
+    const headers = { ...req.headers };
+    propagation.inject(trace.setSpan(parent, span), headers);
+    const out = await this.#deps.runner.run(req.key, target, {
       method: req.method,
       path: req.path,
-      headers: req.headers,
+      headers,
       body: req.body.length > 0 ? req.body : undefined,
       deadline: req.deadline,
       echoHeader: req.echo_header === "" ? undefined : req.echo_header,
       wholeAnswer: true,
     });
+    span.setAttribute("burdockpass.verdict", out.verdict.kind);
+    span.end();
+    return out;
   }
 
   readonly #run: grpc.handleUnaryCall<ProtoTypes["RunRequest"], ProtoTypes["RunReply"]> = (
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -133,7 +133,13 @@
     const forwarder = this.register(new Forwarder(this.#cfg.id));
     const records = this.register(this.#openRecords());
     const runner = this.#createRunner(table, records, clients, forwarder);
-    const once = new OnceService({ records, runner, localTargets: () => table.localTargets() });
+    const tracer = createTracer("burdockpass-sidecar", this.#cfg.traceFile);
+    const once = new OnceService({
+      records,
+      runner,
+      localTargets: () => table.localTargets(),
+      tracer,
+    });
     const peerServer = new grpc.Server();
     peerServer.addService(peerService, {
       ...peerHandlers(membership, evidence, table, follower),
@@ -180,7 +186,7 @@
       routes: () => follower.routes,
       dispatcher,
       metrics,
-      tracer: createTracer("burdockpass-sidecar", this.#cfg.traceFile),
+      tracer,
       log: this.#log,
     });
     this.#ports.caller = this.register(await startHttpServer(caller.server, this.#cfg.listen)).port;
--- a/test/once.test.ts
+++ b/test/once.test.ts
@@ -1,4 +1,5 @@
-import { rmSync } from "node:fs";
+import { readFileSync, rmSync } from "node:fs";
+import { join } from "node:path";
 import test from "ava";
 import type { FleetTarget, LocalFleet } from "../scripts/LocalFleet.ts";
 import { FaultMode } from "../src/standin/FaultMode.ts";
@@ -172,3 +173,20 @@
     t.is(await standIn.runsOf(fleet, "lost"), 1);
   });
 });
+
+test.serial("one trace holds every hop of a booking", async (t) => {
+  // Story: a booking was slow; the person on call looks for its trace. It must
+  // show the sidecar that took it and the one beside the target under one id.
+  await withFleet(fleetOf(vans(1)), async (fleet) => {
+    t.is((await book(fleet, "door-0", "traced")).status, 200);
+    const spans = ["door-0", "vans-0"].flatMap((id) =>
+      readFileSync(join(fleet.dir, `trace-${id}.jsonl`), "utf8")
+        .trim()
+        .split("\n")
+        .map((line) => JSON.parse(line) as { name: string; traceId: string }),
+    );
+    const names = ["sidecar.ingress", "sidecar.forward", "sidecar.run"];
+    t.deepEqual(spans.map((s) => s.name).sort(), [...names].sort());
+    t.is(new Set(spans.map((s) => s.traceId)).size, 1);
+  });
+});
