Fleet ports below the kernel's own range; a stand-in does not answer work its deadline cut short

(1) test/control: a sidecar got EADDRINUSE on 34065, a port that freePort() had found free in the kernel's range for outgoing connections, which another test process took meanwhile. (2) wholeAnswers, late answer: the stand-in slept until the deadline, its timer fired a moment early, and it answered work of 1,500 ms after 500. Ruled out: the sidecar (its verdict was the stand-in's own answer), leftover processes (none).

Change: ports come from a slice by pid between 10,000 and 32,000, tried before use; work cut short by its deadline is always shed as not run.

--- a/scripts/LocalFleet.ts
+++ b/scripts/LocalFleet.ts
@@ -410,30 +410,40 @@
   });
 }
 
-/** Ports handed out by this process, so two parallel calls never get the same one. */
-const handedOut = new Set<number>();
+/** Below the kernel's range for outgoing connections, which could take a port between its choice and its use. */
+const FIRST_PORT = 10_000;
+
+/** Each process that starts fleets has a slice of its own, by pid, as test files run side by side. */
+const SLICE_PORTS = 400;
+const SLICES = 55;
+
+let nextPort = 0;
 
 /**
- * A port free on loopback now (the kernel picks it) and not handed out before
- * by this process. Seen without the set: two parallel calls got the same port
- * and a sidecar failed with EADDRINUSE. A race with another program remains
- * possible, but is rare on loopback.
+ * A port free on loopback now and not handed out before by this process. Seen
+ * when the kernel picked them: a sidecar failed with EADDRINUSE, since another
+ * process's outgoing connection had got the port meanwhile.
  */
 export async function freePort(): Promise<number> {
   for (;;) {
-    const port = await new Promise<number>((resolve) => {
-      const srv = createServer();
-      srv.listen(0, "127.0.0.1", () => {
-        const addr = srv.address();
-        const found = typeof addr === "object" && addr ? addr.port : 0;
-        srv.close(() => {
-          resolve(found);
-        });
-      });
-    });
-    if (!handedOut.has(port)) {
-      handedOut.add(port);
+    const offset = (process.pid % SLICES) * SLICE_PORTS + (nextPort++ % SLICE_PORTS);
+    const port = FIRST_PORT + offset;
+    if (await isFree(port)) {
       return port;
     }
   }
 }
+
+function isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const srv = createServer();
+    srv.once("error", () => {
+      resolve(false);
+    });
+    srv.listen(port, "127.0.0.1", () => {
+      srv.close(() => {
+        resolve(true);
+      });
+    });
+  });
+}
--- a/src/standin/StandInTarget.ts
+++ b/src/standin/StandInTarget.ts
@@ -232,12 +232,15 @@
     });
     try {
       const deadline = Number(req.headers["x-burdockpass-deadline"] ?? Infinity);
-      const ms = Math.min(this.#workTime(), Math.max(0, deadline - Date.now()));
+      const workMs = this.#workTime();
+      const leftMs = Math.max(0, deadline - Date.now());
+      const ms = Math.min(workMs, leftMs);
       if (ms > 0) {
         // setTimeout(0) still costs about 1 ms; a zero work time must add nothing.
         await sleep(ms);
       }
-      if (call.cancelled || Date.now() >= deadline) {
+      // Work cut short by the deadline is not done, also when the timer fires a moment early.
+      if (call.cancelled || workMs > leftMs || Date.now() >= deadline) {
         // Cancelled or past its deadline before the effect: it did not run, and says so.
         if (!res.destroyed) {
           shed(res, "deadline passed");
