--- a/test/once.test.ts
+++ b/test/once.test.ts
@@ -179,12 +179,18 @@
   // show the sidecar that took it and the one beside the target under one id.
   await withFleet(fleetOf(vans(1)), async (fleet) => {
     t.is((await book(fleet, "door-0", "traced")).status, 200);
-    const spans = ["door-0", "vans-0"].flatMap((id) =>
-      readFileSync(join(fleet.dir, `trace-${id}.jsonl`), "utf8")
-        .trim()
-        .split("\n")
-        .map((line) => JSON.parse(line) as { name: string; traceId: string }),
-    );
+    const readSpans = () =>
+      ["door-0", "vans-0"].flatMap((id) =>
+        readFileSync(join(fleet.dir, `trace-${id}.jsonl`), "utf8")
+          .trim()
+          .split("\n")
+          .map((line) => JSON.parse(line) as { name: string; traceId: string }),
+      );
+    // The ingress span ends, and is written, just after the answer has gone out.
+    for (let i = 0; i < 40 && !readSpans().some((s) => s.name === "sidecar.ingress"); i++) {
+      await sleep(50);
+    }
+    const spans = readSpans();
     const names = ["sidecar.ingress", "sidecar.forward", "sidecar.run"];
     t.deepEqual(spans.map((s) => s.name).sort(), [...names].sort());
     t.is(new Set(spans.map((s) => s.traceId)).size, 1);
