--- a/scripts/LocalFleet.ts
+++ b/scripts/LocalFleet.ts
@@ -1,10 +1,10 @@
 import { spawn, type ChildProcess } from "node:child_process";
 import { createWriteStream, mkdtempSync, readFileSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { parse, stringify } from "yaml";
+import { freePort } from "./freePort.ts";
 
 const ROOT = fileURLToPath(new URL("..", import.meta.url));
 
@@ -79,7 +79,6 @@
         const sidecar = await this.#startSidecar(t.id, t.zone, peerPorts, i);
         const target = await this.#standIn(t, sidecar.ports.admin ?? 0);
         this.targets.set(t.id, target);
-        this.#members.push(target);
       }),
     );
   }
@@ -107,9 +106,7 @@
   /** Starts the sidecar beside target `id` again, with the same settings and ports. */
   async restartSidecar(id: string): Promise<void> {
     const { name, ports } = this.#sidecar(id);
-    const again = await this.#launch(name, ports);
-    this.sidecars.set(id, again);
-    this.#members.push(again);
+    this.sidecars.set(id, await this.#launch(name, ports));
   }
 
   /** Kills control replica `id` at once (SIGKILL). */
@@ -123,9 +120,7 @@
     const file = join(this.dir, `${name}.yaml`);
     const settings = parse(readFileSync(file, "utf8")) as object;
     writeFileSync(file, stringify({ ...settings, bootstrap: false }));
-    const again = await this.#launch(name, ports);
-    this.controls.set(id, again);
-    this.#members.push(again);
+    this.controls.set(id, await this.#launch(name, ports));
   }
 
   /** A control replica's `/status`; undefined when it does not answer. */
@@ -277,9 +272,7 @@
           peers: replicas.filter((r) => r.id !== id),
           bootstrap: true,
         };
-        const member = await this.#daemon(id, settings, { admin });
-        this.controls.set(id, member);
-        this.#members.push(member);
+        this.controls.set(id, await this.#daemon(id, settings, { admin }));
       }),
     );
   }
@@ -311,7 +304,6 @@
     };
     const sidecar = await this.#daemon(`sidecar-${id}`, settings, ports);
     this.sidecars.set(id, sidecar);
-    this.#members.push(sidecar);
     return sidecar;
   }
 
@@ -344,13 +336,14 @@
       env: { ...process.env, BURDOCKPASS_LOG: process.env.BURDOCKPASS_LOG ?? "info" },
       stdio: ["ignore", "pipe", "inherit"],
     });
+    const member = this.#own({ name, proc, ports });
     await waitForLine(
       proc,
       /"msg":"(control|sidecar) started"/,
       name,
       join(this.dir, `${name}.log`),
     );
-    return { name, proc, ports };
+    return member;
   }
 
   async #standIn(t: FleetTarget, sidecarAdmin: number): Promise<Member> {
@@ -367,8 +360,15 @@
       ...(t.standInArgs ?? []),
     ];
     const proc = spawn(process.execPath, args, { cwd: ROOT, stdio: ["ignore", "pipe", "inherit"] });
+    const member = this.#own({ name: t.id, proc, ports: { http: port } });
     await waitForLine(proc, /standin ready/, t.id, join(this.dir, `${t.id}.log`));
-    return { name: t.id, proc, ports: { http: port } };
+    return member;
+  }
+
+  /** Takes charge of a process as it is spawned: one of a fleet that fails to start must end with it too. */
+  #own(member: Member): Member {
+    this.#members.push(member);
+    return member;
   }
 }
 
@@ -409,41 +409,3 @@
     });
   });
 }
-
-/** Below the kernel's range for outgoing connections, which could take a port between its choice and its use. */
-const FIRST_PORT = 10_000;
-
-/** Each process that starts fleets has a slice of its own, by pid, as test files run side by side. */
-const SLICE_PORTS = 400;
-const SLICES = 55;
-
-let nextPort = 0;
-
-/**
- * A port free on loopback now and not handed out before by this process. Seen
- * when the kernel picked them: a sidecar failed with EADDRINUSE, since another
- * process's outgoing connection had got the port meanwhile.
- */
-export async function freePort(): Promise<number> {
-  for (;;) {
-    const offset = (process.pid % SLICES) * SLICE_PORTS + (nextPort++ % SLICE_PORTS);
-    const port = FIRST_PORT + offset;
-    if (await isFree(port)) {
-      return port;
-    }
-  }
-}
-
-function isFree(port: number): Promise<boolean> {
-  return new Promise((resolve) => {
-    const srv = createServer();
-    srv.once("error", () => {
-      resolve(false);
-    });
-    srv.listen(port, "127.0.0.1", () => {
-      srv.close(() => {
-        resolve(true);
-      });
-    });
-  });
-}
