Rooms in src/common, src/control and src/sidecar; no code changed

Cause: src/sidecar held 67 files in one folder, src/common 33.

Change: files moved into rooms (ids, lifecycle, document, settings, rpc, http, telemetry, storage; replica, service; ingress, routing, detection, membership, forwarding, records, config, admin) with their imports. Nothing else.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -10,7 +10,7 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { LocalFleet } from "../scripts/LocalFleet.ts";
-import { ControlClient } from "../src/common/ControlClient.ts";
+import { ControlClient } from "../src/common/rpc/ControlClient.ts";
 
 const SIZES = (process.env.BENCH_SIZES ?? "8,16,32,48").split(",").map(Number);
 const TARGETS_PER_SIDECAR = 8;
--- a/bench/document.ts
+++ b/bench/document.ts
@@ -5,8 +5,8 @@
  * the time of one route lookup, by the index and by a look at every route. Not a test: `node --expose-gc --import tsx bench/document.ts`.
  */
 import { stringify } from "yaml";
-import { parseOperatorDocument } from "../src/common/parseOperatorDocument.ts";
-import { RouteIndex } from "../src/sidecar/RouteIndex.ts";
+import { parseOperatorDocument } from "../src/common/document/parseOperatorDocument.ts";
+import { RouteIndex } from "../src/sidecar/routing/RouteIndex.ts";
 import { matchRouteNaively } from "../test/fixtures/matchRouteNaively.ts";
 
 const ROUTES_PER_SERVICE = 12;
--- a/src/cli/applyAtLeader.ts
+++ b/src/cli/applyAtLeader.ts
@@ -1,5 +1,5 @@
-import { ControlClient } from "../common/ControlClient.ts";
-import type { ProtoTypes } from "../common/ProtoTypes.ts";
+import { ControlClient } from "../common/rpc/ControlClient.ts";
+import type { ProtoTypes } from "../common/rpc/ProtoTypes.ts";
 
 /** How long one replica may take to answer, ms: longer than control's own wait for a quorum. */
 const CALL_DEADLINE_MS = 4000;
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from "node:crypto";
 import { readFileSync } from "node:fs";
 import { defineCommand, runMain } from "citty";
-import { parseOperatorDocument } from "../common/parseOperatorDocument.ts";
+import { parseOperatorDocument } from "../common/document/parseOperatorDocument.ts";
 import { applyAtLeader } from "./applyAtLeader.ts";
 
 function fail(message: string): never {
--- a/src/common/Verdict.ts
+++ b/src/common/Verdict.ts
@@ -1,4 +1,4 @@
-import type { TargetId } from "./TargetId.ts";
+import type { TargetId } from "./ids/TargetId.ts";
 
 /**
  * What a caller may believe about a forwarded request once burdockpass has
--- a/src/common/parseOperatorDocument.test.ts
+++ b/src/common/document/parseOperatorDocument.test.ts
@@ -2,7 +2,7 @@
 import test from "ava";
 import { parseOperatorDocument } from "./parseOperatorDocument.ts";
 
-const demo = readFileSync(new URL("../../config/demo.yaml", import.meta.url), "utf8");
+const demo = readFileSync(new URL("../../../config/demo.yaml", import.meta.url), "utf8");
 
 test("the embedded demo document is valid", (t) => {
   const parsed = parseOperatorDocument(demo);
--- a/src/common/startHttpServer.ts
+++ b/src/common/http/startHttpServer.ts
@@ -1,6 +1,6 @@
 import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
-import type { IDisposable } from "./IDisposable.ts";
+import type { IDisposable } from "../lifecycle/IDisposable.ts";
 
 /** A listening HTTP server; disposing it stops new connections and waits for open requests. */
 interface StartedHttpServer extends IDisposable {
--- a/src/common/loadProto.ts
+++ b/src/common/rpc/loadProto.ts
@@ -13,11 +13,14 @@
 /** A gRPC package of ours, loaded from its committed .proto at run time. */
 export function loadProto(name: keyof typeof FILES = "v1"): grpc.GrpcObject {
   const { file, path, keepCase } = FILES[name];
-  const def = protoLoader.loadSync(fileURLToPath(new URL(`../../proto/${file}`, import.meta.url)), {
-    keepCase,
-    longs: Number,
-    defaults: true,
-    arrays: true,
-  });
+  const def = protoLoader.loadSync(
+    fileURLToPath(new URL(`../../../proto/${file}`, import.meta.url)),
+    {
+      keepCase,
+      longs: Number,
+      defaults: true,
+      arrays: true,
+    },
+  );
   return path.reduce((pkg, part) => pkg[part] as grpc.GrpcObject, grpc.loadPackageDefinition(def));
 }
--- a/src/common/startGrpcServer.ts
+++ b/src/common/rpc/startGrpcServer.ts
@@ -1,5 +1,5 @@
 import * as grpc from "@grpc/grpc-js";
-import type { IDisposable } from "./IDisposable.ts";
+import type { IDisposable } from "../lifecycle/IDisposable.ts";
 
 /** A started gRPC server; disposing it shuts it down (forcibly after a grace period). */
 interface StartedGrpcServer extends IDisposable {
--- a/src/control/ControlRole.ts
+++ b/src/control/ControlRole.ts
@@ -2,17 +2,17 @@
 import * as grpc from "@grpc/grpc-js";
 import type bunyan from "bunyan";
 import { Registry, collectDefaultMetrics } from "prom-client";
-import type { DaemonSettings } from "../common/DaemonSettings.ts";
-import { Disposable } from "../common/Disposable.ts";
-import { loadProto } from "../common/loadProto.ts";
-import { startGrpcServer } from "../common/startGrpcServer.ts";
-import { startHttpServer } from "../common/startHttpServer.ts";
-import { ControlService } from "./ControlService.ts";
-import { RemoteReplicaPeer } from "./RemoteReplicaPeer.ts";
-import { Replica } from "./Replica.ts";
-import { ReplicaLog } from "./ReplicaLog.ts";
-import type { ReplicaMessages } from "./ReplicaMessages.ts";
-import type { ReplicaTiming } from "./ReplicaTiming.ts";
+import type { DaemonSettings } from "../common/settings/DaemonSettings.ts";
+import { Disposable } from "../common/lifecycle/Disposable.ts";
+import { loadProto } from "../common/rpc/loadProto.ts";
+import { startGrpcServer } from "../common/rpc/startGrpcServer.ts";
+import { startHttpServer } from "../common/http/startHttpServer.ts";
+import { ControlService } from "./service/ControlService.ts";
+import { RemoteReplicaPeer } from "./replica/RemoteReplicaPeer.ts";
+import { Replica } from "./replica/Replica.ts";
+import { ReplicaLog } from "./replica/ReplicaLog.ts";
+import type { ReplicaMessages } from "./replica/ReplicaMessages.ts";
+import type { ReplicaTiming } from "./replica/ReplicaTiming.ts";
 
 /** The control replica's settings. */
 type ControlSettings = Extract<DaemonSettings, { role: "control" }>;
--- a/src/control/RemoteReplicaPeer.ts
+++ b/src/control/replica/RemoteReplicaPeer.ts
@@ -1,7 +1,7 @@
 import * as grpc from "@grpc/grpc-js";
-import { CHANNEL_OPTIONS } from "../common/CHANNEL_OPTIONS.ts";
-import type { IDisposable } from "../common/IDisposable.ts";
-import { loadProto } from "../common/loadProto.ts";
+import { CHANNEL_OPTIONS } from "../../common/rpc/CHANNEL_OPTIONS.ts";
+import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
+import { loadProto } from "../../common/rpc/loadProto.ts";
 import type { ReplicaMessages } from "./ReplicaMessages.ts";
 import type { ReplicaPeer } from "./ReplicaPeer.ts";
 
--- a/src/control/Replica.ts
+++ b/src/control/replica/Replica.ts
@@ -1,6 +1,6 @@
 import type bunyan from "bunyan";
-import { Disposable } from "../common/Disposable.ts";
-import { toDisposable } from "../common/toDisposable.ts";
+import { Disposable } from "../../common/lifecycle/Disposable.ts";
+import { toDisposable } from "../../common/lifecycle/toDisposable.ts";
 import { Follower } from "./Follower.ts";
 import type { LogEntry } from "./LogEntry.ts";
 import type { ReplicaLog } from "./ReplicaLog.ts";
--- a/src/control/ReplicaLog.ts
+++ b/src/control/replica/ReplicaLog.ts
@@ -1,6 +1,6 @@
 import { mkdirSync, readFileSync } from "node:fs";
 import { join } from "node:path";
-import { writeFileSynced } from "../common/writeFileSynced.ts";
+import { writeFileSynced } from "../../common/storage/writeFileSynced.ts";
 import type { LogEntry } from "./LogEntry.ts";
 
 const STATE_FILE = "replica-state.json";
--- a/src/control/ControlService.test.ts
+++ b/src/control/service/ControlService.test.ts
@@ -4,10 +4,10 @@
 import test from "ava";
 import bunyan from "bunyan";
 import { ControlService } from "./ControlService.ts";
-import { Replica } from "./Replica.ts";
-import { ReplicaLog } from "./ReplicaLog.ts";
+import { Replica } from "../replica/Replica.ts";
+import { ReplicaLog } from "../replica/ReplicaLog.ts";
 
-const doc = readFileSync(new URL("../../config/demo.yaml", import.meta.url), "utf8");
+const doc = readFileSync(new URL("../../../config/demo.yaml", import.meta.url), "utf8");
 const log = bunyan.createLogger({ name: "test", level: "fatal" });
 
 /** A replica of its own, leading from its first election on. */
--- a/src/control/ControlService.ts
+++ b/src/control/service/ControlService.ts
@@ -1,10 +1,10 @@
 import * as grpc from "@grpc/grpc-js";
 import type bunyan from "bunyan";
-import type { IDisposable } from "../common/IDisposable.ts";
-import { parseOperatorDocument } from "../common/parseOperatorDocument.ts";
-import type { ProtoTypes } from "../common/ProtoTypes.ts";
+import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
+import { parseOperatorDocument } from "../../common/document/parseOperatorDocument.ts";
+import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
 import type { ApplyOutcome } from "./ApplyOutcome.ts";
-import type { Replica } from "./Replica.ts";
+import type { Replica } from "../replica/Replica.ts";
 
 type WatchCall = grpc.ServerWritableStream<ProtoTypes["WatchRequest"], ProtoTypes["ConfigVersion"]>;
 
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,7 +1,7 @@
 import { defineCommand, runMain } from "citty";
-import { createLogger } from "../common/createLogger.ts";
-import type { Disposable } from "../common/Disposable.ts";
-import { loadDaemonSettings } from "../common/loadDaemonSettings.ts";
+import { createLogger } from "../common/telemetry/createLogger.ts";
+import type { Disposable } from "../common/lifecycle/Disposable.ts";
+import { loadDaemonSettings } from "../common/settings/loadDaemonSettings.ts";
 import { ControlRole } from "../control/ControlRole.ts";
 import { SidecarRole } from "../sidecar/SidecarRole.ts";
 
--- a/src/sidecar/AdminServer.ts
+++ b/src/sidecar/admin/AdminServer.ts
@@ -1,9 +1,9 @@
 import { createServer, type IncomingMessage, type Server } from "node:http";
 import { z } from "zod";
-import type { ProtoTypes } from "../common/ProtoTypes.ts";
+import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
 import type { SidecarMetrics } from "./SidecarMetrics.ts";
-import type { TargetTable } from "./TargetTable.ts";
-import { TargetState } from "./TargetState.ts";
+import type { TargetTable } from "../membership/TargetTable.ts";
+import { TargetState } from "../membership/TargetState.ts";
 
 /** The body a target posts to `/v1/announce`. */
 const Announcement = z.strictObject({
--- a/src/sidecar/ConfigFollower.test.ts
+++ b/src/sidecar/config/ConfigFollower.test.ts
@@ -5,7 +5,7 @@
 import bunyan from "bunyan";
 import { ConfigFollower } from "./ConfigFollower.ts";
 
-const doc = readFileSync(new URL("../../config/demo.yaml", import.meta.url), "utf8");
+const doc = readFileSync(new URL("../../../config/demo.yaml", import.meta.url), "utf8");
 const log = bunyan.createLogger({ name: "test", level: "fatal" });
 
 const follower = (dataDir: string | undefined) =>
--- a/src/sidecar/ConfigFollower.ts
+++ b/src/sidecar/config/ConfigFollower.ts
@@ -3,14 +3,14 @@
 import type * as grpc from "@grpc/grpc-js";
 import type bunyan from "bunyan";
 import { fromEvent } from "most";
-import { ControlClient } from "../common/ControlClient.ts";
-import type { IDisposable } from "../common/IDisposable.ts";
-import type { NoteBytes } from "../common/NoteBytes.ts";
-import type { OperatorDocument } from "../common/OperatorDocument.ts";
-import { parseOperatorDocument } from "../common/parseOperatorDocument.ts";
-import type { ProtoTypes } from "../common/ProtoTypes.ts";
-import { writeFileSynced } from "../common/writeFileSynced.ts";
-import { RouteIndex } from "./RouteIndex.ts";
+import { ControlClient } from "../../common/rpc/ControlClient.ts";
+import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
+import type { NoteBytes } from "../../common/rpc/NoteBytes.ts";
+import type { OperatorDocument } from "../../common/document/OperatorDocument.ts";
+import { parseOperatorDocument } from "../../common/document/parseOperatorDocument.ts";
+import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
+import { writeFileSynced } from "../../common/storage/writeFileSynced.ts";
+import { RouteIndex } from "../routing/RouteIndex.ts";
 
 const DOC_FILE = "accepted-config.json";
 
--- a/src/sidecar/Evidence.ts
+++ b/src/sidecar/detection/Evidence.ts
@@ -1,4 +1,4 @@
-import type { TargetId } from "../common/TargetId.ts";
+import type { TargetId } from "../../common/ids/TargetId.ts";
 
 /** What one sidecar has seen of one target lately; exchanged in gossip. */
 export interface Evidence {
--- a/src/sidecar/EvidenceExchange.test.ts
+++ b/src/sidecar/detection/EvidenceExchange.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { makeTarget } from "../../test/fixtures/makeTarget.ts";
+import { makeTarget } from "../../../test/fixtures/makeTarget.ts";
 import { combineEvidence } from "./combineEvidence.ts";
 import type { Evidence } from "./Evidence.ts";
 import { EvidenceExchange } from "./EvidenceExchange.ts";
--- a/src/sidecar/EvidenceExchange.ts
+++ b/src/sidecar/detection/EvidenceExchange.ts
@@ -1,10 +1,10 @@
-import type { ProtoTypes } from "../common/ProtoTypes.ts";
-import type { TargetId } from "../common/TargetId.ts";
+import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
+import type { TargetId } from "../../common/ids/TargetId.ts";
 import type { Evidence } from "./Evidence.ts";
 import type { EvidenceSource } from "./EvidenceSource.ts";
 import { evidenceWire } from "./evidenceWire.ts";
 import { RECENT_MS } from "./RECENT_MS.ts";
-import type { TargetInfo } from "./TargetInfo.ts";
+import type { TargetInfo } from "../membership/TargetInfo.ts";
 
 type Bundle = ProtoTypes["EvidenceBundle"];
 
--- a/src/sidecar/EvidenceSource.ts
+++ b/src/sidecar/detection/EvidenceSource.ts
@@ -1,6 +1,6 @@
-import type { TargetId } from "../common/TargetId.ts";
+import type { TargetId } from "../../common/ids/TargetId.ts";
 import type { Evidence } from "./Evidence.ts";
-import type { TargetInfo } from "./TargetInfo.ts";
+import type { TargetInfo } from "../membership/TargetInfo.ts";
 
 /** Where a routing policy gets its peers' evidence, and sends its own. */
 export interface EvidenceSource {
--- a/src/sidecar/HealthProber.ts
+++ b/src/sidecar/detection/HealthProber.ts
@@ -1,7 +1,7 @@
-import { Disposable } from "../common/Disposable.ts";
-import { every } from "../common/every.ts";
-import type { TargetId } from "../common/TargetId.ts";
-import type { TargetInfo } from "./TargetInfo.ts";
+import { Disposable } from "../../common/lifecycle/Disposable.ts";
+import { every } from "../../common/lifecycle/every.ts";
+import type { TargetId } from "../../common/ids/TargetId.ts";
+import type { TargetInfo } from "../membership/TargetInfo.ts";
 
 /** One probe per target this often, ms: by the sidecar beside it only, however large the fleet. */
 const PROBE_INTERVAL_MS = 1000;
--- a/src/sidecar/OutlierDetector.test.ts
+++ b/src/sidecar/detection/OutlierDetector.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { TargetId } from "../common/TargetId.ts";
+import { TargetId } from "../../common/ids/TargetId.ts";
 import { AttemptOutcome } from "./AttemptOutcome.ts";
 import { OutlierDetector } from "./OutlierDetector.ts";
 
--- a/src/sidecar/OutlierDetector.ts
+++ b/src/sidecar/detection/OutlierDetector.ts
@@ -1,4 +1,4 @@
-import type { TargetId } from "../common/TargetId.ts";
+import type { TargetId } from "../../common/ids/TargetId.ts";
 import { AttemptOutcome } from "./AttemptOutcome.ts";
 import { CusumScore } from "./CusumScore.ts";
 import type { Evidence } from "./Evidence.ts";
--- a/src/sidecar/combineEvidence.test.ts
+++ b/src/sidecar/detection/combineEvidence.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { TargetId } from "../common/TargetId.ts";
+import { TargetId } from "../../common/ids/TargetId.ts";
 import { combineEvidence } from "./combineEvidence.ts";
 import type { Evidence } from "./Evidence.ts";
 
--- a/src/sidecar/evidenceWire.ts
+++ b/src/sidecar/detection/evidenceWire.ts
@@ -1,5 +1,5 @@
-import type { ProtoTypes } from "../common/ProtoTypes.ts";
-import { TargetId } from "../common/TargetId.ts";
+import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
+import { TargetId } from "../../common/ids/TargetId.ts";
 import type { Evidence } from "./Evidence.ts";
 
 /** {@link Evidence} to and from its protobuf form. */
--- a/src/sidecar/shareWith.ts
+++ b/src/sidecar/detection/shareWith.ts
@@ -1,5 +1,5 @@
-import type { ProtoTypes } from "../common/ProtoTypes.ts";
-import type { PeerClient } from "./PeerClient.ts";
+import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
+import type { PeerClient } from "../membership/PeerClient.ts";
 
 type Bundle = ProtoTypes["EvidenceBundle"];
 
--- a/src/sidecar/ForwardResult.ts
+++ b/src/sidecar/forwarding/ForwardResult.ts
@@ -1,6 +1,6 @@
 import type { Readable } from "node:stream";
-import type { Verdict } from "../common/Verdict.ts";
-import type { AttemptOutcome } from "./AttemptOutcome.ts";
+import type { Verdict } from "../../common/Verdict.ts";
+import type { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 
 /** One try at one target: the verdict, what it says of the target, and the whole answer when there is one. */
 export type ForwardResult =
--- a/src/sidecar/Forwarder.ts
+++ b/src/sidecar/forwarding/Forwarder.ts
@@ -1,12 +1,12 @@
 import { randomUUID } from "node:crypto";
 import { Pool, errors, type Dispatcher } from "undici";
-import type { IDisposable } from "../common/IDisposable.ts";
-import { AttemptOutcome } from "./AttemptOutcome.ts";
+import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
+import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { ForwardResult } from "./ForwardResult.ts";
 import type { OutgoingRequest } from "./OutgoingRequest.ts";
 import { readAnswer } from "./readAnswer.ts";
-import { RETRY_AFTER_S } from "./RETRY_AFTER_S.ts";
-import type { TargetInfo } from "./TargetInfo.ts";
+import { RETRY_AFTER_S } from "../routing/RETRY_AFTER_S.ts";
+import type { TargetInfo } from "../membership/TargetInfo.ts";
 
 /** Connections kept to one target; more than its slots would only queue at the target. */
 const CONNECTIONS_PER_TARGET = 8;
--- a/src/sidecar/readAnswer.ts
+++ b/src/sidecar/forwarding/readAnswer.ts
@@ -1,5 +1,5 @@
 import { Readable } from "node:stream";
-import { AttemptOutcome } from "./AttemptOutcome.ts";
+import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 
 /** Answers up to this size are read whole before any of it goes to the caller, bytes. */
 const MAX_BUFFERED_BYTES = 1 << 20;
--- a/src/sidecar/runWire.ts
+++ b/src/sidecar/forwarding/runWire.ts
@@ -1,8 +1,8 @@
-import type { ProtoTypes } from "../common/ProtoTypes.ts";
-import { AttemptOutcome } from "./AttemptOutcome.ts";
-import { flattenHeaders } from "./flattenHeaders.ts";
+import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
+import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
+import { flattenHeaders } from "../ingress/flattenHeaders.ts";
 import type { ForwardResult } from "./ForwardResult.ts";
-import type { TargetInfo } from "./TargetInfo.ts";
+import type { TargetInfo } from "../membership/TargetInfo.ts";
 
 /** The result of a run beside a target, to and from its protobuf form. */
 export const runWire = {
--- a/src/sidecar/sendOnce.ts
+++ b/src/sidecar/forwarding/sendOnce.ts
@@ -1,11 +1,11 @@
 import { status, type ServiceError } from "@grpc/grpc-js";
-import { AttemptOutcome } from "./AttemptOutcome.ts";
+import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { ForwardResult } from "./ForwardResult.ts";
 import type { OutgoingRequest } from "./OutgoingRequest.ts";
-import type { PeerClient } from "./PeerClient.ts";
-import { RETRY_AFTER_S } from "./RETRY_AFTER_S.ts";
+import type { PeerClient } from "../membership/PeerClient.ts";
+import { RETRY_AFTER_S } from "../routing/RETRY_AFTER_S.ts";
 import { runWire } from "./runWire.ts";
-import type { TargetInfo } from "./TargetInfo.ts";
+import type { TargetInfo } from "../membership/TargetInfo.ts";
 
 /** The peer answers by the request's deadline; its answer may take this much longer to come, ms. */
 const ANSWER_SLACK_MS = 200;
--- a/src/sidecar/CallerServer.ts
+++ b/src/sidecar/ingress/CallerServer.ts
@@ -10,14 +10,14 @@
   type Tracer,
 } from "@opentelemetry/api";
 import type bunyan from "bunyan";
-import type { Verdict } from "../common/Verdict.ts";
-import type { Dispatcher } from "./Dispatcher.ts";
-import { AttemptOutcome } from "./AttemptOutcome.ts";
+import type { Verdict } from "../../common/Verdict.ts";
+import type { Dispatcher } from "../routing/Dispatcher.ts";
+import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import { flattenHeaders } from "./flattenHeaders.ts";
-import type { ForwardResult } from "./ForwardResult.ts";
-import { RETRY_AFTER_S } from "./RETRY_AFTER_S.ts";
-import type { RouteIndex } from "./RouteIndex.ts";
-import type { SidecarMetrics } from "./SidecarMetrics.ts";
+import type { ForwardResult } from "../forwarding/ForwardResult.ts";
+import { RETRY_AFTER_S } from "../routing/RETRY_AFTER_S.ts";
+import type { RouteIndex } from "../routing/RouteIndex.ts";
+import type { SidecarMetrics } from "../admin/SidecarMetrics.ts";
 
 /** Largest request body taken from a caller, bytes. */
 const MAX_REQUEST_BYTES = 1 << 20;
--- a/src/sidecar/GrpcPeers.ts
+++ b/src/sidecar/membership/GrpcPeers.ts
@@ -1,4 +1,4 @@
-import type { ProtoTypes } from "../common/ProtoTypes.ts";
+import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
 import type { MembershipPeers } from "./MembershipPeers.ts";
 import type { PeerClients } from "./PeerClients.ts";
 
--- a/src/sidecar/Membership.test.ts
+++ b/src/sidecar/membership/Membership.test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
-import { ServiceName } from "../common/ServiceName.ts";
-import { SidecarId } from "../common/SidecarId.ts";
-import { ZoneName } from "../common/ZoneName.ts";
+import { ServiceName } from "../../common/ids/ServiceName.ts";
+import { SidecarId } from "../../common/ids/SidecarId.ts";
+import { ZoneName } from "../../common/ids/ZoneName.ts";
 import { Membership } from "./Membership.ts";
 import type { MembershipPeers } from "./MembershipPeers.ts";
 import { TargetTable } from "./TargetTable.ts";
--- a/src/sidecar/Membership.ts
+++ b/src/sidecar/membership/Membership.ts
@@ -1,6 +1,6 @@
-import { Disposable } from "../common/Disposable.ts";
-import { every } from "../common/every.ts";
-import type { ProtoTypes } from "../common/ProtoTypes.ts";
+import { Disposable } from "../../common/lifecycle/Disposable.ts";
+import { every } from "../../common/lifecycle/every.ts";
+import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
 import type { MembershipPeers } from "./MembershipPeers.ts";
 import { RumorQueue } from "./RumorQueue.ts";
 import type { TargetTable } from "./TargetTable.ts";
--- a/src/sidecar/MembershipPeers.ts
+++ b/src/sidecar/membership/MembershipPeers.ts
@@ -1,4 +1,4 @@
-import type { ProtoTypes } from "../common/ProtoTypes.ts";
+import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
 
 /** Calls to other sidecars, by address: over gRPC, or in a test. They reject when there is no answer in time. */
 export interface MembershipPeers {
--- a/src/sidecar/PeerClient.ts
+++ b/src/sidecar/membership/PeerClient.ts
@@ -1,5 +1,5 @@
 import type * as grpc from "@grpc/grpc-js";
-import type { ProtoTypes } from "../common/ProtoTypes.ts";
+import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
 
 type Unary<Req, Res> = (
   req: Req,
--- a/src/sidecar/PeerClients.ts
+++ b/src/sidecar/membership/PeerClients.ts
@@ -1,6 +1,6 @@
 import * as grpc from "@grpc/grpc-js";
-import { CHANNEL_OPTIONS } from "../common/CHANNEL_OPTIONS.ts";
-import type { IDisposable } from "../common/IDisposable.ts";
+import { CHANNEL_OPTIONS } from "../../common/rpc/CHANNEL_OPTIONS.ts";
+import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
 import type { PeerClient } from "./PeerClient.ts";
 
 /** One gRPC client per peer address, shared by all that talk to that peer. */
--- a/src/sidecar/TargetInfo.ts
+++ b/src/sidecar/membership/TargetInfo.ts
@@ -1,6 +1,6 @@
-import type { ServiceName } from "../common/ServiceName.ts";
-import type { TargetId } from "../common/TargetId.ts";
-import type { ZoneName } from "../common/ZoneName.ts";
+import type { ServiceName } from "../../common/ids/ServiceName.ts";
+import type { TargetId } from "../../common/ids/TargetId.ts";
+import type { ZoneName } from "../../common/ids/ZoneName.ts";
 import type { TargetState } from "./TargetState.ts";
 
 /** One target as this sidecar knows it, from its own announcement or from gossip. */
--- a/src/sidecar/TargetTable.test.ts
+++ b/src/sidecar/membership/TargetTable.test.ts
@@ -1,8 +1,8 @@
 import test from "ava";
-import type { ProtoTypes } from "../common/ProtoTypes.ts";
-import { ServiceName } from "../common/ServiceName.ts";
-import { SidecarId } from "../common/SidecarId.ts";
-import { ZoneName } from "../common/ZoneName.ts";
+import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
+import { ServiceName } from "../../common/ids/ServiceName.ts";
+import { SidecarId } from "../../common/ids/SidecarId.ts";
+import { ZoneName } from "../../common/ids/ZoneName.ts";
 import { TargetState } from "./TargetState.ts";
 import { TargetTable } from "./TargetTable.ts";
 
--- a/src/sidecar/TargetTable.ts
+++ b/src/sidecar/membership/TargetTable.ts
@@ -1,9 +1,9 @@
 import { createHash } from "node:crypto";
-import type { ProtoTypes } from "../common/ProtoTypes.ts";
-import { ServiceName } from "../common/ServiceName.ts";
-import type { SidecarId } from "../common/SidecarId.ts";
-import { TargetId } from "../common/TargetId.ts";
-import { ZoneName } from "../common/ZoneName.ts";
+import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
+import { ServiceName } from "../../common/ids/ServiceName.ts";
+import type { SidecarId } from "../../common/ids/SidecarId.ts";
+import { TargetId } from "../../common/ids/TargetId.ts";
+import { ZoneName } from "../../common/ids/ZoneName.ts";
 import type { TargetInfo } from "./TargetInfo.ts";
 import { TargetState } from "./TargetState.ts";
 
--- a/src/sidecar/peerHandlers.ts
+++ b/src/sidecar/membership/peerHandlers.ts
@@ -1,8 +1,8 @@
 import * as grpc from "@grpc/grpc-js";
-import type { ProtoTypes } from "../common/ProtoTypes.ts";
-import type { TargetId } from "../common/TargetId.ts";
-import type { ConfigFollower } from "./ConfigFollower.ts";
-import type { EvidenceExchange } from "./EvidenceExchange.ts";
+import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
+import type { TargetId } from "../../common/ids/TargetId.ts";
+import type { ConfigFollower } from "../config/ConfigFollower.ts";
+import type { EvidenceExchange } from "../detection/EvidenceExchange.ts";
 import type { Membership } from "./Membership.ts";
 import type { TargetTable } from "./TargetTable.ts";
 
--- a/src/sidecar/OnceRunner.test.ts
+++ b/src/sidecar/records/OnceRunner.test.ts
@@ -1,12 +1,12 @@
 import test from "ava";
 import fc from "fast-check";
-import { makeTarget } from "../../test/fixtures/makeTarget.ts";
-import { AttemptOutcome } from "./AttemptOutcome.ts";
+import { makeTarget } from "../../../test/fixtures/makeTarget.ts";
+import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import { chooseRecordGroup } from "./chooseRecordGroup.ts";
 import type { ClaimReply } from "./ClaimReply.ts";
-import type { ForwardResult } from "./ForwardResult.ts";
+import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import { OnceRunner } from "./OnceRunner.ts";
-import type { OutgoingRequest } from "./OutgoingRequest.ts";
+import type { OutgoingRequest } from "../forwarding/OutgoingRequest.ts";
 import type { RecordPeer } from "./RecordPeer.ts";
 import { RunRecords } from "./RunRecords.ts";
 
--- a/src/sidecar/OnceRunner.ts
+++ b/src/sidecar/records/OnceRunner.ts
@@ -1,14 +1,14 @@
 import { createHash, randomUUID } from "node:crypto";
-import { AttemptOutcome } from "./AttemptOutcome.ts";
+import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import { claimQuorum } from "./claimQuorum.ts";
 import type { ClaimReply } from "./ClaimReply.ts";
-import { flattenHeaders } from "./flattenHeaders.ts";
-import type { ForwardResult } from "./ForwardResult.ts";
-import type { OutgoingRequest } from "./OutgoingRequest.ts";
+import { flattenHeaders } from "../ingress/flattenHeaders.ts";
+import type { ForwardResult } from "../forwarding/ForwardResult.ts";
+import type { OutgoingRequest } from "../forwarding/OutgoingRequest.ts";
 import type { RecordPeer } from "./RecordPeer.ts";
-import { RETRY_AFTER_S } from "./RETRY_AFTER_S.ts";
+import { RETRY_AFTER_S } from "../routing/RETRY_AFTER_S.ts";
 import type { RunRecord } from "./RunRecord.ts";
-import type { TargetInfo } from "./TargetInfo.ts";
+import type { TargetInfo } from "../membership/TargetInfo.ts";
 
 /** Answers larger than this are not kept for replay, bytes; a resend then only learns that it ran. */
 const MAX_STORED_BYTES = 64 * 1024;
--- a/src/sidecar/OnceService.ts
+++ b/src/sidecar/records/OnceService.ts
@@ -1,15 +1,15 @@
 import type * as grpc from "@grpc/grpc-js";
 import { SpanKind, context, propagation, trace, type Tracer } from "@opentelemetry/api";
-import type { ProtoTypes } from "../common/ProtoTypes.ts";
-import { AttemptOutcome } from "./AttemptOutcome.ts";
-import type { ForwardResult } from "./ForwardResult.ts";
+import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
+import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
+import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import type { OnceRunner } from "./OnceRunner.ts";
 import { recordWire } from "./recordWire.ts";
-import { RETRY_AFTER_S } from "./RETRY_AFTER_S.ts";
+import { RETRY_AFTER_S } from "../routing/RETRY_AFTER_S.ts";
 import type { RunRecords } from "./RunRecords.ts";
-import { runWire } from "./runWire.ts";
-import type { TargetInfo } from "./TargetInfo.ts";
-import { TargetState } from "./TargetState.ts";
+import { runWire } from "../forwarding/runWire.ts";
+import type { TargetInfo } from "../membership/TargetInfo.ts";
+import { TargetState } from "../membership/TargetState.ts";
 
 /** What the handlers need; passed in so tests can fake each. */
 interface OnceServiceDeps {
--- a/src/sidecar/RecordHandover.ts
+++ b/src/sidecar/records/RecordHandover.ts
@@ -1,5 +1,5 @@
-import { Disposable } from "../common/Disposable.ts";
-import { every } from "../common/every.ts";
+import { Disposable } from "../../common/lifecycle/Disposable.ts";
+import { every } from "../../common/lifecycle/every.ts";
 import { chooseRecordGroup } from "./chooseRecordGroup.ts";
 import type { RunRecord } from "./RunRecord.ts";
 import type { RunRecords } from "./RunRecords.ts";
--- a/src/sidecar/RemoteRecordPeer.ts
+++ b/src/sidecar/records/RemoteRecordPeer.ts
@@ -1,5 +1,5 @@
 import type { ClaimReply } from "./ClaimReply.ts";
-import type { PeerClient } from "./PeerClient.ts";
+import type { PeerClient } from "../membership/PeerClient.ts";
 import type { RecordPeer } from "./RecordPeer.ts";
 import { recordWire } from "./recordWire.ts";
 import type { RunRecord } from "./RunRecord.ts";
--- a/src/sidecar/RunRecords.ts
+++ b/src/sidecar/records/RunRecords.ts
@@ -1,4 +1,4 @@
-import type { IDisposable } from "../common/IDisposable.ts";
+import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
 import type { ClaimReply } from "./ClaimReply.ts";
 import type { RunRecord } from "./RunRecord.ts";
 import type { SyncedJournal } from "./SyncedJournal.ts";
--- a/src/sidecar/SyncedJournal.ts
+++ b/src/sidecar/records/SyncedJournal.ts
@@ -1,8 +1,8 @@
 import { mkdirSync, readFileSync } from "node:fs";
 import { open, type FileHandle } from "node:fs/promises";
 import { dirname } from "node:path";
-import type { IDisposable } from "../common/IDisposable.ts";
-import { writeFileSynced } from "../common/writeFileSynced.ts";
+import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
+import { writeFileSynced } from "../../common/storage/writeFileSynced.ts";
 
 /**
  * An append-only file of JSON lines. {@link append} resolves once its line is
--- a/src/sidecar/adoptAt.ts
+++ b/src/sidecar/records/adoptAt.ts
@@ -1,4 +1,4 @@
-import type { PeerClient } from "./PeerClient.ts";
+import type { PeerClient } from "../membership/PeerClient.ts";
 import { recordWire } from "./recordWire.ts";
 import type { RunRecord } from "./RunRecord.ts";
 
--- a/src/sidecar/recordWire.ts
+++ b/src/sidecar/records/recordWire.ts
@@ -1,4 +1,4 @@
-import type { ProtoTypes } from "../common/ProtoTypes.ts";
+import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
 import type { RunRecord } from "./RunRecord.ts";
 
 /** {@link RunRecord} to and from its protobuf form. */
--- a/src/sidecar/Dispatcher.test.ts
+++ b/src/sidecar/routing/Dispatcher.test.ts
@@ -1,10 +1,10 @@
 import test from "ava";
-import { makeService } from "../../test/fixtures/makeService.ts";
-import { makeTarget } from "../../test/fixtures/makeTarget.ts";
-import { TargetId } from "../common/TargetId.ts";
-import { AttemptOutcome } from "./AttemptOutcome.ts";
+import { makeService } from "../../../test/fixtures/makeService.ts";
+import { makeTarget } from "../../../test/fixtures/makeTarget.ts";
+import { TargetId } from "../../common/ids/TargetId.ts";
+import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import { Dispatcher } from "./Dispatcher.ts";
-import type { ForwardResult } from "./ForwardResult.ts";
+import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import type { PickResult } from "./PickResult.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
 
--- a/src/sidecar/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -1,13 +1,13 @@
-import type { TargetId } from "../common/TargetId.ts";
-import type { ForwardResult } from "./ForwardResult.ts";
-import { AttemptOutcome } from "./AttemptOutcome.ts";
-import type { OutgoingRequest } from "./OutgoingRequest.ts";
+import type { TargetId } from "../../common/ids/TargetId.ts";
+import type { ForwardResult } from "../forwarding/ForwardResult.ts";
+import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
+import type { OutgoingRequest } from "../forwarding/OutgoingRequest.ts";
 import { RETRY_AFTER_S } from "./RETRY_AFTER_S.ts";
 import { RetryBudget } from "./RetryBudget.ts";
 import { RoomWaiters } from "./RoomWaiters.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
 import type { RoutingPolicy } from "./RoutingPolicy.ts";
-import type { TargetInfo } from "./TargetInfo.ts";
+import type { TargetInfo } from "../membership/TargetInfo.ts";
 
 /** A request may wait for room this share of the time it has left... */
 const QUEUE_SHARE = 0.25;
--- a/src/sidecar/NaivePolicy.ts
+++ b/src/sidecar/routing/NaivePolicy.ts
@@ -1,15 +1,15 @@
 import type bunyan from "bunyan";
-import { Disposable } from "../common/Disposable.ts";
-import { every } from "../common/every.ts";
-import { ServiceName } from "../common/ServiceName.ts";
-import type { TargetId } from "../common/TargetId.ts";
-import { AttemptOutcome } from "./AttemptOutcome.ts";
+import { Disposable } from "../../common/lifecycle/Disposable.ts";
+import { every } from "../../common/lifecycle/every.ts";
+import { ServiceName } from "../../common/ids/ServiceName.ts";
+import type { TargetId } from "../../common/ids/TargetId.ts";
+import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { PickResult } from "./PickResult.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
 import type { RoutingPolicy } from "./RoutingPolicy.ts";
-import type { TargetInfo } from "./TargetInfo.ts";
-import { TargetState } from "./TargetState.ts";
-import type { TargetTable } from "./TargetTable.ts";
+import type { TargetInfo } from "../membership/TargetInfo.ts";
+import { TargetState } from "../membership/TargetState.ts";
+import type { TargetTable } from "../membership/TargetTable.ts";
 
 /** Errors in a row that eject a target. */
 const CONSECUTIVE_ERRORS = 5;
--- a/src/sidecar/PickResult.ts
+++ b/src/sidecar/routing/PickResult.ts
@@ -1,4 +1,4 @@
-import type { TargetInfo } from "./TargetInfo.ts";
+import type { TargetInfo } from "../membership/TargetInfo.ts";
 
 /** What a routing policy found for one attempt. */
 export type PickResult =
--- a/src/sidecar/RotationCandidate.ts
+++ b/src/sidecar/routing/RotationCandidate.ts
@@ -1,5 +1,5 @@
-import type { TargetId } from "../common/TargetId.ts";
-import type { Judgement } from "./Judgement.ts";
+import type { TargetId } from "../../common/ids/TargetId.ts";
+import type { Judgement } from "../detection/Judgement.ts";
 
 /** One announced target of a service, and what the detector thinks of it. */
 export interface RotationCandidate extends Judgement {
--- a/src/sidecar/RouteIndex.test.ts
+++ b/src/sidecar/routing/RouteIndex.test.ts
@@ -1,13 +1,13 @@
 import { readFileSync } from "node:fs";
 import test from "ava";
 import fc from "fast-check";
-import { parseOperatorDocument } from "../common/parseOperatorDocument.ts";
-import { makeService } from "../../test/fixtures/makeService.ts";
-import { matchRouteNaively } from "../../test/fixtures/matchRouteNaively.ts";
+import { parseOperatorDocument } from "../../common/document/parseOperatorDocument.ts";
+import { makeService } from "../../../test/fixtures/makeService.ts";
+import { matchRouteNaively } from "../../../test/fixtures/matchRouteNaively.ts";
 import { RouteIndex } from "./RouteIndex.ts";
 
 const parsed = parseOperatorDocument(
-  readFileSync(new URL("../../config/demo.yaml", import.meta.url), "utf8"),
+  readFileSync(new URL("../../../config/demo.yaml", import.meta.url), "utf8"),
 );
 if (!parsed.ok) {
   throw new Error("demo document invalid");
--- a/src/sidecar/RouteIndex.ts
+++ b/src/sidecar/routing/RouteIndex.ts
@@ -1,4 +1,4 @@
-import type { OperatorDocument } from "../common/OperatorDocument.ts";
+import type { OperatorDocument } from "../../common/document/OperatorDocument.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
 
 type Service = OperatorDocument["services"][number];
--- a/src/sidecar/RouteMatch.ts
+++ b/src/sidecar/routing/RouteMatch.ts
@@ -1,4 +1,4 @@
-import type { OperatorDocument } from "../common/OperatorDocument.ts";
+import type { OperatorDocument } from "../../common/document/OperatorDocument.ts";
 
 /** The service and request kind a caller's request falls under. */
 export interface RouteMatch {
--- a/src/sidecar/RoutingPolicy.ts
+++ b/src/sidecar/routing/RoutingPolicy.ts
@@ -1,9 +1,9 @@
-import type { IDisposable } from "../common/IDisposable.ts";
-import type { TargetId } from "../common/TargetId.ts";
-import type { AttemptOutcome } from "./AttemptOutcome.ts";
+import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
+import type { TargetId } from "../../common/ids/TargetId.ts";
+import type { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { PickResult } from "./PickResult.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
-import type { TargetInfo } from "./TargetInfo.ts";
+import type { TargetInfo } from "../membership/TargetInfo.ts";
 
 /** Chooses targets and learns from how attempts at them end. */
 export interface RoutingPolicy extends IDisposable {
--- a/src/sidecar/chooseRotation.test.ts
+++ b/src/sidecar/routing/chooseRotation.test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import fc from "fast-check";
-import { TargetId } from "../common/TargetId.ts";
+import { TargetId } from "../../common/ids/TargetId.ts";
 import { chooseRotation } from "./chooseRotation.ts";
 import type { RotationCandidate } from "./RotationCandidate.ts";
 
--- a/src/sidecar/chooseRotation.ts
+++ b/src/sidecar/routing/chooseRotation.ts
@@ -1,4 +1,4 @@
-import type { TargetId } from "../common/TargetId.ts";
+import type { TargetId } from "../../common/ids/TargetId.ts";
 import type { RotationCandidate } from "./RotationCandidate.ts";
 
 /**
--- a/src/sidecar/policies.test.ts
+++ b/src/sidecar/routing/policies.test.ts
@@ -1,15 +1,15 @@
 import test from "ava";
 import bunyan from "bunyan";
-import { makeService } from "../../test/fixtures/makeService.ts";
-import { SidecarId } from "../common/SidecarId.ts";
-import { TargetId } from "../common/TargetId.ts";
-import { ZoneName } from "../common/ZoneName.ts";
+import { makeService } from "../../../test/fixtures/makeService.ts";
+import { SidecarId } from "../../common/ids/SidecarId.ts";
+import { TargetId } from "../../common/ids/TargetId.ts";
+import { ZoneName } from "../../common/ids/ZoneName.ts";
 import { AdaptivePolicy } from "./AdaptivePolicy.ts";
-import { AttemptOutcome } from "./AttemptOutcome.ts";
+import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import { NaivePolicy } from "./NaivePolicy.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
 import type { RoutingPolicy } from "./RoutingPolicy.ts";
-import { TargetTable } from "./TargetTable.ts";
+import { TargetTable } from "../membership/TargetTable.ts";
 
 /** How one answer of a fake target comes out. */
 interface FakeAnswer {
--- a/test/e2e.test.ts
+++ b/test/e2e.test.ts
@@ -2,8 +2,8 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import test from "ava";
-import { ControlClient } from "../src/common/ControlClient.ts";
-import type { ProtoTypes } from "../src/common/ProtoTypes.ts";
+import { ControlClient } from "../src/common/rpc/ControlClient.ts";
+import type { ProtoTypes } from "../src/common/rpc/ProtoTypes.ts";
 import { LocalFleet, type FleetTarget } from "../scripts/LocalFleet.ts";
 
 const DOC = fileURLToPath(new URL("../config/demo.yaml", import.meta.url));
