--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -10,6 +10,7 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { LocalFleet } from "../scripts/LocalFleet.ts";
+import { callUnary } from "../src/common/rpc/callUnary.ts";
 import { ControlClient } from "../src/common/rpc/ControlClient.ts";
 
 const SIZES = (process.env.BENCH_SIZES ?? "8,16,32,48").split(",").map(Number);
@@ -107,17 +108,12 @@
   const acceptedAt = new Map<number, number>();
   for (let v = 1; v <= CHANGES; v++) {
     const document = DOC.replace("timeoutMs: 2000", `timeoutMs: ${2000 + v}`);
-    const req = { document, expected_version: v - 1, request_id: `bench-${v}` };
-    await new Promise<void>((resolve, reject) => {
-      client.Apply(req, { deadline: Date.now() + 5000 }, (err, res) => {
-        if (res?.outcome === "accepted") {
-          acceptedAt.set(v, Date.now());
-          resolve();
-        } else {
-          reject(err ?? new Error(`${res?.outcome}: ${res?.message}`));
-        }
-      });
-    });
+    const req = { document, expected_version: v - 1, request_id: `bench-${v}`, version: v };
+    const res = await callUnary(client.Apply.bind(client), req, 5000);
+    if (res.outcome !== "accepted") {
+      throw new Error(`${res.outcome}: ${res.message}`);
+    }
+    acceptedAt.set(v, Date.now());
     await fleet.waitForVersion(v, 10_000);
   }
   client.close();
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 import prettier from "eslint-config-prettier";
 
 export default tseslint.config(
-  { ignores: ["node_modules/", "bin/", "eslint.config.js", "tmp/"] },
+  { ignores: ["node_modules/", "bin/", "eslint.config.js", "tmp/", "target/"] },
   eslint.configs.recommended,
   tseslint.configs.strictTypeChecked,
   tseslint.configs.stylisticTypeChecked,
--- a/scripts/LocalFleet.ts
+++ b/scripts/LocalFleet.ts
@@ -4,10 +4,22 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { parse, stringify } from "yaml";
+import { bundle } from "./bundle.ts";
 import { freePort } from "./freePort.ts";
 
 const ROOT = fileURLToPath(new URL("..", import.meta.url));
 
+/** What a fleet runs. */
+const PROGRAMS = {
+  burdockpassd: "src/daemon/main.ts",
+  burdockpass: "src/cli/main.ts",
+  standin: "src/standin/main.ts",
+} as const;
+
+/** Compiled once for all the fleets of this process: starting from the sources costs each process 2 s of processor time. */
+const BIN_DIR = mkdtempSync(join(tmpdir(), "burdockpass-bin-"));
+let compiled: Promise<void> | undefined;
+
 /** One stand-in target and the sidecar beside it. */
 export interface FleetTarget {
   readonly id: string;
@@ -156,8 +168,8 @@
   }
 
   /** Runs the CLI with `args`; resolves with its exit code and output. */
-  cli(args: readonly string[]): Promise<{ code: number; out: string; err: string }> {
-    const proc = spawn(process.execPath, [join(ROOT, "bin/burdockpass.js"), ...args], {
+  async cli(args: readonly string[]): Promise<{ code: number; out: string; err: string }> {
+    const proc = spawn(process.execPath, [await this.#program("burdockpass"), ...args], {
       cwd: ROOT,
     });
     let out = "";
@@ -254,13 +266,20 @@
     return this.controlAddresses[Number(id.replace("control-", "")) - 1] ?? "";
   }
 
+  /** One of the programs, compiled from the sources as they are now. */
+  async #program(name: keyof typeof PROGRAMS): Promise<string> {
+    compiled ??= bundle(BIN_DIR, PROGRAMS);
+    await compiled;
+    return join(BIN_DIR, `${name}.mjs`);
+  }
+
   async #startControl(): Promise<void> {
     const { controls } = this.#opts;
     const ids = Array.from({ length: controls }, (_, n) => `control-${n + 1}`);
     this.#controlPorts = await Promise.all(ids.map(() => freePort()));
-    const replicas = ids.map((id, n) => ({ id, address: this.controlAddresses[n] ?? "" }));
     await Promise.all(
-      replicas.map(async ({ id, address }, n) => {
+      ids.map(async (id, n) => {
+        const address = this.controlAddress(id);
         const admin = await freePort();
         const settings = {
           role: "control",
@@ -269,7 +288,7 @@
           listen: address,
           admin: `127.0.0.1:${admin}`,
           dataDir: join(this.dir, id),
-          peers: replicas.filter((r) => r.id !== id),
+          seeds: this.controlAddresses,
           bootstrap: true,
         };
         this.controls.set(id, await this.#daemon(id, settings, { admin }));
@@ -284,7 +303,12 @@
     peerPorts: readonly number[],
     i: number,
   ): Promise<Member> {
-    const ports = { caller: await freePort(), admin: await freePort(), peer: peerPorts[i] ?? 0 };
+    const ports = {
+      caller: await freePort(),
+      admin: await freePort(),
+      peer: peerPorts[i] ?? 0,
+      hop: await freePort(),
+    };
     const seeds = peerPorts
       .slice(0, 2)
       .filter((p) => p !== ports.peer)
@@ -296,6 +320,7 @@
       listen: `127.0.0.1:${ports.caller}`,
       admin: `127.0.0.1:${ports.admin}`,
       peer: `127.0.0.1:${ports.peer}`,
+      hop: `127.0.0.1:${ports.hop}`,
       seeds,
       policy: this.#opts.policy,
       control: this.controlAddresses,
@@ -331,7 +356,7 @@
   /** Starts the daemon on the settings file written for `name`. */
   async #launch(name: string, ports: Record<string, number>): Promise<Member> {
     const file = join(this.dir, `${name}.yaml`);
-    const proc = spawn(process.execPath, [join(ROOT, "bin/burdockpassd.js"), file], {
+    const proc = spawn(process.execPath, [await this.#program("burdockpassd"), file], {
       cwd: ROOT,
       env: { ...process.env, BURDOCKPASS_LOG: process.env.BURDOCKPASS_LOG ?? "info" },
       stdio: ["ignore", "pipe", "inherit"],
@@ -349,8 +374,7 @@
   async #standIn(t: FleetTarget, sidecarAdmin: number): Promise<Member> {
     const port = await freePort();
     const args = [
-      "--import=tsx",
-      join(ROOT, "src/standin/main.ts"),
+      await this.#program("standin"),
       `--id=${t.id}`,
       `--service=${t.service}`,
       `--port=${port}`,
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from "node:crypto";
 import { readFileSync } from "node:fs";
 import { defineCommand, runMain } from "citty";
+import type { OperatorDocument } from "../common/document/OperatorDocument.ts";
 import { parseOperatorDocument } from "../common/document/parseOperatorDocument.ts";
 import { applyAtLeader } from "./applyAtLeader.ts";
 
@@ -9,6 +10,24 @@
   process.exit(1);
 }
 
+/** Reads and checks a document; ends with every problem, each with its line and field, when it is no good. */
+function readDocument(file: string): { text: string; doc: OperatorDocument } {
+  let text: string;
+  try {
+    text = readFileSync(file, "utf8");
+  } catch (err) {
+    fail(`${file}: ${err instanceof Error ? err.message : String(err)}`);
+  }
+  const parsed = parseOperatorDocument(text);
+  if (!parsed.ok) {
+    const lines = parsed.problems.map(
+      (p) => `${file}:${p.line}: ${p.field || "(yaml)"}: ${p.message}`,
+    );
+    fail(lines.join("\n"));
+  }
+  return { text, doc: parsed.doc };
+}
+
 const validate = defineCommand({
   meta: {
     name: "validate",
@@ -16,15 +35,9 @@
   },
   args: { file: { type: "positional", required: true, description: "YAML document" } },
   run({ args }) {
-    const parsed = parseOperatorDocument(readFileSync(args.file, "utf8"));
-    if (!parsed.ok) {
-      fail(
-        parsed.problems
-          .map((p) => `${args.file}:${p.line}: ${p.field || "(yaml)"}: ${p.message}`)
-          .join("\n"),
-      );
-    }
-    process.stdout.write(`${args.file}: valid, ${parsed.doc.services.length} services\n`);
+    const { doc } = readDocument(args.file);
+    const counts = `${doc.services.length} services, ${doc.routes.length} routes`;
+    process.stdout.write(`${args.file}: valid, ${counts}\n`);
   },
 });
 
@@ -41,23 +54,18 @@
       description: "Control replicas, host:port,host:port",
     },
     expect: { type: "string", description: "Expected current version (default: read it first)" },
+    version: { type: "string", description: "Version it is to have (default: the next)" },
     "request-id": { type: "string", description: "Reuse to resend the same change safely" },
   },
   async run({ args }) {
-    const text = readFileSync(args.file, "utf8");
-    const parsed = parseOperatorDocument(text);
-    if (!parsed.ok) {
-      fail(
-        parsed.problems
-          .map((p) => `${args.file}:${p.line}: ${p.field || "(yaml)"}: ${p.message}`)
-          .join("\n"),
-      );
-    }
+    const { text } = readDocument(args.file);
     const requestId = args["request-id"] ?? randomUUID();
     const expected = args.expect !== undefined ? Number(args.expect) : undefined;
     const replicas = args.control.split(",");
-    const reply = await applyAtLeader(replicas, text, expected, requestId).catch((err: unknown) =>
-      fail(`${err instanceof Error ? err.message : String(err)} (request id ${requestId})`),
+    const version = args.version !== undefined ? Number(args.version) : undefined;
+    const reply = await applyAtLeader(replicas, text, expected, requestId, version).catch(
+      (err: unknown) =>
+        fail(`${err instanceof Error ? err.message : String(err)} (request id ${requestId})`),
     );
     if (reply.outcome !== "accepted") {
       fail(`${reply.outcome}: ${reply.message} (request id ${requestId})`);
--- a/src/common/Verdict.ts
+++ b/src/common/Verdict.ts
@@ -5,9 +5,9 @@
  * answered. Every answer carries one, in the `x-burdockpass-verdict` header.
  *
  * - `done`: a target answered in full; `status` is its HTTP status.
- * - `not-run`: no target ran it. Only given when that is certain: refused
- *   before any byte was written, shed by our own admission, no target to
- *   send to, or a target's explicit not-run answer (503 with `x-not-run`).
+ * - `not-run`: no target ran it, and none will. Only given when that is certain:
+ *   refused before any byte was written to a target, no target to send to, or a
+ *   target's explicit word that it did not run it.
  * - `in-progress`: an earlier request with the same idempotency key is still
  *   running; this one was not run, and a resend will get that one's answer.
  * - `may-have-run`: bytes reached a target but no whole answer came back
@@ -18,14 +18,17 @@
   | {
       readonly kind: "not-run";
       readonly reason: string;
-      readonly retryAfterS: number;
+      /** When it is worth coming back, ms. */
+      readonly retryAfterMs: number;
       /** HTTP status for the caller where 503 would mislead. */
       readonly status?: number;
     }
-  | { readonly kind: "in-progress"; readonly retryAfterS: number }
+  | { readonly kind: "in-progress"; readonly retryAfterMs: number }
   | {
       readonly kind: "may-have-run";
       readonly target: TargetId;
       readonly reason: string;
-      readonly retryAfterS: number;
+      /** The time for it ran out; otherwise it was cut off on the way. */
+      readonly timedOut: boolean;
+      readonly retryAfterMs: number;
     };
--- a/src/common/document/OperatorDocument.ts
+++ b/src/common/document/OperatorDocument.ts
@@ -1,73 +1,20 @@
 import { z } from "zod";
+import { Limits } from "./Limits.ts";
+import { Route } from "./Route.ts";
+import { Service } from "./Service.ts";
 
-/** Milliseconds, as a positive whole number. */
-const Millis = z.number().int().positive();
-
-/** One kind of request a service takes, matched by method and path prefix. */
-const RequestKind = z.strictObject({
-  kind: z.string().min(1),
-  method: z.enum(["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]),
-  pathPrefix: z.string().startsWith("/"),
-  idempotent: z.boolean(),
-});
-
-/** Retry policy for one service. */
-const RetryPolicy = z.strictObject({
-  /** Tries in all, the first included. */
-  attempts: z.number().int().min(1).max(5),
-  /** Retries may add at most this fraction of first tries (a retry budget). */
-  budgetRatio: z.number().min(0).max(1),
-});
-
-/** How gray targets of one service are found and for how long they stay out. */
-const Detection = z.strictObject({
-  /** Evidence needed to eject, nats: lower finds gray targets sooner, higher ejects fewer healthy ones. */
-  threshold: z.number().min(3).max(50).default(8),
-  /** An answer is late when slower than this many times its peers' median... */
-  slowFactor: z.number().min(1.5).max(20).default(3),
-  /** ...and slower than the median by this much. */
-  slowMinMs: Millis.default(50),
-  /** The first ejection; each one soon after lasts twice as long... */
-  ejectMs: Millis.default(5_000),
-  /** ...up to this. */
-  maxEjectMs: Millis.default(60_000),
-  /** Time over which a readmitted target's share grows back. */
-  rampMs: Millis.default(3_000),
-});
-
-/** One service of the document: its routes, request kinds and limits. */
-const Service = z.strictObject({
-  name: z.string().regex(/^[a-z][a-z0-9-]*$/),
-  customer: z.string().min(1),
-  /** Path prefixes of callers' URLs that reach this service. */
-  routes: z.array(z.string().startsWith("/")).min(1),
-  requests: z.array(RequestKind).min(1),
-  /** Ejection never takes healthy targets below this fraction of announced ones. */
-  floor: z.number().min(0).max(1),
-  timeoutMs: Millis,
-  retry: RetryPolicy,
-  detection: Detection.prefault({}),
-  /**
-   * A header in which targets echo the id that the sidecar sent in it. An
-   * answer with another id is another request's answer; it is not passed on.
-   */
-  echoHeader: z
-    .string()
-    .regex(/^[a-z][a-z0-9-]*$/, "a lower-case header name")
-    .optional(),
-});
+const unique = (items: readonly { name: string }[]) =>
+  new Set(items.map((i) => i.name)).size === items.length;
 
 /**
- * The operators' document: the one validated YAML file through which
- * operators drive the whole fleet. Its version is assigned by control.
+ * The operators' document: the one validated YAML file through which operators
+ * drive the whole fleet. Its version, which only ever rises, travels beside it.
  */
 export const OperatorDocument = z.strictObject({
-  services: z
-    .array(Service)
-    .min(1)
-    .refine((list) => new Set(list.map((s) => s.name)).size === list.length, {
-      error: "service names must be unique",
-    }),
+  services: z.array(Service).min(1).refine(unique, { error: "service names must be unique" }),
+  /** Routes by host and path prefix; services may also list simple routes of their own. */
+  routes: z.array(Route).default([]).refine(unique, { error: "route names must be unique" }),
+  limits: Limits.prefault({}),
 });
 
 /** The parsed, validated operators' document. */
--- /dev/null
+++ b/src/common/document/editDocument.test.ts
@@ -0,0 +1,49 @@
+import test from "ava";
+import fc from "fast-check";
+import { diffDocuments } from "./diffDocuments.ts";
+import { editDocument } from "./editDocument.ts";
+import { EMPTY_DOCUMENT } from "./EMPTY_DOCUMENT.ts";
+import type { OperatorDocument } from "./OperatorDocument.ts";
+import { Route } from "./Route.ts";
+import { Service } from "./Service.ts";
+
+const name = fc.constantFrom("a", "b", "c", "d", "e");
+const service = fc.record({ name, floor: fc.constantFrom(0, 0.5, 1) }).map((s) => Service.parse(s));
+const route = fc
+  .record({ name, prefix: fc.constantFrom("/x/", "/y/"), timeoutMs: fc.constantFrom(1, 2) })
+  .map((r) => Route.parse({ ...r, idempotent: true, attempts: 1, service: "a" }));
+const table = <T extends { name: string }>(item: fc.Arbitrary<T>) =>
+  fc.uniqueArray(item, { selector: (i) => i.name, maxLength: 5 });
+const document = fc
+  .record({ services: table(service), routes: table(route) })
+  .map((tables): OperatorDocument => ({
+    ...tables,
+    limits: { ...EMPTY_DOCUMENT.limits, maxBodyBytes: 1 + tables.routes.length },
+  }));
+
+/** The same document with its items in the order of their names. */
+const sorted = (doc: OperatorDocument): OperatorDocument => ({
+  services: doc.services.toSorted((a, b) => (a.name < b.name ? -1 : 1)),
+  routes: doc.routes.toSorted((a, b) => (a.name < b.name ? -1 : 1)),
+  limits: doc.limits,
+});
+
+test("the difference of two documents turns the one into the other", (t) => {
+  fc.assert(
+    fc.property(document, document, (from, to) => {
+      const made = editDocument(from, diffDocuments(from, to));
+      t.deepEqual(sorted(made), sorted(to));
+    }),
+    { numRuns: 1000, seed: 3 },
+  );
+});
+
+test("equal documents have an empty difference", (t) => {
+  fc.assert(
+    fc.property(document, (doc) => {
+      const edit = diffDocuments(doc, structuredClone(doc));
+      t.deepEqual(edit, { services: { set: [], drop: [] }, routes: { set: [], drop: [] } });
+    }),
+    { numRuns: 200, seed: 4 },
+  );
+});
--- /dev/null
+++ b/src/common/document/editDocument.ts
@@ -0,0 +1,24 @@
+import type { DocumentEdit } from "./DocumentEdit.ts";
+import type { OperatorDocument } from "./OperatorDocument.ts";
+
+/** The document that `edit` makes of `doc`. Items keep their places; new ones come last. */
+export function editDocument(doc: OperatorDocument, edit: DocumentEdit): OperatorDocument {
+  return {
+    services: editTable(doc.services, edit.services.set, edit.services.drop),
+    routes: editTable(doc.routes, edit.routes.set, edit.routes.drop),
+    limits: edit.limits ?? doc.limits,
+  };
+}
+
+function editTable<T extends { name: string }>(
+  items: readonly T[],
+  set: readonly T[],
+  drop: readonly string[],
+): T[] {
+  const dropped = new Set(drop);
+  const table = new Map(items.filter((i) => !dropped.has(i.name)).map((i) => [i.name, i]));
+  for (const item of set) {
+    table.set(item.name, item);
+  }
+  return [...table.values()];
+}
--- /dev/null
+++ b/src/common/document/validateDocument.ts
@@ -0,0 +1,22 @@
+import type { z } from "zod";
+import { checkDocument, type Violation } from "./checkDocument.ts";
+import { OperatorDocument } from "./OperatorDocument.ts";
+
+/** The result of {@link validateDocument}: the document, or everything that is wrong with it. */
+type Validated =
+  | { readonly ok: true; readonly doc: OperatorDocument }
+  | {
+      readonly ok: false;
+      readonly issues: readonly z.core.$ZodIssue[];
+      readonly across: readonly Violation[];
+    };
+
+/** Checks a document that was read from wherever, field by field and as a whole. */
+export function validateDocument(raw: unknown): Validated {
+  const checked = OperatorDocument.safeParse(raw);
+  const across = typeof raw === "object" && raw !== null ? checkDocument(raw) : [];
+  if (checked.success && across.length === 0) {
+    return { ok: true, doc: checked.data };
+  }
+  return { ok: false, issues: checked.success ? [] : checked.error.issues, across };
+}
--- /dev/null
+++ b/src/common/http/sendJson.ts
@@ -0,0 +1,11 @@
+import type { ServerResponse } from "node:http";
+
+/** Answers with `body` as JSON. */
+export function sendJson(res: ServerResponse, status: number, body: unknown): void {
+  const text = JSON.stringify(body);
+  res.writeHead(status, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(text),
+  });
+  res.end(text);
+}
--- a/src/common/rpc/ControlClient.ts
+++ b/src/common/rpc/ControlClient.ts
@@ -5,16 +5,15 @@
 import type { NoteBytes } from "./NoteBytes.ts";
 import type { ProtoTypes } from "./ProtoTypes.ts";
 
-type Callback<T> = (err: grpc.ServiceError | null, res?: T) => void;
+type Unary<Req, Res> = (
+  req: Req,
+  cb: (err: grpc.ServiceError | null, res?: Res) => void,
+) => grpc.ClientUnaryCall;
 
 /** A typed gRPC client of the Control service. */
 export type ControlClient = grpc.Client & {
-  Apply(
-    req: ProtoTypes["ApplyRequest"],
-    opts: grpc.CallOptions,
-    cb: Callback<ProtoTypes["ApplyReply"]>,
-  ): void;
-  Current(req: object, opts: grpc.CallOptions, cb: Callback<ProtoTypes["ConfigVersion"]>): void;
+  Apply: Unary<ProtoTypes["ApplyRequest"], ProtoTypes["ApplyReply"]>;
+  Current: Unary<object, ProtoTypes["ConfigVersion"]>;
   Watch(req: ProtoTypes["WatchRequest"]): grpc.ClientReadableStream<ProtoTypes["ConfigVersion"]>;
 };
 
--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -3,14 +3,27 @@
  * (keepCase, longs as numbers, defaults filled). Kept by hand beside it.
  */
 export interface ProtoTypes {
-  ApplyRequest: { document: string; expected_version: number; request_id: string };
+  ApplyRequest: {
+    document: string;
+    expected_version: number;
+    request_id: string;
+    version: number;
+  };
   ApplyReply: {
     outcome: "accepted" | "conflict" | "invalid" | "not-leader" | "unknown";
     version: number;
     message: string;
   };
   WatchRequest: { sidecar_id: string; have_version: number };
-  ConfigVersion: { version: number; document: string };
+  ConfigVersion: { version: number; document: string; base: number; edit: string };
+  ConfigVersions: { versions: ProtoTypes["ConfigVersion"][] };
+  Datagram: {
+    id: number;
+    probe: ProtoTypes["News"] | null;
+    answer: ProtoTypes["News"] | null;
+    probe_for: string;
+    reached: boolean;
+  };
   Target: {
     target_id: string;
     service: string;
@@ -18,14 +31,7 @@
     slots: number;
     state: string;
     health_path: string;
-    probe_failing: boolean;
-  };
-  Evidence: {
-    target_id: string;
-    failure_score: number;
-    late_score: number;
-    recent_ok: number;
-    last_bad_age_ms: number;
+    ejected: boolean;
   };
   Member: {
     sidecar_id: string;
@@ -35,6 +41,8 @@
     incarnation: number;
     targets: ProtoTypes["Target"][];
     gone: boolean;
+    hop_address: string;
+    control: boolean;
   };
   News: {
     sender: string;
@@ -43,32 +51,11 @@
     config_version: number;
   };
   Members: { members: ProtoTypes["Member"][] };
-  Testimony: { observer: string; evidence: ProtoTypes["Evidence"] | null; age_ms: number };
-  EvidenceBundle: { sender_address: string; testimonies: ProtoTypes["Testimony"][] };
-  RunRequest: {
-    key: string;
-    target_id: string;
-    method: string;
-    path: string;
-    headers: Record<string, string>;
-    body: Buffer;
-    deadline: number;
-    echo_header: string;
-  };
-  RunReply: {
-    verdict: string;
-    status: number;
-    reason: string;
-    retry_after_s: number;
-    outcome: string;
-    headers: Record<string, string>;
-    body: Buffer;
-  };
   Record: {
     state: string;
     attempt: string;
     fingerprint: string;
-    deadline: number;
+    remaining_ms: number;
     status: number;
     headers: Record<string, string>;
     body: Buffer;
--- /dev/null
+++ b/src/common/rpc/callUnary.ts
@@ -0,0 +1,33 @@
+import type * as grpc from "@grpc/grpc-js";
+
+type Callback<Res> = (err: grpc.ServiceError | null, res?: Res) => void;
+
+/** A unary method of a client, bound to its client. */
+type Unary<Req, Res> = (req: Req, cb: Callback<Res>) => grpc.ClientUnaryCall;
+
+/**
+ * Makes one unary call, and gives it up after `timeoutMs` by the steady clock: a
+ * deadline of gRPC's own is a time of day, which may jump. Rejects with the
+ * service error; a call given up ends as CANCELLED.
+ */
+export function callUnary<Req, Res>(
+  method: Unary<Req, Res>,
+  req: Req,
+  timeoutMs: number,
+): Promise<Res> {
+  return new Promise((resolve, reject) => {
+    const call = method(req, (err, res) => {
+      clearTimeout(timer);
+      if (err) {
+        reject(err);
+      } else if (res === undefined) {
+        reject(new Error("neither an answer nor an error"));
+      } else {
+        resolve(res);
+      }
+    });
+    const timer = setTimeout(() => {
+      call.cancel();
+    }, timeoutMs);
+  });
+}
--- a/src/control/ControlRole.ts
+++ b/src/control/ControlRole.ts
@@ -1,31 +1,51 @@
 import { createServer } from "node:http";
 import * as grpc from "@grpc/grpc-js";
 import type bunyan from "bunyan";
-import { Registry, collectDefaultMetrics } from "prom-client";
-import type { DaemonSettings } from "../common/settings/DaemonSettings.ts";
+import { Gauge, Registry } from "prom-client";
+import { startHttpServer } from "../common/http/startHttpServer.ts";
+import { sendJson } from "../common/http/sendJson.ts";
+import { ReplicaId } from "../common/ids/ReplicaId.ts";
+import { SidecarId } from "../common/ids/SidecarId.ts";
+import { ZoneName } from "../common/ids/ZoneName.ts";
 import { Disposable } from "../common/lifecycle/Disposable.ts";
+import { SystemClock } from "../common/lifecycle/SystemClock.ts";
 import { loadProto } from "../common/rpc/loadProto.ts";
 import { startGrpcServer } from "../common/rpc/startGrpcServer.ts";
-import { startHttpServer } from "../common/http/startHttpServer.ts";
-import { ControlService } from "./service/ControlService.ts";
-import { RemoteReplicaPeer } from "./replica/RemoteReplicaPeer.ts";
+import type { ControlSettings } from "../common/settings/ControlSettings.ts";
+import { DatagramLink } from "../membership/DatagramLink.ts";
+import { Membership } from "../membership/Membership.ts";
+import { NetworkPeers } from "../membership/NetworkPeers.ts";
+import { PeerClients } from "../membership/PeerClients.ts";
+import { peerHandlers } from "../membership/peerHandlers.ts";
+import { TargetTable } from "../membership/TargetTable.ts";
+import { FileReplicaStore } from "./replica/FileReplicaStore.ts";
+import { GrpcReplicaLink } from "./replica/GrpcReplicaLink.ts";
 import { Replica } from "./replica/Replica.ts";
-import { ReplicaLog } from "./replica/ReplicaLog.ts";
-import type { ReplicaMessages } from "./replica/ReplicaMessages.ts";
+import { replicaHandlers } from "./replica/replicaHandlers.ts";
+import { ReplicatedLog } from "./replica/ReplicatedLog.ts";
 import type { ReplicaTiming } from "./replica/ReplicaTiming.ts";
+import { controlHandlers } from "./service/controlHandlers.ts";
+import { ControlService } from "./service/ControlService.ts";
+import { Watchers } from "./service/Watchers.ts";
 
-/** The control replica's settings. */
-type ControlSettings = Extract<DaemonSettings, { role: "control" }>;
-
-/** Between zones 1.5 ms apart; a sync of a slow disk may take tens of ms. */
+/**
+ * Between zones 1.5 ms apart; a sync takes 2 ms, of a slow disk up to 70. A lost leader
+ * is followed by another within two seconds, so that an order sent meanwhile is
+ * acknowledged within four.
+ */
 const TIMING: ReplicaTiming = {
-  heartbeatMs: 100,
+  heartbeatMs: 150,
   leaseMs: 700,
-  electionMinMs: 1000,
-  electionMaxMs: 2000,
-  proposeMs: 3000,
+  electionMinMs: 800,
+  electionMaxMs: 1500,
+  proposeMs: 2500,
+  replaceAfterMs: 1500,
+  joinMs: 300,
 };
 
+/** Longest that a stop waits for followers of the document to go elsewhere, ms. */
+const STOP_GRACE_MS = 500;
+
 /**
  * A control replica: one of three or five that agree on the accepted operators'
  * document, hold it on disk, and serve it to sidecars and the CLI over gRPC.
@@ -33,6 +53,7 @@
 export class ControlRole extends Disposable {
   readonly #cfg: ControlSettings;
   readonly #log: bunyan;
+  #service: ControlService | undefined;
 
   constructor(cfg: ControlSettings, log: bunyan) {
     super();
@@ -40,73 +61,189 @@
     this.#log = log;
   }
 
-  /** Opens the log and starts both servers. */
+  /** Orders and reads; there once {@link start} has returned. */
+  get service(): ControlService {
+    if (!this.#service) {
+      throw new Error("the control role has not started");
+    }
+    return this.#service;
+  }
+
+  /** Opens the log, joins the fleet and the control group, and starts the servers. */
   async start(): Promise<void> {
-    const peers = this.#cfg.peers.map((p) => this.register(new RemoteReplicaPeer(p.id, p.address)));
-    // Alone, there is nobody to be filled in by: an empty disk is a first start.
-    const bootstrap = this.#cfg.bootstrap || peers.length === 0;
-    const replica = new Replica({
-      id: this.#cfg.id,
-      peers,
-      log: new ReplicaLog(this.#cfg.dataDir, bootstrap),
-      timing: TIMING,
-      now: () => performance.now(),
-      random: Math.random,
-      logger: this.#log,
-    });
-    const service = new ControlService(replica, this.#log);
+    const { listen } = this.#cfg;
+    const replica = this.#openReplica();
+    const service = new ControlService(replica, SystemClock, this.#log);
+    this.#service = service;
+    const watchers = new Watchers(replica);
+    const proto = loadProto();
+    const peerService = (proto.Peer as grpc.ServiceClientConstructor).service;
+    const link = new DatagramLink(SystemClock, () => undefined);
+    const clients = this.register(new PeerClients(peerService));
+    const membership = this.#joinFleet(replica, new NetworkPeers(clients, link));
     const server = new grpc.Server();
-    server.addService((loadProto().Control as grpc.ServiceClientConstructor).service, {
-      ...service.handlers(),
+    server.addService(
+      (proto.Control as grpc.ServiceClientConstructor).service,
+      controlHandlers(service, watchers),
+    );
+    server.addService(
+      (loadProto("replica").Replica as grpc.ServiceClientConstructor).service,
+      replicaHandlers(replica),
+    );
+    server.addService(peerService, peerHandlers(membership, historyOf(replica)));
+    const { port } = this.register(await startGrpcServer(server, listen, STOP_GRACE_MS));
+    await link.listen(listen, {
+      onProbe: (news) => membership.onExchange(news),
+      onProbeFor: (address) => membership.onProbe(address),
     });
-    server.addService((loadProto("replica").Replica as grpc.ServiceClientConstructor).service, {
-      ...replicaHandlers(replica),
+    this.register(link);
+    this.register(watchers);
+    this.register({
+      dispose: async () => {
+        replica.handOver();
+        await membership.leave();
+      },
     });
-    const { port } = this.register(await startGrpcServer(server, this.#cfg.listen));
-    this.register(service);
-    this.register(replica).start();
-    this.register(await startHttpServer(this.#adminServer(replica), this.#cfg.admin));
-    this.#log.info({ grpcPort: port, version: replica.committed.version }, "control started");
+    replica.start();
+    membership.start(this.#cfg.gossipIntervalMs);
+    this.register(await startHttpServer(this.#adminServer(replica, watchers), this.#cfg.admin));
+    const { version } = replica.state;
+    this.#log.info({ grpcPort: port, version, replica: replica.id }, "control started");
   }
 
-  #adminServer(replica: Replica) {
-    const registry = new Registry();
-    collectDefaultMetrics({ register: registry });
+  #openReplica(): Replica {
+    const { listen, zone, api, seeds, dataDir, bootstrap, tolerate } = this.#cfg;
+    const group = seeds.length > 0 ? seeds : [listen];
+    const link = this.register(new GrpcReplicaLink());
+    // Alone, there is nobody to be filled in by: an empty disk is a first start.
+    const isFirst = bootstrap || (group.length === 1 && group[0] === listen);
+    const log = new ReplicatedLog(new FileReplicaStore(dataDir), () =>
+      isFirst
+        ? {
+            id: ReplicaId(listen),
+            voters: group.map((address) => ({ id: ReplicaId(address), address, zone: "" })),
+          }
+        : { id: ReplicaId(`${listen}~${randomSuffix()}`), voters: [] },
+    );
+    const tolerated = tolerate ?? Math.floor((group.length - 1) / 2);
+    return this.register(
+      new Replica({
+        self: { address: listen, zone, api: api ?? listen },
+        contacts: () => group,
+        wantedVoters: 2 * tolerated + 1,
+        log,
+        link,
+        timing: TIMING,
+        clock: SystemClock,
+        random: Math.random,
+        logger: this.#log,
+      }),
+    );
+  }
+
+  /** Control replicas are members of the fleet, so that sidecars find them and each other through any of them. */
+  #joinFleet(replica: Replica, peers: NetworkPeers): Membership {
+    const { id, zone, listen, seeds } = this.#cfg;
+    const self = {
+      id: SidecarId(id),
+      peerAddress: listen,
+      zone: ZoneName(zone),
+      incarnation: Date.now(),
+    };
+    const table = new TargetTable(self, () => SystemClock.now());
+    return this.register(
+      new Membership({
+        table,
+        peers,
+        seeds,
+        config: historyOf(replica),
+        clock: SystemClock,
+        random: Math.random,
+      }),
+    );
+  }
+
+  #adminServer(replica: Replica, watchers: Watchers) {
+    const registry = controlMetrics(replica, watchers);
     return createServer((req, res) => {
-      void (async () => {
-        if (req.url === "/metrics") {
+      if (req.url !== "/metrics") {
+        sendJson(res, 200, this.#status(replica));
+        return;
+      }
+      registry.metrics().then(
+        (text) => {
           res.setHeader("content-type", registry.contentType);
-          res.end(await registry.metrics());
-          return;
-        }
-        res.setHeader("content-type", "application/json");
-        res.end(
-          JSON.stringify({
-            role: "control",
-            id: this.#cfg.id,
-            replica: replica.role,
-            leader: replica.leader,
-            inTouch: replica.inTouch,
-            version: replica.committed.version,
-          }),
-        );
-      })();
+          res.end(text);
+        },
+        (err: unknown) => {
+          this.#log.error({ err }, "metrics could not be gathered");
+          sendJson(res, 500, { error: "metrics could not be gathered" });
+        },
+      );
     });
   }
+
+  #status(replica: Replica): Record<string, unknown> {
+    return {
+      role: "control",
+      id: this.#cfg.id,
+      replica: replica.role,
+      leader: replica.leader?.id ?? "",
+      voters: replica.voters.map((v) => v.id),
+      inTouch: replica.inTouch,
+      version: replica.state.version,
+    };
+  }
 }
 
-function replicaHandlers(replica: Replica): grpc.UntypedServiceImplementation {
-  const vote: grpc.handleUnaryCall<ReplicaMessages["VoteRequest"], ReplicaMessages["VoteReply"]> = (
-    call,
-    cb,
-  ) => {
-    cb(null, replica.onVote(call.request));
+/** The committed document, as gossip passes it on; control takes it from nobody but its own log. */
+function historyOf(replica: Replica) {
+  return {
+    get version() {
+      return replica.state.version;
+    },
+    since: (version: number) => replica.state.history.since(version),
+    offer: () => undefined,
   };
-  const append: grpc.handleUnaryCall<
-    ReplicaMessages["AppendRequest"],
-    ReplicaMessages["AppendReply"]
-  > = (call, cb) => {
-    cb(null, replica.onAppend(call.request));
-  };
-  return { Vote: vote, Append: append };
+}
+
+function randomSuffix(): string {
+  return Math.floor(Math.random() * 2 ** 48).toString(36);
+}
+
+function controlMetrics(replica: Replica, watchers: Watchers): Registry {
+  const registry = new Registry();
+  const gauge = (name: string, help: string, value: () => number) =>
+    new Gauge({
+      name,
+      help,
+      registers: [registry],
+      collect() {
+        this.set(value());
+      },
+    });
+  gauge(
+    "burdockpass_config_version",
+    "Version of the document committed here.",
+    () => replica.state.version,
+  );
+  gauge("burdockpass_control_leading", "1 while this replica leads with a lease.", () =>
+    Number(replica.holdsLease),
+  );
+  gauge(
+    "burdockpass_control_in_touch",
+    "1 while what is committed here is at most a moment old.",
+    () => Number(replica.inTouch),
+  );
+  gauge(
+    "burdockpass_control_voters",
+    "Replicas of the control group.",
+    () => replica.voters.length,
+  );
+  gauge(
+    "burdockpass_control_watches",
+    "Followers of the document at this replica.",
+    () => watchers.count,
+  );
+  return registry;
 }
--- /dev/null
+++ b/src/control/replica/GrpcReplicaLink.ts
@@ -0,0 +1,75 @@
+import * as grpc from "@grpc/grpc-js";
+import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
+import { callUnary } from "../../common/rpc/callUnary.ts";
+import { loadProto } from "../../common/rpc/loadProto.ts";
+import { RenewedClient } from "../../common/rpc/RenewedClient.ts";
+import type { ReplicaLink } from "./ReplicaLink.ts";
+import type { ReplicaReply, ReplicaRequest } from "./ReplicaMessages.ts";
+import type { ReplicaProto } from "./ReplicaProto.ts";
+import { replicaWire } from "./replicaWire.ts";
+
+/** A call slower than this counts as unanswered, ms: a sync takes a few, a whole log of 2 MB some tens. */
+const CALL_TIMEOUT_MS = 600;
+
+type Unary<Req, Res> = (
+  req: Req,
+  cb: (err: grpc.ServiceError | null, res?: Res) => void,
+) => grpc.ClientUnaryCall;
+
+type ReplicaClient = grpc.Client & {
+  Vote: Unary<ReplicaProto["VoteRequest"], ReplicaProto["VoteReply"]>;
+  Append: Unary<ReplicaProto["AppendRequest"], ReplicaProto["AppendReply"]>;
+  Join: Unary<ReplicaProto["JoinRequest"], ReplicaProto["JoinReply"]>;
+  Handover: Unary<ReplicaProto["HandoverRequest"], ReplicaProto["HandoverReply"]>;
+};
+
+/** {@link ReplicaLink} over gRPC, one connection to each replica. */
+export class GrpcReplicaLink implements ReplicaLink, IDisposable {
+  readonly #ctor = loadProto("replica").Replica as grpc.ServiceClientConstructor;
+  readonly #clients = new Map<string, RenewedClient<ReplicaClient>>();
+
+  send(address: string, req: ReplicaRequest, onReply: (reply: ReplicaReply) => void): void {
+    // A lost message is what the protocol allows for: the sender tries again in its
+    // own time, and its loss of touch is logged there.
+    this.#client(address)
+      .call((client) => ask(client, req))
+      .then(onReply, () => undefined);
+  }
+
+  dispose(): void {
+    for (const client of this.#clients.values()) {
+      client.dispose();
+    }
+    this.#clients.clear();
+  }
+
+  #client(address: string): RenewedClient<ReplicaClient> {
+    let client = this.#clients.get(address);
+    if (!client) {
+      client = new RenewedClient(this.#ctor, address);
+      this.#clients.set(address, client);
+    }
+    return client;
+  }
+}
+
+async function ask(client: ReplicaClient, req: ReplicaRequest): Promise<ReplicaReply> {
+  switch (req.kind) {
+    case "vote": {
+      const vote = client.Vote.bind(client);
+      return replicaWire.decodeVoteReply(await callUnary(vote, req, CALL_TIMEOUT_MS));
+    }
+    case "append": {
+      const append = client.Append.bind(client);
+      const raw = await callUnary(append, replicaWire.encodeAppend(req), CALL_TIMEOUT_MS);
+      return replicaWire.decodeAppendReply(raw);
+    }
+    case "join": {
+      const { leader } = await callUnary(client.Join.bind(client), req, CALL_TIMEOUT_MS);
+      return { kind: "join", leader };
+    }
+    case "handover":
+      await callUnary(client.Handover.bind(client), req, CALL_TIMEOUT_MS);
+      return { kind: "handover" };
+  }
+}
--- a/src/control/replica/LogEntry.ts
+++ b/src/control/replica/LogEntry.ts
@@ -1,11 +1,18 @@
-/** One entry of the replicated log: a whole accepted document, or a repeat of the last one by a new leader. */
+import type { AcceptedChange } from "./AcceptedChange.ts";
+import type { ControlGroup } from "./ControlGroup.ts";
+
+/** What an entry of the replicated log says. */
+export type EntryBody =
+  | { readonly kind: "change"; readonly change: AcceptedChange }
+  /** The control group from here on, in force as soon as it is in the log. */
+  | { readonly kind: "group"; readonly group: ControlGroup }
+  /** A new leader's first entry: once it is committed, so are all before it. */
+  | { readonly kind: "term-start" };
+
+/** One entry of the replicated log. */
 export interface LogEntry {
   readonly index: number;
   /** Term of the leader that made it. */
   readonly term: number;
-  /** The document's version; 0 before any. */
-  readonly version: number;
-  readonly document: string;
-  /** The operator's request; empty in a new leader's own entry. */
-  readonly requestId: string;
+  readonly body: EntryBody;
 }
--- a/src/control/replica/Replica.ts
+++ b/src/control/replica/Replica.ts
@@ -1,109 +1,173 @@
 import type bunyan from "bunyan";
+import type { Clock } from "../../common/lifecycle/Clock.ts";
 import { Disposable } from "../../common/lifecycle/Disposable.ts";
-import { toDisposable } from "../../common/lifecycle/toDisposable.ts";
-import { Follower } from "./Follower.ts";
+import type { Timer } from "../../common/lifecycle/Timer.ts";
+import type { ReplicaId } from "../../common/ids/ReplicaId.ts";
+import { StorageError } from "../../common/storage/StorageError.ts";
+import type { AcceptedChange } from "./AcceptedChange.ts";
+import { ConfigState } from "./ConfigState.ts";
+import { Election } from "./Election.ts";
+import { LeaderTerm } from "./LeaderTerm.ts";
 import type { LogEntry } from "./LogEntry.ts";
-import type { ReplicaLog } from "./ReplicaLog.ts";
-import type { ReplicaMessages } from "./ReplicaMessages.ts";
-import type { ReplicaPeer } from "./ReplicaPeer.ts";
+import { membersOf } from "./membersOf.ts";
+import type { ReplicaLink } from "./ReplicaLink.ts";
+import type {
+  AppendRequest,
+  JoinRequest,
+  HandoverRequest,
+  ReplicaReply,
+  ReplicaRequest,
+  VoteRequest,
+} from "./ReplicaMessages.ts";
+import type { ReplicatedLog } from "./ReplicatedLog.ts";
 import type { ReplicaTiming } from "./ReplicaTiming.ts";
-
-enum Role {
-  Follower = "follower",
-  Candidate = "candidate",
-  Leader = "leader",
-}
+import type { Voter } from "./Voter.ts";
 
 /** How a proposal ended. */
 type Proposed =
   | { readonly kind: "committed"; readonly version: number }
-  | { readonly kind: "not-leader"; readonly leader: string }
+  | { readonly kind: "not-leader" }
   /** Sent out but not acknowledged by a quorum in time: it may still be committed. */
   | { readonly kind: "unknown" };
 
 interface ReplicaDeps {
-  readonly id: string;
-  readonly peers: readonly ReplicaPeer[];
-  readonly log: ReplicaLog;
+  /** Where other replicas and operators reach this one. */
+  readonly self: { readonly address: string; readonly zone: string; readonly api: string };
+  /** Replicas that may know the group, asked by one that is outside it. */
+  readonly contacts: () => readonly string[];
+  /** Voters that the stated tolerance asks for. */
+  readonly wantedVoters: number;
+  readonly log: ReplicatedLog;
+  readonly link: ReplicaLink;
   readonly timing: ReplicaTiming;
-  /** Monotonic clock, ms: jumps of the time of day must not lengthen a lease. */
-  readonly now: () => number;
+  readonly clock: Clock;
+  /** In [0, 1); tests pass a seeded one. */
   readonly random: () => number;
   readonly logger: bunyan;
 }
 
-/** How often timeouts are looked at, ms. */
-const TICK_MS = 20;
+/** A leader as its followers know it. */
+interface KnownLeader {
+  readonly replica: Voter;
+  readonly api: string;
+}
 
 /**
- * One control replica's part in agreeing on the document: leader election and
- * a replicated log with a majority quorum (Ongaro and Ousterhout, "In Search of
- * an Understandable Consensus Algorithm", 2014), with a sounding before each
- * election so that a cut-off replica cannot unseat a leader that others hear,
- * and leader leases for reads (Gray and Cheriton, "Leases", 1989).
+ * A write that took longer than this shows a failing disk, ms: a healthy sync takes 2,
+ * one on a slowed disk 70. A leader hands over, since every change waits for its disk.
+ */
+const SICK_WRITE_MS = 400;
+
+/** A replica whose disk failed or stalled does not stand for election for this long, ms. */
+const SICK_DISK_ABSTAINS_MS = 5000;
+
+/**
+ * One control replica's part in agreeing on the document: leader election, a
+ * replicated log with a majority quorum, and changes of the group one replica at
+ * a time (Ongaro and Ousterhout, "In Search of an Understandable Consensus
+ * Algorithm", 2014; Ongaro's thesis, chapter 4). A sounding before each election
+ * keeps a cut-off replica from unseating a leader that others hear.
  */
 export class Replica extends Disposable {
   readonly #deps: ReplicaDeps;
-  readonly #log: ReplicaLog;
-  readonly #followers: Follower[];
+  readonly #log: ReplicatedLog;
+  readonly #election: Election;
   readonly #listeners = new Set<() => void>();
-  readonly #waiters = new Set<() => void>();
-  #role = Role.Follower;
-  #leader = "";
+  #state: ConfigState;
+  /** Index up to which entries are committed, and taken into the state. */
+  #committed: number;
+  #term: LeaderTerm | undefined;
+  #leader: KnownLeader | undefined;
   #leaderHeardAt = -Infinity;
-  #electionAt = 0;
-  #failedPolls = 0;
-  #heartbeatAt = 0;
-  /** Index of this leader's first entry: until it is committed, older ones may not all be known as such. */
-  #firstOwnIndex = Infinity;
   #proposals: Promise<unknown> = Promise.resolve();
+  #joinTimer: Timer | undefined;
 
   constructor(deps: ReplicaDeps) {
     super();
     this.#deps = deps;
     this.#log = deps.log;
-    this.#followers = deps.peers.map((peer) => new Follower(peer));
-    this.#deferElection();
+    const { snapshot } = deps.log;
+    this.#state = new ConfigState(snapshot.config);
+    this.#committed = snapshot.index;
+    this.#election = new Election({
+      log: deps.log,
+      link: deps.link,
+      timing: deps.timing,
+      clock: deps.clock,
+      random: deps.random,
+      noteTerm: (term) => {
+        this.#noteTerm(term);
+      },
+      won: () => {
+        this.#lead();
+      },
+      mayStand: () => this.#term === undefined,
+      unled: () => {
+        this.#changed();
+      },
+      enterTerm: (term) =>
+        this.#durably(() => {
+          this.#log.enterTerm(term, this.#log.id);
+        }),
+    });
+    this.register(this.#election);
   }
 
   /** Starts taking part until disposed. */
   start(): void {
-    const timer = setInterval(() => {
-      this.tick();
-    }, TICK_MS);
-    this.register(
-      toDisposable(() => {
-        clearInterval(timer);
-      }),
-    );
+    this.#election.start();
+    this.#joinTimer = this.#deps.clock.after(0, () => {
+      this.#keepJoining();
+    });
+    this.register({
+      dispose: () => {
+        this.#joinTimer?.cancel();
+        this.#term?.dispose();
+      },
+    });
   }
 
-  /** Id of the leader as far as known; empty when not. */
-  get leader(): string {
-    return this.#leader;
+  /** Id of this replica's disk. */
+  get id(): ReplicaId {
+    return this.#log.id;
   }
 
-  get role(): string {
-    return this.#log.recovering ? "recovering" : this.#role;
+  /** The leader's id and where operators reach it, as far as known. */
+  get leader(): { readonly id: ReplicaId; readonly api: string } | undefined {
+    if (this.#term) {
+      return { id: this.#log.id, api: this.#deps.self.api };
+    }
+    return this.#leader && { id: this.#leader.replica.id, api: this.#leader.api };
   }
 
-  /** The committed entry here. */
-  get committed(): LogEntry {
-    return this.#log.base;
+  /**
+   * Its part at the moment: `leader`, `follower`, `candidate`; or `learner` outside the
+   * group, and until the change that lets it in is complete: before that, the loss of
+   * another replica still counts as a second one.
+   */
+  get role(): "leader" | "follower" | "candidate" | "learner" {
+    if (this.#term) {
+      return "leader";
+    }
+    if (!this.#log.group.voters.some((v) => v.id === this.#log.id)) {
+      return "learner";
+    }
+    return this.#election.underWay ? "candidate" : "follower";
   }
 
-  /** Version that an accepted request became, if it is remembered. */
-  versionFor(requestId: string): number | undefined {
-    return this.#log.versionFor(requestId);
+  /** The replicas of the control group, as this one knows it. */
+  get voters(): readonly Voter[] {
+    return membersOf(this.#log.group);
+  }
+
+  /** The committed document, its version, and the orders that led to it. */
+  get state(): ConfigState {
+    return this.#state;
   }
 
   /** True while this replica leads with a lease: its committed document is the current one. */
   get holdsLease(): boolean {
-    return (
-      this.#role === Role.Leader &&
-      this.#log.committed >= this.#firstOwnIndex &&
-      this.#quorumHeardAt() + this.#deps.timing.leaseMs > this.#deps.now()
-    );
+    return this.#term?.holdsLease(this.#committed) ?? false;
   }
 
   /**
@@ -112,16 +176,10 @@
    * not hand its old document to a sidecar that has none newer.
    */
   get inTouch(): boolean {
-    const heardAgo = this.#deps.now() - this.#leaderHeardAt;
-    return (
-      this.holdsLease ||
-      (this.#role === Role.Follower &&
-        !this.#log.recovering &&
-        heardAgo < this.#deps.timing.electionMinMs)
-    );
+    return this.holdsLease || (this.#term === undefined && this.#hearsLeader);
   }
 
-  /** Calls `listener` on every commit and loss of touch; returns how to stop. */
+  /** Calls `listener` with every committed change and loss of touch; returns how to stop. */
   onChange(listener: () => void): () => void {
     this.#listeners.add(listener);
     return () => this.#listeners.delete(listener);
@@ -132,326 +190,367 @@
    * where this replica does not lead. A lease alone would not do: a machine
    * suspended as a whole wakes with its steady clock, and its lease, unmoved.
    */
-  async readCurrent(): Promise<LogEntry | undefined> {
-    const calledAt = this.#deps.now();
-    if (!this.holdsLease) {
+  async readCurrent(): Promise<ConfigState | undefined> {
+    const term = this.#term;
+    if (!term || !this.holdsLease || !(await term.confirm())) {
       return undefined;
     }
-    this.#replicateAll();
-    const confirmed = await this.#whileLeading(() => this.#quorumHeardAt() >= calledAt);
-    return confirmed ? this.#log.base : undefined;
+    return this.#state;
   }
 
   /**
-   * Proposes the document that `decide` makes of the current state, one proposal
+   * Proposes the change that `decide` makes of the current state, one proposal
    * at a time; `decide` may also settle the matter without a proposal.
    */
   propose<T>(
-    decide: (current: LogEntry) => { propose: Omit<LogEntry, "index" | "term"> } | { answer: T },
+    decide: (current: ConfigState) => { propose: AcceptedChange } | { answer: T },
   ): Promise<Proposed | { readonly kind: "answered"; readonly answer: T }> {
     const turn = this.#proposals.then(async () => {
-      if (!this.holdsLease) {
-        return { kind: "not-leader", leader: this.#leader } as const;
+      const term = this.#term;
+      if (!term || !this.holdsLease) {
+        return { kind: "not-leader" } as const;
       }
       // A proposal of before that timed out may still be pending: its fate comes first.
-      if (!(await this.#committedUpTo(this.#log.last.index))) {
+      if (!(await term.committed(this.#log.lastIndex))) {
         return { kind: "unknown" } as const;
       }
-      const decision = decide(this.#log.base);
+      const decision = decide(this.#state);
       if ("answer" in decision) {
-        return { kind: "answered", answer: decision.answer } as const;
+        // A replica that was suspended, and leads no more, may decide by an old state.
+        return (await term.confirm())
+          ? ({ kind: "answered", answer: decision.answer } as const)
+          : ({ kind: "unknown" } as const);
       }
-      const entry = this.#appendOwn(decision.propose);
-      const done = await this.#committedUpTo(entry.index);
+      const { propose: change } = decision;
+      const index = term.append({ kind: "change", change });
+      const done = index !== undefined && (await term.committed(index));
       return done
-        ? ({ kind: "committed", version: entry.version } as const)
+        ? ({ kind: "committed", version: change.version } as const)
         : ({ kind: "unknown" } as const);
     });
     this.#proposals = turn.catch(() => undefined);
     return turn;
   }
 
-  /** Handles another replica's call for a vote. */
-  onVote(req: ReplicaMessages["VoteRequest"]): ReplicaMessages["VoteReply"] {
-    const now = this.#deps.now();
-    const { electionMinMs } = this.#deps.timing;
-    // A leader that others hear keeps its lease: no vote before it can have run out.
-    const hearsLeader = this.holdsLease || now - this.#leaderHeardAt < electionMinMs;
-    const { last } = this.#log;
-    const upToDate =
-      req.lastTerm > last.term || (req.lastTerm === last.term && req.lastIndex >= last.index);
-    const willing =
-      !hearsLeader && upToDate && req.term >= this.#log.term && this.#log.mayVoteIn(req.term);
-    if (req.pre || !willing) {
-      return { term: this.#log.term, granted: willing };
-    }
-    if (req.term === this.#log.term && !["", req.candidate].includes(this.#log.votedFor)) {
-      return { term: this.#log.term, granted: false };
-    }
-    this.#role = Role.Follower;
-    this.#log.enterTerm(req.term, req.candidate);
-    this.#deferElection();
-    return { term: req.term, granted: true };
-  }
-
-  /** Handles a leader's heartbeat or entries. */
-  onAppend(req: ReplicaMessages["AppendRequest"]): ReplicaMessages["AppendReply"] {
-    const reply = (ok: boolean, matched: number) => ({
-      term: this.#log.term,
-      ok,
-      matched,
-      recovering: this.#log.recovering,
-    });
-    if (req.term < this.#log.term) {
-      return reply(false, -1);
+  /** True once the group is as large as the stated tolerance asks for: an acknowledgement then survives it. */
+  get isGroupComplete(): boolean {
+    const { group, groupIndex } = this.#log;
+    return (
+      group.next === undefined &&
+      group.voters.length >= this.#deps.wantedVoters &&
+      this.#committed >= groupIndex
+    );
+  }
+
+  /** Passes leadership on, before a planned stop. */
+  handOver(): void {
+    const heir = this.#term?.mostAdvanced();
+    if (heir) {
+      const req = { kind: "handover", to: heir.id, term: this.#log.term } as const;
+      this.#deps.link.send(heir.address, req, () => undefined);
     }
-    this.#follow(req.term, req.leader);
-    if (req.whole) {
-      const answers = req.answers.map((a) => [a.requestId, a.version] as const);
-      this.#log.replace(req.entries, answers, req.committed);
-      this.#changed();
-      return reply(true, this.#log.last.index);
+  }
+
+  /** Answers another replica. */
+  receive(req: ReplicaRequest): ReplicaReply {
+    if (req.kind === "join") {
+      return this.#onJoin(req);
     }
-    const prev = this.#log.entries.find((e) => e.index === req.prevIndex);
-    if (prev?.term !== req.prevTerm || this.#log.recovering) {
-      return reply(false, -1);
+    if (req.to !== this.#log.id) {
+      // Meant for a disk that stood at this address before: none of its promises hold here.
+      return { kind: "stranger", id: this.#log.id };
     }
-    this.#takeIn(req.prevIndex, req.entries);
-    const matched = req.prevIndex + req.entries.length;
-    if (this.#log.commit(Math.min(req.committed, matched)).length > 0) {
-      this.#changed();
+    switch (req.kind) {
+      case "vote":
+        return this.#onVote(req);
+      case "append":
+        return this.#onAppend(req);
+      case "handover":
+        return this.#onHandover(req);
     }
-    return reply(true, matched);
   }
 
-  /** Appends what is missing; an entry that stands already is not written again. */
-  #takeIn(prevIndex: number, entries: readonly LogEntry[]): void {
-    const missing = entries.findIndex(
-      (e) => !this.#log.entries.some((own) => own.index === e.index && own.term === e.term),
-    );
-    if (missing >= 0) {
-      this.#log.appendAfter(prevIndex + missing, entries.slice(missing));
-    }
+  get #isVoter(): boolean {
+    return this.voters.some((v) => v.id === this.#log.id);
   }
 
-  /** Looks at what is due: heartbeats, elections, waits that have run out. */
-  tick(): void {
-    const now = this.#deps.now();
-    this.#notify(this.#waiters);
-    if (this.#role === Role.Leader) {
-      if (now - this.#quorumHeardAt() > this.#deps.timing.electionMaxMs) {
-        // Heartbeats may still reach others one way while no answer comes back:
-        // unless it steps down, they would never elect a leader that can commit.
-        this.#deps.logger.warn("no quorum in reach: stepping down");
-        this.#role = Role.Follower;
-        this.#leader = "";
-        this.#deferElection();
-        this.#changed();
-      } else if (now >= this.#heartbeatAt) {
-        this.#replicateAll();
-      }
-    } else if (now >= this.#electionAt) {
-      this.#deferElection();
-      void this.#campaign();
+  get #hearsLeader(): boolean {
+    return this.#deps.clock.now() - this.#leaderHeardAt < this.#deps.timing.electionMinMs;
+  }
+
+  #onVote(req: VoteRequest): ReplicaReply {
+    const granted = this.#mayVote(req) && (req.pre || this.#castVote(req));
+    return { kind: "vote", term: this.#log.term, granted };
+  }
+
+  #mayVote(req: VoteRequest): boolean {
+    const { lastIndex, lastTerm, term } = this.#log;
+    const upToDate =
+      req.lastTerm > lastTerm || (req.lastTerm === lastTerm && req.lastIndex >= lastIndex);
+    // A leader that others hear keeps its lease: no vote before it can have run out.
+    const leaseStands = !req.handover && (this.holdsLease || this.#hearsLeader);
+    return upToDate && !leaseStands && req.term >= term;
+  }
+
+  #castVote(req: VoteRequest): boolean {
+    const { term, votedFor } = this.#log;
+    if (req.term === term && votedFor !== "" && votedFor !== req.candidate) {
+      return false;
     }
-    if (!this.inTouch) {
-      this.#notify(this.#listeners);
+    if (
+      !this.#durably(() => {
+        this.#log.enterTerm(req.term, req.candidate);
+      })
+    ) {
+      return false;
     }
+    this.#stepDown("voted in a later term");
+    this.#election.defer();
+    return true;
   }
 
-  async #campaign(): Promise<void> {
-    // A replica that lost its disk abstains from the next term. If its vote is
-    // needed, sounding that term only would fail for ever: every other try skips it.
-    const term = Math.max(this.#log.term + 1 + (this.#failedPolls % 2), this.#log.minVoteTerm);
-    if (!this.#log.mayVoteIn(term) || !(await this.#poll(term, true))) {
-      this.#failedPolls += 1;
-      return;
+  #onAppend(req: AppendRequest): ReplicaReply {
+    if (req.term < this.#log.term || !this.#follow(req)) {
+      return this.#appendReply(false, this.#committed);
     }
-    this.#failedPolls = 0;
-    if (this.#role === Role.Leader || this.#log.term >= term) {
-      return;
+    const { snapshot } = req;
+    if (snapshot && snapshot.index > this.#committed && !this.#install(snapshot)) {
+      return this.#appendReply(false, this.#committed);
     }
-    this.#role = Role.Candidate;
-    this.#leader = "";
-    this.#log.enterTerm(term, this.#deps.id);
-    if ((await this.#poll(term, false)) && this.#log.term === term) {
-      this.#lead();
+    const joinsOn =
+      req.prevIndex <= this.#committed || this.#log.termAt(req.prevIndex) === req.prevTerm;
+    if (this.#committed < 0 || !joinsOn || !this.#takeIn(req)) {
+      return this.#appendReply(false, this.#committed);
     }
+    const matched = req.prevIndex + req.entries.length;
+    this.#commit(Math.min(req.committed, Math.max(matched, this.#committed)));
+    return this.#appendReply(true, Math.max(matched, this.#committed));
   }
 
-  /** Asks the others to vote; true once a majority, this one included, is for it. */
-  #poll(term: number, pre: boolean): Promise<boolean> {
-    const { last } = this.#log;
-    const req = {
-      term,
-      candidate: this.#deps.id,
-      lastIndex: last.index,
-      lastTerm: last.term,
-      pre,
-    };
-    return new Promise<boolean>((resolve) => {
-      let votes = 1;
-      let open = this.#followers.length;
-      const settle = () => {
-        if (votes >= this.#majority) {
-          resolve(true);
-        } else if (open === 0) {
-          resolve(false);
-        }
-      };
-      settle();
-      for (const { peer } of this.#followers) {
-        void peer
-          .vote(req)
-          .then((reply) => {
-            this.#noteTerm(reply.term);
-            votes += reply.granted ? 1 : 0;
-          })
-          .catch(() => undefined)
-          .finally(() => {
-            open -= 1;
-            settle();
-          });
-      }
-    });
+  #appendReply(ok: boolean, matched: number): ReplicaReply {
+    return { kind: "append", term: this.#log.term, ok, matched };
   }
 
-  #lead(): void {
-    this.#role = Role.Leader;
-    this.#leader = this.#deps.id;
-    for (const f of this.#followers) {
-      f.startTerm(this.#deps.now());
+  /** Recognizes the sender as the leader of its term; false when the disk refuses the new term. */
+  #follow(req: AppendRequest): boolean {
+    if (
+      req.term > this.#log.term &&
+      !this.#durably(() => {
+        this.#log.enterTerm(req.term, req.leader.id);
+      })
+    ) {
+      return false;
+    }
+    this.#stepDown("another leads in this term");
+    if (this.#leader?.replica.id !== req.leader.id) {
+      this.#deps.logger.info({ leader: req.leader, term: req.term }, "following");
     }
-    this.#deps.logger.info({ term: this.#log.term }, "leading");
-    const { version, document } = this.#log.last;
-    // An entry of its own term: once committed, so are all before it.
-    this.#firstOwnIndex = this.#appendOwn({ version, document, requestId: "" }).index;
+    this.#leader = { replica: req.leader, api: req.leaderApi };
+    this.#leaderHeardAt = this.#deps.clock.now();
+    this.#election.defer();
+    return true;
+  }
+
+  #install(snapshot: NonNullable<AppendRequest["snapshot"]>): boolean {
+    if (
+      !this.#durably(() => {
+        this.#log.install(snapshot);
+      })
+    ) {
+      return false;
+    }
+    this.#state = new ConfigState(snapshot.config);
+    this.#committed = snapshot.index;
+    this.#deps.logger.info(
+      { index: snapshot.index, version: snapshot.config.version },
+      "took the leader's snapshot",
+    );
+    this.#changed();
+    return true;
   }
 
-  #appendOwn(content: Omit<LogEntry, "index" | "term">): LogEntry {
-    const { last } = this.#log;
-    const entry = { ...content, index: last.index + 1, term: this.#log.term };
-    this.#log.appendAfter(last.index, [entry]);
-    this.#advanceCommit();
-    this.#replicateAll();
-    return entry;
+  /** Appends what is missing; what stands already, and all that is committed, stays as it is. */
+  #takeIn(req: AppendRequest): boolean {
+    const fresh = req.entries.filter((e) => e.index > this.#committed);
+    const missing = fresh.findIndex((e) => this.#log.termAt(e.index) !== e.term);
+    if (missing < 0) {
+      return true;
+    }
+    const entries = fresh.slice(missing);
+    const after = (entries[0]?.index ?? 0) - 1;
+    return this.#durably(() => {
+      this.#log.append(after, entries);
+    });
   }
 
-  #replicateAll(): void {
-    this.#heartbeatAt = this.#deps.now() + this.#deps.timing.heartbeatMs;
-    for (const f of this.#followers) {
-      void this.#replicate(f);
+  #onHandover(req: HandoverRequest): ReplicaReply {
+    if (req.term === this.#log.term && this.#isVoter) {
+      this.#election.campaign(true);
     }
+    return { kind: "handover" };
   }
 
-  /** Sends one follower what it lacks; one message at a time each. */
-  async #replicate(f: Follower): Promise<void> {
-    if (f.busy) {
-      f.again = true;
-      return;
-    }
-    f.busy = true;
-    const sentAt = this.#deps.now();
-    const req = f.message(this.#log, this.#deps.id);
-    try {
-      const reply = await f.peer.append(req);
-      this.#noteTerm(reply.term);
-      if (this.#role === Role.Leader && req.term === this.#log.term) {
-        this.#noteAck(f, reply, sentAt);
-      }
-    } catch {
-      // Unreachable for now; the next heartbeat tries again.
-    }
-    f.busy = false;
-    if (f.again && this.#role === Role.Leader) {
-      f.again = false;
-      void this.#replicate(f);
-    }
+  #onJoin(req: JoinRequest): ReplicaReply {
+    this.#term?.noteLearner(req.replica);
+    const leader = this.#term ? this.#deps.self.address : (this.#leader?.replica.address ?? "");
+    return { kind: "join", leader };
   }
 
-  #noteAck(f: Follower, reply: ReplicaMessages["AppendReply"], sentAt: number): void {
-    if (f.noteReply(reply, sentAt)) {
-      this.#advanceCommit();
-      this.#notify(this.#waiters);
+  /**
+   * Asks to be let in while outside the group, and while no leader is heard: a voter
+   * that was cut off may have lost its place meanwhile, and does not know.
+   */
+  #keepJoining(): void {
+    const { clock, timing } = this.#deps;
+    if (this.#term === undefined && (!this.#isVoter || !this.#hearsLeader)) {
+      this.#askToJoin();
     }
+    this.#joinTimer = clock.after(timing.joinMs, () => {
+      this.#keepJoining();
+    });
   }
 
-  #advanceCommit(): void {
-    const held = [this.#log.last.index, ...this.#followers.map((f) => f.held)];
-    held.sort((a, b) => b - a);
-    const byMajority = held[this.#majority - 1] ?? -1;
-    // Only an entry of its own term commits by count (the Raft paper's figure 8).
-    const entry = this.#log.entries.find((e) => e.index === byMajority);
-    if (entry?.term === this.#log.term && this.#log.commit(byMajority).length > 0) {
-      this.#changed();
-      this.#replicateAll();
+  #askToJoin(): void {
+    const { self, contacts, link } = this.#deps;
+    const req = { kind: "join", replica: { id: this.#log.id, ...this.#selfAddress() } } as const;
+    const known = [...contacts(), ...this.voters.map((v) => v.address)];
+    const others = new Set(known.filter((address) => address !== self.address));
+    for (const address of others) {
+      link.send(address, req, (reply) => {
+        if (reply.kind === "join" && reply.leader !== "" && !others.has(reply.leader)) {
+          link.send(reply.leader, req, () => undefined);
+        }
+      });
     }
   }
 
-  /** When the last message that a majority acknowledged was sent, by our clock. */
-  #quorumHeardAt(): number {
-    const times = [this.#deps.now(), ...this.#followers.map((f) => f.ackedAt)];
-    times.sort((a, b) => b - a);
-    return times[this.#majority - 1] ?? -Infinity;
+  #selfAddress(): { address: string; zone: string } {
+    const { address, zone } = this.#deps.self;
+    return { address, zone };
   }
 
-  get #majority(): number {
-    return Math.floor((this.#followers.length + 1) / 2) + 1;
+  #lead(): void {
+    const { self, logger } = this.#deps;
+    logger.info({ term: this.#log.term, voters: this.voters.length }, "leading");
+    this.#leader = undefined;
+    this.#term = new LeaderTerm({
+      ...this.#deps,
+      self: { id: this.#log.id, ...this.#selfAddress() },
+      api: self.api,
+      committed: () => this.#committed,
+      commit: (index) => {
+        this.#commit(index);
+      },
+      noteTerm: (term) => {
+        this.#noteTerm(term);
+      },
+      retire: () => {
+        this.handOver();
+        this.#lose("left out of the group");
+      },
+      lost: (reason) => {
+        this.#lose(reason);
+      },
+      durably: (write) => this.#durably(write),
+    });
+    this.#term.start();
   }
 
   #noteTerm(term: number): void {
-    if (term > this.#log.term) {
-      this.#log.enterTerm(term);
-      this.#role = Role.Follower;
-      this.#leader = "";
-      this.#deferElection();
-      this.#changed();
+    if (
+      term > this.#log.term &&
+      this.#durably(() => {
+        this.#log.enterTerm(term);
+      })
+    ) {
+      this.#lose("a later term is known");
     }
   }
 
-  #follow(term: number, leader: string): void {
-    if (term > this.#log.term) {
-      this.#log.enterTerm(term, leader);
+  /** Stops leading, if it does, and waits for another to lead. */
+  #lose(reason: string): void {
+    this.#stepDown(reason);
+    this.#election.defer();
+    this.#changed();
+  }
+
+  #stepDown(reason: string): void {
+    this.#election.giveUp();
+    if (this.#term) {
+      this.#deps.logger.info({ term: this.#log.term, reason }, "no longer leading");
+      this.#term.dispose();
+      this.#term = undefined;
     }
-    this.#role = Role.Follower;
-    this.#leader = leader;
-    this.#leaderHeardAt = this.#deps.now();
-    this.#deferElection();
   }
 
-  #deferElection(): void {
-    const { electionMinMs, electionMaxMs } = this.#deps.timing;
-    const wait = electionMinMs + this.#deps.random() * (electionMaxMs - electionMinMs);
-    this.#electionAt = this.#deps.now() + wait;
+  /** Takes entries up to `index` into the state. */
+  #commit(index: number): void {
+    if (index <= this.#committed) {
+      return;
+    }
+    const fresh = this.#log.after(this.#committed).filter((e) => e.index <= index);
+    this.#committed = index;
+    fresh.forEach((e) => {
+      this.#apply(e);
+    });
+    this.#durably(() => {
+      this.#log.compact(index, () => this.#state.snapshot());
+    });
+    this.#changed();
   }
 
-  #committedUpTo(index: number): Promise<boolean> {
-    return this.#whileLeading(() => this.#log.committed >= index);
+  #apply({ body }: LogEntry): void {
+    if (body.kind === "change") {
+      this.#state.apply(body.change);
+    } else if (body.kind === "group") {
+      const { voters, next } = body.group;
+      const changes = { voters: voters.map((v) => v.id), next: next?.map((v) => v.id) };
+      this.#deps.logger.info(changes, "control group");
+    }
   }
 
-  /** Resolves true once `reached` is, false when that takes too long or leadership is lost. */
-  #whileLeading(reached: () => boolean): Promise<boolean> {
-    const giveUpAt = this.#deps.now() + this.#deps.timing.proposeMs;
-    return new Promise<boolean>((resolve) => {
-      const look = () => {
-        const done = this.#role === Role.Leader && reached();
-        if (done || this.#role !== Role.Leader || this.#deps.now() >= giveUpAt) {
-          this.#waiters.delete(look);
-          resolve(done);
+  /**
+   * Runs a write to the disk; false when the disk refused it, which is then as if
+   * it had not been asked for. A disk that fails or stalls makes a poor leader: it
+   * passes leadership on and does not stand for a while.
+   */
+  #durably(write: () => void): boolean {
+    const startedAt = this.#deps.clock.now();
+    try {
+      write();
+    } catch (err) {
+      if (!(err instanceof StorageError)) {
+        throw err;
+      }
+      this.#deps.logger.error({ err: err.message }, "the disk refused a write");
+      this.#abstain("the disk refused a write");
+      return false;
+    }
+    const ms = this.#deps.clock.now() - startedAt;
+    if (ms > SICK_WRITE_MS) {
+      this.#deps.logger.warn({ ms: Math.round(ms) }, "a write to the disk took long");
+      this.#abstain("the disk is slow");
+    }
+    return true;
+  }
+
+  #abstain(reason: string): void {
+    this.handOver();
+    this.#election.abstain(SICK_DISK_ABSTAINS_MS);
+    if (this.#term) {
+      const term = this.#term;
+      // Not at once: the caller is in the midst of its own step.
+      queueMicrotask(() => {
+        if (this.#term === term) {
+          this.#stepDown(reason);
+          this.#changed();
         }
-      };
-      this.#waiters.add(look);
-      look();
-    });
+      });
+    }
   }
 
   #changed(): void {
-    this.#notify(this.#waiters);
-    this.#notify(this.#listeners);
-  }
-
-  #notify(listeners: ReadonlySet<() => void>): void {
-    for (const listener of [...listeners]) {
+    for (const listener of [...this.#listeners]) {
       listener();
     }
   }
--- /dev/null
+++ b/src/control/replica/ReplicaProto.ts
@@ -0,0 +1,36 @@
+import type { Voter } from "./Voter.ts";
+
+/**
+ * The plain objects that proto-loader gives for `proto/replica.proto` (camel case,
+ * longs as numbers, defaults filled). Kept by hand beside it.
+ */
+export interface ReplicaProto {
+  Voter: { id: string; address: string; zone: string };
+  VoteRequest: {
+    to: string;
+    candidate: string;
+    term: number;
+    lastIndex: number;
+    lastTerm: number;
+    pre: boolean;
+    handover: boolean;
+  };
+  VoteReply: { term: number; granted: boolean; stranger: string };
+  Entry: { index: number; term: number; body: string };
+  AppendRequest: {
+    to: string;
+    term: number;
+    leader: Voter | null;
+    leaderApi: string;
+    committed: number;
+    prevIndex: number;
+    prevTerm: number;
+    entries: ReplicaProto["Entry"][];
+    snapshot: string;
+  };
+  AppendReply: { term: number; ok: boolean; matched: number; stranger: string };
+  JoinRequest: { replica: Voter | null };
+  JoinReply: { leader: string };
+  HandoverRequest: { to: string; term: number };
+  HandoverReply: object;
+}
--- a/src/control/replica/ReplicaTiming.ts
+++ b/src/control/replica/ReplicaTiming.ts
@@ -7,4 +7,8 @@
   readonly electionMaxMs: number;
   /** An apply not committed by then is answered as of unknown outcome. */
   readonly proposeMs: number;
+  /** A voter silent for this long gives up its place, if another replica is ready to take it. */
+  readonly replaceAfterMs: number;
+  /** How often a replica outside the group asks to be let in. */
+  readonly joinMs: number;
 }
--- /dev/null
+++ b/src/control/replica/replicaHandlers.ts
@@ -0,0 +1,33 @@
+import type * as grpc from "@grpc/grpc-js";
+import { ReplicaId } from "../../common/ids/ReplicaId.ts";
+import type { Replica } from "./Replica.ts";
+import type { ReplicaProto } from "./ReplicaProto.ts";
+import { replicaWire } from "./replicaWire.ts";
+
+type Handler<Req extends keyof ReplicaProto, Res extends keyof ReplicaProto> = grpc.handleUnaryCall<
+  ReplicaProto[Req],
+  ReplicaProto[Res]
+>;
+
+/** The gRPC handlers through which other replicas reach this one. */
+export function replicaHandlers(replica: Replica): grpc.UntypedServiceImplementation {
+  const vote: Handler<"VoteRequest", "VoteReply"> = (call, cb) => {
+    const reply = replica.receive(replicaWire.decodeVote(call.request));
+    cb(null, replicaWire.encodeVoteReply(reply));
+  };
+  const append: Handler<"AppendRequest", "AppendReply"> = (call, cb) => {
+    const reply = replica.receive(replicaWire.decodeAppend(call.request));
+    cb(null, replicaWire.encodeAppendReply(reply));
+  };
+  const join: Handler<"JoinRequest", "JoinReply"> = (call, cb) => {
+    const { replica: who } = call.request;
+    const reply = who && replica.receive({ kind: "join", replica: who });
+    cb(null, { leader: reply?.kind === "join" ? reply.leader : "" });
+  };
+  const handover: Handler<"HandoverRequest", "HandoverReply"> = (call, cb) => {
+    const { to, term } = call.request;
+    replica.receive({ kind: "handover", to: ReplicaId(to), term });
+    cb(null, {});
+  };
+  return { Vote: vote, Append: append, Join: join, Handover: handover };
+}
--- /dev/null
+++ b/src/control/replica/replicaWire.ts
@@ -0,0 +1,70 @@
+import { ReplicaId } from "../../common/ids/ReplicaId.ts";
+import type { EntryBody, LogEntry } from "./LogEntry.ts";
+import type { LogSnapshot } from "./LogSnapshot.ts";
+import type { AppendRequest, ReplicaReply, VoteRequest } from "./ReplicaMessages.ts";
+import type { ReplicaProto } from "./ReplicaProto.ts";
+
+type Proto<K extends keyof ReplicaProto> = ReplicaProto[K];
+
+/** Replicas' messages to and from their form in `proto/replica.proto`. */
+export const replicaWire = {
+  encodeAppend: (req: AppendRequest): Proto<"AppendRequest"> => ({
+    ...req,
+    entries: req.entries.map((e) => ({ ...e, body: JSON.stringify(e.body) })),
+    snapshot: req.snapshot ? JSON.stringify(req.snapshot) : "",
+  }),
+
+  decodeAppend: (raw: Proto<"AppendRequest">): AppendRequest => ({
+    ...raw,
+    kind: "append",
+    to: ReplicaId(raw.to),
+    leader: raw.leader ?? { id: ReplicaId(""), address: "", zone: "" },
+    entries: raw.entries.map(decodeEntry),
+    snapshot: raw.snapshot === "" ? undefined : (JSON.parse(raw.snapshot) as LogSnapshot),
+  }),
+
+  decodeVote: (raw: Proto<"VoteRequest">): VoteRequest => ({
+    ...raw,
+    kind: "vote",
+    to: ReplicaId(raw.to),
+    candidate: ReplicaId(raw.candidate),
+  }),
+
+  encodeAppendReply: (reply: ReplicaReply): Proto<"AppendReply"> => {
+    const nothing = { term: 0, ok: false, matched: -1, stranger: "" };
+    switch (reply.kind) {
+      case "append":
+        return { ...nothing, ...reply };
+      case "stranger":
+        return { ...nothing, stranger: reply.id };
+      default:
+        return nothing;
+    }
+  },
+
+  encodeVoteReply: (reply: ReplicaReply): Proto<"VoteReply"> => {
+    const nothing = { term: 0, granted: false, stranger: "" };
+    switch (reply.kind) {
+      case "vote":
+        return { ...nothing, ...reply };
+      case "stranger":
+        return { ...nothing, stranger: reply.id };
+      default:
+        return nothing;
+    }
+  },
+
+  decodeAppendReply: (raw: Proto<"AppendReply">): ReplicaReply =>
+    raw.stranger === ""
+      ? { kind: "append", term: raw.term, ok: raw.ok, matched: raw.matched }
+      : { kind: "stranger", id: ReplicaId(raw.stranger) },
+
+  decodeVoteReply: (raw: Proto<"VoteReply">): ReplicaReply =>
+    raw.stranger === ""
+      ? { kind: "vote", term: raw.term, granted: raw.granted }
+      : { kind: "stranger", id: ReplicaId(raw.stranger) },
+};
+
+function decodeEntry(raw: Proto<"Entry">): LogEntry {
+  return { index: raw.index, term: raw.term, body: JSON.parse(raw.body) as EntryBody };
+}
--- /dev/null
+++ b/src/control/service/controlHandlers.ts
@@ -0,0 +1,81 @@
+import * as grpc from "@grpc/grpc-js";
+import { parseOperatorDocument } from "../../common/document/parseOperatorDocument.ts";
+import { documentWire } from "../../common/rpc/documentWire.ts";
+import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
+import type { ApplyOutcome } from "./ApplyOutcome.ts";
+import type { ControlService } from "./ControlService.ts";
+import type { Watchers } from "./Watchers.ts";
+
+type WatchCall = grpc.ServerWritableStream<ProtoTypes["WatchRequest"], ProtoTypes["ConfigVersion"]>;
+
+/** The gRPC handlers of the Control service: for the CLI, and for sidecars that follow the document. */
+export function controlHandlers(
+  service: ControlService,
+  watchers: Watchers,
+): grpc.UntypedServiceImplementation {
+  const apply: grpc.handleUnaryCall<ProtoTypes["ApplyRequest"], ProtoTypes["ApplyReply"]> = (
+    call,
+    cb,
+  ) => {
+    applyYaml(service, call.request).then(
+      (outcome) => {
+        const message = outcome.kind === "accepted" ? "" : outcome.message;
+        cb(null, { outcome: outcome.kind, version: outcome.version, message });
+      },
+      (err: unknown) => {
+        cb({ code: grpc.status.INTERNAL, details: String(err) });
+      },
+    );
+  };
+  const watch = (call: WatchCall): void => {
+    // Tells the follower at once that its watch was taken on, before there is any news.
+    call.sendMetadata(new grpc.Metadata());
+    const stop = watchers.add(
+      call.request.have_version,
+      (update) => {
+        call.write(documentWire.encode(update));
+      },
+      () => {
+        call.end();
+      },
+    );
+    if (!stop) {
+      call.emit("error", { code: grpc.status.UNAVAILABLE, details: "out of touch with a quorum" });
+      return;
+    }
+    call.on("cancelled", stop);
+    call.on("close", stop);
+  };
+  const current: grpc.handleUnaryCall<unknown, ProtoTypes["ConfigVersion"]> = (_call, cb) => {
+    void service.read().then((state) => {
+      if (state) {
+        cb(null, documentWire.encode(state.history.whole));
+      } else {
+        const details = `not the leader; leader: ${service.leaderApi ?? "none yet"}`;
+        cb({ code: grpc.status.FAILED_PRECONDITION, details });
+      }
+    });
+  };
+  return { Apply: apply, Watch: watch, Current: current };
+}
+
+async function applyYaml(
+  service: ControlService,
+  req: ProtoTypes["ApplyRequest"],
+): Promise<ApplyOutcome> {
+  const parsed = parseOperatorDocument(req.document);
+  if (!parsed.ok) {
+    const message = parsed.problems
+      .map((p) => `line ${p.line} ${p.field}: ${p.message}`)
+      .join("; ");
+    return { kind: "invalid", version: req.expected_version, message };
+  }
+  return service.apply({
+    kind: "replace",
+    orderId: req.request_id,
+    base: req.expected_version,
+    // 0 leaves the choice to control: the next number.
+    version: req.version > 0 ? req.version : req.expected_version + 1,
+    document: parsed.doc,
+  });
+}
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,12 +1,10 @@
 import { defineCommand, runMain } from "citty";
+import { DaemonSettings } from "../common/settings/DaemonSettings.ts";
+import { loadSettings } from "../common/settings/loadSettings.ts";
+import { SettingsError } from "../common/settings/SettingsError.ts";
 import { createLogger } from "../common/telemetry/createLogger.ts";
-import type { Disposable } from "../common/lifecycle/Disposable.ts";
-import { loadDaemonSettings } from "../common/settings/loadDaemonSettings.ts";
-import { ControlRole } from "../control/ControlRole.ts";
-import { SidecarRole } from "../sidecar/SidecarRole.ts";
-
-/** A planned stop that takes longer than this is cut short, ms. */
-const STOP_DEADLINE_MS = 10_000;
+import { createRole } from "./createRole.ts";
+import { stopOnSignals } from "./stopOnSignals.ts";
 
 const main = defineCommand({
   meta: {
@@ -17,27 +15,25 @@
     settings: { type: "positional", description: "Path of the YAML settings file", required: true },
   },
   async run({ args }) {
-    const cfg = loadDaemonSettings(args.settings);
+    const cfg = loadOrExit(args.settings);
     const log = createLogger("burdockpassd", { role: cfg.role, id: cfg.id });
-    const role: Disposable & { start(): Promise<void> } =
-      cfg.role === "sidecar" ? new SidecarRole(cfg, log) : new ControlRole(cfg, log);
+    const role = createRole(cfg, log);
     await role.start();
-    // A planned stop: stop taking new work, finish what is in flight, exit.
-    const stop = (signal: string) => {
-      log.info({ signal }, "stopping");
-      setTimeout(() => process.exit(1), STOP_DEADLINE_MS).unref();
-      void role.dispose().then(() => {
-        log.info("stopped");
-        process.exit(0);
-      });
-    };
-    process.once("SIGTERM", () => {
-      stop("SIGTERM");
-    });
-    process.once("SIGINT", () => {
-      stop("SIGINT");
-    });
+    stopOnSignals(role, log);
   },
 });
 
+/** A settings file that cannot be used is the operator's to mend: every problem, and no stack trace. */
+function loadOrExit(path: string): DaemonSettings {
+  try {
+    return loadSettings(path, DaemonSettings);
+  } catch (err) {
+    if (!(err instanceof SettingsError)) {
+      throw err;
+    }
+    process.stderr.write(`${err.message}\n`);
+    process.exit(1);
+  }
+}
+
 void runMain(main);
--- /dev/null
+++ b/src/membership/LocalTargets.test.ts
@@ -0,0 +1,112 @@
+import test from "ava";
+import { TargetId } from "../common/ids/TargetId.ts";
+import type { ProtoTypes } from "../common/rpc/ProtoTypes.ts";
+import { LocalTargets } from "./LocalTargets.ts";
+
+const target = (id: string, url = "http://127.0.0.1:1"): ProtoTypes["Target"] => ({
+  target_id: id,
+  service: "svc",
+  url,
+  slots: 5,
+  state: "ready",
+  health_path: "",
+  ejected: false,
+});
+
+type Step =
+  | { announce: string; sequence: number; url?: string }
+  | { withdraw: string }
+  | { replaced: string }
+  | { wait: number };
+
+const cases: readonly { name: string; steps: readonly Step[]; live: readonly string[] }[] = [
+  {
+    name: "one that announces itself is here",
+    steps: [{ announce: "a", sequence: 1 }],
+    live: ["a"],
+  },
+  {
+    name: "one that falls silent is gone",
+    steps: [{ announce: "a", sequence: 1 }, { wait: 1600 }],
+    live: [],
+  },
+  {
+    name: "one that said goodbye does not come back by a late announcement",
+    steps: [{ announce: "a", sequence: 3 }, { withdraw: "a" }, { announce: "a", sequence: 4 }],
+    live: [],
+  },
+  {
+    name: "another one at its address takes its place",
+    steps: [
+      { announce: "a", sequence: 8 },
+      { announce: "b", sequence: 1 },
+    ],
+    live: ["b"],
+  },
+  {
+    // A crash behind a cut: the announcement of the one that crashed arrives after the next has come.
+    name: "a late announcement of the one before does not take the place back",
+    steps: [
+      { announce: "a", sequence: 8 },
+      { announce: "b", sequence: 1 },
+      { announce: "a", sequence: 9 },
+    ],
+    live: ["b"],
+  },
+  {
+    // This sidecar was restarted, and heard first of the one that had crashed.
+    name: "one that was taken for replaced comes back when it goes on announcing itself",
+    steps: [
+      { announce: "b", sequence: 5 },
+      { announce: "a", sequence: 9 },
+      { announce: "b", sequence: 6 },
+      { announce: "b", sequence: 7 },
+    ],
+    live: ["b"],
+  },
+  {
+    name: "an announcement overtaken by a newer one changes nothing",
+    steps: [
+      { announce: "a", sequence: 5 },
+      { wait: 1000 },
+      { announce: "a", sequence: 4 },
+      { wait: 1000 },
+    ],
+    live: [],
+  },
+  {
+    name: "two at different addresses are both here",
+    steps: [
+      { announce: "a", sequence: 1 },
+      { announce: "b", sequence: 1, url: "http://127.0.0.1:2" },
+    ],
+    live: ["a", "b"],
+  },
+  {
+    name: "one whose address answers for another is not here",
+    steps: [{ announce: "a", sequence: 1 }, { replaced: "a" }],
+    live: [],
+  },
+];
+
+for (const c of cases) {
+  test(c.name, (t) => {
+    let now = 0;
+    const targets = new LocalTargets(() => now, 1500);
+    for (const step of c.steps) {
+      if ("announce" in step) {
+        targets.announce(target(step.announce, step.url), step.sequence);
+      } else if ("withdraw" in step) {
+        targets.withdraw(TargetId(step.withdraw));
+      } else if ("replaced" in step) {
+        targets.noteReplaced(TargetId(step.replaced));
+      } else {
+        now += step.wait;
+      }
+    }
+    t.deepEqual(
+      targets.live().map((x) => x.target_id),
+      [...c.live],
+    );
+  });
+}
--- a/src/sidecar/membership/Membership.test.ts
+++ b/src/membership/Membership.test.ts
@@ -1,7 +1,9 @@
 import test from "ava";
-import { ServiceName } from "../../common/ids/ServiceName.ts";
-import { SidecarId } from "../../common/ids/SidecarId.ts";
-import { ZoneName } from "../../common/ids/ZoneName.ts";
+import type { DocumentUpdate } from "../common/document/DocumentUpdate.ts";
+import { EMPTY_DOCUMENT } from "../common/document/EMPTY_DOCUMENT.ts";
+import { ServiceName } from "../common/ids/ServiceName.ts";
+import { SidecarId } from "../common/ids/SidecarId.ts";
+import { ZoneName } from "../common/ids/ZoneName.ts";
 import { Membership } from "./Membership.ts";
 import type { MembershipPeers } from "./MembershipPeers.ts";
 import { TargetTable } from "./TargetTable.ts";
@@ -32,12 +34,17 @@
 
   start(id: string): void {
     const now = () => this.clock.now;
-    const self = { id: SidecarId(id), peerAddress: id, zone: ZoneName("z"), incarnation: now() };
+    const self = {
+      id: SidecarId(id),
+      peerAddress: id,
+      hopAddress: id,
+      zone: ZoneName("z"),
+      incarnation: now(),
+    };
     const table = new TargetTable(self, now);
     const config = { version: 0 };
-    const offer = (v: { version: number }) => {
+    const offer = (v: DocumentUpdate) => {
       config.version = Math.max(config.version, v.version);
-      return true;
     };
     const membership = new Membership({
       table,
@@ -45,11 +52,12 @@
       seeds: ["s0", "s1"],
       config: {
         offer,
+        since: () => [{ kind: "whole", version: config.version, document: EMPTY_DOCUMENT }],
         get version() {
           return config.version;
         },
       },
-      now,
+      clock: { now, after: () => ({ cancel: () => undefined }) },
       random: () => this.#random(),
     });
     this.up.set(id, { table, membership, config });
@@ -86,7 +94,7 @@
           slots: 4,
           state,
           health_path: "",
-          probe_failing: false,
+          ejected: false,
         });
       }
       await Promise.all([...this.up.values()].map((n) => n.membership.round()));
@@ -106,7 +114,7 @@
         (n) =>
           n.table
             .targetsOf(service)
-            .find((t) => t.peerAddress === id)
+            .find((t) => t.hopAddress === id)
             ?.state.toString() ?? "gone",
       ),
     );
@@ -133,7 +141,10 @@
       },
       sync: (to, members) => call(to, (n) => n.membership.onSync(structuredClone(members))),
       probe: (to, target) => call(to, (n) => n.membership.onProbe(target)),
-      config: (to) => call(to, (n) => ({ version: n.config.version, document: "" })),
+      config: (to) =>
+        call(to, (n) => [
+          { kind: "whole", version: n.config.version, document: EMPTY_DOCUMENT } as const,
+        ]),
     };
   }
 
--- a/src/sidecar/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -1,6 +1,9 @@
-import { Disposable } from "../../common/lifecycle/Disposable.ts";
-import { every } from "../../common/lifecycle/every.ts";
-import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
+import type { Clock } from "../common/lifecycle/Clock.ts";
+import { Disposable } from "../common/lifecycle/Disposable.ts";
+import { every } from "../common/lifecycle/every.ts";
+import type { Timer } from "../common/lifecycle/Timer.ts";
+import type { ProtoTypes } from "../common/rpc/ProtoTypes.ts";
+import type { ConfigSource } from "./ConfigSource.ts";
 import type { MembershipPeers } from "./MembershipPeers.ts";
 import { RumorQueue } from "./RumorQueue.ts";
 import type { TargetTable } from "./TargetTable.ts";
@@ -30,7 +33,7 @@
 /** A member that nobody asked could reach is dead after this long, ms: a pause for garbage collection is not death. */
 const SUSPECT_MS = 1000;
 
-/** Entries of news per message. */
+/** Entries of news per message: about 150 bytes each, two packets of the network at most. */
 const NEWS_PER_MESSAGE = 16;
 
 /** Checksums that differ this often in a row are no news in flight but a gap. */
@@ -42,14 +45,8 @@
 /** One round in this many also tries a member found dead or a seed, to find the other side of a healed partition. */
 const RETRY_GONE_EVERY = 5;
 
-/** Rounds called for by news keep at least this distance, ms. */
-const MIN_ROUND_GAP_MS = 40;
-
-/** The document in force here, and the gate for newer ones. */
-interface ConfigSource {
-  readonly version: number;
-  offer(v: ProtoTypes["ConfigVersion"]): boolean;
-}
+/** Rounds called for by news keep at least this distance, ms: a fleet of 30 then hears of a change within half a second. */
+const NEWS_ROUND_GAP_MS = 60;
 
 interface MembershipDeps {
   readonly table: TargetTable;
@@ -57,8 +54,7 @@
   /** Sidecars to join through, host:port. */
   readonly seeds: readonly string[];
   readonly config: ConfigSource;
-  /** Monotonic clock, ms. */
-  readonly now: () => number;
+  readonly clock: Clock;
   /** In [0, 1); tests pass a seeded one. */
   readonly random: () => number;
 }
@@ -80,32 +76,44 @@
   #syncedAt = -Infinity;
   #lastRoundAt = -Infinity;
   #fetchingConfig = false;
+  #started = false;
+  #hastened = false;
+  #newsTimer: Timer | undefined;
 
   constructor(deps: MembershipDeps) {
     super();
     this.#deps = deps;
+    this.register({
+      dispose: () => {
+        this.#newsTimer?.cancel();
+      },
+    });
     this.#pass([deps.table.own]);
   }
 
-  /** Starts a round every `intervalMs` until disposed. */
+  /** Starts a round every `intervalMs`, and sooner when there is news, until disposed. */
   start(intervalMs: number): void {
+    this.#started = true;
     this.register(every(intervalMs, () => void this.round()));
   }
 
   /** Passes on at once what has changed beside this sidecar: a drain cannot wait for the next round. */
   noteLocalChange(): void {
-    const changed = this.#deps.table.refreshOwn();
-    if (changed) {
+    if (this.#deps.table.refreshOwn()) {
       this.#pass([this.#deps.table.own]);
     }
-    if (changed && this.#deps.now() - this.#lastRoundAt >= MIN_ROUND_GAP_MS) {
-      void this.round();
-    }
+  }
+
+  /** Tells the others that this member is going, before it stops. */
+  async leave(): Promise<void> {
+    this.#deps.table.leave();
+    this.#pass([this.#deps.table.own]);
+    await this.round();
   }
 
   /** One round: probes a few members and passes news on; resolves when all have answered or not. */
   async round(): Promise<void> {
-    this.#lastRoundAt = this.#deps.now();
+    this.#lastRoundAt = this.#deps.clock.now();
     this.#rounds += 1;
     if (this.#deps.table.refreshOwn()) {
       this.#pass([this.#deps.table.own]);
@@ -135,17 +143,21 @@
 
   async #probeMember(member: Member): Promise<void> {
     const { peer_address: address, sidecar_id: id } = member;
-    const startedAt = this.#deps.now();
+    const startedAt = this.#deps.clock.now();
     this.#probing.add(id);
     try {
       const news = await this.#deps.peers.exchange(address, this.#news());
       this.#takeIn(news);
+      if (news.sender !== id) {
+        // Its address has gone to another member, so it is not there any more.
+        this.#declareGone(id);
+      }
       await this.#closeGap(address, news.checksum);
       await this.#catchUp(address, news.config_version);
     } catch {
       if (await this.#reachedByOthers(address)) {
         this.#clear(id);
-      } else if (this.#deps.now() - startedAt < STALLED_MS) {
+      } else if (this.#deps.clock.now() - startedAt < STALLED_MS) {
         this.#suspect(id);
       }
     } finally {
@@ -176,12 +188,16 @@
   #suspect(id: string): void {
     const since = this.#suspects.get(id);
     if (since === undefined) {
-      this.#suspects.set(id, this.#deps.now());
-    } else if (this.#deps.now() - since >= SUSPECT_MS) {
-      this.#suspects.delete(id);
-      if (this.#deps.table.declareGone(id)) {
-        this.#announceNews(id);
-      }
+      this.#suspects.set(id, this.#deps.clock.now());
+    } else if (this.#deps.clock.now() - since >= SUSPECT_MS) {
+      this.#declareGone(id);
+    }
+  }
+
+  #declareGone(id: string): void {
+    this.#suspects.delete(id);
+    if (this.#deps.table.declareGone(id)) {
+      this.#announceNews(id);
     }
   }
 
@@ -203,11 +219,11 @@
   async #closeGap(address: string, checksum: number): Promise<void> {
     this.#gaps = checksum === this.#deps.table.checksum ? 0 : this.#gaps + 1;
     const pause = SYNC_MS_PER_MEMBER * this.#deps.table.memberCount;
-    if (this.#gaps < GAP_AFTER || this.#deps.now() - this.#syncedAt < pause) {
+    if (this.#gaps < GAP_AFTER || this.#deps.clock.now() - this.#syncedAt < pause) {
       return;
     }
     this.#gaps = 0;
-    this.#syncedAt = this.#deps.now();
+    this.#syncedAt = this.#deps.clock.now();
     await this.#tryJoin(address);
   }
 
@@ -221,7 +237,10 @@
     }
     this.#fetchingConfig = true;
     try {
-      this.#deps.config.offer(await this.#deps.peers.config(address));
+      const updates = await this.#deps.peers.config(address, this.#deps.config.version);
+      updates.forEach((u) => {
+        this.#deps.config.offer(u);
+      });
     } finally {
       this.#fetchingConfig = false;
     }
@@ -266,6 +285,21 @@
 
   #announceNews(id: string): void {
     this.#rumors.add(id, this.#deps.table.memberCount);
+    this.#hasten();
+  }
+
+  /** News does not wait for the next round. */
+  #hasten(): void {
+    if (!this.#started || this.#hastened) {
+      return;
+    }
+    this.#hastened = true;
+    const { clock } = this.#deps;
+    const wait = this.#lastRoundAt + NEWS_ROUND_GAP_MS - clock.now();
+    this.#newsTimer = clock.after(Math.max(0, wait), () => {
+      this.#hastened = false;
+      void this.round();
+    });
   }
 
   #sample<T>(pool: readonly T[], most: number): T[] {
--- /dev/null
+++ b/src/membership/NetworkPeers.ts
@@ -0,0 +1,49 @@
+import type { DocumentUpdate } from "../common/document/DocumentUpdate.ts";
+import type { IDisposable } from "../common/lifecycle/IDisposable.ts";
+import { callUnary } from "../common/rpc/callUnary.ts";
+import { documentWire } from "../common/rpc/documentWire.ts";
+import type { ProtoTypes } from "../common/rpc/ProtoTypes.ts";
+import type { DatagramLink } from "./DatagramLink.ts";
+import type { MembershipPeers } from "./MembershipPeers.ts";
+import type { PeerClients } from "./PeerClients.ts";
+
+/** Whole views and documents take longer than news: 2 MB at the two-year size, ms. */
+const BULK_TIMEOUT_MS = 2000;
+
+/** {@link MembershipPeers} over datagrams, and gRPC for what is too large for one. */
+export class NetworkPeers implements MembershipPeers, IDisposable {
+  readonly #clients: PeerClients;
+  readonly #link: DatagramLink;
+
+  constructor(clients: PeerClients, link: DatagramLink) {
+    this.#clients = clients;
+    this.#link = link;
+  }
+
+  exchange(address: string, news: ProtoTypes["News"]): Promise<ProtoTypes["News"]> {
+    return this.#link.probe(address, news);
+  }
+
+  probe(address: string, target: string): Promise<void> {
+    return this.#link.probeFor(address, target);
+  }
+
+  async sync(address: string, members: ProtoTypes["Member"][]): Promise<ProtoTypes["Member"][]> {
+    const reply = await this.#clients
+      .get(address)
+      .call((client) => callUnary(client.Sync.bind(client), { members }, BULK_TIMEOUT_MS));
+    return reply.members;
+  }
+
+  async config(address: string, version: number): Promise<readonly DocumentUpdate[]> {
+    const req = { sidecar_id: "", have_version: version };
+    const reply = await this.#clients
+      .get(address)
+      .call((client) => callUnary(client.Config.bind(client), req, BULK_TIMEOUT_MS));
+    return reply.versions.map((v) => documentWire.decode(v));
+  }
+
+  dispose(): void {
+    this.#link.dispose();
+  }
+}
--- a/src/sidecar/membership/PeerClients.ts
+++ b/src/membership/PeerClients.ts
@@ -1,27 +1,23 @@
 import * as grpc from "@grpc/grpc-js";
-import { CHANNEL_OPTIONS } from "../../common/rpc/CHANNEL_OPTIONS.ts";
-import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
+import type { IDisposable } from "../common/lifecycle/IDisposable.ts";
+import { RenewedClient } from "../common/rpc/RenewedClient.ts";
 import type { PeerClient } from "./PeerClient.ts";
 
 /** One gRPC client per peer address, shared by all that talk to that peer. */
 export class PeerClients implements IDisposable {
   readonly #ctor: grpc.ServiceClientConstructor;
-  readonly #clients = new Map<string, PeerClient>();
+  readonly #clients = new Map<string, RenewedClient<PeerClient>>();
 
   /** `service` is the Peer service's definition, metered or not. */
   constructor(service: grpc.ServiceDefinition) {
     this.#ctor = grpc.makeGenericClientConstructor(service, "Peer");
   }
 
-  /** The client of the sidecar at `address` (host:port), opened on first use. */
-  get(address: string): PeerClient {
+  /** The client of the member at `address` (host:port), opened on first use. */
+  get(address: string): RenewedClient<PeerClient> {
     let client = this.#clients.get(address);
     if (!client) {
-      client = new this.#ctor(
-        address,
-        grpc.credentials.createInsecure(),
-        CHANNEL_OPTIONS,
-      ) as unknown as PeerClient;
+      client = new RenewedClient<PeerClient>(this.#ctor, address);
       this.#clients.set(address, client);
     }
     return client;
@@ -29,7 +25,7 @@
 
   dispose(): void {
     for (const client of this.#clients.values()) {
-      client.close();
+      client.dispose();
     }
     this.#clients.clear();
   }
--- a/src/sidecar/membership/TargetInfo.ts
+++ b/src/membership/TargetInfo.ts
@@ -1,6 +1,6 @@
-import type { ServiceName } from "../../common/ids/ServiceName.ts";
-import type { TargetId } from "../../common/ids/TargetId.ts";
-import type { ZoneName } from "../../common/ids/ZoneName.ts";
+import type { ServiceName } from "../common/ids/ServiceName.ts";
+import type { TargetId } from "../common/ids/TargetId.ts";
+import type { ZoneName } from "../common/ids/ZoneName.ts";
 import type { TargetState } from "./TargetState.ts";
 
 /** One target as this sidecar knows it, from its own announcement or from gossip. */
@@ -13,10 +13,10 @@
   readonly slots: number;
   readonly state: TargetState;
   readonly zone: ZoneName;
-  /** gRPC address of the sidecar beside it. */
-  readonly peerAddress: string;
+  /** Where the gate to it is reached: the sidecar beside it, host:port. */
+  readonly hopAddress: string;
   /** Path of its health endpoint; empty for none. */
   readonly healthPath: string;
-  /** The sidecar beside it found its health endpoint failing. */
-  readonly probeFailing: boolean;
+  /** The sidecar beside it keeps work from it: it looks gray. */
+  readonly ejected: boolean;
 }
--- a/src/sidecar/membership/TargetTable.test.ts
+++ b/src/membership/TargetTable.test.ts
@@ -1,8 +1,8 @@
 import test from "ava";
-import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
-import { ServiceName } from "../../common/ids/ServiceName.ts";
-import { SidecarId } from "../../common/ids/SidecarId.ts";
-import { ZoneName } from "../../common/ids/ZoneName.ts";
+import type { ProtoTypes } from "../common/rpc/ProtoTypes.ts";
+import { ServiceName } from "../common/ids/ServiceName.ts";
+import { SidecarId } from "../common/ids/SidecarId.ts";
+import { ZoneName } from "../common/ids/ZoneName.ts";
 import { TargetState } from "./TargetState.ts";
 import { TargetTable } from "./TargetTable.ts";
 
@@ -13,7 +13,7 @@
   slots: 5,
   state,
   health_path: "",
-  probe_failing: false,
+  ejected: false,
 });
 
 const member = (
@@ -29,6 +29,8 @@
   incarnation,
   targets: [wireTarget(`t-${id}`, state)],
   gone: false,
+  hop_address: `127.0.0.2:${id.length}`,
+  control: false,
 });
 
 const setup = () => {
@@ -37,6 +39,7 @@
     {
       id: SidecarId("self"),
       peerAddress: "127.0.0.1:1",
+      hopAddress: "127.0.0.1:2",
       zone: ZoneName("zone-a"),
       incarnation: 5,
     },
--- a/src/sidecar/membership/TargetTable.ts
+++ b/src/membership/TargetTable.ts
@@ -1,9 +1,10 @@
 import { createHash } from "node:crypto";
-import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
-import { ServiceName } from "../../common/ids/ServiceName.ts";
-import type { SidecarId } from "../../common/ids/SidecarId.ts";
-import { TargetId } from "../../common/ids/TargetId.ts";
-import { ZoneName } from "../../common/ids/ZoneName.ts";
+import type { ProtoTypes } from "../common/rpc/ProtoTypes.ts";
+import { ServiceName } from "../common/ids/ServiceName.ts";
+import type { SidecarId } from "../common/ids/SidecarId.ts";
+import { TargetId } from "../common/ids/TargetId.ts";
+import { ZoneName } from "../common/ids/ZoneName.ts";
+import { LocalTargets } from "./LocalTargets.ts";
 import type { TargetInfo } from "./TargetInfo.ts";
 import { TargetState } from "./TargetState.ts";
 
@@ -33,19 +34,17 @@
   readonly incarnation: number;
 }
 
+/** This process as a member. */
 interface Self {
   readonly id: SidecarId;
+  /** Where other members reach it: gRPC, and datagrams at the same port. */
   readonly peerAddress: string;
+  /** Where other sidecars reach the gate to its target; left out for a control replica. */
+  readonly hopAddress?: string;
   readonly zone: ZoneName;
   readonly incarnation: number;
 }
 
-interface LocalTarget {
-  target: ProtoTypes["Target"];
-  at: number;
-  probeFailing: boolean;
-}
-
 interface Known {
   readonly member: Member;
   /** Local time at which it was last known to be alive. */
@@ -64,19 +63,22 @@
 export class TargetTable {
   readonly #self: Member;
   readonly #now: () => number;
-  readonly #local = new Map<string, LocalTarget>();
+  readonly #local: LocalTargets;
   readonly #remote = new Map<string, Known>();
   #ownContent = "[]";
+  #leaving = false;
   #checksum: number;
   /** Every live target; drawn up afresh after a change. */
   #targets: TargetInfo[] | undefined;
 
   /**
-   * @param self this sidecar; its incarnation is the time of day of its start, ms
+   * @param self this member; its incarnation is the time of day of its start, ms
    * @param now monotonic clock, ms
+   * @param announceTimeoutMs a target silent for this long is taken as gone
    */
-  constructor(self: Self, now: () => number) {
+  constructor(self: Self, now: () => number, announceTimeoutMs = ANNOUNCE_TIMEOUT_MS) {
     this.#now = now;
+    this.#local = new LocalTargets(now, announceTimeoutMs);
     this.#self = {
       sidecar_id: self.id,
       peer_address: self.peerAddress,
@@ -85,6 +87,8 @@
       incarnation: self.incarnation,
       targets: [],
       gone: false,
+      hop_address: self.hopAddress ?? "",
+      control: self.hopAddress === undefined,
     };
     this.#checksum = digestOf(this.#self);
   }
@@ -109,30 +113,44 @@
     return this.#checksum;
   }
 
-  /** Records an announcement by a target beside this sidecar. */
-  announce(target: ProtoTypes["Target"]): void {
-    const probeFailing = this.#local.get(target.target_id)?.probeFailing ?? false;
-    this.#local.set(target.target_id, { target, at: this.#now(), probeFailing });
+  /**
+   * Records an announcement by a target beside this sidecar; false for one that says
+   * nothing new. `sequence` rises with each of the target's announcements.
+   */
+  announce(target: ProtoTypes["Target"], sequence = 0): boolean {
+    if (this.#leaving || !this.#local.announce(target, sequence)) {
+      return false;
+    }
     this.#targets = undefined;
+    return true;
   }
 
-  /** Records what a health probe of a target beside this sidecar found. */
-  noteProbe(targetId: TargetId, failing: boolean): void {
-    const local = this.#local.get(targetId);
-    if (local) {
-      local.probeFailing = failing;
-      this.#targets = undefined;
-    }
+  /** Forgets a target beside this sidecar that has said goodbye. */
+  withdraw(targetId: TargetId): void {
+    this.#local.withdraw(targetId);
+    this.#targets = undefined;
+  }
+
+  /** Records whether work is kept from a target beside this sidecar. */
+  noteEjected(targetId: TargetId, ejected: boolean): void {
+    this.#local.noteEjected(targetId, ejected);
+    this.#targets = undefined;
+  }
+
+  /** Records that another target answers at the address of one beside this sidecar. */
+  noteReplaced(targetId: TargetId): void {
+    this.#local.noteReplaced(targetId);
+    this.#targets = undefined;
   }
 
   /** Live targets beside this sidecar. */
   localTargets(): TargetInfo[] {
-    return this.#liveLocal().map((t) => toInfo(t, this.#self));
+    return this.#local.live().map((t) => toInfo(t, this.#self));
   }
 
   /** Brings our own entry up to date; true when it changed, which peers should hear. */
   refreshOwn(): boolean {
-    const targets = this.#liveLocal();
+    const targets = this.#leaving ? [] : this.#local.live();
     const content = JSON.stringify(targets);
     if (content === this.#ownContent) {
       return false;
@@ -143,6 +161,14 @@
     return true;
   }
 
+  /** Declares this member gone, before it stops; it announces nothing from here on. */
+  leave(): void {
+    this.#leaving = true;
+    this.#local.clear();
+    this.#targets = undefined;
+    this.#reviseOwn({ targets: [], gone: true, revision: this.#self.revision + 1 });
+  }
+
   /** Every entry, the dead ones included, for a peer's whole view. */
   entries(): Member[] {
     return [this.#self, ...[...this.#remote.values()].map((k) => k.member)];
@@ -190,11 +216,19 @@
     return [...this.#remote.values()].map((k) => k.member).filter((m) => m.gone);
   }
 
+  /** Where control replicas that are members are reached. */
+  controlAddresses(): string[] {
+    return this.#liveRemote()
+      .filter((m) => m.control)
+      .map((m) => m.peer_address);
+  }
+
   /** Sidecars that keep records of non-idempotent requests, this one included. */
   recordPool(): RecordMember[] {
     const cutoff = this.#now() - RECORD_MEMBER_TIMEOUT_MS;
     const heard = [...this.#remote.values()].filter((k) => !k.member.gone || k.aliveAt >= cutoff);
-    return [this.#self, ...heard.map((k) => k.member)].map((m) => ({
+    const sidecars = [this.#self, ...heard.map((k) => k.member)].filter((m) => !m.control);
+    return sidecars.map((m) => ({
       id: m.sidecar_id,
       zone: m.zone,
       peerAddress: m.peer_address,
@@ -226,13 +260,6 @@
     return 1 + this.#liveRemote().length;
   }
 
-  #liveLocal(): ProtoTypes["Target"][] {
-    const cutoff = this.#now() - ANNOUNCE_TIMEOUT_MS;
-    return [...this.#local.values()]
-      .filter((e) => e.at >= cutoff)
-      .map((e) => ({ ...e.target, probe_failing: e.probeFailing }));
-  }
-
   #liveRemote(): Member[] {
     return [...this.#remote.values()].map((k) => k.member).filter((m) => !m.gone);
   }
@@ -254,7 +281,7 @@
    * time of day has been set back in between.
    */
   #refute(said: Member): boolean {
-    if (!isNewer(said, this.#self)) {
+    if (this.#leaving || !isNewer(said, this.#self)) {
       return false;
     }
     const stale = said.incarnation > this.#self.incarnation;
@@ -297,9 +324,9 @@
     slots: t.slots,
     state: toTargetState(t.state),
     zone: ZoneName(beside.zone),
-    peerAddress: beside.peer_address,
+    hopAddress: beside.hop_address,
     healthPath: t.health_path,
-    probeFailing: t.probe_failing,
+    ejected: t.ejected,
   };
 }
 
--- /dev/null
+++ b/src/membership/peerHandlers.ts
@@ -0,0 +1,23 @@
+import type * as grpc from "@grpc/grpc-js";
+import { documentWire } from "../common/rpc/documentWire.ts";
+import type { ProtoTypes } from "../common/rpc/ProtoTypes.ts";
+import type { ConfigSource } from "./ConfigSource.ts";
+import type { Membership } from "./Membership.ts";
+
+/** The gRPC handlers for whole views of the members and for the document in force here. */
+export function peerHandlers(
+  membership: Membership,
+  source: ConfigSource,
+): grpc.UntypedServiceImplementation {
+  const sync: grpc.handleUnaryCall<ProtoTypes["Members"], ProtoTypes["Members"]> = (call, cb) => {
+    cb(null, { members: membership.onSync(call.request.members) });
+  };
+  const config: grpc.handleUnaryCall<ProtoTypes["WatchRequest"], ProtoTypes["ConfigVersions"]> = (
+    call,
+    cb,
+  ) => {
+    const updates = source.since(call.request.have_version);
+    cb(null, { versions: updates.map((u) => documentWire.encode(u)) });
+  };
+  return { Sync: sync, Config: config };
+}
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -1,294 +1,300 @@
-import { join } from "node:path";
 import * as grpc from "@grpc/grpc-js";
 import type bunyan from "bunyan";
+import { startHttpServer } from "../common/http/startHttpServer.ts";
+import { SidecarId } from "../common/ids/SidecarId.ts";
+import { ZoneName } from "../common/ids/ZoneName.ts";
 import { Disposable } from "../common/lifecycle/Disposable.ts";
-import type { DaemonSettings } from "../common/settings/DaemonSettings.ts";
-import { createTracer } from "../common/telemetry/createTracer.ts";
-import { every } from "../common/lifecycle/every.ts";
-import type { OperatorDocument } from "../common/document/OperatorDocument.ts";
+import { SystemClock } from "../common/lifecycle/SystemClock.ts";
 import { loadProto } from "../common/rpc/loadProto.ts";
 import { meterService } from "../common/rpc/meterService.ts";
 import type { NoteBytes } from "../common/rpc/NoteBytes.ts";
-import { SidecarId } from "../common/ids/SidecarId.ts";
 import { startGrpcServer } from "../common/rpc/startGrpcServer.ts";
-import { StallClock } from "../common/lifecycle/StallClock.ts";
-import { startHttpServer } from "../common/http/startHttpServer.ts";
-import { ZoneName } from "../common/ids/ZoneName.ts";
-import { adoptAt } from "./records/adoptAt.ts";
-import { AdaptivePolicy } from "./routing/AdaptivePolicy.ts";
+import type { SidecarSettings } from "../common/settings/SidecarSettings.ts";
+import { openTracing } from "../common/telemetry/openTracing.ts";
+import { DatagramLink } from "../membership/DatagramLink.ts";
+import { Membership } from "../membership/Membership.ts";
+import { NetworkPeers } from "../membership/NetworkPeers.ts";
+import { PeerClients } from "../membership/PeerClients.ts";
+import { peerHandlers } from "../membership/peerHandlers.ts";
+import { TargetTable } from "../membership/TargetTable.ts";
 import { AdminServer } from "./admin/AdminServer.ts";
-import { CallerServer } from "./ingress/CallerServer.ts";
-import { chooseRecordGroup } from "./records/chooseRecordGroup.ts";
+import { SidecarMetrics } from "./admin/SidecarMetrics.ts";
+import type { TrafficKind } from "./admin/TrafficKind.ts";
 import { ConfigFollower } from "./config/ConfigFollower.ts";
+import { probeHealth } from "./detection/probeHealth.ts";
+import type { Dialect } from "./dialect/Dialect.ts";
+import { ownDialect } from "./dialect/ownDialect.ts";
+import { HopClient } from "./hop/HopClient.ts";
+import { CallerServer } from "./ingress/CallerServer.ts";
+import { AdaptivePolicy } from "./routing/AdaptivePolicy.ts";
 import { Dispatcher } from "./routing/Dispatcher.ts";
-import { EvidenceExchange } from "./detection/EvidenceExchange.ts";
-import { Forwarder } from "./forwarding/Forwarder.ts";
-import { GrpcPeers } from "./membership/GrpcPeers.ts";
-import { HealthProber } from "./detection/HealthProber.ts";
-import { Membership } from "./membership/Membership.ts";
 import { NaivePolicy } from "./routing/NaivePolicy.ts";
-import { OnceRunner } from "./records/OnceRunner.ts";
-import { OnceService } from "./records/OnceService.ts";
-import { PeerClients } from "./membership/PeerClients.ts";
-import { peerHandlers } from "./membership/peerHandlers.ts";
-import { probeHealth } from "./detection/probeHealth.ts";
 import type { RoutingPolicy } from "./routing/RoutingPolicy.ts";
-import { RecordHandover } from "./records/RecordHandover.ts";
-import { RemoteRecordPeer } from "./records/RemoteRecordPeer.ts";
-import { RunRecords } from "./records/RunRecords.ts";
-import { sendOnce } from "./forwarding/sendOnce.ts";
-import { shareWith } from "./detection/shareWith.ts";
-import { SidecarMetrics } from "./admin/SidecarMetrics.ts";
-import { SyncedJournal } from "./records/SyncedJournal.ts";
-import { TargetTable } from "./membership/TargetTable.ts";
-import type { TrafficKind } from "./admin/TrafficKind.ts";
+import { SplitDraw } from "./routing/SplitDraw.ts";
+import type { TargetAnnouncements } from "./TargetAnnouncements.ts";
+import { TargetSide } from "./TargetSide.ts";
 
 /** What each method's messages count as in the traffic metrics. */
 const TRAFFIC_KINDS: Readonly<Record<string, TrafficKind>> = {
-  Exchange: "gossip",
+  Datagram: "gossip",
   Sync: "gossip",
-  Probe: "gossip",
-  Share: "gossip",
   Config: "config",
   Watch: "config",
-  Run: "work",
   Claim: "records",
   Settle: "records",
   Adopt: "records",
 };
 
-/** The journal of run records, under the data folder. */
-const RECORDS_FILE = "run-records.jsonl";
+/** How often a stop looks whether the last run has ended, ms. */
+const IDLE_CHECK_MS = 50;
 
-/** How often records past their retention are dropped, ms. */
-const EXPIRE_MS = 60_000;
+/** The last part of a stop's grace, for closing what is left, ms. */
+const STOP_RESERVE_MS = 300;
 
-/** How long a stop waits for runs in flight beside this sidecar's target, ms. */
-const RUN_GRACE_MS = 6000;
+/** Ports that a sidecar listens at. */
+interface Ports {
+  caller: number;
+  admin: number;
+  peer: number;
+  hop: number;
+}
 
-/** The sidecar's settings. */
-type SidecarSettings = Extract<DaemonSettings, { role: "sidecar" }>;
+/** The parts of a sidecar that its stop goes through in order. */
+interface Parts {
+  readonly caller: CallerServer;
+  readonly callerPort: { dispose(): Promise<void> | void };
+  readonly targets: TargetSide;
+  readonly membership: Membership;
+}
 
 /**
  * The sidecar beside one target VM: the root of its process's component
- * tree. It owns the caller server, the admin server, membership gossip, the
- * config follower and the forwarder; disposing it stops them in reverse.
+ * tree. Disposing it is a planned stop: callers are served on until they have been
+ * sent elsewhere, what is in flight ends, and then everything is closed in reverse order.
  */
 export class SidecarRole extends Disposable {
   readonly #cfg: SidecarSettings;
   readonly #log: bunyan;
-  #ports = { caller: 0, admin: 0, peer: 0 };
+  readonly #dialect: Dialect;
+  #parts: Parts | undefined;
+  #ready = () => false;
+  #ports: Ports = { caller: 0, admin: 0, peer: 0, hop: 0 };
 
-  constructor(cfg: SidecarSettings, log: bunyan) {
+  /** `dialect` is how callers and targets speak; left out, the product's own headers. */
+  constructor(cfg: SidecarSettings, log: bunyan, dialect: Dialect = ownDialect) {
     super();
     this.#cfg = cfg;
     this.#log = log;
+    this.#dialect = dialect;
   }
 
   /** Ports actually bound (settings may ask for 0). */
-  get ports(): Readonly<{ caller: number; admin: number; peer: number }> {
+  get ports(): Readonly<Ports> {
     return this.#ports;
   }
 
+  /** Callers may be sent here: there is a document, others to work with, and no stop under way. */
+  get isReady(): boolean {
+    return this.#ready();
+  }
+
+  /** Where targets beside this sidecar are announced; there once {@link start} has returned. */
+  get announcements(): TargetAnnouncements {
+    if (!this.#parts) {
+      throw new Error("the sidecar has not started");
+    }
+    return this.#parts.targets;
+  }
+
   /** Starts every component; the caller server last, once the rest can serve it. */
   async start(): Promise<void> {
-    const table = new TargetTable(
-      {
-        id: SidecarId(this.#cfg.id),
-        peerAddress: this.#cfg.peer,
-        zone: ZoneName(this.#cfg.zone),
-        incarnation: Date.now(),
-      },
-      () => performance.now(),
-    );
+    const cfg = this.#cfg;
     const metrics = new SidecarMetrics();
     const note: NoteBytes = (method, bytes) => {
       metrics.controlBytes(TRAFFIC_KINDS[method] ?? "other", bytes);
     };
+    const tracing = await openTracing("burdockpass-sidecar", cfg.traceFile);
+    const table = this.#openTable();
+    const caller: { server?: CallerServer } = {};
+    const follower = this.#follow(table, note, () => {
+      const { document } = follower;
+      if (document) {
+        caller.server?.limit(document.limits);
+      }
+    });
     const { service } = loadProto().Peer as grpc.ServiceClientConstructor;
     const peerService = meterService(service, note);
-    const follower = this.register(
-      new ConfigFollower({
-        controls: this.#cfg.control,
-        dataDir: this.#cfg.dataDir,
-        sidecarId: this.#cfg.id,
-        log: this.#log,
-        note,
-      }),
-    );
-    follower.start();
-
     const clients = this.register(new PeerClients(peerService));
+    const link = this.register(new DatagramLink(SystemClock, note));
     const membership = this.register(
       new Membership({
         table,
-        peers: new GrpcPeers(clients),
-        seeds: this.#cfg.seeds,
+        peers: new NetworkPeers(clients, link),
+        seeds: cfg.seeds,
         config: follower,
-        now: () => performance.now(),
+        clock: SystemClock,
         random: Math.random,
       }),
     );
-    const evidence = this.#createEvidenceExchange(table, clients);
-    const forwarder = this.register(new Forwarder(this.#cfg.id));
-    const records = this.register(this.#openRecords());
-    const runner = this.#createRunner(table, records, clients, forwarder);
-    const tracer = createTracer("burdockpass-sidecar", this.#cfg.traceFile);
-    const once = new OnceService({
-      records,
-      runner,
-      localTargets: () => table.localTargets(),
-      tracer,
-    });
+    const targets = this.register(
+      new TargetSide({
+        cfg,
+        table,
+        membership,
+        clients,
+        document: () => follower.document,
+        dialect: this.#dialect,
+        tracing,
+        clock: SystemClock,
+        log: this.#log,
+      }),
+    );
     const peerServer = new grpc.Server();
     peerServer.addService(peerService, {
-      ...peerHandlers(membership, evidence, table, follower),
-      ...once.handlers(),
+      ...peerHandlers(membership, follower),
+      ...targets.recordHandlers(),
     });
-    // Stopping it waits for runs in flight here on behalf of other sidecars' callers.
-    const startedPeer = await startGrpcServer(peerServer, this.#cfg.peer, RUN_GRACE_MS);
-    this.#ports.peer = this.register(startedPeer).port;
-    membership.start(this.#cfg.gossipIntervalMs);
-    this.#startHandover(table, records, clients);
-
-    const policy = this.#startPolicy(table, () => follower.document, evidence);
-    this.#startProber(table);
-
-    const status = () => ({
-      role: "sidecar",
-      id: this.#cfg.id,
-      zone: this.#cfg.zone,
-      configVersion: follower.version,
-      members: table.memberCount,
-      targets: describeTargets(table, policy),
+    this.#ports.peer = this.register(await startGrpcServer(peerServer, cfg.peer)).port;
+    await link.listen(cfg.peer, {
+      onProbe: (news) => membership.onExchange(news),
+      onProbeFor: (address) => membership.onProbe(address),
     });
-    const admin = new AdminServer({
-      table,
-      metrics,
-      status,
-      onAnnounce: () => {
-        membership.noteLocalChange();
-      },
-    });
-    this.#ports.admin = this.register(await startHttpServer(admin.server, this.#cfg.admin)).port;
+    const hopPort = this.register(await startHttpServer(targets.gateServer.server, cfg.hop));
+    this.#ports.hop = hopPort.port;
+    membership.start(cfg.gossipIntervalMs);
+    follower.start();
 
-    const dispatcher = new Dispatcher({
-      policy,
-      send: (route, target, req) => {
-        if (route.idempotent) {
-          return forwarder.send(target, req);
-        }
-        const key = `${route.service.name}/${req.headers["idempotency-key"] ?? ""}`;
-        return sendOnce(clients.get(target.peerAddress), key, target, req);
-      },
+    const policy = this.register(this.#openPolicy(table));
+    const splits = new SplitDraw(Math.random);
+    caller.server = new CallerServer({
+      config: () => configOf(follower),
+      dispatcher: this.#dispatcher(policy, table),
+      dialect: this.#dialect,
+      draw: (route) => splits.next(route),
+      metrics,
+      tracing,
+      clock: SystemClock,
+      log: this.#log,
     });
-    const caller = new CallerServer({
-      routes: () => follower.routes,
-      dispatcher,
+    const admin = new AdminServer({
+      announcements: targets,
       metrics,
-      tracer,
+      status: () => this.#status(table, follower, policy, targets),
+      isReady: () => this.isReady,
       log: this.#log,
     });
-    this.#ports.caller = this.register(await startHttpServer(caller.server, this.#cfg.listen)).port;
-    this.#log.info({ ports: this.#ports }, "sidecar started");
+    this.#ports.admin = this.register(await startHttpServer(admin.server, cfg.admin)).port;
+    const callerPort = await startHttpServer(caller.server.server, cfg.listen);
+    this.#ports.caller = callerPort.port;
+    this.#parts = { caller: caller.server, callerPort, targets, membership };
+    this.#ready = () => follower.version > 0 && table.memberCount > 1;
+    this.#log.info({ ports: this.#ports, version: follower.version }, "sidecar started");
   }
 
-  #createEvidenceExchange(table: TargetTable, clients: PeerClients): EvidenceExchange {
-    return new EvidenceExchange({
-      selfId: table.selfId,
-      selfAddress: table.selfAddress,
-      share: (address, bundle) => shareWith(clients.get(address), bundle),
-      now: () => performance.now(),
-      random: Math.random,
-    });
+  /** Stops as planned; see the settings under `stop`. */
+  override async dispose(): Promise<void> {
+    if (this.isDisposed) {
+      return;
+    }
+    const parts = this.#parts;
+    this.#parts = undefined;
+    this.#ready = () => false;
+    if (parts) {
+      await this.#drain(parts);
+    }
+    await super.dispose();
   }
 
-  #startPolicy(
-    table: TargetTable,
-    document: () => OperatorDocument | undefined,
-    evidence: EvidenceExchange,
-  ): RoutingPolicy {
-    if (this.#cfg.policy === "naive") {
-      const naive = this.register(new NaivePolicy({ table, probe: probeHealth, log: this.#log }));
-      naive.start();
-      return naive;
+  async #drain({ caller, callerPort, targets, membership }: Parts): Promise<void> {
+    const { callersMs, graceMs } = this.#cfg.stop;
+    const endAt = SystemClock.now() + graceMs - STOP_RESERVE_MS;
+    targets.close();
+    caller.beginStop();
+    await membership.leave();
+    await sleep(callersMs);
+    const answered = Promise.resolve(callerPort.dispose());
+    await Promise.race([answered, sleep(endAt - SystemClock.now())]);
+    while (targets.isBusy && SystemClock.now() < endAt) {
+      await sleep(IDLE_CHECK_MS);
     }
-    const now = () => performance.now();
-    const stalls = this.register(new StallClock(now));
-    stalls.start();
-    const policy = this.register(
-      new AdaptivePolicy({
-        table,
-        document,
-        now,
+    this.#log.info({ busy: targets.isBusy }, "drained");
+  }
+
+  #openTable(): TargetTable {
+    const { id, peer, hop, zone, announceTimeoutMs } = this.#cfg;
+    const self = {
+      id: SidecarId(id),
+      peerAddress: peer,
+      hopAddress: hop,
+      zone: ZoneName(zone),
+      incarnation: Date.now(),
+    };
+    return new TargetTable(self, () => SystemClock.now(), announceTimeoutMs);
+  }
+
+  #follow(table: TargetTable, note: NoteBytes, onChange: () => void): ConfigFollower {
+    const { control, dataDir, id } = this.#cfg;
+    return this.register(
+      new ConfigFollower({
+        controls: () => [...new Set([...control, ...table.controlAddresses()])],
+        dataDir,
+        sidecarId: id,
+        clock: SystemClock,
         random: Math.random,
-        stallMs: () => stalls.totalMs,
-        evidence,
         log: this.#log,
+        note,
+        onChange,
       }),
     );
-    policy.start();
-    return policy;
   }
 
-  #openRecords(): RunRecords {
-    const dir = this.#cfg.dataDir;
-    const journal = dir ? new SyncedJournal<never>(join(dir, RECORDS_FILE)) : undefined;
-    return new RunRecords(journal, Date.now);
+  #openPolicy(table: TargetTable): RoutingPolicy {
+    if (this.#cfg.policy === "naive") {
+      const naive = new NaivePolicy({ table, probe: probeHealth, log: this.#log });
+      naive.start();
+      return naive;
+    }
+    const zone = ZoneName(this.#cfg.zone);
+    return new AdaptivePolicy({ table, zone, clock: SystemClock, random: Math.random });
   }
 
-  #createRunner(
-    table: TargetTable,
-    records: RunRecords,
-    clients: PeerClients,
-    forwarder: Forwarder,
-  ): OnceRunner {
-    const own = {
-      id: this.#cfg.id,
-      claim: records.claim.bind(records),
-      settle: records.settle.bind(records),
-    };
-    return new OnceRunner({
-      group: (key) =>
-        chooseRecordGroup(key, table.recordPool()).map((m) =>
-          m.id === own.id ? own : new RemoteRecordPeer(m.id, clients.get(m.peerAddress)),
-        ),
-      send: (target, req) => forwarder.send(target, req),
+  #dispatcher(policy: RoutingPolicy, table: TargetTable): Dispatcher {
+    const { callerService, retryBudget } = this.#cfg;
+    return new Dispatcher({
+      policy,
+      hop: this.register(new HopClient()),
+      callerService,
+      budget: retryBudget,
+      members: () => table.memberCount,
+      clock: SystemClock,
+      log: this.#log,
     });
   }
 
-  #startHandover(table: TargetTable, records: RunRecords, clients: PeerClients): void {
-    const handover = this.register(
-      new RecordHandover({
-        selfId: this.#cfg.id,
-        records,
-        pool: () => table.recordPool(),
-        send: (address, due) => adoptAt(clients.get(address), due),
-      }),
-    );
-    handover.start();
-    this.register(
-      every(EXPIRE_MS, () => {
-        records.expire();
-      }),
-    );
+  #status(
+    table: TargetTable,
+    follower: ConfigFollower,
+    policy: RoutingPolicy,
+    targets: TargetSide,
+  ): Record<string, unknown> {
+    const rotation = new Map(policy.describe().map((d) => [d.id, d.rotation]));
+    return {
+      role: "sidecar",
+      id: this.#cfg.id,
+      zone: this.#cfg.zone,
+      configVersion: follower.version,
+      members: table.memberCount,
+      targets: table.allTargets().map((t) => ({ ...t, rotation: rotation.get(t.id) ?? "in" })),
+      beside: targets.describe(),
+    };
   }
+}
 
-  #startProber(table: TargetTable): void {
-    const prober = this.register(
-      new HealthProber({
-        targets: () => table.localTargets(),
-        probe: probeHealth,
-        note: (target, failing) => {
-          table.noteProbe(target, failing);
-        },
-      }),
-    );
-    prober.start();
-  }
+function configOf(follower: ConfigFollower) {
+  const { routes, document, version } = follower;
+  return routes && document && { version, routes, limits: document.limits };
 }
 
-function describeTargets(table: TargetTable, policy: RoutingPolicy) {
-  const rotation = new Map(policy.describe().map((d) => [d.id, d.rotation]));
-  return table.allTargets().map((t) => ({ ...t, rotation: rotation.get(t.id) ?? "in" }));
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, Math.max(0, ms)));
 }
--- /dev/null
+++ b/src/sidecar/TargetSide.ts
@@ -0,0 +1,221 @@
+import { randomUUID } from "node:crypto";
+import { join } from "node:path";
+import type bunyan from "bunyan";
+import type * as grpc from "@grpc/grpc-js";
+import type { OperatorDocument } from "../common/document/OperatorDocument.ts";
+import { Service } from "../common/document/Service.ts";
+import type { TargetId } from "../common/ids/TargetId.ts";
+import { Disposable } from "../common/lifecycle/Disposable.ts";
+import type { Clock } from "../common/lifecycle/Clock.ts";
+import { every } from "../common/lifecycle/every.ts";
+import type { SidecarSettings } from "../common/settings/SidecarSettings.ts";
+import type { Tracing } from "../common/telemetry/Tracing.ts";
+import type { Membership } from "../membership/Membership.ts";
+import type { PeerClients } from "../membership/PeerClients.ts";
+import type { TargetInfo } from "../membership/TargetInfo.ts";
+import type { TargetTable } from "../membership/TargetTable.ts";
+import type { Judge } from "./detection/Judge.ts";
+import { TargetJudge } from "./detection/TargetJudge.ts";
+import { TrustingJudge } from "./detection/TrustingJudge.ts";
+import type { Dialect } from "./dialect/Dialect.ts";
+import type { ForwardResult } from "./forwarding/ForwardResult.ts";
+import type { TargetRequest } from "./forwarding/TargetRequest.ts";
+import { TargetSender } from "./forwarding/TargetSender.ts";
+import { GateServer } from "./gate/GateServer.ts";
+import { RunTable } from "./gate/RunTable.ts";
+import { TargetGates } from "./gate/TargetGates.ts";
+import { TargetRunner } from "./gate/TargetRunner.ts";
+import { adoptAt } from "./records/adoptAt.ts";
+import { chooseRecordGroup } from "./records/chooseRecordGroup.ts";
+import { idempotencyKeyOf } from "./records/idempotencyKeyOf.ts";
+import { OnceRunner } from "./records/OnceRunner.ts";
+import { RecordHandover } from "./records/RecordHandover.ts";
+import { RecordService } from "./records/RecordService.ts";
+import { RemoteRecordPeer } from "./records/RemoteRecordPeer.ts";
+import { RunRecords } from "./records/RunRecords.ts";
+import { SyncedJournal } from "./records/SyncedJournal.ts";
+import type { TargetAnnouncements } from "./TargetAnnouncements.ts";
+
+/** The journal of run records, under the data folder. */
+const RECORDS_FILE = "run-records.jsonl";
+
+/** How often records past their retention are dropped, ms. */
+const EXPIRE_MS = 60_000;
+
+/** Rules for a service that the document does not name (any more). */
+const DEFAULT_SERVICE = Service.parse({ name: "default" });
+
+interface TargetSideDeps {
+  readonly cfg: SidecarSettings;
+  readonly table: TargetTable;
+  readonly membership: Membership;
+  readonly clients: PeerClients;
+  readonly document: () => OperatorDocument | undefined;
+  readonly dialect: Dialect;
+  readonly tracing: Tracing;
+  readonly clock: Clock;
+  readonly log: bunyan;
+}
+
+/**
+ * The part of a sidecar that faces the targets beside it: who is there, the gates to
+ * them, what is thought of them, and the records of what ran under a key.
+ */
+export class TargetSide extends Disposable implements TargetAnnouncements {
+  readonly #deps: TargetSideDeps;
+  readonly #gates: TargetGates;
+  readonly #records: RunRecords;
+  readonly gateServer: GateServer;
+
+  constructor(deps: TargetSideDeps) {
+    super();
+    this.#deps = deps;
+    const { table, clock, log, dialect, cfg, tracing } = deps;
+    const boot = randomUUID();
+    this.#gates = new TargetGates({
+      targets: () => table.localTargets(),
+      judge: (target) => this.#judge(target),
+      clock,
+      boot,
+      log,
+    });
+    this.#records = this.register(this.#openRecords());
+    const sender = this.register(
+      new TargetSender({
+        dialect,
+        clock,
+        via: cfg.id,
+        onOtherTarget: (target, other) => {
+          log.info({ target: target.id, other }, "another target answers at this address");
+          table.noteReplaced(target.id);
+          this.#changed();
+        },
+      }),
+    );
+    const once = this.#onceRunner(sender);
+    const runner = new TargetRunner({
+      gates: this.#gates,
+      runs: new RunTable(clock),
+      target: (id) => table.localTargets().find((t) => t.id === id),
+      send: (target, req) => sendUnderKey(sender, once, target, req),
+      boot,
+    });
+    this.gateServer = new GateServer({ gates: this.#gates, runner, tracing, clock, log });
+    this.register(
+      every(EXPIRE_MS, () => {
+        this.#records.expire();
+      }),
+    );
+    this.#startHandover();
+  }
+
+  announce(...args: Parameters<TargetAnnouncements["announce"]>): void {
+    if (this.#deps.table.announce(...args)) {
+      this.#changed();
+    }
+  }
+
+  withdraw(target: TargetId): void {
+    this.#deps.log.info({ target }, "target has left");
+    this.#deps.table.withdraw(target);
+    this.#changed();
+  }
+
+  /** The gRPC handlers for the records that this sidecar keeps. */
+  recordHandlers(): grpc.UntypedServiceImplementation {
+    return new RecordService(this.#records, this.#deps.clock).handlers();
+  }
+
+  /** Takes no more asks: this sidecar is being stopped. */
+  close(): void {
+    this.#gates.close();
+  }
+
+  /** True while a slot of a target here is granted or in use. */
+  get isBusy(): boolean {
+    return this.#gates.isBusy;
+  }
+
+  /** Load of each target here, for `/status`. */
+  describe(): Record<string, unknown>[] {
+    return this.#deps.table
+      .localTargets()
+      .map((t) => ({ id: t.id, ...this.#gates.get(t.id)?.load }));
+  }
+
+  #changed(): void {
+    this.#gates.targetsChanged();
+    this.#deps.membership.noteLocalChange();
+  }
+
+  #judge(target: TargetInfo): Judge {
+    const { cfg, document, clock, log, table } = this.#deps;
+    if (cfg.policy === "naive") {
+      return TrustingJudge;
+    }
+    const judge: TargetJudge = new TargetJudge({
+      rule: () => {
+        const service = document()?.services.find((s) => s.name === target.service);
+        return (service ?? DEFAULT_SERVICE).detection;
+      },
+      clock,
+      log: log.child({ target: target.id, service: target.service }),
+      onChange: () => {
+        table.noteEjected(target.id, judge.isEjected);
+        this.#changed();
+      },
+    });
+    return judge;
+  }
+
+  #openRecords(): RunRecords {
+    const { cfg, clock } = this.#deps;
+    const path = cfg.dataDir && join(cfg.dataDir, RECORDS_FILE);
+    const journal = path ? new SyncedJournal<never>(path) : undefined;
+    return new RunRecords(journal, () => clock.now());
+  }
+
+  #onceRunner(sender: TargetSender): OnceRunner {
+    const { cfg, table, clients, clock } = this.#deps;
+    const records = this.#records;
+    const own = {
+      id: cfg.id,
+      claim: records.claim.bind(records),
+      settle: records.settle.bind(records),
+    };
+    return new OnceRunner({
+      group: (key) =>
+        chooseRecordGroup(key, table.recordPool()).map((m) =>
+          m.id === own.id ? own : new RemoteRecordPeer(m.id, clients.get(m.peerAddress), clock),
+        ),
+      send: (target, req) => sender.send(target, req),
+      clock,
+    });
+  }
+
+  #startHandover(): void {
+    const { cfg, table, clients, clock } = this.#deps;
+    const handover = this.register(
+      new RecordHandover({
+        selfId: cfg.id,
+        records: this.#records,
+        pool: () => table.recordPool(),
+        send: (address, due) => adoptAt(clients.get(address), due, clock.now()),
+      }),
+    );
+    handover.start();
+  }
+}
+
+/** Work that must not repeat and has a key runs at most once under it, whatever sidecar it comes through. */
+function sendUnderKey(
+  sender: TargetSender,
+  once: OnceRunner,
+  target: TargetInfo,
+  req: TargetRequest,
+): Promise<ForwardResult> {
+  const key = req.idempotent ? undefined : idempotencyKeyOf(req.headers);
+  return key === undefined
+    ? sender.send(target, req)
+    : once.run(`${target.service}/${key}`, target, req);
+}
--- a/src/sidecar/admin/AdminServer.ts
+++ b/src/sidecar/admin/AdminServer.ts
@@ -1,9 +1,12 @@
-import { createServer, type IncomingMessage, type Server } from "node:http";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type bunyan from "bunyan";
 import { z } from "zod";
-import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
+import { readJson } from "../../common/http/readJson.ts";
+import { sendJson } from "../../common/http/sendJson.ts";
+import { TargetId } from "../../common/ids/TargetId.ts";
+import { TargetState } from "../../membership/TargetState.ts";
+import type { TargetAnnouncements } from "../TargetAnnouncements.ts";
 import type { SidecarMetrics } from "./SidecarMetrics.ts";
-import type { TargetTable } from "../membership/TargetTable.ts";
-import { TargetState } from "../membership/TargetState.ts";
 
 /** The body a target posts to `/v1/announce`. */
 const Announcement = z.strictObject({
@@ -14,70 +17,105 @@
   state: z.enum(TargetState),
   /** Path of the health endpoint at `url`; empty for none. */
   healthPath: z.string().default(""),
+  /** Rises with each announcement, so that a late one can be told; left out, none is taken for late. */
+  sequence: z.number().int().min(0).default(0),
 });
 
+/** The body a target posts to `/v1/withdraw`. */
+const Withdrawal = z.strictObject({ targetId: z.string().min(1) });
+
+/** Announcements are a few hundred bytes. */
+const MAX_BODY_BYTES = 16 * 1024;
+
+interface AdminServerDeps {
+  readonly announcements: TargetAnnouncements;
+  readonly metrics: SidecarMetrics;
+  readonly status: () => Record<string, unknown>;
+  /** Callers may be sent here. */
+  readonly isReady: () => boolean;
+  readonly log: bunyan;
+}
+
 /**
  * The sidecar's local HTTP face: targets beside it announce themselves
- * (`POST /v1/announce`, repeated as a heartbeat), Prometheus scrapes
- * `/metrics`, and the CLI reads `/status`.
+ * (`POST /v1/announce`, repeated as a heartbeat) and say goodbye
+ * (`POST /v1/withdraw`), Prometheus scrapes `/metrics`, load balancers ask `/ready`,
+ * and the CLI reads `/status`.
  */
 export class AdminServer {
+  readonly #deps: AdminServerDeps;
   readonly server: Server;
 
-  constructor(deps: {
-    table: TargetTable;
-    metrics: SidecarMetrics;
-    status: () => Record<string, unknown>;
-    /** Called after each announcement. */
-    onAnnounce: () => void;
-  }) {
+  constructor(deps: AdminServerDeps) {
+    this.#deps = deps;
     this.server = createServer((req, res) => {
-      void (async () => {
-        if (req.method === "POST" && req.url === "/v1/announce") {
-          const parsed = Announcement.safeParse(await readJson(req));
-          if (!parsed.success) {
-            res.statusCode = 400;
-            res.end(parsed.error.message);
-            return;
-          }
-          deps.table.announce(toProto(parsed.data));
-          deps.onAnnounce();
-          res.statusCode = 204;
-          res.end();
-          return;
-        }
-        if (req.url === "/metrics") {
-          res.setHeader("content-type", deps.metrics.registry.contentType);
-          res.end(await deps.metrics.registry.metrics());
-          return;
-        }
-        res.setHeader("content-type", "application/json");
-        res.end(JSON.stringify(deps.status()));
-      })();
+      this.#route(req, res).catch((err: unknown) => {
+        deps.log.warn({ err, url: req.url }, "admin request failed");
+        res.destroy();
+      });
     });
   }
-}
 
-function toProto(a: z.infer<typeof Announcement>): ProtoTypes["Target"] {
-  return {
-    target_id: a.targetId,
-    service: a.service,
-    url: a.url,
-    slots: a.slots,
-    state: a.state,
-    health_path: a.healthPath,
-    probe_failing: false,
-  };
-}
+  async #route(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    switch (`${req.method ?? ""} ${req.url ?? ""}`) {
+      case "POST /v1/announce":
+        await this.#announce(req, res);
+        return;
+      case "POST /v1/withdraw":
+        await this.#withdraw(req, res);
+        return;
+      case "GET /metrics": {
+        const { registry } = this.#deps.metrics;
+        res.setHeader("content-type", registry.contentType);
+        res.end(await registry.metrics());
+        return;
+      }
+      case "GET /ready": {
+        const ready = this.#deps.isReady();
+        sendJson(res, ready ? 200 : 503, { ready });
+        return;
+      }
+      case "GET /status":
+        sendJson(res, 200, this.#deps.status());
+        return;
+      default:
+        sendJson(res, 404, { error: "no such page" });
+    }
+  }
+
+  async #announce(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const parsed = await parse(req, Announcement);
+    if (!parsed.ok) {
+      sendJson(res, 400, { error: parsed.error });
+      return;
+    }
+    const { targetId, sequence, healthPath, ...rest } = parsed.value;
+    const target = { target_id: targetId, health_path: healthPath, ejected: false, ...rest };
+    this.#deps.announcements.announce(target, sequence);
+    res.writeHead(204).end();
+  }
 
-async function readJson(req: IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of req as AsyncIterable<Buffer>) {
-    chunks.push(chunk);
+  async #withdraw(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const parsed = await parse(req, Withdrawal);
+    if (!parsed.ok) {
+      sendJson(res, 400, { error: parsed.error });
+      return;
+    }
+    this.#deps.announcements.withdraw(TargetId(parsed.value.targetId));
+    res.writeHead(204).end();
   }
-  try {
-    return JSON.parse(Buffer.concat(chunks).toString("utf8"));
-  } catch {
-    return undefined;
+}
+
+type Parsed<T> =
+  { readonly ok: true; readonly value: T } | { readonly ok: false; readonly error: string };
+
+async function parse<T>(req: IncomingMessage, schema: z.ZodType<T>): Promise<Parsed<T>> {
+  const json = await readJson(req, MAX_BODY_BYTES);
+  if (!json.ok) {
+    return { ok: false, error: json.reason };
   }
+  const parsed = schema.safeParse(json.value);
+  return parsed.success
+    ? { ok: true, value: parsed.data }
+    : { ok: false, error: z.prettifyError(parsed.error) };
 }
--- a/src/sidecar/admin/SidecarMetrics.ts
+++ b/src/sidecar/admin/SidecarMetrics.ts
@@ -1,4 +1,4 @@
-import { Counter, Histogram, Registry, collectDefaultMetrics } from "prom-client";
+import { Counter, Histogram, Registry } from "prom-client";
 import type { TrafficKind } from "./TrafficKind.ts";
 
 /** Buckets for added latency, seconds: fine below 2 ms, where the users' budget is. */
@@ -14,7 +14,8 @@
   readonly #controlBytes: Counter;
 
   constructor() {
-    collectDefaultMetrics({ register: this.registry });
+    // Not prom-client's default metrics: their event loop monitor wakes the process
+    // 100 times a second, most of the 8% of a core that an idle sidecar cost.
     this.#requests = new Counter({
       name: "burdockpass_requests_total",
       help: "Callers' requests answered, by service and verdict.",
--- a/src/sidecar/config/ConfigFollower.test.ts
+++ b/src/sidecar/config/ConfigFollower.test.ts
@@ -3,13 +3,29 @@
 import { join } from "node:path";
 import test from "ava";
 import bunyan from "bunyan";
+import { parseOperatorDocument } from "../../common/document/parseOperatorDocument.ts";
+import { SystemClock } from "../../common/lifecycle/SystemClock.ts";
 import { ConfigFollower } from "./ConfigFollower.ts";
 
-const doc = readFileSync(new URL("../../../config/demo.yaml", import.meta.url), "utf8");
+const parsed = parseOperatorDocument(
+  readFileSync(new URL("../../../config/demo.yaml", import.meta.url), "utf8"),
+);
+if (!parsed.ok) {
+  throw new Error("demo document invalid");
+}
+const { doc } = parsed;
+const whole = (version: number) => ({ kind: "whole" as const, version, document: doc });
 const log = bunyan.createLogger({ name: "test", level: "fatal" });
 
 const follower = (dataDir: string | undefined) =>
-  new ConfigFollower({ controls: ["127.0.0.1:1"], dataDir, sidecarId: "s", log });
+  new ConfigFollower({
+    controls: () => ["127.0.0.1:1"],
+    dataDir,
+    sidecarId: "s",
+    clock: SystemClock,
+    random: Math.random,
+    log,
+  });
 
 const offers: readonly { name: string; versions: number[]; want: number }[] = [
   { name: "newer versions are taken in order", versions: [1, 2, 3], want: 3 },
@@ -21,7 +37,7 @@
   test(`offer: ${c.name}`, (t) => {
     const f = follower(undefined);
     for (const version of c.versions) {
-      f.offer({ version, document: doc });
+      f.offer(whole(version));
     }
     t.is(f.version, c.want);
   });
@@ -32,9 +48,9 @@
   // unreachable. It must serve version 7 at once, not nothing, and must still
   // refuse a lagging replica's version 6 afterwards.
   const dir = mkdtempSync(join(tmpdir(), "bp-follower-"));
-  follower(dir).offer({ version: 7, document: doc });
+  follower(dir).offer(whole(7));
   const restarted = follower(dir);
   t.is(restarted.version, 7);
   t.truthy(restarted.document);
-  t.false(restarted.offer({ version: 6, document: doc }));
+  t.is(restarted.offer(whole(6)), "stale");
 });
--- a/src/sidecar/config/ConfigFollower.ts
+++ b/src/sidecar/config/ConfigFollower.ts
@@ -1,68 +1,77 @@
 import { readFileSync } from "node:fs";
 import { join } from "node:path";
-import type * as grpc from "@grpc/grpc-js";
 import type bunyan from "bunyan";
-import { fromEvent } from "most";
-import { ControlClient } from "../../common/rpc/ControlClient.ts";
+import { DocumentHistory } from "../../common/document/DocumentHistory.ts";
+import type { DocumentUpdate } from "../../common/document/DocumentUpdate.ts";
+import type { OperatorDocument } from "../../common/document/OperatorDocument.ts";
+import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
+import type { Timer } from "../../common/lifecycle/Timer.ts";
 import type { NoteBytes } from "../../common/rpc/NoteBytes.ts";
-import type { OperatorDocument } from "../../common/document/OperatorDocument.ts";
-import { parseOperatorDocument } from "../../common/document/parseOperatorDocument.ts";
-import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
 import { writeFileSynced } from "../../common/storage/writeFileSynced.ts";
+import type { ConfigSource } from "../../membership/ConfigSource.ts";
 import { RouteIndex } from "../routing/RouteIndex.ts";
+import { ControlWatch } from "./ControlWatch.ts";
 
 const DOC_FILE = "accepted-config.json";
 
-/** Wait before watching again after control went away, ms. */
-const REWATCH_DELAY_MS = 300;
+/**
+ * Replicas followed at the same time. With one, a change is late here when that
+ * replica is slow, or its disk stands still, or the path to it was just cut.
+ */
+const WATCHES = 2;
+
+/** Wait before another replica is followed after one went away, ms. */
+const REWATCH_MS = 200;
+
+interface ConfigFollowerDeps {
+  /** Control replicas known at the moment, host:port. */
+  readonly controls: () => readonly string[];
+  readonly dataDir: string | undefined;
+  readonly sidecarId: string;
+  readonly clock: Clock;
+  /** In [0, 1). */
+  readonly random: () => number;
+  readonly log: bunyan;
+  /** Told the size of every message to and from control. */
+  readonly note?: NoteBytes;
+  /** Called when another version has come into force. */
+  readonly onChange?: () => void;
+}
+
+/** One place for a watch, filled again whenever its watch ends. */
+interface Slot {
+  address: string;
+  watch: ControlWatch | undefined;
+  timer: Timer | undefined;
+}
 
 /**
- * Follows control's accepted documents over a gRPC stream. Versions only go
- * up: an older or equal one (a lagging replica, a replayed message) is
- * dropped, so the document in force never reverts. The last accepted one is
- * kept synced under the data folder, where there is one, for restarts.
+ * Follows control's accepted documents. Versions only go up: an older or equal one
+ * (a lagging replica, a replayed message) is dropped, so the document in force never
+ * reverts. The last accepted one is kept synced under the data folder, where there is
+ * one, for restarts.
  */
-export class ConfigFollower implements IDisposable {
-  readonly #controls: readonly string[];
-  readonly #dataDir: string | undefined;
-  readonly #sidecarId: string;
-  readonly #log: bunyan;
-  readonly #note: NoteBytes | undefined;
-  #version = 0;
-  #doc: OperatorDocument | undefined;
-  #text = "";
+export class ConfigFollower implements ConfigSource, IDisposable {
+  readonly #deps: ConfigFollowerDeps;
+  readonly #history = new DocumentHistory();
+  readonly #slots: Slot[] = [];
   #routes: RouteIndex | undefined;
-  #client: ControlClient | undefined;
-  #call: grpc.ClientReadableStream<ProtoTypes["ConfigVersion"]> | undefined;
-  #next = 0;
   #stopped = false;
-  #timer: NodeJS.Timeout | undefined;
-
-  constructor(deps: {
-    controls: readonly string[];
-    dataDir: string | undefined;
-    sidecarId: string;
-    log: bunyan;
-    /** Told the size of every message to and from control. */
-    note?: NoteBytes;
-  }) {
-    this.#controls = deps.controls;
-    this.#dataDir = deps.dataDir;
-    this.#sidecarId = deps.sidecarId;
-    this.#log = deps.log;
-    this.#note = deps.note;
+
+  constructor(deps: ConfigFollowerDeps) {
+    this.#deps = deps;
     this.#loadFromDisk();
   }
 
   /** Version in force here; 0 before any. */
   get version(): number {
-    return this.#version;
+    return this.#history.version;
   }
 
-  /** Document in force here. */
+  /** Document in force here; undefined before any. */
   get document(): OperatorDocument | undefined {
-    return this.#doc;
+    return this.#routes && this.#history.document;
   }
 
   /** The routes in force here; undefined before any document. */
@@ -70,89 +79,116 @@
     return this.#routes;
   }
 
-  /** The document in force here as it was accepted, to pass on to a peer. */
-  get accepted(): ProtoTypes["ConfigVersion"] {
-    return { version: this.#version, document: this.#text };
+  since(version: number): readonly DocumentUpdate[] {
+    return this.#history.since(version);
   }
 
-  /** Starts watching control. */
+  /** Follows control until disposed. */
   start(): void {
-    this.#watch();
+    for (let n = 0; n < WATCHES; n++) {
+      const slot = { address: "", watch: undefined, timer: undefined };
+      this.#slots.push(slot);
+      this.#follow(slot);
+    }
   }
 
   dispose(): void {
     this.#stopped = true;
-    clearTimeout(this.#timer);
-    this.#call?.cancel();
-    this.#client?.close();
+    for (const { watch, timer } of this.#slots) {
+      timer?.cancel();
+      watch?.dispose();
+    }
   }
 
-  /** Applies `v` when it is newer; the single gate through which documents enter. */
-  offer(v: ProtoTypes["ConfigVersion"]): boolean {
-    if (v.version <= this.#version) {
-      return false;
-    }
-    const parsed = parseOperatorDocument(v.document);
-    if (!parsed.ok) {
-      // Control validated it; a document that fails here means a schema skew between versions of us.
-      this.#log.error(
-        { version: v.version, problems: parsed.problems },
-        "accepted document does not parse here",
-      );
-      return false;
+  /** Takes `update` when it is newer; the single gate through which documents enter. */
+  offer(update: DocumentUpdate): "taken" | "stale" | "gap" {
+    const taken = this.#history.take(update);
+    if (taken === "taken") {
+      this.#routes = new RouteIndex(this.#history.document);
+      this.#persist();
+      this.#deps.log.info({ version: update.version, by: update.kind }, "configuration in force");
+      this.#deps.onChange?.();
     }
-    this.#persist(v);
-    this.#version = v.version;
-    this.#doc = parsed.doc;
-    this.#text = v.document;
-    this.#routes = new RouteIndex(parsed.doc);
-    this.#log.info({ version: v.version }, "configuration in force");
-    return true;
+    return taken;
   }
 
-  #watch(): void {
+  #follow(slot: Slot): void {
+    const address = this.#choose(slot);
     if (this.#stopped) {
       return;
     }
-    const address = this.#controls[this.#next % this.#controls.length] ?? "";
-    this.#client?.close();
-    this.#client = ControlClient(address, this.#note);
-    const call = this.#client.Watch({ sidecar_id: this.#sidecarId, have_version: this.#version });
-    this.#call = call;
-    void fromEvent<ProtoTypes["ConfigVersion"]>("data", call)
-      .until(fromEvent("close", call))
-      .filter((v) => v.version > this.#version)
-      .observe((v) => this.offer(v));
-    call.on("error", () => undefined);
-    call.on("close", () => {
-      if (!this.#stopped) {
-        // The replica went away or cut us off: try the next one after a pause.
-        this.#next += 1;
-        this.#timer = setTimeout(() => {
-          this.#watch();
-        }, REWATCH_DELAY_MS);
-      }
-    });
+    if (address === undefined) {
+      this.#followLater(slot);
+      return;
+    }
+    const { sidecarId, clock, note, log } = this.#deps;
+    slot.address = address;
+    slot.watch = new ControlWatch(
+      {
+        sidecarId,
+        clock,
+        note,
+        onOpen: () => {
+          log.info({ replica: address, version: this.version }, "following control");
+        },
+        onUpdate: (update) => {
+          if (this.offer(update) === "gap") {
+            // An edit that was missed: a new watch starts with what is lacking here.
+            slot.watch?.dispose();
+          }
+        },
+        onEnd: (reason) => {
+          log.info({ replica: address, reason }, "no longer following control");
+          slot.watch = undefined;
+          this.#followLater(slot);
+        },
+      },
+      address,
+      this.version,
+    );
+  }
+
+  #followLater(slot: Slot): void {
+    if (!this.#stopped) {
+      slot.timer = this.#deps.clock.after(REWATCH_MS, () => {
+        this.#follow(slot);
+      });
+    }
+  }
+
+  /** A replica that no other slot follows; another one than before, where there is one. */
+  #choose(slot: Slot): string | undefined {
+    const taken = new Set(this.#slots.filter((s) => s !== slot).map((s) => s.address));
+    const free = this.#deps.controls().filter((a) => !taken.has(a));
+    const others = free.filter((a) => a !== slot.address);
+    const pool = others.length > 0 ? others : free;
+    return pool[Math.floor(this.#deps.random() * pool.length)];
   }
 
   #loadFromDisk(): void {
-    if (!this.#dataDir) {
+    const { dataDir, log } = this.#deps;
+    if (!dataDir) {
       return;
     }
     try {
-      const stored = JSON.parse(
-        readFileSync(join(this.#dataDir, DOC_FILE), "utf8"),
-      ) as ProtoTypes["ConfigVersion"];
-      this.offer(stored);
-    } catch {
-      // No file yet, or a lost disk: start from nothing and take control's current version.
+      const text = readFileSync(join(dataDir, DOC_FILE), "utf8");
+      this.offer(JSON.parse(text) as DocumentUpdate);
+    } catch (err) {
+      // No file yet, or a lost disk: control's current version is taken instead.
+      log.info({ err: err instanceof Error ? err.message : err }, "no document on disk");
     }
   }
 
-  #persist(v: ProtoTypes["ConfigVersion"]): void {
-    if (!this.#dataDir) {
+  #persist(): void {
+    const { dataDir, log } = this.#deps;
+    if (!dataDir) {
       return;
     }
-    writeFileSynced(join(this.#dataDir, DOC_FILE), JSON.stringify(v));
+    try {
+      writeFileSynced(join(dataDir, DOC_FILE), JSON.stringify(this.#history.whole));
+    } catch (err) {
+      // It is in force all the same; only a restart without control would miss it.
+      log.warn({ err }, "the document could not be kept on disk");
+    }
   }
 }
--- a/src/sidecar/detection/AttemptOutcome.ts
+++ b/src/sidecar/detection/AttemptOutcome.ts
@@ -2,8 +2,10 @@
 export enum AttemptOutcome {
   /** A whole, correct answer below 500. */
   Ok = "ok",
-  /** A whole answer that blames the target: 5xx, cut short, or another request's answer. */
+  /** A whole answer that says the target failed: 5xx. */
   Failed = "failed",
+  /** An answer cut short, in no known form, or another request's. */
+  Wrong = "wrong",
   /** No answer at all: reset, refused, or silent until the timeout. The path may be at fault. */
   NoAnswer = "no-answer",
   /** The target refused it for want of room, unrun. Says nothing about its health. */
--- /dev/null
+++ b/src/sidecar/detection/TrustingJudge.ts
@@ -0,0 +1,12 @@
+import type { Judge } from "./Judge.ts";
+
+/** Thinks well of every target: part of the baseline that ours is measured against, never for real traffic. */
+export const TrustingJudge: Judge = {
+  suspicion: 0,
+  pace: 1,
+  isSuspect: false,
+  isEjected: false,
+  admits: () => true,
+  note: () => undefined,
+  noteOverdue: () => undefined,
+};
--- a/src/sidecar/detection/probeHealth.ts
+++ b/src/sidecar/detection/probeHealth.ts
@@ -1,5 +1,5 @@
 import { request } from "undici";
-import type { TargetInfo } from "../membership/TargetInfo.ts";
+import type { TargetInfo } from "../../membership/TargetInfo.ts";
 
 /** A probe slower than this has failed, ms; one takes about 25 ms. */
 const PROBE_TIMEOUT_MS = 500;
--- /dev/null
+++ b/src/sidecar/gate/Gate.ts
@@ -0,0 +1,297 @@
+import type { AttemptId } from "../../common/ids/AttemptId.ts";
+import type { Clock } from "../../common/lifecycle/Clock.ts";
+import type { Timer } from "../../common/lifecycle/Timer.ts";
+import type { AttemptOutcome } from "../detection/AttemptOutcome.ts";
+import type { Judge } from "../detection/Judge.ts";
+import type { Ask } from "../hop/Ask.ts";
+import type { AskReply } from "../hop/AskReply.ts";
+import type { GateLoad } from "../hop/GateLoad.ts";
+import { RefusalReason } from "../hop/RefusalReason.ts";
+import { AskQueue, type WaitingAsk } from "./AskQueue.ts";
+
+/** The target, as far as the gate needs to know it. */
+interface GatedTarget {
+  readonly slots: number;
+  /** Takes new work: ready, not leaving. */
+  readonly takesWork: boolean;
+}
+
+interface GateDeps {
+  /** The target as it announced itself last; undefined when it is gone. */
+  readonly target: () => GatedTarget | undefined;
+  readonly judge: Judge;
+  readonly clock: Clock;
+  /** Names this life of the process. */
+  readonly boot: string;
+}
+
+/**
+ * A grant that nobody takes is void after this long, ms. A round trip takes 3; the
+ * rest is for a sidecar on a slowed machine. The slot stands empty meanwhile.
+ */
+const GRANT_MS = 250;
+
+/**
+ * Waiting asks per slot, at most. Each request asks two or three gates, so half and
+ * more of what waits here will be withdrawn; a queue of eight a slot is then two to
+ * four requests deep, about the longest that still meets a deadline of ten times the
+ * work time.
+ */
+const QUEUE_PER_SLOT = 8;
+
+/** Share of the waiting asks that come to run here: the others take another gate's grant. */
+const ASKS_THAT_STAY = 0.5;
+
+/**
+ * A run that takes this many times its usual time is evidence against the target
+ * while it lasts: one that hangs would otherwise be noticed at its deadline only.
+ */
+const OVERDUE_FACTOR = 3;
+
+/** Weight of the newest request in the average service time: about the last ten count. */
+const SERVICE_WEIGHT = 0.1;
+
+/** Assumed service time before any request has run, ms. */
+const FIRST_SERVICE_MS = 300;
+
+/** What holds a slot: a grant that is to be taken, or a run. */
+interface Held {
+  readonly ask: Ask;
+  readonly state: "granted" | "running";
+  /** When it was granted, or its run began, by the gate's clock, ms. */
+  readonly since: number;
+  /** Ends a grant that is not taken; tells when a run is overdue. */
+  readonly timer: Timer;
+}
+
+/** An ask being weighed, which whoever asked may take back. */
+interface Ticket {
+  /** True while it waits for a slot. */
+  readonly queued: boolean;
+  /** Takes the ask, or a grant not taken yet, back. */
+  withdraw(): void;
+}
+
+/**
+ * Admission to one target beside this sidecar. The sidecar is the only way in, so
+ * it knows exactly which slots are free: requests wait here, where they can be put in
+ * order and taken back, and not in the target's own queue. What cannot be served in
+ * time is refused at once, so that another target can be asked.
+ */
+export class Gate {
+  readonly #deps: GateDeps;
+  readonly #queue = new AskQueue();
+  readonly #replies = new Map<WaitingAsk, (reply: AskReply) => void>();
+  readonly #held = new Map<AttemptId, Held>();
+  #serviceMs = FIRST_SERVICE_MS;
+  #closed = false;
+
+  constructor(deps: GateDeps) {
+    this.#deps = deps;
+  }
+
+  /** How busy the target is. */
+  get load(): GateLoad {
+    const { judge } = this.#deps;
+    return {
+      slots: this.#deps.target()?.slots ?? 0,
+      busy: this.#held.size,
+      queued: this.#queue.length,
+      serviceMs: Math.round(this.#serviceMs),
+      pace: judge.pace,
+      suspicion: judge.suspicion,
+      suspect: judge.isSuspect,
+      ejected: judge.isEjected,
+    };
+  }
+
+  /** Weighs an ask; `reply` is called once, at once or when a slot is free. */
+  ask(ask: Ask, reply: (reply: AskReply) => void): Ticket {
+    const refusal = this.#refusalOf(ask);
+    if (refusal !== undefined) {
+      reply(this.#refuse(refusal, ask));
+      return { queued: false, withdraw: () => undefined };
+    }
+    if (this.#freeSlots > 0 && this.#queue.length === 0) {
+      this.#grant(ask, reply);
+      return {
+        queued: false,
+        withdraw: () => {
+          this.revoke(ask.attempt);
+        },
+      };
+    }
+    const waiting = { ask, askedAt: this.#deps.clock.now() };
+    this.#queue.add(waiting);
+    this.#replies.set(waiting, reply);
+    return {
+      queued: true,
+      withdraw: () => {
+        this.#replies.delete(waiting);
+        if (!this.#queue.remove(waiting)) {
+          this.revoke(ask.attempt);
+        }
+      },
+    };
+  }
+
+  /** Begins the run that a grant was given for; false when the grant is void. */
+  take(attempt: AttemptId): Ask | undefined {
+    const { clock, judge } = this.#deps;
+    const granted = this.#held.get(attempt);
+    if (granted?.state !== "granted") {
+      return undefined;
+    }
+    granted.timer.cancel();
+    const { ask } = granted;
+    const usualMs = ask.typicalMs > 0 ? ask.typicalMs : this.#serviceMs;
+    const timer = clock.after(usualMs * OVERDUE_FACTOR, () => {
+      judge.noteOverdue();
+    });
+    this.#held.set(attempt, { ask, state: "running", since: clock.now(), timer });
+    return ask;
+  }
+
+  /** Ends a run, and gives its slot to the next. */
+  end(attempt: AttemptId, outcome: AttemptOutcome): void {
+    const held = this.#held.get(attempt);
+    if (held?.state !== "running") {
+      return;
+    }
+    held.timer.cancel();
+    this.#held.delete(attempt);
+    const ms = this.#deps.clock.now() - held.since;
+    this.#deps.judge.note(outcome, ms, held.ask.typicalMs);
+    this.#noteServiceMs(ms);
+    this.#serveNext();
+  }
+
+  /** True while a slot is granted or in use. */
+  get isBusy(): boolean {
+    return this.#held.size > 0;
+  }
+
+  /** Looks again at what waits: the target has changed, come, or is leaving. */
+  targetChanged(): void {
+    for (const waiting of this.#queue.takeAll((w) => this.#refusalOf(w.ask) !== undefined)) {
+      this.#answer(
+        waiting,
+        this.#refuse(this.#refusalOf(waiting.ask) ?? RefusalReason.Leaving, waiting.ask),
+      );
+    }
+    this.#serveNext();
+  }
+
+  /** Takes no more asks: this sidecar is being stopped. Runs under way go on. */
+  close(): void {
+    this.#closed = true;
+    this.targetChanged();
+  }
+
+  get #freeSlots(): number {
+    return (this.#deps.target()?.slots ?? 0) - this.#held.size;
+  }
+
+  /** Why an ask cannot be granted, now or by waiting; undefined when it can. */
+  #refusalOf(ask: Ask): RefusalReason | undefined {
+    const target = this.#deps.target();
+    if (!target) {
+      return RefusalReason.NoTarget;
+    }
+    if (this.#closed || !target.takesWork) {
+      return RefusalReason.Leaving;
+    }
+    if (this.#held.has(ask.attempt)) {
+      return RefusalReason.Duplicate;
+    }
+    if (!this.#deps.judge.admits(ask, this.#canaries)) {
+      return RefusalReason.Suspect;
+    }
+    const wait = this.#waitMs(ask);
+    const full = this.#queue.length >= QUEUE_PER_SLOT * target.slots;
+    return wait > 0 && (full || wait + this.#serviceMs > ask.remainingMs)
+      ? RefusalReason.Full
+      : undefined;
+  }
+
+  /** Requests under way that would tell whether the target is well again. */
+  get #canaries(): number {
+    return this.#held.size;
+  }
+
+  /** How long an ask would wait for a slot, ms. */
+  #waitMs(ask: Ask): number {
+    if (this.#freeSlots > 0 && this.#queue.length === 0) {
+      return 0;
+    }
+    const { clock } = this.#deps;
+    const ahead = this.#queue.ahead(ask, clock.now(), this.#serviceMs) * ASKS_THAT_STAY;
+    const slots = this.#deps.target()?.slots ?? 1;
+    return ((ahead + 1) * this.#serviceMs) / slots;
+  }
+
+  #refuse(reason: RefusalReason, ask: Ask): AskReply {
+    return {
+      kind: "refused",
+      reason,
+      retryAfterMs: Math.round(this.#waitMs(ask)),
+      load: this.load,
+    };
+  }
+
+  #grant(ask: Ask, reply: (reply: AskReply) => void): void {
+    const { clock, boot } = this.#deps;
+    const timer = clock.after(GRANT_MS, () => {
+      this.revoke(ask.attempt);
+    });
+    this.#held.set(ask.attempt, { ask, state: "granted", since: clock.now(), timer });
+    reply({ kind: "granted", boot, load: this.load });
+  }
+
+  /** Takes back a grant that was not taken; true when there was one. */
+  revoke(attempt: AttemptId): boolean {
+    const held = this.#held.get(attempt);
+    if (held?.state !== "granted") {
+      return false;
+    }
+    held.timer.cancel();
+    this.#held.delete(attempt);
+    this.#serveNext();
+    return true;
+  }
+
+  /** Gives free slots to those whose turn it is. */
+  #serveNext(): void {
+    const { clock } = this.#deps;
+    while (this.#freeSlots > 0) {
+      const next = this.#queue.take(clock.now(), this.#serviceMs);
+      if (!next) {
+        return;
+      }
+      const reply = this.#replies.get(next);
+      this.#replies.delete(next);
+      const waited = clock.now() - next.askedAt;
+      const left = { ...next.ask, remainingMs: next.ask.remainingMs - waited };
+      if (!reply || left.remainingMs <= 0) {
+        continue; // Whoever asked has given up by its own clock.
+      }
+      const refusal = this.#deps.judge.admits(left, this.#canaries)
+        ? undefined
+        : RefusalReason.Suspect;
+      if (refusal) {
+        reply(this.#refuse(refusal, left));
+      } else {
+        this.#grant(left, reply);
+      }
+    }
+  }
+
+  #answer(waiting: WaitingAsk, reply: AskReply): void {
+    this.#replies.get(waiting)?.(reply);
+    this.#replies.delete(waiting);
+  }
+
+  #noteServiceMs(ms: number): void {
+    this.#serviceMs += SERVICE_WEIGHT * (ms - this.#serviceMs);
+  }
+}
--- /dev/null
+++ b/src/sidecar/gate/GateServer.ts
@@ -0,0 +1,326 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { pipeline } from "node:stream";
+import type bunyan from "bunyan";
+import { AttemptId } from "../../common/ids/AttemptId.ts";
+import { ServiceName } from "../../common/ids/ServiceName.ts";
+import { TargetId } from "../../common/ids/TargetId.ts";
+import { readJson } from "../../common/http/readJson.ts";
+import { sendJson } from "../../common/http/sendJson.ts";
+import type { Clock } from "../../common/lifecycle/Clock.ts";
+import type { Timer } from "../../common/lifecycle/Timer.ts";
+import type { Tracing } from "../../common/telemetry/Tracing.ts";
+import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
+import type { ForwardResult } from "../forwarding/ForwardResult.ts";
+import { endToEnd } from "../forwarding/endToEnd.ts";
+import type { HeaderList } from "../forwarding/HeaderList.ts";
+import { withHeaders } from "../forwarding/withHeaders.ts";
+import { openBody } from "../forwarding/openBody.ts";
+import { RETRY_AFTER_MS } from "../forwarding/RETRY_AFTER_MS.ts";
+import type { TargetRequest } from "../forwarding/TargetRequest.ts";
+import { Ask } from "../hop/Ask.ts";
+import type { AskReply } from "../hop/AskReply.ts";
+import { HOP } from "../hop/HOP.ts";
+import { RefusalReason } from "../hop/RefusalReason.ts";
+import { hopAnswer } from "../hop/hopAnswer.ts";
+import type { TargetGates } from "./TargetGates.ts";
+import type { GrantName, TargetRunner } from "./TargetRunner.ts";
+
+/** An ask is some 200 bytes of JSON. */
+const MAX_ASK_BYTES = 16 * 1024;
+
+/** How often a sidecar that waits hears that its request is alive, ms; silence for three of these is suspicious. */
+const ALIVE_MS = 300;
+
+/** Connections from other sidecars are kept this long without use, ms. */
+const KEEP_ALIVE_MS = 30_000;
+
+/** The sidecar that took the request from its caller has held it against the document's limit. */
+const MAX_BODY_BYTES = Infinity;
+
+/** The answer for a target that is not here. */
+const NOT_HERE: AskReply = {
+  kind: "refused",
+  reason: RefusalReason.NoTarget,
+  retryAfterMs: RETRY_AFTER_MS,
+  load: {
+    slots: 0,
+    busy: 0,
+    queued: 0,
+    serviceMs: 0,
+    pace: 1,
+    suspicion: 0,
+    suspect: false,
+    ejected: false,
+  },
+};
+
+/** Headers of ours; they end at this hop. */
+const OWN_HEADERS = new Set<string>(Object.values(HOP));
+
+interface GateServerDeps {
+  readonly gates: Pick<TargetGates, "get">;
+  readonly runner: TargetRunner;
+  readonly tracing: Tracing;
+  readonly clock: Clock;
+  readonly log: bunyan;
+}
+
+/**
+ * The way in to the targets beside this sidecar, for other sidecars and for this one:
+ * asks for a slot, the requests that were granted one, and those that come back for
+ * an answer whose connection was lost.
+ */
+export class GateServer {
+  readonly #deps: GateServerDeps;
+  readonly server: Server;
+
+  constructor(deps: GateServerDeps) {
+    this.#deps = deps;
+    this.server = createServer(
+      { keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: 0 },
+      (req, res) => {
+        this.#route(req, res).catch((err: unknown) => {
+          // The other sidecar broke off: only this request may suffer.
+          deps.log.debug({ err, url: req.url }, "hop request abandoned");
+          res.destroy();
+        });
+      },
+    );
+  }
+
+  async #route(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    if (req.url === HOP.askPath && req.headers[HOP.attempt] === undefined) {
+      await this.#ask(req, res);
+    } else if (req.url === HOP.joinPath && req.headers[HOP.boot] !== undefined) {
+      await this.#join(req, res);
+    } else if (req.headers[HOP.attempt] !== undefined) {
+      await this.#run(req, res);
+    } else {
+      sendJson(res, 404, { error: "not a request between sidecars" });
+    }
+  }
+
+  async #ask(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const json = await readJson(req, MAX_ASK_BYTES);
+    const parsed = json.ok ? Ask.safeParse(json.value) : undefined;
+    if (!parsed?.success) {
+      sendJson(res, 400, { error: json.ok ? "not an ask" : json.reason });
+      return;
+    }
+    const ask = parsed.data;
+    const alive = new AliveSignal(res, this.#deps.clock);
+    const answer = (reply: AskReply) => {
+      alive.stop();
+      this.#logReply(ask, reply);
+      if (!res.destroyed) {
+        sendJson(res, 200, reply);
+      }
+    };
+    const gate = this.#deps.gates.get(ask.target);
+    if (!gate) {
+      answer(NOT_HERE);
+      return;
+    }
+    const ticket = gate.ask(ask, answer);
+    if (ticket.queued) {
+      alive.start();
+    }
+    res.once("close", () => {
+      alive.stop();
+      if (!res.writableFinished) {
+        ticket.withdraw();
+      }
+    });
+  }
+
+  #logReply(ask: Ask, reply: AskReply): void {
+    if (reply.kind === "refused") {
+      const { reason, load } = reply;
+      this.#deps.log.info({ attempt: ask.attempt, reason, load }, "slot refused");
+    }
+  }
+
+  async #run(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const grant = grantOf(req);
+    const left = new AbortController();
+    res.once("close", () => {
+      if (!res.writableFinished) {
+        left.abort();
+      }
+    });
+    const opened = await openBody(req, MAX_BODY_BYTES);
+    const body = "body" in opened ? opened.body : undefined;
+    const startedAt = this.#deps.clock.now();
+    const span = this.#deps.tracing.begin("sidecar.run", req.headers);
+    const run = this.#deps.runner.run(grant, () => ({
+      ...this.#request(req, grant, left.signal),
+      headers: withHeaders(ownHeadersOff(req.rawHeaders), span.headers),
+      body,
+      bodyLength: opened.kind === "stream" ? opened.length : undefined,
+    }));
+    const alive = new AliveSignal(res, this.#deps.clock);
+    alive.start();
+    const out = await run;
+    alive.stop();
+    const ms = Math.round(this.#deps.clock.now() - startedAt);
+    const { attempt, target } = grant;
+    const ended = { attempt, target, verdict: out.verdict, outcome: out.outcome, ms };
+    this.#deps.log.info(ended, "run ended");
+    span.end(out.verdict.kind, out.verdict.kind === "done");
+    this.#answer(res, out);
+  }
+
+  #request(
+    req: IncomingMessage,
+    { attempt, target }: GrantName,
+    left: AbortSignal,
+  ): Omit<TargetRequest, "body" | "headers"> {
+    const { headers } = req;
+    const idempotent = headers[HOP.idempotent] === "1";
+    const echo = headers[HOP.echo];
+    return {
+      method: req.method ?? "GET",
+      path: req.url ?? "/",
+      words: {
+        attempt,
+        target,
+        callerService: ServiceName(String(headers[HOP.caller] ?? "")),
+        echoHeader: typeof echo === "string" ? echo : undefined,
+      },
+      deadlineAt: this.#deps.clock.now() + Number(headers[HOP.remaining]),
+      idempotent,
+      // Work that must not repeat runs to its end even when its caller leaves: cutting
+      // it off would only leave its outcome unknown.
+      cancelled: idempotent ? left : undefined,
+      wholeAnswer: !idempotent,
+    };
+  }
+
+  async #join(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    req.resume();
+    const grant = grantOf(req);
+    const state = this.#deps.runner.state(grant);
+    const { attempt, target } = grant;
+    this.#deps.log.info({ attempt, target, state: state.kind }, "answer asked for again");
+    switch (state.kind) {
+      case "running": {
+        const alive = new AliveSignal(res, this.#deps.clock);
+        alive.start();
+        const out = await state.result;
+        alive.stop();
+        this.#answer(res, out);
+        return;
+      }
+      case "ended":
+        this.#answer(res, state.result);
+        return;
+      case "forgotten":
+      case "unknown":
+        this.#answer(res, unknownOutcome(target));
+    }
+  }
+
+  #answer(res: ServerResponse, out: ForwardResult): void {
+    if (res.destroyed) {
+      return;
+    }
+    const own = hopAnswer.headersOf(out);
+    if (!("body" in out)) {
+      res.writeHead(200, { ...own, "content-length": 0 });
+      res.end();
+      return;
+    }
+    const { body, headers } = out;
+    for (const [name, value] of Object.entries({ ...answerHeaders(headers), ...own })) {
+      if (value !== undefined) {
+        res.setHeader(name, value);
+      }
+    }
+    res.statusCode = out.verdict.status;
+    if (Buffer.isBuffer(body)) {
+      res.setHeader("content-length", lengthOf(res, headers, body));
+      res.end(body);
+    } else {
+      // On a body cut short by the target, pipeline destroys this connection too, so
+      // that the other sidecar sees that it is incomplete.
+      pipeline(body, res, (err) => {
+        if (err) {
+          this.#deps.log.info({ err: err.message }, "streamed answer cut short");
+        }
+      });
+    }
+  }
+}
+
+function grantOf(req: IncomingMessage): GrantName {
+  const text = (name: string) => String(req.headers[name] ?? "");
+  return {
+    attempt: AttemptId(text(HOP.attempt)),
+    target: TargetId(text(HOP.target)),
+    boot: text(HOP.boot),
+  };
+}
+
+function ownHeadersOff(headers: HeaderList): HeaderList {
+  return endToEnd(headers, (name) => OWN_HEADERS.has(name));
+}
+
+/** Tells the other side, while it waits, that its request is alive here (status 102, RFC 2518). */
+class AliveSignal {
+  readonly #res: ServerResponse;
+  readonly #clock: Clock;
+  #timer: Timer | undefined;
+
+  constructor(res: ServerResponse, clock: Clock) {
+    this.#res = res;
+    this.#clock = clock;
+  }
+
+  /** Signals now and again until stopped. */
+  start(): void {
+    if (this.#res.destroyed || this.#res.headersSent) {
+      return;
+    }
+    this.#res.writeProcessing();
+    this.#timer = this.#clock.after(ALIVE_MS, () => {
+      this.start();
+    });
+  }
+
+  stop(): void {
+    this.#timer?.cancel();
+    this.#timer = undefined;
+  }
+}
+
+function unknownOutcome(target: TargetId): ForwardResult {
+  return {
+    verdict: {
+      kind: "may-have-run",
+      target,
+      reason: "the sidecar beside the target does not know how the run ended",
+      timedOut: false,
+      retryAfterMs: RETRY_AFTER_MS,
+    },
+    outcome: AttemptOutcome.NoAnswer,
+  };
+}
+
+/** The target's headers but for those of its connection. */
+function answerHeaders(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): Record<string, string | string[] | undefined> {
+  const list = Object.keys(headers).flatMap((name) => [name, ""]);
+  const kept = new Set(endToEnd(list));
+  return Object.fromEntries(Object.entries(headers).filter(([name]) => kept.has(name)));
+}
+
+/** A HEAD answer keeps the length that the target gave; any other has its body's. */
+function lengthOf(
+  res: ServerResponse,
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+  body: Buffer,
+): number {
+  const declared = Number(headers["content-length"]);
+  return res.req.method === "HEAD" && declared > 0 ? declared : body.length;
+}
--- /dev/null
+++ b/src/sidecar/gate/RunTable.ts
@@ -0,0 +1,120 @@
+import type { AttemptId } from "../../common/ids/AttemptId.ts";
+import type { Clock } from "../../common/lifecycle/Clock.ts";
+import type { ForwardResult } from "../forwarding/ForwardResult.ts";
+
+/** How a run stands that someone asks for again. */
+export type RunState =
+  | { readonly kind: "running"; readonly result: Promise<ForwardResult> }
+  | { readonly kind: "ended"; readonly result: ForwardResult }
+  /** It ended, and its answer is not kept (any more). */
+  | { readonly kind: "forgotten" }
+  | { readonly kind: "unknown" };
+
+/** Answers kept for those whose connection was lost, all together, bytes: a tenth of the process's memory. */
+const MAX_KEPT_BYTES = 32 << 20;
+
+/**
+ * How long an attempt is remembered after its end, ms: longer than any deadline
+ * that a caller gives, so that a request delayed in a cut is known when it arrives.
+ */
+const REMEMBER_MS = 60_000;
+
+/** How often old attempts are dropped, ms. */
+const SWEEP_MS = 10_000;
+
+interface Entry {
+  /** Set while it runs. */
+  running: Promise<ForwardResult> | undefined;
+  result: ForwardResult | undefined;
+  endedAt: number;
+}
+
+/**
+ * Every attempt that ran at the target beside this sidecar, and its answer for a
+ * while. Whoever asked for it may ask again over a new connection and gets the same
+ * answer: a connection lost between two sidecars then leaves no request in doubt, and
+ * none runs twice.
+ */
+export class RunTable {
+  readonly #clock: Clock;
+  readonly #entries = new Map<AttemptId, Entry>();
+  #keptBytes = 0;
+  #sweptAt = 0;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Notes a run from its start to its end. */
+  track(attempt: AttemptId, run: Promise<ForwardResult>): void {
+    this.#sweep();
+    const entry: Entry = { running: run, result: undefined, endedAt: Infinity };
+    this.#entries.set(attempt, entry);
+    void run.then((result) => {
+      entry.running = undefined;
+      entry.endedAt = this.#clock.now();
+      this.#keep(entry, result);
+    });
+  }
+
+  /** How the run of `attempt` stands. */
+  state(attempt: AttemptId): RunState {
+    const entry = this.#entries.get(attempt);
+    if (!entry) {
+      return { kind: "unknown" };
+    }
+    if (entry.running) {
+      return { kind: "running", result: entry.running };
+    }
+    return entry.result ? { kind: "ended", result: entry.result } : { kind: "forgotten" };
+  }
+
+  /** Attempts remembered. */
+  get size(): number {
+    return this.#entries.size;
+  }
+
+  #keep(entry: Entry, result: ForwardResult): void {
+    const bytes = bytesOf(result);
+    if (bytes === undefined) {
+      return; // A streamed answer went out once and cannot be given again.
+    }
+    entry.result = result;
+    this.#keptBytes += bytes;
+    for (const old of this.#entries.values()) {
+      if (this.#keptBytes <= MAX_KEPT_BYTES) {
+        return;
+      }
+      this.#drop(old);
+    }
+  }
+
+  #drop(entry: Entry): void {
+    if (entry.result) {
+      this.#keptBytes -= bytesOf(entry.result) ?? 0;
+      entry.result = undefined;
+    }
+  }
+
+  #sweep(): void {
+    const now = this.#clock.now();
+    if (now - this.#sweptAt < SWEEP_MS) {
+      return;
+    }
+    this.#sweptAt = now;
+    for (const [attempt, entry] of this.#entries) {
+      if (now - entry.endedAt > REMEMBER_MS) {
+        this.#drop(entry);
+        this.#entries.delete(attempt);
+      }
+    }
+  }
+}
+
+/** Bytes of an answer that can be given again; undefined for one that cannot. */
+function bytesOf(result: ForwardResult): number | undefined {
+  if (!("body" in result)) {
+    return 0;
+  }
+  return Buffer.isBuffer(result.body) ? result.body.length : undefined;
+}
--- /dev/null
+++ b/src/sidecar/gate/TargetGates.ts
@@ -0,0 +1,78 @@
+import type bunyan from "bunyan";
+import type { TargetId } from "../../common/ids/TargetId.ts";
+import type { Clock } from "../../common/lifecycle/Clock.ts";
+import type { TargetInfo } from "../../membership/TargetInfo.ts";
+import { TargetState } from "../../membership/TargetState.ts";
+import type { Judge } from "../detection/Judge.ts";
+import { Gate } from "./Gate.ts";
+
+interface TargetGatesDeps {
+  /** Targets beside this sidecar now. */
+  readonly targets: () => readonly TargetInfo[];
+  readonly judge: (target: TargetInfo) => Judge;
+  readonly clock: Clock;
+  readonly log: bunyan;
+  /** Names this life of the process. */
+  readonly boot: string;
+}
+
+/** The gates to the targets beside this sidecar: mostly one, two while one takes another's place. */
+export class TargetGates {
+  readonly #deps: TargetGatesDeps;
+  readonly #gates = new Map<TargetId, Gate>();
+  #closed = false;
+
+  constructor(deps: TargetGatesDeps) {
+    this.#deps = deps;
+  }
+
+  /** The gate to a target that is here; undefined when it is not. */
+  get(id: TargetId): Gate | undefined {
+    const target = this.#deps.targets().find((t) => t.id === id);
+    return this.#gates.get(id) ?? (target && this.#open(target));
+  }
+
+  /** Targets have come, changed or gone: what waits for one of them is weighed again. */
+  targetsChanged(): void {
+    const here = new Set(this.#deps.targets().map((t) => t.id));
+    for (const [id, gate] of this.#gates) {
+      gate.targetChanged();
+      if (!here.has(id) && !gate.isBusy) {
+        this.#gates.delete(id);
+      }
+    }
+  }
+
+  /** Takes no more asks: this sidecar is being stopped. Runs under way go on. */
+  close(): void {
+    this.#closed = true;
+    for (const gate of this.#gates.values()) {
+      gate.close();
+    }
+  }
+
+  /** True while a slot of any target is granted or in use. */
+  get isBusy(): boolean {
+    return [...this.#gates.values()].some((g) => g.isBusy);
+  }
+
+  #open(target: TargetInfo): Gate {
+    const { clock, boot, judge, targets, log } = this.#deps;
+    const { id } = target;
+    const gate = new Gate({
+      target: () => {
+        const now = targets().find((t) => t.id === id);
+        return now && { slots: now.slots, takesWork: now.state === TargetState.Ready };
+      },
+      judge: judge(target),
+      clock,
+      boot,
+    });
+    if (this.#closed) {
+      gate.close();
+    }
+    this.#gates.set(id, gate);
+    log.info({ target: id, service: target.service, slots: target.slots }, "target here");
+    return gate;
+  }
+}
--- /dev/null
+++ b/src/sidecar/gate/TargetRunner.ts
@@ -0,0 +1,91 @@
+import type { AttemptId } from "../../common/ids/AttemptId.ts";
+import type { TargetId } from "../../common/ids/TargetId.ts";
+import type { TargetInfo } from "../../membership/TargetInfo.ts";
+import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
+import type { ForwardResult } from "../forwarding/ForwardResult.ts";
+import { RETRY_AFTER_MS } from "../forwarding/RETRY_AFTER_MS.ts";
+import type { TargetRequest } from "../forwarding/TargetRequest.ts";
+import type { Gate } from "./Gate.ts";
+import type { RunState, RunTable } from "./RunTable.ts";
+import type { TargetGates } from "./TargetGates.ts";
+
+/** A grant, as whoever was given it names it. */
+export interface GrantName {
+  readonly attempt: AttemptId;
+  readonly target: TargetId;
+  /** The life of the process that gave it. */
+  readonly boot: string;
+}
+
+interface TargetRunnerDeps {
+  readonly gates: Pick<TargetGates, "get">;
+  readonly runs: RunTable;
+  /** One of the targets beside this sidecar. */
+  readonly target: (id: TargetId) => TargetInfo | undefined;
+  /** Sends a request to the target, at most once under its idempotency key where it has one. */
+  readonly send: (target: TargetInfo, req: TargetRequest) => Promise<ForwardResult>;
+  /** This life of the process. */
+  readonly boot: string;
+}
+
+/** Runs at a target what was granted a slot there, once for each grant, and knows how each run stands. */
+export class TargetRunner {
+  readonly #deps: TargetRunnerDeps;
+
+  constructor(deps: TargetRunnerDeps) {
+    this.#deps = deps;
+  }
+
+  /** Runs the request that a grant of this life of the process was given for. */
+  run(grant: GrantName, makeRequest: () => TargetRequest): Promise<ForwardResult> {
+    const { attempt, target: id, boot } = grant;
+    const target = this.#deps.target(id);
+    const gate = this.#deps.gates.get(id);
+    if (boot !== this.#deps.boot || !target || !gate?.take(attempt)) {
+      // A grant that has run out, or that another life of the process gave.
+      return Promise.resolve(notRun("the grant is void"));
+    }
+    const run = this.#send(gate, attempt, target, makeRequest());
+    this.#deps.runs.track(attempt, run);
+    return run;
+  }
+
+  /**
+   * How a run stands, for whoever lost the connection to it. An attempt that was
+   * granted and not taken is taken back: it will never run.
+   */
+  state({ attempt, target, boot }: GrantName): RunState {
+    if (this.#deps.gates.get(target)?.revoke(attempt)) {
+      return { kind: "ended", result: notRun("the grant was not taken") };
+    }
+    const state = this.#deps.runs.state(attempt);
+    if (state.kind === "unknown" && boot === this.#deps.boot) {
+      // Every run of this life is remembered, and a grant that is void stays so.
+      return { kind: "ended", result: notRun("the grant was not taken") };
+    }
+    return state;
+  }
+
+  async #send(
+    gate: Gate,
+    attempt: AttemptId,
+    target: TargetInfo,
+    req: TargetRequest,
+  ): Promise<ForwardResult> {
+    let outcome = AttemptOutcome.NoAnswer;
+    try {
+      const out = await this.#deps.send(target, req);
+      outcome = out.outcome;
+      return out;
+    } finally {
+      gate.end(attempt, outcome);
+    }
+  }
+}
+
+function notRun(reason: string): ForwardResult {
+  return {
+    verdict: { kind: "not-run", reason, retryAfterMs: RETRY_AFTER_MS },
+    outcome: AttemptOutcome.Cancelled,
+  };
+}
--- /dev/null
+++ b/src/sidecar/hop/HopClient.ts
@@ -0,0 +1,185 @@
+import type { Readable } from "node:stream";
+import { Pool } from "undici";
+import type { AttemptId } from "../../common/ids/AttemptId.ts";
+import type { TargetId } from "../../common/ids/TargetId.ts";
+import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
+import type { ForwardResult } from "../forwarding/ForwardResult.ts";
+import type { HeaderList } from "../forwarding/HeaderList.ts";
+import { readAnswer } from "../forwarding/readAnswer.ts";
+import type { Ask } from "./Ask.ts";
+import { AskReply } from "./AskReply.ts";
+import { HOP } from "./HOP.ts";
+import { hopAnswer } from "./hopAnswer.ts";
+
+/** A connection between sidecars that takes longer to open is given up, ms: across zones it takes 3. */
+const CONNECT_TIMEOUT_MS = 500;
+
+/** A connection not used for this long is closed, ms; before the other side closes it. */
+const IDLE_MS = 20_000;
+
+/** A caller's request as it crosses to the sidecar beside a target. */
+export interface HopRequest {
+  readonly attempt: AttemptId;
+  readonly target: TargetId;
+  /** The life of the granting process that the grant is good for. */
+  readonly boot: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: HeaderList;
+  readonly body: Buffer | Readable | undefined;
+  readonly bodyLength?: number;
+  readonly remainingMs: number;
+  readonly callerService: string;
+  readonly idempotent: boolean;
+  readonly echoHeader: string | undefined;
+}
+
+/** Something asked of another sidecar. */
+export interface Pending<T> {
+  /** The answer; rejects when the connection is lost, or when given up. */
+  readonly answer: Promise<T>;
+  /** Ends it from this side; the other side sees its connection closed. */
+  giveUp(): void;
+}
+
+/** What to call when the other side says that a request is alive. */
+type OnAlive = () => void;
+
+/** Calls to the sidecars beside targets, by their hop addresses (host:port). */
+export class HopClient implements IDisposable {
+  readonly #pools = new Map<string, Pool>();
+
+  /** Asks for a slot. */
+  ask(address: string, ask: Ask, onAlive: OnAlive): Pending<AskReply> {
+    return this.#start(onAlive, async (signal, onInfo) => {
+      const res = await this.#pool(address).request({
+        method: "POST",
+        path: HOP.askPath,
+        headers: ["content-type", "application/json"],
+        body: JSON.stringify(ask),
+        signal,
+        onInfo,
+        ...UNTIMED,
+      });
+      return AskReply.parse(await res.body.json());
+    });
+  }
+
+  /** Sends a request for which a slot was granted. */
+  run(address: string, req: HopRequest, onAlive: OnAlive): Pending<ForwardResult> {
+    return this.#start(onAlive, async (signal, onInfo) => {
+      const res = await this.#pool(address).request({
+        method: req.method,
+        path: req.path,
+        headers: runHeaders(req),
+        body: req.body,
+        signal,
+        onInfo,
+        ...UNTIMED,
+      });
+      return readResult(res.statusCode, res.headers, res.body);
+    });
+  }
+
+  /** Asks again for the answer of a run whose connection was lost, over a new one. */
+  join(
+    address: string,
+    grant: Pick<HopRequest, "attempt" | "target" | "boot">,
+    onAlive: OnAlive,
+  ): Pending<ForwardResult> {
+    this.renew(address);
+    return this.#start(onAlive, async (signal, onInfo) => {
+      const res = await this.#pool(address).request({
+        method: "POST",
+        path: HOP.joinPath,
+        headers: grantHeaders(grant),
+        signal,
+        onInfo,
+        ...UNTIMED,
+      });
+      return readResult(res.statusCode, res.headers, res.body);
+    });
+  }
+
+  /**
+   * Leaves the kept connections to a sidecar behind: when one has gone silent, so
+   * have the others likely, while new ones work. What is under way on them ends as it may.
+   */
+  renew(address: string): void {
+    const pool = this.#pools.get(address);
+    this.#pools.delete(address);
+    void pool?.close().catch(() => undefined);
+  }
+
+  /** Closes every connection, forcibly. */
+  async dispose(): Promise<void> {
+    const pools = [...this.#pools.values()];
+    this.#pools.clear();
+    await Promise.all(pools.map((p) => p.destroy()));
+  }
+
+  #start<T>(
+    onAlive: OnAlive,
+    act: (signal: AbortSignal, onInfo: () => void) => Promise<T>,
+  ): Pending<T> {
+    const stop = new AbortController();
+    const answer = act(stop.signal, onAlive);
+    // Given up on by whoever asked: nobody is left to hear of its failure.
+    answer.catch(() => undefined);
+    return {
+      answer,
+      giveUp: () => {
+        stop.abort();
+      },
+    };
+  }
+
+  #pool(address: string): Pool {
+    let pool = this.#pools.get(address);
+    if (!pool) {
+      pool = new Pool(`http://${address}`, {
+        connectTimeout: CONNECT_TIMEOUT_MS,
+        keepAliveTimeout: IDLE_MS,
+        keepAliveMaxTimeout: IDLE_MS,
+        pipelining: 1,
+      });
+      this.#pools.set(address, pool);
+    }
+    return pool;
+  }
+}
+
+/** Whoever asks keeps the time: silence means different things to an ask and to a run. */
+const UNTIMED = { headersTimeout: 0, bodyTimeout: 0 } as const;
+
+function grantHeaders(grant: Pick<HopRequest, "attempt" | "target" | "boot">): string[] {
+  const { attempt, target, boot } = grant;
+  return [HOP.attempt, attempt, HOP.target, target, HOP.boot, boot];
+}
+
+function runHeaders(req: HopRequest): string[] {
+  const own = [
+    ...grantHeaders(req),
+    HOP.remaining,
+    String(Math.max(1, Math.floor(req.remainingMs))),
+    HOP.caller,
+    req.callerService,
+  ];
+  const idempotent = req.idempotent ? [HOP.idempotent, "1"] : [];
+  const echo = req.echoHeader === undefined ? [] : [HOP.echo, req.echoHeader];
+  const length = req.bodyLength === undefined ? [] : ["content-length", String(req.bodyLength)];
+  return [...req.headers, ...own, ...idempotent, ...echo, ...length];
+}
+
+async function readResult(
+  status: number,
+  headers: Record<string, string | string[] | undefined>,
+  body: Readable,
+): Promise<ForwardResult> {
+  const answer = await readAnswer(body, false);
+  const result = hopAnswer.read(status, headers, answer);
+  if (!result) {
+    throw new Error(`no sidecar's answer, status ${status}`);
+  }
+  return result;
+}
