--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -1,4 +1,8 @@
-import { bundle } from "./bundle.ts";
+import { bundle, PROGRAMS } from "./bundle.ts";
 
-// Compiles the programs into target/; see README.md.
-await bundle(process.argv[2] ?? "target");
+/** The product on the users' platform; see docs/design/platform.md. */
+const PLATFORM = { "burdockpass-platform": "platform/main.ts" };
+
+// Compiles the programs: `build.ts [FOLDER [platform]]`; see README.md.
+const [outDir = "target", which] = process.argv.slice(2);
+await bundle(outDir, which === "platform" ? PLATFORM : { ...PROGRAMS, ...PLATFORM });
--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -6,7 +6,7 @@
 const ROOT = fileURLToPath(new URL("..", import.meta.url));
 
 /** Programs that make up the product, by their names. */
-const PROGRAMS = {
+export const PROGRAMS = {
   burdockpassd: "src/daemon/main.ts",
   burdockpass: "src/cli/main.ts",
 } as const;
--- a/src/common/document/Millis.ts
+++ b/src/common/document/Millis.ts
@@ -1,4 +1,4 @@
 import { z } from "zod";
 
-/** Milliseconds, as a positive whole number. */
-export const Millis = z.number().int().positive();
+/** Milliseconds, more than none. */
+export const Millis = z.number().positive();
--- a/src/common/settings/SidecarSettings.ts
+++ b/src/common/settings/SidecarSettings.ts
@@ -36,6 +36,8 @@
   hop: HostPort,
   /** The service beside which callers' requests begin here; targets may be told. */
   callerService: z.string().default(""),
+  /** Whether targets see this sidecar's name in the `Via` header (RFC 9110, 7.6.3). */
+  via: z.boolean().default(true),
   /** Members to join through; the rest of the fleet is learned from them. */
   seeds: z.array(HostPort).default([]),
   /** Control replicas; others are learned from the members. */
--- a/src/control/ControlRole.ts
+++ b/src/control/ControlRole.ts
@@ -51,7 +51,7 @@
  * document, hold it on disk, and serve it to sidecars and the CLI over gRPC.
  */
 export class ControlRole extends Disposable {
-  readonly #cfg: ControlSettings;
+  #cfg: ControlSettings;
   readonly #log: bunyan;
   #service: ControlService | undefined;
 
@@ -111,6 +111,11 @@
     this.#log.info({ grpcPort: port, version, replica: replica.id }, "control started");
   }
 
+  /** Takes on settings that can change while it runs: the seeds. */
+  reload({ seeds }: ControlSettings): void {
+    this.#cfg = { ...this.#cfg, seeds };
+  }
+
   #openReplica(): Replica {
     const { listen, zone, api, seeds, dataDir, bootstrap, tolerate } = this.#cfg;
     const group = seeds.length > 0 ? seeds : [listen];
@@ -129,7 +134,7 @@
     return this.register(
       new Replica({
         self: { address: listen, zone, api: api ?? listen },
-        contacts: () => group,
+        contacts: () => [...this.#cfg.seeds, ...group],
         wantedVoters: 2 * tolerated + 1,
         log,
         link,
@@ -143,7 +148,7 @@
 
   /** Control replicas are members of the fleet, so that sidecars find them and each other through any of them. */
   #joinFleet(replica: Replica, peers: NetworkPeers): Membership {
-    const { id, zone, listen, seeds } = this.#cfg;
+    const { id, zone, listen } = this.#cfg;
     const self = {
       id: SidecarId(id),
       peerAddress: listen,
@@ -155,7 +160,7 @@
       new Membership({
         table,
         peers,
-        seeds,
+        seeds: () => this.#cfg.seeds,
         config: historyOf(replica),
         clock: SystemClock,
         random: Math.random,
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -4,6 +4,7 @@
 import { SettingsError } from "../common/settings/SettingsError.ts";
 import { createLogger } from "../common/telemetry/createLogger.ts";
 import { createRole } from "./createRole.ts";
+import { reloadOnChange } from "./reloadOnChange.ts";
 import { stopOnSignals } from "./stopOnSignals.ts";
 
 const main = defineCommand({
@@ -18,8 +19,11 @@
     const cfg = loadOrExit(args.settings);
     const log = createLogger("burdockpassd", { role: cfg.role, id: cfg.id });
     const role = createRole(cfg, log);
-    await role.start();
     stopOnSignals(role, log);
+    await role.start();
+    reloadOnChange(args.settings, log, () => {
+      role.reload(loadSettings(args.settings, DaemonSettings));
+    });
   },
 });
 
--- a/src/membership/Membership.test.ts
+++ b/src/membership/Membership.test.ts
@@ -49,7 +49,7 @@
     const membership = new Membership({
       table,
       peers: this.#peersOf(id),
-      seeds: ["s0", "s1"],
+      seeds: () => ["s0", "s1"],
       config: {
         offer,
         since: () => [{ kind: "whole", version: config.version, document: EMPTY_DOCUMENT }],
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -51,8 +51,8 @@
 interface MembershipDeps {
   readonly table: TargetTable;
   readonly peers: MembershipPeers;
-  /** Sidecars to join through, host:port. */
-  readonly seeds: readonly string[];
+  /** Members to join through at the moment, host:port. */
+  readonly seeds: () => readonly string[];
   readonly config: ConfigSource;
   readonly clock: Clock;
   /** In [0, 1); tests pass a seeded one. */
@@ -256,7 +256,7 @@
   #joinList(): string[] {
     const { table, seeds } = this.#deps;
     const live = new Set(table.liveMembers().map((m) => m.peer_address));
-    const strangers = seeds.filter((s) => s !== table.selfAddress && !live.has(s));
+    const strangers = seeds().filter((s) => s !== table.selfAddress && !live.has(s));
     if (live.size === 0) {
       return strangers;
     }
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -73,7 +73,7 @@
  * sent elsewhere, what is in flight ends, and then everything is closed in reverse order.
  */
 export class SidecarRole extends Disposable {
-  readonly #cfg: SidecarSettings;
+  #cfg: SidecarSettings;
   readonly #log: bunyan;
   readonly #dialect: Dialect;
   #parts: Parts | undefined;
@@ -130,7 +130,7 @@
       new Membership({
         table,
         peers: new NetworkPeers(clients, link),
-        seeds: cfg.seeds,
+        seeds: () => this.#cfg.seeds,
         config: follower,
         clock: SystemClock,
         random: Math.random,
@@ -191,6 +191,11 @@
     this.#log.info({ ports: this.#ports, version: follower.version }, "sidecar started");
   }
 
+  /** Takes on settings that can change while it runs: seeds, the retry budget, how it stops. */
+  reload({ seeds, retryBudget, stop }: SidecarSettings): void {
+    this.#cfg = { ...this.#cfg, seeds, retryBudget, stop };
+  }
+
   /** Stops as planned; see the settings under `stop`. */
   override async dispose(): Promise<void> {
     if (this.isDisposed) {
@@ -259,12 +264,12 @@
   }
 
   #dispatcher(policy: RoutingPolicy, table: TargetTable): Dispatcher {
-    const { callerService, retryBudget } = this.#cfg;
+    const { callerService } = this.#cfg;
     return new Dispatcher({
       policy,
       hop: this.register(new HopClient()),
       callerService,
-      budget: retryBudget,
+      budget: () => this.#cfg.retryBudget,
       members: () => table.memberCount,
       clock: SystemClock,
       log: this.#log,
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -84,7 +84,7 @@
       new TargetSender({
         dialect,
         clock,
-        via: cfg.id,
+        via: cfg.via ? cfg.id : "",
         onOtherTarget: (target, other) => {
           log.info({ target: target.id, other }, "another target answers at this address");
           table.noteReplaced(target.id);
--- a/src/sidecar/forwarding/TargetSender.ts
+++ b/src/sidecar/forwarding/TargetSender.ts
@@ -6,6 +6,7 @@
 import type { Dialect, TargetWords } from "../dialect/Dialect.ts";
 import type { ForwardResult } from "./ForwardResult.ts";
 import { readAnswer } from "./readAnswer.ts";
+import { withHeaders } from "./withHeaders.ts";
 import { RETRY_AFTER_MS } from "./RETRY_AFTER_MS.ts";
 import type { TargetRequest } from "./TargetRequest.ts";
 
@@ -113,10 +114,9 @@
 
   #headers(req: TargetRequest, words: TargetWords): string[] {
     const { dialect, via } = this.#deps;
-    const ours = Object.entries(dialect.writeTarget(words)).flat();
     const length = req.bodyLength === undefined ? [] : ["content-length", String(req.bodyLength)];
     const trail = via === "" ? [] : ["via", `1.1 ${via}`];
-    return [...req.headers, ...ours, ...length, ...trail];
+    return [...withHeaders(req.headers, dialect.writeTarget(words)), ...length, ...trail];
   }
 
   /** A kept connection; or one for this request alone, when leftovers on a kept one could be taken for its answer. */
--- a/src/sidecar/routing/Dispatcher.test.ts
+++ b/src/sidecar/routing/Dispatcher.test.ts
@@ -23,7 +23,7 @@
     policy,
     hop,
     callerService: "desk",
-    budget: { ratio: 0.2, windowMs: 10_000, slack },
+    budget: () => ({ ratio: 0.2, windowMs: 10_000, slack }),
     members: () => 1,
     clock,
     log,
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -17,7 +17,8 @@
   readonly hop: Pick<HopClient, "ask" | "run" | "join">;
   /** The service beside which this sidecar's callers' requests begin; empty when there is none. */
   readonly callerService: string;
-  readonly budget: RetryBudgetRule;
+  /** Of services that the document says nothing else of. */
+  readonly budget: () => RetryBudgetRule;
   /** Sidecars that share the retry budget. */
   readonly members: () => number;
   readonly clock: Clock;
@@ -214,7 +215,8 @@
     const { name } = route.service;
     let budget = this.#budgets.get(name);
     if (!budget) {
-      const { budget: rule, clock, members } = this.#deps;
+      const { clock, members } = this.#deps;
+      const rule = this.#deps.budget();
       const ratio = route.budgetRatio ?? rule.ratio;
       budget = new RetryBudget({ ...rule, ratio }, clock, members);
       this.#budgets.set(name, budget);
