Gray targets that only the floor keeps take the overflow; ejections stay out of gossip

Ruled out: late detection (ejected 0.12 s after the first failure). Change: gray targets in rotation for the floor's sake come after all others, and take what those have no room for; the platform's floor counts sound instances only, ours counts all. A timeout by a short route is weak evidence.

--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -31,7 +31,6 @@
     slots: number;
     state: string;
     health_path: string;
-    ejected: boolean;
   };
   Member: {
     sidecar_id: string;
--- a/src/membership/LocalTargets.ts
+++ b/src/membership/LocalTargets.ts
@@ -31,7 +31,6 @@
   readonly #now: () => number;
   readonly #timeoutMs: number;
   readonly #known = new Map<string, Known>();
-  readonly #ejected = new Set<string>();
 
   /**
    * @param now steady clock, ms
@@ -72,15 +71,6 @@
     }
   }
 
-  /** Records whether work is kept from a target. */
-  noteEjected(id: TargetId, ejected: boolean): void {
-    if (ejected) {
-      this.#ejected.add(id);
-    } else {
-      this.#ejected.delete(id);
-    }
-  }
-
   /** Another target answers at the address of `id`. */
   noteReplaced(id: TargetId): void {
     const known = this.#known.get(id);
@@ -94,7 +84,7 @@
     const cutoff = this.#now() - this.#timeoutMs;
     return [...this.#known.values()]
       .filter((k) => k.state === "here" && k.announcedAt >= cutoff)
-      .map(({ target }) => ({ ...target, ejected: this.#ejected.has(target.target_id) }));
+      .map(({ target }) => target);
   }
 
   /** Forgets every target: this sidecar is being stopped. */
@@ -121,7 +111,6 @@
       }
       if (state !== "here") {
         this.#known.delete(id);
-        this.#ejected.delete(id);
       }
     }
   }
--- a/src/membership/TargetInfo.ts
+++ b/src/membership/TargetInfo.ts
@@ -17,6 +17,4 @@
   readonly hopAddress: string;
   /** Path of its health endpoint; empty for none. */
   readonly healthPath: string;
-  /** The sidecar beside it keeps work from it: it looks gray. */
-  readonly ejected: boolean;
 }
--- a/src/membership/TargetTable.ts
+++ b/src/membership/TargetTable.ts
@@ -131,12 +131,6 @@
     this.#targets = undefined;
   }
 
-  /** Records whether work is kept from a target beside this sidecar. */
-  noteEjected(targetId: TargetId, ejected: boolean): void {
-    this.#local.noteEjected(targetId, ejected);
-    this.#targets = undefined;
-  }
-
   /** Records that another target answers at the address of one beside this sidecar. */
   noteReplaced(targetId: TargetId): void {
     this.#local.noteReplaced(targetId);
@@ -326,7 +320,6 @@
     zone: ZoneName(beside.zone),
     hopAddress: beside.hop_address,
     healthPath: t.health_path,
-    ejected: t.ejected,
   };
 }
 
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -149,23 +149,18 @@
   }
 
   #judge(target: TargetInfo): Judge {
-    const { cfg, document, clock, log, table } = this.#deps;
+    const { cfg, document, clock, log } = this.#deps;
     if (cfg.policy === "naive") {
       return TrustingJudge;
     }
-    const judge: TargetJudge = new TargetJudge({
+    return new TargetJudge({
       rule: () => {
         const service = document()?.services.find((s) => s.name === target.service);
         return (service ?? DEFAULT_SERVICE).detection;
       },
       clock,
       log: log.child({ target: target.id, service: target.service }),
-      onChange: () => {
-        table.noteEjected(target.id, judge.isEjected);
-        this.#changed();
-      },
     });
-    return judge;
   }
 
   #openRecords(): RunRecords {
--- a/src/sidecar/admin/AdminServer.ts
+++ b/src/sidecar/admin/AdminServer.ts
@@ -90,7 +90,7 @@
       return;
     }
     const { targetId, sequence, healthPath, ...rest } = parsed.value;
-    const target = { target_id: targetId, health_path: healthPath, ejected: false, ...rest };
+    const target = { target_id: targetId, health_path: healthPath, ...rest };
     this.#deps.announcements.announce(target, sequence);
     res.writeHead(204).end();
   }
--- a/src/sidecar/detection/AttemptOutcome.ts
+++ b/src/sidecar/detection/AttemptOutcome.ts
@@ -6,8 +6,10 @@
   Failed = "failed",
   /** An answer cut short, in no known form, or another request's. */
   Wrong = "wrong",
-  /** No answer at all: reset, refused, or silent until the timeout. The path may be at fault. */
+  /** No answer at all: the connection was reset or refused. */
   NoAnswer = "no-answer",
+  /** No answer by the time that its caller or its route gave it, which may have been short. */
+  TimedOut = "timed-out",
   /** The target refused it for want of room, unrun. Says nothing about its health. */
   Shed = "shed",
   /** The caller left first. Says nothing about the target. */
--- a/src/sidecar/detection/TargetJudge.ts
+++ b/src/sidecar/detection/TargetJudge.ts
@@ -60,8 +60,6 @@
   readonly rule: () => DetectionRule;
   readonly clock: Clock;
   readonly log: bunyan;
-  /** Called when the target is ejected or readmitted. */
-  readonly onChange: () => void;
 }
 
 /**
@@ -132,6 +130,10 @@
         this.#prolongPause();
         this.#add(this.#failures, FAILURE_NATS);
         return;
+      case AttemptOutcome.TimedOut:
+        this.#prolongPause();
+        this.#add(this.#failures, OVERDUE_NATS);
+        return;
       case AttemptOutcome.Wrong:
         this.#prolongPause();
         this.#add(this.#wrongs, WRONG_NATS);
@@ -195,7 +197,7 @@
   }
 
   #change(isEjected: boolean): void {
-    const { clock, log, onChange } = this.#deps;
+    const { clock, log } = this.#deps;
     const { ejectMs, maxEjectMs } = this.#deps.rule();
     const evidence = { nats: this.suspicion, pace: this.pace, halfLifeMs: this.#halfLifeMs };
     this.#ejected = isEjected;
@@ -206,6 +208,5 @@
       this.#pauseMs = FIRST_PAUSE_MS;
     }
     log.info(evidence, isEjected ? "ejected" : "readmitted");
-    onChange();
   }
 }
--- a/src/sidecar/forwarding/TargetSender.ts
+++ b/src/sidecar/forwarding/TargetSender.ts
@@ -179,7 +179,7 @@
     const code = (err as { code?: string }).code ?? "";
     if (progress.timedOut) {
       this.#retirePool(target.url);
-      return mayHaveRun(target, "no answer in time", AttemptOutcome.NoAnswer, true);
+      return mayHaveRun(target, "no answer in time", AttemptOutcome.TimedOut, true);
     }
     if (req.cancelled?.aborted) {
       return mayHaveRun(target, "the caller has left", AttemptOutcome.Cancelled);
--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -1,7 +1,7 @@
 import type { AttemptId } from "../../common/ids/AttemptId.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { Timer } from "../../common/lifecycle/Timer.ts";
-import type { AttemptOutcome } from "../detection/AttemptOutcome.ts";
+import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { Judge } from "../detection/Judge.ts";
 import type { Ask } from "../hop/Ask.ts";
 import type { AskReply } from "../hop/AskReply.ts";
@@ -62,6 +62,8 @@
   readonly since: number;
   /** Ends a grant that is not taken; tells when a run is overdue. */
   readonly timer: Timer;
+  /** The judge has been told that it is overdue. */
+  isOverdue: boolean;
 }
 
 /** An ask being weighed, which whoever asked may take back. */
@@ -146,9 +148,12 @@
     const { ask } = granted;
     const usualMs = ask.typicalMs > 0 ? ask.typicalMs : this.#serviceMs;
     const timer = clock.after(usualMs * OVERDUE_FACTOR, () => {
+      running.isOverdue = true;
       judge.noteOverdue();
     });
-    this.#held.set(attempt, { ask, state: "running", since: clock.now(), timer });
+    const since = clock.now();
+    const running: Held = { ask, state: "running", since, timer, isOverdue: false };
+    this.#held.set(attempt, running);
     return ask;
   }
 
@@ -161,7 +166,10 @@
     held.timer.cancel();
     this.#held.delete(attempt);
     const ms = this.#deps.clock.now() - held.since;
-    this.#deps.judge.note(outcome, ms, held.ask.typicalMs);
+    // One that was overdue, and then ran out of time, is one observation.
+    if (!(held.isOverdue && outcome === AttemptOutcome.TimedOut)) {
+      this.#deps.judge.note(outcome, ms, held.ask.typicalMs);
+    }
     this.#noteServiceMs(ms);
     this.#serveNext();
   }
@@ -244,7 +252,8 @@
     const timer = clock.after(GRANT_MS, () => {
       this.revoke(ask.attempt);
     });
-    this.#held.set(ask.attempt, { ask, state: "granted", since: clock.now(), timer });
+    const since = clock.now();
+    this.#held.set(ask.attempt, { ask, state: "granted", since, timer, isOverdue: false });
     reply({ kind: "granted", boot, load: this.load });
   }
 
--- a/src/sidecar/routing/AdaptivePolicy.ts
+++ b/src/sidecar/routing/AdaptivePolicy.ts
@@ -70,9 +70,7 @@
     this.#floors.set(route.service.name, route.service.floor);
     const rotation = this.#rotation(targets, route.service.floor);
     const open = targets.filter((t) => t.state === TargetState.Ready && !tried.has(t.id));
-    const inRotation = open.filter((t) => rotation.has(t.id));
-    const reachable = inRotation.filter((t) => !this.#standing(t).link.isSuspect);
-    const [best = []] = [reachable, inRotation, open].filter((tier) => tier.length > 0);
+    const [best = []] = this.#tiers(open, rotation).filter((tier) => tier.length > 0);
     const near = route.bulk ? this.#near(route, best) : [];
     const tier = near.length > 0 ? near : best;
     const target = pickByCost(tier, (t) => this.#cost(route, t), this.#deps.random);
@@ -125,6 +123,19 @@
     this.#standings.clear();
   }
 
+  /**
+   * Targets from the best to the last resort. Those that only the floor keeps in
+   * rotation take what the others have no room for: with most targets gray by mistake
+   * (an overload, a bad release) that is most of the work, and with three of eight
+   * really gray, none.
+   */
+  #tiers(open: readonly TargetInfo[], rotation: ReadonlySet<TargetId>): TargetInfo[][] {
+    const isReachable = (t: TargetInfo) => !this.#standing(t).link.isSuspect;
+    const well = open.filter((t) => !this.#isGray(t));
+    const kept = open.filter((t) => this.#isGray(t) && rotation.has(t.id));
+    return [well.filter(isReachable), kept.filter(isReachable), well, [...open]];
+  }
+
   #rotation(targets: readonly TargetInfo[], floor: number): Set<TargetId> {
     const judged = targets.map((t) => ({
       id: t.id,
@@ -137,7 +148,7 @@
   }
 
   #isGray(target: TargetInfo): boolean {
-    return this.#freshLoad(target)?.ejected ?? target.ejected;
+    return this.#freshLoad(target)?.ejected ?? false;
   }
 
   /** Targets in this sidecar's zone that would serve a large answer soon enough. */
--- a/src/sidecar/routing/RunCourse.ts
+++ b/src/sidecar/routing/RunCourse.ts
@@ -59,7 +59,7 @@
     this.result = new Promise((resolve) => (settle = resolve));
     this.#settle = settle;
     this.#deadlineTimer = deps.clock.after(req.deadlineAt - deps.clock.now(), () => {
-      this.#end(this.#inDoubt("no answer in time", true));
+      this.#end(this.#inDoubt("no answer in time", true, AttemptOutcome.TimedOut));
     });
     req.left.addEventListener("abort", this.#onLeft);
     this.#watch(deps.hop.run(grant.target.hopAddress, this.#hopRequest(), this.#onAlive), true);
