A reset answer without a length is not whole; retry budgets over a sliding window

Change: Node's own client towards targets (TargetExchange), whose request error comes before the end. Change: RetryBudget counts extras and first tries of the same sliding window; a property test over random loads. Slack is shared by all members known, those lost lately counted.

--- a/src/membership/TargetTable.ts
+++ b/src/membership/TargetTable.ts
@@ -254,6 +254,11 @@
     return 1 + this.#liveRemote().length;
   }
 
+  /** Members, this one included, and those found dead that are remembered still. */
+  get knownCount(): number {
+    return 1 + this.#remote.size;
+  }
+
   #liveRemote(): Member[] {
     return [...this.#remote.values()].map((k) => k.member).filter((m) => !m.gone);
   }
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -270,7 +270,7 @@
       hop: this.register(new HopClient()),
       callerService,
       budget: () => this.#cfg.retryBudget,
-      members: () => table.memberCount,
+      members: () => table.knownCount,
       clock: SystemClock,
       log: this.#log,
     });
--- a/src/sidecar/forwarding/TargetSender.ts
+++ b/src/sidecar/forwarding/TargetSender.ts
@@ -1,4 +1,4 @@
-import { Client, Pool, errors, type Dispatcher } from "undici";
+import { Agent, type IncomingMessage } from "node:http";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
 import type { TargetInfo } from "../../membership/TargetInfo.ts";
@@ -6,14 +6,12 @@
 import type { Dialect, TargetWords } from "../dialect/Dialect.ts";
 import type { ForwardResult } from "./ForwardResult.ts";
 import { readAnswer } from "./readAnswer.ts";
-import { withHeaders } from "./withHeaders.ts";
 import { RETRY_AFTER_MS } from "./RETRY_AFTER_MS.ts";
+import { TargetExchange } from "./TargetExchange.ts";
 import type { TargetRequest } from "./TargetRequest.ts";
+import { withHeaders } from "./withHeaders.ts";
 
-/** A connection that takes longer to open is given up, ms; on a healthy path one takes about 1 ms. */
-const CONNECT_TIMEOUT_MS = 1000;
-
-/** A connection idle this long may have been forgotten by either end; it is dropped first, ms. */
+/** A connection idle this long may have been forgotten by either end; it is closed first, ms. */
 const IDLE_LIMIT_MS = 4000;
 
 /**
@@ -24,13 +22,7 @@
 const UNTIDY_MS = 10_000;
 
 /** Errors raised while connecting, before any byte of the request was sent: it cannot have run. */
-const CONNECT_ERRORS = new Set([
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "ENOTFOUND",
-  "UND_ERR_CONNECT_TIMEOUT",
-]);
+const CONNECT_ERRORS = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "ENOTFOUND"]);
 
 interface TargetSenderDeps {
   readonly dialect: Dialect;
@@ -54,7 +46,8 @@
  */
 export class TargetSender implements IDisposable {
   readonly #deps: TargetSenderDeps;
-  readonly #pools = new Map<string, Pool>();
+  /** Kept connections by targets' URLs. */
+  readonly #agents = new Map<string, Agent>();
   #untidyUntil = -Infinity;
 
   constructor(deps: TargetSenderDeps) {
@@ -68,32 +61,25 @@
     if (remainingMs <= 0) {
       return notRun("no time left", RETRY_AFTER_MS);
     }
-    // Aborting an undici request in flight destroys its connection, so a late
-    // answer can never be read by the next request on that socket.
-    const stop = new AbortController();
+    const words = { ...req.words, remainingMs };
+    const headers = this.#headers(req, words);
+    const own = this.#agentFor(target, req);
+    const exchange = new TargetExchange({ url: target.url, agent: own.agent, headers }, req);
     const progress: Progress = { answering: false, timedOut: false };
+    // Closing the connection ends the work there, and a late answer can never be
+    // taken for the next request's.
     const timer = clock.after(remainingMs, () => {
       progress.timedOut = true;
-      stop.abort();
+      exchange.abort();
     });
     const onLeave = () => {
-      stop.abort();
+      exchange.abort();
     };
     req.cancelled?.addEventListener("abort", onLeave);
-    const own = this.#connectionFor(target, req);
     try {
-      const words = { ...req.words, remainingMs };
-      const res = await own.dispatcher.request({
-        method: req.method,
-        path: req.path,
-        headers: this.#headers(req, words),
-        body: req.body,
-        signal: stop.signal,
-        headersTimeout: 0,
-        bodyTimeout: 0,
-      });
+      const res = await exchange.answer;
       progress.answering = true;
-      return await this.#toResult(target, req, words, res);
+      return await this.#toResult(target, req, words, res, exchange);
     } catch (err) {
       return this.#failed(target, req, progress, err);
     } finally {
@@ -106,32 +92,29 @@
   }
 
   /** Closes every connection, forcibly. */
-  async dispose(): Promise<void> {
-    const pools = [...this.#pools.values()];
-    this.#pools.clear();
-    await Promise.all(pools.map((p) => p.destroy()));
+  dispose(): void {
+    for (const agent of this.#agents.values()) {
+      agent.destroy();
+    }
+    this.#agents.clear();
   }
 
   #headers(req: TargetRequest, words: TargetWords): string[] {
     const { dialect, via } = this.#deps;
-    const length = req.bodyLength === undefined ? [] : ["content-length", String(req.bodyLength)];
     const trail = via === "" ? [] : ["via", `1.1 ${via}`];
-    return [...withHeaders(req.headers, dialect.writeTarget(words)), ...length, ...trail];
+    return [...withHeaders(req.headers, dialect.writeTarget(words)), ...trail];
   }
 
-  /** A kept connection; or one for this request alone, when leftovers on a kept one could be taken for its answer. */
-  #connectionFor(
-    target: TargetInfo,
-    req: TargetRequest,
-  ): { dispatcher: Pool | Client; done: () => void } {
+  /** Kept connections; or one for this request alone, when leftovers on a kept one could be taken for its answer. */
+  #agentFor(target: TargetInfo, req: TargetRequest): { agent: Agent; done: () => void } {
     if (req.idempotent || this.#deps.clock.now() >= this.#untidyUntil) {
-      return { dispatcher: this.#pool(target.url), done: () => undefined };
+      return { agent: this.#kept(target.url), done: () => undefined };
     }
-    const client = new Client(target.url, { connectTimeout: CONNECT_TIMEOUT_MS, pipelining: 1 });
+    const agent = new Agent({ keepAlive: false });
     return {
-      dispatcher: client,
+      agent,
       done: () => {
-        void client.close().catch(() => undefined);
+        agent.destroy();
       },
     };
   }
@@ -140,12 +123,14 @@
     target: TargetInfo,
     req: TargetRequest,
     words: TargetWords,
-    res: Dispatcher.ResponseData,
+    res: IncomingMessage,
+    exchange: TargetExchange,
   ): Promise<ForwardResult> {
-    const head = this.#deps.dialect.readAnswer(words, res.statusCode, res.headers);
+    const status = res.statusCode ?? 0;
+    const head = this.#deps.dialect.readAnswer(words, status, res.headers);
     switch (head.kind) {
       case "not-run":
-        await res.body.dump();
+        res.resume();
         if (head.otherTarget !== undefined) {
           this.#deps.onOtherTarget?.(target, head.otherTarget);
         }
@@ -154,85 +139,69 @@
         // Whose answer it is cannot be told, so no caller gets it, and ours may have
         // run. Ours may follow on this connection, where the next request's answer is
         // expected, so no other request may be sent on it.
-        this.#noteUntidy();
-        this.#retirePool(target.url);
-        res.body.on("error", () => undefined);
-        res.body.destroy();
+        this.#noteUntidy(target.url);
+        exchange.abort();
         return mayHaveRun(target, head.reason, AttemptOutcome.Wrong);
-      case "own":
-        return this.#wholeAnswer(target, req, res);
+      case "own": {
+        const answer = await readAnswer(res, req.wholeAnswer ?? false);
+        const verdict = { kind: "done", target: target.id, status } as const;
+        const outcome = status >= 500 ? AttemptOutcome.Failed : AttemptOutcome.Ok;
+        return { verdict, outcome, headers: res.headers, ...answer };
+      }
     }
   }
 
-  async #wholeAnswer(
-    target: TargetInfo,
-    req: TargetRequest,
-    res: Dispatcher.ResponseData,
-  ): Promise<ForwardResult> {
-    const answer = await readAnswer(res.body, req.wholeAnswer ?? false);
-    const verdict = { kind: "done", target: target.id, status: res.statusCode } as const;
-    const outcome = res.statusCode >= 500 ? AttemptOutcome.Failed : AttemptOutcome.Ok;
-    return { verdict, outcome, headers: res.headers, ...answer };
-  }
-
   #failed(target: TargetInfo, req: TargetRequest, progress: Progress, err: unknown): ForwardResult {
     const code = (err as { code?: string }).code ?? "";
     if (progress.timedOut) {
-      this.#retirePool(target.url);
+      this.#leaveKept(target.url);
       return mayHaveRun(target, "no answer in time", AttemptOutcome.TimedOut, true);
     }
     if (req.cancelled?.aborted) {
       return mayHaveRun(target, "the caller has left", AttemptOutcome.Cancelled);
     }
-    if (CONNECT_ERRORS.has(code) || err instanceof errors.ConnectTimeoutError) {
-      return {
-        ...notRun(`connect failed: ${code}`, RETRY_AFTER_MS),
-        outcome: AttemptOutcome.NoAnswer,
-      };
+    if (CONNECT_ERRORS.has(code)) {
+      const refused = notRun(`connect failed: ${code}`, RETRY_AFTER_MS);
+      return { ...refused, outcome: AttemptOutcome.NoAnswer };
     }
     const isUntidy = code.startsWith("HPE_");
     if (isUntidy) {
-      this.#noteUntidy();
+      this.#noteUntidy(target.url);
     }
     const reason = err instanceof Error ? `${err.name}: ${code || err.message}` : "unknown error";
     const isWrong = isUntidy || progress.answering;
-    const outcome = isWrong ? AttemptOutcome.Wrong : AttemptOutcome.NoAnswer;
-    return mayHaveRun(target, reason, outcome);
+    return mayHaveRun(target, reason, isWrong ? AttemptOutcome.Wrong : AttemptOutcome.NoAnswer);
   }
 
-  #noteUntidy(): void {
+  #noteUntidy(url: string): void {
     this.#untidyUntil = this.#deps.clock.now() + UNTIDY_MS;
+    this.#leaveKept(url);
   }
 
   /**
-   * Leaves a target's connections behind after one went silent: whatever lost
-   * track of that connection has likely lost its siblings too, while new ones
-   * work. Requests still open on them finish; the next ones connect afresh.
+   * Leaves a target's kept connections behind: whatever lost track of one of them, or
+   * put bytes of no request on it, has likely done so to the others, while new ones
+   * work. Requests still open on them finish.
    */
-  #retirePool(url: string): void {
-    const pool = this.#pools.get(url);
-    if (pool) {
-      this.#pools.delete(url);
-      void pool.close().catch(() => undefined);
+  #leaveKept(url: string): void {
+    const agent = this.#agents.get(url);
+    this.#agents.delete(url);
+    for (const sockets of Object.values(agent?.freeSockets ?? {})) {
+      sockets?.forEach((s) => s.destroy());
+    }
+    if (agent) {
+      // Those in use end after the answer that they wait for.
+      agent.maxFreeSockets = 0;
     }
   }
 
-  #pool(url: string): Pool {
-    let pool = this.#pools.get(url);
-    if (!pool) {
-      pool = new Pool(url, {
-        connectTimeout: CONNECT_TIMEOUT_MS,
-        keepAliveTimeout: IDLE_LIMIT_MS,
-        pipelining: 1,
-      });
-      pool.on("disconnect", (_origin, _targets, err: Error & { code?: string }) => {
-        if (err.code?.startsWith("HPE_")) {
-          this.#noteUntidy();
-        }
-      });
-      this.#pools.set(url, pool);
+  #kept(url: string): Agent {
+    let agent = this.#agents.get(url);
+    if (!agent) {
+      agent = new Agent({ keepAlive: true, timeout: IDLE_LIMIT_MS });
+      this.#agents.set(url, agent);
     }
-    return pool;
+    return agent;
   }
 }
 
--- /dev/null
+++ b/src/sidecar/routing/RetryBudget.test.ts
@@ -0,0 +1,69 @@
+import test from "ava";
+import fc from "fast-check";
+import { FakeClock } from "../../../test/fixtures/FakeClock.ts";
+import { RetryBudget } from "./RetryBudget.ts";
+
+const rule = { ratio: 0.2, windowMs: 10_000, slack: 58 };
+
+test("in no window does the fleet send more extras than its rule allows", async (t) => {
+  // Story: a service sheds most of what it is sent, and every sidecar tries again as
+  // often as it may, after a quiet spell and with load that comes and goes. What was
+  // saved up in the quiet spell once went into the storm on top of its own share.
+  const load = fc.array(fc.record({ gapMs: fc.integer({ min: 1, max: 900 }), tries: fc.nat(3) }), {
+    minLength: 30,
+    maxLength: 120,
+  });
+  await fc.assert(
+    fc.asyncProperty(load, fc.integer({ min: 8, max: 40 }), async (steps, members) => {
+      const clock = new FakeClock();
+      const budgets = Array.from(
+        { length: members },
+        () => new RetryBudget(rule, clock, () => members),
+      );
+      const first: number[] = [];
+      const extra: number[] = [];
+      for (const { gapMs, tries } of steps) {
+        await clock.advance(gapMs);
+        for (const budget of budgets) {
+          for (let n = 0; n < tries; n++) {
+            budget.onFirstTry();
+            first.push(clock.now());
+            while (budget.tryRetry()) {
+              extra.push(clock.now());
+            }
+          }
+        }
+      }
+      const within = (times: readonly number[], end: number) =>
+        times.filter((at) => at > end - rule.windowMs && at <= end).length;
+      return [...new Set(extra)].every(
+        (end) => within(extra, end) <= rule.ratio * within(first, end) + rule.slack,
+      );
+    }),
+    { numRuns: 40, seed: 11 },
+  );
+  t.pass();
+});
+
+test("a sidecar with traffic of its own has extras to spend", (t) => {
+  const budget = new RetryBudget(rule, new FakeClock(), () => 30);
+  for (let n = 0; n < 100; n++) {
+    budget.onFirstTry();
+  }
+  let extras = 0;
+  while (budget.tryRetry()) {
+    extras += 1;
+  }
+  t.true(extras >= 14, `${extras}`);
+});
+
+test("one that knows of nobody else does not take the whole fleet's slack", (t) => {
+  // Story: a cut leaves a sidecar alone; on its side of it, nobody else is seen.
+  const budget = new RetryBudget(rule, new FakeClock(), () => 1);
+  budget.onFirstTry();
+  let extras = 0;
+  while (budget.tryRetry()) {
+    extras += 1;
+  }
+  t.true(extras <= 6, `${extras}`);
+});
--- a/src/sidecar/routing/RetryBudget.ts
+++ b/src/sidecar/routing/RetryBudget.ts
@@ -9,67 +9,57 @@
   readonly slack: number;
 }
 
-/** Part of the allowance that is used: requests made by a retried request count as well, unseen from here. */
-const USED_SHARE = 0.8;
+/** Part of the allowance that is used: calls that a retried request makes anew count as well, unseen from here. */
+const USED_SHARE = 0.75;
 
-/** A budget below one token could never be spent. */
-const MIN_CAPACITY = 1;
+/** Members that the slack is shared by, at least: a sidecar that was just started knows few of them. */
+const MIN_MEMBERS = 8;
 
 /**
- * One sidecar's part of a service's retry budget (in the manner of gRPC's retry
- * throttling, gRFC A6), so that a sick service is not hit by a retry storm. Each first
- * request earns its fraction of a token. The fleet's slack is divided by the members
- * known, half of it as a reserve and half earned back over a window, so that no
- * window sees more than all of it.
+ * One sidecar's part of a service's retry budget, so that a sick service is not hit by
+ * a retry storm (in the manner of gRPC's retry throttling, gRFC A6). Counted over a
+ * sliding window: extras never exceed their share of the first tries in the same
+ * window, so nothing that was saved up in a quiet spell can be spent in a storm. Each
+ * sidecar keeps to its own requests, and to its part of the fleet's slack; the fleet
+ * as a whole then keeps to the rule without counting together.
  */
 export class RetryBudget {
   readonly #rule: RetryBudgetRule;
   readonly #clock: Clock;
   readonly #members: () => number;
-  #tokens: number;
-  #at: number;
+  /** When first tries and extras of the last window were made, ms. */
+  readonly #firstTries: number[] = [];
+  readonly #extras: number[] = [];
 
-  /** `members` is how many sidecars share the slack. */
+  /** `members` is how many sidecars share the slack, those counted that were lost lately. */
   constructor(rule: RetryBudgetRule, clock: Clock, members: () => number) {
     this.#rule = rule;
     this.#clock = clock;
     this.#members = members;
-    this.#tokens = this.#capacity;
-    this.#at = clock.now();
   }
 
   /** Records a first try. */
   onFirstTry(): void {
-    this.#earn(this.#rule.ratio * USED_SHARE);
+    this.#firstTries.push(this.#clock.now());
   }
 
-  /** Spends a token for an extra request; false when none is left. */
+  /** Takes leave for an extra request; false when there is none left. */
   tryRetry(): boolean {
-    this.#earn(0);
-    if (this.#tokens < 1) {
+    this.#forgetOld(this.#firstTries);
+    this.#forgetOld(this.#extras);
+    const { ratio, slack } = this.#rule;
+    const ownSlack = slack / Math.max(MIN_MEMBERS, this.#members());
+    const allowed = USED_SHARE * (ratio * this.#firstTries.length + ownSlack);
+    if (this.#extras.length + 1 > allowed) {
       return false;
     }
-    this.#tokens -= 1;
+    this.#extras.push(this.#clock.now());
     return true;
   }
 
-  get #capacity(): number {
-    const share = (this.#rule.slack * USED_SHARE) / Math.max(1, this.#members());
-    return Math.max(MIN_CAPACITY, share / 2);
-  }
-
-  #earn(tokens: number): void {
-    const now = this.#clock.now();
-    const capacity = this.#capacity;
-    const back = (capacity * (now - this.#at)) / this.#rule.windowMs;
-    this.#at = now;
-    // What first tries earn may be saved up for one window's worth of them.
-    this.#tokens = Math.min(
-      capacity + this.#rule.ratio * this.#rule.windowMs * RATE_CAP,
-      this.#tokens + back + tokens,
-    );
+  #forgetOld(times: number[]): void {
+    const cutoff = this.#clock.now() - this.#rule.windowMs;
+    const kept = times.findIndex((at) => at > cutoff);
+    times.splice(0, kept < 0 ? times.length : kept);
   }
 }
-
-/** First tries a ms for which earnings are saved up, at most: 20 a second. */
-const RATE_CAP = 0.02;
