A reset on the heels of an unframed answer is told from its end; stops keep within their grace

Change: TargetAgent writes an empty line when the other side ends a connection; one that was reset refuses it.

--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -45,6 +45,9 @@
   Adopt: "records",
 };
 
+/** Longest that a stop waits for other members' calls to end, ms; they are repeated elsewhere. */
+const PEER_GRACE_MS = 100;
+
 /** How often a stop looks whether the last run has ended, ms. */
 const IDLE_CHECK_MS = 50;
 
@@ -154,7 +157,8 @@
       ...peerHandlers(membership, follower),
       ...targets.recordHandlers(),
     });
-    this.#ports.peer = this.register(await startGrpcServer(peerServer, cfg.peer)).port;
+    const peerPort = await startGrpcServer(peerServer, cfg.peer, PEER_GRACE_MS);
+    this.#ports.peer = this.register(peerPort).port;
     await link.listen(cfg.peer, {
       onProbe: (news) => membership.onExchange(news),
       onProbeFor: (address) => membership.onProbe(address),
@@ -207,7 +211,8 @@
     if (parts) {
       await this.#drain(parts);
     }
-    await super.dispose();
+    // What is left holds nothing that anyone waits for, and may not take longer.
+    await Promise.race([super.dispose(), sleep(STOP_RESERVE_MS)]);
   }
 
   async #drain({ caller, callerPort, targets, membership }: Parts): Promise<void> {
--- a/src/sidecar/forwarding/TargetExchange.ts
+++ b/src/sidecar/forwarding/TargetExchange.ts
@@ -1,6 +1,7 @@
-import { request, type Agent, type ClientRequest, type IncomingMessage } from "node:http";
+import { request, type ClientRequest, type IncomingMessage } from "node:http";
 import { pipeline } from "node:stream";
 import type { HeaderList } from "./HeaderList.ts";
+import type { TargetAgent } from "./TargetAgent.ts";
 import type { TargetRequest } from "./TargetRequest.ts";
 
 /** Headers of an answer, at most, bytes. */
@@ -13,7 +14,7 @@
 interface Destination {
   /** Base URL of the target. */
   readonly url: string;
-  readonly agent: Agent;
+  readonly agent: TargetAgent;
   readonly headers: HeaderList;
 }
 
@@ -23,6 +24,7 @@
  * and ends with its connection; undici takes both for whole.
  */
 export class TargetExchange {
+  readonly #agent: TargetAgent;
   readonly #req: ClientRequest;
   #failure: Error | undefined;
 
@@ -31,6 +33,7 @@
 
   constructor({ url, agent, headers }: Destination, req: TargetRequest) {
     const { hostname, port } = new URL(url);
+    this.#agent = agent;
     this.#req = request({
       host: hostname,
       port,
@@ -53,6 +56,18 @@
     this.#send(req);
   }
 
+  /**
+   * Checks an answer whose body has come to its end: rejects when it has no length, and
+   * its connection was reset rather than ended.
+   */
+  async checkEnd(res: IncomingMessage): Promise<void> {
+    const isFramed =
+      res.headers["content-length"] !== undefined || res.headers["transfer-encoding"] !== undefined;
+    if (!isFramed && (await this.#agent.wasReset(res.socket))) {
+      throw new Error("the connection was reset in the midst of an answer");
+    }
+  }
+
   /** Closes the connection, with whatever is still on it. */
   abort(): void {
     this.#req.destroy();
--- a/src/sidecar/forwarding/TargetSender.test.ts
+++ b/src/sidecar/forwarding/TargetSender.test.ts
@@ -50,7 +50,8 @@
   }
 }
 
-const bodyOf = (out: ForwardResult) => ("body" in out ? String(out.body) : undefined);
+const bodyOf = (out: ForwardResult) =>
+  "body" in out && Buffer.isBuffer(out.body) ? out.body.toString() : undefined;
 
 /** Closes a connection with a reset, as a crash does. */
 const reset = (socket: Socket) => {
@@ -91,6 +92,18 @@
     verdict: "may-have-run",
     outcome: AttemptOutcome.Wrong,
   },
+  {
+    // Story: the same, with the reset on the heels of the bytes: the event loop hears
+    // of both at once, and only of an end.
+    name: "an answer without a length, and a reset right behind it",
+    behave: (s, head) => {
+      s.write(`HTTP/1.1 200 OK\r\n${ECHO}: ${echoOf(head)}\r\n\r\nhalf of`, () => {
+        reset(s);
+      });
+    },
+    verdict: "may-have-run",
+    outcome: AttemptOutcome.Wrong,
+  },
   {
     name: "an answer cut short by a close",
     behave: (s, head) => s.end(answer(echoOf(head), "whole").slice(0, -2)),
--- a/src/sidecar/forwarding/TargetSender.ts
+++ b/src/sidecar/forwarding/TargetSender.ts
@@ -1,4 +1,4 @@
-import { Agent, type IncomingMessage } from "node:http";
+import type { IncomingMessage } from "node:http";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
 import type { TargetInfo } from "../../membership/TargetInfo.ts";
@@ -7,6 +7,7 @@
 import type { ForwardResult } from "./ForwardResult.ts";
 import { readAnswer } from "./readAnswer.ts";
 import { RETRY_AFTER_MS } from "./RETRY_AFTER_MS.ts";
+import { TargetAgent } from "./TargetAgent.ts";
 import { TargetExchange } from "./TargetExchange.ts";
 import type { TargetRequest } from "./TargetRequest.ts";
 import { withHeaders } from "./withHeaders.ts";
@@ -47,7 +48,7 @@
 export class TargetSender implements IDisposable {
   readonly #deps: TargetSenderDeps;
   /** Kept connections by targets' URLs. */
-  readonly #agents = new Map<string, Agent>();
+  readonly #agents = new Map<string, TargetAgent>();
   #untidyUntil = -Infinity;
 
   constructor(deps: TargetSenderDeps) {
@@ -106,11 +107,11 @@
   }
 
   /** Kept connections; or one for this request alone, when leftovers on a kept one could be taken for its answer. */
-  #agentFor(target: TargetInfo, req: TargetRequest): { agent: Agent; done: () => void } {
+  #agentFor(target: TargetInfo, req: TargetRequest): { agent: TargetAgent; done: () => void } {
     if (req.idempotent || this.#deps.clock.now() >= this.#untidyUntil) {
       return { agent: this.#kept(target.url), done: () => undefined };
     }
-    const agent = new Agent({ keepAlive: false });
+    const agent = new TargetAgent({ keepAlive: false });
     return {
       agent,
       done: () => {
@@ -143,7 +144,9 @@
         exchange.abort();
         return mayHaveRun(target, head.reason, AttemptOutcome.Wrong);
       case "own": {
-        const answer = await readAnswer(res, req.wholeAnswer ?? false);
+        const answer = await readAnswer(res, req.wholeAnswer ?? false, () =>
+          exchange.checkEnd(res),
+        );
         const verdict = { kind: "done", target: target.id, status } as const;
         const outcome = status >= 500 ? AttemptOutcome.Failed : AttemptOutcome.Ok;
         return { verdict, outcome, headers: res.headers, ...answer };
@@ -195,10 +198,10 @@
     }
   }
 
-  #kept(url: string): Agent {
+  #kept(url: string): TargetAgent {
     let agent = this.#agents.get(url);
     if (!agent) {
-      agent = new Agent({ keepAlive: true, timeout: IDLE_LIMIT_MS });
+      agent = new TargetAgent({ keepAlive: true, timeout: IDLE_LIMIT_MS });
       this.#agents.set(url, agent);
     }
     return agent;
