A record file refuses to append after a rewrite that failed

Cause, found by reading: writeFileSynced can fail after its rename (the folder's sync). RecordFile then kept the old file's length, and the next append would have stood beyond the end of the new, shorter file: a hole of zeros, at which a reader stops, so everything acknowledged from there on would be lost at the next start. Change: the length is not known after a failed rewrite, and appends are refused until one succeeds. The file system stands behind an interface (Disk), so that a test can fail it anywhere.

--- a/src/common/storage/RecordFile.ts
+++ b/src/common/storage/RecordFile.ts
@@ -1,15 +1,11 @@
-import {
-  closeSync,
-  fdatasyncSync,
-  ftruncateSync,
-  openSync,
-  readFileSync,
-  statSync,
-  writeSync,
-} from "node:fs";
 import { crc32 } from "node:zlib";
+import type { Disk, OpenFile } from "./Disk.ts";
 import { StorageError } from "./StorageError.ts";
-import { writeFileSynced } from "./writeFileSynced.ts";
+import { systemDisk } from "./systemDisk.ts";
+
+/** Hex digits of a line's checksum, and the space after them. */
+const CHECKSUM_CHARS = 8;
+const PREFIX_CHARS = CHECKSUM_CHARS + 1;
 
 /**
  * A file of checksummed JSON lines, each synced as it is appended. After a loss of
@@ -18,34 +14,31 @@
  */
 export class RecordFile<T> {
   readonly #path: string;
-  #fd: number | undefined;
-  /** Length up to which every line is known to be whole and synced, bytes. */
-  #length = 0;
+  readonly #disk: Disk;
+  #file: OpenFile | undefined;
+  /**
+   * Length up to which every line is known to be whole and synced, bytes. Undefined
+   * while it is not known, before the first {@link rewrite} and after a failed one.
+   */
+  #length: number | undefined;
 
-  constructor(path: string) {
+  /** `disk` is a test's own, or the real one. */
+  constructor(path: string, disk: Disk = systemDisk) {
     this.#path = path;
+    this.#disk = disk;
   }
 
-  /** Bytes in the file. */
+  /** Bytes in the file, as far as known. */
   get length(): number {
-    return this.#length;
+    return this.#length ?? 0;
   }
 
   /** Every whole record, oldest first; empty when there is no file. */
   read(): T[] {
-    let text: string;
-    try {
-      text = readFileSync(this.#path, "utf8");
-    } catch (err) {
-      if ((err as NodeJS.ErrnoException).code === "ENOENT") {
-        return []; // The first start, or a lost disk: the caller tells them apart.
-      }
-      throw new StorageError(this.#path, err);
-    }
     const records: T[] = [];
-    for (const line of text.split("\n")) {
-      const payload = line.slice(9);
-      if (line.length < 9 || line.slice(0, 8) !== checksum(payload)) {
+    for (const line of this.#text().split("\n")) {
+      const payload = line.slice(PREFIX_CHARS);
+      if (line.length < PREFIX_CHARS || line.slice(0, CHECKSUM_CHARS) !== checksum(payload)) {
         break;
       }
       records.push(JSON.parse(payload) as T);
@@ -56,25 +49,33 @@
   /** Replaces the file by `records`, atomically; later appends follow them. */
   rewrite(records: readonly T[]): void {
     this.close();
+    // When this fails the old file may stand there or the new one. A line appended at
+    // the old one's end would leave a hole in the new one, and all after it be lost.
+    this.#length = undefined;
+    const bytes = Buffer.from(records.map((r) => toLine(r)).join(""));
     try {
-      writeFileSynced(this.#path, records.map((r) => toLine(r)).join(""));
-      this.#length = statSync(this.#path).size;
+      this.#disk.replace(this.#path, bytes);
     } catch (err) {
       throw new StorageError(this.#path, err);
     }
+    this.#length = bytes.length;
   }
 
-  /** Appends one record and syncs it. When the disk refuses, the file is as it was before. */
+  /**
+   * Appends one record and syncs it. When the disk refuses, the record does not count:
+   * the next one takes its place. Refused until a {@link rewrite} has succeeded.
+   */
   append(record: T): void {
+    if (this.#length === undefined) {
+      throw new StorageError(this.#path, "its end is not known before it has been rewritten");
+    }
     const line = Buffer.from(toLine(record));
     try {
-      this.#fd ??= openSync(this.#path, "r+");
-      for (let done = 0; done < line.length;) {
-        done += writeSync(this.#fd, line, done, line.length - done, this.#length + done);
-      }
-      fdatasyncSync(this.#fd);
+      this.#file ??= this.#disk.open(this.#path);
+      this.#file.write(line, this.#length);
+      this.#file.sync();
     } catch (err) {
-      this.#cutBack();
+      this.#cutBack(this.#length);
       throw new StorageError(this.#path, err);
     }
     this.#length += line.length;
@@ -82,9 +83,16 @@
 
   /** Closes the file; a later append opens it again. */
   close(): void {
-    if (this.#fd !== undefined) {
-      closeSync(this.#fd);
-      this.#fd = undefined;
+    const file = this.#file;
+    this.#file = undefined;
+    file?.close();
+  }
+
+  #text(): string {
+    try {
+      return this.#disk.read(this.#path)?.toString() ?? "";
+    } catch (err) {
+      throw new StorageError(this.#path, err);
     }
   }
 
@@ -93,11 +101,9 @@
    * fails, the next append overwrites it at the same place, and a reader meets a bad
    * checksum there and stops.
    */
-  #cutBack(): void {
+  #cutBack(length: number): void {
     try {
-      if (this.#fd !== undefined) {
-        ftruncateSync(this.#fd, this.#length);
-      }
+      this.#file?.truncate(length);
     } catch {
       this.close();
     }
@@ -110,5 +116,5 @@
 }
 
 function checksum(payload: string): string {
-  return crc32(payload).toString(16).padStart(8, "0");
+  return crc32(payload).toString(16).padStart(CHECKSUM_CHARS, "0");
 }
--- a/src/common/storage/writeFileSynced.ts
+++ b/src/common/storage/writeFileSynced.ts
@@ -2,17 +2,17 @@
 import { dirname } from "node:path";
 
 /**
- * Writes `text` to `path` so that a crash leaves the old file or the new one,
+ * Writes `content` to `path` so that a crash leaves the old file or the new one,
  * never a torn one: write a temporary file, fsync it, rename it over, fsync
  * the folder (a rename is durable only once its folder is synced). Throws what
  * the file system says when the disk refuses; `path` is then as it was.
  */
-export function writeFileSynced(path: string, text: string): void {
+export function writeFileSynced(path: string, content: string | Buffer): void {
   const dir = dirname(path);
   mkdirSync(dir, { recursive: true });
   const tmp = `${path}.tmp`;
   withFile(tmp, "w", (fd) => {
-    writeWhole(fd, Buffer.from(text));
+    writeWhole(fd, Buffer.from(content));
     fsyncSync(fd);
   });
   renameSync(tmp, path);
