--- a/src/membership/LocalTargets.test.ts
+++ b/src/membership/LocalTargets.test.ts
@@ -34,6 +34,13 @@
     steps: [{ announce: "a", sequence: 3 }, { withdraw: "a" }, { announce: "a", sequence: 4 }],
     live: [],
   },
+  {
+    // The sidecar was restarted, so the goodbye is the first that it hears of the target;
+    // an announcement that was held up on its way comes after it.
+    name: "one whose goodbye is the first word of it does not come by a late announcement",
+    steps: [{ withdraw: "a" }, { announce: "a", sequence: 4 }],
+    live: [],
+  },
   {
     name: "another one at its address takes its place",
     steps: [
--- a/src/membership/LocalTargets.ts
+++ b/src/membership/LocalTargets.ts
@@ -8,7 +8,8 @@
 
 /** One target beside this sidecar, or one that was. */
 interface Known {
-  target: Target;
+  /** As it announced itself last; undefined for one that was only heard to leave. */
+  target: Target | undefined;
   announcedAt: number;
   /** Number of its newest announcement. */
   sequence: number;
@@ -68,7 +69,18 @@
     const known = this.#known.get(id);
     if (known) {
       known.state = "left";
+      return;
     }
+    // A goodbye may be the first that a restarted sidecar hears of a target: without this
+    // entry, an announcement that was held up on its way would bring the target back.
+    this.#known.set(id, {
+      target: undefined,
+      announcedAt: this.#now(),
+      sequence: Infinity,
+      state: "left",
+      comebacks: 0,
+    });
+    this.#forgetOldest();
   }
 
   /** Another target answers at the address of `id`. */
@@ -84,7 +96,7 @@
     const cutoff = this.#now() - this.#timeoutMs;
     return [...this.#known.values()]
       .filter((k) => k.state === "here" && k.announcedAt >= cutoff)
-      .map(({ target }) => target);
+      .flatMap(({ target }) => target ?? []);
   }
 
   /** Forgets every target: this sidecar is being stopped. */
@@ -96,8 +108,8 @@
 
   #replaceOthersAt(target: Target): void {
     for (const other of this.#known.values()) {
-      const sameAddress = other.target.url === target.url;
-      if (sameAddress && other.target.target_id !== target.target_id && other.state === "here") {
+      const sameAddress = other.target?.url === target.url;
+      if (sameAddress && other.target?.target_id !== target.target_id && other.state === "here") {
         other.state = "replaced";
         other.comebacks = 0;
       }
--- /dev/null
+++ b/src/sidecar/gate/AskQueue.test.ts
@@ -0,0 +1,88 @@
+import test from "ava";
+import { makeAsk } from "../../../test/fixtures/makeAsk.ts";
+import { AskQueue } from "./AskQueue.ts";
+
+/** Waiting asks as (name, priority, time asked, objective left then), ms. */
+type Row = readonly [name: string, priority: number, askedAt: number, objectiveMs: number];
+
+const cases: readonly {
+  name: string;
+  now: number;
+  serviceMs: number;
+  rows: readonly Row[];
+  order: string;
+}[] = [
+  {
+    name: "the most urgent priority goes first, whenever it came",
+    now: 100,
+    serviceMs: 50,
+    rows: [
+      ["a", 2, 0, 100],
+      ["b", 1, 90, 5000],
+      ["c", 2, 10, 100],
+    ],
+    order: "bac",
+  },
+  {
+    name: "within a priority the nearest objective goes first",
+    now: 10,
+    serviceMs: 50,
+    rows: [
+      ["a", 1, 0, 900],
+      ["b", 1, 5, 300],
+      ["c", 1, 9, 600],
+    ],
+    order: "bca",
+  },
+  {
+    name: "what is late anyway goes last, oldest first",
+    now: 400,
+    serviceMs: 50,
+    rows: [
+      ["a", 1, 20, 300],
+      ["b", 1, 10, 300],
+      ["c", 1, 100, 900],
+    ],
+    order: "cba",
+  },
+  {
+    name: "what could only just be on time counts as on time",
+    now: 250,
+    serviceMs: 50,
+    rows: [
+      ["a", 1, 0, 299],
+      ["b", 1, 0, 300],
+    ],
+    order: "ba",
+  },
+];
+
+for (const { name, now, serviceMs, rows, order } of cases) {
+  test(`ask queue: ${name}`, (t) => {
+    const queue = new AskQueue();
+    for (const [attempt, priority, askedAt, objectiveMs] of rows) {
+      queue.add({ ask: makeAsk({ attempt, priority, objectiveMs }), askedAt });
+    }
+    const taken = rows.map(() => queue.take(now, serviceMs)?.ask.attempt);
+    t.is(taken.join(""), order);
+    t.is(queue.take(now, serviceMs), undefined);
+  });
+}
+
+test("ask queue: the place of a newcomer is where it will be taken from", (t) => {
+  const queue = new AskQueue();
+  queue.add({ ask: makeAsk({ attempt: "a", priority: 1, objectiveMs: 500 }), askedAt: 0 });
+  queue.add({ ask: makeAsk({ attempt: "b", priority: 2, objectiveMs: 100 }), askedAt: 0 });
+  t.is(queue.ahead(makeAsk({ priority: 0 }), 0, 50), 0);
+  t.is(queue.ahead(makeAsk({ priority: 1, objectiveMs: 900 }), 0, 50), 1);
+  t.is(queue.ahead(makeAsk({ priority: 3 }), 0, 50), 2);
+});
+
+test("ask queue: one that was taken back is not given a turn", (t) => {
+  const queue = new AskQueue();
+  const waiting = { ask: makeAsk(), askedAt: 0 };
+  queue.add(waiting);
+  t.true(queue.remove(waiting));
+  t.false(queue.remove(waiting));
+  t.is(queue.take(0, 50), undefined);
+});
--- /dev/null
+++ b/src/sidecar/gate/Gate.test.ts
@@ -0,0 +1,159 @@
+import test from "ava";
+import { FakeClock } from "../../../test/fixtures/FakeClock.ts";
+import { makeAsk } from "../../../test/fixtures/makeAsk.ts";
+import { AttemptId } from "../../common/ids/AttemptId.ts";
+import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
+import { TrustingJudge } from "../detection/TrustingJudge.ts";
+import type { Judge } from "../detection/Judge.ts";
+import type { AskReply } from "../hop/AskReply.ts";
+import { Gate } from "./Gate.ts";
+
+/** How long a grant is good for, ms; as the gate has it. */
+const GRANT_MS = 250;
+
+/** A gate to a target with `slots`, whose replies are noted by attempt. */
+function rig(slots = 2, judge: Judge = TrustingJudge) {
+  const clock = new FakeClock();
+  const target = { slots, takesWork: true, here: true };
+  const gate = new Gate({
+    target: () => (target.here ? target : undefined),
+    judge,
+    clock,
+    boot: "b",
+  });
+  const replies = new Map<string, AskReply>();
+  const ask = (attempt: string, over: Parameters<typeof makeAsk>[0] = {}) =>
+    gate.ask(makeAsk({ attempt, ...over }), (reply) => replies.set(attempt, reply));
+  const run = (attempt: string, ms: number) => {
+    gate.take(AttemptId(attempt));
+    clock.after(ms, () => {
+      gate.end(AttemptId(attempt), AttemptOutcome.Ok);
+    });
+  };
+  const said = (attempt: string): string => {
+    const reply = replies.get(attempt);
+    return reply?.kind === "refused" ? reply.reason : (reply?.kind ?? "waits");
+  };
+  return { clock, target, gate, replies, ask, run, said };
+}
+
+test("gate: no more requests are at the target than it has slots", async (t) => {
+  const { clock, gate, ask, run, said } = rig(2);
+  for (const attempt of ["a", "b", "c"]) {
+    ask(attempt);
+  }
+  t.deepEqual(["a", "b", "c"].map(said), ["granted", "granted", "waits"]);
+  run("a", 100);
+  run("b", 200);
+  await clock.advance(100);
+  t.is(said("c"), "granted");
+  t.is(gate.load.busy, 2);
+});
+
+test("gate: a grant that nobody takes goes to the next after a while", async (t) => {
+  // Story: a sidecar is granted a slot and is killed. The slot must not stand empty.
+  const { clock, gate, ask, said } = rig(1);
+  ask("a");
+  ask("b");
+  await clock.advance(GRANT_MS);
+  t.is(said("b"), "granted");
+  t.is(gate.take(AttemptId("a")), undefined, "the first grant is void");
+  t.truthy(gate.take(AttemptId("b")));
+});
+
+test("gate: an ask that is withdrawn frees its place or its slot", (t) => {
+  const { gate, ask, said } = rig(1);
+  const first = ask("a");
+  const second = ask("b");
+  ask("c");
+  second.withdraw();
+  first.withdraw();
+  t.deepEqual(["b", "c"].map(said), ["waits", "granted"]);
+  t.is(gate.load.queued, 0);
+});
+
+test("gate: what cannot be served in time is refused at once, and told when to come back", async (t) => {
+  // Story: every slot is taken by requests of 100 ms, and a caller has 60 ms left.
+  const { clock, ask, run, said, replies } = rig(1);
+  for (let i = 0; i < 40; i++) {
+    ask(`warm-${String(i)}`);
+    run(`warm-${String(i)}`, 100);
+    await clock.advance(100);
+  }
+  ask("a");
+  run("a", 100);
+  ask("late", { remainingMs: 60 });
+  ask("patient", { remainingMs: 1000 });
+  t.deepEqual(["late", "patient"].map(said), ["full", "waits"]);
+  const reply = replies.get("late");
+  t.true(reply?.kind === "refused" && reply.retryAfterMs > 50 && reply.retryAfterMs < 200);
+});
+
+test("gate: the queue is bounded", (t) => {
+  const { ask, said } = rig(1);
+  ask("running");
+  for (let i = 0; i < 20; i++) {
+    ask(`q-${String(i)}`, { remainingMs: 60_000 });
+  }
+  const waiting = Array.from({ length: 20 }, (_, i) => said(`q-${String(i)}`));
+  t.is(waiting.filter((s) => s === "waits").length, 8);
+  t.is(waiting.filter((s) => s === "full").length, 12);
+});
+
+test("gate: a target that leaves gives no more slots, and what waits is told at once", (t) => {
+  const { target, gate, ask, run, said } = rig(1);
+  ask("a");
+  run("a", 500);
+  ask("b");
+  target.takesWork = false;
+  gate.targetChanged();
+  ask("c");
+  t.deepEqual(["b", "c"].map(said), ["leaving", "leaving"]);
+  t.true(gate.isBusy, "what runs there is left to end");
+});
+
+test("gate: once closed it grants nothing, and says so to what waits", (t) => {
+  const { gate, ask, said } = rig(1);
+  ask("a");
+  ask("b");
+  gate.close();
+  ask("c");
+  t.deepEqual(["b", "c"].map(said), ["leaving", "leaving"]);
+});
+
+test("gate: a target that is gone has no slots", (t) => {
+  const { target, ask, said } = rig(1);
+  target.here = false;
+  ask("a");
+  t.is(said("a"), "no-target");
+});
+
+test("gate: the same attempt is not granted twice at a time", (t) => {
+  const { ask, said } = rig(2);
+  ask("a");
+  ask("a");
+  t.is(said("a"), "duplicate");
+});
+
+test("gate: an ask that waited past its deadline is passed over", async (t) => {
+  const { clock, ask, run, said } = rig(1);
+  ask("a");
+  run("a", 700);
+  ask("short", { remainingMs: 650, priority: 0 });
+  ask("long", { remainingMs: 5000 });
+  await clock.advance(700);
+  t.deepEqual(["short", "long"].map(said), ["waits", "granted"]);
+});
+
+test("gate: a run that takes far longer than usual is told to the judge while it lasts", async (t) => {
+  // Story: a target hangs. Its first requests are noticed long before their deadlines.
+  let overdue = 0;
+  const judge: Judge = { ...TrustingJudge, noteOverdue: () => (overdue += 1) };
+  const { clock, gate, ask } = rig(2, judge);
+  ask("a", { typicalMs: 100 });
+  gate.take(AttemptId("a"));
+  await clock.advance(299);
+  t.is(overdue, 0);
+  await clock.advance(1);
+  t.is(overdue, 1);
+});
--- /dev/null
+++ b/src/sidecar/gate/TargetRunner.test.ts
@@ -0,0 +1,143 @@
+import test from "ava";
+import { FakeClock } from "../../../test/fixtures/FakeClock.ts";
+import { makeAsk } from "../../../test/fixtures/makeAsk.ts";
+import { makeTarget } from "../../../test/fixtures/makeTarget.ts";
+import { results } from "../../../test/fixtures/results.ts";
+import { AttemptId } from "../../common/ids/AttemptId.ts";
+import { TargetId } from "../../common/ids/TargetId.ts";
+import { TrustingJudge } from "../detection/TrustingJudge.ts";
+import type { ForwardResult } from "../forwarding/ForwardResult.ts";
+import type { TargetRequest } from "../forwarding/TargetRequest.ts";
+import { Gate } from "./Gate.ts";
+import { RunTable } from "./RunTable.ts";
+import { TargetRunner } from "./TargetRunner.ts";
+
+const BOOT = "this life";
+const attempt = AttemptId("a");
+const grant = { attempt, target: TargetId("x"), boot: BOOT };
+
+/** Longer than any attempt is remembered, ms. */
+const FORGET_MS = 120_000;
+
+function rig() {
+  const clock = new FakeClock();
+  const target = makeTarget("x");
+  const gate = new Gate({
+    target: () => ({ slots: 1, takesWork: true }),
+    judge: TrustingJudge,
+    clock,
+    boot: BOOT,
+  });
+  const runs = new RunTable(clock);
+  let sends = 0;
+  let settle: (result: ForwardResult) => void = () => undefined;
+  const runner = new TargetRunner({
+    gates: { get: () => gate },
+    runs,
+    target: () => target,
+    send: () => {
+      sends += 1;
+      return new Promise((resolve) => (settle = resolve));
+    },
+    boot: BOOT,
+  });
+  const run = (over: Partial<typeof grant> = {}) =>
+    runner.run({ ...grant, ...over }, () => ({}) as TargetRequest);
+  const ask = () => gate.ask(makeAsk({ attempt }), () => undefined);
+  return {
+    clock,
+    gate,
+    runs,
+    runner,
+    run,
+    ask,
+    sends: () => sends,
+    end: (result: ForwardResult) => {
+      settle(result);
+    },
+  };
+}
+
+const voids: readonly { name: string; over: Partial<typeof grant>; asked: boolean }[] = [
+  { name: "that was never given", over: {}, asked: false },
+  { name: "of an earlier life of the process", over: { boot: "earlier" }, asked: true },
+];
+
+for (const { name, over, asked } of voids) {
+  test(`runner: a grant ${name} runs nothing, and says so`, async (t) => {
+    const { run, ask, sends } = rig();
+    if (asked) {
+      ask();
+    }
+    const out = await run(over);
+    t.is(out.verdict.kind, "not-run");
+    t.is(sends(), 0);
+  });
+}
+
+test("runner: one grant runs once, however often it is sent", async (t) => {
+  // Story: a connection is reset after the request went out, and the sidecar that
+  // sent it sends it again. The booking must not be made twice.
+  const { ask, run, end, sends } = rig();
+  ask();
+  const first = run();
+  const second = await run();
+  end(results.done);
+  t.is((await first).verdict.kind, "done");
+  t.is(second.verdict.kind, "not-run");
+  t.is(sends(), 1);
+});
+
+test("runner: whoever lost the connection joins the run, or fetches its answer", async (t) => {
+  const { ask, run, end, runner } = rig();
+  ask();
+  void run();
+  const joined = runner.state(grant);
+  t.is(joined.kind, "running");
+  end(results.done);
+  t.is(joined.kind === "running" && (await joined.result).verdict.kind, "done");
+  const later = runner.state(grant);
+  t.is(later.kind === "ended" && later.result.verdict.kind, "done");
+});
+
+test("runner: an attempt asked for before it came is taken back, and never runs", async (t) => {
+  // Story: a request is held up in a cut link, and its sender asks over a new
+  // connection. It is told that nothing ran; when the request comes after all, that
+  // must stay true.
+  const { ask, run, runner, sends } = rig();
+  ask();
+  const state = runner.state(grant);
+  t.is(state.kind === "ended" && state.result.verdict.kind, "not-run");
+  const late = await run();
+  t.is(late.verdict.kind, "not-run");
+  t.is(sends(), 0);
+});
+
+test("runner: nothing is said of an attempt that an earlier life of the process was given", (t) => {
+  const { runner } = rig();
+  t.is(runner.state({ ...grant, boot: "earlier" }).kind, "unknown");
+});
+
+test("run table: attempts are forgotten in the end", async (t) => {
+  const { clock, ask, run, end, runs } = rig();
+  ask();
+  const first = run();
+  end(results.done);
+  await first;
+  await clock.advance(FORGET_MS);
+  runs.track(AttemptId("b"), Promise.resolve(results.done));
+  t.is(runs.size, 1);
+  t.is(runs.state(attempt).kind, "unknown");
+});
+
+test("run table: answers beyond the bound are dropped oldest first, and said to be", async (t) => {
+  const runs = new RunTable(new FakeClock());
+  const large = { ...results.done, body: Buffer.alloc(12 << 20) };
+  for (const name of ["a", "b", "c"]) {
+    const run = Promise.resolve(large);
+    runs.track(AttemptId(name), run);
+    await run;
+  }
+  const kinds = ["a", "b", "c"].map((name) => runs.state(AttemptId(name)).kind);
+  t.deepEqual(kinds, ["forgotten", "ended", "ended"]);
+});
--- /dev/null
+++ b/src/sidecar/routing/GrantSeeker.test.ts
@@ -0,0 +1,116 @@
+import test from "ava";
+import bunyan from "bunyan";
+import { FakeClock } from "../../../test/fixtures/FakeClock.ts";
+import { FakeHop, granted, refused } from "../../../test/fixtures/FakeHop.ts";
+import { FixedPolicy } from "../../../test/fixtures/FixedPolicy.ts";
+import { makeCourse } from "../../../test/fixtures/makeCourse.ts";
+import { makeRoute } from "../../../test/fixtures/makeRoute.ts";
+import { makeTarget } from "../../../test/fixtures/makeTarget.ts";
+import { RefusalReason } from "../hop/RefusalReason.ts";
+import { GrantSeeker } from "./GrantSeeker.ts";
+
+const log = bunyan.createLogger({ name: "test", level: "fatal" });
+
+function rig(names = ["a", "b", "c", "d"]) {
+  const clock = new FakeClock();
+  const hop = new FakeHop();
+  hop.onAsk = () => undefined;
+  const policy = new FixedPolicy(names.map((id) => makeTarget(id, { hopAddress: id })));
+  const seek = (over: Parameters<typeof makeCourse>[0] = {}) =>
+    new GrantSeeker(
+      { policy, ask: (...args) => hop.ask(...args), clock, log },
+      makeRoute(),
+      makeCourse(over),
+      new Set(),
+    );
+  const asked = () => hop.asks.map((a) => a.address).join("");
+  return { clock, hop, seek, asked };
+}
+
+test("seek: a free slot at the first target costs one ask", async (t) => {
+  const { clock, hop, seek, asked } = rig();
+  const seeker = seek();
+  hop.asks[0]?.call.answer(granted);
+  const sought = await seeker.sought;
+  await clock.advance(1000);
+  t.is(sought.kind === "granted" && sought.grant.target.hopAddress, "a");
+  t.is(asked(), "a");
+});
+
+test("seek: a path that stays silent costs tens of milliseconds", async (t) => {
+  // Story: the link to one target's VM is cut. The request goes to another long before
+  // any timeout, and nothing is in doubt, since asking runs nothing.
+  const { clock, hop, seek, asked } = rig();
+  const seeker = seek();
+  await clock.advance(40);
+  t.is(asked(), "ab");
+  hop.asks[1]?.call.answer(granted);
+  const sought = await seeker.sought;
+  t.is(sought.kind === "granted" && sought.grant.target.hopAddress, "b");
+  t.true(hop.asks[0]?.call.givenUp);
+});
+
+test("seek: an ask that waits in a queue makes others be asked, but not more than three at a time", async (t) => {
+  const { clock, hop, seek, asked } = rig();
+  const seeker = seek();
+  for (let i = 0; i < 3; i++) {
+    await clock.advance(5);
+    hop.asks.at(-1)?.call.onAlive();
+    await clock.advance(20);
+  }
+  t.is(asked(), "abc");
+  hop.asks[1]?.call.answer(refused());
+  await clock.advance(0);
+  t.is(asked(), "abcd", "one that refused makes room for the next");
+  hop.asks[0]?.call.answer(granted);
+  t.is((await seeker.sought).kind, "granted");
+  t.true([2, 3].every((i) => hop.asks[i]?.call.givenUp));
+});
+
+test("seek: a target under suspicion is taken only when no other will have the request", async (t) => {
+  const { clock, hop, seek, asked } = rig(["a", "b"]);
+  const seeker = seek();
+  hop.asks[0]?.call.answer(refused(RefusalReason.Suspect));
+  await clock.advance(0);
+  hop.asks[1]?.call.answer(refused(RefusalReason.Full));
+  await clock.advance(0);
+  t.is(asked(), "aba");
+  t.deepEqual(
+    hop.asks.map((a) => a.ask.insist),
+    [false, false, true],
+  );
+  hop.asks[2]?.call.answer(granted);
+  t.is((await seeker.sought).kind, "granted");
+});
+
+test("seek: when all have refused it is over at once, with the soonest time to come back", async (t) => {
+  const { clock, hop, seek } = rig(["a", "b"]);
+  const seeker = seek();
+  hop.asks[0]?.call.answer({ ...refused(), retryAfterMs: 700 } as never);
+  await clock.advance(0);
+  hop.asks[1]?.call.answer({ ...refused(), retryAfterMs: 300 } as never);
+  const sought = await seeker.sought;
+  t.is(sought.kind === "refused" && sought.retryAfterMs, 300);
+  t.is(clock.now(), 0);
+});
+
+test("seek: no slot by the deadline is a refusal, and every ask is withdrawn", async (t) => {
+  const { clock, hop, seek } = rig();
+  const seeker = seek({ deadlineAt: 500 });
+  for (let i = 0; i < 20; i++) {
+    hop.asks.forEach((a) => {
+      a.call.onAlive();
+    });
+    await clock.advance(25);
+  }
+  t.is((await seeker.sought).kind, "refused");
+  t.true(hop.asks.every((a) => a.call.givenUp));
+});
+
+test("seek: how much time is left is told as a span, never as a time of day", async (t) => {
+  const { clock, hop, seek } = rig();
+  await clock.advance(300);
+  seek({ startedAt: 100, deadlineAt: 1100 });
+  t.is(hop.asks[0]?.ask.remainingMs, 800);
+  t.is(hop.asks[0]?.ask.objectiveMs, 100);
+});
