Compiled programs start from V8's code cache, without what they never use of their libraries

Ruled out: idle work (0.9% of a core), Node's own start. Without a cache everything works as before.

--- a/scripts/LocalFleet.ts
+++ b/scripts/LocalFleet.ts
@@ -270,7 +270,7 @@
   async #program(name: keyof typeof PROGRAMS): Promise<string> {
     compiled ??= bundle(BIN_DIR, PROGRAMS);
     await compiled;
-    return join(BIN_DIR, `${name}.mjs`);
+    return join(BIN_DIR, `${name}.cjs`);
   }
 
   async #startControl(): Promise<void> {
--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -1,7 +1,8 @@
 import { cpSync, rmSync } from "node:fs";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
-import { build } from "esbuild";
+import { build, type BuildOptions } from "esbuild";
+import { trimLibraries } from "./trimLibraries.ts";
 
 const ROOT = fileURLToPath(new URL("..", import.meta.url));
 
@@ -11,40 +12,51 @@
   burdockpass: "src/cli/main.ts",
 } as const;
 
+/** Starts a program with its code cache; see {@link file://../src/launcher/runCached.ts}. */
+const LAUNCHER = "src/launcher/main.ts";
+
 /** Optional parts of libraries that are looked for at run time, and done without. */
 const OPTIONAL = ["dtrace-provider", "mv", "safe-json-stringify", "source-map-support"];
 
-/** Libraries of CommonJS make calls of `require`, which an ES module has to be given. */
-const BANNER = `import { createRequire as __createRequire } from "node:module";
-const require = __createRequire(import.meta.url);
-const __filename = new URL(import.meta.url).pathname;
-const __dirname = new URL(".", import.meta.url).pathname;`;
+const OPTIONS: BuildOptions = {
+  absWorkingDir: ROOT,
+  bundle: true,
+  platform: "node",
+  target: "node20",
+  format: "cjs",
+  minify: true,
+  keepNames: true,
+  external: OPTIONAL,
+  plugins: [trimLibraries],
+  define: { "import.meta.url": "__importMetaUrl" },
+  banner: {
+    js: 'const __importMetaUrl = require("node:url").pathToFileURL(__filename).href;',
+  },
+  logLevel: "warning",
+};
 
 /**
- * Compiles programs into one file each under `outDir`, with the protocol definitions
- * beside them: a process then starts with one read instead of a thousand, and no
- * compiler. Rarely used parts become files of their own, read when they are needed.
+ * Compiles each program into one file, `NAME.program.js`, and the launcher `NAME.cjs`
+ * that runs it, under `outDir`, with the protocol definitions beside them: a process
+ * then starts with one read instead of a thousand, and no compiler. They are CommonJS,
+ * since Node has no way to give an ES module a code cache.
  */
 export async function bundle(
   outDir: string,
   programs: Readonly<Record<string, string>> = PROGRAMS,
 ): Promise<void> {
   rmSync(outDir, { recursive: true, force: true });
-  await build({
-    absWorkingDir: ROOT,
-    entryPoints: { ...programs },
-    outdir: outDir,
-    outExtension: { ".js": ".mjs" },
-    bundle: true,
-    splitting: true,
-    platform: "node",
-    target: "node20",
-    format: "esm",
-    minify: true,
-    keepNames: true,
-    external: OPTIONAL,
-    banner: { js: BANNER },
-    logLevel: "warning",
-  });
+  const names = Object.keys(programs);
+  const code = Object.fromEntries(names.map((n) => [`${n}.program`, programs[n] ?? ""]));
+  const launchers = Object.fromEntries(names.map((n) => [n, LAUNCHER]));
+  await Promise.all([
+    build({ ...OPTIONS, entryPoints: code, outdir: outDir }),
+    build({
+      ...OPTIONS,
+      entryPoints: launchers,
+      outdir: outDir,
+      outExtension: { ".js": ".cjs" },
+    }),
+  ]);
   cpSync(join(ROOT, "proto"), join(outDir, "proto"), { recursive: true });
 }
