Requests in line leave gray targets alone for longer; who goes first is decided by due date with a head start for priority

Five of fleet-desk's eight targets were gray at once; the three sound ones had lines, and a request that had stood in line for 15 ms (two sound targets) or 150 ms went to a gray one, which fails in 1 ms and so always has room. Besides, strict priority kept calls that targets make behind bookings, and their callers' runs failed with them. Ruled out: late detection (each was ejected after its second failure). Change: patienceMs (a quarter of the objective for work that may repeat, three quarters else); goesBefore (earliest due date, 300 ms head start a rank, late ones last by priority).

--- /dev/null
+++ b/experiment/Scenario.ts
@@ -0,0 +1,54 @@
+/** One kind of request, and the calls that its targets make while they work on it. */
+export interface LoadKind {
+  readonly name: string;
+  readonly service: string;
+  readonly idempotent: boolean;
+  readonly priority: number;
+  /** Requests a second that callers send; 0 for calls that only targets make. */
+  readonly perSecond: number;
+  readonly workMs: number;
+  readonly objectiveMs: number;
+  readonly deadlineMs: number;
+  /** What an answer in time is worth, and one after its objective. */
+  readonly worth: readonly [inTime: number, late: number];
+  /** A kind of call that a share of its runs makes, so many times. */
+  readonly calls?: { readonly kind: string; readonly times: number; readonly share: number };
+}
+
+/** Targets of a service that fail most of what they are given for a while. */
+export interface GraySpell {
+  readonly service: string;
+  readonly count: number;
+  readonly fromMs: number;
+  readonly forMs: number;
+  /** Share of requests that fail, at once. */
+  readonly fails: number;
+  /** Work takes this many times as long. */
+  readonly slow?: number;
+}
+
+/** More requests than usual for a while. */
+export interface Burst {
+  readonly fromMs: number;
+  readonly forMs: number;
+  readonly times: number;
+}
+
+/** A load on a fleet, and what goes wrong. */
+export interface Scenario {
+  readonly name: string;
+  readonly services: readonly {
+    readonly name: string;
+    readonly targets: number;
+    readonly slots: number;
+  }[];
+  readonly zones: number;
+  /** One way between availability zones, ms. */
+  readonly zoneMs: number;
+  readonly kinds: readonly LoadKind[];
+  /** At any time this share of the targets is gray, each in one spell every `everyMs`. */
+  readonly noise?: { readonly share: number; readonly everyMs: number; readonly fails: number };
+  readonly spells?: readonly GraySpell[];
+  readonly bursts?: readonly Burst[];
+  readonly lengthMs: number;
+}
--- /dev/null
+++ b/experiment/SimClock.ts
@@ -0,0 +1,101 @@
+import type { Clock } from "../src/common/lifecycle/Clock.ts";
+import type { Timer } from "../src/common/lifecycle/Timer.ts";
+
+interface Entry {
+  readonly due: number;
+  /** Orders entries that are due at the same moment by when they were set. */
+  readonly order: number;
+  readonly act: () => void;
+  cancelled: boolean;
+}
+
+/** Promise callbacks that wait on each other need as many turns of the microtask queue. */
+const SETTLE_TURNS = 12;
+
+/** Simulated time: a heap of timers, run one after the other as fast as they come. */
+export class SimClock implements Clock {
+  #now = 0;
+  #order = 0;
+  readonly #heap: Entry[] = [];
+
+  now(): number {
+    return this.#now;
+  }
+
+  after(ms: number, act: () => void): Timer {
+    const entry = {
+      due: this.#now + Math.max(0, ms),
+      order: this.#order++,
+      act,
+      cancelled: false,
+    };
+    this.#push(entry);
+    return {
+      cancel: () => {
+        entry.cancelled = true;
+      },
+    };
+  }
+
+  /** Runs until the simulated time is `until`, ms; promises settle between timers. */
+  async run(until: number): Promise<void> {
+    for (;;) {
+      const next = this.#heap[0];
+      if (!next || next.due > until) {
+        this.#now = until;
+        return;
+      }
+      this.#pop();
+      if (!next.cancelled) {
+        this.#now = next.due;
+        next.act();
+        for (let i = 0; i < SETTLE_TURNS; i++) {
+          await Promise.resolve();
+        }
+      }
+    }
+  }
+
+  #push(entry: Entry): void {
+    const heap = this.#heap;
+    let at = heap.push(entry) - 1;
+    while (at > 0) {
+      const above = (at - 1) >> 1;
+      if (!isBefore(entry, heap[above])) {
+        break;
+      }
+      heap[at] = heap[above] ?? entry;
+      at = above;
+    }
+    heap[at] = entry;
+  }
+
+  #pop(): void {
+    const heap = this.#heap;
+    const last = heap.pop();
+    if (!last || heap.length === 0) {
+      return;
+    }
+    let at = 0;
+    for (;;) {
+      let below = 2 * at + 1;
+      if (isBefore(heap[below + 1], heap[below])) {
+        below += 1;
+      }
+      const child = heap[below];
+      if (!child || !isBefore(child, last)) {
+        break;
+      }
+      heap[at] = child;
+      at = below;
+    }
+    heap[at] = last;
+  }
+}
+
+function isBefore(a: Entry | undefined, b: Entry | undefined): boolean {
+  if (!a || !b) {
+    return a !== undefined;
+  }
+  return a.due < b.due || (a.due === b.due && a.order < b.order);
+}
--- /dev/null
+++ b/experiment/SimTarget.ts
@@ -0,0 +1,84 @@
+import type { Clock } from "../src/common/lifecycle/Clock.ts";
+
+/** What a simulated target does with one request: its call, or how it ends. */
+type RunEnd = "ok" | "failed" | "call-failed";
+
+/** Share of requests that a sound target fails by itself; the users' services measure 12 in 1,000. */
+const OWN_ERRORS = 0.012;
+
+/** A gray target fails a request this fast, ms. */
+const FAIL_MS = 1;
+
+/** Spread of work times: sigma of their logarithm. */
+const SPREAD = 0.5;
+
+/** A spell during which it fails requests, or is slow. */
+interface Spell {
+  readonly from: number;
+  readonly until: number;
+  readonly fails: number;
+  readonly slow: number;
+}
+
+/** A target as burdockpass sees one: takes time, has spells, makes calls. */
+export class SimTarget {
+  readonly #clock: Clock;
+  readonly #random: () => number;
+  readonly #spells: Spell[] = [];
+  /** How much faster or slower than the others it is, for good. */
+  readonly #speed: number;
+
+  constructor(clock: Clock, random: () => number) {
+    this.#clock = clock;
+    this.#random = random;
+    this.#speed = 0.85 + 0.3 * random();
+  }
+
+  /** Adds a time during which it is gray. */
+  addSpell(spell: Spell): void {
+    this.#spells.push(spell);
+  }
+
+  /** True while it fails most of what it is given. */
+  get isGray(): boolean {
+    return this.#spell !== undefined;
+  }
+
+  /** When the spell that it is in began. */
+  get grayFrom(): number | undefined {
+    return this.#spell?.from;
+  }
+
+  /** Works on one request; `call` makes the calls that the work needs, and tells whether they went well. */
+  async run(workMs: number, call: () => Promise<boolean>): Promise<RunEnd> {
+    const spell = this.#spell;
+    if (spell && this.#random() < spell.fails) {
+      await this.#wait(FAIL_MS);
+      return "failed";
+    }
+    const ms = workMs * this.#speed * (spell?.slow ?? 1) * logNormal(this.#random);
+    await this.#wait(ms / 2);
+    if (!(await call())) {
+      return "call-failed";
+    }
+    await this.#wait(ms / 2);
+    return this.#random() < OWN_ERRORS ? "failed" : "ok";
+  }
+
+  get #spell(): Spell | undefined {
+    const now = this.#clock.now();
+    return this.#spells.find((s) => s.from <= now && now < s.until);
+  }
+
+  #wait(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.#clock.after(ms, resolve);
+    });
+  }
+}
+
+/** A factor around 1 with a long tail; its mean is 1. */
+function logNormal(random: () => number): number {
+  const normal = Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
+  return Math.exp(SPREAD * normal - (SPREAD * SPREAD) / 2);
+}
--- /dev/null
+++ b/experiment/Tally.ts
@@ -0,0 +1,82 @@
+import { groupBy } from "./groupBy.ts";
+import type { LoadKind } from "./Scenario.ts";
+
+/** How one caller's request ended. */
+export interface Ended {
+  readonly kind: LoadKind;
+  readonly startedAt: number;
+  readonly endedAt: number;
+  readonly end: "served" | "refused" | "failed";
+}
+
+/** Width of the windows of which the worst are reported, ms. */
+const WINDOW_MS = 2000;
+
+/** Figures of one run. */
+export interface Figures {
+  readonly served: number;
+  /** Credit earned over credit owed. */
+  readonly worth: number;
+  /** The same in the worst two windows. */
+  readonly worst: number;
+  readonly refused: number;
+  readonly failed: number;
+  /** How long refused callers were held, ms, on average. */
+  readonly refusedAfterMs: number;
+  /** Credit by kind. */
+  readonly byKind: Readonly<Record<string, number>>;
+}
+
+/** Counts what callers got. */
+export class Tally {
+  readonly #ended: Ended[] = [];
+
+  add(ended: Ended): void {
+    this.#ended.push(ended);
+  }
+
+  /** Credit over time, a point a window: from when, and credit earned over owed. */
+  windows(): { from: number; worth: number }[] {
+    const byWindow = groupBy(this.#ended, (e) => Math.floor(e.startedAt / WINDOW_MS));
+    return [...byWindow.entries()]
+      .sort(([a], [b]) => a - b)
+      .map(([n, list]) => ({ from: n * WINDOW_MS, worth: worthOf(list) }));
+  }
+
+  figures(): Figures {
+    const all = this.#ended;
+    const refused = all.filter((e) => e.end === "refused");
+    const held = refused.reduce((sum, e) => sum + e.endedAt - e.startedAt, 0);
+    const worst = this.windows()
+      .map((w) => w.worth)
+      .sort((a, b) => a - b)
+      .slice(0, 2);
+    const kinds = groupBy(all, (e) => e.kind.name);
+    return {
+      served: share(all, "served"),
+      worth: worthOf(all),
+      worst: worst.reduce((sum, w) => sum + w, 0) / Math.max(1, worst.length),
+      refused: share(all, "refused"),
+      failed: share(all, "failed"),
+      refusedAfterMs: held / Math.max(1, refused.length),
+      byKind: Object.fromEntries([...kinds].map(([name, list]) => [name, worthOf(list)])),
+    };
+  }
+}
+
+function share(list: readonly Ended[], end: Ended["end"]): number {
+  return list.filter((e) => e.end === end).length / Math.max(1, list.length);
+}
+
+function worthOf(list: readonly Ended[]): number {
+  const owed = list.reduce((sum, e) => sum + e.kind.worth[0], 0);
+  const earned = list.reduce((sum, e) => sum + creditOf(e), 0);
+  return owed > 0 ? earned / owed : 1;
+}
+
+function creditOf({ kind, startedAt, endedAt, end }: Ended): number {
+  if (end !== "served") {
+    return 0;
+  }
+  return endedAt - startedAt <= kind.objectiveMs ? kind.worth[0] : kind.worth[1];
+}
--- /dev/null
+++ b/experiment/main.ts
@@ -0,0 +1,36 @@
+import { seededRandom } from "../test/fixtures/seededRandom.ts";
+import { scenarios } from "./scenarios.ts";
+import { SimClock } from "./SimClock.ts";
+import { SimFleet } from "./SimFleet.ts";
+import type { Figures } from "./Tally.ts";
+import { variants } from "./variants.ts";
+
+// Compares ways of deciding on the same loads: `npm run experiment -- [SEEDS] [SCENARIO]`.
+const [seeds = "5", only] = process.argv.slice(2);
+
+const columns = ["served", "worth", "worst", "refused", "failed"] as const;
+
+for (const scenario of scenarios.filter((s) => only === undefined || s.name === only)) {
+  for (const variant of variants) {
+    const runs: Figures[] = [];
+    for (let seed = 1; seed <= Number(seeds); seed++) {
+      const clock = new SimClock();
+      const fleet = new SimFleet(scenario, variant, clock, seededRandom(seed));
+      await fleet.play();
+      runs.push(fleet.tally.figures());
+    }
+    const mean = (pick: (f: Figures) => number) =>
+      runs.reduce((sum, f) => sum + pick(f), 0) / runs.length;
+    const cells = columns.map((c) => `${c} ${mean((f) => f[c]).toFixed(3)}`);
+    const kinds = Object.keys(runs[0]?.byKind ?? {}).map((k) =>
+      mean((f) => f.byKind[k] ?? 0).toFixed(3),
+    );
+    console.log(
+      scenario.name.padEnd(14),
+      variant.name.padEnd(20),
+      cells.join("  "),
+      `held ${mean((f) => f.refusedAfterMs).toFixed(0)} ms`,
+      kinds.join(" "),
+    );
+  }
+}
--- /dev/null
+++ b/experiment/scenarios.ts
@@ -0,0 +1,97 @@
+import type { LoadKind, Scenario } from "./Scenario.ts";
+
+/** Glenbrae's kinds of request, at `share` of their full rate. */
+const glenbrae = (share: number): LoadKind[] => [
+  {
+    name: "availability-check",
+    service: "fleet-desk",
+    idempotent: true,
+    priority: 2,
+    perSecond: 16.3 * share,
+    workMs: 480,
+    objectiveMs: 1500,
+    deadlineMs: 8000,
+    worth: [1, 0.3],
+    calls: { kind: "hire-ledger-read", times: 2, share: 0.7 },
+  },
+  {
+    name: "booking-confirm",
+    service: "hire-book",
+    idempotent: false,
+    priority: 1,
+    perSecond: 31.9 * share,
+    workMs: 370,
+    objectiveMs: 1500,
+    deadlineMs: 5000,
+    worth: [2, 0.6],
+    calls: { kind: "unit-log-read", times: 1, share: 0.7 },
+  },
+  {
+    name: "trace-report",
+    service: "cold-trace",
+    idempotent: true,
+    priority: 2,
+    perSecond: 5.5 * share,
+    workMs: 300,
+    objectiveMs: 1500,
+    deadlineMs: 10_000,
+    worth: [1, 0.3],
+  },
+  call("hire-ledger-read", "hire-book", 93),
+  call("unit-log-read", "cold-trace", 93),
+];
+
+function call(name: string, service: string, workMs: number): LoadKind {
+  return {
+    name,
+    service,
+    idempotent: true,
+    priority: 2,
+    perSecond: 0,
+    workMs,
+    objectiveMs: 400,
+    deadlineMs: 1200,
+    worth: [0, 0],
+  };
+}
+
+const GLENBRAE = {
+  services: ["fleet-desk", "hire-book", "cold-trace"].map((name) => ({
+    name,
+    targets: 8,
+    slots: 4,
+  })),
+  zones: 4,
+  zoneMs: 0.9,
+  noise: { share: 0.3, everyMs: 12_000, fails: 0.85 },
+  lengthMs: 32_000,
+};
+
+/** Loads to compare policies on: a quiet day, and those on which most is lost. */
+export const scenarios: readonly Scenario[] = [
+  { ...GLENBRAE, name: "quiet", kinds: glenbrae(0.6) },
+  { ...GLENBRAE, name: "busy", kinds: glenbrae(1) },
+  {
+    ...GLENBRAE,
+    name: "burst",
+    kinds: glenbrae(1),
+    bursts: [{ fromMs: 10_000, forMs: 5000, times: 1.7 }],
+  },
+  {
+    // A configuration sends all bookings to the desk's targets, which are busy already.
+    ...GLENBRAE,
+    name: "moved",
+    kinds: glenbrae(0.6).map((k) =>
+      k.name === "booking-confirm" ? { ...k, service: "fleet-desk" } : k,
+    ),
+  },
+  {
+    ...GLENBRAE,
+    name: "gray majority",
+    kinds: glenbrae(0.8),
+    spells: [
+      { service: "fleet-desk", count: 5, fromMs: 12_000, forMs: 6000, fails: 0.85 },
+      { service: "hire-book", count: 5, fromMs: 20_000, forMs: 6000, fails: 0.85 },
+    ],
+  },
+];
--- a/src/sidecar/gate/AskQueue.ts
+++ b/src/sidecar/gate/AskQueue.ts
@@ -1,22 +1,18 @@
 import type { Ask } from "../hop/Ask.ts";
+import { goesBefore } from "./goesBefore.ts";
+import type { WaitingAsk } from "./WaitingAsk.ts";
 
-/** An ask that waits for a slot. */
-export interface WaitingAsk {
-  readonly ask: Ask;
-  /** When it came, by the gate's clock, ms. */
-  readonly askedAt: number;
-}
+/** Whether the first goes before the second, at a time (ms), when a request takes so long (ms). */
+type AskOrder = (a: WaitingAsk, b: WaitingAsk, now: number, serviceMs: number) => boolean;
 
-/**
- * Asks waiting for a slot at one target. The most urgent priority goes first;
- * within one, the ask whose objective is nearest, as long as it can still be met:
- * earliest due date first meets the most objectives, but under overload it would
- * spend the slots on requests that are late anyway, so those go last. Calls that a
- * target makes while it works hold its slot meanwhile; their objectives are short, so
- * they go ahead of new work of the same priority.
- */
+/** Asks waiting for a slot at one target, taken in the order that `goesBefore` gives. */
 export class AskQueue {
   readonly #waiting: WaitingAsk[] = [];
+  readonly #goesBefore: AskOrder;
+
+  constructor(order: AskOrder = goesBefore) {
+    this.#goesBefore = order;
+  }
 
   get length(): number {
     return this.#waiting.length;
@@ -40,7 +36,7 @@
   take(now: number, serviceMs: number): WaitingAsk | undefined {
     let first: WaitingAsk | undefined;
     for (const waiting of this.#waiting) {
-      if (!first || goesBefore(waiting, first, now, serviceMs)) {
+      if (!first || this.#goesBefore(waiting, first, now, serviceMs)) {
         first = waiting;
       }
     }
@@ -53,7 +49,7 @@
   /** How many would go before `ask` if it came now. */
   ahead(ask: Ask, now: number, serviceMs: number): number {
     const newcomer = { ask, askedAt: now };
-    return this.#waiting.filter((w) => !goesBefore(newcomer, w, now, serviceMs)).length;
+    return this.#waiting.filter((w) => !this.#goesBefore(newcomer, w, now, serviceMs)).length;
   }
 
   /** Removes and returns all that `isDue` picks. */
@@ -63,15 +59,3 @@
     return due;
   }
 }
-
-function goesBefore(a: WaitingAsk, b: WaitingAsk, now: number, serviceMs: number): boolean {
-  if (a.ask.priority !== b.ask.priority) {
-    return a.ask.priority < b.ask.priority;
-  }
-  const [dueA, dueB] = [a.askedAt + a.ask.objectiveMs, b.askedAt + b.ask.objectiveMs];
-  const [lateA, lateB] = [now + serviceMs > dueA, now + serviceMs > dueB];
-  if (lateA !== lateB) {
-    return lateB;
-  }
-  return lateA ? a.askedAt < b.askedAt : dueA < dueB;
-}
--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -7,7 +7,8 @@
 import type { AskReply } from "../hop/AskReply.ts";
 import type { GateLoad } from "../hop/GateLoad.ts";
 import { RefusalReason } from "../hop/RefusalReason.ts";
-import { AskQueue, type WaitingAsk } from "./AskQueue.ts";
+import { AskQueue } from "./AskQueue.ts";
+import type { WaitingAsk } from "./WaitingAsk.ts";
 
 /** The target, as far as the gate needs to know it. */
 interface GatedTarget {
@@ -23,6 +24,8 @@
   readonly clock: Clock;
   /** Names this life of the process. */
   readonly boot: string;
+  /** Who goes first of those that wait; left out, the product's own order. */
+  readonly order?: ConstructorParameters<typeof AskQueue>[0];
 }
 
 /**
@@ -82,7 +85,7 @@
  */
 export class Gate {
   readonly #deps: GateDeps;
-  readonly #queue = new AskQueue();
+  readonly #queue: AskQueue;
   readonly #replies = new Map<WaitingAsk, (reply: AskReply) => void>();
   readonly #held = new Map<AttemptId, Held>();
   #serviceMs = FIRST_SERVICE_MS;
@@ -90,6 +93,7 @@
 
   constructor(deps: GateDeps) {
     this.#deps = deps;
+    this.#queue = new AskQueue(deps.order);
   }
 
   /** How busy the target is. */
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -6,6 +6,7 @@
 import type { HopClient } from "../hop/HopClient.ts";
 import type { CourseRequest } from "./CourseRequest.ts";
 import { GrantSeeker, type Grant, type Sought } from "./GrantSeeker.ts";
+import { patienceMs as ownPatienceMs } from "./patienceMs.ts";
 import { RetryBudget, type RetryBudgetRule } from "./RetryBudget.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
 import type { RoutingPolicy } from "./RoutingPolicy.ts";
@@ -21,6 +22,8 @@
   readonly budget: () => RetryBudgetRule;
   /** Sidecars that share the retry budget. */
   readonly members: () => number;
+  /** How long a request that waits in line leaves gray targets alone, ms; left out, the product's own rule. */
+  readonly patienceMs?: (route: RouteMatch) => number;
   readonly clock: Clock;
   readonly log: bunyan;
 }
@@ -94,9 +97,10 @@
   }
 
   #seek(course: Course): GrantSeeker {
-    const { policy, hop, clock, log } = this.#deps;
+    const { policy, hop, clock, log, patienceMs = ownPatienceMs } = this.#deps;
     const ask: HopClient["ask"] = (...args) => hop.ask(...args);
-    return new GrantSeeker({ policy, ask, clock, log }, course.route, course.req, course.tried);
+    const deps = { policy, ask, patienceMs, clock, log };
+    return new GrantSeeker(deps, course.route, course.req, course.tried);
   }
 
   /** Runs the request where it was granted a slot, and at a second target when the first is stuck. */
--- a/src/sidecar/routing/GrantSeeker.ts
+++ b/src/sidecar/routing/GrantSeeker.ts
@@ -27,6 +27,8 @@
 interface GrantSeekerDeps {
   readonly policy: RoutingPolicy;
   readonly ask: (address: string, ask: Ask, onAlive: () => void) => Pending<AskReply>;
+  /** How long a request that waits in line at sound targets leaves gray ones alone, ms. */
+  readonly patienceMs: (route: RouteMatch) => number;
   readonly clock: Clock;
   readonly log: bunyan;
 }
@@ -48,9 +50,6 @@
 /** An ask that waits in a queue makes another target be asked beside it after this long, ms. */
 const QUEUED_MS = 15;
 
-/** A request that has waited this long takes a target under suspicion rather than wait on, ms. */
-const PATIENCE_MS = 150;
-
 /** An ask silent for this long counts against the path, ms: longer than a garbage collection at the other side. */
 const DEAD_MS = 150;
 
@@ -128,18 +127,28 @@
     }
   }
 
+  /** The next target to ask; one that is gray only when no other could be asked or it has waited long. */
   #next(): Picked | undefined {
     const next = this.#deps.policy.pick(this.#route, this.#tried);
-    const now = this.#deps.clock.now();
-    const isPatient = this.#open.size > 0 && now - (this.#queuedAt ?? now) < PATIENCE_MS;
-    if (next !== undefined || isPatient) {
+    if (next?.insist === false) {
       return next;
     }
-    // A target under suspicion is better than none, and than a long wait for another.
-    const target = this.#suspects.shift();
+    if (this.#isInLine && this.#deps.clock.now() - (this.#queuedAt ?? 0) < this.#patienceMs) {
+      return undefined;
+    }
+    const target = next?.target ?? this.#suspects.shift();
     return target && { target, insist: true };
   }
 
+  /** A sound target is known to have it in its queue; one that stays silent may never have heard of it. */
+  get #isInLine(): boolean {
+    return [...this.#open.values()].some((o) => o.queued);
+  }
+
+  get #patienceMs(): number {
+    return this.#deps.patienceMs(this.#route);
+  }
+
   #ask({ target, insist }: Picked): void {
     const { clock } = this.#deps;
     this.#tried.add(target.id);
@@ -192,7 +201,7 @@
     }
     open.queued = true;
     this.#queuedAt ??= this.#deps.clock.now();
-    for (const ms of [QUEUED_MS, PATIENCE_MS]) {
+    for (const ms of [QUEUED_MS, this.#patienceMs]) {
       this.#after(ms, () => {
         this.#askNext();
       });
