burdockpass explain: a request's story and cause from its id and the logs

Callers are told their request's id (x-burdockpass-attempt). Lines that were missing: slot granted (target, load, how many were asked), target state and late announcements, members' news and loss; 'slot refused' names its target, and an answer cut short its request. Tests: tables over log lines; and three walks with real processes, from the id alone: refused early, ended as may-have-run, failed by a gray target.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -4,20 +4,27 @@
 import type { OperatorDocument } from "../common/document/OperatorDocument.ts";
 import { parseOperatorDocument } from "../common/document/parseOperatorDocument.ts";
 import { applyAtLeader } from "./applyAtLeader.ts";
+import { explainRequest } from "./explain/explainRequest.ts";
+import { parseLog } from "./explain/parseLog.ts";
+import { renderStory } from "./explain/renderStory.ts";
 
 function fail(message: string): never {
   process.stderr.write(message + "\n");
   process.exit(1);
 }
 
-/** Reads and checks a document; ends with every problem, each with its line and field, when it is no good. */
-function readDocument(file: string): { text: string; doc: OperatorDocument } {
-  let text: string;
+/** A file's text; ends with the reason when it cannot be read. */
+function readText(file: string): string {
   try {
-    text = readFileSync(file, "utf8");
+    return readFileSync(file, "utf8");
   } catch (err) {
     fail(`${file}: ${err instanceof Error ? err.message : String(err)}`);
   }
+}
+
+/** Reads and checks a document; ends with every problem, each with its line and field, when it is no good. */
+function readDocument(file: string): { text: string; doc: OperatorDocument } {
+  const text = readText(file);
   const parsed = parseOperatorDocument(text);
   if (!parsed.ok) {
     const lines = parsed.problems.map(
@@ -115,6 +122,28 @@
   },
 });
 
+const explain = defineCommand({
+  meta: {
+    name: "explain",
+    description: "Tell what became of a request, and why, from the processes' logs.",
+  },
+  args: {
+    attempt: { type: "positional", required: true, description: "The request's attempt id" },
+    log: { type: "positional", required: true, description: "Log files, one or more" },
+    json: { type: "boolean", default: false, description: "Print JSON" },
+  },
+  run({ args }) {
+    // The parser hands over every word that is no option, those above among them.
+    const [attempt = "", ...files] = args._;
+    const lines = files.flatMap((file) => parseLog(readText(file)));
+    const story = explainRequest(attempt, lines);
+    process.stdout.write(args.json ? `${JSON.stringify(story)}\n` : renderStory(story));
+    if (story.steps.length === 0) {
+      process.exitCode = 1;
+    }
+  },
+});
+
 const main = defineCommand({
   meta: {
     name: "burdockpass",
@@ -123,6 +152,7 @@
   subCommands: {
     config: defineCommand({ meta: { name: "config" }, subCommands: { validate, apply } }),
     status,
+    explain,
   },
 });
 
--- a/src/control/ControlRole.ts
+++ b/src/control/ControlRole.ts
@@ -13,6 +13,7 @@
 import { startGrpcServer } from "../common/rpc/startGrpcServer.ts";
 import type { ControlSettings } from "../common/settings/ControlSettings.ts";
 import { DatagramLink } from "../membership/DatagramLink.ts";
+import { logNews } from "../membership/logNews.ts";
 import { Membership } from "../membership/Membership.ts";
 import { NetworkPeers } from "../membership/NetworkPeers.ts";
 import { PeerClients } from "../membership/PeerClients.ts";
@@ -164,6 +165,7 @@
         config: historyOf(replica),
         clock: SystemClock,
         random: Math.random,
+        onNews: logNews(this.#log),
       }),
     );
   }
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -57,6 +57,8 @@
   readonly clock: Clock;
   /** In [0, 1); tests pass a seeded one. */
   readonly random: () => number;
+  /** Told of every change in what is believed of another member. */
+  readonly onNews?: (member: Member) => void;
 }
 
 /**
@@ -198,6 +200,10 @@
     this.#suspects.delete(id);
     if (this.#deps.table.declareGone(id)) {
       this.#announceNews(id);
+      const member = this.#deps.table.entry(id);
+      if (member) {
+        this.#tell(member);
+      }
     }
   }
 
@@ -280,6 +286,13 @@
   #pass(members: readonly Member[]): void {
     for (const m of members) {
       this.#announceNews(m.sidecar_id);
+      this.#tell(m);
+    }
+  }
+
+  #tell(member: Member): void {
+    if (member.sidecar_id !== this.#deps.table.selfId) {
+      this.#deps.onNews?.(member);
     }
   }
 
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -12,6 +12,7 @@
 import type { SidecarSettings } from "../common/settings/SidecarSettings.ts";
 import { openTracing } from "../common/telemetry/openTracing.ts";
 import { DatagramLink } from "../membership/DatagramLink.ts";
+import { logNews } from "../membership/logNews.ts";
 import { Membership } from "../membership/Membership.ts";
 import { NetworkPeers } from "../membership/NetworkPeers.ts";
 import { PeerClients } from "../membership/PeerClients.ts";
@@ -137,6 +138,7 @@
         config: follower,
         clock: SystemClock,
         random: Math.random,
+        onNews: logNews(this.#log),
       }),
     );
     const targets = this.register(
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -13,6 +13,7 @@
 import type { Membership } from "../membership/Membership.ts";
 import type { PeerClients } from "../membership/PeerClients.ts";
 import type { TargetInfo } from "../membership/TargetInfo.ts";
+import type { TargetState } from "../membership/TargetState.ts";
 import type { TargetTable } from "../membership/TargetTable.ts";
 import type { Judge } from "./detection/Judge.ts";
 import { TargetJudge } from "./detection/TargetJudge.ts";
@@ -110,9 +111,16 @@
   }
 
   announce(...args: Parameters<TargetAnnouncements["announce"]>): void {
-    if (this.#deps.table.announce(...args)) {
-      this.#changed();
+    const [{ target_id: target, state }, sequence] = args;
+    const before = this.#stateOf(target);
+    if (!this.#deps.table.announce(...args)) {
+      this.#deps.log.info({ target, state, sequence }, "announcement came too late");
+      return;
     }
+    if (this.#stateOf(target) !== before) {
+      this.#deps.log.info({ target, state, before, sequence }, "target state");
+    }
+    this.#changed();
   }
 
   withdraw(target: TargetId): void {
@@ -143,6 +151,10 @@
       .map((t) => ({ id: t.id, ...this.#gates.get(t.id)?.load }));
   }
 
+  #stateOf(id: string): TargetState | undefined {
+    return this.#deps.table.localTargets().find((t) => t.id === id)?.state;
+  }
+
   #changed(): void {
     this.#gates.targetsChanged();
     this.#deps.membership.noteLocalChange();
--- a/src/sidecar/gate/GateServer.ts
+++ b/src/sidecar/gate/GateServer.ts
@@ -136,7 +136,8 @@
   #logReply(ask: Ask, reply: AskReply): void {
     if (reply.kind === "refused") {
       const { reason, load } = reply;
-      this.#deps.log.info({ attempt: ask.attempt, reason, load }, "slot refused");
+      const { attempt, target } = ask;
+      this.#deps.log.info({ attempt, target, reason, load }, "slot refused");
     }
   }
 
@@ -245,7 +246,8 @@
       // that the other sidecar sees that it is incomplete.
       pipeline(body, res, (err) => {
         if (err) {
-          this.#deps.log.info({ err: err.message }, "streamed answer cut short");
+          const attempt = res.req.headers[HOP.attempt];
+          this.#deps.log.info({ attempt, err: err.message }, "streamed answer cut short");
         }
       });
     }
--- a/src/sidecar/ingress/CallerServer.ts
+++ b/src/sidecar/ingress/CallerServer.ts
@@ -61,7 +61,7 @@
 /**
  * Takes callers' HTTP requests, forwards each through the {@link Dispatcher}
  * and writes back that request's own whole answer, with its verdict in
- * `x-burdockpass-verdict`. A request given up on is answered at once with
+ * `x-burdockpass-verdict` and its id in `x-burdockpass-attempt`. A request given up on is answered at once with
  * `Retry-After`.
  */
 export class CallerServer {
@@ -165,12 +165,14 @@
       return; // The caller has left.
     }
     res.setHeader("x-burdockpass-verdict", out.verdict.kind);
+    // By this id the logs of every process tell of the request.
+    res.setHeader("x-burdockpass-attempt", served.attempt);
     if (this.#stopping) {
       res.setHeader("connection", "close");
     }
     if ("body" in out) {
       res.statusCode = out.verdict.status;
-      this.#writeAnswer(res, out);
+      this.#writeAnswer(served, out);
       return;
     }
     const { retryAfterMs, ...said } = out.verdict;
@@ -184,7 +186,7 @@
   }
 
   #writeAnswer(
-    res: ServerResponse,
+    { res, attempt }: Served,
     out: Extract<ForwardResult, { body: Buffer | Readable }>,
   ): void {
     const { headers, body } = out;
@@ -207,7 +209,7 @@
     // connection too: its answer is then visibly incomplete, never passed off as whole.
     pipeline(body, res, (err) => {
       if (err) {
-        this.#deps.log.warn({ err: err.message }, "answer cut short");
+        this.#deps.log.warn({ attempt, err: err.message }, "answer cut short");
       }
     });
   }
--- a/src/sidecar/routing/GrantSeeker.ts
+++ b/src/sidecar/routing/GrantSeeker.ts
@@ -217,6 +217,11 @@
     this.#deps.policy.noteReply(target, reply, ms);
     this.#open.delete(target.id);
     if (reply.kind === "granted") {
+      const waitedMs = Math.round(this.#deps.clock.now() - open.askedAt);
+      const { attempt } = this.#req;
+      const { load } = reply;
+      const asked = this.#tried.size;
+      this.#deps.log.info({ attempt, target: target.id, asked, waitedMs, load }, "slot granted");
       this.#end({ kind: "granted", grant: { target, boot: reply.boot } });
       return;
     }
