--- /dev/null
+++ b/src/control/ControlMetrics.test.ts
@@ -0,0 +1,38 @@
+import test from "ava";
+import { ReplicaId } from "../common/ids/ReplicaId.ts";
+import { ControlMetrics } from "./ControlMetrics.ts";
+import { ConfigState } from "./replica/ConfigState.ts";
+
+test("control metrics: leaders are counted when they change, and writes by their time", async (t) => {
+  const listeners: (() => void)[] = [];
+  const replica = {
+    state: new ConfigState(),
+    holdsLease: true,
+    inTouch: true,
+    voters: [],
+    leader: undefined as { id: ReplicaId; api: string } | undefined,
+    onChange: (listener: () => void) => {
+      listeners.push(listener);
+      return () => true;
+    },
+  };
+  const metrics = new ControlMetrics();
+  metrics.watch(replica, { count: 3 });
+  for (const leader of ["a", "a", "b"]) {
+    replica.leader = { id: ReplicaId(leader), api: "" };
+    listeners.forEach((tell) => {
+      tell();
+    });
+  }
+  metrics.wrote(450);
+  const text = await metrics.registry.metrics();
+  for (const line of [
+    "burdockpass_control_leader_changes_total 2",
+    "burdockpass_control_watches 3",
+    "burdockpass_control_leading 1",
+    'burdockpass_control_write_seconds_bucket{le="0.4"} 0',
+    'burdockpass_control_write_seconds_bucket{le="1"} 1',
+  ]) {
+    t.true(text.includes(`${line}\n`), line);
+  }
+});
--- a/src/control/ControlRole.ts
+++ b/src/control/ControlRole.ts
@@ -1,7 +1,6 @@
 import { createServer } from "node:http";
 import * as grpc from "@grpc/grpc-js";
 import type bunyan from "bunyan";
-import { Gauge, Registry } from "prom-client";
 import { startHttpServer } from "../common/http/startHttpServer.ts";
 import { sendJson } from "../common/http/sendJson.ts";
 import { ReplicaId } from "../common/ids/ReplicaId.ts";
@@ -19,6 +18,7 @@
 import { PeerClients } from "../membership/PeerClients.ts";
 import { peerHandlers } from "../membership/peerHandlers.ts";
 import { TargetTable } from "../membership/TargetTable.ts";
+import { ControlMetrics } from "./ControlMetrics.ts";
 import { FileReplicaStore } from "./replica/FileReplicaStore.ts";
 import { GrpcReplicaLink } from "./replica/GrpcReplicaLink.ts";
 import { Replica } from "./replica/Replica.ts";
@@ -55,6 +55,7 @@
   #cfg: ControlSettings;
   readonly #log: bunyan;
   #service: ControlService | undefined;
+  readonly #metrics = new ControlMetrics();
 
   constructor(cfg: ControlSettings, log: bunyan) {
     super();
@@ -143,6 +144,9 @@
         clock: SystemClock,
         random: Math.random,
         logger: this.#log,
+        onWrite: (ms) => {
+          this.#metrics.wrote(ms);
+        },
       }),
     );
   }
@@ -171,7 +175,8 @@
   }
 
   #adminServer(replica: Replica, watchers: Watchers) {
-    const registry = controlMetrics(replica, watchers);
+    const { registry } = this.#metrics;
+    this.#metrics.watch(replica, watchers);
     return createServer((req, res) => {
       if (req.url !== "/metrics") {
         sendJson(res, 200, this.#status(replica));
@@ -217,40 +222,3 @@
 function randomSuffix(): string {
   return Math.floor(Math.random() * 2 ** 48).toString(36);
 }
-
-function controlMetrics(replica: Replica, watchers: Watchers): Registry {
-  const registry = new Registry();
-  const gauge = (name: string, help: string, value: () => number) =>
-    new Gauge({
-      name,
-      help,
-      registers: [registry],
-      collect() {
-        this.set(value());
-      },
-    });
-  gauge(
-    "burdockpass_config_version",
-    "Version of the document committed here.",
-    () => replica.state.version,
-  );
-  gauge("burdockpass_control_leading", "1 while this replica leads with a lease.", () =>
-    Number(replica.holdsLease),
-  );
-  gauge(
-    "burdockpass_control_in_touch",
-    "1 while what is committed here is at most a moment old.",
-    () => Number(replica.inTouch),
-  );
-  gauge(
-    "burdockpass_control_voters",
-    "Replicas of the control group.",
-    () => replica.voters.length,
-  );
-  gauge(
-    "burdockpass_control_watches",
-    "Followers of the document at this replica.",
-    () => watchers.count,
-  );
-  return registry;
-}
--- a/src/control/replica/Replica.ts
+++ b/src/control/replica/Replica.ts
@@ -44,6 +44,8 @@
   /** In [0, 1); tests pass a seeded one. */
   readonly random: () => number;
   readonly logger: bunyan;
+  /** Told how long each write to the disk took, ms. */
+  readonly onWrite?: (ms: number) => void;
 }
 
 /** A leader as its followers know it. */
@@ -527,6 +529,7 @@
       return false;
     }
     const ms = this.#deps.clock.now() - startedAt;
+    this.#deps.onWrite?.(ms);
     if (ms > SICK_WRITE_MS) {
       this.#deps.logger.warn({ ms: Math.round(ms) }, "a write to the disk took long");
       this.#abstain("the disk is slow");
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -150,10 +150,15 @@
         document: () => follower.document,
         dialect: this.#dialect,
         tracing,
+        metrics,
         clock: SystemClock,
         log: this.#log,
       }),
     );
+    metrics.watchConfig(
+      () => follower,
+      () => SystemClock.now(),
+    );
     const peerServer = new grpc.Server();
     peerServer.addService(peerService, {
       ...peerHandlers(membership, follower),
@@ -174,7 +179,7 @@
     const splits = new SplitDraw(Math.random);
     caller.server = new CallerServer({
       config: () => configOf(follower),
-      dispatcher: this.#dispatcher(policy, table),
+      dispatcher: this.#dispatcher(policy, table, metrics),
       dialect: this.#dialect,
       draw: (route) => splits.next(route),
       metrics,
@@ -270,7 +275,7 @@
     return new AdaptivePolicy({ table, zone, clock: SystemClock, random: Math.random });
   }
 
-  #dispatcher(policy: RoutingPolicy, table: TargetTable): Dispatcher {
+  #dispatcher(policy: RoutingPolicy, table: TargetTable, metrics: SidecarMetrics): Dispatcher {
     const { callerService } = this.#cfg;
     return new Dispatcher({
       policy,
@@ -278,6 +283,9 @@
       callerService,
       budget: () => this.#cfg.retryBudget,
       members: () => table.knownCount,
+      onExtraTry: (service, cause) => {
+        metrics.extraTry(service, cause);
+      },
       clock: SystemClock,
       log: this.#log,
     });
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -15,6 +15,7 @@
 import type { TargetInfo } from "../membership/TargetInfo.ts";
 import type { TargetState } from "../membership/TargetState.ts";
 import type { TargetTable } from "../membership/TargetTable.ts";
+import type { SidecarMetrics } from "./admin/SidecarMetrics.ts";
 import type { Judge } from "./detection/Judge.ts";
 import { TargetJudge } from "./detection/TargetJudge.ts";
 import { TrustingJudge } from "./detection/TrustingJudge.ts";
@@ -54,6 +55,7 @@
   readonly document: () => OperatorDocument | undefined;
   readonly dialect: Dialect;
   readonly tracing: Tracing;
+  readonly metrics: SidecarMetrics;
   readonly clock: Clock;
   readonly log: bunyan;
 }
@@ -71,7 +73,7 @@
   constructor(deps: TargetSideDeps) {
     super();
     this.#deps = deps;
-    const { table, clock, log, dialect, cfg, tracing } = deps;
+    const { table, clock, log, dialect, cfg, tracing, metrics } = deps;
     const boot = randomUUID();
     this.#gates = new TargetGates({
       targets: () => table.localTargets(),
@@ -101,7 +103,7 @@
       send: (target, req) => sendUnderKey(sender, once, target, req),
       boot,
     });
-    this.gateServer = new GateServer({ gates: this.#gates, runner, tracing, clock, log });
+    this.gateServer = new GateServer({ gates: this.#gates, runner, tracing, metrics, clock, log });
     this.register(
       every(EXPIRE_MS, () => {
         this.#records.expire();
@@ -161,7 +163,7 @@
   }
 
   #judge(target: TargetInfo): Judge {
-    const { cfg, document, clock, log } = this.#deps;
+    const { cfg, document, clock, log, metrics } = this.#deps;
     if (cfg.policy === "naive") {
       return TrustingJudge;
     }
@@ -172,6 +174,9 @@
       },
       clock,
       log: log.child({ target: target.id, service: target.service }),
+      onChange: (isEjected) => {
+        metrics.judged(target.service, isEjected);
+      },
     });
   }
 
--- /dev/null
+++ b/src/sidecar/admin/SidecarMetrics.test.ts
@@ -0,0 +1,28 @@
+import test from "ava";
+import { SidecarMetrics } from "./SidecarMetrics.ts";
+
+test("sidecar metrics: what was counted is what is served", async (t) => {
+  const metrics = new SidecarMetrics();
+  metrics.watchConfig(
+    () => ({ version: 7, inForceSince: 1000 }),
+    () => 3500,
+  );
+  metrics.refused("full");
+  metrics.waited(300);
+  metrics.judged("results", true);
+  metrics.extraTry("results", "hedge");
+  metrics.observe("results", "done", 20);
+  const text = await metrics.registry.metrics();
+  for (const line of [
+    "burdockpass_config_version 7",
+    "burdockpass_config_age_seconds 2.5",
+    'burdockpass_slot_refusals_total{reason="full"} 1',
+    'burdockpass_slot_wait_seconds_bucket{le="0.25"} 0',
+    'burdockpass_slot_wait_seconds_bucket{le="0.5"} 1',
+    'burdockpass_target_ejections_total{service="results",change="ejected"} 1',
+    'burdockpass_extra_tries_total{service="results",cause="hedge"} 1',
+    'burdockpass_requests_total{service="results",verdict="done"} 1',
+  ]) {
+    t.true(text.includes(`${line}\n`), line);
+  }
+});
--- a/src/sidecar/config/ConfigFollower.ts
+++ b/src/sidecar/config/ConfigFollower.ts
@@ -57,6 +57,7 @@
   readonly #history = new DocumentHistory();
   readonly #slots: Slot[] = [];
   #routes: RouteIndex | undefined;
+  #inForceSince: number | undefined;
   #stopped = false;
 
   constructor(deps: ConfigFollowerDeps) {
@@ -69,6 +70,11 @@
     return this.#history.version;
   }
 
+  /** When the document in force here came into force, by the steady clock, ms; undefined before any. */
+  get inForceSince(): number | undefined {
+    return this.#inForceSince;
+  }
+
   /** Document in force here; undefined before any. */
   get document(): OperatorDocument | undefined {
     return this.#routes && this.#history.document;
@@ -105,6 +111,7 @@
     const taken = this.#history.take(update);
     if (taken === "taken") {
       this.#routes = new RouteIndex(this.#history.document);
+      this.#inForceSince = this.#deps.clock.now();
       this.#persist();
       this.#deps.log.info({ version: update.version, by: update.kind }, "configuration in force");
       this.#deps.onChange?.();
--- a/src/sidecar/detection/TargetJudge.ts
+++ b/src/sidecar/detection/TargetJudge.ts
@@ -60,6 +60,8 @@
   readonly rule: () => DetectionRule;
   readonly clock: Clock;
   readonly log: bunyan;
+  /** Told when the target is found gray, and when it is found well again. */
+  readonly onChange?: (isEjected: boolean) => void;
 }
 
 /**
@@ -208,5 +210,6 @@
       this.#pauseMs = FIRST_PAUSE_MS;
     }
     log.info(evidence, isEjected ? "ejected" : "readmitted");
+    this.#deps.onChange?.(isEjected);
   }
 }
--- a/src/sidecar/gate/GateServer.ts
+++ b/src/sidecar/gate/GateServer.ts
@@ -8,6 +8,7 @@
 import { sendJson } from "../../common/http/sendJson.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { Timer } from "../../common/lifecycle/Timer.ts";
+import type { SidecarMetrics } from "../admin/SidecarMetrics.ts";
 import type { Tracing } from "../../common/telemetry/Tracing.ts";
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
@@ -61,6 +62,7 @@
   readonly gates: Pick<TargetGates, "get">;
   readonly runner: TargetRunner;
   readonly tracing: Tracing;
+  readonly metrics: Pick<SidecarMetrics, "refused" | "waited">;
   readonly clock: Clock;
   readonly log: bunyan;
 }
@@ -108,10 +110,12 @@
       return;
     }
     const ask = parsed.data;
-    const alive = new AliveSignal(res, this.#deps.clock);
+    const { clock } = this.#deps;
+    const askedAt = clock.now();
+    const alive = new AliveSignal(res, clock);
     const answer = (reply: AskReply) => {
       alive.stop();
-      this.#logReply(ask, reply);
+      this.#noteReply(ask, reply, clock.now() - askedAt);
       if (!res.destroyed) {
         sendJson(res, 200, reply);
       }
@@ -133,9 +137,13 @@
     });
   }
 
-  #logReply(ask: Ask, reply: AskReply): void {
-    if (reply.kind === "refused") {
+  #noteReply(ask: Ask, reply: AskReply, waitedMs: number): void {
+    const { metrics } = this.#deps;
+    if (reply.kind === "granted") {
+      metrics.waited(waitedMs);
+    } else {
       const { reason, load } = reply;
+      metrics.refused(reason);
       const { attempt, target } = ask;
       this.#deps.log.info({ attempt, target, reason, load }, "slot refused");
     }
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -24,6 +24,8 @@
   readonly members: () => number;
   /** How long a request that waits in line leaves gray targets alone, ms; left out, the product's own rule. */
   readonly patienceMs?: (route: RouteMatch) => number;
+  /** Told of each request that is sent to a further target. */
+  readonly onExtraTry?: (service: string, cause: "retry" | "hedge") => void;
   readonly clock: Clock;
   readonly log: bunyan;
 }
@@ -92,6 +94,7 @@
         return last;
       }
       const { attempt } = req;
+      this.#deps.onExtraTry?.(route.service.name, "retry");
       this.#deps.log.info({ attempt, verdict: last.verdict, sends: course.sends }, "retrying");
     }
   }
@@ -127,7 +130,7 @@
 
   /** A second run that starts when the first is stuck; its result is undefined when it never starts. */
   #hedgeLater(course: Course) {
-    const { clock, policy, log } = this.#deps;
+    const { clock, policy, log, onExtraTry } = this.#deps;
     let run: RunCourse | undefined;
     let seeker: GrantSeeker | undefined;
     let settle: (result: ForwardResult | undefined) => void = () => undefined;
@@ -150,6 +153,7 @@
       seeker = this.#seek(course);
       void seeker.sought.then((sought) => {
         if (sought.kind === "granted") {
+          onExtraTry?.(course.route.service.name, "hedge");
           log.info({ attempt: course.req.attempt, target: sought.grant.target.id }, "hedging");
           hedge.started = true;
           run = this.#start(course, sought.grant);
