--- a/src/cli/explain/explainRequest.ts
+++ b/src/cli/explain/explainRequest.ts
@@ -11,6 +11,7 @@
   "another target answers at this address",
   "configuration in force",
   "member gone",
+  "member news",
   "following control",
   "no longer following control",
   "stopping",
@@ -18,7 +19,7 @@
 ]);
 
 /** Beliefs shown of each process, at most: the newest before the request. */
-const BELIEFS_SHOWN = 4;
+const BELIEFS_SHOWN = 6;
 
 /** Tells what became of the request `attempt`, and why, from the processes' logs alone. */
 export function explainRequest(attempt: string, lines: readonly LogLine[]): Story {
--- a/src/sidecar/routing/GrantSeeker.ts
+++ b/src/sidecar/routing/GrantSeeker.ts
@@ -78,7 +78,7 @@
   readonly #settle: (sought: Sought) => void;
   readonly #timers = new Set<Timer>();
   #retryAfterMs = Infinity;
-  #reason = "no target of the service is known";
+  #reason = "no target of the service is known to take work";
   #done = false;
 
   /** Resolves once a slot was granted, or nobody is left to ask. */
