--- a/experiment/SimFleet.ts
+++ b/experiment/SimFleet.ts
@@ -1,4 +1,5 @@
 import bunyan from "bunyan";
+import { GRAY_DETECTION } from "../platform/GRAY_DETECTION.ts";
 import { AttemptId } from "../src/common/ids/AttemptId.ts";
 import { SidecarId } from "../src/common/ids/SidecarId.ts";
 import { ZoneName } from "../src/common/ids/ZoneName.ts";
@@ -21,7 +22,6 @@
 /** A route's time and retry rules, as the users' operators set them. */
 const ATTEMPTS = 2;
 const BUDGET = { ratio: 0.2, windowMs: 10_000, slack: 58 };
-const DETECTION = { threshold: 6, slowMinMs: 300 };
 const FLOOR = 0.49;
 
 const log = bunyan.createLogger({ name: "experiment", level: "fatal" });
@@ -82,7 +82,7 @@
   }
 
   #openGate(member: Member, variant: Variant): void {
-    const rule = Service.parse({ name: "svc", detection: DETECTION }).detection;
+    const rule = Service.parse({ name: "svc", detection: GRAY_DETECTION }).detection;
     const judge = new TargetJudge({ rule: () => rule, clock: this.#clock, log });
     const gate = new Gate({
       target: () => ({ slots: member.slots, takesWork: true }),
@@ -248,7 +248,7 @@
 function routeOf(kind: LoadKind): RouteMatch {
   return {
     name: kind.name,
-    service: Service.parse({ name: kind.service, floor: FLOOR, detection: DETECTION }),
+    service: Service.parse({ name: kind.service, floor: FLOOR, detection: GRAY_DETECTION }),
     idempotent: kind.idempotent,
     bulk: false,
     timeoutMs: kind.deadlineMs,
