--- a/src/membership/DatagramLink.ts
+++ b/src/membership/DatagramLink.ts
@@ -28,6 +28,7 @@
 /** A question under way. */
 interface Question {
   readonly answer: (message: Datagram) => void;
+  readonly fail: (err: Error) => void;
   readonly timers: readonly Timer[];
 }
 
@@ -49,6 +50,7 @@
   readonly #questions = new Map<number, Question>();
   #handlers: DatagramHandlers | undefined;
   #nextId = 1;
+  #closed = false;
 
   constructor(clock: Clock, note: NoteBytes) {
     this.#clock = clock;
@@ -88,17 +90,22 @@
     await this.#ask(address, { ...NOTHING, probe_for: target }, INDIRECT_MS);
   }
 
+  /** Closes the socket; questions under way, and any asked from here on, fail. */
   dispose(): void {
+    if (this.#closed) {
+      return;
+    }
+    this.#closed = true;
     this.#socket.close();
-    for (const { timers } of this.#questions.values()) {
-      timers.forEach((t) => {
-        t.cancel();
-      });
+    for (const question of this.#questions.values()) {
+      question.fail(new Error("the link was closed"));
     }
-    this.#questions.clear();
   }
 
   #ask(address: string, message: Omit<Datagram, "id">, timeoutMs: number): Promise<Datagram> {
+    if (this.#closed) {
+      return Promise.reject(new Error("the link is closed"));
+    }
     const id = this.#nextId;
     this.#nextId = (this.#nextId % 0xffff_ffff) + 1;
     const bytes = datagramCodec.encode({ id, ...message });
@@ -112,15 +119,18 @@
       const resend = this.#clock.after(RESEND_MS, () => {
         this.#send(bytes, address);
       });
-      const giveUp = this.#clock.after(timeoutMs, () => {
+      const fail = (err: Error) => {
         end();
-        reject(new Error(`${address} did not answer`));
+        reject(err);
+      };
+      const giveUp = this.#clock.after(timeoutMs, () => {
+        fail(new Error(`${address} did not answer`));
       });
       const answer = (reply: Datagram) => {
         end();
         resolve(reply);
       };
-      this.#questions.set(id, { answer, timers: [resend, giveUp] });
+      this.#questions.set(id, { answer, fail, timers: [resend, giveUp] });
       this.#send(bytes, address);
     });
   }
@@ -148,6 +158,9 @@
   }
 
   #send(bytes: Buffer, address: string): void {
+    if (this.#closed) {
+      return; // A closed socket throws, and an answer that comes too late is nobody's loss.
+    }
     this.#note("Datagram", bytes.length);
     const [host, port] = split(address);
     this.#socket.send(bytes, port, host, () => undefined);
