Rooms in src/control/replica: the log and the link between replicas; no code changed

Cause: 24 files in one folder. log/ holds the replicated log, its store and what entries are made of; link/ the gRPC side, above replica/. Moves and imports only.

--- a/src/control/replica/GrpcReplicaLink.ts
+++ b/src/control/link/GrpcReplicaLink.ts
@@ -3,8 +3,8 @@
 import { callUnary } from "../../common/rpc/callUnary.ts";
 import { loadProto } from "../../common/rpc/loadProto.ts";
 import { RenewedClient } from "../../common/rpc/RenewedClient.ts";
-import type { ReplicaLink } from "./ReplicaLink.ts";
-import type { ReplicaReply, ReplicaRequest } from "./ReplicaMessages.ts";
+import type { ReplicaLink } from "../replica/ReplicaLink.ts";
+import type { ReplicaReply, ReplicaRequest } from "../replica/ReplicaMessages.ts";
 import type { ReplicaProto } from "./ReplicaProto.ts";
 import { replicaWire } from "./replicaWire.ts";
 
--- a/src/control/replica/ReplicaProto.ts
+++ b/src/control/link/ReplicaProto.ts
@@ -1,4 +1,4 @@
-import type { Voter } from "./Voter.ts";
+import type { Voter } from "../log/Voter.ts";
 
 /**
  * The plain objects that proto-loader gives for `proto/replica.proto` (camel case,
--- a/src/control/replica/replicaHandlers.ts
+++ b/src/control/link/replicaHandlers.ts
@@ -1,6 +1,6 @@
 import type * as grpc from "@grpc/grpc-js";
 import { ReplicaId } from "../../common/ids/ReplicaId.ts";
-import type { Replica } from "./Replica.ts";
+import type { Replica } from "../replica/Replica.ts";
 import type { ReplicaProto } from "./ReplicaProto.ts";
 import { replicaWire } from "./replicaWire.ts";
 
--- a/src/control/replica/replicaWire.ts
+++ b/src/control/link/replicaWire.ts
@@ -1,7 +1,7 @@
 import { ReplicaId } from "../../common/ids/ReplicaId.ts";
-import type { EntryBody, LogEntry } from "./LogEntry.ts";
-import type { LogSnapshot } from "./LogSnapshot.ts";
-import type { AppendRequest, ReplicaReply, VoteRequest } from "./ReplicaMessages.ts";
+import type { EntryBody, LogEntry } from "../log/LogEntry.ts";
+import type { LogSnapshot } from "../log/LogSnapshot.ts";
+import type { AppendRequest, ReplicaReply, VoteRequest } from "../replica/ReplicaMessages.ts";
 import type { ReplicaProto } from "./ReplicaProto.ts";
 
 type Proto<K extends keyof ReplicaProto> = ReplicaProto[K];
--- a/src/control/replica/Election.ts
+++ b/src/control/replica/Election.ts
@@ -1,10 +1,10 @@
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
 import type { Timer } from "../../common/lifecycle/Timer.ts";
-import { membersOf } from "./membersOf.ts";
+import { membersOf } from "../log/membersOf.ts";
 import { quorumValue } from "./quorumValue.ts";
 import type { ReplicaLink } from "./ReplicaLink.ts";
-import type { ReplicatedLog } from "./ReplicatedLog.ts";
+import type { ReplicatedLog } from "../log/ReplicatedLog.ts";
 import type { ReplicaTiming } from "./ReplicaTiming.ts";
 
 interface ElectionDeps {
--- a/src/control/replica/LeaderTerm.ts
+++ b/src/control/replica/LeaderTerm.ts
@@ -3,16 +3,16 @@
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
 import type { Timer } from "../../common/lifecycle/Timer.ts";
-import type { EntryBody } from "./LogEntry.ts";
-import { membersOf } from "./membersOf.ts";
+import type { EntryBody } from "../log/LogEntry.ts";
+import { membersOf } from "../log/membersOf.ts";
 import { PeerProgress } from "./PeerProgress.ts";
 import { planVoters, type Candidate } from "./planVoters.ts";
 import { quorumValue } from "./quorumValue.ts";
 import type { ReplicaLink } from "./ReplicaLink.ts";
 import type { ReplicaReply } from "./ReplicaMessages.ts";
-import type { ReplicatedLog } from "./ReplicatedLog.ts";
+import type { ReplicatedLog } from "../log/ReplicatedLog.ts";
 import type { ReplicaTiming } from "./ReplicaTiming.ts";
-import type { Voter } from "./Voter.ts";
+import type { Voter } from "../log/Voter.ts";
 
 interface LeaderTermDeps {
   readonly self: Voter;
--- a/src/control/replica/PeerProgress.ts
+++ b/src/control/replica/PeerProgress.ts
@@ -1,6 +1,6 @@
 import type { AppendRequest, ReplicaReply } from "./ReplicaMessages.ts";
-import type { ReplicatedLog } from "./ReplicatedLog.ts";
-import type { Voter } from "./Voter.ts";
+import type { ReplicatedLog } from "../log/ReplicatedLog.ts";
+import type { Voter } from "../log/Voter.ts";
 
 type AppendReply = Extract<ReplicaReply, { kind: "append" }>;
 type Content = Pick<AppendRequest, "snapshot" | "prevIndex" | "prevTerm" | "entries">;
--- a/src/control/replica/Replica.ts
+++ b/src/control/replica/Replica.ts
@@ -4,12 +4,12 @@
 import type { Timer } from "../../common/lifecycle/Timer.ts";
 import type { ReplicaId } from "../../common/ids/ReplicaId.ts";
 import { StorageError } from "../../common/storage/StorageError.ts";
-import type { AcceptedChange } from "./AcceptedChange.ts";
+import type { AcceptedChange } from "../log/AcceptedChange.ts";
 import { ConfigState } from "./ConfigState.ts";
 import { Election } from "./Election.ts";
 import { LeaderTerm } from "./LeaderTerm.ts";
-import type { LogEntry } from "./LogEntry.ts";
-import { membersOf } from "./membersOf.ts";
+import type { LogEntry } from "../log/LogEntry.ts";
+import { membersOf } from "../log/membersOf.ts";
 import type { ReplicaLink } from "./ReplicaLink.ts";
 import type {
   AppendRequest,
@@ -19,9 +19,9 @@
   ReplicaRequest,
   VoteRequest,
 } from "./ReplicaMessages.ts";
-import type { ReplicatedLog } from "./ReplicatedLog.ts";
+import type { ReplicatedLog } from "../log/ReplicatedLog.ts";
 import type { ReplicaTiming } from "./ReplicaTiming.ts";
-import type { Voter } from "./Voter.ts";
+import type { Voter } from "../log/Voter.ts";
 
 /** How a proposal ended. */
 type Proposed =
--- a/src/control/replica/ReplicaMessages.ts
+++ b/src/control/replica/ReplicaMessages.ts
@@ -1,7 +1,7 @@
 import type { ReplicaId } from "../../common/ids/ReplicaId.ts";
-import type { LogEntry } from "./LogEntry.ts";
-import type { LogSnapshot } from "./LogSnapshot.ts";
-import type { Voter } from "./Voter.ts";
+import type { LogEntry } from "../log/LogEntry.ts";
+import type { LogSnapshot } from "../log/LogSnapshot.ts";
+import type { Voter } from "../log/Voter.ts";
 
 /** A request for a vote, or only the question whether one would be given. */
 export interface VoteRequest {
--- a/src/control/replica/planVoters.ts
+++ b/src/control/replica/planVoters.ts
@@ -1,4 +1,4 @@
-import type { Voter } from "./Voter.ts";
+import type { Voter } from "../log/Voter.ts";
 
 /** One replica, as the leader sees it when it weighs the control group. */
 export interface Candidate {
--- a/src/control/replica/quorumValue.ts
+++ b/src/control/replica/quorumValue.ts
@@ -1,5 +1,5 @@
-import type { ControlGroup } from "./ControlGroup.ts";
-import type { Voter } from "./Voter.ts";
+import type { ControlGroup } from "../log/ControlGroup.ts";
+import type { Voter } from "../log/Voter.ts";
 
 /**
  * The greatest value that a majority of the group, or of each half while it
--- a/src/control/service/ControlService.test.ts
+++ b/src/control/service/ControlService.test.ts
@@ -6,9 +6,9 @@
 import { parse } from "yaml";
 import { FakeClock } from "../../../test/fixtures/FakeClock.ts";
 import { ReplicaId } from "../../common/ids/ReplicaId.ts";
-import { FileReplicaStore } from "../replica/FileReplicaStore.ts";
+import { FileReplicaStore } from "../log/FileReplicaStore.ts";
 import { Replica } from "../replica/Replica.ts";
-import { ReplicatedLog } from "../replica/ReplicatedLog.ts";
+import { ReplicatedLog } from "../log/ReplicatedLog.ts";
 import { ControlService } from "./ControlService.ts";
 import type { Order } from "./Order.ts";
 
