--- a/src/control/ControlMetrics.test.ts
+++ b/src/control/ControlMetrics.test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { ReplicaId } from "../common/ids/ReplicaId.ts";
 import { ControlMetrics } from "./ControlMetrics.ts";
-import { ConfigState } from "./replica/ConfigState.ts";
+import { ConfigState } from "./log/ConfigState.ts";
 
 test("control metrics: leaders are counted when they change, and writes by their time", async (t) => {
   const listeners: (() => void)[] = [];
--- a/src/control/replica/ConfigState.ts
+++ b/src/control/log/ConfigState.ts
@@ -1,7 +1,7 @@
 import { DocumentHistory } from "../../common/document/DocumentHistory.ts";
 import type { OperatorDocument } from "../../common/document/OperatorDocument.ts";
-import type { AcceptedChange } from "../log/AcceptedChange.ts";
-import type { ConfigSnapshot } from "../log/ConfigSnapshot.ts";
+import type { AcceptedChange } from "./AcceptedChange.ts";
+import type { ConfigSnapshot } from "./ConfigSnapshot.ts";
 
 /**
  * Accepted orders remembered, so that a resend of one is acknowledged again and
--- a/src/control/log/ReplicatedLog.ts
+++ b/src/control/log/ReplicatedLog.ts
@@ -1,5 +1,5 @@
 import type { ReplicaId } from "../../common/ids/ReplicaId.ts";
-import { ConfigState } from "../replica/ConfigState.ts";
+import { ConfigState } from "./ConfigState.ts";
 import type { ControlGroup } from "./ControlGroup.ts";
 import type { LogEntry } from "./LogEntry.ts";
 import type { LogSnapshot } from "./LogSnapshot.ts";
--- a/src/control/replica/Replica.ts
+++ b/src/control/replica/Replica.ts
@@ -5,7 +5,7 @@
 import type { ReplicaId } from "../../common/ids/ReplicaId.ts";
 import { StorageError } from "../../common/storage/StorageError.ts";
 import type { AcceptedChange } from "../log/AcceptedChange.ts";
-import { ConfigState } from "./ConfigState.ts";
+import { ConfigState } from "../log/ConfigState.ts";
 import { Election } from "./Election.ts";
 import { LeaderTerm } from "./LeaderTerm.ts";
 import type { LogEntry } from "../log/LogEntry.ts";
--- a/src/control/service/ControlService.ts
+++ b/src/control/service/ControlService.ts
@@ -1,6 +1,6 @@
 import type bunyan from "bunyan";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
-import type { ConfigState } from "../replica/ConfigState.ts";
+import type { ConfigState } from "../log/ConfigState.ts";
 import type { Replica } from "../replica/Replica.ts";
 import type { ApplyOutcome } from "./ApplyOutcome.ts";
 import type { Order } from "./Order.ts";
--- a/src/control/service/weighOrder.ts
+++ b/src/control/service/weighOrder.ts
@@ -2,7 +2,7 @@
 import type { OperatorDocument } from "../../common/document/OperatorDocument.ts";
 import { validateDocument } from "../../common/document/validateDocument.ts";
 import type { AcceptedChange } from "../log/AcceptedChange.ts";
-import type { ConfigState } from "../replica/ConfigState.ts";
+import type { ConfigState } from "../log/ConfigState.ts";
 import type { ApplyOutcome } from "./ApplyOutcome.ts";
 import type { Order } from "./Order.ts";
 
