A stop does not cut answers that are still being sent

Change: OpenConnections: idle is a connection without a request, a part of one, or an answer that the kernel has not taken whole.

--- a/src/common/http/startHttpServer.ts
+++ b/src/common/http/startHttpServer.ts
@@ -1,6 +1,7 @@
 import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import type { IDisposable } from "../lifecycle/IDisposable.ts";
+import { OpenConnections } from "./OpenConnections.ts";
 
 /** A listening HTTP server; disposing it stops new connections and waits for open requests. */
 interface StartedHttpServer extends IDisposable {
@@ -16,6 +17,7 @@
   hostPort: string,
 ): Promise<StartedHttpServer> {
   const [host, port] = splitHostPort(hostPort);
+  const connections = new OpenConnections(server);
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
     server.listen(port, host, () => {
@@ -33,13 +35,12 @@
         // waited 28 s for callers' keep-alive timeouts. So idle sockets are
         // closed again and again until close() completes.
         const sweeper = setInterval(() => {
-          server.closeIdleConnections();
+          connections.closeIdle();
         }, IDLE_SWEEP_MS);
         server.close(() => {
           clearInterval(sweeper);
           resolve();
         });
-        server.closeIdleConnections();
       }),
   };
 }
