--- a/src/common/http/startHttpServer.test.ts
+++ b/src/common/http/startHttpServer.test.ts
@@ -75,3 +75,23 @@
   t.true(bytes() > 0);
   await stopped;
 });
+
+// Story: a sidecar on a slowed machine had not been scheduled for 300 ms when its time to close
+// came. Requests had arrived meanwhile that the process had not read yet; timers run before
+// sockets are read, so their connections were taken for idle and reset.
+test("a stop answers a request that has arrived and was not read yet", async (t) => {
+  const { server, socket, ended } = await open((_req, res) => {
+    res.end("ok");
+  });
+  const bytes = bytesOf(socket);
+  socket.write(GET);
+  while (bytes() === 0) {
+    await sleep(10);
+  }
+  const before = bytes();
+  socket.write(GET);
+  const stopped = server.dispose();
+  t.is(await ended, "closed");
+  t.true(bytes() > before);
+  await stopped;
+});
--- a/src/common/http/startHttpServer.ts
+++ b/src/common/http/startHttpServer.ts
@@ -37,9 +37,13 @@
         const sweeper = setInterval(() => {
           connections.closeIdle();
         }, IDLE_SWEEP_MS);
-        server.close(() => {
-          clearInterval(sweeper);
-          resolve();
+        // After the sockets were looked at: connections that wait to be accepted are, and
+        // not reset.
+        setImmediate(() => {
+          server.close(() => {
+            clearInterval(sweeper);
+            resolve();
+          });
         });
       }),
   };
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -49,6 +49,12 @@
 /** Longest that a stop waits for other members' calls to end, ms; they are repeated elsewhere. */
 const PEER_GRACE_MS = 100;
 
+/**
+ * Requests that still stand in line this long before the end of a stop's grace are refused, ms: a
+ * slot that came free later would leave them no time to run, and the refusal has to get there.
+ */
+const LINE_ENDS_MS = 800;
+
 /** How often a stop looks whether the last run has ended, ms. */
 const IDLE_CHECK_MS = 50;
 
@@ -66,6 +72,7 @@
 /** The parts of a sidecar that its stop goes through in order. */
 interface Parts {
   readonly caller: CallerServer;
+  readonly dispatcher: Dispatcher;
   readonly callerPort: { dispose(): Promise<void> | void };
   readonly targets: TargetSide;
   readonly membership: Membership;
@@ -176,10 +183,11 @@
     follower.start();
 
     const policy = this.register(this.#openPolicy(table));
+    const dispatcher = this.#dispatcher(policy, table, metrics);
     const splits = new SplitDraw(Math.random);
     caller.server = new CallerServer({
       config: () => configOf(follower),
-      dispatcher: this.#dispatcher(policy, table, metrics),
+      dispatcher,
       dialect: this.#dialect,
       draw: (route) => splits.next(route),
       metrics,
@@ -197,7 +205,7 @@
     this.#ports.admin = this.register(await startHttpServer(admin.server, cfg.admin)).port;
     const callerPort = await startHttpServer(caller.server.server, cfg.listen);
     this.#ports.caller = callerPort.port;
-    this.#parts = { caller: caller.server, callerPort, targets, membership };
+    this.#parts = { caller: caller.server, dispatcher, callerPort, targets, membership };
     this.#ready = () => follower.version > 0 && table.memberCount > 1;
     this.#log.info({ ports: this.#ports, version: follower.version }, "sidecar started");
   }
@@ -222,18 +230,22 @@
     await Promise.race([super.dispose(), sleep(STOP_RESERVE_MS)]);
   }
 
-  async #drain({ caller, callerPort, targets, membership }: Parts): Promise<void> {
+  async #drain({ caller, dispatcher, callerPort, targets, membership }: Parts): Promise<void> {
     const { callersMs, graceMs } = this.#cfg.stop;
     const endAt = SystemClock.now() + graceMs - STOP_RESERVE_MS;
     targets.close();
     caller.beginStop();
     await membership.leave();
     await sleep(callersMs);
+    const lineEnds = SystemClock.after(endAt - LINE_ENDS_MS - SystemClock.now(), () => {
+      dispatcher.close();
+    });
     const answered = Promise.resolve(callerPort.dispose());
     await Promise.race([answered, sleep(endAt - SystemClock.now())]);
     while (targets.isBusy && SystemClock.now() < endAt) {
       await sleep(IDLE_CHECK_MS);
     }
+    lineEnds.cancel();
     this.#log.info({ busy: targets.isBusy }, "drained");
   }
 
--- a/src/sidecar/routing/Dispatcher.test.ts
+++ b/src/sidecar/routing/Dispatcher.test.ts
@@ -203,3 +203,22 @@
   t.is(hop.runs.length, 0);
   t.true(hop.asks.every((a) => a.call.givenUp));
 });
+
+test("dispatch: requests in line are refused when the sidecar is about to end, those at a target go on", async (t) => {
+  // Story: a sidecar is stopped while its callers' bookings stand in line at busy targets. At
+  // the end of its grace their connections were closed without a word, and no caller knew
+  // that nothing had run.
+  const { hop, dispatcher } = rig();
+  const running = dispatcher.dispatch(makeRoute(), makeCourse());
+  await settled();
+  hop.onAsk = () => undefined;
+  const inLine = dispatcher.dispatch(makeRoute(), makeCourse());
+  await settled();
+  dispatcher.close();
+  t.is((await inLine).verdict.kind, "not-run");
+  t.is((await dispatcher.dispatch(makeRoute(), makeCourse())).verdict.kind, "not-run");
+  hop.runs[0]?.call.answer(done);
+  t.is((await running).verdict.kind, "done");
+});
+
+const settled = () => new Promise((resolve) => setImmediate(resolve));
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -69,6 +69,8 @@
 export class Dispatcher {
   readonly #deps: DispatcherDeps;
   readonly #budgets = new Map<string, RetryBudget>();
+  readonly #seekers = new Set<GrantSeeker>();
+  #closed = false;
 
   constructor(deps: DispatcherDeps) {
     this.#deps = deps;
@@ -99,11 +101,29 @@
     }
   }
 
+  /**
+   * Refuses every request that has no slot yet, as not run, and any that comes later: this
+   * sidecar ends soon, and a caller whose connection is closed instead does not know that
+   * it may come back. Requests at a target go on.
+   */
+  close(): void {
+    this.#closed = true;
+    for (const seeker of this.#seekers) {
+      seeker.giveUp();
+    }
+  }
+
   #seek(course: Course): GrantSeeker {
     const { policy, hop, clock, log, patienceMs = ownPatienceMs } = this.#deps;
     const ask: HopClient["ask"] = (...args) => hop.ask(...args);
     const deps = { policy, ask, patienceMs, clock, log };
-    return new GrantSeeker(deps, course.route, course.req, course.tried);
+    const seeker = new GrantSeeker(deps, course.route, course.req, course.tried);
+    this.#seekers.add(seeker);
+    void seeker.sought.then(() => this.#seekers.delete(seeker));
+    if (this.#closed) {
+      seeker.giveUp();
+    }
+    return seeker;
   }
 
   /** Runs the request where it was granted a slot, and at a second target when the first is stuck. */
--- a/src/sidecar/routing/GrantSeeker.ts
+++ b/src/sidecar/routing/GrantSeeker.ts
@@ -107,7 +107,7 @@
 
   /** Stops asking; asks under way are withdrawn. */
   giveUp(): void {
-    this.#refuse("given up");
+    this.#refuse("this sidecar gave it up, as it is being stopped or another try was quicker");
   }
 
   readonly #onLeft = (): void => {
