--- a/test/once.test.ts
+++ b/test/once.test.ts
@@ -139,6 +139,7 @@
     await withFleet(fleetOf(vans(1)), async (fleet) => {
       const startedAt = Date.now();
       const first = book(fleet, "door-0", "frozen");
+      await standIn.firstReceiver(fleet, ["vans-0"]);
       await sleep(WORK_MS / 2);
       const proc = fleet.targets.get("vans-0")?.proc;
       proc?.kill("SIGSTOP");
