--- a/experiment/SimHop.ts
+++ b/experiment/SimHop.ts
@@ -9,7 +9,7 @@
 /** A signal that a request is alive comes this often, ms; as between real sidecars. */
 const ALIVE_MS = 300;
 
-/** What it takes a sidecar to handle a message, ms; measured on the users' machines, together with the link inside a zone. */
+/** What it takes a sidecar to handle a message, ms. Assumed: with 0.9 ms between zones it makes a round trip of 2 to 4 ms. */
 const HANDLING_MS = 1;
 
 /** The sidecar beside a target, as another one reaches it. */
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -116,7 +116,7 @@
     const [{ target_id: target, state }, sequence] = args;
     const before = this.#stateOf(target);
     if (!this.#deps.table.announce(...args)) {
-      this.#deps.log.info({ target, state, sequence }, "announcement came too late");
+      this.#deps.log.info({ target, state, sequence }, "announcement not taken");
       return;
     }
     if (this.#stateOf(target) !== before) {
--- a/src/sidecar/gate/goesBefore.ts
+++ b/src/sidecar/gate/goesBefore.ts
@@ -3,8 +3,9 @@
 /**
  * Head start of each rank of priority over the next, ms. Strict priority instead let
  * bookings keep out the short lookups that other targets make in the midst of their work:
- * their runs then ended in failure, with a slot held all the while. A rank is worth a
- * third of the time that a request takes on a target under full load.
+ * their runs then ended in failure, with a slot held all the while. Between the two ends:
+ * against no head start, `npm run experiment` gives credit of 0.904 for 0.897 on a busy
+ * day, 0.886 for 0.878 with a route moved, 0.871 for 0.882 in a burst.
  */
 const RANK_MS = 300;
 
--- a/src/sidecar/records/OutcomeKeeper.ts
+++ b/src/sidecar/records/OutcomeKeeper.ts
@@ -6,7 +6,7 @@
 /** A keeper that has not acknowledged an outcome is told again after this long, ms; each time after twice as long... */
 const FIRST_RETRY_MS = 250;
 
-/** ...this often: for 16 s in all, as long as a cut between availability zones mostly lasts. */
+/** ...this often: for 16 s in all. One that is unreachable for 30 s gives its place to another. */
 const RETRIES = 6;
 
 /** Tells the keepers of a key how the attempt under it ended. */
