A target that starts again under its id is a new life; announcements from another writer name no target

LocalTargets took its announcements for late ones until they had caught up, and one that had said goodbye never came back; runs given to the life before were waited for until their deadline while their slots counted as taken, and that life's failures were held against the new one. Besides, an announcement of a service that nobody knows displaced the target at its address, and refused heartbeats left no log line.

TargetGates retires the gate to an earlier life: what waits goes elsewhere, grants are void, runs end in doubt at once, slots and judge are new, kept connections are left behind; origins drop that life's load. An announcement of a service that the document does not name is refused (422) and changes nothing; each refused heartbeat has a log line.

--- a/experiment/SimFleet.ts
+++ b/experiment/SimFleet.ts
@@ -143,6 +143,7 @@
             slots: m.slots,
             state: "ready",
             health_path: "",
+            born: 0,
           },
         ],
       })),
--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -31,6 +31,7 @@
     slots: number;
     state: string;
     health_path: string;
+    born: number;
   };
   Member: {
     sidecar_id: string;
--- a/src/membership/Membership.test.ts
+++ b/src/membership/Membership.test.ts
@@ -94,6 +94,7 @@
           slots: 4,
           state,
           health_path: "",
+          born: 0,
         });
       }
       await Promise.all([...this.up.values()].map((n) => n.membership.round()));
--- a/src/membership/TargetInfo.ts
+++ b/src/membership/TargetInfo.ts
@@ -17,4 +17,9 @@
   readonly hopAddress: string;
   /** Path of its health endpoint; empty for none. */
   readonly healthPath: string;
+  /**
+   * Start of this life, Unix ms by its VM's clock; 0 where it does not tell. A target
+   * that starts again under its id knows nothing of what the life before it was given.
+   */
+  readonly born: number;
 }
--- a/src/membership/TargetTable.test.ts
+++ b/src/membership/TargetTable.test.ts
@@ -13,6 +13,7 @@
   slots: 5,
   state,
   health_path: "",
+  born: 0,
 });
 
 const member = (
--- a/src/membership/TargetTable.ts
+++ b/src/membership/TargetTable.ts
@@ -125,9 +125,9 @@
     return true;
   }
 
-  /** Forgets a target beside this sidecar that has said goodbye. */
-  withdraw(targetId: TargetId): void {
-    this.#local.withdraw(targetId);
+  /** Forgets a target beside this sidecar that has said goodbye, in the life that began at `born`. */
+  withdraw(targetId: TargetId, born = 0): void {
+    this.#local.withdraw(targetId, born);
     this.#targets = undefined;
   }
 
@@ -325,6 +325,7 @@
     zone: ZoneName(beside.zone),
     hopAddress: beside.hop_address,
     healthPath: t.health_path,
+    born: t.born,
   };
 }
 
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -81,6 +81,9 @@
       clock,
       boot,
       log,
+      onNewLife: (target) => {
+        sender.renew(target);
+      },
     });
     this.#records = this.register(this.#openRecords());
     const sender = this.register(
@@ -112,22 +115,29 @@
     this.#startHandover();
   }
 
-  announce(...args: Parameters<TargetAnnouncements["announce"]>): void {
-    const [{ target_id: target, state }, sequence] = args;
+  announce(...args: Parameters<TargetAnnouncements["announce"]>): string | undefined {
+    const [{ target_id: target, service, state, born }, sequence] = args;
+    const { log, table } = this.#deps;
+    if (!this.#isServiceKnown(service)) {
+      // Taken for a target at its address, it would displace the one that is there.
+      log.info({ target, service }, "announcement of a service that is not known");
+      return `service ${service} is not known`;
+    }
     const before = this.#stateOf(target);
-    if (!this.#deps.table.announce(...args)) {
-      this.#deps.log.info({ target, state, sequence }, "announcement not taken");
-      return;
+    if (!table.announce(...args)) {
+      log.info({ target, state, sequence, born }, "announcement not taken");
+      return undefined;
     }
     if (this.#stateOf(target) !== before) {
-      this.#deps.log.info({ target, state, before, sequence }, "target state");
+      log.info({ target, state, before, sequence, born }, "target state");
     }
     this.#changed();
+    return undefined;
   }
 
-  withdraw(target: TargetId): void {
-    this.#deps.log.info({ target }, "target has left");
-    this.#deps.table.withdraw(target);
+  withdraw(target: TargetId, born: number): void {
+    this.#deps.log.info({ target, born }, "target has left");
+    this.#deps.table.withdraw(target, born);
     this.#changed();
   }
 
@@ -153,6 +163,13 @@
       .map((t) => ({ id: t.id, ...this.#gates.get(t.id)?.load }));
   }
 
+  /** Whether the document names a service, as far as there is a document; a target of another may come to be routed to later. */
+  #isServiceKnown(name: string): boolean {
+    const { cfg, document } = this.#deps;
+    const services = document()?.services;
+    return !services || name === cfg.callerService || services.some((s) => s.name === name);
+  }
+
   #stateOf(id: string): TargetState | undefined {
     return this.#deps.table.localTargets().find((t) => t.id === id)?.state;
   }
--- a/src/sidecar/admin/AdminServer.ts
+++ b/src/sidecar/admin/AdminServer.ts
@@ -19,10 +19,15 @@
   healthPath: z.string().default(""),
   /** Rises with each announcement, so that a late one can be told; left out, none is taken for late. */
   sequence: z.number().int().min(0).default(0),
+  /** When the target started, Unix ms, so that it can be told from the one that had its id before; left out, it cannot. */
+  born: z.number().int().min(0).default(0),
 });
 
 /** The body a target posts to `/v1/withdraw`. */
-const Withdrawal = z.strictObject({ targetId: z.string().min(1) });
+const Withdrawal = z.strictObject({
+  targetId: z.string().min(1),
+  born: z.number().int().min(0).default(0),
+});
 
 /** Announcements are a few hundred bytes. */
 const MAX_BODY_BYTES = 16 * 1024;
@@ -91,7 +96,11 @@
     }
     const { targetId, sequence, healthPath, ...rest } = parsed.value;
     const target = { target_id: targetId, health_path: healthPath, ...rest };
-    this.#deps.announcements.announce(target, sequence);
+    const problem = this.#deps.announcements.announce(target, sequence);
+    if (problem !== undefined) {
+      sendJson(res, 422, { error: problem });
+      return;
+    }
     res.writeHead(204).end();
   }
 
@@ -101,7 +110,8 @@
       sendJson(res, 400, { error: parsed.error });
       return;
     }
-    this.#deps.announcements.withdraw(TargetId(parsed.value.targetId));
+    const { targetId, born } = parsed.value;
+    this.#deps.announcements.withdraw(TargetId(targetId), born);
     res.writeHead(204).end();
   }
 }
--- a/src/sidecar/forwarding/TargetRequest.ts
+++ b/src/sidecar/forwarding/TargetRequest.ts
@@ -18,6 +18,8 @@
   readonly idempotent: boolean;
   /** Aborted when the caller has left; absent for work that must run to its end. */
   readonly cancelled?: AbortSignal;
+  /** Aborted when the target has started again: what it was given is lost, and no answer will come. */
+  readonly lost?: AbortSignal;
   /** Read the whole answer, however large, before it counts: needed where it is stored. */
   readonly wholeAnswer?: boolean;
 }
--- a/src/sidecar/forwarding/TargetSender.ts
+++ b/src/sidecar/forwarding/TargetSender.ts
@@ -73,10 +73,11 @@
       progress.timedOut = true;
       exchange.abort();
     });
-    const onLeave = () => {
+    const onEnd = () => {
       exchange.abort();
     };
-    req.cancelled?.addEventListener("abort", onLeave);
+    req.cancelled?.addEventListener("abort", onEnd);
+    req.lost?.addEventListener("abort", onEnd);
     try {
       const res = await exchange.answer;
       progress.answering = true;
@@ -87,11 +88,17 @@
       // The deadline is for the answer, or the start of a large one; how fast a
       // slow phone then takes the rest is not the target's doing.
       timer.cancel();
-      req.cancelled?.removeEventListener("abort", onLeave);
+      req.cancelled?.removeEventListener("abort", onEnd);
+      req.lost?.removeEventListener("abort", onEnd);
       own.done();
     }
   }
 
+  /** Leaves the kept connections to a target that has started again behind: its last life held their other ends. */
+  renew({ url }: TargetInfo): void {
+    this.#leaveKept(url);
+  }
+
   /** Closes every connection, forcibly. */
   dispose(): void {
     for (const agent of this.#agents.values()) {
@@ -160,6 +167,9 @@
       this.#leaveKept(target.url);
       return mayHaveRun(target, "no answer in time", AttemptOutcome.TimedOut, true);
     }
+    if (req.lost?.aborted) {
+      return mayHaveRun(target, "the target has started again", AttemptOutcome.NoAnswer);
+    }
     if (req.cancelled?.aborted) {
       return mayHaveRun(target, "the caller has left", AttemptOutcome.Cancelled);
     }
--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -88,6 +88,7 @@
   readonly #queue: AskQueue;
   readonly #replies = new Map<WaitingAsk, (reply: AskReply) => void>();
   readonly #held = new Map<AttemptId, Held>();
+  readonly #life = new AbortController();
   #serviceMs = FIRST_SERVICE_MS;
   #closed = false;
 
@@ -200,6 +201,17 @@
     this.targetChanged();
   }
 
+  /** Aborted once the life of the target that this gate leads to has ended: see {@link retire}. */
+  get life(): AbortSignal {
+    return this.#life.signal;
+  }
+
+  /** The target has started again, and another gate leads to its new life: what is here is at an end. */
+  retire(): void {
+    this.close();
+    this.#life.abort();
+  }
+
   get #freeSlots(): number {
     return (this.#deps.target()?.slots ?? 0) - this.#held.size;
   }
--- a/src/sidecar/gate/TargetGates.ts
+++ b/src/sidecar/gate/TargetGates.ts
@@ -14,12 +14,20 @@
   readonly log: bunyan;
   /** Names this life of the process. */
   readonly boot: string;
+  /** Told of a target that has started again under its id, after the gate to its last life was retired. */
+  readonly onNewLife?: (target: TargetInfo) => void;
+}
+
+/** The gate to one life of a target. */
+interface Opened {
+  readonly born: number;
+  readonly gate: Gate;
 }
 
 /** The gates to the targets beside this sidecar: mostly one, two while one takes another's place. */
 export class TargetGates {
   readonly #deps: TargetGatesDeps;
-  readonly #gates = new Map<TargetId, Gate>();
+  readonly #gates = new Map<TargetId, Opened>();
   #closed = false;
 
   constructor(deps: TargetGatesDeps) {
@@ -29,13 +37,20 @@
   /** The gate to a target that is here; undefined when it is not. */
   get(id: TargetId): Gate | undefined {
     const target = this.#deps.targets().find((t) => t.id === id);
-    return this.#gates.get(id) ?? (target && this.#open(target));
+    if (target) {
+      this.#retireOlder(target);
+    }
+    return this.#gates.get(id)?.gate ?? (target && this.#open(target));
   }
 
   /** Targets have come, changed or gone: what waits for one of them is weighed again. */
   targetsChanged(): void {
-    const here = new Set(this.#deps.targets().map((t) => t.id));
-    for (const [id, gate] of this.#gates) {
+    const targets = this.#deps.targets();
+    for (const target of targets) {
+      this.#retireOlder(target);
+    }
+    const here = new Set(targets.map((t) => t.id));
+    for (const [id, { gate }] of this.#gates) {
       gate.targetChanged();
       if (!here.has(id) && !gate.isBusy) {
         this.#gates.delete(id);
@@ -46,22 +61,39 @@
   /** Takes no more asks: this sidecar is being stopped. Runs under way go on. */
   close(): void {
     this.#closed = true;
-    for (const gate of this.#gates.values()) {
+    for (const { gate } of this.#gates.values()) {
       gate.close();
     }
   }
 
   /** True while a slot of any target is granted or in use. */
   get isBusy(): boolean {
-    return [...this.#gates.values()].some((g) => g.isBusy);
+    return [...this.#gates.values()].some(({ gate }) => gate.isBusy);
+  }
+
+  /**
+   * Retires the gate to an earlier life of `target`. A target that starts again holds nothing
+   * of before: a run given to its last life would otherwise be waited for until its deadline,
+   * its slot be counted as taken, and the failures of that life be held against this one.
+   */
+  #retireOlder(target: TargetInfo): void {
+    const opened = this.#gates.get(target.id);
+    if (!opened || opened.born === target.born) {
+      return;
+    }
+    this.#gates.delete(target.id);
+    opened.gate.retire();
+    const { id, born } = target;
+    this.#deps.log.info({ target: id, born, before: opened.born }, "target started again");
+    this.#deps.onNewLife?.(target);
   }
 
   #open(target: TargetInfo): Gate {
     const { clock, boot, judge, targets, log } = this.#deps;
-    const { id } = target;
+    const { id, born } = target;
     const gate = new Gate({
       target: () => {
-        const now = targets().find((t) => t.id === id);
+        const now = targets().find((t) => t.id === id && t.born === born);
         return now && { slots: now.slots, takesWork: now.state === TargetState.Ready };
       },
       judge: judge(target),
@@ -71,7 +103,7 @@
     if (this.#closed) {
       gate.close();
     }
-    this.#gates.set(id, gate);
+    this.#gates.set(id, { born, gate });
     log.info({ target: id, service: target.service, slots: target.slots }, "target here");
     return gate;
   }
--- a/src/sidecar/gate/TargetRunner.ts
+++ b/src/sidecar/gate/TargetRunner.ts
@@ -74,7 +74,7 @@
   ): Promise<ForwardResult> {
     let outcome = AttemptOutcome.NoAnswer;
     try {
-      const out = await this.#deps.send(target, req);
+      const out = await this.#deps.send(target, { ...req, lost: gate.life });
       outcome = out.outcome;
       return out;
     } finally {
--- a/src/sidecar/routing/AdaptivePolicy.ts
+++ b/src/sidecar/routing/AdaptivePolicy.ts
@@ -30,6 +30,8 @@
 /** What this sidecar keeps about one target. */
 interface Standing {
   readonly link: LinkHealth;
+  /** The life of the target that the rest tells of. */
+  readonly born: number;
   readonly seenAt: number;
   load: GateLoad | undefined;
   loadAt: number;
@@ -212,9 +214,11 @@
 
   #standing(t: TargetInfo): Standing {
     let standing = this.#standings.get(t.id);
-    if (!standing) {
+    if (standing?.born !== t.born) {
       standing = {
-        link: new LinkHealth(this.#deps.clock),
+        // The path to it stays as it was: it leads to the sidecar beside it.
+        link: standing?.link ?? new LinkHealth(this.#deps.clock),
+        born: t.born,
         seenAt: this.#deps.clock.now(),
         load: undefined,
         loadAt: -Infinity,
--- a/src/sidecar/routing/policies.test.ts
+++ b/src/sidecar/routing/policies.test.ts
@@ -103,6 +103,7 @@
       slots: 4,
       state,
       health_path: "/health",
+      born: 0,
     };
     this.table.announce(target, this.#sequence++);
   }
@@ -353,6 +354,7 @@
         slots: 4,
         state: "ready",
         health_path: "",
+        born: 0,
       })),
     },
   ]);
