Pipelined requests: whoever leaves has left with all of them, and a stop ends with the last; bodies up to 1 MB are held

Change: CallerConnections notes the requests on each connection; all of them hear of its end, and during a stop the last one closes it.

--- a/src/sidecar/gate/GateServer.ts
+++ b/src/sidecar/gate/GateServer.ts
@@ -35,8 +35,11 @@
 /** Connections from other sidecars are kept this long without use, ms. */
 const KEEP_ALIVE_MS = 30_000;
 
-/** The sidecar that took the request from its caller has held it against the document's limit. */
-const MAX_BODY_BYTES = Infinity;
+/**
+ * The sidecar that took the request from its caller has held its body against the document's limit. A
+ * small one is taken whole here too: a target is not left with half of it when that sidecar ends.
+ */
+const BODY = { mostBytes: Infinity, wholeBytes: 256 * 1024 };
 
 /** The answer for a target that is not here. */
 const NOT_HERE: AskReply = {
@@ -157,7 +160,7 @@
         left.abort();
       }
     });
-    const opened = await openBody(req, MAX_BODY_BYTES);
+    const opened = await openBody(req, BODY);
     const body = "body" in opened ? opened.body : undefined;
     const startedAt = this.#deps.clock.now();
     const span = this.#deps.tracing.begin("sidecar.run", req.headers);
--- a/src/sidecar/ingress/CallerServer.ts
+++ b/src/sidecar/ingress/CallerServer.ts
@@ -15,9 +15,11 @@
 import { RETRY_AFTER_MS } from "../forwarding/RETRY_AFTER_MS.ts";
 import { withHeaders } from "../forwarding/withHeaders.ts";
 import { HOP } from "../hop/HOP.ts";
+import type { CourseRequest } from "../routing/CourseRequest.ts";
 import type { Dispatcher } from "../routing/Dispatcher.ts";
 import type { RouteIndex } from "../routing/RouteIndex.ts";
 import type { RouteMatch } from "../routing/RouteMatch.ts";
+import { CallerConnections } from "./CallerConnections.ts";
 
 /** Headers between sidecars; a caller's own under these names go no further. */
 const HOP_NAMES = new Set<string>(Object.values(HOP));
@@ -28,6 +30,15 @@
 /** How often Node looks for connections that are too slow with their headers, ms. */
 const SLOW_CHECK_MS = 2000;
 
+/**
+ * Bodies up to this size are held until the request is answered, so that it can be sent to another
+ * target when one refuses it, bytes. Uploads of field maps are 60 KB on average and 360 KB at most.
+ */
+const HELD_BYTES = 1 << 20;
+
+/** All bodies held at a time, bytes: an eighth of the memory that a sidecar may use. */
+const MAX_HELD_BYTES = 32 << 20;
+
 /** The document in force, as far as callers are concerned. */
 interface CallerConfig {
   readonly version: number;
@@ -56,6 +67,8 @@
   readonly startedAt: number;
   readonly version: number;
   readonly route: RouteMatch | undefined;
+  /** No other request waits for an answer on its connection. */
+  readonly isLast: () => boolean;
 }
 
 /**
@@ -67,7 +80,10 @@
 export class CallerServer {
   readonly #deps: CallerServerDeps;
   readonly server: Server;
+  readonly #connections = new CallerConnections();
   #stopping = false;
+  /** Room set aside for bodies that are held. */
+  #heldBytes = 0;
 
   constructor(deps: CallerServerDeps) {
     this.#deps = deps;
@@ -94,7 +110,10 @@
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
-  /** From now on every answer ends its connection: this sidecar is being stopped. */
+  /**
+   * From now on answers end their connections, each with the last of the requests that
+   * were pipelined on it: this sidecar is being stopped.
+   */
   beginStop(): void {
     this.#stopping = true;
   }
@@ -102,17 +121,17 @@
   async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const startedAt = this.#deps.clock.now();
     const config = this.#deps.config();
-    const path = req.url ?? "/";
     const words = this.#deps.dialect.readCaller(req.headers);
     const attempt = typeof words === "string" ? AttemptId("") : words.attempt;
     const route = config?.routes.match(
       req.method ?? "GET",
-      path,
+      req.url ?? "/",
       req.headers.host,
       this.#deps.draw,
     );
     const version = config?.version ?? 0;
-    const served: Served = { res, attempt, startedAt, version, route };
+    const { left, isLast } = this.#connections.enter(res);
+    const served: Served = { res, attempt, startedAt, version, route, isLast };
     if (typeof words === "string") {
       this.#refuse(served, words, 400);
       return;
@@ -126,26 +145,40 @@
       this.#refuse(served, "headers too large", 431);
       return;
     }
-    const left = abortOnLeave(res);
-    const opened = await openBody(req, config.limits.maxBodyBytes);
+    const timeoutMs = Math.min(route.timeoutMs, words.remainingMs ?? Infinity);
+    const due = { startedAt, deadlineAt: startedAt + timeoutMs, left };
+    const room = this.#takeRoom(req);
+    try {
+      const bounds = { mostBytes: config.limits.maxBodyBytes, wholeBytes: room };
+      await this.#forward(served, route, await openBody(req, bounds), due);
+    } finally {
+      this.#heldBytes -= room;
+    }
+  }
+
+  /** Has a request served, and its answer or refusal written. */
+  async #forward(
+    served: Served,
+    route: RouteMatch,
+    opened: Awaited<ReturnType<typeof openBody>>,
+    due: Pick<CourseRequest, "startedAt" | "deadlineAt" | "left">,
+  ): Promise<void> {
     if (opened.kind === "too-large") {
       this.#refuse(served, "request body too large", 413);
       return;
     }
+    const { req } = served.res;
     const span = this.#deps.tracing.begin("sidecar.ingress", req.headers);
     const forward = span.child("sidecar.forward");
-    const timeoutMs = Math.min(route.timeoutMs, words.remainingMs ?? Infinity);
     const headers = endToEnd(req.rawHeaders, (name) => HOP_NAMES.has(name));
     const out = await this.#deps.dispatcher.dispatch(route, {
-      attempt: words.attempt,
+      attempt: served.attempt,
       method: req.method ?? "GET",
-      path,
+      path: req.url ?? "/",
       headers: withHeaders(headers, forward.headers),
       body: opened.body,
       bodyLength: opened.kind === "stream" ? opened.length : undefined,
-      startedAt,
-      deadlineAt: startedAt + timeoutMs,
-      left,
+      ...due,
     });
     const isGood = out.verdict.kind === "done";
     forward.end(out.verdict.kind, isGood);
@@ -153,6 +186,16 @@
     span.end(out.verdict.kind, isGood);
   }
 
+  /** Sets room aside to hold a request's body in, as far as there is any; returns how much, bytes. */
+  #takeRoom({ headers }: IncomingMessage): number {
+    const isChunked = headers["transfer-encoding"] !== undefined;
+    const length = isChunked ? HELD_BYTES : Number(headers["content-length"] ?? 0);
+    const isHeld = length <= HELD_BYTES && this.#heldBytes + length <= MAX_HELD_BYTES;
+    const room = isHeld ? length : 0;
+    this.#heldBytes += room;
+    return room;
+  }
+
   #refuse(served: Served, reason: string, status: number): void {
     const verdict = { kind: "not-run", reason, retryAfterMs: RETRY_AFTER_MS } as const;
     this.#reply(served, { verdict, outcome: AttemptOutcome.Cancelled }, status);
@@ -167,7 +210,7 @@
     res.setHeader("x-burdockpass-verdict", out.verdict.kind);
     // By this id the logs of every process tell of the request.
     res.setHeader("x-burdockpass-attempt", served.attempt);
-    if (this.#stopping) {
+    if (this.#stopping && served.isLast()) {
       res.setHeader("connection", "close");
     }
     if ("body" in out) {
@@ -230,17 +273,6 @@
 const NO_ROUTE = ["no route", 404] as const;
 const NO_CONFIG = ["no accepted configuration yet", 503] as const;
 
-/** A signal that fires when the caller's connection closes before its answer was written. */
-function abortOnLeave(res: ServerResponse): AbortSignal {
-  const left = new AbortController();
-  res.once("close", () => {
-    if (!res.writableFinished) {
-      left.abort();
-    }
-  });
-  return left.signal;
-}
-
 function statusFor(verdict: Verdict): number {
   switch (verdict.kind) {
     case "done":
