A restart of the whole fleet: control elects at once, and sidecars hold what they can serve a moment later

Replicas wait out an election timeout of 0.8 to 1.5 s for a leader that cannot be there. Ruled out: targets' announcements (there within 0.6 s), the spread (within 0.1 s of the leader).

Change: a replica that has just started stands for election within 200 ms, and again, until it hears a leader; others that hear one refuse it.

--- a/src/control/replica/Election.ts
+++ b/src/control/replica/Election.ts
@@ -25,14 +25,33 @@
   readonly enterTerm: (term: number) => boolean;
 }
 
+/**
+ * A replica that has just started takes the group for one that starts as a whole, until it hears a
+ * leader, for at most this long, ms: about two elections of the ordinary kind.
+ */
+const STARTING_MS = 3000;
+
+/**
+ * While the group starts, how long a replica waits before it asks the others for their votes, and
+ * before it asks again, ms. An election takes a round trip and a sync for each of two rounds of votes,
+ * 10 to 30 ms on machines that are busy starting; votes that are split are seldom split again.
+ */
+const STARTING_WAIT_MS = { least: 40, more: 160 };
+
 /**
  * When and how a replica stands for election: after a random time without a
  * leader it first asks whether it would be elected, and only if so enters a new
  * term. A replica that is cut off therefore does not raise its term for nothing.
+ *
+ * A replica that has just started asks much sooner. Where the others were not restarted,
+ * they hear a leader and refuse. Where all were killed at once, nobody does, and sidecars
+ * that have lost their document wait for a leader. Five replicas of the model, 20 seeds:
+ * led 1,040 ms after they were back with the ordinary wait, 95 ms with this one.
  */
 export class Election implements IDisposable {
   readonly #deps: ElectionDeps;
   #dueAt = Infinity;
+  #startingUntil = -Infinity;
   #abstainsUntil = -Infinity;
   #timer: Timer | undefined;
   /** Rises with each poll and each step down, so that late votes count for nothing. */
@@ -45,6 +64,7 @@
 
   /** Starts waiting for its time. */
   start(): void {
+    this.#startingUntil = this.#deps.clock.now() + STARTING_MS;
     this.defer();
     this.#arm();
   }
@@ -54,12 +74,17 @@
     return this.#underWay;
   }
 
-  /** Puts the next attempt off: a leader was heard, or a vote given. */
+  /** Puts the next attempt off: a vote was given, or this replica has led. */
   defer(): void {
-    const { timing, clock, random } = this.#deps;
-    const { electionMinMs, electionMaxMs } = timing;
-    const wait = electionMinMs + random() * (electionMaxMs - electionMinMs);
-    this.#dueAt = Math.max(clock.now() + wait, this.#abstainsUntil);
+    const { clock, random } = this.#deps;
+    const { least, more } = this.#wait;
+    this.#dueAt = Math.max(clock.now() + least + random() * more, this.#abstainsUntil);
+  }
+
+  /** A leader was heard: the group does not start as a whole, or not any more. */
+  noteLeader(): void {
+    this.#startingUntil = -Infinity;
+    this.defer();
   }
 
   /** Does not stand for `ms`: this replica would make a poor leader for now. */
@@ -95,6 +120,14 @@
     this.#timer?.cancel();
   }
 
+  get #wait(): { least: number; more: number } {
+    const { timing, clock } = this.#deps;
+    const { electionMinMs, electionMaxMs } = timing;
+    return clock.now() < this.#startingUntil
+      ? STARTING_WAIT_MS
+      : { least: electionMinMs, more: electionMaxMs - electionMinMs };
+  }
+
   #stand(term: number, handover: boolean): void {
     if (this.#deps.log.term >= term || !this.#deps.enterTerm(term)) {
       this.giveUp();
@@ -102,6 +135,7 @@
     }
     this.#poll(term, { pre: false, handover }, () => {
       this.#underWay = false;
+      this.#startingUntil = -Infinity;
       this.#deps.won();
     });
   }
--- a/src/control/replica/Replica.test.ts
+++ b/src/control/replica/Replica.test.ts
@@ -259,6 +259,48 @@
   t.is(m.replica(m.leader ?? "").state.version, 1);
 });
 
+test("all processes killed at the same moment have a leader again before callers' patience ends", async (t) => {
+  // Story: every process of the fleet is killed and back within a second. Sidecars without a disk
+  // know no document until a leader leads, and refuse all work; the replicas waited out an election
+  // timeout for a leader that could not be there: 1,040 ms on average over these seeds, now 95.
+  const waits: number[] = [];
+  for (let seed = 1; seed <= 20; seed++) {
+    const m = new ControlModel(5, seed);
+    await m.untilLed();
+    await m.run(3000);
+    m.addresses.forEach((a) => {
+      m.kill(a);
+    });
+    await m.run(600);
+    m.addresses.forEach((a) => {
+      m.boot(a);
+    });
+    const bootedAt = m.clock.now();
+    while (m.leader === undefined) {
+      await m.run(10);
+    }
+    waits.push(m.clock.now() - bootedAt);
+  }
+  const mean = waits.reduce((sum, ms) => sum + ms, 0) / waits.length;
+  t.log(`led again after ${mean} ms on average, ${Math.max(...waits)} at most`);
+  t.true(mean < 250);
+  t.true(Math.max(...waits) < 800);
+});
+
+test("a replica that is restarted alone does not stand against a leader that the others hear", async (t) => {
+  const m = new ControlModel(5);
+  const leader = await m.untilLed();
+  await m.run(3000);
+  const { term } = m.replica(leader);
+  for (const address of m.addresses.filter((a) => a !== leader)) {
+    m.kill(address);
+    m.boot(address);
+    await m.run(400);
+  }
+  t.is(m.leader, leader);
+  t.is(m.replica(leader).term, term);
+});
+
 test("a newcomer that is lost in its turn does not cost the group another voter", async (t) => {
   // Story: a machine is gone for good; its replacement is lost just as it has caught
   // up, and is replaced too; then a second machine goes for good. Two places were
--- a/src/control/replica/Replica.ts
+++ b/src/control/replica/Replica.ts
@@ -134,6 +134,11 @@
     return this.#log.id;
   }
 
+  /** The election term that it is in. */
+  get term(): number {
+    return this.#log.term;
+  }
+
   /** The leader's id and where operators reach it, as far as known. */
   get leader(): { readonly id: ReplicaId; readonly api: string } | undefined {
     if (this.#term) {
@@ -349,7 +354,7 @@
     }
     this.#leader = { replica: req.leader, api: req.leaderApi };
     this.#leaderHeardAt = this.#deps.clock.now();
-    this.#election.defer();
+    this.#election.noteLeader();
     return true;
   }
 
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -22,6 +22,7 @@
 import { SidecarMetrics } from "./admin/SidecarMetrics.ts";
 import type { TrafficKind } from "./admin/TrafficKind.ts";
 import { ConfigFollower } from "./config/ConfigFollower.ts";
+import { DocumentWait } from "./config/DocumentWait.ts";
 import { probeHealth } from "./detection/probeHealth.ts";
 import type { Dialect } from "./dialect/Dialect.ts";
 import { ownDialect } from "./dialect/ownDialect.ts";
@@ -55,6 +56,9 @@
  */
 const LINE_ENDS_MS = 800;
 
+/** A sidecar that has been up for this long knows the targets that are there, ms: each announces itself every 1.5 s. */
+const STARTING_MS = 2500;
+
 /** How often a stop looks whether the last run has ended, ms. */
 const IDLE_CHECK_MS = 50;
 
@@ -85,6 +89,7 @@
  */
 export class SidecarRole extends Disposable {
   #cfg: SidecarSettings;
+  readonly #startedAt = SystemClock.now();
   readonly #log: bunyan;
   readonly #dialect: Dialect;
   #parts: Parts | undefined;
@@ -127,10 +132,12 @@
     const tracing = await openTracing("burdockpass-sidecar", cfg.traceFile);
     const table = this.#openTable();
     const caller: { server?: CallerServer } = {};
+    const documentWait = new DocumentWait(SystemClock);
     const follower = this.#follow(table, note, () => {
       const { document } = follower;
       if (document) {
         caller.server?.limit(document.limits);
+        documentWait.release();
       }
     });
     const { service } = loadProto().Peer as grpc.ServiceClientConstructor;
@@ -187,6 +194,7 @@
     const splits = new SplitDraw(Math.random);
     caller.server = new CallerServer({
       config: () => configOf(follower),
+      waitForConfig: () => documentWait.wait(),
       dispatcher,
       dialect: this.#dialect,
       draw: (route) => splits.next(route),
@@ -295,6 +303,7 @@
       callerService,
       budget: () => this.#cfg.retryBudget,
       members: () => table.knownCount,
+      isStarting: () => SystemClock.now() - this.#startedAt < STARTING_MS,
       onExtraTry: (service, cause) => {
         metrics.extraTry(service, cause);
       },
--- a/src/sidecar/ingress/CallerServer.test.ts
+++ b/src/sidecar/ingress/CallerServer.test.ts
@@ -40,6 +40,7 @@
       routes: { match: () => route } as unknown as RouteIndex,
       limits: Limits.parse(limits),
     }),
+    waitForConfig: () => Promise.resolve(),
     dispatcher: {
       dispatch: (_route, req) =>
         new Promise((settle) => {
--- a/src/sidecar/ingress/CallerServer.ts
+++ b/src/sidecar/ingress/CallerServer.ts
@@ -50,6 +50,8 @@
 interface CallerServerDeps {
   /** Undefined before any document. */
   readonly config: () => CallerConfig | undefined;
+  /** Resolves once there is a document, or when it is no use to wait for one any longer. */
+  readonly waitForConfig: () => Promise<void>;
   readonly dispatcher: Pick<Dispatcher, "dispatch">;
   readonly dialect: Dialect;
   /** The next draw between the parts of a route's split, in [0, 1). */
@@ -120,6 +122,10 @@
 
   async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const startedAt = this.#deps.clock.now();
+    const { left, isLast } = this.#connections.enter(res);
+    if (!this.#deps.config()) {
+      await this.#deps.waitForConfig();
+    }
     const config = this.#deps.config();
     const words = this.#deps.dialect.readCaller(req.headers);
     const attempt = typeof words === "string" ? AttemptId("") : words.attempt;
@@ -130,7 +136,6 @@
       this.#deps.draw,
     );
     const version = config?.version ?? 0;
-    const { left, isLast } = this.#connections.enter(res);
     const served: Served = { res, attempt, startedAt, version, route, isLast };
     if (typeof words === "string") {
       this.#refuse(served, words, 400);
--- a/src/sidecar/routing/Dispatcher.test.ts
+++ b/src/sidecar/routing/Dispatcher.test.ts
@@ -15,7 +15,7 @@
 const targets = ["a", "b", "c"].map((id) => makeTarget(id, { hopAddress: id }));
 
 /** A dispatcher over three targets whose sidecars a test plays. */
-function rig(slack = 100, known = targets) {
+function rig(slack = 100, known = targets, isStarting = () => false) {
   const clock = new FakeClock();
   const hop = new FakeHop();
   const policy = new FixedPolicy(known);
@@ -25,6 +25,7 @@
     callerService: "desk",
     budget: () => ({ ratio: 0.2, windowMs: 10_000, slack }),
     members: () => 1,
+    isStarting,
     clock,
     log,
   });
@@ -222,3 +223,54 @@
 });
 
 const settled = () => new Promise((resolve) => setImmediate(resolve));
+
+const starts: readonly {
+  name: string;
+  isStarting: boolean;
+  knownAfterMs: number;
+  verdict: ForwardResult["verdict"]["kind"];
+  endsAt: number;
+}[] = [
+  {
+    name: "a target comes to be known in time",
+    isStarting: true,
+    knownAfterMs: 290,
+    verdict: "done",
+    endsAt: 310,
+  },
+  {
+    name: "none comes to be known",
+    isStarting: true,
+    knownAfterMs: 10_000,
+    verdict: "not-run",
+    endsAt: 810,
+  },
+  {
+    name: "the sidecar has been up for long",
+    isStarting: false,
+    knownAfterMs: 290,
+    verdict: "not-run",
+    endsAt: 10,
+  },
+];
+
+// Story: the whole fleet was killed and is back. A sidecar has the document and a caller's request,
+// but the targets have not announced themselves yet; 300 ms later they have.
+for (const { name, isStarting, knownAfterMs, verdict, endsAt } of starts) {
+  test(`a fleet that starts, ${name}`, async (t) => {
+    const known: ReturnType<typeof makeTarget>[] = [];
+    const { clock, hop, dispatcher } = rig(100, known, () => isStarting);
+    hop.onRun = () => done;
+    clock.after(knownAfterMs, () => {
+      known.push(makeTarget("a"));
+    });
+    let endedAt: number | undefined;
+    const out = dispatcher.dispatch(makeRoute(), makeCourse({ deadlineAt: 5000 }));
+    void out.then(() => (endedAt = clock.now()));
+    for (let ms = 0; ms < 2000 && endedAt === undefined; ms += 10) {
+      await clock.advance(10);
+    }
+    t.is((await out).verdict.kind, verdict);
+    t.is(endedAt, endsAt);
+  });
+}
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -24,6 +24,8 @@
   readonly members: () => number;
   /** How long a request that waits in line leaves gray targets alone, ms; left out, the product's own rule. */
   readonly patienceMs?: (route: RouteMatch) => number;
+  /** This sidecar has just started, and may not know all targets yet; left out, it never has. */
+  readonly isStarting?: () => boolean;
   /** Told of each request that is sent to a further target. */
   readonly onExtraTry?: (service: string, cause: "retry" | "hedge") => void;
   readonly clock: Clock;
@@ -43,6 +45,14 @@
 /** Times that one request is sent to a target that then refuses it, at most. */
 const MAX_REFUSED_SENDS = 4;
 
+/**
+ * While the fleet starts, a request that finds no target is tried again this often, and for
+ * this long after it came, ms. Targets announce themselves within 0.6 s of their sidecars'
+ * return; a request refused before could have been served within its objective.
+ */
+const STARTING_RETRY_MS = 50;
+const STARTING_HOLD_MS = 800;
+
 /** The state of one request on its way. */
 interface Course {
   readonly route: RouteMatch;
@@ -86,6 +96,10 @@
     for (;;) {
       const sought = await this.#seek(course).sought;
       if (sought.kind === "refused") {
+        if (sought.isUnknown && this.#mayComeUp(req)) {
+          await this.#pause(STARTING_RETRY_MS);
+          continue;
+        }
         return last ?? notRun(sought);
       }
       last = await this.#runHedged(course, sought.grant);
@@ -113,6 +127,17 @@
     }
   }
 
+  /** Whether a target may come to be known soon, with the caller still there. */
+  #mayComeUp({ startedAt, deadlineAt, left }: CourseRequest): boolean {
+    const { clock, isStarting } = this.#deps;
+    const holdUntil = Math.min(startedAt + STARTING_HOLD_MS, deadlineAt);
+    return isStarting?.() === true && clock.now() < holdUntil && !left.aborted && !this.#closed;
+  }
+
+  #pause(ms: number): Promise<void> {
+    return new Promise((resolve) => this.#deps.clock.after(ms, resolve));
+  }
+
   #seek(course: Course): GrantSeeker {
     const { policy, hop, clock, log, patienceMs = ownPatienceMs } = this.#deps;
     const ask: HopClient["ask"] = (...args) => hop.ask(...args);
--- a/src/sidecar/routing/GrantSeeker.ts
+++ b/src/sidecar/routing/GrantSeeker.ts
@@ -22,7 +22,13 @@
 /** What came of asking: a slot, or why there is none. */
 export type Sought =
   | { readonly kind: "granted"; readonly grant: Grant }
-  | { readonly kind: "refused"; readonly reason: string; readonly retryAfterMs: number };
+  | {
+      readonly kind: "refused";
+      readonly reason: string;
+      readonly retryAfterMs: number;
+      /** No target was known, or those that were are not known beside their own sidecars. */
+      readonly isUnknown: boolean;
+    };
 
 interface GrantSeekerDeps {
   readonly policy: RoutingPolicy;
@@ -79,6 +85,7 @@
   readonly #timers = new Set<Timer>();
   #retryAfterMs = Infinity;
   #reason = "no target of the service is known to take work";
+  #isUnknown = true;
   #done = false;
 
   /** Resolves once a slot was granted, or nobody is left to ask. */
@@ -228,6 +235,7 @@
     if (reply.reason === RefusalReason.Suspect) {
       this.#suspects.push(target);
     }
+    this.#isUnknown &&= reply.reason === RefusalReason.NoTarget;
     this.#retryAfterMs = Math.min(this.#retryAfterMs, reply.retryAfterMs);
     this.#reason = `every target refused, the last one as ${reply.reason}`;
     this.#askNext();
@@ -253,7 +261,7 @@
 
   #refuse(reason: string): void {
     const retryAfterMs = Number.isFinite(this.#retryAfterMs) ? this.#retryAfterMs : RETRY_AFTER_MS;
-    this.#end({ kind: "refused", reason, retryAfterMs });
+    this.#end({ kind: "refused", reason, retryAfterMs, isUnknown: this.#isUnknown });
   }
 
   #end(sought: Sought): void {
