--- a/experiment/Scenario.ts
+++ b/experiment/Scenario.ts
@@ -46,8 +46,8 @@
   /** One way between availability zones, ms. */
   readonly zoneMs: number;
   readonly kinds: readonly LoadKind[];
-  /** At any time this share of the targets is gray, each in one spell every `everyMs`. */
-  readonly noise?: { readonly share: number; readonly everyMs: number; readonly fails: number };
+  /** At any time this share of the targets is gray, in spells of random length, `spellMs` on average. */
+  readonly noise?: { readonly share: number; readonly spellMs: number; readonly fails: number };
   readonly spells?: readonly GraySpell[];
   readonly bursts?: readonly Burst[];
   readonly lengthMs: number;
--- a/experiment/main.ts
+++ b/experiment/main.ts
@@ -22,15 +22,15 @@
     const mean = (pick: (f: Figures) => number) =>
       runs.reduce((sum, f) => sum + pick(f), 0) / runs.length;
     const cells = columns.map((c) => `${c} ${mean((f) => f[c]).toFixed(3)}`);
-    const kinds = Object.keys(runs[0]?.byKind ?? {}).map((k) =>
-      mean((f) => f.byKind[k] ?? 0).toFixed(3),
-    );
+    const kinds = Object.keys(runs[0]?.byKind ?? {})
+      .sort()
+      .map((k) => `${k} ${mean((f) => f.byKind[k] ?? 0).toFixed(3)}`);
     console.log(
       scenario.name.padEnd(14),
       variant.name.padEnd(20),
       cells.join("  "),
       `held ${mean((f) => f.refusedAfterMs).toFixed(0)} ms`,
-      kinds.join(" "),
+      kinds.join("  "),
     );
   }
 }
--- a/experiment/scenarios.ts
+++ b/experiment/scenarios.ts
@@ -63,7 +63,57 @@
   })),
   zones: 4,
   zoneMs: 0.9,
-  noise: { share: 0.3, everyMs: 12_000, fails: 0.85 },
+  noise: { share: 0.3, spellMs: 12_000, fails: 0.85 },
+  lengthMs: 32_000,
+};
+
+/** Holmgaard's kinds of request, at `share` of their full rate. */
+const holmgaard = (share: number): LoadKind[] => [
+  {
+    name: "parcel-view",
+    service: "listings",
+    idempotent: true,
+    priority: 2,
+    perSecond: 19.9 * share,
+    workMs: 350,
+    objectiveMs: 1500,
+    deadlineMs: 6000,
+    worth: [1, 0.3],
+    calls: { kind: "soil-lookup", times: 1, share: 0.7 },
+  },
+  {
+    name: "lease-offer",
+    service: "listings",
+    idempotent: false,
+    priority: 1,
+    perSecond: 71.5 * share,
+    workMs: 460,
+    objectiveMs: 1500,
+    deadlineMs: 5000,
+    worth: [2, 0.6],
+  },
+  {
+    name: "map-upload",
+    service: "fieldmaps",
+    idempotent: false,
+    priority: 1,
+    perSecond: 8.2 * share,
+    workMs: 430,
+    objectiveMs: 1500,
+    deadlineMs: 12_000,
+    worth: [2, 0.6],
+  },
+  { ...call("soil-lookup", "fieldmaps", 90), objectiveMs: 300 },
+];
+
+const HOLMGAARD = {
+  services: [
+    { name: "listings", targets: 18, slots: 5 },
+    { name: "fieldmaps", targets: 6, slots: 5 },
+  ],
+  zones: 3,
+  zoneMs: 0.5,
+  noise: { share: 0.3, spellMs: 9000, fails: 0.85 },
   lengthMs: 32_000,
 };
 
@@ -94,4 +144,22 @@
       { service: "hire-book", count: 5, fromMs: 20_000, forMs: 6000, fails: 0.85 },
     ],
   },
+  { ...HOLMGAARD, name: "listings quiet", kinds: holmgaard(0.65) },
+  { ...HOLMGAARD, name: "listings busy", kinds: holmgaard(1.2) },
+  {
+    ...HOLMGAARD,
+    name: "listings burst",
+    kinds: holmgaard(1.1),
+    bursts: [{ fromMs: 10_000, forMs: 4000, times: 1.6 }],
+  },
+  {
+    // A third of the targets was taken away: sound ones have less room than callers need.
+    ...HOLMGAARD,
+    name: "listings short",
+    services: [
+      { name: "listings", targets: 13, slots: 5 },
+      { name: "fieldmaps", targets: 5, slots: 5 },
+    ],
+    kinds: holmgaard(1.1),
+  },
 ];
--- a/src/sidecar/detection/Judgement.ts
+++ b/src/sidecar/detection/Judgement.ts
@@ -2,6 +2,6 @@
 export interface Judgement {
   /** Should leave rotation. */
   readonly gray: boolean;
-  /** How bad, nats; the floor keeps the least bad. */
+  /** How bad, as its chance to fail a request; the floor keeps the least bad. */
   readonly badness: number;
 }
--- a/src/sidecar/detection/TargetJudge.ts
+++ b/src/sidecar/detection/TargetJudge.ts
@@ -3,6 +3,7 @@
 import { AttemptOutcome } from "./AttemptOutcome.ts";
 import type { DetectionRule } from "./DetectionRule.ts";
 import { FadingScore } from "./FadingScore.ts";
+import { GrayChance } from "./GrayChance.ts";
 import type { Admissible, Judge } from "./Judge.ts";
 
 /**
@@ -11,12 +12,22 @@
  * 45 to 90 in 100 for seconds.
  */
 const HEALTHY_FAILURES = 0.012;
-const GRAY_FAILURES = 0.6;
+const GRAY_FAILURES = 0.85;
 
-/** What one failure and one good answer weigh, nats (log-likelihood ratios): 3.9 and -0.9. */
+/** What one failure and one good answer weigh, nats (log-likelihood ratios): 4.3 and -1.9. */
 const FAILURE_NATS = Math.log(GRAY_FAILURES / HEALTHY_FAILURES);
 const SUCCESS_NATS = Math.log((1 - GRAY_FAILURES) / (1 - HEALTHY_FAILURES));
 
+/** Log-odds of a target that has just answered well, nats: what evidence is counted from. */
+const WELL_NATS = -3.9;
+
+/**
+ * A failure of a request that began before one that has since been answered well says
+ * less, as a share: a target's own errors come at the end of its work, those of a gray one at
+ * once. It says something all the same: one that hangs is noticed long after it began.
+ */
+const OLDER_SHARE = 0.5;
+
 /**
  * Share of answers that a healthy target garbles, cuts short or takes from another
  * request, and that a gray one does: next to never, and 5 in 100. Such answers are
@@ -32,28 +43,36 @@
 const OVERDUE_NATS = 2;
 
 /**
- * Evidence from which a target is under suspicion, nats: below the 3.9 of a single
- * failure. That is early, since all it costs a healthy target is that work that
- * must not repeat goes elsewhere until one lookup has come back well.
+ * A target is suspect from this chance of being gray on, once it has failed a request: after
+ * one failure the chance is 0.2 to 0.6, by how long ago it answered well. It is cleared below the
+ * lower one, which one or two good answers reach.
  */
-const SUSPECT_NATS = 3;
+const SUSPECT_FROM = 0.15;
+const CLEARED_BELOW = 0.25;
 
-/** Evidence is capped this far above what ejects, nats, so that a few good answers in a row readmit. */
-const HEADROOM_NATS = 0.5;
+/** An ejected target is readmitted below this chance, and stays suspect until it is cleared. */
+const READMITTED_BELOW = 0.75;
+
+/** Pace from which an answer's lateness is no evidence against a target that was ejected for it, as a share of the rule's. */
+const PACE_HYSTERESIS = 0.8;
 
 /** Weight of the newest answer in the pace: about the last six count. */
 const PACE_WEIGHT = 0.16;
 
-/** Idempotent requests that an ejected target is tried with at the same time. */
-const CANARIES = 1;
+/**
+ * Expendable requests that a target is tried with at the same time: an ejected one that has failed the last,
+ * and one that has answered it or is only under suspicion.
+ */
+const PROBES_FAILING = 1;
+const PROBES_HOPEFUL = 5;
 
-/** An ejected target is left alone for this long before it is tried, ms; after a failed try for twice as long... */
-const FIRST_PAUSE_MS = 1000;
+/** A target that failed a probe is left alone for this long before the next, ms. */
+const PROBE_PAUSE_MS = 1000;
 
-/** ...up to this, ms: it is found well again soon after. */
-const MAX_PAUSE_MS = 2000;
+/** What a probe under way takes to tell how the target is, ms, where the next one has to wait for it. */
+const PROBE_TAKES_MS = 200;
 
-/** An ejection this soon after the last, as a multiple of how long evidence is kept, makes it be kept for longer. */
+/** An ejection this soon after the last, as a multiple of how long a silent target stays out, makes it stay out for longer. */
 const SOON_FACTOR = 4;
 
 interface TargetJudgeDeps {
@@ -66,79 +85,87 @@
 
 /**
  * What the sidecar beside a target thinks of it, from every answer that it gave to
- * anyone: how likely it fails what it is given (a CUSUM of log-likelihood ratios,
- * Page 1954, that fades), and how its answer times compare with its service's. One
- * failure is enough for work that must not repeat to go elsewhere; all work goes
- * elsewhere from the document's threshold on. Single idempotent requests, which can be
- * repeated elsewhere, tell when it is well again. A target that turns gray again and
- * again is believed more slowly each time.
+ * anyone: the chance that it is gray, and how its answer times compare with its
+ * service's. One failure is enough for requests that have no other try to go elsewhere;
+ * all work goes elsewhere from the document's threshold on. It comes back by proof, not by
+ * the passing of time: expendable requests tell when it is well again. Only a target that
+ * nothing is heard of is tried again in the end.
  */
 export class TargetJudge implements Judge {
   readonly #deps: TargetJudgeDeps;
-  readonly #failures: FadingScore;
+  readonly #gray: GrayChance;
   readonly #wrongs: FadingScore;
+  /** When the newest requests that failed, and that were answered well, began. */
+  #failedSince = -Infinity;
+  #okSince = -Infinity;
+  #suspected = false;
   #pace = 1;
   #paceAt = 0;
-  #halfLifeMs: number;
+  #silentMs: number;
+  #heardAt: number;
   #ejected = false;
   #ejectedAt = -Infinity;
-  #pauseMs = FIRST_PAUSE_MS;
-  #triedAt = -Infinity;
+  #nextProbeAt = -Infinity;
 
   constructor(deps: TargetJudgeDeps) {
     this.#deps = deps;
-    this.#halfLifeMs = deps.rule().ejectMs / 2;
-    this.#failures = new FadingScore(deps.clock, () => this.#halfLifeMs);
+    this.#gray = new GrayChance(deps.clock);
     this.#wrongs = new FadingScore(deps.clock, () => WRONG_HALF_LIFE_MS);
+    this.#silentMs = deps.rule().ejectMs;
+    this.#heardAt = deps.clock.now();
   }
 
-  get suspicion(): number {
-    return Math.max(this.#failures.value, this.#wrongs.value);
+  get risk(): number {
+    const gray = this.#gray.value;
+    const wrongs = GRAY_WRONG * (1 - Math.exp(-this.#wrongs.value));
+    return Math.min(1, gray * GRAY_FAILURES + (1 - gray) * HEALTHY_FAILURES + wrongs);
   }
 
   get pace(): number {
     const age = this.#deps.clock.now() - this.#paceAt;
-    return 1 + (this.#pace - 1) * 0.5 ** (age / this.#halfLifeMs);
+    return 1 + (this.#pace - 1) * 0.5 ** ((2 * age) / this.#silentMs);
   }
 
   get isSuspect(): boolean {
-    return this.suspicion >= SUSPECT_NATS || this.isEjected;
+    return this.isEjected || (this.#suspected && !this.#isSilent);
   }
 
   get isEjected(): boolean {
     return this.#review();
   }
 
-  admits(req: Admissible, underWay: number): boolean {
-    if (req.insist) {
-      return true;
+  probeInMs(probes: number): number | undefined {
+    if (!this.isSuspect) {
+      return undefined;
     }
-    if (this.isEjected) {
-      return req.idempotent && underWay < CANARIES && this.#takeTurn();
-    }
-    return req.idempotent || !this.isSuspect;
+    const isHopeful = !this.#ejected || this.#okSince > this.#failedSince;
+    const pauseMs = Math.max(0, this.#nextProbeAt - this.#deps.clock.now());
+    const isTaken = probes >= (isHopeful ? PROBES_HOPEFUL : PROBES_FAILING);
+    return isTaken ? Math.max(pauseMs, PROBE_TAKES_MS) : pauseMs;
+  }
+
+  admits(req: Admissible, probes: number): boolean {
+    return req.insist || !this.isSuspect || (req.isExpendable && this.probeInMs(probes) === 0);
   }
 
   note(outcome: AttemptOutcome, ms: number, typicalMs: number): void {
+    const since = this.#deps.clock.now() - ms;
     switch (outcome) {
       case AttemptOutcome.Ok:
-        this.#pauseMs = 0;
-        this.#add(this.#failures, SUCCESS_NATS);
-        this.#add(this.#wrongs, NOT_WRONG_NATS);
+        this.#noteOk(since);
         this.#notePace(ms, typicalMs);
         return;
       case AttemptOutcome.Failed:
       case AttemptOutcome.NoAnswer:
-        this.#prolongPause();
-        this.#add(this.#failures, FAILURE_NATS);
+        this.#noteFailure(since, FAILURE_NATS);
         return;
       case AttemptOutcome.TimedOut:
-        this.#prolongPause();
-        this.#add(this.#failures, OVERDUE_NATS);
+        this.#noteFailure(since, OVERDUE_NATS);
         return;
       case AttemptOutcome.Wrong:
-        this.#prolongPause();
-        this.#add(this.#wrongs, WRONG_NATS);
+        this.#pauseProbes();
+        this.#wrongs.add(WRONG_NATS, this.#deps.rule().threshold);
+        this.#review();
         return;
       case AttemptOutcome.Shed:
       case AttemptOutcome.Cancelled:
@@ -146,31 +173,51 @@
     }
   }
 
-  noteOverdue(): void {
-    this.#add(this.#failures, OVERDUE_NATS);
+  noteOverdue(ms: number): void {
+    this.#noteFailure(this.#deps.clock.now() - ms, OVERDUE_NATS);
   }
 
-  /** Whether an ejected target may be tried now; each try that fails puts the next one off. */
-  #takeTurn(): boolean {
-    const now = this.#deps.clock.now();
-    if (now - Math.max(this.#triedAt, this.#ejectedAt) < this.#pauseMs) {
-      return false;
+  /** Nothing was heard of the target for as long as it is left alone without news. */
+  get #isSilent(): boolean {
+    return this.#deps.clock.now() - this.#heardAt >= this.#silentMs;
+  }
+
+  #noteOk(since: number): void {
+    this.#wrongs.add(NOT_WRONG_NATS, this.#deps.rule().threshold);
+    this.#okSince = Math.max(this.#okSince, since);
+    if (since < this.#failedSince) {
+      // It began before the target failed another one, and says nothing of the time since.
+      this.#review();
+      return;
+    }
+    this.#hear(SUCCESS_NATS);
+    this.#nextProbeAt = -Infinity;
+    if (this.#gray.value < CLEARED_BELOW) {
+      this.#suspected = false;
     }
-    this.#triedAt = now;
-    return true;
   }
 
-  #prolongPause(): void {
-    if (this.#ejected) {
-      this.#pauseMs = Math.min(MAX_PAUSE_MS, Math.max(FIRST_PAUSE_MS, this.#pauseMs * 2));
+  #noteFailure(since: number, nats: number): void {
+    this.#hear(since < this.#okSince ? nats * OLDER_SHARE : nats);
+    this.#failedSince = Math.max(this.#failedSince, since);
+    this.#pauseProbes();
+    if (this.#gray.value >= SUSPECT_FROM) {
+      this.#suspected = true;
     }
   }
 
-  #add(score: FadingScore, nats: number): void {
-    score.add(nats, this.#deps.rule().threshold + HEADROOM_NATS);
+  #hear(nats: number): void {
+    this.#heardAt = this.#deps.clock.now();
+    this.#gray.add(nats);
     this.#review();
   }
 
+  #pauseProbes(): void {
+    if (this.#ejected) {
+      this.#nextProbeAt = this.#deps.clock.now() + PROBE_PAUSE_MS;
+    }
+  }
+
   #notePace(ms: number, typicalMs: number): void {
     if (typicalMs > 0 && ms - typicalMs < this.#deps.rule().slowMinMs) {
       this.#movePace(Math.min(1, ms / typicalMs));
@@ -188,28 +235,46 @@
 
   /** Weighs the evidence as it stands now, and tells of a change. */
   #review(): boolean {
-    const { threshold, slowFactor } = this.#deps.rule();
-    // Once ejected it stays so until the evidence is down to where one failure leaves it.
-    const level = this.#ejected ? Math.min(threshold, FAILURE_NATS) : threshold;
-    const isEjected = this.suspicion >= level || this.pace >= slowFactor;
+    const isEjected = this.#ejected ? this.#staysOut() : this.#isGray();
     if (isEjected !== this.#ejected) {
       this.#change(isEjected);
     }
     return isEjected;
   }
 
+  #isGray(): boolean {
+    const { threshold, slowFactor } = this.#deps.rule();
+    const isFailing = this.#suspected && this.#gray.nats - WELL_NATS >= threshold;
+    return isFailing || this.#wrongs.value >= threshold || this.pace >= slowFactor;
+  }
+
+  #staysOut(): boolean {
+    const { threshold, slowFactor } = this.#deps.rule();
+    const isFailing = !this.#isSilent && this.#gray.value >= READMITTED_BELOW;
+    const isWrong = this.#wrongs.value >= Math.min(threshold, WRONG_NATS);
+    return isFailing || isWrong || this.pace >= slowFactor * PACE_HYSTERESIS;
+  }
+
   #change(isEjected: boolean): void {
     const { clock, log } = this.#deps;
     const { ejectMs, maxEjectMs } = this.#deps.rule();
-    const evidence = { nats: this.suspicion, pace: this.pace, halfLifeMs: this.#halfLifeMs };
+    const evidence = {
+      chance: round(this.#gray.value),
+      wrongs: this.#wrongs.value,
+      pace: this.pace,
+    };
     this.#ejected = isEjected;
     if (isEjected) {
-      const soon = clock.now() - this.#ejectedAt < SOON_FACTOR * this.#halfLifeMs;
-      this.#halfLifeMs = soon ? Math.min(this.#halfLifeMs * 2, maxEjectMs / 2) : ejectMs / 2;
+      const soon = clock.now() - this.#ejectedAt < SOON_FACTOR * this.#silentMs;
+      this.#silentMs = soon ? Math.min(this.#silentMs * 2, maxEjectMs) : ejectMs;
       this.#ejectedAt = clock.now();
-      this.#pauseMs = FIRST_PAUSE_MS;
+      this.#nextProbeAt = clock.now() + PROBE_PAUSE_MS;
     }
-    log.info(evidence, isEjected ? "ejected" : "readmitted");
+    log.info({ ...evidence, silentMs: this.#silentMs }, isEjected ? "ejected" : "readmitted");
     this.#deps.onChange?.(isEjected);
   }
 }
+
+function round(value: number): number {
+  return Math.round(value * 1000) / 1000;
+}
--- a/src/sidecar/gate/Gate.test.ts
+++ b/src/sidecar/gate/Gate.test.ts
@@ -121,6 +121,20 @@
   t.deepEqual(["b", "c"].map(said), ["leaving", "leaving"]);
 });
 
+test("gate: once its target has failed a request, what waits and has no other try goes elsewhere at once", (t) => {
+  // Story: two bookings run at a target and a third waits. One of the two fails. The third would
+  // be given the slot next, or wait for a target that it may not have.
+  const judge = { ...TrustingJudge, isSuspect: false, admits: () => !judge.isSuspect };
+  judge.note = () => (judge.isSuspect = true);
+  const { gate, ask, said } = rig(2, judge);
+  ask("a");
+  ask("b");
+  ask("c", { isExpendable: false });
+  gate.take(AttemptId("a"));
+  gate.end(AttemptId("a"), AttemptOutcome.Failed);
+  t.is(said("c"), "suspect");
+});
+
 test("gate: a target that is gone has no slots", (t) => {
   const { target, ask, said } = rig(1);
   target.here = false;
--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -67,6 +67,8 @@
   readonly timer: Timer;
   /** The judge has been told that it is overdue. */
   isOverdue: boolean;
+  /** It is there to tell whether a target under suspicion is well. */
+  readonly isProbe: boolean;
 }
 
 /** An ask being weighed, which whoever asked may take back. */
@@ -106,9 +108,10 @@
       queued: this.#queue.length,
       serviceMs: Math.round(this.#serviceMs),
       pace: judge.pace,
-      suspicion: judge.suspicion,
+      risk: Math.round(judge.risk * 1000) / 1000,
       suspect: judge.isSuspect,
       ejected: judge.isEjected,
+      probeInMs: judge.probeInMs(this.#probes),
     };
   }
 
@@ -150,14 +153,16 @@
       return undefined;
     }
     granted.timer.cancel();
-    const { ask } = granted;
+    const { ask, isProbe } = granted;
     const usualMs = ask.typicalMs > 0 ? ask.typicalMs : this.#serviceMs;
     const timer = clock.after(usualMs * OVERDUE_FACTOR, () => {
       running.isOverdue = true;
-      judge.noteOverdue();
+      this.#tellJudge(() => {
+        judge.noteOverdue(clock.now() - since);
+      });
     });
     const since = clock.now();
-    const running: Held = { ask, state: "running", since, timer, isOverdue: false };
+    const running: Held = { ask, state: "running", since, timer, isOverdue: false, isProbe };
     this.#held.set(attempt, running);
     return ask;
   }
@@ -173,18 +178,30 @@
     const ms = this.#deps.clock.now() - held.since;
     // One that was overdue, and then ran out of time, is one observation.
     if (!(held.isOverdue && outcome === AttemptOutcome.TimedOut)) {
-      this.#deps.judge.note(outcome, ms, held.ask.typicalMs);
+      this.#tellJudge(() => {
+        this.#deps.judge.note(outcome, ms, held.ask.typicalMs);
+      });
     }
     this.#noteServiceMs(ms);
     this.#serveNext();
   }
 
+  /** Where the judge thinks otherwise of the target now, what waits for it is weighed again. */
+  #tellJudge(tell: () => void): void {
+    const { judge } = this.#deps;
+    const before = judge.isSuspect;
+    tell();
+    if (judge.isSuspect !== before) {
+      this.targetChanged();
+    }
+  }
+
   /** True while a slot is granted or in use. */
   get isBusy(): boolean {
     return this.#held.size > 0;
   }
 
-  /** Looks again at what waits: the target has changed, come, or is leaving. */
+  /** Looks again at what waits: the target has changed, come, or is leaving, or is thought of otherwise. */
   targetChanged(): void {
     for (const waiting of this.#queue.takeAll((w) => this.#refusalOf(w.ask) !== undefined)) {
       this.#answer(
@@ -228,7 +245,7 @@
     if (this.#held.has(ask.attempt)) {
       return RefusalReason.Duplicate;
     }
-    if (!this.#deps.judge.admits(ask, this.#canaries)) {
+    if (!this.#deps.judge.admits(ask, this.#probes)) {
       return RefusalReason.Suspect;
     }
     const wait = this.#waitMs(ask);
@@ -238,9 +255,9 @@
       : undefined;
   }
 
-  /** Requests under way that would tell whether the target is well again. */
-  get #canaries(): number {
-    return this.#held.size;
+  /** Requests under way that will tell whether the target is well. */
+  get #probes(): number {
+    return [...this.#held.values()].filter((h) => h.isProbe).length;
   }
 
   /** How long an ask would wait for a slot, ms. */
@@ -264,12 +281,14 @@
   }
 
   #grant(ask: Ask, reply: (reply: AskReply) => void): void {
-    const { clock, boot } = this.#deps;
+    const { clock, boot, judge } = this.#deps;
     const timer = clock.after(GRANT_MS, () => {
       this.revoke(ask.attempt);
     });
     const since = clock.now();
-    this.#held.set(ask.attempt, { ask, state: "granted", since, timer, isOverdue: false });
+    const isProbe = judge.isSuspect && !ask.insist;
+    const held = { ask, state: "granted", since, timer, isOverdue: false, isProbe } as const;
+    this.#held.set(ask.attempt, held);
     reply({ kind: "granted", boot, load: this.load });
   }
 
@@ -300,7 +319,7 @@
       if (!reply || left.remainingMs <= 0) {
         continue; // Whoever asked has given up by its own clock.
       }
-      const refusal = this.#deps.judge.admits(left, this.#canaries)
+      const refusal = this.#deps.judge.admits(left, this.#probes)
         ? undefined
         : RefusalReason.Suspect;
       if (refusal) {
--- a/src/sidecar/gate/GateServer.ts
+++ b/src/sidecar/gate/GateServer.ts
@@ -52,7 +52,7 @@
     queued: 0,
     serviceMs: 0,
     pace: 1,
-    suspicion: 0,
+    risk: 0,
     suspect: false,
     ejected: false,
   },
--- a/src/sidecar/hop/Ask.ts
+++ b/src/sidecar/hop/Ask.ts
@@ -11,8 +11,8 @@
   attempt: z.string().min(1).transform(AttemptId),
   /** The target that is asked for; another one may be there by now. */
   target: z.string().min(1).transform(TargetId),
-  /** May run more than once: it can be tried at a target under suspicion. */
-  idempotent: z.boolean(),
+  /** Another try is left if this one fails: it may go to a target under suspicion, to tell how that is. */
+  isExpendable: z.boolean(),
   /** 0 is the most urgent. */
   priority: z.number().int().min(0),
   /** Time left for the answer, ms. */
--- a/src/sidecar/hop/GateLoad.ts
+++ b/src/sidecar/hop/GateLoad.ts
@@ -12,12 +12,14 @@
   serviceMs: z.number().min(0),
   /** How its answers' times compare with those of its service: 1 is usual, 2 twice as long. */
   pace: z.number().min(0),
-  /** Evidence that it fails requests, nats; see Judge. */
-  suspicion: z.number().min(0),
-  /** Under suspicion: not for work that must not repeat, while there is another. */
+  /** Chance that it fails what it is given now; see Judge. */
+  risk: z.number().min(0).max(1),
+  /** Under suspicion: not for requests that have no other try, while there is another target. */
   suspect: z.boolean(),
   /** All work had better go elsewhere. */
   ejected: z.boolean(),
+  /** In how long a request that has another try left would tell whether it is well, ms; left out where that is known. */
+  probeInMs: z.number().min(0).optional(),
 });
 
 /** A target's load, as the schema reads it. */
--- a/src/sidecar/routing/AdaptivePolicy.ts
+++ b/src/sidecar/routing/AdaptivePolicy.ts
@@ -13,7 +13,7 @@
 import { LinkHealth } from "./LinkHealth.ts";
 import { pickByCost } from "./pickByCost.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
-import type { Picked, RoutingPolicy } from "./RoutingPolicy.ts";
+import type { Picked, PickFor, RoutingPolicy } from "./RoutingPolicy.ts";
 
 /** What a target's sidecar said of it counts for this long, ms; what gossip says, until it says otherwise. */
 const LOAD_FRESH_MS = 2000;
@@ -24,6 +24,18 @@
 /** A large answer waits this long for a target in its own zone rather than cross zones, ms. */
 const BULK_PATIENCE_MS = 300;
 
+/**
+ * What the chance to fail weighs for a request that has no other try, against its time to an answer,
+ * ms: a target that fails one in a hundred more is worth 50 ms, an eighth of the users' work times.
+ */
+const RISK_MS = 5000;
+
+/**
+ * What a target's sidecar said of when it can be probed counts for this long, ms. Others may have
+ * probed it since; then the ask is refused, or the target is well, and nothing is lost but a round trip.
+ */
+const PROBE_FRESH_MS = 4000;
+
 /** Share of its usual work that a target gets when it has just come. */
 const RAMP_START = 0.2;
 
@@ -67,16 +79,24 @@
     this.#startedAt = deps.clock.now();
   }
 
-  pick(route: RouteMatch, tried: ReadonlySet<TargetId>): Picked | undefined {
+  pick(request: PickFor, tried: ReadonlySet<TargetId>): Picked | undefined {
+    const { route, isExpendable } = request;
     const targets = this.#targetsOf(route);
     this.#floors.set(route.service.name, route.service.floor);
-    const rotation = this.#rotation(targets, route.service.floor);
     const open = targets.filter((t) => t.state === TargetState.Ready && !tried.has(t.id));
-    const [best = []] = this.#tiers(open, rotation).filter((tier) => tier.length > 0);
+    const toProbe = isExpendable ? this.#toProbe(open) : [];
+    const { random } = this.#deps;
+    const probed = toProbe[Math.floor(random() * toProbe.length)];
+    if (probed) {
+      return { target: probed, insist: false, risk: this.#riskOf(probed) };
+    }
+    const rotation = this.#rotation(targets, route.service.floor);
+    const [best = []] = this.#tiers(open, rotation, isExpendable).filter((t) => t.length > 0);
     const near = route.bulk ? this.#near(route, best) : [];
     const tier = near.length > 0 ? near : best;
-    const target = pickByCost(tier, (t) => this.#cost(route, t), this.#deps.random);
-    return target && { target, insist: rotation.has(target.id) && this.#isGray(target) };
+    const target = pickByCost(tier, (t) => this.#cost(request, t), random);
+    const insist = target !== undefined && rotation.has(target.id) && this.#isGray(target);
+    return target && { target, insist, risk: this.#riskOf(target) };
   }
 
   noteReply(target: TargetInfo, reply: AskReply, ms: number | undefined): void {
@@ -131,11 +151,32 @@
    * (an overload, a bad release) that is most of the work, and with three of eight
    * really gray, none.
    */
-  #tiers(open: readonly TargetInfo[], rotation: ReadonlySet<TargetId>): TargetInfo[][] {
+  #tiers(
+    open: readonly TargetInfo[],
+    rotation: ReadonlySet<TargetId>,
+    isExpendable: boolean,
+  ): TargetInfo[][] {
     const isReachable = (t: TargetInfo) => !this.#standing(t).link.isSuspect;
     const well = open.filter((t) => !this.#isGray(t));
+    const sure = isExpendable ? well : well.filter((t) => !this.#freshLoad(t)?.suspect);
     const kept = open.filter((t) => this.#isGray(t) && rotation.has(t.id));
-    return [well.filter(isReachable), kept.filter(isReachable), well, [...open]];
+    return [
+      sure.filter(isReachable),
+      well.filter(isReachable),
+      kept.filter(isReachable),
+      well,
+      [...open],
+    ];
+  }
+
+  /** Targets that an expendable request would tell something of. */
+  #toProbe(open: readonly TargetInfo[]): TargetInfo[] {
+    const now = this.#deps.clock.now();
+    return open.filter((t) => {
+      const { load, loadAt, link } = this.#standing(t);
+      const age = now - loadAt;
+      return (load?.probeInMs ?? Infinity) <= age && age < PROBE_FRESH_MS && !link.isSuspect;
+    });
   }
 
   #rotation(targets: readonly TargetInfo[], floor: number): Set<TargetId> {
@@ -144,7 +185,7 @@
       slots: t.slots,
       ready: t.state === TargetState.Ready,
       gray: this.#isGray(t),
-      badness: this.#freshLoad(t)?.suspicion ?? 0,
+      badness: this.#riskOf(t),
     }));
     return chooseRotation(judged, floor);
   }
@@ -153,6 +194,10 @@
     return this.#freshLoad(target)?.ejected ?? false;
   }
 
+  #riskOf(target: TargetInfo): number {
+    return this.#freshLoad(target)?.risk ?? 0;
+  }
+
   /** Targets in this sidecar's zone that would serve a large answer soon enough. */
   #near(route: RouteMatch, targets: readonly TargetInfo[]): TargetInfo[] {
     return targets.filter(
@@ -161,12 +206,13 @@
   }
 
   /** Expected time to the answer, ms; more for a target that has just come, so that nobody stampedes to it. */
-  #cost(route: RouteMatch, target: TargetInfo): number {
+  #cost({ route, isExpendable }: PickFor, target: TargetInfo): number {
     const standing = this.#standing(target);
     const load = this.#freshLoad(target);
     const busy = ((load?.busy ?? 0) + standing.outstanding) / Math.max(1, target.slots);
     const workMs = this.typicalMs(route) * (load?.pace ?? 1) * (1 + busy);
-    const total = this.#waitMs(route, target) + workMs + standing.link.answerMs;
+    const riskMs = isExpendable ? 0 : this.#riskOf(target) * RISK_MS;
+    const total = this.#waitMs(route, target) + workMs + standing.link.answerMs + riskMs;
     return total / this.#weight(route, standing);
   }
 
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -6,7 +6,6 @@
 import type { HopClient } from "../hop/HopClient.ts";
 import type { CourseRequest } from "./CourseRequest.ts";
 import { GrantSeeker, type Grant, type Sought } from "./GrantSeeker.ts";
-import { patienceMs as ownPatienceMs } from "./patienceMs.ts";
 import { RetryBudget, type RetryBudgetRule } from "./RetryBudget.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
 import type { RoutingPolicy } from "./RoutingPolicy.ts";
@@ -22,8 +21,6 @@
   readonly budget: () => RetryBudgetRule;
   /** Sidecars that share the retry budget. */
   readonly members: () => number;
-  /** How long a request that waits in line leaves gray targets alone, ms; left out, the product's own rule. */
-  readonly patienceMs?: (route: RouteMatch) => number;
   /** This sidecar has just started, and may not know all targets yet; left out, it never has. */
   readonly isStarting?: () => boolean;
   /** Told of each request that is sent to a further target. */
@@ -139,10 +136,11 @@
   }
 
   #seek(course: Course): GrantSeeker {
-    const { policy, hop, clock, log, patienceMs = ownPatienceMs } = this.#deps;
+    const { policy, hop, clock, log } = this.#deps;
     const ask: HopClient["ask"] = (...args) => hop.ask(...args);
-    const deps = { policy, ask, patienceMs, clock, log };
-    const seeker = new GrantSeeker(deps, course.route, course.req, course.tried);
+    const { route, req, tried } = course;
+    const request = { route, isExpendable: this.#hasSpareTry(course) };
+    const seeker = new GrantSeeker({ policy, ask, clock, log }, request, req, tried);
     this.#seekers.add(seeker);
     void seeker.sought.then(() => this.#seekers.delete(seeker));
     if (this.#closed) {
@@ -247,6 +245,12 @@
     }
   }
 
+  /** Another try is left beside the next one, should it fail. */
+  #hasSpareTry({ route, req, budget, sends }: Course): boolean {
+    const isRepeatable = route.idempotent && !isStream(req.body);
+    return isRepeatable && sends + 1 < route.attempts && budget.hasRoom;
+  }
+
   #mayRepeat({ route, req, sends }: Course): boolean {
     // A body that was passed on as it came is gone.
     return route.idempotent && sends < route.attempts && !isStream(req.body);
--- a/src/sidecar/routing/GrantSeeker.ts
+++ b/src/sidecar/routing/GrantSeeker.ts
@@ -9,8 +9,7 @@
 import type { Pending } from "../hop/HopClient.ts";
 import { RefusalReason } from "../hop/RefusalReason.ts";
 import type { CourseRequest } from "./CourseRequest.ts";
-import type { RouteMatch } from "./RouteMatch.ts";
-import type { Picked, RoutingPolicy } from "./RoutingPolicy.ts";
+import type { Picked, PickFor, RoutingPolicy } from "./RoutingPolicy.ts";
 
 /** A slot that was granted. */
 export interface Grant {
@@ -33,8 +32,6 @@
 interface GrantSeekerDeps {
   readonly policy: RoutingPolicy;
   readonly ask: (address: string, ask: Ask, onAlive: () => void) => Pending<AskReply>;
-  /** How long a request that waits in line at sound targets leaves gray ones alone, ms. */
-  readonly patienceMs: (route: RouteMatch) => number;
   readonly clock: Clock;
   readonly log: bunyan;
 }
@@ -59,6 +56,20 @@
 /** An ask silent for this long counts against the path, ms: longer than a garbage collection at the other side. */
 const DEAD_MS = 150;
 
+/**
+ * A gray target that fails requests with at least this chance is left alone while there are sound
+ * ones, though they be full: a gray target of the users fails 45 to 90 in 100 at once, and a caller
+ * is better served late, or told in time that nothing has run, than by a failure of work that may
+ * have been done.
+ */
+const LEAST_BAD_RISK = 0.5;
+
+/**
+ * Share of the objective for which a request in line at sound targets leaves alone a gray one
+ * that is not as bad: the line may still move within the objective.
+ */
+const PATIENCE_SHARE = 0.5;
+
 /** One target that was asked. */
 interface OpenAsk {
   readonly target: TargetInfo;
@@ -75,11 +86,12 @@
  */
 export class GrantSeeker {
   readonly #deps: GrantSeekerDeps;
-  readonly #route: RouteMatch;
+  readonly #request: PickFor;
   readonly #req: CourseRequest;
   readonly #tried: Set<TargetId>;
   readonly #open = new Map<TargetId, OpenAsk>();
-  readonly #suspects: TargetInfo[] = [];
+  readonly #suspects: Picked[] = [];
+  #metFull = false;
   #queuedAt: number | undefined;
   readonly #settle: (sought: Sought) => void;
   readonly #timers = new Set<Timer>();
@@ -94,12 +106,12 @@
   /** @param tried targets that had their chance with this request */
   constructor(
     deps: GrantSeekerDeps,
-    route: RouteMatch,
+    request: PickFor,
     req: CourseRequest,
     tried: ReadonlySet<TargetId>,
   ) {
     this.#deps = deps;
-    this.#route = route;
+    this.#request = request;
     this.#req = req;
     this.#tried = new Set(tried);
     let settle: (sought: Sought) => void = () => undefined;
@@ -130,21 +142,45 @@
     if (next) {
       this.#ask(next);
     } else if (this.#open.size === 0) {
+      this.#askAsProbe();
+    }
+  }
+
+  /**
+   * Every sound target is full: asks a bad one as a request that has nothing to lose, which is taken
+   * only where it tells how the target is. Refused otherwise, it is the cheapest probe there is.
+   */
+  #askAsProbe(): void {
+    const bad = this.#suspects.shift();
+    if (bad) {
+      this.#ask({ ...bad, insist: false }, true);
+    } else {
       this.#refuse(this.#reason);
     }
   }
 
-  /** The next target to ask; one that is gray only when no other could be asked or it has waited long. */
+  /** The next target to ask; one that is gray only where that is better than to wait, or to be refused. */
   #next(): Picked | undefined {
-    const next = this.#deps.policy.pick(this.#route, this.#tried);
+    const next = this.#deps.policy.pick(this.#request, this.#tried);
     if (next?.insist === false) {
       return next;
     }
-    if (this.#isInLine && this.#deps.clock.now() - (this.#queuedAt ?? 0) < this.#patienceMs) {
+    const gray = next ?? this.#suspects[0];
+    if (!gray || !this.#mayTakeGray(gray)) {
       return undefined;
     }
-    const target = next?.target ?? this.#suspects.shift();
-    return target && { target, insist: true };
+    if (!next) {
+      this.#suspects.shift();
+    }
+    return { ...gray, insist: true };
+  }
+
+  #mayTakeGray({ risk }: Picked): boolean {
+    if (!this.#isInLine && !this.#metFull) {
+      return true; // There is no sound target, or none that can be reached.
+    }
+    const hasWaited = this.#deps.clock.now() - (this.#queuedAt ?? 0) >= this.#patienceMs;
+    return risk < LEAST_BAD_RISK && (!this.#isInLine || hasWaited);
   }
 
   /** A sound target is known to have it in its queue; one that stays silent may never have heard of it. */
@@ -153,14 +189,15 @@
   }
 
   get #patienceMs(): number {
-    return this.#deps.patienceMs(this.#route);
+    return this.#request.route.objectiveMs * PATIENCE_SHARE;
   }
 
-  #ask({ target, insist }: Picked): void {
+  #ask({ target, insist }: Picked, isExpendable = this.#request.isExpendable): void {
     const { clock } = this.#deps;
     this.#tried.add(target.id);
     const askedAt = clock.now();
-    const pending = this.#deps.ask(target.hopAddress, this.#words(target, insist, askedAt), () => {
+    const words = { ...this.#words(target, askedAt), insist, isExpendable };
+    const pending = this.#deps.ask(target.hopAddress, words, () => {
       this.#onQueued(target);
     });
     this.#open.set(target.id, { target, pending, askedAt, queued: false });
@@ -186,18 +223,17 @@
     });
   }
 
-  #words(target: TargetInfo, insist: boolean, now: number): Ask {
-    const { idempotent, priority, objectiveMs } = this.#route;
+  #words(target: TargetInfo, now: number): Omit<Ask, "insist" | "isExpendable"> {
+    const { route } = this.#request;
+    const { priority, objectiveMs } = route;
     const { attempt, startedAt, deadlineAt } = this.#req;
     return {
       attempt,
       target: target.id,
-      idempotent,
       priority,
       remainingMs: Math.max(1, deadlineAt - now),
       objectiveMs: startedAt + objectiveMs - now,
-      typicalMs: this.#deps.policy.typicalMs(this.#route),
-      insist,
+      typicalMs: this.#deps.policy.typicalMs(route),
     };
   }
 
@@ -233,8 +269,10 @@
       return;
     }
     if (reply.reason === RefusalReason.Suspect) {
-      this.#suspects.push(target);
+      this.#suspects.push({ target, insist: true, risk: reply.load.risk });
+      this.#suspects.sort((a, b) => a.risk - b.risk);
     }
+    this.#metFull ||= reply.reason === RefusalReason.Full;
     this.#isUnknown &&= reply.reason === RefusalReason.NoTarget;
     this.#retryAfterMs = Math.min(this.#retryAfterMs, reply.retryAfterMs);
     this.#reason = `every target refused, the last one as ${reply.reason}`;
--- a/src/sidecar/routing/NaivePolicy.ts
+++ b/src/sidecar/routing/NaivePolicy.ts
@@ -5,7 +5,7 @@
 import type { TargetId } from "../../common/ids/TargetId.ts";
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
-import type { Picked, RoutingPolicy } from "./RoutingPolicy.ts";
+import type { Picked, PickFor, RoutingPolicy } from "./RoutingPolicy.ts";
 import type { TargetInfo } from "../../membership/TargetInfo.ts";
 import { TargetState } from "../../membership/TargetState.ts";
 import type { TargetTable } from "../../membership/TargetTable.ts";
@@ -44,12 +44,12 @@
     this.register(every(HEALTH_CHECK_MS, () => void this.checkHealth()));
   }
 
-  pick(route: RouteMatch, tried: ReadonlySet<TargetId>): Picked | undefined {
+  pick({ route }: PickFor, tried: ReadonlySet<TargetId>): Picked | undefined {
     const candidates = this.#deps.table
       .targetsOf(ServiceName(route.service.name))
       .filter((t) => t.state === TargetState.Ready && !this.#ejected.has(t.id) && !tried.has(t.id));
     const target = candidates[this.#turn++ % Math.max(1, candidates.length)];
-    return target && { target, insist: false };
+    return target && { target, insist: false, risk: 0 };
   }
 
   noteReply(): void {
--- a/src/sidecar/routing/RetryBudget.ts
+++ b/src/sidecar/routing/RetryBudget.ts
@@ -45,16 +45,21 @@
 
   /** Takes leave for an extra request; false when there is none left. */
   tryRetry(): boolean {
+    if (!this.hasRoom) {
+      return false;
+    }
+    this.#extras.push(this.#clock.now());
+    return true;
+  }
+
+  /** An extra request may be made now. */
+  get hasRoom(): boolean {
     this.#forgetOld(this.#firstTries);
     this.#forgetOld(this.#extras);
     const { ratio, slack } = this.#rule;
     const ownSlack = slack / Math.max(MIN_MEMBERS, this.#members());
     const allowed = USED_SHARE * (ratio * this.#firstTries.length + ownSlack);
-    if (this.#extras.length + 1 > allowed) {
-      return false;
-    }
-    this.#extras.push(this.#clock.now());
-    return true;
+    return this.#extras.length + 1 <= allowed;
   }
 
   #forgetOld(times: number[]): void {
--- a/src/sidecar/routing/RoutingPolicy.ts
+++ b/src/sidecar/routing/RoutingPolicy.ts
@@ -10,12 +10,21 @@
   readonly target: TargetInfo;
   /** It is gray, and in rotation only since the service's floor needs it: it is to take the request all the same. */
   readonly insist: boolean;
+  /** Chance that it fails the request, as far as is known here. */
+  readonly risk: number;
+}
+
+/** What a target is sought for. */
+export interface PickFor {
+  readonly route: RouteMatch;
+  /** Another try is left if this one fails. */
+  readonly isExpendable: boolean;
 }
 
 /** Chooses targets and learns from how they are heard of. */
 export interface RoutingPolicy extends IDisposable {
-  /** The target to ask next for a request of `route`, leaving out those in `tried`. */
-  pick(route: RouteMatch, tried: ReadonlySet<TargetId>): Picked | undefined;
+  /** The target to ask next for a request, leaving out those in `tried`. */
+  pick(request: PickFor, tried: ReadonlySet<TargetId>): Picked | undefined;
   /** The sidecar beside `target` answered an ask, after `ms` without waiting for a slot. */
   noteReply(target: TargetInfo, reply: AskReply, ms: number | undefined): void;
   /** The sidecar beside `target` did not answer an ask, or a run, in time. */
