--- a/src/sidecar/gate/AskQueue.test.ts
+++ b/src/sidecar/gate/AskQueue.test.ts
@@ -108,9 +108,11 @@
   const queue = new AskQueue();
   queue.add({ ask: makeAsk({ attempt: "a", priority: 1, objectiveMs: 500 }), askedAt: 0 });
   queue.add({ ask: makeAsk({ attempt: "b", priority: 2, objectiveMs: 1100 }), askedAt: 0 });
-  t.is(queue.ahead(makeAsk({ priority: 0 }), 0, 50), 0);
-  t.is(queue.ahead(makeAsk({ priority: 1, objectiveMs: 900 }), 0, 50), 1);
-  t.is(queue.ahead(makeAsk({ priority: 3, objectiveMs: 900 }), 0, 50), 2);
+  const ahead = (over: Parameters<typeof makeAsk>[0]) =>
+    queue.ahead({ ask: makeAsk(over), askedAt: 0 }, 0, 50).length;
+  t.is(ahead({ priority: 0 }), 0);
+  t.is(ahead({ priority: 1, objectiveMs: 900 }), 1);
+  t.is(ahead({ priority: 3, objectiveMs: 900 }), 2);
 });
 
 test("ask queue: whether one is late goes by what its own kind takes", (t) => {
--- a/src/sidecar/gate/AskQueue.ts
+++ b/src/sidecar/gate/AskQueue.ts
@@ -1,5 +1,5 @@
-import type { Ask } from "../hop/Ask.ts";
 import { goesBefore } from "./goesBefore.ts";
+import { isLate } from "./isLate.ts";
 import type { WaitingAsk } from "./WaitingAsk.ts";
 
 /** Whether the first goes before the second, at a time (ms), when a request takes so long (ms). */
@@ -46,10 +46,16 @@
     return first;
   }
 
-  /** How many would go before `ask` if it came now. */
-  ahead(ask: Ask, now: number, serviceMs: number): number {
-    const newcomer = { ask, askedAt: now };
-    return this.#waiting.filter((w) => !this.#goesBefore(newcomer, w, now, serviceMs)).length;
+  /** Those that go before `waiting`, whether it is here or would join now. */
+  ahead(waiting: WaitingAsk, now: number, serviceMs: number): WaitingAsk[] {
+    return this.#waiting.filter(
+      (w) => w !== waiting && !this.#goesBefore(waiting, w, now, serviceMs),
+    );
+  }
+
+  /** How many cannot meet their objective any more. */
+  countLate(now: number, serviceMs: number): number {
+    return this.#waiting.filter((w) => isLate(w, now, serviceMs)).length;
   }
 
   /** Removes and returns all that `isDue` picks. */
--- a/src/sidecar/gate/Gate.test.ts
+++ b/src/sidecar/gate/Gate.test.ts
@@ -171,3 +171,19 @@
   await clock.advance(1);
   t.is(overdue, 1);
 });
+
+test("gate: what stands in line and cannot be served in time any more is told so while it can still go elsewhere", async (t) => {
+  // Story: more requests come than a target can serve. Those that have become late go last, and
+  // were held until their route's time was up: 24 lookups of a played day for 6 s, to be refused.
+  const { clock, ask, run, said } = rig(1);
+  ask("first");
+  run("first", 300);
+  ask("late", { remainingMs: 5000, objectiveMs: 200, typicalMs: 300 });
+  for (let n = 0; n < 20 && said("late") === "waits"; n++) {
+    ask(`next-${n}`, { remainingMs: 5000, objectiveMs: 1500, typicalMs: 300 });
+    await clock.advance(300);
+    run(`next-${n}`, 300);
+  }
+  t.is(said("late"), "full");
+  t.true(clock.now() < 4000, `${clock.now()} ms`);
+});
--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -8,6 +8,8 @@
 import type { GateLoad } from "../hop/GateLoad.ts";
 import { RefusalReason } from "../hop/RefusalReason.ts";
 import { AskQueue } from "./AskQueue.ts";
+import { isLate } from "./isLate.ts";
+import { LineForecast } from "./LineForecast.ts";
 import type { WaitingAsk } from "./WaitingAsk.ts";
 
 /** The target, as far as the gate needs to know it. */
@@ -42,8 +44,8 @@
  */
 const QUEUE_PER_SLOT = 8;
 
-/** Share of the waiting asks that come to run here: the others take another gate's grant. */
-const ASKS_THAT_STAY = 0.5;
+/** What waits is weighed again at most this often, ms: a line of 40 takes 0.1 ms of a processor. */
+const WEIGH_GAP_MS = 50;
 
 /**
  * A run that takes this many times its usual time is evidence against the target
@@ -91,6 +93,8 @@
   readonly #replies = new Map<WaitingAsk, (reply: AskReply) => void>();
   readonly #held = new Map<AttemptId, Held>();
   readonly #life = new AbortController();
+  readonly #forecast = new LineForecast();
+  #weighedAt = -Infinity;
   #serviceMs = FIRST_SERVICE_MS;
   #closed = false;
 
@@ -117,12 +121,14 @@
 
   /** Weighs an ask; `reply` is called once, at once or when a slot is free. */
   ask(ask: Ask, reply: (reply: AskReply) => void): Ticket {
-    const refusal = this.#refusalOf(ask);
+    const waiting = { ask, askedAt: this.#deps.clock.now() };
+    const refusal = this.#refusalOf(waiting) ?? this.#refusalOfNewcomer(ask);
     if (refusal !== undefined) {
-      reply(this.#refuse(refusal, ask));
+      reply(this.#refuse(refusal, waiting));
       return { queued: false, withdraw: () => undefined };
     }
-    if (this.#freeSlots > 0 && this.#queue.length === 0) {
+    if (this.#isIdle) {
+      this.#forecast.noteGrant(isLate(waiting, waiting.askedAt, this.#serviceMs));
       this.#grant(ask, reply);
       return {
         queued: false,
@@ -131,7 +137,6 @@
         },
       };
     }
-    const waiting = { ask, askedAt: this.#deps.clock.now() };
     this.#queue.add(waiting);
     this.#replies.set(waiting, reply);
     return {
@@ -184,6 +189,7 @@
     }
     this.#noteServiceMs(ms);
     this.#serveNext();
+    this.#weighLine();
   }
 
   /** Where the judge thinks otherwise of the target now, what waits for it is weighed again. */
@@ -203,15 +209,35 @@
 
   /** Looks again at what waits: the target has changed, come, or is leaving, or is thought of otherwise. */
   targetChanged(): void {
-    for (const waiting of this.#queue.takeAll((w) => this.#refusalOf(w.ask) !== undefined)) {
-      this.#answer(
-        waiting,
-        this.#refuse(this.#refusalOf(waiting.ask) ?? RefusalReason.Leaving, waiting.ask),
-      );
-    }
+    this.#weighedAt = -Infinity;
+    this.#weighLine();
     this.#serveNext();
   }
 
+  /**
+   * Refuses what stands in line and cannot be served here any more, so that it can go
+   * elsewhere or be told so, instead of being held until its time is up.
+   */
+  #weighLine(): void {
+    const now = this.#deps.clock.now();
+    if (this.#queue.length === 0 || now - this.#weighedAt < WEIGH_GAP_MS) {
+      return;
+    }
+    this.#weighedAt = now;
+    const refusals = new Map<WaitingAsk, RefusalReason>();
+    this.#queue.takeAll((waiting) => {
+      const refusal = this.#refusalOf(waiting);
+      if (refusal) {
+        refusals.set(waiting, refusal);
+      }
+      return refusal !== undefined;
+    });
+    for (const [waiting, reason] of refusals) {
+      this.#replies.get(waiting)?.(this.#refuse(reason, waiting));
+      this.#replies.delete(waiting);
+    }
+  }
+
   /** Takes no more asks: this sidecar is being stopped. Runs under way go on. */
   close(): void {
     this.#closed = true;
@@ -233,8 +259,19 @@
     return (this.#deps.target()?.slots ?? 0) - this.#held.size;
   }
 
-  /** Why an ask cannot be granted, now or by waiting; undefined when it can. */
-  #refusalOf(ask: Ask): RefusalReason | undefined {
+  /** Why an ask cannot join the line; undefined when it can. */
+  #refusalOfNewcomer({ attempt }: Ask): RefusalReason | undefined {
+    if (this.#held.has(attempt)) {
+      return RefusalReason.Duplicate;
+    }
+    const slots = this.#deps.target()?.slots ?? 0;
+    const hasNoRoom = this.#queue.length >= QUEUE_PER_SLOT * slots;
+    return !this.#isIdle && hasNoRoom ? RefusalReason.Full : undefined;
+  }
+
+  /** Why an ask, in line or about to join it, cannot be granted, now or by waiting; undefined when it can. */
+  #refusalOf(waiting: WaitingAsk): RefusalReason | undefined {
+    const { ask, askedAt } = waiting;
     const target = this.#deps.target();
     if (!target) {
       return RefusalReason.NoTarget;
@@ -242,17 +279,17 @@
     if (this.#closed || !target.takesWork) {
       return RefusalReason.Leaving;
     }
-    if (this.#held.has(ask.attempt)) {
-      return RefusalReason.Duplicate;
-    }
     if (!this.#deps.judge.admits(ask, this.#probes)) {
       return RefusalReason.Suspect;
     }
-    const wait = this.#waitMs(ask);
-    const full = this.#queue.length >= QUEUE_PER_SLOT * target.slots;
-    return wait > 0 && (full || wait + this.#serviceMs > ask.remainingMs)
-      ? RefusalReason.Full
-      : undefined;
+    const waitMs = this.#waitMs(waiting);
+    const remainingMs = ask.remainingMs - (this.#deps.clock.now() - askedAt);
+    return waitMs > 0 && waitMs + this.#serviceMs > remainingMs ? RefusalReason.Full : undefined;
+  }
+
+  /** A slot is free, and nobody waits for it. */
+  get #isIdle(): boolean {
+    return this.#freeSlots > 0 && this.#queue.length === 0;
   }
 
   /** Requests under way that will tell whether the target is well. */
@@ -260,22 +297,20 @@
     return [...this.#held.values()].filter((h) => h.isProbe).length;
   }
 
-  /** How long an ask would wait for a slot, ms. */
-  #waitMs(ask: Ask): number {
-    if (this.#freeSlots > 0 && this.#queue.length === 0) {
+  /** How long an ask will wait for a slot from now on, ms. */
+  #waitMs(waiting: WaitingAsk): number {
+    if (this.#isIdle) {
       return 0;
     }
-    const { clock } = this.#deps;
-    const ahead = this.#queue.ahead(ask, clock.now(), this.#serviceMs) * ASKS_THAT_STAY;
-    const slots = this.#deps.target()?.slots ?? 1;
-    return ((ahead + 1) * this.#serviceMs) / slots;
+    const pace = { slots: this.#deps.target()?.slots ?? 1, serviceMs: this.#serviceMs };
+    return this.#forecast.waitMs(waiting, this.#queue, this.#deps.clock.now(), pace);
   }
 
-  #refuse(reason: RefusalReason, ask: Ask): AskReply {
+  #refuse(reason: RefusalReason, waiting: WaitingAsk): AskReply {
     return {
       kind: "refused",
       reason,
-      retryAfterMs: Math.round(this.#waitMs(ask)),
+      retryAfterMs: Math.round(this.#waitMs(waiting)),
       load: this.load,
     };
   }
@@ -323,18 +358,14 @@
         ? undefined
         : RefusalReason.Suspect;
       if (refusal) {
-        reply(this.#refuse(refusal, left));
+        reply(this.#refuse(refusal, next));
       } else {
+        this.#forecast.noteGrant(isLate(next, clock.now(), this.#serviceMs));
         this.#grant(left, reply);
       }
     }
   }
 
-  #answer(waiting: WaitingAsk, reply: AskReply): void {
-    this.#replies.get(waiting)?.(reply);
-    this.#replies.delete(waiting);
-  }
-
   #noteServiceMs(ms: number): void {
     this.#serviceMs += SERVICE_WEIGHT * (ms - this.#serviceMs);
   }
--- /dev/null
+++ b/src/sidecar/gate/LineForecast.test.ts
@@ -0,0 +1,90 @@
+import test from "ava";
+import { makeAsk } from "../../../test/fixtures/makeAsk.ts";
+import { AskQueue } from "./AskQueue.ts";
+import { LineForecast } from "./LineForecast.ts";
+
+/** Five slots, half a second a request: a turn every 100 ms. */
+const PACE = { slots: 5, serviceMs: 500 };
+
+/** Objective of those that come in time, ms, and time that they take. */
+const OBJECTIVE_MS = 1500;
+const WORK_MS = 500;
+
+const onTime = (attempt: string) => ({
+  ask: makeAsk({ attempt, objectiveMs: OBJECTIVE_MS, typicalMs: WORK_MS }),
+  askedAt: 0,
+});
+
+const late = (attempt: string) => ({
+  ask: makeAsk({ attempt, objectiveMs: 100, typicalMs: WORK_MS }),
+  askedAt: 0,
+});
+
+const cases: readonly {
+  name: string;
+  line: readonly ReturnType<typeof onTime>[];
+  /** Grants before: on time or late. */
+  lateGrants: readonly boolean[];
+  who: ReturnType<typeof onTime>;
+  waitMs: [least: number, most: number];
+}[] = [
+  {
+    name: "alone in line, the next turn",
+    line: [],
+    lateGrants: [],
+    who: onTime("a"),
+    waitMs: [100, 100],
+  },
+  {
+    name: "half of those before it take another gate's grant",
+    line: Array.from({ length: 6 }, (_, n) => onTime(`a${n}`)),
+    lateGrants: [],
+    who: onTime("b"),
+    waitMs: [400, 400],
+  },
+  {
+    name: "one in time does not wait for the late ones",
+    line: Array.from({ length: 6 }, (_, n) => late(`a${n}`)),
+    lateGrants: [],
+    who: onTime("b"),
+    waitMs: [100, 100],
+  },
+  {
+    name: "a late one is served soon where late ones have been",
+    line: [late("a")],
+    lateGrants: Array.from({ length: 20 }, () => true),
+    who: late("b"),
+    waitMs: [150, 150],
+  },
+  {
+    // Story: more comes than can be served. Whoever is late waits behind everybody who is not, and
+    // its turn never came; it was held until its time was up, and refused only then.
+    name: "a late one waits for long where all slots go to others",
+    line: [late("a")],
+    lateGrants: Array.from({ length: 20 }, () => false),
+    who: late("b"),
+    waitMs: [3000, 4000],
+  },
+  {
+    name: "one that will be late by its turn stands with the late ones",
+    line: Array.from({ length: 30 }, (_, n) => onTime(`a${n}`)),
+    lateGrants: Array.from({ length: 20 }, () => false),
+    who: onTime("b"),
+    waitMs: [3000, 5000],
+  },
+];
+
+for (const { name, line, lateGrants, who, waitMs } of cases) {
+  test(`line forecast: ${name}`, (t) => {
+    const forecast = new LineForecast();
+    lateGrants.forEach((wasLate) => {
+      forecast.noteGrant(wasLate);
+    });
+    const queue = new AskQueue();
+    line.forEach((waiting) => {
+      queue.add(waiting);
+    });
+    const ms = forecast.waitMs(who, queue, 0, PACE);
+    t.true(ms >= waitMs[0] && ms <= waitMs[1], `${ms} ms`);
+  });
+}
--- a/src/sidecar/gate/goesBefore.ts
+++ b/src/sidecar/gate/goesBefore.ts
@@ -1,3 +1,4 @@
+import { isLate } from "./isLate.ts";
 import type { WaitingAsk } from "./WaitingAsk.ts";
 
 /**
@@ -40,9 +41,3 @@
 function dueAt({ ask, askedAt }: WaitingAsk): number {
   return askedAt + ask.objectiveMs;
 }
-
-/** It cannot meet its objective any more, even if it starts now. */
-function isLate(waiting: WaitingAsk, now: number, serviceMs: number): boolean {
-  const { typicalMs } = waiting.ask;
-  return now + (typicalMs > 0 ? typicalMs : serviceMs) > dueAt(waiting);
-}
