--- a/experiment/SimFleet.ts
+++ b/experiment/SimFleet.ts
@@ -2,13 +2,15 @@
 import { GRAY_DETECTION } from "../platform/GRAY_DETECTION.ts";
 import { AttemptId } from "../src/common/ids/AttemptId.ts";
 import { SidecarId } from "../src/common/ids/SidecarId.ts";
+import { TargetId } from "../src/common/ids/TargetId.ts";
 import { ZoneName } from "../src/common/ids/ZoneName.ts";
 import { Service } from "../src/common/document/Service.ts";
 import { TargetTable } from "../src/membership/TargetTable.ts";
 import { AttemptOutcome } from "../src/sidecar/detection/AttemptOutcome.ts";
 import { TargetJudge } from "../src/sidecar/detection/TargetJudge.ts";
 import { Gate } from "../src/sidecar/gate/Gate.ts";
-import type { HopRequest } from "../src/sidecar/hop/HopClient.ts";
+import type { GateLoad } from "../src/sidecar/hop/GateLoad.ts";
+import type { HopRequest } from "../src/sidecar/hop/HopRequest.ts";
 import { AdaptivePolicy } from "../src/sidecar/routing/AdaptivePolicy.ts";
 import { Dispatcher } from "../src/sidecar/routing/Dispatcher.ts";
 import type { RouteMatch } from "../src/sidecar/routing/RouteMatch.ts";
@@ -24,6 +26,9 @@
 const BUDGET = { ratio: 0.2, windowMs: 10_000, slack: 58 };
 const FLOOR = 0.49;
 
+/** Time that news of a target takes to all origins, ms. */
+const NEWS_MS = 2;
+
 const log = bunyan.createLogger({ name: "experiment", level: "fatal" });
 
 interface Member {
@@ -43,6 +48,8 @@
   readonly #members: readonly Member[];
   readonly #owners = new Map<string, SimOwner>();
   readonly #dispatchers = new Map<string, Dispatcher>();
+  readonly #policies: AdaptivePolicy[] = [];
+  readonly #hops: SimHop[] = [];
   #attempts = 0;
   readonly tally = new Tally();
 
@@ -69,6 +76,11 @@
     this.#planSpells();
   }
 
+  /** Asks for slots made so far. */
+  get asks(): number {
+    return this.#hops.reduce((sum, hop) => sum + hop.asks, 0);
+  }
+
   /** Plays the load to its end, and until every request has ended. */
   async play(): Promise<void> {
     const { kinds, lengthMs } = this.#scenario;
@@ -89,6 +101,9 @@
       judge,
       clock: this.#clock,
       boot: "b",
+      onJudged: (load) => {
+        this.#spreadNews(member, load);
+      },
       ...variant.gate,
     });
     const run = (req: HopRequest) => this.#work(member, req);
@@ -112,6 +127,17 @@
       log,
     });
     this.#dispatchers.set(member.name, dispatcher);
+    this.#policies.push(policy);
+    this.#hops.push(hop);
+  }
+
+  /** Tells every origin what is thought of a target; the product tells those that have asked it lately. */
+  #spreadNews(member: Member, load: GateLoad): void {
+    this.#clock.after(NEWS_MS, () => {
+      for (const policy of this.#policies) {
+        policy.noteNews(TargetId(member.name), load);
+      }
+    });
   }
 
   /** Every member as this one knows it: all of them, at once, without gossip. */
--- a/experiment/Tally.ts
+++ b/experiment/Tally.ts
@@ -35,6 +35,11 @@
     this.#ended.push(ended);
   }
 
+  /** Requests that have ended. */
+  get count(): number {
+    return this.#ended.length;
+  }
+
   /** Credit over time, a point a window: from when, and credit earned over owed. */
   windows(): { from: number; worth: number }[] {
     const byWindow = groupBy(this.#ended, (e) => Math.floor(e.startedAt / WINDOW_MS));
--- a/experiment/main.ts
+++ b/experiment/main.ts
@@ -13,11 +13,13 @@
 for (const scenario of scenarios.filter((s) => only === undefined || s.name === only)) {
   for (const variant of variants) {
     const runs: Figures[] = [];
+    let asks = 0;
     for (let seed = 1; seed <= Number(seeds); seed++) {
       const clock = new SimClock();
       const fleet = new SimFleet(scenario, variant, clock, seededRandom(seed));
       await fleet.play();
       runs.push(fleet.tally.figures());
+      asks += fleet.asks / fleet.tally.count;
     }
     const mean = (pick: (f: Figures) => number) =>
       runs.reduce((sum, f) => sum + pick(f), 0) / runs.length;
@@ -29,6 +31,7 @@
       scenario.name.padEnd(14),
       variant.name.padEnd(20),
       cells.join("  "),
+      `asks ${(asks / runs.length).toFixed(2)}`,
       `held ${mean((f) => f.refusedAfterMs).toFixed(0)} ms`,
       kinds.join("  "),
     );
--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -23,6 +23,43 @@
     answer: ProtoTypes["News"] | null;
     probe_for: string;
     reached: boolean;
+    gate: ProtoTypes["GateMessage"] | null;
+  };
+  GateMessage: {
+    ask_id: number;
+    ask: ProtoTypes["SlotAsk"] | null;
+    queued: boolean;
+    reply: ProtoTypes["SlotReply"] | null;
+    withdrawn: boolean;
+    news: ProtoTypes["GateNews"] | null;
+  };
+  SlotAsk: {
+    attempt: string;
+    target: string;
+    expendable: boolean;
+    priority: number;
+    remaining: number;
+    objective: number;
+    typical: number;
+    insist: boolean;
+  };
+  SlotReply: {
+    boot: string;
+    reason: string;
+    retry_after: number;
+    load: ProtoTypes["GateLoad"] | null;
+  };
+  GateNews: { target: string; load: ProtoTypes["GateLoad"] | null };
+  GateLoad: {
+    slots: number;
+    busy: number;
+    queued: number;
+    service: number;
+    pace: number;
+    risk: number;
+    suspect: boolean;
+    ejected: boolean;
+    probe_in: number;
   };
   Target: {
     target_id: string;
--- a/src/membership/DatagramLink.ts
+++ b/src/membership/DatagramLink.ts
@@ -8,6 +8,7 @@
 
 type News = ProtoTypes["News"];
 type Datagram = ProtoTypes["Datagram"];
+type GateMessage = ProtoTypes["GateMessage"];
 
 /** A probe, or its answer, is lost now and then: it is sent a second time after this long, ms. */
 const RESEND_MS = 120;
@@ -23,6 +24,8 @@
   onProbe(news: News): News;
   /** Probes the member at `address` for another; rejects when it does not answer. */
   onProbeFor(address: string): Promise<void>;
+  /** Takes what is said between gates and those who ask them for slots; left out where there is no gate. */
+  onGate?(message: GateMessage, from: string): void;
 }
 
 /** A question under way. */
@@ -37,11 +40,13 @@
   answer: null,
   probe_for: "",
   reached: false,
+  gate: null,
 };
 
 /**
- * Membership's small messages, as datagrams: a ninth of a gRPC call's processor time,
- * and no connection that could be stuck after a cut, which is what they are to find out.
+ * The fleet's small messages that may be lost, as datagrams: those of membership, and between gates and
+ * those who ask them for slots. They take a ninth of a gRPC call's processor time, and no connection
+ * that could be stuck after a cut, which is what probes are to find out.
  */
 export class DatagramLink implements IDisposable {
   readonly #socket: Socket = createSocket("udp4");
@@ -90,6 +95,11 @@
     await this.#ask(address, { ...NOTHING, probe_for: target }, INDIRECT_MS);
   }
 
+  /** Tells a gate, or one who asked it; whether that arrives is not known. */
+  tell(address: string, gate: GateMessage): void {
+    this.#send(datagramCodec.encode({ ...NOTHING, id: 0, gate }), address, "GateDatagram");
+  }
+
   /** Closes the socket; questions under way, and any asked from here on, fail. */
   dispose(): void {
     if (this.#closed) {
@@ -136,13 +146,15 @@
   }
 
   #receive(bytes: Buffer, from: string): void {
-    this.#note("Datagram", bytes.length);
     const message = datagramCodec.decode(bytes);
+    this.#note(message?.gate ? "GateDatagram" : "Datagram", bytes.length);
     if (!message) {
       return; // Not one of ours.
     }
-    const { id, probe, answer, probe_for: target, reached } = message;
-    if (answer || reached) {
+    const { id, probe, answer, probe_for: target, reached, gate } = message;
+    if (gate) {
+      this.#handlers?.onGate?.(gate, from);
+    } else if (answer || reached) {
       this.#questions.get(id)?.answer(message);
     } else if (probe && this.#handlers) {
       const reply = { ...NOTHING, id, answer: this.#handlers.onProbe(probe) };
@@ -157,11 +169,11 @@
     }
   }
 
-  #send(bytes: Buffer, address: string): void {
+  #send(bytes: Buffer, address: string, kind = "Datagram"): void {
     if (this.#closed) {
       return; // A closed socket throws, and an answer that comes too late is nobody's loss.
     }
-    this.#note("Datagram", bytes.length);
+    this.#note(kind, bytes.length);
     const [host, port] = split(address);
     this.#socket.send(bytes, port, host, () => undefined);
   }
--- a/src/membership/TargetInfo.ts
+++ b/src/membership/TargetInfo.ts
@@ -13,8 +13,10 @@
   readonly slots: number;
   readonly state: TargetState;
   readonly zone: ZoneName;
-  /** Where the gate to it is reached: the sidecar beside it, host:port. */
+  /** Where requests for it are sent: the sidecar beside it, host:port. */
   readonly hopAddress: string;
+  /** Where the gate to it is asked for slots, by datagrams, host:port. */
+  readonly askAddress: string;
   /** Path of its health endpoint; empty for none. */
   readonly healthPath: string;
   /**
--- a/src/membership/TargetTable.ts
+++ b/src/membership/TargetTable.ts
@@ -324,6 +324,7 @@
     state: toTargetState(t.state),
     zone: ZoneName(beside.zone),
     hopAddress: beside.hop_address,
+    askAddress: beside.peer_address,
     healthPath: t.health_path,
     born: t.born,
   };
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -8,6 +8,7 @@
 import { loadProto } from "../common/rpc/loadProto.ts";
 import { meterService } from "../common/rpc/meterService.ts";
 import type { NoteBytes } from "../common/rpc/NoteBytes.ts";
+import type { ProtoTypes } from "../common/rpc/ProtoTypes.ts";
 import { startGrpcServer } from "../common/rpc/startGrpcServer.ts";
 import type { SidecarSettings } from "../common/settings/SidecarSettings.ts";
 import { openTracing } from "../common/telemetry/openTracing.ts";
@@ -26,7 +27,10 @@
 import { probeHealth } from "./detection/probeHealth.ts";
 import type { Dialect } from "./dialect/Dialect.ts";
 import { ownDialect } from "./dialect/ownDialect.ts";
+import { AskClient } from "./hop/AskClient.ts";
+import { gateWire } from "./hop/gateWire.ts";
 import { HopClient } from "./hop/HopClient.ts";
+import type { HopLink } from "./hop/HopLink.ts";
 import { CallerServer } from "./ingress/CallerServer.ts";
 import { AdaptivePolicy } from "./routing/AdaptivePolicy.ts";
 import { Dispatcher } from "./routing/Dispatcher.ts";
@@ -39,6 +43,7 @@
 /** What each method's messages count as in the traffic metrics. */
 const TRAFFIC_KINDS: Readonly<Record<string, TrafficKind>> = {
   Datagram: "gossip",
+  GateDatagram: "asks",
   Sync: "gossip",
   Config: "config",
   Watch: "config",
@@ -144,6 +149,9 @@
     const peerService = meterService(service, note);
     const clients = this.register(new PeerClients(peerService));
     const link = this.register(new DatagramLink(SystemClock, note));
+    const tell: DatagramLink["tell"] = (address, message) => {
+      link.tell(address, message);
+    };
     const membership = this.register(
       new Membership({
         table,
@@ -165,10 +173,13 @@
         dialect: this.#dialect,
         tracing,
         metrics,
+        tell,
         clock: SystemClock,
         log: this.#log,
       }),
     );
+    const policy = this.register(this.#openPolicy(table));
+    const asks = new AskClient({ tell, clock: SystemClock });
     metrics.watchConfig(
       () => follower,
       () => SystemClock.now(),
@@ -183,14 +194,17 @@
     await link.listen(cfg.peer, {
       onProbe: (news) => membership.onExchange(news),
       onProbeFor: (address) => membership.onProbe(address),
+      onGate: (message, from) => {
+        takeGateMessage(message, from, { asks, policy, askServer: targets.askServer });
+      },
     });
     const hopPort = this.register(await startHttpServer(targets.gateServer.server, cfg.hop));
     this.#ports.hop = hopPort.port;
     membership.start(cfg.gossipIntervalMs);
     follower.start();
 
-    const policy = this.register(this.#openPolicy(table));
-    const dispatcher = this.#dispatcher(policy, table, metrics);
+    const hop = this.register(new HopClient(asks));
+    const dispatcher = this.#dispatcher(policy, hop, table, metrics);
     const splits = new SplitDraw(Math.random);
     caller.server = new CallerServer({
       config: () => configOf(follower),
@@ -295,11 +309,16 @@
     return new AdaptivePolicy({ table, zone, clock: SystemClock, random: Math.random });
   }
 
-  #dispatcher(policy: RoutingPolicy, table: TargetTable, metrics: SidecarMetrics): Dispatcher {
+  #dispatcher(
+    policy: RoutingPolicy,
+    hop: HopLink,
+    table: TargetTable,
+    metrics: SidecarMetrics,
+  ): Dispatcher {
     const { callerService } = this.#cfg;
     return new Dispatcher({
       policy,
-      hop: this.register(new HopClient()),
+      hop,
       callerService,
       budget: () => this.#cfg.retryBudget,
       members: () => table.knownCount,
@@ -331,6 +350,22 @@
   }
 }
 
+/** Hands a message between gates and those who ask them to whom it is for. */
+function takeGateMessage(
+  message: ProtoTypes["GateMessage"],
+  from: string,
+  to: { asks: AskClient; policy: RoutingPolicy; askServer: TargetSide["askServer"] },
+): void {
+  const news = gateWire.readNews(message);
+  if (news) {
+    to.policy.noteNews(news.target, news.load);
+  } else if (message.ask || message.withdrawn) {
+    to.askServer.receive(message, from);
+  } else {
+    to.asks.receive(message, from);
+  }
+}
+
 function configOf(follower: ConfigFollower) {
   const { routes, document, version } = follower;
   return routes && document && { version, routes, limits: document.limits };
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -1,4 +1,4 @@
-import { randomUUID } from "node:crypto";
+import { randomBytes } from "node:crypto";
 import { join } from "node:path";
 import type bunyan from "bunyan";
 import type * as grpc from "@grpc/grpc-js";
@@ -9,6 +9,7 @@
 import type { Clock } from "../common/lifecycle/Clock.ts";
 import { every } from "../common/lifecycle/every.ts";
 import type { SidecarSettings } from "../common/settings/SidecarSettings.ts";
+import type { ProtoTypes } from "../common/rpc/ProtoTypes.ts";
 import type { Tracing } from "../common/telemetry/Tracing.ts";
 import type { Membership } from "../membership/Membership.ts";
 import type { PeerClients } from "../membership/PeerClients.ts";
@@ -23,6 +24,7 @@
 import type { ForwardResult } from "./forwarding/ForwardResult.ts";
 import type { TargetRequest } from "./forwarding/TargetRequest.ts";
 import { TargetSender } from "./forwarding/TargetSender.ts";
+import { AskServer } from "./gate/AskServer.ts";
 import { GateServer } from "./gate/GateServer.ts";
 import { RunTable } from "./gate/RunTable.ts";
 import { TargetGates } from "./gate/TargetGates.ts";
@@ -44,6 +46,9 @@
 /** How often records past their retention are dropped, ms. */
 const EXPIRE_MS = 60_000;
 
+/** Length of the name of a life of this process: two lives of one sidecar must not have the same. */
+const BOOT_BYTES = 6;
+
 /** Rules for a service that the document does not name (any more). */
 const DEFAULT_SERVICE = Service.parse({ name: "default" });
 
@@ -56,6 +61,8 @@
   readonly dialect: Dialect;
   readonly tracing: Tracing;
   readonly metrics: SidecarMetrics;
+  /** Sends a message that may be lost. */
+  readonly tell: (address: string, message: ProtoTypes["GateMessage"]) => void;
   readonly clock: Clock;
   readonly log: bunyan;
 }
@@ -69,18 +76,23 @@
   readonly #gates: TargetGates;
   readonly #records: RunRecords;
   readonly gateServer: GateServer;
+  /** Takes what other sidecars, and this one, ask the gates here. */
+  readonly askServer: AskServer;
 
   constructor(deps: TargetSideDeps) {
     super();
     this.#deps = deps;
-    const { table, clock, log, dialect, cfg, tracing, metrics } = deps;
-    const boot = randomUUID();
+    const { table, clock, log, dialect, cfg, tracing, metrics, tell } = deps;
+    const boot = randomBytes(BOOT_BYTES).toString("hex");
     this.#gates = new TargetGates({
       targets: () => table.localTargets(),
       judge: (target) => this.#judge(target),
       clock,
       boot,
       log,
+      onJudged: (target, load) => {
+        this.askServer.tellNews(target, load);
+      },
       onNewLife: (target) => {
         sender.renew(target);
       },
@@ -106,7 +118,8 @@
       send: (target, req) => sendUnderKey(sender, once, target, req),
       boot,
     });
-    this.gateServer = new GateServer({ gates: this.#gates, runner, tracing, metrics, clock, log });
+    this.gateServer = new GateServer({ runner, tracing, clock, log });
+    this.askServer = new AskServer({ gates: this.#gates, metrics, tell, clock, log });
     this.register(
       every(EXPIRE_MS, () => {
         this.#records.expire();
--- a/src/sidecar/admin/TrafficKind.ts
+++ b/src/sidecar/admin/TrafficKind.ts
@@ -1,2 +1,2 @@
 /** What bytes between our own processes are for. */
-export type TrafficKind = "gossip" | "config" | "records" | "work" | "other";
+export type TrafficKind = "asks" | "gossip" | "config" | "records" | "work" | "other";
--- /dev/null
+++ b/src/sidecar/gate/AskServer.ts
@@ -0,0 +1,205 @@
+import type bunyan from "bunyan";
+import type { AttemptId } from "../../common/ids/AttemptId.ts";
+import type { TargetId } from "../../common/ids/TargetId.ts";
+import type { Clock } from "../../common/lifecycle/Clock.ts";
+import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
+import type { SidecarMetrics } from "../admin/SidecarMetrics.ts";
+import { RETRY_AFTER_MS } from "../forwarding/RETRY_AFTER_MS.ts";
+import type { Ask } from "../hop/Ask.ts";
+import type { AskReply } from "../hop/AskReply.ts";
+import type { GateLoad } from "../hop/GateLoad.ts";
+import { gateWire } from "../hop/gateWire.ts";
+import { RefusalReason } from "../hop/RefusalReason.ts";
+import type { TargetGates } from "./TargetGates.ts";
+
+type GateMessage = ProtoTypes["GateMessage"];
+
+/** The answer for a target that is not here. */
+const NOT_HERE: AskReply = {
+  kind: "refused",
+  reason: RefusalReason.NoTarget,
+  retryAfterMs: RETRY_AFTER_MS,
+  load: {
+    slots: 0,
+    busy: 0,
+    queued: 0,
+    serviceMs: 0,
+    pace: 1,
+    risk: 0,
+    suspect: false,
+    ejected: false,
+  },
+};
+
+/** A grant that has not been taken is told again after each of these, ms: it may have been lost, and is void after 250. */
+const GRANT_AGAIN_MS = [60, 140];
+
+/** An ask is remembered for this long after its answer, ms: it may be sent again, as its answer was lost. */
+const REMEMBER_MS = 1000;
+
+/** How often asks that are over are forgotten, ms. */
+const SWEEP_MS = 500;
+
+/** Those who have asked within this long hear of what is thought of the target, ms. */
+const SUBSCRIBED_MS = 10_000;
+
+/** Those who hear of it, at most; the others ask, and are told then. */
+const MAX_SUBSCRIBERS = 128;
+
+interface AskServerDeps {
+  readonly gates: Pick<TargetGates, "get">;
+  readonly metrics: Pick<SidecarMetrics, "refused" | "waited">;
+  /** Sends a message that may be lost. */
+  readonly tell: (address: string, message: GateMessage) => void;
+  readonly clock: Clock;
+  readonly log: bunyan;
+}
+
+/** An ask that came, until it is forgotten. */
+interface Entry {
+  readonly ask: Ask;
+  readonly askedAt: number;
+  /** What was said of it last. */
+  said: GateMessage | undefined;
+  /** The last word has been said: it was granted, or refused. */
+  isOver: boolean;
+  /** Time from which it is of no use any more, ms. */
+  forgetAt: number;
+  withdraw: () => void;
+}
+
+/**
+ * The gates' side of asking: takes asks for slots from other sidecars, and from this
+ * one, and answers them. An ask that is sent again is told again what was said of it. Whoever
+ * has asked lately hears at once when a target is thought of otherwise: without that, a sidecar
+ * asked two gates in vain for every slot that it was granted on a busy day.
+ */
+export class AskServer {
+  readonly #deps: AskServerDeps;
+  readonly #entries = new Map<string, Entry>();
+  /** When each sidecar asked last, by its address; the last to ask stands last. */
+  readonly #askers = new Map<string, number>();
+  #sweptAt = -Infinity;
+
+  constructor(deps: AskServerDeps) {
+    this.#deps = deps;
+  }
+
+  /** Takes what a sidecar says. */
+  receive(message: GateMessage, from: string): void {
+    const key = `${from}/${message.ask_id}`;
+    if (message.withdrawn) {
+      this.#entries.get(key)?.withdraw();
+      this.#entries.delete(key);
+      return;
+    }
+    const ask = gateWire.readAsk(message);
+    if (!ask) {
+      return;
+    }
+    const { said } = this.#entries.get(key) ?? {};
+    if (said) {
+      this.#deps.tell(from, said);
+    } else {
+      this.#take(key, ask, message.ask_id, from);
+    }
+  }
+
+  /** Tells those who have asked lately how a target is. */
+  tellNews(target: TargetId, load: GateLoad): void {
+    const since = this.#deps.clock.now() - SUBSCRIBED_MS;
+    const news = gateWire.news(target, load);
+    const askers = [...this.#askers].filter(([, at]) => at >= since).slice(-MAX_SUBSCRIBERS);
+    for (const [address] of askers) {
+      this.#deps.tell(address, news);
+    }
+  }
+
+  #take(key: string, ask: Ask, id: number, from: string): void {
+    const { clock } = this.#deps;
+    const askedAt = clock.now();
+    this.#sweep(askedAt);
+    this.#askers.delete(from);
+    this.#askers.set(from, askedAt);
+    const entry: Entry = {
+      ask,
+      askedAt,
+      said: undefined,
+      isOver: false,
+      forgetAt: askedAt + ask.remainingMs + REMEMBER_MS,
+      withdraw: () => undefined,
+    };
+    this.#entries.set(key, entry);
+    const say = (message: GateMessage) => {
+      entry.said = message;
+      this.#deps.tell(from, message);
+    };
+    const answer = (reply: AskReply) => {
+      entry.isOver = true;
+      entry.forgetAt = clock.now() + REMEMBER_MS;
+      this.#note(entry, reply);
+      say(gateWire.reply(id, reply));
+      if (reply.kind === "granted") {
+        this.#tellAgain(entry, from);
+      }
+    };
+    const gate = this.#deps.gates.get(ask.target);
+    if (!gate) {
+      answer(NOT_HERE);
+      return;
+    }
+    const ticket = gate.ask(ask, answer);
+    entry.withdraw = () => {
+      ticket.withdraw();
+    };
+    if (ticket.queued) {
+      say(gateWire.queued(id));
+    }
+  }
+
+  #tellAgain({ ask, said }: Entry, from: string): void {
+    for (const ms of GRANT_AGAIN_MS) {
+      this.#deps.clock.after(ms, () => {
+        if (said && this.#isGranted(ask.target, ask.attempt)) {
+          this.#deps.tell(from, said);
+        }
+      });
+    }
+  }
+
+  #isGranted(target: TargetId, attempt: AttemptId): boolean {
+    return this.#deps.gates.get(target)?.hasGrant(attempt) ?? false;
+  }
+
+  #note({ ask, askedAt }: Entry, reply: AskReply): void {
+    const { metrics, clock, log } = this.#deps;
+    if (reply.kind === "granted") {
+      metrics.waited(clock.now() - askedAt);
+      return;
+    }
+    const { reason, load } = reply;
+    metrics.refused(reason);
+    const { attempt, target } = ask;
+    log.info({ attempt, target, reason, load }, "slot refused");
+  }
+
+  #sweep(now: number): void {
+    if (now - this.#sweptAt < SWEEP_MS) {
+      return;
+    }
+    this.#sweptAt = now;
+    for (const [key, entry] of this.#entries) {
+      if (entry.forgetAt <= now) {
+        this.#entries.delete(key);
+        if (!entry.isOver) {
+          entry.withdraw();
+        }
+      }
+    }
+    for (const [address, at] of this.#askers) {
+      if (at < now - SUBSCRIBED_MS) {
+        this.#askers.delete(address);
+      }
+    }
+  }
+}
--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -26,6 +26,8 @@
   readonly clock: Clock;
   /** Names this life of the process. */
   readonly boot: string;
+  /** Told when the target is thought of otherwise: well, suspect or ejected. */
+  readonly onJudged?: (load: GateLoad) => void;
   /** Who goes first of those that wait; left out, the product's own order. */
   readonly order?: ConstructorParameters<typeof AskQueue>[0];
 }
@@ -194,19 +196,29 @@
 
   /** Where the judge thinks otherwise of the target now, what waits for it is weighed again. */
   #tellJudge(tell: () => void): void {
-    const { judge } = this.#deps;
-    const before = judge.isSuspect;
+    const before = this.#standing;
     tell();
-    if (judge.isSuspect !== before) {
+    if (this.#standing !== before) {
       this.targetChanged();
+      this.#deps.onJudged?.(this.load);
     }
   }
 
+  /** Whether a slot is granted to `attempt` that it has not taken yet. */
+  hasGrant(attempt: AttemptId): boolean {
+    return this.#held.get(attempt)?.state === "granted";
+  }
+
   /** True while a slot is granted or in use. */
   get isBusy(): boolean {
     return this.#held.size > 0;
   }
 
+  get #standing(): "ejected" | "suspect" | "well" {
+    const { judge } = this.#deps;
+    return judge.isEjected ? "ejected" : judge.isSuspect ? "suspect" : "well";
+  }
+
   /** Looks again at what waits: the target has changed, come, or is leaving, or is thought of otherwise. */
   targetChanged(): void {
     this.#weighedAt = -Infinity;
--- a/src/sidecar/gate/GateServer.ts
+++ b/src/sidecar/gate/GateServer.ts
@@ -4,11 +4,9 @@
 import { AttemptId } from "../../common/ids/AttemptId.ts";
 import { ServiceName } from "../../common/ids/ServiceName.ts";
 import { TargetId } from "../../common/ids/TargetId.ts";
-import { readJson } from "../../common/http/readJson.ts";
 import { sendJson } from "../../common/http/sendJson.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { Timer } from "../../common/lifecycle/Timer.ts";
-import type { SidecarMetrics } from "../admin/SidecarMetrics.ts";
 import type { Tracing } from "../../common/telemetry/Tracing.ts";
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
@@ -18,17 +16,10 @@
 import { openBody } from "../forwarding/openBody.ts";
 import { RETRY_AFTER_MS } from "../forwarding/RETRY_AFTER_MS.ts";
 import type { TargetRequest } from "../forwarding/TargetRequest.ts";
-import { Ask } from "../hop/Ask.ts";
-import type { AskReply } from "../hop/AskReply.ts";
 import { HOP } from "../hop/HOP.ts";
-import { RefusalReason } from "../hop/RefusalReason.ts";
 import { hopAnswer } from "../hop/hopAnswer.ts";
-import type { TargetGates } from "./TargetGates.ts";
 import type { GrantName, TargetRunner } from "./TargetRunner.ts";
 
-/** An ask is some 200 bytes of JSON. */
-const MAX_ASK_BYTES = 16 * 1024;
-
 /** How often a sidecar that waits hears that its request is alive, ms; silence for three of these is suspicious. */
 const ALIVE_MS = 300;
 
@@ -41,39 +32,20 @@
  */
 const BODY = { mostBytes: Infinity, wholeBytes: 256 * 1024 };
 
-/** The answer for a target that is not here. */
-const NOT_HERE: AskReply = {
-  kind: "refused",
-  reason: RefusalReason.NoTarget,
-  retryAfterMs: RETRY_AFTER_MS,
-  load: {
-    slots: 0,
-    busy: 0,
-    queued: 0,
-    serviceMs: 0,
-    pace: 1,
-    risk: 0,
-    suspect: false,
-    ejected: false,
-  },
-};
-
 /** Headers of ours; they end at this hop. */
 const OWN_HEADERS = new Set<string>(Object.values(HOP));
 
 interface GateServerDeps {
-  readonly gates: Pick<TargetGates, "get">;
   readonly runner: TargetRunner;
   readonly tracing: Tracing;
-  readonly metrics: Pick<SidecarMetrics, "refused" | "waited">;
   readonly clock: Clock;
   readonly log: bunyan;
 }
 
 /**
  * The way in to the targets beside this sidecar, for other sidecars and for this one:
- * asks for a slot, the requests that were granted one, and those that come back for
- * an answer whose connection was lost.
+ * for requests that were granted a slot, and those that come back for an answer whose
+ * connection was lost. Slots are asked for by datagrams, see {@link AskServer}.
  */
 export class GateServer {
   readonly #deps: GateServerDeps;
@@ -94,9 +66,7 @@
   }
 
   async #route(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    if (req.url === HOP.askPath && req.headers[HOP.attempt] === undefined) {
-      await this.#ask(req, res);
-    } else if (req.url === HOP.joinPath && req.headers[HOP.boot] !== undefined) {
+    if (req.url === HOP.joinPath && req.headers[HOP.boot] !== undefined) {
       await this.#join(req, res);
     } else if (req.headers[HOP.attempt] !== undefined) {
       await this.#run(req, res);
@@ -105,53 +75,6 @@
     }
   }
 
-  async #ask(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const json = await readJson(req, MAX_ASK_BYTES);
-    const parsed = json.ok ? Ask.safeParse(json.value) : undefined;
-    if (!parsed?.success) {
-      sendJson(res, 400, { error: json.ok ? "not an ask" : json.reason });
-      return;
-    }
-    const ask = parsed.data;
-    const { clock } = this.#deps;
-    const askedAt = clock.now();
-    const alive = new AliveSignal(res, clock);
-    const answer = (reply: AskReply) => {
-      alive.stop();
-      this.#noteReply(ask, reply, clock.now() - askedAt);
-      if (!res.destroyed) {
-        sendJson(res, 200, reply);
-      }
-    };
-    const gate = this.#deps.gates.get(ask.target);
-    if (!gate) {
-      answer(NOT_HERE);
-      return;
-    }
-    const ticket = gate.ask(ask, answer);
-    if (ticket.queued) {
-      alive.start();
-    }
-    res.once("close", () => {
-      alive.stop();
-      if (!res.writableFinished) {
-        ticket.withdraw();
-      }
-    });
-  }
-
-  #noteReply(ask: Ask, reply: AskReply, waitedMs: number): void {
-    const { metrics } = this.#deps;
-    if (reply.kind === "granted") {
-      metrics.waited(waitedMs);
-    } else {
-      const { reason, load } = reply;
-      metrics.refused(reason);
-      const { attempt, target } = ask;
-      this.#deps.log.info({ attempt, target, reason, load }, "slot refused");
-    }
-  }
-
   async #run(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const grant = grantOf(req);
     const left = new AbortController();
--- a/src/sidecar/gate/TargetGates.ts
+++ b/src/sidecar/gate/TargetGates.ts
@@ -4,6 +4,7 @@
 import type { TargetInfo } from "../../membership/TargetInfo.ts";
 import { TargetState } from "../../membership/TargetState.ts";
 import type { Judge } from "../detection/Judge.ts";
+import type { GateLoad } from "../hop/GateLoad.ts";
 import { Gate } from "./Gate.ts";
 
 interface TargetGatesDeps {
@@ -14,6 +15,8 @@
   readonly log: bunyan;
   /** Names this life of the process. */
   readonly boot: string;
+  /** Told when a target is thought of otherwise. */
+  readonly onJudged?: (target: TargetId, load: GateLoad) => void;
   /** Told of a target that has started again under its id, after the gate to its last life was retired. */
   readonly onNewLife?: (target: TargetInfo) => void;
 }
@@ -97,6 +100,9 @@
         return now && { slots: now.slots, takesWork: now.state === TargetState.Ready };
       },
       judge: judge(target),
+      onJudged: (load) => {
+        this.#deps.onJudged?.(id, load);
+      },
       clock,
       boot,
     });
--- /dev/null
+++ b/src/sidecar/hop/AskClient.ts
@@ -0,0 +1,99 @@
+import type { Clock } from "../../common/lifecycle/Clock.ts";
+import type { Timer } from "../../common/lifecycle/Timer.ts";
+import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
+import type { Ask } from "./Ask.ts";
+import type { AskReply } from "./AskReply.ts";
+import { gateWire } from "./gateWire.ts";
+import type { Pending } from "./Pending.ts";
+
+type GateMessage = ProtoTypes["GateMessage"];
+
+/**
+ * An ask of which nothing is heard is sent again after this long, ms: datagrams are lost now and then, 2 to
+ * 12 in 100 on a bad link. Another target is asked meanwhile.
+ */
+const RESEND_MS = 60;
+
+/** Times that an ask is sent, at most. */
+const SENDS = 3;
+
+interface AskClientDeps {
+  /** Sends a message that may be lost. */
+  readonly tell: (address: string, message: GateMessage) => void;
+  readonly clock: Clock;
+}
+
+/** An ask of which the last word has not come. */
+interface OpenAsk {
+  readonly onQueued: () => void;
+  readonly settle: (reply: AskReply) => void;
+  timer: Timer | undefined;
+}
+
+/**
+ * Asks gates for slots by datagrams: an ask and its answer are some 60 bytes each, a sixth of what they
+ * are as HTTP, and none waits for a connection to open. Lost ones are sent again, or do no harm: a
+ * grant that nobody waits for any more is given back.
+ */
+export class AskClient {
+  readonly #deps: AskClientDeps;
+  readonly #open = new Map<number, OpenAsk>();
+  #nextId = 1;
+
+  constructor(deps: AskClientDeps) {
+    this.#deps = deps;
+  }
+
+  /** Asks the gate at `address`; see {@link HopLink.ask}. */
+  ask(address: string, ask: Ask, onQueued: () => void): Pending<AskReply> {
+    const id = this.#nextId;
+    this.#nextId = (this.#nextId % 0xffff_ffff) + 1;
+    const message = gateWire.ask(id, ask);
+    const answer = new Promise<AskReply>((settle) => {
+      this.#open.set(id, { onQueued, settle, timer: undefined });
+    });
+    this.#send(id, address, message, 1);
+    return {
+      answer,
+      giveUp: () => {
+        if (this.#end(id)) {
+          this.#deps.tell(address, gateWire.withdrawn(id));
+        }
+      },
+    };
+  }
+
+  /** Takes what a gate says of an ask. */
+  receive(message: GateMessage, from: string): void {
+    const { ask_id: id } = message;
+    const open = this.#open.get(id);
+    const reply = gateWire.readReply(message);
+    if (reply && this.#end(id)) {
+      open?.settle(reply);
+    } else if (reply?.kind === "granted") {
+      this.#deps.tell(from, gateWire.withdrawn(id));
+    } else if (message.queued && open) {
+      open.timer?.cancel();
+      open.onQueued();
+    }
+  }
+
+  #send(id: number, address: string, message: GateMessage, sends: number): void {
+    const open = this.#open.get(id);
+    if (!open) {
+      return;
+    }
+    this.#deps.tell(address, message);
+    if (sends < SENDS) {
+      open.timer = this.#deps.clock.after(RESEND_MS, () => {
+        this.#send(id, address, message, sends + 1);
+      });
+    }
+  }
+
+  /** True when it was open until now. */
+  #end(id: number): boolean {
+    this.#open.get(id)?.timer?.cancel();
+    return this.#open.delete(id);
+  }
+}
--- a/src/sidecar/hop/AskReply.ts
+++ b/src/sidecar/hop/AskReply.ts
@@ -1,23 +1,18 @@
-import { z } from "zod";
-import { GateLoad } from "./GateLoad.ts";
-import { RefusalReason } from "./RefusalReason.ts";
+import type { GateLoad } from "./GateLoad.ts";
+import type { RefusalReason } from "./RefusalReason.ts";
 
 /** The answer to an {@link Ask}. */
-export const AskReply = z.discriminatedUnion("kind", [
-  z.object({
-    kind: z.literal("granted"),
-    /** Names this life of the granting process: a later one knows nothing of the grant. */
-    boot: z.string(),
-    load: GateLoad,
-  }),
-  z.object({
-    kind: z.literal("refused"),
-    reason: z.enum(RefusalReason),
-    /** When it may be worth asking again, ms. */
-    retryAfterMs: z.number().min(0),
-    load: GateLoad,
-  }),
-]);
-
-/** The answer to an ask, as the schema reads it. */
-export type AskReply = z.infer<typeof AskReply>;
+export type AskReply =
+  | {
+      readonly kind: "granted";
+      /** Names this life of the granting process: a later one knows nothing of the grant. */
+      readonly boot: string;
+      readonly load: GateLoad;
+    }
+  | {
+      readonly kind: "refused";
+      readonly reason: RefusalReason;
+      /** When it may be worth asking again, ms. */
+      readonly retryAfterMs: number;
+      readonly load: GateLoad;
+    };
--- a/src/sidecar/hop/HOP.ts
+++ b/src/sidecar/hop/HOP.ts
@@ -1,12 +1,9 @@
 /**
  * What sidecars say to each other over HTTP/1.1, at the address that each one tells
- * the others. A request is passed on as it is, with these headers besides; asks and
- * joins have paths of their own, which no request passed on can be taken for, since
- * those carry {@link HOP.attempt}.
+ * the others. A request is passed on as it is, with these headers besides; a join has
+ * a path of its own. Slots are asked for by datagrams.
  */
 export const HOP = {
-  /** `POST`, an `Ask` as JSON; answered with an `AskReply`, after `102`s while it waits. */
-  askPath: "/burdockpass-hop/v1/ask",
   /** `POST`, for the answer of a run that lost its connection; answered as the run itself is. */
   joinPath: "/burdockpass-hop/v1/join",
 
--- a/src/sidecar/hop/HopClient.ts
+++ b/src/sidecar/hop/HopClient.ts
@@ -1,15 +1,15 @@
 import type { Readable } from "node:stream";
 import { Pool } from "undici";
-import type { AttemptId } from "../../common/ids/AttemptId.ts";
-import type { TargetId } from "../../common/ids/TargetId.ts";
 import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
-import type { HeaderList } from "../forwarding/HeaderList.ts";
 import { readAnswer } from "../forwarding/readAnswer.ts";
-import type { Ask } from "./Ask.ts";
-import { AskReply } from "./AskReply.ts";
+import type { AskClient } from "./AskClient.ts";
+import type { AskReply } from "./AskReply.ts";
 import { HOP } from "./HOP.ts";
+import type { GrantOf, HopLink } from "./HopLink.ts";
+import type { HopRequest } from "./HopRequest.ts";
 import { hopAnswer } from "./hopAnswer.ts";
+import type { Pending } from "./Pending.ts";
 
 /** A connection between sidecars that takes longer to open is given up, ms: across zones it takes 3. */
 const CONNECT_TIMEOUT_MS = 500;
@@ -17,52 +17,21 @@
 /** A connection not used for this long is closed, ms; before the other side closes it. */
 const IDLE_MS = 20_000;
 
-/** A caller's request as it crosses to the sidecar beside a target. */
-export interface HopRequest {
-  readonly attempt: AttemptId;
-  readonly target: TargetId;
-  /** The life of the granting process that the grant is good for. */
-  readonly boot: string;
-  readonly method: string;
-  readonly path: string;
-  readonly headers: HeaderList;
-  readonly body: Buffer | Readable | undefined;
-  readonly bodyLength?: number;
-  readonly remainingMs: number;
-  readonly callerService: string;
-  readonly idempotent: boolean;
-  readonly echoHeader: string | undefined;
-}
-
-/** Something asked of another sidecar. */
-export interface Pending<T> {
-  /** The answer; rejects when the connection is lost, or when given up. */
-  readonly answer: Promise<T>;
-  /** Ends it from this side; the other side sees its connection closed. */
-  giveUp(): void;
-}
-
 /** What to call when the other side says that a request is alive. */
 type OnAlive = () => void;
 
-/** Calls to the sidecars beside targets, by their hop addresses (host:port). */
-export class HopClient implements IDisposable {
+/** The way to the sidecars beside targets: asks by datagrams, requests by HTTP. */
+export class HopClient implements HopLink, IDisposable {
+  readonly #asks: Pick<AskClient, "ask">;
   readonly #pools = new Map<string, Pool>();
 
-  /** Asks for a slot. */
-  ask(address: string, ask: Ask, onAlive: OnAlive): Pending<AskReply> {
-    return this.#start(onAlive, async (signal, onInfo) => {
-      const res = await this.#pool(address).request({
-        method: "POST",
-        path: HOP.askPath,
-        headers: ["content-type", "application/json"],
-        body: JSON.stringify(ask),
-        signal,
-        onInfo,
-        ...UNTIMED,
-      });
-      return AskReply.parse(await res.body.json());
-    });
+  /** @param asks by which slots are asked for */
+  constructor(asks: Pick<AskClient, "ask">) {
+    this.#asks = asks;
+  }
+
+  ask(...args: Parameters<HopLink["ask"]>): Pending<AskReply> {
+    return this.#asks.ask(...args);
   }
 
   /** Sends a request for which a slot was granted. */
@@ -82,11 +51,7 @@
   }
 
   /** Asks again for the answer of a run whose connection was lost, over a new one. */
-  join(
-    address: string,
-    grant: Pick<HopRequest, "attempt" | "target" | "boot">,
-    onAlive: OnAlive,
-  ): Pending<ForwardResult> {
+  join(address: string, grant: GrantOf, onAlive: OnAlive): Pending<ForwardResult> {
     this.renew(address);
     return this.#start(onAlive, async (signal, onInfo) => {
       const res = await this.#pool(address).request({
@@ -152,7 +117,7 @@
 /** Whoever asks keeps the time: silence means different things to an ask and to a run. */
 const UNTIMED = { headersTimeout: 0, bodyTimeout: 0 } as const;
 
-function grantHeaders(grant: Pick<HopRequest, "attempt" | "target" | "boot">): string[] {
+function grantHeaders(grant: GrantOf): string[] {
   const { attempt, target, boot } = grant;
   return [HOP.attempt, attempt, HOP.target, target, HOP.boot, boot];
 }
--- /dev/null
+++ b/src/sidecar/hop/gateWire.ts
@@ -0,0 +1,121 @@
+import { AttemptId } from "../../common/ids/AttemptId.ts";
+import { TargetId } from "../../common/ids/TargetId.ts";
+import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
+import type { Ask } from "./Ask.ts";
+import type { AskReply } from "./AskReply.ts";
+import type { GateLoad } from "./GateLoad.ts";
+import { RefusalReason } from "./RefusalReason.ts";
+
+type GateMessage = ProtoTypes["GateMessage"];
+
+const REASONS = Object.values(RefusalReason);
+
+/** A message that says nothing yet. */
+const NOTHING: GateMessage = {
+  ask_id: 0,
+  ask: null,
+  queued: false,
+  reply: null,
+  withdrawn: false,
+  news: null,
+};
+
+/** What gates and those who ask them say to each other, to and from datagrams. */
+export const gateWire = {
+  ask: (id: number, ask: Ask): GateMessage => ({
+    ...NOTHING,
+    ask_id: id,
+    ask: {
+      attempt: ask.attempt,
+      target: ask.target,
+      expendable: ask.isExpendable,
+      priority: ask.priority,
+      remaining: Math.max(1, Math.round(ask.remainingMs)),
+      objective: Math.round(ask.objectiveMs),
+      typical: Math.round(ask.typicalMs),
+      insist: ask.insist,
+    },
+  }),
+
+  queued: (id: number): GateMessage => ({ ...NOTHING, ask_id: id, queued: true }),
+
+  withdrawn: (id: number): GateMessage => ({ ...NOTHING, ask_id: id, withdrawn: true }),
+
+  reply: (id: number, reply: AskReply): GateMessage => ({
+    ...NOTHING,
+    ask_id: id,
+    reply: {
+      boot: reply.kind === "granted" ? reply.boot : "",
+      reason: reply.kind === "refused" ? reply.reason : "",
+      retry_after: reply.kind === "refused" ? Math.round(reply.retryAfterMs) : 0,
+      load: encodeLoad(reply.load),
+    },
+  }),
+
+  news: (target: TargetId, load: GateLoad): GateMessage => ({
+    ...NOTHING,
+    news: { target, load: encodeLoad(load) },
+  }),
+
+  /** Undefined where it is not an ask that can be answered. */
+  readAsk: ({ ask }: GateMessage): Ask | undefined =>
+    ask && ask.attempt !== "" && ask.target !== "" && ask.remaining > 0
+      ? {
+          attempt: AttemptId(ask.attempt),
+          target: TargetId(ask.target),
+          isExpendable: ask.expendable,
+          priority: ask.priority,
+          remainingMs: ask.remaining,
+          objectiveMs: ask.objective,
+          typicalMs: ask.typical,
+          insist: ask.insist,
+        }
+      : undefined,
+
+  /** Undefined where it is no reply. */
+  readReply: ({ reply }: GateMessage): AskReply | undefined => {
+    if (!reply?.load) {
+      return undefined;
+    }
+    const load = decodeLoad(reply.load);
+    if (reply.boot !== "") {
+      return { kind: "granted", boot: reply.boot, load };
+    }
+    const reason = REASONS.find((known) => (known as string) === reply.reason);
+    return reason && { kind: "refused", reason, retryAfterMs: reply.retry_after, load };
+  },
+
+  /** Undefined where it is no news. */
+  readNews: ({ news }: GateMessage): { target: TargetId; load: GateLoad } | undefined =>
+    news?.load ? { target: TargetId(news.target), load: decodeLoad(news.load) } : undefined,
+};
+
+function encodeLoad(load: GateLoad): ProtoTypes["GateLoad"] {
+  const { slots, busy, queued, suspect, ejected, probeInMs } = load;
+  return {
+    slots,
+    busy,
+    queued,
+    service: Math.round(load.serviceMs),
+    pace: Math.round(load.pace * 100),
+    risk: Math.round(load.risk * 1000),
+    suspect,
+    ejected,
+    probe_in: probeInMs === undefined ? 0 : Math.round(probeInMs) + 1,
+  };
+}
+
+function decodeLoad(wire: ProtoTypes["GateLoad"]): GateLoad {
+  const { slots, busy, queued, suspect, ejected } = wire;
+  return {
+    slots,
+    busy,
+    queued,
+    serviceMs: wire.service,
+    pace: wire.pace / 100,
+    risk: Math.min(1, wire.risk / 1000),
+    suspect,
+    ejected,
+    probeInMs: wire.probe_in > 0 ? wire.probe_in - 1 : undefined,
+  };
+}
--- a/src/sidecar/routing/AdaptivePolicy.ts
+++ b/src/sidecar/routing/AdaptivePolicy.ts
@@ -15,9 +15,12 @@
 import type { RouteMatch } from "./RouteMatch.ts";
 import type { Picked, PickFor, RoutingPolicy } from "./RoutingPolicy.ts";
 
-/** What a target's sidecar said of it counts for this long, ms; what gossip says, until it says otherwise. */
+/** How busy a target's sidecar said that it is counts for this long, ms. */
 const LOAD_FRESH_MS = 2000;
 
+/** What a target's sidecar said that it thinks of it counts for this long, ms: a change is told at once, but may get lost. */
+const JUDGED_FRESH_MS = 5000;
+
 /** Assumed time of a request where nothing was measured: this share of its objective. */
 const TYPICAL_SHARE = 1 / 3;
 
@@ -88,7 +91,7 @@
     const { random } = this.#deps;
     const probed = toProbe[Math.floor(random() * toProbe.length)];
     if (probed) {
-      return { target: probed, insist: false, risk: this.#riskOf(probed) };
+      return { target: probed, insist: false, risk: this.#riskOf(probed), isProbe: true };
     }
     const rotation = this.#rotation(targets, route.service.floor);
     const [best = []] = this.#tiers(open, rotation, isExpendable).filter((t) => t.length > 0);
@@ -108,6 +111,15 @@
     }
   }
 
+  /** A gate tells how its target is thought of, without having been asked. */
+  noteNews(id: TargetId, load: GateLoad): void {
+    const standing = this.#standings.get(id);
+    if (standing) {
+      standing.load = load;
+      standing.loadAt = this.#deps.clock.now();
+    }
+  }
+
   noteSilence(target: TargetInfo): void {
     this.#standing(target).link.noteSilence();
   }
@@ -158,7 +170,7 @@
   ): TargetInfo[][] {
     const isReachable = (t: TargetInfo) => !this.#standing(t).link.isSuspect;
     const well = open.filter((t) => !this.#isGray(t));
-    const sure = isExpendable ? well : well.filter((t) => !this.#freshLoad(t)?.suspect);
+    const sure = isExpendable ? well : well.filter((t) => !this.#judged(t)?.suspect);
     const kept = open.filter((t) => this.#isGray(t) && rotation.has(t.id));
     return [
       sure.filter(isReachable),
@@ -191,11 +203,11 @@
   }
 
   #isGray(target: TargetInfo): boolean {
-    return this.#freshLoad(target)?.ejected ?? false;
+    return this.#judged(target)?.ejected ?? false;
   }
 
   #riskOf(target: TargetInfo): number {
-    return this.#freshLoad(target)?.risk ?? 0;
+    return this.#judged(target)?.risk ?? 0;
   }
 
   /** Targets in this sidecar's zone that would serve a large answer soon enough. */
@@ -234,6 +246,12 @@
     return Math.min(1, RAMP_START + (1 - RAMP_START) * share);
   }
 
+  /** What is thought of a target: that holds until its gate says otherwise, or is not heard of for long. */
+  #judged(target: TargetInfo): GateLoad | undefined {
+    const { load, loadAt } = this.#standing(target);
+    return this.#deps.clock.now() - loadAt < JUDGED_FRESH_MS ? load : undefined;
+  }
+
   #freshLoad(target: TargetInfo): GateLoad | undefined {
     const { load, loadAt } = this.#standing(target);
     return this.#deps.clock.now() - loadAt < LOAD_FRESH_MS ? load : undefined;
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -3,7 +3,7 @@
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
-import type { HopClient } from "../hop/HopClient.ts";
+import type { HopLink } from "../hop/HopLink.ts";
 import type { CourseRequest } from "./CourseRequest.ts";
 import { GrantSeeker, type Grant, type Sought } from "./GrantSeeker.ts";
 import { RetryBudget, type RetryBudgetRule } from "./RetryBudget.ts";
@@ -14,7 +14,7 @@
 /** What the dispatcher needs from the rest of the sidecar; passed in so tests can fake each. */
 interface DispatcherDeps {
   readonly policy: RoutingPolicy;
-  readonly hop: Pick<HopClient, "ask" | "run" | "join">;
+  readonly hop: HopLink;
   /** The service beside which this sidecar's callers' requests begin; empty when there is none. */
   readonly callerService: string;
   /** Of services that the document says nothing else of. */
@@ -137,7 +137,7 @@
 
   #seek(course: Course): GrantSeeker {
     const { policy, hop, clock, log } = this.#deps;
-    const ask: HopClient["ask"] = (...args) => hop.ask(...args);
+    const ask: HopLink["ask"] = (...args) => hop.ask(...args);
     const { route, req, tried } = course;
     const request = { route, isExpendable: this.#hasSpareTry(course) };
     const seeker = new GrantSeeker({ policy, ask, clock, log }, request, req, tried);
--- a/src/sidecar/routing/GrantSeeker.ts
+++ b/src/sidecar/routing/GrantSeeker.ts
@@ -6,7 +6,8 @@
 import { RETRY_AFTER_MS } from "../forwarding/RETRY_AFTER_MS.ts";
 import type { Ask } from "../hop/Ask.ts";
 import type { AskReply } from "../hop/AskReply.ts";
-import type { Pending } from "../hop/HopClient.ts";
+import type { HopLink } from "../hop/HopLink.ts";
+import type { Pending } from "../hop/Pending.ts";
 import { RefusalReason } from "../hop/RefusalReason.ts";
 import type { CourseRequest } from "./CourseRequest.ts";
 import type { Picked, PickFor, RoutingPolicy } from "./RoutingPolicy.ts";
@@ -31,7 +32,7 @@
 
 interface GrantSeekerDeps {
   readonly policy: RoutingPolicy;
-  readonly ask: (address: string, ask: Ask, onAlive: () => void) => Pending<AskReply>;
+  readonly ask: HopLink["ask"];
   readonly clock: Clock;
   readonly log: bunyan;
 }
@@ -43,6 +44,12 @@
  */
 const MAX_ASKS = 3;
 
+/**
+ * Sound targets that may say that they are full before no other is asked: loads are even, and on an overloaded
+ * day every request asked all targets there were, 18 each in the model.
+ */
+const MAX_FULL = 3;
+
 /**
  * An ask not answered within this long makes another target be asked beside it, ms.
  * Across zones an answer takes 3 to 6; a path that is cut or loses packets never
@@ -53,9 +60,15 @@
 /** An ask that waits in a queue makes another target be asked beside it after this long, ms. */
 const QUEUED_MS = 15;
 
-/** An ask silent for this long counts against the path, ms: longer than a garbage collection at the other side. */
+/**
+ * An ask silent for this long counts against the path, and not as one that is under way, ms: longer than
+ * a garbage collection at the other side.
+ */
 const DEAD_MS = 150;
 
+/** An ask silent for this long is given up, ms: it was sent three times, and the other side is down or cut off. */
+const GONE_MS = 500;
+
 /**
  * A gray target that fails requests with at least this chance is left alone while there are sound
  * ones, though they be full: a gray target of the users fails 45 to 90 in 100 at once, and a caller
@@ -77,6 +90,8 @@
   readonly askedAt: number;
   /** It was heard of: it waits in the queue there. */
   queued: boolean;
+  /** Nothing has been heard of it for long. */
+  dead: boolean;
 }
 
 /**
@@ -91,7 +106,9 @@
   readonly #tried: Set<TargetId>;
   readonly #open = new Map<TargetId, OpenAsk>();
   readonly #suspects: Picked[] = [];
-  #metFull = false;
+  #hasProbed = false;
+  /** Sound targets that had no room. */
+  #full = 0;
   #queuedAt: number | undefined;
   readonly #settle: (sought: Sought) => void;
   readonly #timers = new Set<Timer>();
@@ -135,7 +152,7 @@
 
   /** Asks the next target, if another may be asked now. */
   #askNext(): void {
-    if (this.#done || this.#open.size >= MAX_ASKS) {
+    if (this.#done || this.#underWay >= MAX_ASKS) {
       return;
     }
     const next = this.#next();
@@ -147,13 +164,16 @@
   }
 
   /**
-   * Every sound target is full: asks a bad one as a request that has nothing to lose, which is taken
-   * only where it tells how the target is. Refused otherwise, it is the cheapest probe there is.
+   * Every sound target is full: asks one that is to be probed, as a request that has nothing to lose.
+   * Refused otherwise, it is the cheapest probe there is.
    */
   #askAsProbe(): void {
-    const bad = this.#suspects.shift();
-    if (bad) {
-      this.#ask({ ...bad, insist: false }, true);
+    const toProbe = this.#hasProbed
+      ? undefined
+      : this.#deps.policy.pick({ ...this.#request, isExpendable: true }, this.#tried);
+    if (toProbe?.isProbe) {
+      this.#hasProbed = true;
+      this.#ask(toProbe, true);
     } else {
       this.#refuse(this.#reason);
     }
@@ -163,7 +183,7 @@
   #next(): Picked | undefined {
     const next = this.#deps.policy.pick(this.#request, this.#tried);
     if (next?.insist === false) {
-      return next;
+      return this.#full < MAX_FULL ? next : undefined;
     }
     const gray = next ?? this.#suspects[0];
     if (!gray || !this.#mayTakeGray(gray)) {
@@ -176,13 +196,17 @@
   }
 
   #mayTakeGray({ risk }: Picked): boolean {
-    if (!this.#isInLine && !this.#metFull) {
+    if (!this.#isInLine && this.#full === 0) {
       return true; // There is no sound target, or none that can be reached.
     }
     const hasWaited = this.#deps.clock.now() - (this.#queuedAt ?? 0) >= this.#patienceMs;
     return risk < LEAST_BAD_RISK && (!this.#isInLine || hasWaited);
   }
 
+  get #underWay(): number {
+    return [...this.#open.values()].filter((o) => !o.dead).length;
+  }
+
   /** A sound target is known to have it in its queue; one that stays silent may never have heard of it. */
   get #isInLine(): boolean {
     return [...this.#open.values()].some((o) => o.queued);
@@ -197,30 +221,34 @@
     this.#tried.add(target.id);
     const askedAt = clock.now();
     const words = { ...this.#words(target, askedAt), insist, isExpendable };
-    const pending = this.#deps.ask(target.hopAddress, words, () => {
+    const pending = this.#deps.ask(target.askAddress, words, () => {
       this.#onQueued(target);
     });
-    this.#open.set(target.id, { target, pending, askedAt, queued: false });
-    pending.answer.then(
-      (reply) => {
-        this.#onReply(target, reply);
-      },
-      (err: unknown) => {
-        this.#onFailure(target, err);
-      },
-    );
+    this.#open.set(target.id, { target, pending, askedAt, queued: false, dead: false });
+    void pending.answer.then((reply) => {
+      this.#onReply(target, reply);
+    });
     this.#after(SILENCE_MS, () => {
       this.#ifSilent(target, () => {
         this.#askNext();
       });
     });
     this.#after(DEAD_MS, () => {
-      this.#ifSilent(target, () => {
+      this.#ifSilent(target, (open) => {
+        open.dead = true;
         this.#deps.log.info({ attempt: this.#req.attempt, target: target.id }, "ask unanswered");
         this.#deps.policy.noteSilence(target);
         this.#askNext();
       });
     });
+    this.#after(GONE_MS, () => {
+      this.#ifSilent(target, (open) => {
+        this.#open.delete(target.id);
+        open.pending.giveUp();
+        this.#reason = "no sidecar beside a target could be reached";
+        this.#askNext();
+      });
+    });
   }
 
   #words(target: TargetInfo, now: number): Omit<Ask, "insist" | "isExpendable"> {
@@ -272,28 +300,17 @@
       this.#suspects.push({ target, insist: true, risk: reply.load.risk });
       this.#suspects.sort((a, b) => a.risk - b.risk);
     }
-    this.#metFull ||= reply.reason === RefusalReason.Full;
+    this.#full += reply.reason === RefusalReason.Full ? 1 : 0;
     this.#isUnknown &&= reply.reason === RefusalReason.NoTarget;
     this.#retryAfterMs = Math.min(this.#retryAfterMs, reply.retryAfterMs);
     this.#reason = `every target refused, the last one as ${reply.reason}`;
     this.#askNext();
   }
 
-  #onFailure(target: TargetInfo, err: unknown): void {
-    if (!this.#open.delete(target.id) || this.#done) {
-      return;
-    }
-    const reason = err instanceof Error ? err.message : String(err);
-    this.#deps.log.info({ attempt: this.#req.attempt, target: target.id, reason }, "ask failed");
-    this.#deps.policy.noteSilence(target);
-    this.#reason = "no sidecar beside a target could be reached";
-    this.#askNext();
-  }
-
-  #ifSilent(target: TargetInfo, act: () => void): void {
+  #ifSilent(target: TargetInfo, act: (open: OpenAsk) => void): void {
     const open = this.#open.get(target.id);
     if (open && !open.queued && !this.#done) {
-      act();
+      act(open);
     }
   }
 
--- a/src/sidecar/routing/NaivePolicy.ts
+++ b/src/sidecar/routing/NaivePolicy.ts
@@ -56,6 +56,10 @@
     // Listens to nobody.
   }
 
+  noteNews(): void {
+    // Listens to nobody.
+  }
+
   noteSilence(target: TargetInfo): void {
     this.#noteEnd(target, AttemptOutcome.NoAnswer);
   }
--- a/src/sidecar/routing/RoutingPolicy.ts
+++ b/src/sidecar/routing/RoutingPolicy.ts
@@ -3,6 +3,7 @@
 import type { TargetInfo } from "../../membership/TargetInfo.ts";
 import type { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { AskReply } from "../hop/AskReply.ts";
+import type { GateLoad } from "../hop/GateLoad.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
 
 /** A target to ask. */
@@ -12,6 +13,8 @@
   readonly insist: boolean;
   /** Chance that it fails the request, as far as is known here. */
   readonly risk: number;
+  /** It is under suspicion, and due to be tried. */
+  readonly isProbe?: boolean;
 }
 
 /** What a target is sought for. */
@@ -27,6 +30,8 @@
   pick(request: PickFor, tried: ReadonlySet<TargetId>): Picked | undefined;
   /** The sidecar beside `target` answered an ask, after `ms` without waiting for a slot. */
   noteReply(target: TargetInfo, reply: AskReply, ms: number | undefined): void;
+  /** The gate to a target tells how it is, without having been asked. */
+  noteNews(target: TargetId, load: GateLoad): void;
   /** The sidecar beside `target` did not answer an ask, or a run, in time. */
   noteSilence(target: TargetInfo): void;
   /** Notes a request sent to `target`; call the result once, with how it ended. */
--- a/src/sidecar/routing/RunCourse.ts
+++ b/src/sidecar/routing/RunCourse.ts
@@ -4,7 +4,8 @@
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import { RETRY_AFTER_MS } from "../forwarding/RETRY_AFTER_MS.ts";
-import type { HopClient, Pending } from "../hop/HopClient.ts";
+import type { HopLink } from "../hop/HopLink.ts";
+import type { Pending } from "../hop/Pending.ts";
 import type { CourseRequest } from "./CourseRequest.ts";
 import type { Grant } from "./GrantSeeker.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
@@ -22,7 +23,7 @@
 const MARGIN_MS = 20;
 
 interface RunCourseDeps {
-  readonly hop: Pick<HopClient, "run" | "join">;
+  readonly hop: Pick<HopLink, "run" | "join">;
   readonly callerService: string;
   readonly clock: Clock;
   readonly log: bunyan;
