--- a/experiment/scenarios.ts
+++ b/experiment/scenarios.ts
@@ -152,6 +152,13 @@
     kinds: holmgaard(1.1),
     bursts: [{ fromMs: 10_000, forMs: 4000, times: 1.6 }],
   },
+  {
+    // For some seconds, most targets lose a third of their answers: there is no room without them.
+    ...HOLMGAARD,
+    name: "listings lossy",
+    kinds: holmgaard(1),
+    spells: [{ service: "listings", count: 11, fromMs: 10_000, forMs: 6000, fails: 0.35 }],
+  },
   {
     // A third of the targets was taken away: sound ones have less room than callers need.
     ...HOLMGAARD,
--- a/src/sidecar/detection/TargetJudge.ts
+++ b/src/sidecar/detection/TargetJudge.ts
@@ -14,9 +14,16 @@
 const HEALTHY_FAILURES = 0.012;
 const GRAY_FAILURES = 0.85;
 
-/** What one failure and one good answer weigh, nats (log-likelihood ratios): 4.3 and -1.9. */
-const FAILURE_NATS = Math.log(GRAY_FAILURES / HEALTHY_FAILURES);
-const SUCCESS_NATS = Math.log((1 - GRAY_FAILURES) / (1 - HEALTHY_FAILURES));
+/**
+ * What this target fails while it is under suspicion is learned: the share above weighs as much as so many of its
+ * answers, which count for less the older they are. One that loses a third of its answers is then
+ * known to be better than none.
+ */
+const LEARNED_AFTER = 4;
+const LEARNED_HALF_LIFE_MS = 4000;
+
+/** The learned share stays above this: below it, a target is not gray. */
+const LEAST_GRAY_FAILURES = 0.2;
 
 /** Log-odds of a target that has just answered well, nats: what evidence is counted from. */
 const WELL_NATS = -3.9;
@@ -94,6 +101,9 @@
 export class TargetJudge implements Judge {
   readonly #deps: TargetJudgeDeps;
   readonly #gray: GrayChance;
+  /** Answers while under suspicion, and those of them that were failures, fading. */
+  readonly #answers: FadingScore;
+  readonly #failures: FadingScore;
   readonly #wrongs: FadingScore;
   /** When the newest requests that failed, and that were answered well, began. */
   #failedSince = -Infinity;
@@ -110,6 +120,8 @@
   constructor(deps: TargetJudgeDeps) {
     this.#deps = deps;
     this.#gray = new GrayChance(deps.clock);
+    this.#answers = new FadingScore(deps.clock, () => LEARNED_HALF_LIFE_MS);
+    this.#failures = new FadingScore(deps.clock, () => LEARNED_HALF_LIFE_MS);
     this.#wrongs = new FadingScore(deps.clock, () => WRONG_HALF_LIFE_MS);
     this.#silentMs = deps.rule().ejectMs;
     this.#heardAt = deps.clock.now();
@@ -118,7 +130,22 @@
   get risk(): number {
     const gray = this.#gray.value;
     const wrongs = GRAY_WRONG * (1 - Math.exp(-this.#wrongs.value));
-    return Math.min(1, gray * GRAY_FAILURES + (1 - gray) * HEALTHY_FAILURES + wrongs);
+    return Math.min(1, gray * this.#grayFailures + (1 - gray) * HEALTHY_FAILURES + wrongs);
+  }
+
+  /** Share of requests that the target fails when it is gray. */
+  get #grayFailures(): number {
+    const seen = this.#failures.value + GRAY_FAILURES * LEARNED_AFTER;
+    return Math.max(LEAST_GRAY_FAILURES, seen / (this.#answers.value + LEARNED_AFTER));
+  }
+
+  /** What one failure, and one good answer, weigh, nats (log-likelihood ratios): 4.3 and -1.9 at first. */
+  get #failureNats(): number {
+    return Math.log(this.#grayFailures / HEALTHY_FAILURES);
+  }
+
+  get #successNats(): number {
+    return Math.log((1 - this.#grayFailures) / (1 - HEALTHY_FAILURES));
   }
 
   get pace(): number {
@@ -157,7 +184,7 @@
         return;
       case AttemptOutcome.Failed:
       case AttemptOutcome.NoAnswer:
-        this.#noteFailure(since, FAILURE_NATS);
+        this.#noteFailure(since, this.#failureNats);
         return;
       case AttemptOutcome.TimedOut:
         this.#noteFailure(since, OVERDUE_NATS);
@@ -190,7 +217,8 @@
       this.#review();
       return;
     }
-    this.#hear(SUCCESS_NATS);
+    this.#learn(0);
+    this.#hear(this.#successNats);
     this.#nextProbeAt = -Infinity;
     if (this.#gray.value < CLEARED_BELOW) {
       this.#suspected = false;
@@ -198,6 +226,7 @@
   }
 
   #noteFailure(since: number, nats: number): void {
+    this.#learn(1);
     this.#hear(since < this.#okSince ? nats * OLDER_SHARE : nats);
     this.#failedSince = Math.max(this.#failedSince, since);
     this.#pauseProbes();
@@ -206,6 +235,13 @@
     }
   }
 
+  #learn(failures: 0 | 1): void {
+    if (this.#suspected) {
+      this.#answers.add(1, Infinity);
+      this.#failures.add(failures, Infinity);
+    }
+  }
+
   #hear(nats: number): void {
     this.#heardAt = this.#deps.clock.now();
     this.#gray.add(nats);
--- /dev/null
+++ b/src/sidecar/gate/AskServer.test.ts
@@ -0,0 +1,121 @@
+import test from "ava";
+import bunyan from "bunyan";
+import { FakeClock } from "../../../test/fixtures/FakeClock.ts";
+import { idleLoad } from "../../../test/fixtures/FakeHop.ts";
+import { makeAsk } from "../../../test/fixtures/makeAsk.ts";
+import { AttemptId } from "../../common/ids/AttemptId.ts";
+import { TargetId } from "../../common/ids/TargetId.ts";
+import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
+import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
+import { TrustingJudge } from "../detection/TrustingJudge.ts";
+import { gateWire } from "../hop/gateWire.ts";
+import { AskServer } from "./AskServer.ts";
+import { Gate } from "./Gate.ts";
+
+/** The gate to a target `x` with one slot, and what is told to whom. */
+function rig() {
+  const clock = new FakeClock();
+  const gate = new Gate({
+    target: () => ({ slots: 1, takesWork: true }),
+    judge: TrustingJudge,
+    clock,
+    boot: "b",
+  });
+  const told: { to: string; message: ProtoTypes["GateMessage"] }[] = [];
+  const server = new AskServer({
+    gates: { get: (id) => (id === TargetId("x") ? gate : undefined) },
+    metrics: { refused: () => undefined, waited: () => undefined },
+    tell: (to, message) => told.push({ to, message }),
+    clock,
+    log: bunyan.createLogger({ name: "test", level: "fatal" }),
+  });
+  const ask = (from: string, id: number, over: Parameters<typeof makeAsk>[0] = {}) => {
+    server.receive(gateWire.ask(id, makeAsk({ attempt: `${from}-${id}`, ...over })), from);
+  };
+  const said = () =>
+    told.map(({ to, message }) => {
+      const reply = gateWire.readReply(message);
+      const what = reply?.kind === "refused" ? reply.reason : reply?.kind;
+      return `${to}: ${what ?? (message.queued ? "queued" : "news")}`;
+    });
+  return { clock, gate, server, ask, said };
+}
+
+test("ask server: a slot is granted to the first, the next waits in line and is granted when it is free", (t) => {
+  const { gate, ask, said } = rig();
+  ask("a", 1);
+  ask("b", 1);
+  gate.take(AttemptId("a-1"));
+  gate.end(AttemptId("a-1"), AttemptOutcome.Ok);
+  t.deepEqual(said(), ["a: granted", "b: queued", "b: granted"]);
+});
+
+test("ask server: an ask that is sent again is told again what was said, and takes no second place", (t) => {
+  // Story: the answer was lost on its way. Taken for another request, the ask would hold two slots.
+  const { gate, ask, said } = rig();
+  ask("a", 1);
+  ask("a", 1);
+  ask("b", 1);
+  ask("b", 1);
+  t.deepEqual(said(), ["a: granted", "a: granted", "b: queued", "b: queued"]);
+  t.is(gate.load.queued, 1);
+});
+
+test("ask server: a grant that is not taken is told again, and is void in the end", async (t) => {
+  const { clock, gate, ask, said } = rig();
+  ask("a", 1);
+  await clock.advance(1000);
+  t.deepEqual(said(), ["a: granted", "a: granted", "a: granted"]);
+  t.is(gate.load.busy, 0);
+});
+
+test("ask server: a grant that was taken is not told again", async (t) => {
+  const { clock, gate, ask, said } = rig();
+  ask("a", 1);
+  gate.take(AttemptId("a-1"));
+  await clock.advance(1000);
+  t.deepEqual(said(), ["a: granted"]);
+});
+
+test("ask server: a withdrawn ask leaves the line, a withdrawn grant frees its slot", (t) => {
+  const { gate, server, ask, said } = rig();
+  ask("a", 1);
+  ask("b", 1);
+  ask("c", 1);
+  server.receive(gateWire.withdrawn(1), "b");
+  server.receive(gateWire.withdrawn(1), "a");
+  t.deepEqual(said(), ["a: granted", "b: queued", "c: queued", "c: granted"]);
+  t.is(gate.load.queued, 0);
+});
+
+test("ask server: asks whose time is up are forgotten, also where their sender is gone", async (t) => {
+  const { clock, gate, ask } = rig();
+  ask("a", 1);
+  gate.take(AttemptId("a-1"));
+  ask("b", 1, { remainingMs: 900 });
+  await clock.advance(3000);
+  ask("c", 1, { remainingMs: 5000 });
+  t.is(gate.load.queued, 1);
+});
+
+test("ask server: a target that is not here is said not to be, and what cannot be read is passed over", (t) => {
+  const { server, said } = rig();
+  const elsewhere = { ...makeAsk(), target: TargetId("y") };
+  server.receive(gateWire.ask(1, elsewhere), "a");
+  server.receive({ ...gateWire.ask(2, elsewhere), ask: null }, "a");
+  server.receive(gateWire.ask(3, { ...elsewhere, attempt: AttemptId("") }), "a");
+  t.deepEqual(said(), ["a: no-target"]);
+});
+
+test("ask server: whoever has asked lately hears of a change, nobody else", async (t) => {
+  // Story: a target turns gray. Sidecars that have not heard of it go on asking for it, two asks in
+  // vain for each slot that was granted on a busy day.
+  const { clock, server, ask, said } = rig();
+  ask("a", 1);
+  await clock.advance(9000);
+  ask("b", 1);
+  await clock.advance(2000);
+  server.tellNews(TargetId("x"), { ...idleLoad, ejected: true });
+  t.deepEqual(said().slice(-1), ["b: news"]);
+  t.is(said().filter((line) => line.endsWith("news")).length, 1);
+});
--- /dev/null
+++ b/src/sidecar/hop/AskClient.test.ts
@@ -0,0 +1,84 @@
+import test from "ava";
+import { FakeClock } from "../../../test/fixtures/FakeClock.ts";
+import { granted, refused } from "../../../test/fixtures/FakeHop.ts";
+import { makeAsk } from "../../../test/fixtures/makeAsk.ts";
+import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
+import { AskClient } from "./AskClient.ts";
+import type { AskReply } from "./AskReply.ts";
+import { gateWire } from "./gateWire.ts";
+
+const GATE = "10.0.0.1:7000";
+
+/** Client that asks one gate, which a test plays. */
+function rig() {
+  const clock = new FakeClock();
+  const told: ProtoTypes["GateMessage"][] = [];
+  const client = new AskClient({ tell: (_address, message) => told.push(message), clock });
+  let queued = 0;
+  const ask = () => client.ask(GATE, makeAsk(), () => (queued += 1));
+  const kinds = () => told.map((m) => (m.ask ? "ask" : m.withdrawn ? "withdrawn" : "other"));
+  return { clock, client, told, ask, kinds, queued: () => queued };
+}
+
+const replies: readonly { name: string; reply: AskReply }[] = [
+  { name: "a grant", reply: granted },
+  { name: "a refusal", reply: refused() },
+];
+
+for (const { name, reply } of replies) {
+  test(`asks: ${name} settles the ask, and nothing is sent again`, async (t) => {
+    const { clock, client, told, ask } = rig();
+    const pending = ask();
+    client.receive(gateWire.reply(told[0]?.ask_id ?? 0, reply), GATE);
+    const answer = await pending.answer;
+    t.is(answer.kind, reply.kind);
+    t.deepEqual({ ...answer, load: {} }, { ...reply, load: {} });
+    await clock.advance(1000);
+    t.is(told.length, 1);
+  });
+}
+
+test("asks: one of which nothing is heard is sent again, a few times", async (t) => {
+  // Story: the link loses one packet in ten. A request would wait for a slot that it was never asked for.
+  const { clock, told, ask, kinds } = rig();
+  ask();
+  await clock.advance(1000);
+  t.deepEqual(kinds(), ["ask", "ask", "ask"]);
+  t.is(new Set(told.map((m) => m.ask_id)).size, 1);
+});
+
+test("asks: one that is known to wait in line is not sent again", async (t) => {
+  const { clock, client, told, ask, kinds, queued } = rig();
+  ask();
+  client.receive(gateWire.queued(told[0]?.ask_id ?? 0), GATE);
+  await clock.advance(1000);
+  t.is(queued(), 1);
+  t.deepEqual(kinds(), ["ask"]);
+});
+
+test("asks: one that is given up is withdrawn, once", (t) => {
+  const { ask, kinds } = rig();
+  const pending = ask();
+  pending.giveUp();
+  pending.giveUp();
+  t.deepEqual(kinds(), ["ask", "withdrawn"]);
+});
+
+test("asks: a grant that nobody waits for any more is given back", (t) => {
+  // Story: the word that an ask is withdrawn was lost. The gate holds a slot for a request that
+  // has long been granted one elsewhere.
+  const { client, told, ask, kinds } = rig();
+  ask().giveUp();
+  client.receive(gateWire.reply(told[0]?.ask_id ?? 0, granted), GATE);
+  t.deepEqual(kinds(), ["ask", "withdrawn", "withdrawn"]);
+});
+
+test("asks: what names no ask, or cannot be read, changes nothing", (t) => {
+  const { client, ask, kinds, queued } = rig();
+  ask();
+  client.receive(gateWire.queued(99), GATE);
+  client.receive(gateWire.reply(99, refused()), GATE);
+  client.receive({ ...gateWire.reply(1, refused()), reply: null }, GATE);
+  t.is(queued(), 0);
+  t.deepEqual(kinds(), ["ask"]);
+});
--- a/src/sidecar/routing/AdaptivePolicy.ts
+++ b/src/sidecar/routing/AdaptivePolicy.ts
@@ -13,7 +13,7 @@
 import { LinkHealth } from "./LinkHealth.ts";
 import { pickByCost } from "./pickByCost.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
-import type { Picked, PickFor, RoutingPolicy } from "./RoutingPolicy.ts";
+import type { Picked, PickFor, RoutingPolicy, Suspected } from "./RoutingPolicy.ts";
 
 /** How busy a target's sidecar said that it is counts for this long, ms. */
 const LOAD_FRESH_MS = 2000;
@@ -84,22 +84,32 @@
 
   pick(request: PickFor, tried: ReadonlySet<TargetId>): Picked | undefined {
     const { route, isExpendable } = request;
-    const targets = this.#targetsOf(route);
-    this.#floors.set(route.service.name, route.service.floor);
-    const open = targets.filter((t) => t.state === TargetState.Ready && !tried.has(t.id));
+    const open = this.#open(route, tried);
     const toProbe = isExpendable ? this.#toProbe(open) : [];
     const { random } = this.#deps;
     const probed = toProbe[Math.floor(random() * toProbe.length)];
     if (probed) {
-      return { target: probed, insist: false, risk: this.#riskOf(probed), isProbe: true };
+      return { target: probed, isProbe: true };
     }
-    const rotation = this.#rotation(targets, route.service.floor);
-    const [best = []] = this.#tiers(open, rotation, isExpendable).filter((t) => t.length > 0);
+    const well = open.filter((t) => !this.#isSuspected(t, isExpendable));
+    const reachable = well.filter((t) => !this.#standing(t).link.isSuspect);
+    const best = reachable.length > 0 ? reachable : well;
     const near = this.#near(route, best);
     const tier = near.length > 0 ? near : best;
     const target = pickByCost(tier, (t) => this.#cost(request, t), random);
-    const insist = target !== undefined && rotation.has(target.id) && this.#isGray(target);
-    return target && { target, insist, risk: this.#riskOf(target) };
+    return target && { target };
+  }
+
+  suspected({ route, isExpendable }: PickFor, tried: ReadonlySet<TargetId>): Suspected[] {
+    const rotation = this.#rotation(this.#targetsOf(route), route.service.floor);
+    return this.#open(route, tried)
+      .filter((t) => this.#isSuspected(t, isExpendable) && !this.#standing(t).link.isSuspect)
+      .map((target) => ({
+        target,
+        risk: this.#riskOf(target),
+        isKept: this.#isGray(target) && rotation.has(target.id),
+      }))
+      .sort((a, b) => a.risk - b.risk);
   }
 
   noteReply(target: TargetInfo, reply: AskReply, ms: number | undefined): void {
@@ -157,28 +167,16 @@
     this.#standings.clear();
   }
 
-  /**
-   * Targets from the best to the last resort. Those that only the floor keeps in
-   * rotation take what the others have no room for: with most targets gray by mistake
-   * (an overload, a bad release) that is most of the work, and with three of eight
-   * really gray, none.
-   */
-  #tiers(
-    open: readonly TargetInfo[],
-    rotation: ReadonlySet<TargetId>,
-    isExpendable: boolean,
-  ): TargetInfo[][] {
-    const isReachable = (t: TargetInfo) => !this.#standing(t).link.isSuspect;
-    const well = open.filter((t) => !this.#isGray(t));
-    const sure = isExpendable ? well : well.filter((t) => !this.#judged(t)?.suspect);
-    const kept = open.filter((t) => this.#isGray(t) && rotation.has(t.id));
-    return [
-      sure.filter(isReachable),
-      well.filter(isReachable),
-      kept.filter(isReachable),
-      well,
-      [...open],
-    ];
+  /** Targets of a route's service that take work and have not had their chance. */
+  #open(route: RouteMatch, tried: ReadonlySet<TargetId>): TargetInfo[] {
+    this.#floors.set(route.service.name, route.service.floor);
+    return this.#targetsOf(route).filter((t) => t.state === TargetState.Ready && !tried.has(t.id));
+  }
+
+  /** Known to be gray; or only under suspicion, for a request that has no other try. */
+  #isSuspected(target: TargetInfo, isExpendable: boolean): boolean {
+    const judged = this.#judged(target);
+    return judged !== undefined && (judged.ejected || (judged.suspect && !isExpendable));
   }
 
   /** Targets that an expendable request would tell something of. */
--- a/src/sidecar/routing/GrantSeeker.ts
+++ b/src/sidecar/routing/GrantSeeker.ts
@@ -10,7 +10,7 @@
 import type { Pending } from "../hop/Pending.ts";
 import { RefusalReason } from "../hop/RefusalReason.ts";
 import type { CourseRequest } from "./CourseRequest.ts";
-import type { Picked, PickFor, RoutingPolicy } from "./RoutingPolicy.ts";
+import type { Picked, PickFor, RoutingPolicy, Suspected } from "./RoutingPolicy.ts";
 
 /** A slot that was granted. */
 export interface Grant {
@@ -105,7 +105,8 @@
   readonly #req: CourseRequest;
   readonly #tried: Set<TargetId>;
   readonly #open = new Map<TargetId, OpenAsk>();
-  readonly #suspects: Picked[] = [];
+  /** Targets that refused it as being under suspicion. */
+  #suspects: Suspected[] = [];
   #hasProbed = false;
   /** Sound targets that had no room. */
   #full = 0;
@@ -152,17 +153,47 @@
 
   /** Asks the next target, if another may be asked now. */
   #askNext(): void {
-    if (this.#done || this.#underWay >= MAX_ASKS) {
+    if (this.#done) {
       return;
     }
-    const next = this.#next();
+    const next = this.#underWay < MAX_ASKS && this.#full < MAX_FULL ? this.#next() : undefined;
+    const suspected = next ? undefined : this.#leastBad();
     if (next) {
       this.#ask(next);
+    } else if (suspected) {
+      this.#ask(suspected, { insist: true });
     } else if (this.#open.size === 0) {
       this.#askAsProbe();
     }
   }
 
+  #next(): Picked | undefined {
+    return this.#deps.policy.pick(this.#request, this.#tried);
+  }
+
+  /**
+   * The least bad of those under suspicion, where that is better than to wait, or to be refused: at
+   * once where there is no sound target or none has room, and after a while in line.
+   */
+  #leastBad(): Suspected | undefined {
+    const isAlone = !this.#isInLine && this.#full === 0;
+    if (this.#underWay >= (isAlone ? MAX_ASKS : MAX_ASKS + 1)) {
+      return undefined;
+    }
+    const hasWaited = this.#deps.clock.now() - (this.#queuedAt ?? 0) >= this.#patienceMs;
+    if (this.#isInLine && !hasWaited) {
+      return undefined;
+    }
+    const known = this.#deps.policy.suspected(this.#request, this.#tried);
+    const [best] = [...known, ...this.#suspects].sort((a, b) => a.risk - b.risk);
+    const isGoodEnough = best && (isAlone || best.isKept || best.risk < LEAST_BAD_RISK);
+    if (!isGoodEnough) {
+      return undefined;
+    }
+    this.#suspects = this.#suspects.filter((s) => s !== best);
+    return best;
+  }
+
   /**
    * Every sound target is full: asks one that is to be probed, as a request that has nothing to lose.
    * Refused otherwise, it is the cheapest probe there is.
@@ -173,36 +204,12 @@
       : this.#deps.policy.pick({ ...this.#request, isExpendable: true }, this.#tried);
     if (toProbe?.isProbe) {
       this.#hasProbed = true;
-      this.#ask(toProbe, true);
+      this.#ask(toProbe, { isExpendable: true });
     } else {
       this.#refuse(this.#reason);
     }
   }
 
-  /** The next target to ask; one that is gray only where that is better than to wait, or to be refused. */
-  #next(): Picked | undefined {
-    const next = this.#deps.policy.pick(this.#request, this.#tried);
-    if (next?.insist === false) {
-      return this.#full < MAX_FULL ? next : undefined;
-    }
-    const gray = next ?? this.#suspects[0];
-    if (!gray || !this.#mayTakeGray(gray)) {
-      return undefined;
-    }
-    if (!next) {
-      this.#suspects.shift();
-    }
-    return { ...gray, insist: true };
-  }
-
-  #mayTakeGray({ risk }: Picked): boolean {
-    if (!this.#isInLine && this.#full === 0) {
-      return true; // There is no sound target, or none that can be reached.
-    }
-    const hasWaited = this.#deps.clock.now() - (this.#queuedAt ?? 0) >= this.#patienceMs;
-    return risk < LEAST_BAD_RISK && (!this.#isInLine || hasWaited);
-  }
-
   get #underWay(): number {
     return [...this.#open.values()].filter((o) => !o.dead).length;
   }
@@ -216,11 +223,11 @@
     return this.#request.route.objectiveMs * PATIENCE_SHARE;
   }
 
-  #ask({ target, insist }: Picked, isExpendable = this.#request.isExpendable): void {
+  #ask({ target }: Pick<Picked, "target">, over: Partial<Ask> = {}): void {
     const { clock } = this.#deps;
     this.#tried.add(target.id);
     const askedAt = clock.now();
-    const words = { ...this.#words(target, askedAt), insist, isExpendable };
+    const words = { ...this.#words(target, askedAt), ...over };
     const pending = this.#deps.ask(target.askAddress, words, () => {
       this.#onQueued(target);
     });
@@ -251,8 +258,8 @@
     });
   }
 
-  #words(target: TargetInfo, now: number): Omit<Ask, "insist" | "isExpendable"> {
-    const { route } = this.#request;
+  #words(target: TargetInfo, now: number): Ask {
+    const { route, isExpendable } = this.#request;
     const { priority, objectiveMs } = route;
     const { attempt, startedAt, deadlineAt } = this.#req;
     return {
@@ -262,6 +269,8 @@
       remainingMs: Math.max(1, deadlineAt - now),
       objectiveMs: startedAt + objectiveMs - now,
       typicalMs: this.#deps.policy.typicalMs(route),
+      isExpendable,
+      insist: false,
     };
   }
 
@@ -297,8 +306,7 @@
       return;
     }
     if (reply.reason === RefusalReason.Suspect) {
-      this.#suspects.push({ target, insist: true, risk: reply.load.risk });
-      this.#suspects.sort((a, b) => a.risk - b.risk);
+      this.#suspects.push({ target, risk: reply.load.risk, isKept: false });
     }
     this.#full += reply.reason === RefusalReason.Full ? 1 : 0;
     this.#isUnknown &&= reply.reason === RefusalReason.NoTarget;
--- a/src/sidecar/routing/NaivePolicy.ts
+++ b/src/sidecar/routing/NaivePolicy.ts
@@ -5,7 +5,7 @@
 import type { TargetId } from "../../common/ids/TargetId.ts";
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
-import type { Picked, PickFor, RoutingPolicy } from "./RoutingPolicy.ts";
+import type { Picked, PickFor, RoutingPolicy, Suspected } from "./RoutingPolicy.ts";
 import type { TargetInfo } from "../../membership/TargetInfo.ts";
 import { TargetState } from "../../membership/TargetState.ts";
 import type { TargetTable } from "../../membership/TargetTable.ts";
@@ -49,7 +49,11 @@
       .targetsOf(ServiceName(route.service.name))
       .filter((t) => t.state === TargetState.Ready && !this.#ejected.has(t.id) && !tried.has(t.id));
     const target = candidates[this.#turn++ % Math.max(1, candidates.length)];
-    return target && { target, insist: false, risk: 0 };
+    return target && { target };
+  }
+
+  suspected(): Suspected[] {
+    return [];
   }
 
   noteReply(): void {
--- a/src/sidecar/routing/RoutingPolicy.ts
+++ b/src/sidecar/routing/RoutingPolicy.ts
@@ -9,12 +9,17 @@
 /** A target to ask. */
 export interface Picked {
   readonly target: TargetInfo;
-  /** It is gray, and in rotation only since the service's floor needs it: it is to take the request all the same. */
-  readonly insist: boolean;
+  /** It is under suspicion, and due to be tried with a request that has another try left. */
+  readonly isProbe?: boolean;
+}
+
+/** A target under suspicion. */
+export interface Suspected {
+  readonly target: TargetInfo;
   /** Chance that it fails the request, as far as is known here. */
   readonly risk: number;
-  /** It is under suspicion, and due to be tried. */
-  readonly isProbe?: boolean;
+  /** The service's floor keeps it in rotation: it takes what the others have no room for. */
+  readonly isKept: boolean;
 }
 
 /** What a target is sought for. */
@@ -26,8 +31,10 @@
 
 /** Chooses targets and learns from how they are heard of. */
 export interface RoutingPolicy extends IDisposable {
-  /** The target to ask next for a request, leaving out those in `tried`. */
+  /** The target to ask next for a request, leaving out those in `tried` and those under suspicion. */
   pick(request: PickFor, tried: ReadonlySet<TargetId>): Picked | undefined;
+  /** Those under suspicion, from the best: the floor keeps the first ones in rotation. */
+  suspected(request: PickFor, tried: ReadonlySet<TargetId>): Suspected[];
   /** The sidecar beside `target` answered an ask, after `ms` without waiting for a slot. */
   noteReply(target: TargetInfo, reply: AskReply, ms: number | undefined): void;
   /** The gate to a target tells how it is, without having been asked. */
--- a/src/sidecar/routing/policies.test.ts
+++ b/src/sidecar/routing/policies.test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import bunyan from "bunyan";
 import { FakeClock } from "../../../test/fixtures/FakeClock.ts";
+import { idleLoad } from "../../../test/fixtures/FakeHop.ts";
 import { makeRoute } from "../../../test/fixtures/makeRoute.ts";
 import { makeService } from "../../../test/fixtures/makeService.ts";
 import { seededRandom } from "../../../test/fixtures/seededRandom.ts";
@@ -14,6 +15,7 @@
 import { TrustingJudge } from "../detection/TrustingJudge.ts";
 import { Gate } from "../gate/Gate.ts";
 import type { AskReply } from "../hop/AskReply.ts";
+import type { GateLoad } from "../hop/GateLoad.ts";
 import { AdaptivePolicy } from "./AdaptivePolicy.ts";
 import { NaivePolicy } from "./NaivePolicy.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
@@ -139,12 +141,15 @@
     const tried = new Set<TargetId>();
     const attempt = AttemptId(`a${this.#attempts++}`);
     for (;;) {
-      const picked = this.policy.pick({ route: this.route, isExpendable: true }, tried);
+      const request = { route: this.route, isExpendable: true };
+      const sound = this.policy.pick(request, tried);
+      const picked = sound ?? this.policy.suspected(request, tried).find((s) => s.isKept);
       const gate = picked && this.gates.get(picked.target.id);
       if (!gate) {
         return;
       }
-      const { target, insist } = picked;
+      const { target } = picked;
+      const insist = sound === undefined;
       tried.add(target.id);
       const replies: AskReply[] = [];
       const ask = {
@@ -335,7 +340,8 @@
   t.true(asked());
 });
 
-test("large answers stay in the caller's zone while a target there has room", (t) => {
+/** A policy that knows one target in its own zone, as busy as that, and three in another. */
+function zonesRig(busy: Partial<GateLoad>) {
   const rig = new Rig("adaptive");
   rig.announce(TargetId("near"));
   rig.table.merge([
@@ -359,12 +365,52 @@
       })),
     },
   ]);
-  const bulk = makeRoute({ ...rig.route, bulk: true });
-  for (let i = 0; i < 100; i++) {
-    t.is(
-      rig.policy.pick({ route: bulk, isExpendable: true }, new Set())?.target.id,
-      TargetId("near"),
-    );
+  const near = rig.table.target(TargetId("near"));
+  if (near) {
+    const load = { ...idleLoad, slots: 4, ...busy };
+    rig.policy.noteReply(near, { kind: "granted", boot: "b", load }, 1);
   }
-  t.truthy(rig.policy.pick({ route: bulk, isExpendable: true }, new Set([TargetId("near")])));
-});
+  return rig;
+}
+
+const zoneCases: readonly {
+  name: string;
+  bulk: boolean;
+  load: Partial<GateLoad>;
+  staysNear: boolean;
+}[] = [
+  { name: "a free target there takes any request", bulk: false, load: {}, staysNear: true },
+  {
+    name: "with a line there, an ordinary request goes where there is none",
+    bulk: false,
+    load: { busy: 4, queued: 1, serviceMs: 400 },
+    staysNear: false,
+  },
+  {
+    name: "a large one waits for a slot that is soon free there",
+    bulk: true,
+    load: { busy: 4, queued: 1, serviceMs: 400 },
+    staysNear: true,
+  },
+  {
+    name: "a large one does not wait for long",
+    bulk: true,
+    load: { busy: 4, queued: 20, serviceMs: 400 },
+    staysNear: false,
+  },
+];
+
+for (const { name, bulk, load, staysNear } of zoneCases) {
+  test(`own zone: ${name}`, (t) => {
+    const rig = zonesRig(load);
+    const route = makeRoute({ ...rig.route, bulk });
+    const picks = Array.from(
+      { length: 100 },
+      () => rig.policy.pick({ route, isExpendable: true }, new Set())?.target.id,
+    );
+    const near = picks.filter((id) => id === TargetId("near")).length;
+    t.true(staysNear ? near === 100 : near < 50, `${near} of 100`);
+    const elsewhere = rig.policy.pick({ route, isExpendable: true }, new Set([TargetId("near")]));
+    t.truthy(elsewhere);
+  });
+}
