--- a/src/sidecar/detection/TargetJudge.ts
+++ b/src/sidecar/detection/TargetJudge.ts
@@ -35,6 +35,16 @@
  */
 const OLDER_SHARE = 0.5;
 
+/**
+ * A failure that comes after this part of the usual time, as a share, says less too, by this share: the
+ * target has worked on it. It is an error of its own, or that of a call that it made elsewhere.
+ */
+const WORKED_ON_SHARE = 0.5;
+const WORKED_ON_WEIGHT = 0.5;
+
+/** A request whose time ran out before so many times the usual was not given a chance, and says nothing. */
+const TIME_ENOUGH = 1.5;
+
 /**
  * Share of answers that a healthy target garbles, cuts short or takes from another
  * request, and that a gray one does: next to never, and 5 in 100. Such answers are
@@ -184,10 +194,12 @@
         return;
       case AttemptOutcome.Failed:
       case AttemptOutcome.NoAnswer:
-        this.#noteFailure(since, this.#failureNats);
+        this.#noteFailure(since, this.#failureNats * weightOf(ms, typicalMs));
         return;
       case AttemptOutcome.TimedOut:
-        this.#noteFailure(since, OVERDUE_NATS);
+        if (ms >= typicalMs * TIME_ENOUGH) {
+          this.#noteFailure(since, OVERDUE_NATS);
+        }
         return;
       case AttemptOutcome.Wrong:
         this.#pauseProbes();
@@ -311,6 +323,10 @@
   }
 }
 
+function weightOf(ms: number, typicalMs: number): number {
+  return typicalMs > 0 && ms >= typicalMs * WORKED_ON_SHARE ? WORKED_ON_WEIGHT : 1;
+}
+
 function round(value: number): number {
   return Math.round(value * 1000) / 1000;
 }
--- a/src/sidecar/forwarding/TargetSender.test.ts
+++ b/src/sidecar/forwarding/TargetSender.test.ts
@@ -118,6 +118,24 @@
     verdict: "may-have-run",
     outcome: AttemptOutcome.NoAnswer,
   },
+  {
+    name: "a target that says at once that something else took too long",
+    behave: (s, head) => s.write(answer(echoOf(head), "slow").replace("200 OK", "504 Late")),
+    verdict: "done",
+    outcome: AttemptOutcome.Failed,
+    body: "slow",
+  },
+  {
+    // Story: a route gives less time than its work takes, and the target says so when its time is up.
+    // Counted as failures, such answers took sound targets out of rotation.
+    name: "a target that gives up when its time is up",
+    behave: (s, head) => {
+      setTimeout(() => s.write(answer(echoOf(head), "late").replace("200 OK", "504 Late")), 470);
+    },
+    verdict: "done",
+    outcome: AttemptOutcome.TimedOut,
+    body: "late",
+  },
   {
     name: "bytes that are no answer",
     behave: (s) => s.write("what is this?\r\n\r\n"),
--- a/src/sidecar/forwarding/TargetSender.ts
+++ b/src/sidecar/forwarding/TargetSender.ts
@@ -22,6 +22,12 @@
  */
 const UNTIDY_MS = 10_000;
 
+/** The status of a target that did not get its answer ready in the time that it was told. */
+const GATEWAY_TIMEOUT = 504;
+
+/** Such an answer comes when no more than this share of the time is left: targets' clocks and timers are not exact. */
+const TIME_UP_SHARE = 0.1;
+
 /** Errors raised while connecting, before any byte of the request was sent: it cannot have run. */
 const CONNECT_ERRORS = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "ENOTFOUND"]);
 
@@ -155,12 +161,22 @@
           exchange.checkEnd(res),
         );
         const verdict = { kind: "done", target: target.id, status } as const;
-        const outcome = status >= 500 ? AttemptOutcome.Failed : AttemptOutcome.Ok;
+        const outcome = this.#outcomeOf(status, words.remainingMs, req.deadlineAt);
         return { verdict, outcome, headers: res.headers, ...answer };
       }
     }
   }
 
+  /** What a whole answer says of the target: one that gives up with its time is late, not failing. */
+  #outcomeOf(status: number, givenMs: number, deadlineAt: number): AttemptOutcome {
+    if (status < 500) {
+      return AttemptOutcome.Ok;
+    }
+    const leftMs = deadlineAt - this.#deps.clock.now();
+    const isOutOfTime = status === GATEWAY_TIMEOUT && leftMs <= givenMs * TIME_UP_SHARE;
+    return isOutOfTime ? AttemptOutcome.TimedOut : AttemptOutcome.Failed;
+  }
+
   #failed(target: TargetInfo, req: TargetRequest, progress: Progress, err: unknown): ForwardResult {
     const code = (err as { code?: string }).code ?? "";
     if (progress.timedOut) {
