--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -37,6 +37,7 @@
     attempt: string;
     target: string;
     expendable: boolean;
+    pressed: boolean;
     priority: number;
     remaining: number;
     objective: number;
--- a/src/sidecar/detection/Judge.ts
+++ b/src/sidecar/detection/Judge.ts
@@ -4,6 +4,8 @@
 export interface Admissible {
   /** Another try is left if this one fails: it can tell whether the target is well. */
   readonly isExpendable: boolean;
+  /** Requests wait in line for want of room where it comes from. */
+  readonly isPressed: boolean;
   /** There is no better target for it. */
   readonly insist: boolean;
 }
--- a/src/sidecar/detection/TargetJudge.ts
+++ b/src/sidecar/detection/TargetJudge.ts
@@ -35,13 +35,6 @@
  */
 const OLDER_SHARE = 0.5;
 
-/**
- * A failure that comes after this part of the usual time, as a share, says less too, by this share: the
- * target has worked on it. It is an error of its own, or that of a call that it made elsewhere.
- */
-const WORKED_ON_SHARE = 0.5;
-const WORKED_ON_WEIGHT = 0.5;
-
 /** A request whose time ran out before so many times the usual was not given a chance, and says nothing. */
 const TIME_ENOUGH = 1.5;
 
@@ -83,8 +76,13 @@
 const PROBES_FAILING = 1;
 const PROBES_HOPEFUL = 5;
 
-/** A target that failed a probe is left alone for this long before the next, ms. */
+/**
+ * A target that failed a probe is left alone for this long before the next, ms; and where requests wait
+ * for want of room, for this long: a target that is well again and not known to be is then missed.
+ * Always the shorter one would fail more: each probe takes a request's first try.
+ */
 const PROBE_PAUSE_MS = 1000;
+const PRESSED_PAUSE_MS = 300;
 
 /** What a probe under way takes to tell how the target is, ms, where the next one has to wait for it. */
 const PROBE_TAKES_MS = 200;
@@ -181,8 +179,10 @@
     return isTaken ? Math.max(pauseMs, PROBE_TAKES_MS) : pauseMs;
   }
 
-  admits(req: Admissible, probes: number): boolean {
-    return req.insist || !this.isSuspect || (req.isExpendable && this.probeInMs(probes) === 0);
+  admits({ insist, isExpendable, isPressed }: Admissible, probes: number): boolean {
+    const soonestMs = isPressed ? PROBE_PAUSE_MS - PRESSED_PAUSE_MS : 0;
+    const isDue = () => (this.probeInMs(probes) ?? 0) <= soonestMs;
+    return insist || !this.isSuspect || (isExpendable && isDue());
   }
 
   note(outcome: AttemptOutcome, ms: number, typicalMs: number): void {
@@ -194,7 +194,7 @@
         return;
       case AttemptOutcome.Failed:
       case AttemptOutcome.NoAnswer:
-        this.#noteFailure(since, this.#failureNats * weightOf(ms, typicalMs));
+        this.#noteFailure(since, this.#failureNats);
         return;
       case AttemptOutcome.TimedOut:
         if (ms >= typicalMs * TIME_ENOUGH) {
@@ -323,10 +323,6 @@
   }
 }
 
-function weightOf(ms: number, typicalMs: number): number {
-  return typicalMs > 0 && ms >= typicalMs * WORKED_ON_SHARE ? WORKED_ON_WEIGHT : 1;
-}
-
 function round(value: number): number {
   return Math.round(value * 1000) / 1000;
 }
--- a/src/sidecar/hop/Ask.ts
+++ b/src/sidecar/hop/Ask.ts
@@ -12,6 +12,8 @@
   readonly target: TargetId;
   /** Another try is left if this one fails: it may go to a target under suspicion, to tell how that is. */
   readonly isExpendable: boolean;
+  /** Requests wait in line for want of room where it comes from: whether a target is well is to be known soon. */
+  readonly isPressed: boolean;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Time left for the answer, ms. */
--- a/src/sidecar/routing/AdaptivePolicy.ts
+++ b/src/sidecar/routing/AdaptivePolicy.ts
@@ -39,6 +39,15 @@
  */
 const PROBE_FRESH_MS = 4000;
 
+/** Where requests wait for want of room, a target is probed after this part of the time that its gate asks for. */
+const PRESSED_SHARE = 0.3;
+
+/** Requests wait for want of room where they did so for this long on average, ms: a fifth of the users' work times. */
+const PRESSED_MS = 80;
+
+/** Weight of the newest wait in the average: about the last five count. */
+const WAIT_WEIGHT = 0.2;
+
 /** Share of its usual work that a target gets when it has just come. */
 const RAMP_START = 0.2;
 
@@ -72,6 +81,8 @@
   readonly #deps: AdaptivePolicyDeps;
   readonly #standings = new Map<TargetId, Standing>();
   readonly #baselines = new Map<string, LatencyBaseline>();
+  /** How long requests waited for a slot lately, on average, by services' names, ms. */
+  readonly #waits = new Map<string, number>();
   /** Floors of services by their names, as of the last request. */
   readonly #floors = new Map<string, number>();
   readonly #startedAt: number;
@@ -85,7 +96,7 @@
   pick(request: PickFor, tried: ReadonlySet<TargetId>): Picked | undefined {
     const { route, isExpendable } = request;
     const open = this.#open(route, tried);
-    const toProbe = isExpendable ? this.#toProbe(open) : [];
+    const toProbe = isExpendable ? this.#toProbe(open, this.isPressed(route)) : [];
     const { random } = this.#deps;
     const probed = toProbe[Math.floor(random() * toProbe.length)];
     if (probed) {
@@ -121,6 +132,15 @@
     }
   }
 
+  noteWait({ service }: RouteMatch, waitedMs: number): void {
+    const before = this.#waits.get(service.name) ?? 0;
+    this.#waits.set(service.name, before + WAIT_WEIGHT * (waitedMs - before));
+  }
+
+  isPressed({ service }: RouteMatch): boolean {
+    return (this.#waits.get(service.name) ?? 0) >= PRESSED_MS;
+  }
+
   /** A gate tells how its target is thought of, without having been asked. */
   noteNews(id: TargetId, load: GateLoad): void {
     const standing = this.#standings.get(id);
@@ -180,12 +200,14 @@
   }
 
   /** Targets that an expendable request would tell something of. */
-  #toProbe(open: readonly TargetInfo[]): TargetInfo[] {
+  #toProbe(open: readonly TargetInfo[], isPressed: boolean): TargetInfo[] {
     const now = this.#deps.clock.now();
+    const share = isPressed ? PRESSED_SHARE : 1;
     return open.filter((t) => {
       const { load, loadAt, link } = this.#standing(t);
       const age = now - loadAt;
-      return (load?.probeInMs ?? Infinity) <= age && age < PROBE_FRESH_MS && !link.isSuspect;
+      const inMs = (load?.probeInMs ?? Infinity) * share;
+      return inMs <= age && age < PROBE_FRESH_MS && !link.isSuspect;
     });
   }
 
--- a/src/sidecar/routing/GrantSeeker.ts
+++ b/src/sidecar/routing/GrantSeeker.ts
@@ -270,6 +270,7 @@
       objectiveMs: startedAt + objectiveMs - now,
       typicalMs: this.#deps.policy.typicalMs(route),
       isExpendable,
+      isPressed: this.#deps.policy.isPressed(route),
       insist: false,
     };
   }
@@ -298,6 +299,7 @@
     this.#open.delete(target.id);
     if (reply.kind === "granted") {
       const waitedMs = Math.round(this.#deps.clock.now() - open.askedAt);
+      this.#deps.policy.noteWait(this.#request.route, waitedMs);
       const { attempt } = this.#req;
       const { load } = reply;
       const asked = this.#tried.size;
--- a/src/sidecar/routing/NaivePolicy.ts
+++ b/src/sidecar/routing/NaivePolicy.ts
@@ -60,6 +60,14 @@
     // Listens to nobody.
   }
 
+  noteWait(): void {
+    // Listens to nobody.
+  }
+
+  isPressed(): boolean {
+    return false;
+  }
+
   noteNews(): void {
     // Listens to nobody.
   }
--- a/src/sidecar/routing/RoutingPolicy.ts
+++ b/src/sidecar/routing/RoutingPolicy.ts
@@ -39,6 +39,10 @@
   noteReply(target: TargetInfo, reply: AskReply, ms: number | undefined): void;
   /** The gate to a target tells how it is, without having been asked. */
   noteNews(target: TargetId, load: GateLoad): void;
+  /** A request of `route` was granted a slot, after `waitedMs`. */
+  noteWait(route: RouteMatch, waitedMs: number): void;
+  /** Whether requests of a route's service wait in line for want of room. */
+  isPressed(route: RouteMatch): boolean;
   /** The sidecar beside `target` did not answer an ask, or a run, in time. */
   noteSilence(target: TargetInfo): void;
   /** Notes a request sent to `target`; call the result once, with how it ended. */
--- a/src/sidecar/routing/policies.test.ts
+++ b/src/sidecar/routing/policies.test.ts
@@ -161,6 +161,7 @@
         objectiveMs: 300,
         typicalMs: this.policy.typicalMs(this.route),
         insist,
+        isPressed: false,
       };
       const ticket = gate.ask(ask, (reply) => replies.push(reply));
       const [reply] = replies;
