The retry budget counts the calls that repeated runs make, and tells calls from callers' own requests

A retry of a lookup makes its calls anew, and these count as extras at the service that is called; no sidecar saw them, and a share of a quarter was left for them, too little where a service is retried itself. Calls were also counted as first tries, though only callers' own requests give leave for extras.

Change: a sidecar knows which runs beside it repeat another (a mark on the hop) and learns which routes are calls (they never come while no run is under way); a call counts as extra by the share of the runs that are repeats, and not as a first try. What is left unused falls from a quarter to a tenth.

--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -33,6 +33,7 @@
 import type { HopLink } from "./hop/HopLink.ts";
 import { CallerServer } from "./ingress/CallerServer.ts";
 import { AdaptivePolicy } from "./routing/AdaptivePolicy.ts";
+import { CallTraffic } from "./routing/CallTraffic.ts";
 import { Dispatcher } from "./routing/Dispatcher.ts";
 import { NaivePolicy } from "./routing/NaivePolicy.ts";
 import type { RoutingPolicy } from "./routing/RoutingPolicy.ts";
@@ -87,6 +88,15 @@
   readonly membership: Membership;
 }
 
+/** What the dispatcher is made of. */
+interface DispatcherParts {
+  readonly policy: RoutingPolicy;
+  readonly hop: HopLink;
+  readonly table: TargetTable;
+  readonly calls: CallTraffic;
+  readonly metrics: SidecarMetrics;
+}
+
 /**
  * The sidecar beside one target VM: the root of its process's component
  * tree. Disposing it is a planned stop: callers are served on until they have been
@@ -204,7 +214,8 @@
     follower.start();
 
     const hop = this.register(new HopClient(asks));
-    const dispatcher = this.#dispatcher(policy, hop, table, metrics);
+    const calls = new CallTraffic(targets.runs);
+    const dispatcher = this.#dispatcher({ policy, hop, table, calls, metrics });
     const splits = new SplitDraw(Math.random);
     caller.server = new CallerServer({
       config: () => configOf(follower),
@@ -309,16 +320,12 @@
     return new AdaptivePolicy({ table, zone, clock: SystemClock, random: Math.random });
   }
 
-  #dispatcher(
-    policy: RoutingPolicy,
-    hop: HopLink,
-    table: TargetTable,
-    metrics: SidecarMetrics,
-  ): Dispatcher {
+  #dispatcher({ policy, hop, table, calls, metrics }: DispatcherParts): Dispatcher {
     const { callerService } = this.#cfg;
     return new Dispatcher({
       policy,
       hop,
+      calls,
       callerService,
       budget: () => this.#cfg.retryBudget,
       members: () => table.knownCount,
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -26,6 +26,7 @@
 import { TargetSender } from "./forwarding/TargetSender.ts";
 import { AskServer } from "./gate/AskServer.ts";
 import { GateServer } from "./gate/GateServer.ts";
+import { RunsHere } from "./gate/RunsHere.ts";
 import { RunTable } from "./gate/RunTable.ts";
 import { TargetGates } from "./gate/TargetGates.ts";
 import { TargetRunner } from "./gate/TargetRunner.ts";
@@ -76,6 +77,8 @@
   readonly #gates: TargetGates;
   readonly #records: RunRecords;
   readonly gateServer: GateServer;
+  /** The runs under way at the targets here. */
+  readonly runs: RunsHere;
   /** Takes what other sidecars, and this one, ask the gates here. */
   readonly askServer: AskServer;
 
@@ -111,9 +114,11 @@
       }),
     );
     const once = this.#onceRunner(sender);
+    this.runs = new RunsHere(clock);
     const runner = new TargetRunner({
       gates: this.#gates,
       runs: new RunTable(clock),
+      here: this.runs,
       target: (id) => table.localTargets().find((t) => t.id === id),
       send: (target, req) => sendUnderKey(sender, once, target, req),
       boot,
--- a/src/sidecar/forwarding/TargetSender.test.ts
+++ b/src/sidecar/forwarding/TargetSender.test.ts
@@ -32,6 +32,7 @@
   },
   deadlineAt: SystemClock.now() + 500,
   idempotent: true,
+  isRepeat: false,
   ...over,
 });
 
--- a/src/sidecar/gate/TargetGates.test.ts
+++ b/src/sidecar/gate/TargetGates.test.ts
@@ -11,6 +11,7 @@
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import type { TargetRequest } from "../forwarding/TargetRequest.ts";
 import type { AskReply } from "../hop/AskReply.ts";
+import { RunsHere } from "./RunsHere.ts";
 import { RunTable } from "./RunTable.ts";
 import { TargetGates } from "./TargetGates.ts";
 import { TargetRunner } from "./TargetRunner.ts";
@@ -39,6 +40,7 @@
   const runner = new TargetRunner({
     gates,
     runs: new RunTable(clock),
+    here: new RunsHere(clock),
     target: () => beside[0],
     send: (_target, { lost }) =>
       new Promise<ForwardResult>((resolve) => {
--- a/src/sidecar/gate/TargetRunner.test.ts
+++ b/src/sidecar/gate/TargetRunner.test.ts
@@ -9,6 +9,7 @@
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import type { TargetRequest } from "../forwarding/TargetRequest.ts";
 import { Gate } from "./Gate.ts";
+import { RunsHere } from "./RunsHere.ts";
 import { RunTable } from "./RunTable.ts";
 import { TargetRunner } from "./TargetRunner.ts";
 
@@ -34,6 +35,7 @@
   const runner = new TargetRunner({
     gates: { get: () => gate },
     runs,
+    here: new RunsHere(clock),
     target: () => target,
     send: () => {
       sends += 1;
--- a/src/sidecar/gate/TargetRunner.ts
+++ b/src/sidecar/gate/TargetRunner.ts
@@ -6,6 +6,7 @@
 import { RETRY_AFTER_MS } from "../forwarding/RETRY_AFTER_MS.ts";
 import type { TargetRequest } from "../forwarding/TargetRequest.ts";
 import type { Gate } from "./Gate.ts";
+import type { RunsHere } from "./RunsHere.ts";
 import type { RunState, RunTable } from "./RunTable.ts";
 import type { TargetGates } from "./TargetGates.ts";
 
@@ -20,6 +21,7 @@
 interface TargetRunnerDeps {
   readonly gates: Pick<TargetGates, "get">;
   readonly runs: RunTable;
+  readonly here: RunsHere;
   /** One of the targets beside this sidecar. */
   readonly target: (id: TargetId) => TargetInfo | undefined;
   /** Sends a request to the target, at most once under its idempotency key where it has one. */
@@ -72,12 +74,14 @@
     target: TargetInfo,
     req: TargetRequest,
   ): Promise<ForwardResult> {
+    const end = this.#deps.here.begin(req.isRepeat);
     let outcome = AttemptOutcome.NoAnswer;
     try {
       const out = await this.#deps.send(target, { ...req, lost: gate.life });
       outcome = out.outcome;
       return out;
     } finally {
+      end();
       gate.end(attempt, outcome);
     }
   }
--- a/src/sidecar/hop/HOP.ts
+++ b/src/sidecar/hop/HOP.ts
@@ -17,6 +17,8 @@
   caller: "x-burdockpass-caller-service",
   /** The request may run more than once. */
   idempotent: "x-burdockpass-idempotent",
+  /** The request has been sent to a target before. */
+  repeat: "x-burdockpass-repeat",
   /** The header in which targets of the service echo the id they are sent. */
   echo: "x-burdockpass-echo-header",
 
--- a/src/sidecar/hop/HopRequest.ts
+++ b/src/sidecar/hop/HopRequest.ts
@@ -17,5 +17,7 @@
   readonly remainingMs: number;
   readonly callerService: string;
   readonly idempotent: boolean;
+  /** It has been sent to a target before. */
+  readonly isRepeat: boolean;
   readonly echoHeader: string | undefined;
 }
--- a/src/sidecar/records/OnceRunner.test.ts
+++ b/src/sidecar/records/OnceRunner.test.ts
@@ -27,6 +27,7 @@
   },
   deadlineAt: performance.now() + 1000,
   idempotent: false,
+  isRepeat: false,
   ...over,
 });
 
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -4,6 +4,7 @@
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import type { HopLink } from "../hop/HopLink.ts";
+import type { CallTraffic } from "./CallTraffic.ts";
 import type { CourseRequest } from "./CourseRequest.ts";
 import { GrantSeeker, type Grant, type Sought } from "./GrantSeeker.ts";
 import { RetryBudget, type RetryBudgetRule } from "./RetryBudget.ts";
@@ -23,6 +24,8 @@
   readonly members: () => number;
   /** This sidecar has just started, and may not know all targets yet; left out, it never has. */
   readonly isStarting?: () => boolean;
+  /** Tells calls that targets make from callers' own requests; left out, all are callers' own. */
+  readonly calls?: Pick<CallTraffic, "note">;
   /** Told of each request that is sent to a further target. */
   readonly onExtraTry?: (service: string, cause: "retry" | "hedge") => void;
   readonly clock: Clock;
@@ -86,7 +89,9 @@
   /** Forwards `req` along `route`; always resolves with a verdict. */
   async dispatch(route: RouteMatch, req: CourseRequest): Promise<ForwardResult> {
     const budget = this.#budget(route);
-    budget.onFirstTry();
+    const { own, repeated } = this.#deps.calls?.note(route.name) ?? { own: 1, repeated: 0 };
+    budget.onFirstTry(own);
+    budget.noteExtra(repeated);
     const tried = new Set<TargetId>();
     const course: Course = { route, req, budget, tried, sends: 0, refusedSends: 0, voided: 0 };
     let last: ForwardResult | undefined;
@@ -216,7 +221,9 @@
     const onSilence = () => {
       policy.noteSilence(grant.target);
     };
-    const run = new RunCourse({ hop, callerService, clock, log, onSilence }, route, req, grant);
+    const isRepeat = course.sends + course.refusedSends > 1;
+    const deps = { hop, callerService, clock, log, onSilence, isRepeat };
+    const run = new RunCourse(deps, route, req, grant);
     void run.result.then((result) => {
       end(result.outcome);
       if (result.verdict.kind === "not-run") {
--- a/src/sidecar/routing/RetryBudget.test.ts
+++ b/src/sidecar/routing/RetryBudget.test.ts
@@ -67,3 +67,32 @@
   }
   t.true(extras <= 6, `${extras}`);
 });
+
+test("calls that repeated runs make take from what a sidecar may send besides", (t) => {
+  // Story: targets of one service fail half of their lookups. Each retry makes its two calls anew, at
+  // another service, which was at the end of its budget by retries of its own: 209 extra requests
+  // in ten seconds where 203 are allowed.
+  const budget = new RetryBudget(rule, new FakeClock(), () => 30);
+  for (let n = 0; n < 100; n++) {
+    budget.onFirstTry();
+  }
+  for (let n = 0; n < 40; n++) {
+    budget.noteExtra(0.5);
+  }
+  t.false(budget.hasRoom);
+});
+
+test("requests that may be calls give less leave for extras", (t) => {
+  const spend = (weight: number) => {
+    const budget = new RetryBudget(rule, new FakeClock(), () => 30);
+    for (let n = 0; n < 100; n++) {
+      budget.onFirstTry(weight);
+    }
+    let extras = 0;
+    while (budget.tryRetry()) {
+      extras += 1;
+    }
+    return extras;
+  };
+  t.true(spend(0) < spend(0.5) && spend(0.5) < spend(1));
+});
--- a/src/sidecar/routing/RetryBudget.ts
+++ b/src/sidecar/routing/RetryBudget.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../../common/lifecycle/Clock.ts";
+import { WindowSum } from "./WindowSum.ts";
 
 /** How many extra requests a service may be sent beside its callers' own, over the whole fleet. */
 export interface RetryBudgetRule {
@@ -9,8 +10,11 @@
   readonly slack: number;
 }
 
-/** Part of the allowance that is used: calls that a retried request makes anew count as well, unseen from here. */
-const USED_SHARE = 0.75;
+/**
+ * Part of the allowance that is used: that a call is made anew by a repeated run is told by chance, and
+ * sidecars do not all know the same number of members.
+ */
+const USED_SHARE = 0.9;
 
 /** Members that the slack is shared by, at least: a sidecar that was just started knows few of them. */
 const MIN_MEMBERS = 8;
@@ -27,20 +31,26 @@
   readonly #rule: RetryBudgetRule;
   readonly #clock: Clock;
   readonly #members: () => number;
-  /** When first tries and extras of the last window were made, ms. */
-  readonly #firstTries: number[] = [];
-  readonly #extras: number[] = [];
+  readonly #firstTries: WindowSum;
+  readonly #extras: WindowSum;
 
   /** `members` is how many sidecars share the slack, those counted that were lost lately. */
   constructor(rule: RetryBudgetRule, clock: Clock, members: () => number) {
     this.#rule = rule;
     this.#clock = clock;
     this.#members = members;
+    this.#firstTries = new WindowSum(rule.windowMs);
+    this.#extras = new WindowSum(rule.windowMs);
+  }
+
+  /** Records a first try; with a weight below 1 one that is a caller's own with that chance only. */
+  onFirstTry(weight = 1): void {
+    this.#firstTries.add(weight, this.#clock.now());
   }
 
-  /** Records a first try. */
-  onFirstTry(): void {
-    this.#firstTries.push(this.#clock.now());
+  /** Records what is an extra request with the chance `weight`, and was made without leave. */
+  noteExtra(weight: number): void {
+    this.#extras.add(weight, this.#clock.now());
   }
 
   /** Takes leave for an extra request; false when there is none left. */
@@ -48,23 +58,16 @@
     if (!this.hasRoom) {
       return false;
     }
-    this.#extras.push(this.#clock.now());
+    this.#extras.add(1, this.#clock.now());
     return true;
   }
 
   /** An extra request may be made now. */
   get hasRoom(): boolean {
-    this.#forgetOld(this.#firstTries);
-    this.#forgetOld(this.#extras);
+    const now = this.#clock.now();
     const { ratio, slack } = this.#rule;
     const ownSlack = slack / Math.max(MIN_MEMBERS, this.#members());
-    const allowed = USED_SHARE * (ratio * this.#firstTries.length + ownSlack);
-    return this.#extras.length + 1 <= allowed;
-  }
-
-  #forgetOld(times: number[]): void {
-    const cutoff = this.#clock.now() - this.#rule.windowMs;
-    const kept = times.findIndex((at) => at > cutoff);
-    times.splice(0, kept < 0 ? times.length : kept);
+    const allowed = USED_SHARE * (ratio * this.#firstTries.valueAt(now) + ownSlack);
+    return this.#extras.valueAt(now) + 1 <= allowed;
   }
 }
