--- a/src/cli/explain/Story.ts
+++ b/src/cli/explain/Story.ts
@@ -1,4 +1,4 @@
-import type { LogLine } from "./LogLine.ts";
+import type { LogLine } from "../logs/LogLine.ts";
 
 /** What the logs tell of one request. */
 export interface Story {
--- a/src/cli/explain/explainRequest.test.ts
+++ b/src/cli/explain/explainRequest.test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { explainRequest } from "./explainRequest.ts";
-import { parseLog } from "./parseLog.ts";
+import { parseLog } from "../logs/parseLog.ts";
 import { renderStory } from "./renderStory.ts";
 
 /** A line as a process writes it. */
--- a/src/cli/explain/explainRequest.ts
+++ b/src/cli/explain/explainRequest.ts
@@ -1,4 +1,4 @@
-import type { LogLine } from "./LogLine.ts";
+import type { LogLine } from "../logs/LogLine.ts";
 import type { Story } from "./Story.ts";
 
 /** Messages that tell of a change in what a process believes. */
--- a/src/cli/explain/renderStory.ts
+++ b/src/cli/explain/renderStory.ts
@@ -1,4 +1,4 @@
-import type { LogLine } from "./LogLine.ts";
+import type { LogLine } from "../logs/LogLine.ts";
 import type { Story } from "./Story.ts";
 
 /** Fields that every line has, or that the line's heading says already. */
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,11 +1,14 @@
 import { randomUUID } from "node:crypto";
-import { readFileSync } from "node:fs";
+import { readFileSync, writeFileSync } from "node:fs";
 import { defineCommand, runMain } from "citty";
 import type { OperatorDocument } from "../common/document/OperatorDocument.ts";
 import { parseOperatorDocument } from "../common/document/parseOperatorDocument.ts";
+import { accountRequests } from "./account/accountRequests.ts";
+import { plotAccount } from "./account/plotAccount.ts";
+import { renderAccount } from "./account/renderAccount.ts";
 import { applyAtLeader } from "./applyAtLeader.ts";
 import { explainRequest } from "./explain/explainRequest.ts";
-import { parseLog } from "./explain/parseLog.ts";
+import { parseLog } from "./logs/parseLog.ts";
 import { renderStory } from "./explain/renderStory.ts";
 
 function fail(message: string): never {
@@ -144,6 +147,30 @@
   },
 });
 
+const account = defineCommand({
+  meta: {
+    name: "account",
+    description: "Tell from the processes' logs where requests lost their credit, and why.",
+  },
+  args: {
+    log: { type: "positional", required: true, description: "Log files, one or more" },
+    plot: { type: "string", description: "Write a plot of the losses over time to this SVG file" },
+    json: { type: "boolean", default: false, description: "Print JSON, a request a line" },
+  },
+  run({ args }) {
+    const lines = args._.flatMap((file) => parseLog(readText(file)));
+    const requests = accountRequests(lines);
+    if (args.plot !== undefined) {
+      writeFileSync(args.plot, plotAccount(requests));
+    }
+    const json = () => requests.map((r) => `${JSON.stringify(r)}\n`).join("");
+    process.stdout.write(args.json ? json() : renderAccount(requests));
+    if (requests.length === 0) {
+      process.exitCode = 1;
+    }
+  },
+});
+
 const main = defineCommand({
   meta: {
     name: "burdockpass",
@@ -153,6 +180,7 @@
     config: defineCommand({ meta: { name: "config" }, subCommands: { validate, apply } }),
     status,
     explain,
+    account,
   },
 });
 
--- a/src/sidecar/ingress/CallerServer.ts
+++ b/src/sidecar/ingress/CallerServer.ts
@@ -267,7 +267,8 @@
     const { verdict } = out;
     const service = route?.service.name ?? "";
     this.#deps.metrics.observe(service, verdict.kind, ms);
-    const decided = { attempt, route: route?.name, service, configVersion: version, verdict };
+    const { name, objectiveMs } = route ?? {};
+    const decided = { attempt, route: name, service, objectiveMs, configVersion: version, verdict };
     this.#deps.log.info({ ...decided, ms: Math.round(ms) }, "request answered");
   }
 }
