A request that takes a target under suspicion says up to which chance of failure

Cause (floor incident): where sound targets have no room a request takes the least bad of those under suspicion; it told the gate so once and for all (insist), and stood in its line whatever was learned of the target meanwhile. A target that fails at once works such a line off in milliseconds: 39 and 55 sign-offs in a second at two targets known to fail 0.8 to 0.94. Class: a decision that is not weighed again when the belief that it rests on changes.

Change: the ask carries the chance of failure that it accepts (0.5, 0.75 for those that the floor keeps, any for a request with another try where no sound target is in reach); the gate weighs it when a slot comes free and whenever a run ends. A request without another try takes no target that fails three in four, also where it is alone: it is refused as not run.

--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -42,7 +42,7 @@
     remaining: number;
     objective: number;
     typical: number;
-    insist: boolean;
+    accepts_risk: number;
   };
   SlotReply: {
     boot: string;
--- a/src/sidecar/detection/Judge.ts
+++ b/src/sidecar/detection/Judge.ts
@@ -6,8 +6,8 @@
   readonly isExpendable: boolean;
   /** Requests wait in line for want of room where it comes from. */
   readonly isPressed: boolean;
-  /** There is no better target for it. */
-  readonly insist: boolean;
+  /** There is no better target for it, unless this one fails it with a higher chance than this; 0 where there is. */
+  readonly acceptsRisk: number;
 }
 
 /** What is thought of the target beside this sidecar, from how its requests end. */
--- a/src/sidecar/detection/TargetJudge.test.ts
+++ b/src/sidecar/detection/TargetJudge.test.ts
@@ -177,15 +177,15 @@
   });
 }
 
-const expendable = { isExpendable: true, isPressed: false, insist: false };
-const only = { isExpendable: false, isPressed: false, insist: false };
+const expendable = { isExpendable: true, isPressed: false, acceptsRisk: 0 };
+const only = { isExpendable: false, isPressed: false, acceptsRisk: 0 };
 
 test("judge: a suspect takes no request that has no other try, and five that have", async (t) => {
   const { clock, judge } = rig();
   await clock.advance(500);
   judge.note(Failed, 2, 0);
   t.false(judge.admits(only, 0));
-  t.true(judge.admits({ ...only, insist: true }, 0));
+  t.true(judge.admits({ ...only, acceptsRisk: 1 }, 0));
   t.deepEqual(
     [0, 4, 5].map((probes) => judge.admits(expendable, probes)),
     [true, true, false],
--- a/src/sidecar/detection/TargetJudge.ts
+++ b/src/sidecar/detection/TargetJudge.ts
@@ -70,10 +70,11 @@
 const PACE_WEIGHT = 0.16;
 
 /**
- * Expendable requests that a target is tried with at the same time: an ejected one that has failed the last,
- * and one that has answered it or is only under suspicion.
+ * Expendable requests that a target is tried with at the same time: an ejected one that has failed the last;
+ * one that has answered the last, as those do that fail three in four, too; and one that is likely to be well.
  */
 const PROBES_FAILING = 1;
+const PROBES_UNSURE = 3;
 const PROBES_HOPEFUL = 5;
 
 /**
@@ -173,16 +174,23 @@
     if (!this.isSuspect) {
       return undefined;
     }
-    const isHopeful = !this.#ejected || this.#okSince > this.#failedSince;
     const pauseMs = Math.max(0, this.#nextProbeAt - this.#deps.clock.now());
-    const isTaken = probes >= (isHopeful ? PROBES_HOPEFUL : PROBES_FAILING);
+    const isTaken = probes >= this.#mostProbes;
     return isTaken ? Math.max(pauseMs, PROBE_TAKES_MS) : pauseMs;
   }
 
-  admits({ insist, isExpendable, isPressed }: Admissible, probes: number): boolean {
+  get #mostProbes(): number {
+    const isHopeful = !this.#ejected || this.#okSince > this.#failedSince;
+    if (!isHopeful) {
+      return PROBES_FAILING;
+    }
+    return this.#gray.value < READMITTED_BELOW ? PROBES_HOPEFUL : PROBES_UNSURE;
+  }
+
+  admits({ acceptsRisk, isExpendable, isPressed }: Admissible, probes: number): boolean {
     const soonestMs = isPressed ? PROBE_PAUSE_MS - PRESSED_PAUSE_MS : 0;
     const isDue = () => (this.probeInMs(probes) ?? 0) <= soonestMs;
-    return insist || !this.isSuspect || (isExpendable && isDue());
+    return this.risk <= acceptsRisk || !this.isSuspect || (isExpendable && isDue());
   }
 
   note(outcome: AttemptOutcome, ms: number, typicalMs: number): void {
--- a/src/sidecar/gate/Gate.test.ts
+++ b/src/sidecar/gate/Gate.test.ts
@@ -1,19 +1,23 @@
 import test from "ava";
+import bunyan from "bunyan";
 import { FakeClock } from "../../../test/fixtures/FakeClock.ts";
 import { makeAsk } from "../../../test/fixtures/makeAsk.ts";
+import { Service } from "../../common/document/Service.ts";
 import { AttemptId } from "../../common/ids/AttemptId.ts";
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
+import { TargetJudge } from "../detection/TargetJudge.ts";
 import { TrustingJudge } from "../detection/TrustingJudge.ts";
 import type { Judge } from "../detection/Judge.ts";
 import type { AskReply } from "../hop/AskReply.ts";
 import { Gate } from "./Gate.ts";
 
+const log = bunyan.createLogger({ name: "test", level: "fatal" });
+
 /** How long a grant is good for, ms; as the gate has it. */
 const GRANT_MS = 250;
 
 /** A gate to a target with `slots`, whose replies are noted by attempt. */
-function rig(slots = 2, judge: Judge = TrustingJudge) {
-  const clock = new FakeClock();
+function rig(slots = 2, judge: Judge = TrustingJudge, clock = new FakeClock()) {
   const target = { slots, takesWork: true, here: true };
   const gate = new Gate({
     target: () => (target.here ? target : undefined),
@@ -135,6 +139,26 @@
   t.is(said("c"), "suspect");
 });
 
+test("gate: a request that took a target for the least bad leaves its line once it is known to be worse", async (t) => {
+  // Story: a target has failed one request, and sound ones have no room: a booking that accepts a chance of failure of a
+  // half joins its line. It fails the next one too, and each slot that it frees so would go to those in line: 39 and 55
+  // bookings in a second were failed in a row by two targets of which that was known.
+  const rule = Service.parse({ name: "svc" }).detection;
+  const clock = new FakeClock();
+  const judge = new TargetJudge({ rule: () => rule, clock, log });
+  const { gate, ask, said } = rig(1, judge, clock);
+  await clock.advance(500);
+  judge.note(AttemptOutcome.Failed, 1, 0);
+  ask("a", { acceptsRisk: 0.8, isExpendable: false });
+  ask("b", { acceptsRisk: 0.8, isExpendable: false });
+  ask("any", { acceptsRisk: 1, isExpendable: false });
+  t.deepEqual(["a", "b", "any"].map(said), ["granted", "waits", "waits"]);
+  gate.take(AttemptId("a"));
+  gate.end(AttemptId("a"), AttemptOutcome.Failed);
+  t.is(said("b"), "suspect");
+  t.is(said("any"), "granted");
+});
+
 test("gate: a target that is gone has no slots", (t) => {
   const { target, ask, said } = rig(1);
   target.here = false;
--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -338,7 +338,7 @@
       this.revoke(ask.attempt);
     });
     const since = clock.now();
-    const isProbe = judge.isSuspect && !ask.insist;
+    const isProbe = judge.isSuspect && judge.risk > ask.acceptsRisk;
     const held = { ask, state: "granted", since, timer, isOverdue: false, isProbe } as const;
     this.#held.set(ask.attempt, held);
     reply({ kind: "granted", boot, load: this.load });
--- a/src/sidecar/hop/Ask.ts
+++ b/src/sidecar/hop/Ask.ts
@@ -22,6 +22,6 @@
   readonly objectiveMs: number;
   /** What requests of its kind usually take at the service's targets, ms; 0 when not known. */
   readonly typicalMs: number;
-  /** There is no better target: grant it also while this one is under suspicion. */
-  readonly insist: boolean;
+  /** There is no better target: grant it also while this one is under suspicion, unless it fails with a higher chance than this. */
+  readonly acceptsRisk: number;
 }
--- a/src/sidecar/hop/gateWire.ts
+++ b/src/sidecar/hop/gateWire.ts
@@ -34,7 +34,7 @@
       remaining: Math.max(1, Math.round(ask.remainingMs)),
       objective: Math.round(ask.objectiveMs),
       typical: Math.round(ask.typicalMs),
-      insist: ask.insist,
+      accepts_risk: Math.round(ask.acceptsRisk * 1000),
     },
   }),
 
@@ -70,7 +70,7 @@
           remainingMs: ask.remaining,
           objectiveMs: ask.objective,
           typicalMs: ask.typical,
-          insist: ask.insist,
+          acceptsRisk: Math.min(1, ask.accepts_risk / 1000),
         }
       : undefined,
 
--- a/src/sidecar/routing/GrantSeeker.test.ts
+++ b/src/sidecar/routing/GrantSeeker.test.ts
@@ -91,7 +91,7 @@
   await clock.advance(0);
   t.is(asked(), "aba");
   t.deepEqual(
-    hop.asks.map((a) => a.ask.insist),
+    hop.asks.map((a) => a.ask.acceptsRisk > 0),
     [false, false, true],
   );
   hop.asks[2]?.call.answer(granted);
@@ -144,7 +144,7 @@
     t.is(asked(), askedAfterMs > 0 ? "a" : "agray");
     await clock.advance(1);
     t.is(asked(), "agray");
-    t.true(hop.asks[1]?.ask.insist);
+    t.is(hop.asks[1]?.ask.acceptsRisk, isKept ? 0.75 : 0.5);
   });
 }
 
--- a/src/sidecar/routing/GrantSeeker.ts
+++ b/src/sidecar/routing/GrantSeeker.ts
@@ -84,6 +84,12 @@
  */
 const KEPT_RISK = 0.75;
 
+/**
+ * Where no sound target is in reach, a request with another try takes any. One without is told that it has not
+ * run, rather than be failed by a target that fails three in four: its caller may come back, and knows where it stands.
+ */
+const ANY_RISK = 1;
+
 /**
  * Share of the objective for which a request in line at sound targets leaves alone a gray one
  * that is not as bad: the line may still move within the objective.
@@ -95,8 +101,8 @@
   readonly target: TargetInfo;
   readonly pending: Pending<AskReply>;
   readonly askedAt: number;
-  /** The ask said that there is no better target. */
-  readonly insisted: boolean;
+  /** The chance of failure up to which it was asked though it is under suspicion. */
+  readonly acceptsRisk: number;
   /** It was heard of: it waits in the queue there. */
   queued: boolean;
   /** Nothing has been heard of it for long. */
@@ -166,11 +172,11 @@
       return;
     }
     const next = this.#underWay < MAX_ASKS && this.#full < MAX_FULL ? this.#next() : undefined;
-    const suspected = next ? undefined : this.#leastBad();
+    const leastBad = next ? undefined : this.#leastBad();
     if (next) {
       this.#ask(next);
-    } else if (suspected) {
-      this.#ask(suspected, { insist: true });
+    } else if (leastBad) {
+      this.#ask(leastBad, { acceptsRisk: leastBad.acceptsRisk });
     } else if (this.#open.size === 0) {
       this.#askAsProbe();
     }
@@ -184,7 +190,7 @@
    * The least bad of those under suspicion, where that is better than to wait, or to be refused: at
    * once where there is no sound target or none has room, and after a while in line.
    */
-  #leastBad(): Suspected | undefined {
+  #leastBad(): (Suspected & { acceptsRisk: number }) | undefined {
     const isAlone = !this.#isInLine && this.#full === 0;
     if (this.#underWay >= (isAlone ? MAX_ASKS : MAX_ASKS + 1)) {
       return undefined;
@@ -195,11 +201,22 @@
     }
     const known = this.#deps.policy.suspected(this.#request, this.#tried);
     const [best] = [...known, ...this.#suspects].sort((a, b) => a.risk - b.risk);
-    if (!best || !(isAlone || best.risk < (best.isKept ? KEPT_RISK : LEAST_BAD_RISK))) {
+    if (!best) {
+      return undefined;
+    }
+    const acceptsRisk = this.#acceptedRisk(best, isAlone);
+    if (best.risk > acceptsRisk) {
       return undefined;
     }
     this.#suspects = this.#suspects.filter((s) => s !== best);
-    return best;
+    return { ...best, acceptsRisk };
+  }
+
+  #acceptedRisk({ isKept }: Suspected, isAlone: boolean): number {
+    if (isAlone) {
+      return this.#request.isExpendable ? ANY_RISK : KEPT_RISK;
+    }
+    return isKept ? KEPT_RISK : LEAST_BAD_RISK;
   }
 
   /**
@@ -239,8 +256,15 @@
     const pending = this.#deps.ask(target.askAddress, words, () => {
       this.#onQueued(target);
     });
-    const { insist: insisted } = words;
-    this.#open.set(target.id, { target, pending, askedAt, insisted, queued: false, dead: false });
+    const { acceptsRisk } = words;
+    this.#open.set(target.id, {
+      target,
+      pending,
+      askedAt,
+      acceptsRisk,
+      queued: false,
+      dead: false,
+    });
     void pending.answer.then((reply) => {
       this.#onReply(target, reply);
     });
@@ -280,7 +304,7 @@
       typicalMs: this.#deps.policy.typicalMs(route),
       isExpendable,
       isPressed: this.#deps.policy.isPressed(route),
-      insist: false,
+      acceptsRisk: 0,
     };
   }
 
@@ -311,8 +335,8 @@
       this.#deps.policy.noteWait(this.#request.route, waitedMs);
       const { attempt } = this.#req;
       const { load } = reply;
-      const { insisted } = open;
-      const how = { asked: this.#tried.size, insisted, waitedMs };
+      const { acceptsRisk } = open;
+      const how = { asked: this.#tried.size, acceptsRisk, waitedMs };
       this.#deps.log.info({ attempt, target: target.id, ...how, load }, "slot granted");
       this.#end({ kind: "granted", grant: { target, boot: reply.boot } });
       return;
--- a/src/sidecar/routing/policies.test.ts
+++ b/src/sidecar/routing/policies.test.ts
@@ -149,7 +149,7 @@
         return;
       }
       const { target } = picked;
-      const insist = sound === undefined;
+      const acceptsRisk = sound === undefined ? 1 : 0;
       tried.add(target.id);
       const replies: AskReply[] = [];
       const ask = {
@@ -160,7 +160,7 @@
         remainingMs: 1000,
         objectiveMs: 300,
         typicalMs: this.policy.typicalMs(this.route),
-        insist,
+        acceptsRisk,
         isPressed: false,
       };
       const ticket = gate.ask(ask, (reply) => replies.push(reply));
