A stopping sidecar's target works on for as long as what it is given will be over in time

Cause (floor incident): a sidecar that is told to stop shut the way to its target with the signal, and told the other members that it is gone, but lived on for 4.5 to 5.7 s for the sake of its callers. In a rolling stop of 42 of 87 sidecars within 5 s, ten of the twelve booking targets that got nothing stood beside such a sidecar, sound and ready. Class: a shutdown that closes first what is needed longest.

Change: drainSidecar closes gates last. Gate.closeBy grants what will be over before the end (5.5 times its kind's usual time, 3 times for what can be sent elsewhere, or its deadline), and what stands in line is weighed again as the end comes nearer; origins are told in how long it ends and leave it alone for longer work. Members that are being stopped stay known, but keep no new records; they leave in the last 200 ms.

Ruled out: ending the process sooner (callers' requests keep it, and must not be cut).

--- a/experiment/SimSidecar.ts
+++ b/experiment/SimSidecar.ts
@@ -121,6 +121,7 @@
       incarnation: life,
       gone: isGone,
       control: false,
+      stopping: false,
       targets: isGone ? [] : [target],
     };
   }
--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -61,6 +61,7 @@
     suspect: boolean;
     ejected: boolean;
     probe_in: number;
+    ends_in: number;
   };
   Target: {
     target_id: string;
@@ -81,6 +82,7 @@
     gone: boolean;
     hop_address: string;
     control: boolean;
+    stopping: boolean;
   };
   News: {
     sender: string;
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -106,7 +106,13 @@
     }
   }
 
-  /** Tells the others that this member is going, before it stops. */
+  /** Tells the others that this member is being stopped. */
+  beginStop(): void {
+    this.#deps.table.beginStop();
+    this.#pass([this.#deps.table.own]);
+  }
+
+  /** Tells the others that this member is gone, before it ends. */
   async leave(): Promise<void> {
     this.#deps.table.leave();
     this.#pass([this.#deps.table.own]);
--- a/src/membership/TargetTable.test.ts
+++ b/src/membership/TargetTable.test.ts
@@ -31,6 +31,7 @@
   gone: false,
   hop_address: `127.0.0.2:${id.length}`,
   control: false,
+  stopping: false,
 });
 
 const setup = () => {
--- a/src/membership/TargetTable.ts
+++ b/src/membership/TargetTable.ts
@@ -89,6 +89,7 @@
       gone: false,
       hop_address: self.hopAddress ?? "",
       control: self.hopAddress === undefined,
+      stopping: false,
     };
     this.#checksum = digestOf(this.#self);
   }
@@ -155,7 +156,12 @@
     return true;
   }
 
-  /** Declares this member gone, before it stops; it announces nothing from here on. */
+  /** Declares that this member is being stopped; its targets take work until it leaves. */
+  beginStop(): void {
+    this.#reviseOwn({ stopping: true, revision: this.#self.revision + 1 });
+  }
+
+  /** Declares this member gone, before it ends; it announces nothing from here on. */
   leave(): void {
     this.#leaving = true;
     this.#local.clear();
@@ -217,11 +223,13 @@
       .map((m) => m.peer_address);
   }
 
-  /** Sidecars that keep records of non-idempotent requests, this one included. */
+  /** Sidecars that keep records of non-idempotent requests, this one included; not those that are being stopped. */
   recordPool(): RecordMember[] {
     const cutoff = this.#now() - RECORD_MEMBER_TIMEOUT_MS;
     const heard = [...this.#remote.values()].filter((k) => !k.member.gone || k.aliveAt >= cutoff);
-    const sidecars = [this.#self, ...heard.map((k) => k.member)].filter((m) => !m.control);
+    const sidecars = [this.#self, ...heard.map((k) => k.member)].filter(
+      (m) => !m.control && !m.stopping,
+    );
     return sidecars.map((m) => ({
       id: m.sidecar_id,
       zone: m.zone,
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -232,6 +232,7 @@
       announcements: targets,
       beginStop: () => {
         server.beginStop();
+        membership.beginStop();
       },
       closeCallers: () => Promise.resolve(callerPort.dispose()),
       refuseWaiting: () => {
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -166,7 +166,12 @@
     return new RecordService(this.#records, this.#deps.clock).handlers();
   }
 
-  /** Takes no more asks: this sidecar is being stopped. */
+  /** This sidecar is being stopped, and ends at `endAt` by its clock, ms: what can be over by then is run. */
+  closeBy(endAt: number): void {
+    this.#gates.closeBy(endAt);
+  }
+
+  /** Takes no more asks. */
   close(): void {
     this.#gates.close();
   }
--- a/src/sidecar/drainSidecar.ts
+++ b/src/sidecar/drainSidecar.ts
@@ -7,20 +7,23 @@
  */
 const LINE_ENDS_MS = 800;
 
+/** The last part of a stop, for telling the other members, ms: they look for other targets then, as this one is silent. */
+const LEAVE_MS = 200;
+
 /** How often a stop looks whether the last run has ended, ms. */
 const IDLE_CHECK_MS = 50;
 
 /** The parts of a sidecar that its stop goes through. */
 export interface DrainedParts {
-  /** From here on, answers to callers end their connections. */
+  /** From here on, answers to callers end their connections, and other members know of the stop. */
   readonly beginStop: () => void;
   /** Takes no new connections from callers; resolves once the requests of all have been answered. */
   readonly closeCallers: () => Promise<void>;
   /** Refuses the callers' requests that have no slot yet. */
   readonly refuseWaiting: () => void;
   /** The gates to the targets beside this sidecar. */
-  readonly gates: { close(): void; readonly isBusy: boolean };
-  /** Tells the other members that this one is going. */
+  readonly gates: { closeBy(endAt: number): void; close(): void; readonly isBusy: boolean };
+  /** Tells the other members that this one is gone. */
   readonly leave: () => Promise<void>;
 }
 
@@ -32,7 +35,10 @@
   readonly endsInMs: number;
 }
 
-/** A planned stop of a sidecar, up to the point at which nothing is left that anyone waits for. */
+/**
+ * A planned stop of a sidecar, up to the point at which nothing is left that anyone waits for. What is needed
+ * longest is closed last: the process lives on for its callers, and so long its target works on too.
+ */
 export async function drainSidecar(
   parts: DrainedParts,
   { callersMs, endsInMs }: StopTimes,
@@ -41,17 +47,18 @@
 ): Promise<void> {
   const sleep = (ms: number) =>
     new Promise<void>((resolve) => clock.after(Math.max(0, ms), resolve));
-  const endAt = clock.now() + endsInMs;
-  parts.gates.close();
+  const endAt = clock.now() + endsInMs - LEAVE_MS;
   parts.beginStop();
-  await parts.leave();
+  parts.gates.closeBy(endAt);
   await sleep(callersMs);
   log.info({ busy: parts.gates.isBusy, leftMs: endAt - clock.now() }, "callers have moved on");
   const lineEnds = clock.after(endAt - LINE_ENDS_MS - clock.now(), parts.refuseWaiting);
   await Promise.race([parts.closeCallers(), sleep(endAt - clock.now())]);
+  lineEnds.cancel();
+  parts.gates.close();
   while (parts.gates.isBusy && clock.now() < endAt) {
     await sleep(IDLE_CHECK_MS);
   }
-  lineEnds.cancel();
-  log.info({ busy: parts.gates.isBusy }, "drained");
+  await Promise.race([parts.leave(), sleep(LEAVE_MS)]);
+  log.info({ busy: parts.gates.isBusy, leftMs: endAt - clock.now() }, "drained");
 }
--- a/src/sidecar/gate/Gate.test.ts
+++ b/src/sidecar/gate/Gate.test.ts
@@ -104,6 +104,51 @@
   t.is(waiting.filter((s) => s === "full").length, 12);
 });
 
+/** How much time is left when an ask comes, and what its kind usually takes, ms. */
+const lastAsks: readonly {
+  what: string;
+  leftMs: number;
+  typicalMs: number;
+  isExpendable: boolean;
+  remainingMs?: number;
+  said: string;
+}[] = [
+  { what: "fits", leftMs: 3000, typicalMs: 500, isExpendable: false, said: "granted" },
+  { what: "may not be over", leftMs: 2000, typicalMs: 500, isExpendable: false, said: "leaving" },
+  { what: "may be cut", leftMs: 2000, typicalMs: 500, isExpendable: true, said: "granted" },
+  { what: "will be cut", leftMs: 1000, typicalMs: 500, isExpendable: true, said: "leaving" },
+  {
+    what: "is over by its deadline",
+    leftMs: 1000,
+    typicalMs: 500,
+    isExpendable: false,
+    remainingMs: 900,
+    said: "granted",
+  },
+];
+
+for (const { what, leftMs, said: expected, ...ask } of lastAsks) {
+  test(`gate: while its sidecar is being stopped, work that ${what} is ${expected}`, async (t) => {
+    const { clock, gate, ask: put, said } = rig(1);
+    gate.closeBy(4000);
+    await clock.advance(4000 - leftMs);
+    put("a", { remainingMs: 10_000, ...ask });
+    t.is(said("a"), expected);
+    t.is(gate.load.endsInMs, leftMs);
+  });
+}
+
+test("gate: what waits goes elsewhere as soon as it cannot be over before its sidecar ends", async (t) => {
+  const { clock, gate, ask, run, said } = rig(1);
+  gate.closeBy(4000);
+  ask("a", { remainingMs: 10_000, typicalMs: 400 });
+  run("a", 3900);
+  ask("b", { remainingMs: 10_000, typicalMs: 400, isExpendable: false });
+  t.is(said("b"), "waits");
+  await clock.advance(1900);
+  t.is(said("b"), "leaving");
+});
+
 test("gate: a target that leaves gives no more slots, and what waits is told at once", (t) => {
   const { target, gate, ask, run, said } = rig(1);
   ask("a");
--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -10,6 +10,7 @@
 import { AskQueue } from "./AskQueue.ts";
 import { isLate } from "./isLate.ts";
 import { LineForecast } from "./LineForecast.ts";
+import { runRoomMs } from "./runRoomMs.ts";
 import type { WaitingAsk } from "./WaitingAsk.ts";
 
 /** The target, as far as the gate needs to know it. */
@@ -51,6 +52,9 @@
 /** What waits is weighed again at most this often, ms: a line of 40 takes 0.1 ms of a processor. */
 const WEIGH_GAP_MS = 50;
 
+/** How often a gate that is being closed weighs what waits, ms. */
+const CLOSING_CHECK_MS = 100;
+
 /**
  * A run that takes this many times its usual time is evidence against the target
  * while it lasts: one that hangs would otherwise be noticed at its deadline only.
@@ -101,6 +105,8 @@
   #weighedAt = -Infinity;
   #serviceMs = FIRST_SERVICE_MS;
   #closed = false;
+  /** When the sidecar ends, by the gate's clock, ms; runs are to be over by then. */
+  #endAt = Infinity;
 
   constructor(deps: GateDeps) {
     this.#deps = deps;
@@ -120,6 +126,7 @@
       suspect: judge.isSuspect,
       ejected: judge.isEjected,
       probeInMs: judge.probeInMs(this.#probes),
+      endsInMs: this.#endAt < Infinity ? this.#endAt - this.#deps.clock.now() : undefined,
     };
   }
 
@@ -163,8 +170,7 @@
     }
     granted.timer.cancel();
     const { ask, isProbe } = granted;
-    const usualMs = ask.typicalMs > 0 ? ask.typicalMs : this.#serviceMs;
-    const timer = clock.after(usualMs * OVERDUE_FACTOR, () => {
+    const timer = clock.after(this.#usualMs(ask) * OVERDUE_FACTOR, () => {
       if (this.#deps.waitsForCall?.(since)) {
         return; // The time is that of the target which was called.
       }
@@ -255,7 +261,31 @@
     }
   }
 
-  /** Takes no more asks: this sidecar is being stopped. Runs under way go on. */
+  /**
+   * This sidecar is being stopped, and ends at `endAt` by its clock, ms: asks are granted for as long as
+   * their runs will be over by then. A stopping sidecar lives on for seconds for the sake of its callers; shut from the
+   * signal on, the targets beside a third of a fleet of 87 stood idle in a rolling stop while a seventh of the bookings
+   * was not served. Model, three seeds, sound targets in use while too little is served: 0.62 to 0.67 before; 0.92 in
+   * one and, in the others, no time left in which more than a tenth is not served.
+   */
+  closeBy(endAt: number): void {
+    this.#endAt = endAt;
+    this.targetChanged();
+    this.#deps.onJudged?.(this.load);
+    this.#weighUntilClosed();
+  }
+
+  /** What waits is weighed again as the end comes nearer, also while no run ends. */
+  #weighUntilClosed(): void {
+    if (!this.#closed && this.#deps.clock.now() < this.#endAt) {
+      this.#weighLine();
+      this.#deps.clock.after(CLOSING_CHECK_MS, () => {
+        this.#weighUntilClosed();
+      });
+    }
+  }
+
+  /** Takes no more asks. Runs under way go on. */
   close(): void {
     this.#closed = true;
     this.targetChanged();
@@ -293,17 +323,29 @@
     if (!target) {
       return RefusalReason.NoTarget;
     }
-    if (this.#closed || !target.takesWork) {
+    const now = this.#deps.clock.now();
+    const remainingMs = ask.remainingMs - (now - askedAt);
+    const waitMs = this.#waitMs(waiting);
+    const endsTooSoon = now + waitMs + this.#roomMs({ ...ask, remainingMs }) > this.#endAt;
+    if (this.#closed || !target.takesWork || endsTooSoon) {
       return RefusalReason.Leaving;
     }
     if (!this.#deps.judge.admits(ask, this.#probes)) {
       return RefusalReason.Suspect;
     }
-    const waitMs = this.#waitMs(waiting);
-    const remainingMs = ask.remainingMs - (this.#deps.clock.now() - askedAt);
     return waitMs > 0 && waitMs + this.#serviceMs > remainingMs ? RefusalReason.Full : undefined;
   }
 
+  /** Time that a run of the request should be given before this sidecar ends, ms; by its deadline it is over. */
+  #roomMs(ask: Ask): number {
+    return Math.min(ask.remainingMs, runRoomMs(this.#usualMs(ask), ask.isExpendable));
+  }
+
+  /** What a request usually takes, ms. */
+  #usualMs({ typicalMs }: Ask): number {
+    return typicalMs > 0 ? typicalMs : this.#serviceMs;
+  }
+
   /** A slot is free, and nobody waits for it. */
   get #isIdle(): boolean {
     return this.#freeSlots > 0 && this.#queue.length === 0;
@@ -371,11 +413,11 @@
       if (!reply || left.remainingMs <= 0) {
         continue; // Whoever asked has given up by its own clock.
       }
-      const refusal = this.#deps.judge.admits(left, this.#probes)
-        ? undefined
-        : RefusalReason.Suspect;
-      if (refusal) {
-        reply(this.#refuse(refusal, next));
+      const endsTooSoon = clock.now() + this.#roomMs(left) > this.#endAt;
+      if (endsTooSoon) {
+        reply(this.#refuse(RefusalReason.Leaving, next));
+      } else if (!this.#deps.judge.admits(left, this.#probes)) {
+        reply(this.#refuse(RefusalReason.Suspect, next));
       } else {
         this.#forecast.noteGrant(isLate(next, clock.now(), this.#serviceMs));
         this.#grant(left, reply);
--- a/src/sidecar/gate/TargetGates.ts
+++ b/src/sidecar/gate/TargetGates.ts
@@ -34,6 +34,7 @@
   readonly #deps: TargetGatesDeps;
   readonly #gates = new Map<TargetId, Opened>();
   #closed = false;
+  #endAt: number | undefined;
 
   constructor(deps: TargetGatesDeps) {
     this.#deps = deps;
@@ -63,7 +64,17 @@
     }
   }
 
-  /** Takes no more asks: this sidecar is being stopped. Runs under way go on. */
+  /** This sidecar is being stopped, and ends at `endAt`, ms: see {@link Gate.closeBy}. */
+  closeBy(endAt: number): void {
+    this.#endAt = endAt;
+    for (const [target, { gate }] of this.#gates) {
+      const { busy, queued, serviceMs } = gate.load;
+      this.#deps.log.info({ target, busy, queued, serviceMs }, "gate closing");
+      gate.closeBy(endAt);
+    }
+  }
+
+  /** Takes no more asks. Runs under way go on. */
   close(): void {
     this.#closed = true;
     for (const [target, { gate }] of this.#gates) {
@@ -111,6 +122,9 @@
       clock,
       boot,
     });
+    if (this.#endAt !== undefined) {
+      gate.closeBy(this.#endAt);
+    }
     if (this.#closed) {
       gate.close();
     }
--- a/src/sidecar/hop/GateLoad.ts
+++ b/src/sidecar/hop/GateLoad.ts
@@ -18,4 +18,6 @@
   readonly ejected: boolean;
   /** In how long a request that has another try left would tell whether it is well, ms; left out where that is known. */
   readonly probeInMs?: number;
+  /** In how long the sidecar beside it ends, ms; left out where that is not being stopped. */
+  readonly endsInMs?: number;
 }
--- a/src/sidecar/hop/gateWire.ts
+++ b/src/sidecar/hop/gateWire.ts
@@ -93,7 +93,7 @@
 };
 
 function encodeLoad(load: GateLoad): ProtoTypes["GateLoad"] {
-  const { slots, busy, queued, suspect, ejected, probeInMs } = load;
+  const { slots, busy, queued, suspect, ejected } = load;
   return {
     slots,
     busy,
@@ -103,7 +103,8 @@
     risk: Math.round(load.risk * 1000),
     suspect,
     ejected,
-    probe_in: probeInMs === undefined ? 0 : Math.round(probeInMs) + 1,
+    probe_in: encodeWait(load.probeInMs),
+    ends_in: encodeWait(load.endsInMs),
   };
 }
 
@@ -118,6 +119,16 @@
     risk: Math.min(1, wire.risk / 1000),
     suspect,
     ejected,
-    probeInMs: wire.probe_in > 0 ? wire.probe_in - 1 : undefined,
+    probeInMs: decodeWait(wire.probe_in),
+    endsInMs: decodeWait(wire.ends_in),
   };
 }
+
+/** A time from now on, ms, that need not be there: one more than it is, and 0 for none. */
+function encodeWait(ms: number | undefined): number {
+  return ms === undefined ? 0 : Math.max(0, Math.round(ms)) + 1;
+}
+
+function decodeWait(wire: number): number | undefined {
+  return wire > 0 ? wire - 1 : undefined;
+}
--- a/src/sidecar/routing/AdaptivePolicy.ts
+++ b/src/sidecar/routing/AdaptivePolicy.ts
@@ -9,6 +9,7 @@
 import { LatencyBaseline } from "../detection/LatencyBaseline.ts";
 import type { AskReply } from "../hop/AskReply.ts";
 import type { GateLoad } from "../hop/GateLoad.ts";
+import { runRoomMs } from "../gate/runRoomMs.ts";
 import { chooseRotation } from "./chooseRotation.ts";
 import { LinkHealth } from "./LinkHealth.ts";
 import { pickByCost } from "./pickByCost.ts";
@@ -95,7 +96,7 @@
 
   pick(request: PickFor, tried: ReadonlySet<TargetId>): Picked | undefined {
     const { route, isExpendable } = request;
-    const open = this.#open(route, tried);
+    const open = this.#open(request, tried);
     const toProbe = isExpendable ? this.#toProbe(open, this.isPressed(route)) : [];
     const { random } = this.#deps;
     const probed = toProbe[Math.floor(random() * toProbe.length)];
@@ -111,9 +112,10 @@
     return target && { target };
   }
 
-  suspected({ route, isExpendable }: PickFor, tried: ReadonlySet<TargetId>): Suspected[] {
+  suspected(request: PickFor, tried: ReadonlySet<TargetId>): Suspected[] {
+    const { route, isExpendable } = request;
     const rotation = this.#rotation(this.#targetsOf(route), route.service.floor);
-    return this.#open(route, tried)
+    return this.#open(request, tried)
       .filter((t) => this.#isSuspected(t, isExpendable) && !this.#standing(t).link.isSuspect)
       .map((target) => ({
         target,
@@ -188,9 +190,19 @@
   }
 
   /** Targets of a route's service that take work and have not had their chance. */
-  #open(route: RouteMatch, tried: ReadonlySet<TargetId>): TargetInfo[] {
+  #open(request: PickFor, tried: ReadonlySet<TargetId>): TargetInfo[] {
+    const { route } = request;
     this.#floors.set(route.service.name, route.service.floor);
-    return this.#targetsOf(route).filter((t) => t.state === TargetState.Ready && !tried.has(t.id));
+    return this.#targetsOf(route).filter(
+      (t) => t.state === TargetState.Ready && !tried.has(t.id) && !this.#endsTooSoon(request, t),
+    );
+  }
+
+  /** The sidecar beside the target is being stopped, and ends before the request would; one that has ended may be back. */
+  #endsTooSoon({ route, isExpendable }: PickFor, target: TargetInfo): boolean {
+    const { load, loadAt } = this.#standing(target);
+    const leftMs = (load?.endsInMs ?? Infinity) - (this.#deps.clock.now() - loadAt);
+    return leftMs > 0 && leftMs < runRoomMs(this.typicalMs(route), isExpendable);
   }
 
   /** Known to be gray; or only under suspicion, for a request that has no other try. */
--- a/src/sidecar/routing/policies.test.ts
+++ b/src/sidecar/routing/policies.test.ts
@@ -355,6 +355,7 @@
       incarnation: 1,
       gone: false,
       control: false,
+      stopping: false,
       targets: ["f0", "f1", "f2"].map((id) => ({
         target_id: id,
         service: "svc",
@@ -415,3 +416,21 @@
     t.truthy(elsewhere);
   });
 }
+
+const stops: readonly { name: string; afterMs: number; isPicked: boolean }[] = [
+  { name: "has time for the request is picked", afterMs: 0, isPicked: true },
+  { name: "ends before the request would is left alone", afterMs: 1400, isPicked: false },
+  { name: "has ended, and is known again, is picked", afterMs: 3100, isPicked: true },
+];
+
+for (const { name, afterMs, isPicked } of stops) {
+  test(`a target whose sidecar is being stopped and ${name}`, async (t) => {
+    const { clock, policy, route, table } = zonesRig({ endsInMs: 3000 });
+    await clock.advance(afterMs);
+    const others = new Set(table.allTargets().map((x) => x.id));
+    others.delete(TargetId("near"));
+    // Usually takes a third of its objective, of which 5.5 times are to be left.
+    const request = { route: { ...route, objectiveMs: 900 }, isExpendable: false };
+    t.is(policy.pick(request, others)?.target.id === "near", isPicked);
+  });
+}
