A request that is sent again takes leave for the calls that it will make again

Class: a cost charged after the fact, to one who cannot bear it.

Change: the sidecar beside a target tells with each answer how many calls a run makes there, by service; whoever sends a request again takes from the budgets of all of them beforehand, and sends it only where all have room. What repeats another is no longer marked on the hop.

Replaced as wrong: that an unknown route gives half the leave (it gives none: stricter), that calls are noted afterwards (they are taken leave for beforehand: stricter).

--- a/experiment/Arrivals.ts
+++ b/experiment/Arrivals.ts
@@ -3,6 +3,7 @@
   readonly at: number;
   readonly service: string;
   readonly target: string;
+  readonly idempotent: boolean;
   /** The chance that the target fails it, as its sidecar knew it then. */
   readonly risk: number;
   /** The same request has reached a target before, or it is a call made by a run that repeats another. */
@@ -58,9 +59,12 @@
     return new Set(within.map((a) => a.target));
   }
 
-  /** Requests that reach one target in a second, at most, while its sidecar knows a chance to fail of `risk` and more. */
+  /**
+   * Requests without another try that reach one target in a second, at most, while its sidecar knows a chance to
+   * fail of `risk` and more. Those with one may: they tell whether it is well, and go there when no other is in reach.
+   */
   mostAtRisk(risk: number): { target: string; fromMs: number; count: number } {
-    const risky = this.#arrivals.filter((a) => a.risk >= risk);
+    const risky = this.#arrivals.filter((a) => !a.idempotent && a.risk >= risk);
     const bursts = risky.map(({ target, at }) => ({
       target,
       fromMs: at,
--- a/experiment/SimFleet.ts
+++ b/experiment/SimFleet.ts
@@ -61,7 +61,8 @@
   readonly #arrivals = new Arrivals();
   readonly #ejected = new Set<string>();
   readonly #ejections: Ejection[] = [];
-  #lives = 0;
+  /** Lives of each VM's sidecar so far. */
+  readonly #lives = new Map<string, number>();
   #attempts = 0;
   #asks = 0;
   readonly tally = new Tally();
@@ -132,9 +133,11 @@
   }
 
   #open(vm: SimVm): SimSidecar {
+    const life = (this.#lives.get(vm.name) ?? 0) + 1;
+    this.#lives.set(vm.name, life);
     const sidecar: SimSidecar = new SimSidecar({
       vm,
-      life: ++this.#lives,
+      life,
       zoneMs: this.#scenario.zoneMs,
       budget: BUDGET,
       sidecars: this.#sidecars,
@@ -295,7 +298,9 @@
       throw new Error(`no kind of ${attempt}, or no target ${vm.name}`);
     }
     const risk = this.#sidecars.get(vm.name)?.gate.load.risk ?? 0;
-    const arrival = { at: this.#clock.now(), service: vm.service, target: vm.name, risk };
+    const { idempotent } = kind;
+    const at = this.#clock.now();
+    const arrival = { at, service: vm.service, target: vm.name, idempotent, risk };
     const isOfRepeat = attempt.endsWith(REPEAT_MARK);
     const isRepeat = this.#arrivals.noteArrival(attempt, arrival, isOfRepeat);
     const caller = { from: vm.name, isRepeat };
--- a/experiment/SimHop.ts
+++ b/experiment/SimHop.ts
@@ -118,7 +118,7 @@
   }
 
   #targetRequest(req: HopRequest): TargetRequest {
-    const { attempt, target, method, path, headers, body, idempotent, isRepeat } = req;
+    const { attempt, target, method, path, headers, body, idempotent } = req;
     const callerService = ServiceName(req.callerService);
     return {
       method,
@@ -128,7 +128,6 @@
       words: { attempt, target, callerService, echoHeader: undefined },
       deadlineAt: this.#deps.clock.now() + req.remainingMs,
       idempotent,
-      isRepeat,
     };
   }
 
--- a/experiment/SimSidecar.ts
+++ b/experiment/SimSidecar.ts
@@ -44,7 +44,7 @@
 
 interface SimSidecarDeps {
   readonly vm: SimVm;
-  /** Tells one life of the process from another. */
+  /** Tells one life of the process from another, counted from 1. */
   readonly life: number;
   readonly zoneMs: number;
   readonly budget: RetryBudgetRule;
@@ -203,7 +203,9 @@
   }
 
   #openDispatcher(runs: RunsHere): Dispatcher {
-    const { vm, clock, budget } = this.#deps;
+    const { vm, clock, budget, life, random } = this.#deps;
+    // A fleet that is played from its midst has been up for long; lives that follow begin with what they know.
+    const startedAt = life === 1 ? -Infinity : clock.now();
     return new Dispatcher({
       policy: this.policy,
       hop: this.hop,
@@ -212,6 +214,8 @@
         rule: () => budget,
         members: () => this.#table.knownCount,
         clock,
+        startedAt,
+        random,
       }),
       calls: new CallTraffic({ runs, log }),
       clock,
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -311,6 +311,8 @@
       rule: () => this.#cfg.retryBudget,
       members: () => table.knownCount,
       clock: SystemClock,
+      startedAt: this.#startedAt,
+      random: Math.random,
     });
     metrics.watchBudgets(() => budgets.figures);
     return new Dispatcher({
@@ -320,8 +322,8 @@
       callerService,
       budgets,
       isStarting: () => SystemClock.now() - this.#startedAt < STARTING_MS,
-      onExtraTry: (service, cause, n) => {
-        metrics.extraTry(service, cause, n);
+      onExtraTry: (service, cause) => {
+        metrics.extraTry(service, cause);
       },
       onDenied: (service) => {
         metrics.retryDenied(service);
--- a/src/sidecar/admin/SidecarMetrics.test.ts
+++ b/src/sidecar/admin/SidecarMetrics.test.ts
@@ -10,8 +10,7 @@
   metrics.refused("full");
   metrics.waited(300);
   metrics.judged("results", true);
-  metrics.extraTry("results", "hedge", 1);
-  metrics.extraTry("results", "call", 0.5);
+  metrics.extraTry("results", "hedge");
   metrics.retryDenied("results");
   const figures = { firstTries: 20, extras: 3, allowed: 5.5 };
   metrics.watchBudgets(() => [{ service: "results", figures }]);
@@ -25,7 +24,6 @@
     'burdockpass_slot_wait_seconds_bucket{le="0.5"} 1',
     'burdockpass_target_ejections_total{service="results",change="ejected"} 1',
     'burdockpass_extra_tries_total{service="results",cause="hedge"} 1',
-    'burdockpass_extra_tries_total{service="results",cause="call"} 0.5',
     'burdockpass_retries_denied_total{service="results"} 1',
     'burdockpass_retry_budget{service="results",what="allowed"} 5.5',
     'burdockpass_requests_total{service="results",verdict="done"} 1',
--- a/src/sidecar/admin/SidecarMetrics.ts
+++ b/src/sidecar/admin/SidecarMetrics.ts
@@ -9,8 +9,8 @@
 /** Buckets for the wait in a line, seconds: from none to the longest deadline. */
 const WAIT_BUCKETS = [0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10];
 
-/** What a dispatcher sends beside requests' first tries, and the calls that its target's repeated runs make. */
-type ExtraTry = "retry" | "hedge" | "call";
+/** What a dispatcher sends beside requests' first tries. */
+type ExtraTry = "retry" | "hedge";
 
 /** A retry budget as the metrics show it. */
 interface ShownBudget {
@@ -83,7 +83,7 @@
     });
     this.#extraTries = new Counter({
       name: "burdockpass_extra_tries_total",
-      help: "Requests sent to a further target, and calls made by repeated runs, by service and cause; the retry budget bounds them.",
+      help: "Requests sent to a further target, by service and cause; the retry budget bounds them.",
       labelNames: ["service", "cause"],
       registers: [this.registry],
     });
@@ -148,9 +148,9 @@
     });
   }
 
-  /** Counts requests sent to a further target; part of one where it is told by chance. */
-  extraTry(service: string, cause: ExtraTry, n: number): void {
-    this.#extraTries.inc({ service, cause }, n);
+  /** Counts a request sent to a further target. */
+  extraTry(service: string, cause: ExtraTry): void {
+    this.#extraTries.inc({ service, cause });
   }
 
   /** Counts a request that was not sent to a further target for want of room in the budget. */
--- a/src/sidecar/forwarding/TargetRequest.ts
+++ b/src/sidecar/forwarding/TargetRequest.ts
@@ -16,8 +16,6 @@
   /** When the answer must be there, by the steady clock, ms. */
   readonly deadlineAt: number;
   readonly idempotent: boolean;
-  /** It has been sent to a target before. */
-  readonly isRepeat: boolean;
   /** Aborted when the caller has left; absent for work that must run to its end. */
   readonly cancelled?: AbortSignal;
   /** Aborted when the target has started again: what it was given is lost, and no answer will come. */
--- a/src/sidecar/forwarding/TargetSender.test.ts
+++ b/src/sidecar/forwarding/TargetSender.test.ts
@@ -32,7 +32,6 @@
   },
   deadlineAt: SystemClock.now() + 500,
   idempotent: true,
-  isRepeat: false,
   ...over,
 });
 
--- a/src/sidecar/gate/GateServer.ts
+++ b/src/sidecar/gate/GateServer.ts
@@ -124,7 +124,6 @@
       },
       deadlineAt: this.#deps.clock.now() + Number(headers[HOP.remaining]),
       idempotent,
-      isRepeat: headers[HOP.repeat] === "1",
       // Work that must not repeat runs to its end even when its caller leaves: cutting
       // it off would only leave its outcome unknown.
       cancelled: idempotent ? left : undefined,
--- a/src/sidecar/gate/RunsHere.test.ts
+++ b/src/sidecar/gate/RunsHere.test.ts
@@ -2,13 +2,15 @@
 import { FakeClock } from "../../../test/fixtures/FakeClock.ts";
 import { RunsHere } from "./RunsHere.ts";
 
-test("runs here: those under way are counted, and those of them that repeat another", (t) => {
+const CALL = { route: "r", service: "svc", weight: 1 };
+
+test("runs here: those under way are counted", (t) => {
   const runs = new RunsHere(new FakeClock());
-  const first = runs.begin(false);
-  const second = runs.begin(true);
-  t.deepEqual([runs.count, runs.repeats], [2, 1]);
+  const first = runs.begin();
+  const second = runs.begin();
+  t.is(runs.count, 2);
   second.end();
-  t.deepEqual([runs.count, runs.repeats], [1, 0]);
+  t.is(runs.count, 1);
   first.end();
   t.is(runs.count, 0);
 });
@@ -17,7 +19,7 @@
   const clock = new FakeClock();
   const runs = new RunsHere(clock);
   await clock.advance(300);
-  const begun = [runs.begin(false), runs.begin(false)];
+  const begun = [runs.begin(), runs.begin()];
   await clock.advance(500);
   begun.forEach((run) => {
     run.end();
@@ -53,13 +55,13 @@
     const runs = new RunsHere(clock);
     let end: (wasServed: boolean) => void = () => undefined;
     clock.after(callStartsMs, () => {
-      end = runs.beginCall("r");
+      end = runs.beginCall(CALL);
     });
     clock.after(callEndsMs, () => {
       end(false);
     });
     await clock.advance(RUN_STARTS_MS);
-    const run = runs.begin(false);
+    const run = runs.begin();
     await clock.advance(runFailsMs - RUN_STARTS_MS);
     const call = { route: "r", startedAt: callStartsMs, endedAt: callEndsMs };
     t.deepEqual(run.takeLostCall(), explains ? call : undefined);
@@ -71,10 +73,37 @@
   const clock = new FakeClock();
   const runs = new RunsHere(clock);
   await clock.advance(100);
-  const end = runs.beginCall("r");
+  const end = runs.beginCall(CALL);
   t.true(runs.hasOpenCall(50));
   t.false(runs.hasOpenCall(150));
   end(true);
   t.false(runs.hasOpenCall(50));
-  t.is(runs.begin(false).takeLostCall(), undefined, "a call that was served explains nothing");
+  t.is(runs.begin().takeLostCall(), undefined, "a call that was served explains nothing");
+});
+
+test("runs here: what has been idle long ago says nothing of now", async (t) => {
+  const clock = new FakeClock();
+  const runs = new RunsHere(clock);
+  await clock.advance(60_000);
+  t.is(runs.idleShare, 1);
+  runs.begin();
+  await clock.advance(5000);
+  t.is(runs.idleShare, 0.5);
+  await clock.advance(20_000);
+  t.is(runs.idleShare, 0);
+});
+
+test("runs here: the calls that a run makes, on average", async (t) => {
+  const clock = new FakeClock();
+  const runs = new RunsHere(clock);
+  const mean = () => runs.callMeans.get("svc") ?? 0;
+  t.is(mean(), 0);
+  for (let n = 0; n < 30; n++) {
+    const run = runs.begin();
+    runs.beginCall(CALL)(true);
+    runs.beginCall({ ...CALL, weight: 0.5 })(true);
+    await clock.advance(100);
+    run.end();
+  }
+  t.true(Math.abs(mean() - 1.45) < 0.05, `${mean()}`);
 });
--- a/src/sidecar/gate/RunsHere.ts
+++ b/src/sidecar/gate/RunsHere.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../../common/lifecycle/Clock.ts";
+import { CallsPerRun, type CallMeans } from "./CallsPerRun.ts";
 
 /**
  * A target that cannot do without a call fails its run this soon after the call's answer, ms: the answer has
@@ -6,6 +7,13 @@
  */
 const AFTERMATH_MS = 100;
 
+/**
+ * How far back the share of idle time looks, ms. Over the whole life of a process a quiet start made a busy target
+ * look idle: in a third of the sidecars of a played day callers' routes were taken for calls, since none of their
+ * requests had met the target idle.
+ */
+const IDLE_WINDOW_MS = 10_000;
+
 /** A call that a target made in the midst of its work, and that was not served. */
 interface LostCall {
   readonly route: string;
@@ -14,6 +22,14 @@
   readonly endedAt: number;
 }
 
+/** What is known of a call when it is made. */
+interface MadeCall {
+  readonly route: string;
+  readonly service: string;
+  /** Chance that it is a call, and not a caller's request. */
+  readonly weight: number;
+}
+
 /** A run under way. */
 interface Run {
   /** It has ended. */
@@ -30,18 +46,18 @@
   readonly #clock: Clock;
   readonly #startedAt: number;
   #count = 0;
-  #repeats = 0;
-  /** Time with no run under way, until the one that began last after such a time, ms. */
-  #idleMs = 0;
-  #idleSince: number;
+  /** Times with a run under way, ended within the window. */
+  #busy: { readonly from: number; readonly until: number }[] = [];
+  #busySince = 0;
   /** When each call that waits for its answer was made. */
   readonly #openCalls = new Set<{ readonly startedAt: number }>();
   #lostCalls: LostCall[] = [];
+  readonly #callsPerRun: CallsPerRun;
 
   constructor(clock: Clock) {
     this.#clock = clock;
     this.#startedAt = clock.now();
-    this.#idleSince = this.#startedAt;
+    this.#callsPerRun = new CallsPerRun(clock);
   }
 
   /** How many there are. */
@@ -49,42 +65,48 @@
     return this.#count;
   }
 
-  /** How many of them are of requests that had been sent to a target before. */
-  get repeats(): number {
-    return this.#repeats;
+  /** Calls that a run makes here, on average. */
+  get callMeans(): CallMeans {
+    return this.#callsPerRun.means;
   }
 
-  /** Share of the time since the start of this process in which there was none. */
+  /** Share of the last seconds, as far as this process has been there, in which there was none. */
   get idleShare(): number {
     const now = this.#clock.now();
-    const idleMs = this.#idleMs + (this.#count === 0 ? now - this.#idleSince : 0);
-    return idleMs / Math.max(1, now - this.#startedAt);
+    const from = Math.max(this.#startedAt, now - IDLE_WINDOW_MS);
+    this.#busy = this.#busy.filter((b) => b.until > from);
+    const under = this.#count > 0 ? [{ from: this.#busySince, until: now }] : [];
+    const busyMs = [...this.#busy, ...under].reduce(
+      (sum, b) => sum + b.until - Math.max(from, b.from),
+      0,
+    );
+    return now > from ? 1 - busyMs / (now - from) : 1;
   }
 
   /** Notes that one begins. */
-  begin(isRepeat: boolean): Run {
+  begin(): Run {
+    const startedAt = this.#clock.now();
     if (this.#count === 0) {
-      this.#idleMs += this.#clock.now() - this.#idleSince;
+      this.#busySince = startedAt;
     }
     this.#count += 1;
-    this.#repeats += isRepeat ? 1 : 0;
-    const startedAt = this.#clock.now();
+    this.#callsPerRun.noteRun();
     return {
       end: () => {
         this.#count -= 1;
-        this.#repeats -= isRepeat ? 1 : 0;
         if (this.#count === 0) {
-          this.#idleSince = this.#clock.now();
+          this.#busy.push({ from: this.#busySince, until: this.#clock.now() });
         }
       },
       takeLostCall: () => this.#takeLostCall(startedAt),
     };
   }
 
-  /** Notes that a call on `route` begins; returns what to call when it has ended. */
-  beginCall(route: string): (wasServed: boolean) => void {
+  /** Notes that a call begins; returns what to call when it has ended. */
+  beginCall({ route, service, weight }: MadeCall): (wasServed: boolean) => void {
     const call = { startedAt: this.#clock.now() };
     this.#openCalls.add(call);
+    this.#callsPerRun.noteCall(service, weight);
     return (wasServed) => {
       this.#openCalls.delete(call);
       if (!wasServed) {
--- a/src/sidecar/gate/TargetRunner.test.ts
+++ b/src/sidecar/gate/TargetRunner.test.ts
@@ -172,7 +172,7 @@
     const { run, ask, end, here, noted } = rig();
     ask();
     const running = run();
-    here.beginCall("reports")(callIsServed);
+    here.beginCall({ route: "index", service: "reports", weight: 1 })(callIsServed);
     end(results.failed);
     const out = await running;
     t.is(out.outcome, AttemptOutcome.Failed, "whoever sent it is told that it failed");
--- a/src/sidecar/gate/TargetRunner.ts
+++ b/src/sidecar/gate/TargetRunner.ts
@@ -76,12 +76,12 @@
     target: TargetInfo,
     req: TargetRequest,
   ): Promise<ForwardResult> {
-    const here = this.#deps.here.begin(req.isRepeat);
+    const here = this.#deps.here.begin();
     let outcome = AttemptOutcome.NoAnswer;
     try {
       const out = await this.#deps.send(target, { ...req, lost: gate.life });
       outcome = this.#evidenceOf(out, here, { attempt, target: target.id });
-      return out;
+      return { ...out, calls: this.#deps.here.callMeans };
     } finally {
       here.end();
       gate.end(attempt, outcome);
--- a/src/sidecar/hop/HOP.ts
+++ b/src/sidecar/hop/HOP.ts
@@ -17,8 +17,6 @@
   caller: "x-burdockpass-caller-service",
   /** The request may run more than once. */
   idempotent: "x-burdockpass-idempotent",
-  /** The request has been sent to a target before. */
-  repeat: "x-burdockpass-repeat",
   /** The header in which targets of the service echo the id they are sent. */
   echo: "x-burdockpass-echo-header",
 
@@ -34,6 +32,8 @@
   timedOut: "x-burdockpass-hop-timed-out",
   /** The status that the caller should get, where 503 would mislead. */
   status: "x-burdockpass-hop-status",
+  /** Calls that a run at that target makes, on average: `service=mean`, separated by commas. */
+  calls: "x-burdockpass-hop-calls",
   /** The target that the slot is at, or that ran the request. */
   target: "x-burdockpass-hop-target",
 } as const;
--- a/src/sidecar/hop/HopClient.ts
+++ b/src/sidecar/hop/HopClient.ts
@@ -131,10 +131,9 @@
     req.callerService,
   ];
   const idempotent = req.idempotent ? [HOP.idempotent, "1"] : [];
-  const repeat = req.isRepeat ? [HOP.repeat, "1"] : [];
   const echo = req.echoHeader === undefined ? [] : [HOP.echo, req.echoHeader];
   const length = req.bodyLength === undefined ? [] : ["content-length", String(req.bodyLength)];
-  return [...req.headers, ...own, ...idempotent, ...repeat, ...echo, ...length];
+  return [...req.headers, ...own, ...idempotent, ...echo, ...length];
 }
 
 async function readResult(
--- a/src/sidecar/hop/HopRequest.ts
+++ b/src/sidecar/hop/HopRequest.ts
@@ -17,7 +17,5 @@
   readonly remainingMs: number;
   readonly callerService: string;
   readonly idempotent: boolean;
-  /** It has been sent to a target before. */
-  readonly isRepeat: boolean;
   readonly echoHeader: string | undefined;
 }
--- a/src/sidecar/hop/hopAnswer.ts
+++ b/src/sidecar/hop/hopAnswer.ts
@@ -4,6 +4,7 @@
 import type { Verdict } from "../../common/Verdict.ts";
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
+import type { CallMeans } from "../gate/CallsPerRun.ts";
 import { HOP } from "./HOP.ts";
 
 type Headers = Readonly<Record<string, string | string[] | undefined>>;
@@ -28,6 +29,9 @@
     if ("retryAfterMs" in verdict) {
       headers[HOP.retryAfter] = String(verdict.retryAfterMs);
     }
+    if (out.calls && out.calls.size > 0) {
+      headers[HOP.calls] = encodeCalls(out.calls);
+    }
     if (verdict.kind === "not-run" && verdict.status !== undefined) {
       headers[HOP.status] = String(verdict.status);
     }
@@ -69,13 +73,31 @@
   ): ForwardResult | undefined {
     const verdict = hopAnswer.verdictOf(status, headers);
     const outcome = toOutcome(headers[HOP.outcome]);
+    const calls = decodeCalls(headers[HOP.calls]);
     if (verdict?.kind === "done") {
-      return { verdict, outcome, headers: withoutOwn(headers), ...answer };
+      return { verdict, outcome, calls, headers: withoutOwn(headers), ...answer };
     }
-    return verdict && { verdict, outcome };
+    return verdict && { verdict, outcome, calls };
   },
 };
 
+function encodeCalls(calls: CallMeans): string {
+  return [...calls]
+    .map(([service, mean]) => `${encodeURIComponent(service)}=${mean.toFixed(2)}`)
+    .join(",");
+}
+
+/** What cannot be read is left out. */
+function decodeCalls(raw: string | string[] | undefined): CallMeans {
+  const parts = String(raw ?? "")
+    .split(",")
+    .map((part) => part.split("="));
+  const means = parts.map(
+    ([service = "", mean]) => [decodeURIComponent(service), Number(mean ?? NaN)] as const,
+  );
+  return new Map(means.filter(([service, mean]) => service !== "" && mean > 0));
+}
+
 function toOutcome(raw: string | string[] | undefined): AttemptOutcome {
   const known = Object.values(AttemptOutcome).find((o) => (o as string) === raw);
   return known ?? AttemptOutcome.Cancelled;
--- a/src/sidecar/records/OnceRunner.test.ts
+++ b/src/sidecar/records/OnceRunner.test.ts
@@ -27,7 +27,6 @@
   },
   deadlineAt: performance.now() + 1000,
   idempotent: false,
-  isRepeat: false,
   ...over,
 });
 
--- a/src/sidecar/routing/CallTraffic.test.ts
+++ b/src/sidecar/routing/CallTraffic.test.ts
@@ -1,88 +1,106 @@
 import test from "ava";
 import bunyan from "bunyan";
+import { makeRoute } from "../../../test/fixtures/makeRoute.ts";
 import { seededRandom } from "../../../test/fixtures/seededRandom.ts";
 import { CallTraffic } from "./CallTraffic.ts";
 
-/** A target that has nothing to do for a fifth of the time; a quarter of its runs repeat another. */
-const IDLE_SHARE = 0.2;
-const RUNS = { count: 4, repeats: 1, idleShare: IDLE_SHARE };
-const IDLE = { count: 0, repeats: 0, idleShare: IDLE_SHARE };
-
 const log = bunyan.createLogger({ name: "test", level: "fatal" });
 
-/** Calls among the requests that begin beside a target whose runs are as told. */
-function rig(runs: typeof RUNS): CallTraffic {
-  const beginCall = () => () => undefined;
-  return new CallTraffic({
-    runs: Object.assign(Object.create(runs) as typeof RUNS, { beginCall }),
+const route = makeRoute({ name: "route" });
+
+/** Requests that begin beside a target that is idle for `idleShare` of the time; `comesIdle` of them come then. */
+function rig(idleShare: number, comesIdle: number) {
+  const random = seededRandom(3);
+  const weights: number[] = [];
+  const calls = new CallTraffic({
+    runs: {
+      get count() {
+        return random() < comesIdle ? 0 : 4;
+      },
+      idleShare,
+      beginCall: ({ weight }) => {
+        weights.push(weight);
+        return () => undefined;
+      },
+    },
     log,
   });
+  const note = (arrivals: number) => {
+    let isOwn = false;
+    for (let n = 0; n < arrivals; n++) {
+      isOwn = calls.begin(route).isOwn;
+    }
+    return isOwn;
+  };
+  return { note, weights };
 }
 
 const cases: readonly {
   name: string;
+  idleShare: number;
   /** Share of the route's requests that come while the target has nothing to do. */
   comesIdle: number;
   arrivals: number;
-  own: number;
-  repeated: number;
+  isOwn: boolean;
+  /** How much the last one counts as a call; undefined for a caller's own. */
+  weight: number | undefined;
 }[] = [
   {
     name: "callers' own requests come at any time",
+    idleShare: 0.2,
     comesIdle: 0.2,
     arrivals: 60,
-    own: 1,
-    repeated: 0,
+    isOwn: true,
+    weight: undefined,
   },
   {
     name: "calls come only while a run is under way",
+    idleShare: 0.2,
     comesIdle: 0,
     arrivals: 60,
-    own: 0,
-    repeated: 0.25,
+    isOwn: false,
+    weight: 1,
   },
   {
     name: "a few strays do not make calls callers' own",
+    idleShare: 0.2,
     comesIdle: 0.01,
     arrivals: 300,
-    own: 0,
-    repeated: 0.25,
+    isOwn: false,
+    weight: 1,
   },
   {
-    name: "a route that is new may be either",
+    name: "a route that is new may be either, and gives no leave for extras",
+    idleShare: 0.2,
     comesIdle: 0,
     arrivals: 5,
-    own: 0.5,
-    repeated: 0.125,
+    isOwn: false,
+    weight: 0.5,
+  },
+  {
+    name: "beside a target that is hardly ever idle, callers' own are not taken for calls",
+    idleShare: 0,
+    comesIdle: 0,
+    arrivals: 60,
+    isOwn: false,
+    weight: 0.5,
   },
 ];
 
-for (const { name, comesIdle, arrivals, own, repeated } of cases) {
+for (const { name, idleShare, comesIdle, arrivals, isOwn, weight } of cases) {
   test(`calls: ${name}`, (t) => {
-    const random = seededRandom(3);
-    let now: typeof RUNS = RUNS;
-    const calls = rig({
-      get count() {
-        return now.count;
-      },
-      get repeats() {
-        return now.repeats;
-      },
-      idleShare: IDLE_SHARE,
-    });
-    for (let n = 0; n < arrivals; n++) {
-      now = random() < comesIdle ? IDLE : RUNS;
-      calls.begin("route");
-    }
-    now = RUNS;
-    const begun = calls.begin("route");
-    t.deepEqual([begun.own, begun.repeated], [own, repeated]);
+    const { note, weights } = rig(idleShare, comesIdle);
+    t.is(note(arrivals), isOwn);
+    t.is(isOwn ? undefined : weights.at(-1), weight);
   });
 }
 
 test("calls: routes are told apart", (t) => {
-  const calls = rig(IDLE);
-  calls.begin("callers");
-  t.is(calls.begin("callers").own, 1);
-  t.is(rig(RUNS).begin("other").own, 0.5);
+  const runs = { count: 0, idleShare: 0.2, beginCall: () => () => undefined };
+  const calls = new CallTraffic({ runs, log });
+  calls.begin(route);
+  t.true(calls.begin(route).isOwn);
+  runs.count = 4;
+  t.true(calls.begin(route).isOwn);
+  t.false(calls.begin(makeRoute({ name: "other" })).isOwn);
 });
--- a/src/sidecar/routing/CallTraffic.ts
+++ b/src/sidecar/routing/CallTraffic.ts
@@ -1,48 +1,46 @@
 import type bunyan from "bunyan";
 import type { RunsHere } from "../gate/RunsHere.ts";
+import type { RouteMatch } from "./RouteMatch.ts";
 
-/** Arrivals in idle times that a route of callers' requests must have missed before it is taken for one of calls. */
-const MISSED = 3;
+/**
+ * Share of calls that come while no run is under way, as far as this sidecar can tell: a run that was given up
+ * may still make its calls.
+ */
+const STRAYS = 0.02;
 
-/** Of those, so many may have come all the same, as a share: a run that was given up may still make its calls. */
-const STRAY_SHARE = 0.2;
+/** The share of idle time is never surer than this, nor is it told from strays below it. */
+const LEAST_SHARE = 2 * STRAYS;
 
-/** How much a request of a route that is not known yet counts as a caller's, and as a call. */
-const UNKNOWN_WEIGHT = 0.5;
+/** The evidence of a route is never surer than this, nats: a new configuration may give its name to other requests. */
+const MOST_NATS = 6;
 
-interface CallTrafficDeps {
-  readonly runs: Pick<RunsHere, "count" | "repeats" | "idleShare" | "beginCall">;
-  readonly log: bunyan;
-}
-
-/** What is known of one route. */
-interface Seen {
-  /** Arrivals that were to be expected while no run was under way, were they independent of runs. */
-  expectedIdle: number;
-  idle: number;
-}
+/** A route is taken for one of calls, or of callers' own requests, from this evidence on, nats: 9 to 1. */
+const SURE_NATS = Math.log(9);
 
-/** A request that begins at this sidecar, and what it counts as, in shares of one. */
+/** A request that begins at this sidecar, and what it counts as. */
 export interface Begun {
-  /** A request of a caller's own. */
-  readonly own: number;
-  /** A call that a run makes which repeats an earlier one. */
-  readonly repeated: number;
+  /** It is taken for a caller's own request: it gives leave for extras. */
+  readonly isOwn: boolean;
   /** Notes how it ended. */
   end(wasServed: boolean): void;
 }
 
+interface CallTrafficDeps {
+  readonly runs: Pick<RunsHere, "count" | "idleShare" | "beginCall">;
+  readonly log: bunyan;
+}
+
 /**
  * Tells calls, which targets make in the midst of their work, from callers' own
  * requests. Both come to the sidecar beside the target, and nothing in them says which
- * is which; but a call comes only while a run is under way there. A retry of a request
- * makes its calls anew, and these are extra requests at the service that is called: seen
- * by nobody, they took a service over its retry budget, by 6 of 203 in a played day.
+ * is which; but a call comes only while a run is under way there. A route on which requests come at times when none is
+ * gathers evidence (log-likelihood ratios) of callers' own; the busier the target, the slower.
  */
 export class CallTraffic {
   readonly #deps: CallTrafficDeps;
-  readonly #seen = new Map<string, Seen>();
-  /** The weight of each route as a call that the log has last told of. */
+  /** Evidence that a route's requests are calls, against callers' own, nats. */
+  readonly #nats = new Map<string, number>();
+  /** What the log has last told of each route. */
   readonly #told = new Map<string, number>();
 
   constructor(deps: CallTrafficDeps) {
@@ -50,33 +48,41 @@
   }
 
   /** Notes a request of `route` that begins here, and tells what it counts as. */
-  begin(route: string): Begun {
+  begin({ name: route, service }: Pick<RouteMatch, "name" | "service">): Begun {
     const { runs } = this.#deps;
-    const { count, repeats, idleShare } = runs;
-    const seen = this.#seen.get(route) ?? { expectedIdle: 0, idle: 0 };
-    seen.expectedIdle += idleShare;
-    seen.idle += count === 0 ? 1 : 0;
-    this.#seen.set(route, seen);
-    const callWeight = weightAsCall(seen);
-    this.#tell(route, callWeight, seen);
+    const nats = this.#weigh(route);
+    const weight = weightOf(nats);
+    this.#tell(route, weight, nats);
+    const isOwn = weight === 0;
     return {
-      own: 1 - callWeight,
-      repeated: count > 0 ? (callWeight * repeats) / count : 0,
-      end: callWeight > 0 ? runs.beginCall(route) : () => undefined,
+      isOwn,
+      end: isOwn ? () => undefined : runs.beginCall({ route, service: service.name, weight }),
     };
   }
 
-  #tell(route: string, callWeight: number, seen: Seen): void {
-    if (this.#told.get(route) !== callWeight) {
-      this.#told.set(route, callWeight);
-      this.#deps.log.info({ route, callWeight, ...seen }, "route taken for calls or callers");
+  #weigh(route: string): number {
+    const { count, idleShare } = this.#deps.runs;
+    const share = Math.min(1 - LEAST_SHARE, Math.max(LEAST_SHARE, idleShare));
+    const gained = count === 0 ? Math.log(STRAYS / share) : Math.log((1 - STRAYS) / (1 - share));
+    const nats = (this.#nats.get(route) ?? 0) + gained;
+    const bounded = Math.min(MOST_NATS, Math.max(-MOST_NATS, nats));
+    this.#nats.set(route, bounded);
+    return bounded;
+  }
+
+  #tell(route: string, weight: number, nats: number): void {
+    if (this.#told.get(route) !== weight) {
+      this.#told.set(route, weight);
+      const { idleShare } = this.#deps.runs;
+      this.#deps.log.info({ route, weight, nats, idleShare }, "route taken for calls or callers");
     }
   }
 }
 
-function weightAsCall({ expectedIdle, idle }: Seen): number {
-  if (idle > STRAY_SHARE * expectedIdle) {
-    return 0;
+/** How much a request counts as a call: 1 on a route of calls, 0 on one of callers' own, half where it is not known. */
+function weightOf(nats: number): number {
+  if (Math.abs(nats) < SURE_NATS) {
+    return 0.5;
   }
-  return expectedIdle >= MISSED ? 1 : UNKNOWN_WEIGHT;
+  return nats > 0 ? 1 : 0;
 }
--- a/src/sidecar/routing/Dispatcher.test.ts
+++ b/src/sidecar/routing/Dispatcher.test.ts
@@ -28,6 +28,8 @@
       rule: () => ({ ratio: 0.2, windowMs: 10_000, slack }),
       members: () => 1,
       clock,
+      startedAt: -Infinity,
+      random: () => 0,
     }),
     isStarting,
     clock,
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -4,17 +4,16 @@
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import type { HopLink } from "../hop/HopLink.ts";
-import type { Begun, CallTraffic } from "./CallTraffic.ts";
+import type { CallTraffic } from "./CallTraffic.ts";
 import type { CourseRequest } from "./CourseRequest.ts";
 import { GrantSeeker, type Grant, type Sought } from "./GrantSeeker.ts";
-import type { RetryBudget } from "./RetryBudget.ts";
 import type { RetryBudgets } from "./RetryBudgets.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
 import type { RoutingPolicy } from "./RoutingPolicy.ts";
 import { RunCourse } from "./RunCourse.ts";
 
-/** What is sent beside first tries: a retry, a second run beside a stuck one, a call made by a run that repeats another. */
-type ExtraTry = "retry" | "hedge" | "call";
+/** What is sent beside first tries: a retry, or a second run beside a stuck one. */
+type ExtraTry = "retry" | "hedge";
 
 /** What the dispatcher needs from the rest of the sidecar; passed in so tests can fake each. */
 interface DispatcherDeps {
@@ -27,8 +26,8 @@
   readonly isStarting?: () => boolean;
   /** Tells calls that targets make from callers' own requests; left out, all are callers' own. */
   readonly calls?: Pick<CallTraffic, "begin">;
-  /** Told of what counts against a service's retry budget: `n` requests sent to a further target. */
-  readonly onExtraTry?: (service: string, cause: ExtraTry, n: number) => void;
+  /** Told of each request that is sent to a further target. */
+  readonly onExtraTry?: (service: string, cause: ExtraTry) => void;
   /** Told of a retry that the service's budget had no room for. */
   readonly onDenied?: (service: string) => void;
   readonly clock: Clock;
@@ -60,7 +59,6 @@
 interface Course {
   readonly route: RouteMatch;
   readonly req: CourseRequest;
-  readonly budget: RetryBudget;
   /** Targets that had their chance. */
   readonly tried: Set<TargetId>;
   /** Targets that it was sent to and that may have run it. */
@@ -90,22 +88,15 @@
 
   /** Forwards `req` along `route`; always resolves with a verdict. */
   async dispatch(route: RouteMatch, req: CourseRequest): Promise<ForwardResult> {
-    const call = this.#deps.calls?.begin(route.name);
-    const result = await this.#serve(this.#openCourse(route, req, call));
-    call?.end(isGood(result));
-    return result;
-  }
-
-  #openCourse(route: RouteMatch, req: CourseRequest, call: Begun | undefined): Course {
-    const budget = this.#deps.budgets.of(route);
-    const { own, repeated } = call ?? { own: 1, repeated: 0 };
-    budget.onFirstTry(own);
-    if (repeated > 0) {
-      budget.noteExtra(repeated);
-      this.#deps.onExtraTry?.(route.service.name, "call", repeated);
+    const { calls, budgets } = this.#deps;
+    const begun = calls?.begin(route);
+    if (begun?.isOwn ?? true) {
+      budgets.onFirstTry(route);
     }
     const tried = new Set<TargetId>();
-    return { route, req, budget, tried, sends: 0, refusedSends: 0, voided: 0 };
+    const result = await this.#serve({ route, req, tried, sends: 0, refusedSends: 0, voided: 0 });
+    begun?.end(isGood(result));
+    return result;
   }
 
   async #serve(course: Course): Promise<ForwardResult> {
@@ -128,7 +119,7 @@
         return last;
       }
       const { attempt } = req;
-      this.#deps.onExtraTry?.(route.service.name, "retry", 1);
+      this.#deps.onExtraTry?.(route.service.name, "retry");
       this.#deps.log.info({ attempt, verdict: last.verdict, sends: course.sends }, "retrying");
     }
   }
@@ -217,7 +208,7 @@
       seeker = this.#seek(course);
       void seeker.sought.then((sought) => {
         if (sought.kind === "granted") {
-          onExtraTry?.(course.route.service.name, "hedge", 1);
+          onExtraTry?.(course.route.service.name, "hedge");
           log.info({ attempt: course.req.attempt, target: sought.grant.target.id }, "hedging");
           hedge.started = true;
           run = this.#start(course, sought.grant);
@@ -237,11 +228,13 @@
     const onSilence = () => {
       policy.noteSilence(grant.target);
     };
-    const isRepeat = course.sends + course.refusedSends > 1;
-    const deps = { hop, callerService, clock, log, onSilence, isRepeat };
+    const deps = { hop, callerService, clock, log, onSilence };
     const run = new RunCourse(deps, route, req, grant);
     void run.result.then((result) => {
       end(result.outcome);
+      if (result.calls) {
+        this.#deps.budgets.noteCalls(route, result.calls);
+      }
       if (result.verdict.kind === "not-run") {
         course.sends -= 1;
       }
@@ -271,9 +264,9 @@
   }
 
   /** Another try is left beside the next one, should it fail. */
-  #hasSpareTry({ route, req, budget, sends }: Course): boolean {
+  #hasSpareTry({ route, req, sends }: Course): boolean {
     const isRepeatable = route.idempotent && !isStream(req.body);
-    return isRepeatable && sends + 1 < route.attempts && budget.hasRoom;
+    return isRepeatable && sends + 1 < route.attempts && this.#deps.budgets.hasRoom(route);
   }
 
   #mayRepeat({ route, req, sends }: Course): boolean {
@@ -294,14 +287,15 @@
   }
 
   /** Takes leave for a further send from the service's retry budget; tells of it where there is none left. */
-  #takeLeave({ route, req, budget }: Course, cause: ExtraTry): boolean {
-    if (budget.tryRetry()) {
+  #takeLeave({ route, req }: Course, cause: ExtraTry): boolean {
+    const { budgets } = this.#deps;
+    if (budgets.tryRetry(route)) {
       return true;
     }
     const service = route.service.name;
     this.#deps.onDenied?.(service);
     const { attempt } = req;
-    this.#deps.log.info({ attempt, service, cause, ...budget.figures }, "no retry left");
+    this.#deps.log.info({ attempt, service, cause, budgets: budgets.figures }, "no retry left");
     return false;
   }
 }
--- a/src/sidecar/routing/RunCourse.test.ts
+++ b/src/sidecar/routing/RunCourse.test.ts
@@ -17,7 +17,7 @@
   let silences = 0;
   const start = () =>
     new RunCourse(
-      { hop, callerService: "desk", clock, log, isRepeat: false, onSilence: () => (silences += 1) },
+      { hop, callerService: "desk", clock, log, onSilence: () => (silences += 1) },
       makeRoute({ idempotent }),
       makeCourse({ deadlineAt: 5000, ...over }),
       { target: makeTarget("x"), boot: "b" },
--- a/src/sidecar/routing/RunCourse.ts
+++ b/src/sidecar/routing/RunCourse.ts
@@ -27,8 +27,6 @@
   readonly callerService: string;
   readonly clock: Clock;
   readonly log: bunyan;
-  /** The request has been sent to a target before. */
-  readonly isRepeat: boolean;
   /** Told when the sidecar beside the target falls silent. */
   readonly onSilence: () => void;
 }
@@ -96,7 +94,6 @@
       remainingMs: deadlineAt - this.#deps.clock.now() - MARGIN_MS,
       callerService: this.#deps.callerService,
       idempotent: this.#route.idempotent,
-      isRepeat: this.#deps.isRepeat,
       echoHeader: this.#route.service.echoHeader,
     };
   }
