Tests wait for what they mean, and a planned stop says what each caller got

Cause: fixed sleeps of 30 to 200 ms before an assertion; beside load the 413 for a body in chunks had not come after 100 ms. Nine sleeps of the same kind wait for the event now; no assertion changed.

--- a/src/sidecar/forwarding/TargetSender.test.ts
+++ b/src/sidecar/forwarding/TargetSender.test.ts
@@ -1,6 +1,7 @@
 import { PassThrough } from "node:stream";
 import type { Socket } from "node:net";
 import test from "ava";
+import { eventually } from "../../../test/fixtures/eventually.ts";
 import { makeTarget } from "../../../test/fixtures/makeTarget.ts";
 import { RawTarget } from "../../../test/fixtures/RawTarget.ts";
 import { AttemptId } from "../../common/ids/AttemptId.ts";
@@ -269,7 +270,7 @@
       leave.abort();
     }, 50);
     t.is((await out).outcome, AttemptOutcome.Cancelled);
-    await new Promise((r) => setTimeout(r, 30));
+    await eventually(() => closed);
     t.true(closed);
   });
 });
--- a/src/sidecar/ingress/CallerServer.test.ts
+++ b/src/sidecar/ingress/CallerServer.test.ts
@@ -3,6 +3,7 @@
 import { PassThrough, type Readable } from "node:stream";
 import test, { type ExecutionContext } from "ava";
 import bunyan from "bunyan";
+import { eventually } from "../../../test/fixtures/eventually.ts";
 import { makeRoute } from "../../../test/fixtures/makeRoute.ts";
 import { Limits } from "../../common/document/Limits.ts";
 import { TargetId } from "../../common/ids/TargetId.ts";
@@ -67,10 +68,14 @@
   return { server, socket, courses, seen: () => seen };
 }
 
-/** Sends several requests without waiting for an answer. */
-async function pipeline(socket: Socket, paths: readonly string[]): Promise<void> {
+/** Sends several requests without waiting for an answer; resolves once all have been taken. */
+async function pipeline(
+  socket: Socket,
+  courses: ReadonlyMap<string, unknown>,
+  paths: readonly string[],
+): Promise<void> {
   socket.write(paths.map((path) => `GET ${path} HTTP/1.1\r\nhost: a\r\n\r\n`).join(""));
-  await sleep(50);
+  await eventually(() => paths.every((path) => courses.has(path)));
 }
 
 /** The bodies of the answers in `seen`, in order; refusals by their status. */
@@ -110,12 +115,12 @@
 for (const { name, settled, want } of orders) {
   test(`pipelined requests are answered in their order, each with its own answer: ${name}`, async (t) => {
     const { socket, courses, seen } = await open(t);
-    await pipeline(socket, ["/a", "/b", "/c"]);
+    await pipeline(socket, courses, ["/a", "/b", "/c"]);
     for (const [path, out] of settled) {
       courses.get(path)?.settle(out);
       await sleep(10);
     }
-    await sleep(50);
+    await eventually(() => answers(seen()).length >= want.length);
     t.deepEqual(answers(seen()), [...want]);
   });
 }
@@ -125,11 +130,11 @@
 // nobody, and their slots were missing elsewhere.
 test("a caller that leaves has left with every request that it pipelined", async (t) => {
   const { socket, courses } = await open(t);
-  await pipeline(socket, ["/a", "/b", "/c"]);
+  await pipeline(socket, courses, ["/a", "/b", "/c"]);
   socket.destroy();
-  await sleep(50);
-  const left = ["/a", "/b", "/c"].map((path) => courses.get(path)?.req.left.aborted);
-  t.deepEqual(left, [true, true, true]);
+  const left = () => ["/a", "/b", "/c"].map((path) => courses.get(path)?.req.left.aborted);
+  await eventually(() => left().every((aborted) => aborted));
+  t.deepEqual(left(), [true, true, true]);
 });
 
 // Story: a sidecar is stopped as planned while a phone waits for three parcels on one connection.
@@ -137,12 +142,13 @@
 // thrown away, though they would have been ready within the grace.
 test("a stop ends a connection with the last of the requests that were pipelined on it", async (t) => {
   const { server, socket, courses, seen } = await open(t);
-  await pipeline(socket, ["/a", "/b", "/c"]);
+  await pipeline(socket, courses, ["/a", "/b", "/c"]);
   server.beginStop();
   for (const path of ["/a", "/b", "/c"]) {
     courses.get(path)?.settle(done(path));
     await sleep(20);
   }
+  await eventually(() => socket.readableEnded);
   t.deepEqual(answers(seen()), ["/a", "/b", "/c"]);
   t.is(seen().match(/connection: close/gi)?.length, 1);
   t.true(socket.readableEnded);
@@ -152,13 +158,13 @@
 // incomplete. What was sent behind it counts as not read and will be sent again.
 test("what is pipelined behind an answer that breaks off is given up", async (t) => {
   const { socket, courses, seen } = await open(t);
-  await pipeline(socket, ["/a", "/b"]);
+  await pipeline(socket, courses, ["/a", "/b"]);
   const body = new PassThrough();
   courses.get("/a")?.settle({ ...done(""), body, ended: Promise.resolve(AttemptOutcome.Failed) });
   body.write("half of");
-  await sleep(20);
+  await eventually(() => seen().includes("half of"));
   body.destroy(new Error("cut short"));
-  await sleep(50);
+  await eventually(() => courses.get("/b")?.req.left.aborted === true);
   t.true(seen().includes("half of"));
   t.true(courses.get("/b")?.req.left.aborted);
 });
@@ -203,14 +209,14 @@
   test(`a body ${name} is ${kind === "buffer" ? "held, to be sent again" : kind === "stream" ? "passed on as it comes" : "none"}`, async (t) => {
     const { socket, courses, seen } = await open(t);
     socket.write(`POST /a HTTP/1.1\r\nhost: a\r\n${head}\r\n\r\n${body}`);
-    await sleep(200);
+    await eventually(() => courses.has("/a"));
     const course = courses.get("/a");
     const sent = course?.req.body;
     t.is(sent === undefined ? "none" : Buffer.isBuffer(sent) ? "buffer" : "stream", kind);
     const bytes = sent === undefined ? 0 : await byteCount(sent);
     t.is(bytes, body.replace(/^[0-9a-f]+\r\n|\r\n0\r\n\r\n$/g, "").length);
     course?.settle(done("taken"));
-    await sleep(30);
+    await eventually(() => answers(seen()).length > 0);
     t.deepEqual(answers(seen()), ["taken"]);
   });
 }
@@ -230,6 +236,6 @@
   const { socket, seen } = await open(t, { maxBodyBytes: 1000 });
   socket.write("POST /a HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n");
   socket.write(`7d0\r\n${"x".repeat(2000)}\r\n0\r\n\r\n`);
-  await sleep(100);
+  await eventually(() => answers(seen()).length > 0);
   t.deepEqual(answers(seen()), ["413"]);
 });
--- a/test/lifecycle.test.ts
+++ b/test/lifecycle.test.ts
@@ -105,16 +105,22 @@
   await withFleet(targets, async (fleet) => {
     const sidecar = fleet.sidecars.get("vans-0");
     const port = sidecar?.ports.caller ?? 0;
-    const bookings = Array.from({ length: 8 }, async (_, n) => {
+    /** What each caller has got, for the case that it is not what was promised. */
+    const got: string[] = Array.from({ length: 8 }, () => "nothing yet");
+    const bookings = got.map(async (_, n) => {
       const res = await fetch(`http://127.0.0.1:${port}/glenbrae/bookings/van`, {
         method: "POST",
         headers: { "idempotency-key": `booking-${n}` },
         body: "{}",
       });
-      const body = (await res.json()) as { target?: string };
-      return { status: res.status, verdict: res.headers.get("x-burdockpass-verdict"), body };
+      const body = await res.text();
+      got[n] = `${res.status} ${res.headers.get("x-burdockpass-verdict") ?? ""} ${body}`;
+      return { status: res.status, verdict: res.headers.get("x-burdockpass-verdict") };
+    });
+    await standIn.received(fleet, bookings.length).catch((err: unknown) => {
+      t.fail(`${String(err)}; callers got so far: ${got.join("; ")}; logs in ${fleet.dir}`);
+      throw err;
     });
-    await standIn.received(fleet, bookings.length);
     const exited = new Promise<number | null>((resolve) => sidecar?.proc.once("exit", resolve));
     const stopAt = Date.now();
     for (const signal of signals) {
@@ -125,11 +131,11 @@
     const code = await exited;
     t.log(`sidecar exited with ${code} ${Date.now() - stopAt} ms after SIGTERM`);
     const cut = answers.filter((a) => a.status !== 200 || a.verdict !== "done").length;
-    t.is(cut, 0, "requests cut by the planned stop");
+    t.is(cut, 0, `requests cut by the planned stop: ${got.join("; ")}; logs in ${fleet.dir}`);
     t.is(code, 0);
     const counts = await Promise.all(targets.map((x) => standIn.effects(fleet, x.id)));
     const runs = counts.flatMap((c) => Object.values(c.effects));
-    t.is(runs.length, 8);
+    t.is(runs.length, 8, got.join("; "));
     t.true(
       runs.every((r) => r === 1),
       "each booking ran exactly once",
