A fault soak over real processes, and what it found first: a lookup that had run was called not run

Stand-ins write down what reached them, and can refuse, fail at once and call; a sidecar can advertise other addresses than it listens at (the soak's proxies stand there).

Cause: after a target's failure the request was sent on, the next target refused it, and the refusal was the last word. Class: the last event told in place of what is true of all. The same in the hedge, where the first run's refusal hid what the second had done. Mend: moreTelling, a refusal never hides a try that ran or may have. Test first: two rows of Dispatcher.test.ts.

--- a/scripts/LocalFleet.ts
+++ b/scripts/LocalFleet.ts
@@ -44,6 +44,18 @@
   readonly policy: "adaptive" | "naive";
   /** Control replicas: 1, 3 or 5. */
   readonly controls: number;
+  /** Where others are to reach a sidecar that listens at `addresses`; left out, there. */
+  readonly advertise?: (id: string, addresses: SidecarAddresses) => Promise<SidecarAddresses>;
+  /** Settings of every sidecar besides; see SidecarSettings. */
+  readonly sidecarSettings?: object;
+  /** More arguments for a stand-in, once its sidecar is known. */
+  readonly standInArgs?: (id: string, sidecarPorts: Record<string, number>) => readonly string[];
+}
+
+/** Where other members reach a sidecar, host:port. */
+export interface SidecarAddresses {
+  readonly peer: string;
+  readonly hop: string;
 }
 
 /** What a control replica says of itself. */
@@ -89,7 +101,7 @@
     await Promise.all(
       targets.map(async (t, i) => {
         const sidecar = await this.#startSidecar(t.id, t.zone, peerPorts, i);
-        const target = await this.#standIn(t, sidecar.ports.admin ?? 0);
+        const target = await this.#standIn(t, sidecar.ports);
         this.targets.set(t.id, target);
       }),
     );
@@ -313,14 +325,16 @@
       .slice(0, 2)
       .filter((p) => p !== ports.peer)
       .map((p) => `127.0.0.1:${p}`);
+    const addresses = { peer: `127.0.0.1:${ports.peer}`, hop: `127.0.0.1:${ports.hop}` };
     const settings = {
+      ...this.#opts.sidecarSettings,
       role: "sidecar",
       id: `sidecar-${id}`,
       zone,
       listen: `127.0.0.1:${ports.caller}`,
       admin: `127.0.0.1:${ports.admin}`,
-      peer: `127.0.0.1:${ports.peer}`,
-      hop: `127.0.0.1:${ports.hop}`,
+      ...addresses,
+      advertise: (await this.#opts.advertise?.(id, addresses)) ?? {},
       seeds,
       policy: this.#opts.policy,
       control: this.controlAddresses,
@@ -371,17 +385,18 @@
     return member;
   }
 
-  async #standIn(t: FleetTarget, sidecarAdmin: number): Promise<Member> {
+  async #standIn(t: FleetTarget, sidecarPorts: Record<string, number>): Promise<Member> {
     const port = await freePort();
     const args = [
       await this.#program("standin"),
       `--id=${t.id}`,
       `--service=${t.service}`,
       `--port=${port}`,
-      `--sidecar=127.0.0.1:${sidecarAdmin}`,
+      `--sidecar=127.0.0.1:${sidecarPorts.admin ?? 0}`,
       `--slots=${t.slots}`,
       `--work-ms=${t.workMs ?? 2}`,
       ...(t.standInArgs ?? []),
+      ...(this.#opts.standInArgs?.(t.id, sidecarPorts) ?? []),
     ];
     const proc = spawn(process.execPath, args, { cwd: ROOT, stdio: ["ignore", "pipe", "inherit"] });
     const member = this.#own({ name: t.id, proc, ports: { http: port } });
--- /dev/null
+++ b/soak/FaultPlayer.ts
@@ -0,0 +1,186 @@
+import { FaultMode } from "../src/standin/FaultMode.ts";
+import type { Disturbance, StopRecord } from "./History.ts";
+import { LinkMode } from "./LinkProxy.ts";
+import type { SoakFleet } from "./SoakFleet.ts";
+import type { SoakOperator } from "./SoakOperator.ts";
+import { FaultKind, type PlannedFault, type SoakPlan } from "./SoakPlan.ts";
+
+/** Pause between the signals of a stop that comes twice, ms. */
+const SIGNAL_GAP_MS = 300;
+
+/** What a fault leaves behind counts as a disturbance for so long, ms: connections that were lost are found and opened again. */
+const AFTER_MS = 1000;
+
+const TARGET_MODES: Readonly<Partial<Record<FaultKind, FaultMode>>> = {
+  [FaultKind.TargetGray]: FaultMode.Gray,
+  [FaultKind.TargetSheds]: FaultMode.Sheds,
+  [FaultKind.TargetSlow]: FaultMode.Slow,
+  [FaultKind.TargetAnswerLost]: FaultMode.AnswerLost,
+  [FaultKind.TargetTruncates]: FaultMode.Truncate,
+  [FaultKind.TargetSilent]: FaultMode.Silent,
+};
+
+const LINK_MODES: Readonly<Partial<Record<FaultKind, LinkMode>>> = {
+  [FaultKind.LinkDelay]: LinkMode.Delay,
+  [FaultKind.LinkCut]: LinkMode.Cut,
+  [FaultKind.LinkOneWay]: LinkMode.OneWay,
+  [FaultKind.LinkLossy]: LinkMode.Lossy,
+};
+
+const sleep = (ms: number) => new Promise<void>((resolve) => setTimeout(resolve, ms));
+
+/** Plays a schedule of faults on a fleet, from outside, and writes down what was done to whom and when. */
+export class FaultPlayer {
+  readonly #fleet: SoakFleet;
+  readonly #operator: SoakOperator;
+  readonly stops: StopRecord[] = [];
+  readonly disturbances: Disturbance[] = [];
+  readonly drains: { target: string; at: number }[] = [];
+  /** Processes that are being stopped or started: a fault that comes to one of them meanwhile is played on it as it is. */
+  readonly #turning = new Map<string, Promise<void>>();
+
+  constructor(fleet: SoakFleet, operator: SoakOperator) {
+    this.#fleet = fleet;
+    this.#operator = operator;
+  }
+
+  /** Plays all faults at their times; resolves once the last one is over and every process is up again. */
+  async play({ faults }: SoakPlan): Promise<void> {
+    await Promise.all(
+      faults.map(async (fault) => {
+        await sleep(fault.atS * 1000 - this.#fleet.now);
+        await this.#playOne(fault);
+      }),
+    );
+    await Promise.all(this.#turning.values());
+    await this.#operator.settle();
+  }
+
+  async #playOne(fault: PlannedFault): Promise<void> {
+    const { kind, on, forS } = fault;
+    const mode = TARGET_MODES[kind];
+    const link = LINK_MODES[kind];
+    if (mode !== undefined) {
+      await this.#holdTarget(on, kind, mode, forS);
+    } else if (link !== undefined) {
+      await this.#holdLink(on, kind, link, forS);
+    } else {
+      await this.#signalFault(fault);
+    }
+  }
+
+  async #signalFault({ kind, on, forS }: PlannedFault): Promise<void> {
+    switch (kind) {
+      case FaultKind.Config:
+        this.#operator.change();
+        return;
+      case FaultKind.TargetDrains:
+        await this.#fleet.drain(on);
+        this.drains.push({ target: on, at: this.#fleet.now });
+        this.disturbances.push({ on, kind, from: this.#fleet.now, until: Infinity });
+        return;
+      case FaultKind.LinkReset:
+        this.#note(on, kind, 0);
+        this.#fleet.links(on).forEach((link) => {
+          link.reset();
+        });
+        return;
+      case FaultKind.Reload:
+        this.#fleet.signal(on, "SIGHUP");
+        return;
+      case FaultKind.Freeze:
+        await this.#freeze(on, kind, forS);
+        return;
+      case FaultKind.Kill:
+      case FaultKind.Wipe:
+        await this.#turn(on, () => this.#kill(on, kind, forS));
+        return;
+      case FaultKind.StopTwice:
+      case FaultKind.PlannedStop:
+        await this.#turn(on, () => this.#stop(on, kind));
+    }
+  }
+
+  /** Has one thing at a time done to a process that ends and starts again by it. */
+  async #turn(on: string, act: () => Promise<void>): Promise<void> {
+    const before = this.#turning.get(on);
+    const turn = (before ?? Promise.resolve()).then(act);
+    this.#turning.set(on, turn);
+    await turn;
+  }
+
+  async #holdTarget(on: string, kind: string, mode: FaultMode, forS: number): Promise<void> {
+    const end = this.#begin(on, kind);
+    await this.#fleet.setFault(on, mode);
+    await sleep(forS * 1000);
+    await this.#fleet.setFault(on, FaultMode.None);
+    end();
+  }
+
+  async #holdLink(on: string, kind: string, mode: LinkMode, forS: number): Promise<void> {
+    const end = this.#begin(on, kind);
+    const links = this.#fleet.links(on);
+    links.forEach((link) => {
+      link.mode = mode;
+    });
+    await sleep(forS * 1000);
+    links.forEach((link) => {
+      link.mode = LinkMode.Open;
+      if (mode === LinkMode.Cut || mode === LinkMode.OneWay) {
+        // What was held up is lost: its connections are of no use any more.
+        link.reset();
+      }
+    });
+    end();
+  }
+
+  async #freeze(on: string, kind: string, forS: number): Promise<void> {
+    const end = this.#begin(on, kind);
+    this.#fleet.signal(on, "SIGSTOP");
+    await sleep(forS * 1000);
+    this.#fleet.signal(on, "SIGCONT");
+    end();
+  }
+
+  async #kill(on: string, kind: FaultKind, forS: number): Promise<void> {
+    const end = this.#begin(on, kind);
+    const ended = this.#fleet.ended(on);
+    this.#fleet.signal(on, "SIGKILL");
+    await ended;
+    await sleep(forS * 1000);
+    await this.#fleet.startAgain(on, kind === FaultKind.Wipe);
+    end();
+  }
+
+  async #stop(on: string, kind: FaultKind): Promise<void> {
+    const at = this.#fleet.now;
+    const ended = this.#fleet.ended(on);
+    this.#fleet.signal(on, "SIGTERM");
+    if (kind === FaultKind.StopTwice) {
+      for (const signal of ["SIGHUP", "SIGTERM"] as const) {
+        await sleep(SIGNAL_GAP_MS);
+        this.#fleet.signal(on, signal);
+      }
+    }
+    const code = await ended;
+    this.stops.push({ on, at, endedAt: this.#fleet.now, code });
+    const end = this.#begin(on, "down");
+    await this.#fleet.startAgain(on, false);
+    end();
+  }
+
+  /** Notes a disturbance from now on; returns what ends it. */
+  #begin(on: string, kind: string): () => void {
+    const from = this.#fleet.now;
+    const open = { on, kind, from, until: Infinity };
+    this.disturbances.push(open);
+    return () => {
+      open.until = this.#fleet.now + AFTER_MS;
+    };
+  }
+
+  #note(on: string, kind: string, forMs: number): void {
+    const from = this.#fleet.now;
+    this.disturbances.push({ on, kind, from, until: from + forMs + AFTER_MS });
+  }
+}
--- /dev/null
+++ b/soak/LinkProxy.ts
@@ -0,0 +1,147 @@
+import { createSocket, type RemoteInfo, type Socket as Datagrams } from "node:dgram";
+import { connect, createServer, type Server, type Socket } from "node:net";
+import type { Draws } from "./seeded.ts";
+
+/** How a link behaves. */
+export enum LinkMode {
+  Open = "open",
+  /** Everything towards the process comes late. */
+  Delay = "delay",
+  /** Nothing passes, either way; connections stay open. */
+  Cut = "cut",
+  /** What is sent arrives, and nothing comes back. */
+  OneWay = "one-way",
+  /** A third of the datagrams is lost, and a third comes late. */
+  Lossy = "lossy",
+}
+
+const DELAY_MS = 120;
+
+/** Of three datagrams on a lossy link one is lost, and one comes so late, ms. */
+const LATE_MS = 40;
+
+const LOOPBACK = "127.0.0.1";
+
+/**
+ * A proxy on loopback in front of one address of a process, for TCP and datagrams: what others send there goes
+ * through it, and it can hold up, lose, or cut off what passes.
+ */
+export class LinkProxy {
+  readonly #to: number;
+  readonly #draws: Draws;
+  readonly #server: Server;
+  readonly #datagrams: Datagrams;
+  /** By the address of whoever sends datagrams: the socket that speaks for it. */
+  readonly #senders = new Map<string, Datagrams>();
+  readonly #sockets = new Set<Socket>();
+  mode = LinkMode.Open;
+
+  /** @param to the port that the process listens at */
+  constructor(to: number, draws: Draws) {
+    this.#to = to;
+    this.#draws = draws;
+    this.#server = createServer((socket) => {
+      this.#join(socket);
+    });
+    this.#datagrams = createSocket("udp4", (message, from) => {
+      this.#onDatagram(message, from);
+    });
+    this.#datagrams.on("error", () => undefined);
+  }
+
+  async listen(port: number): Promise<void> {
+    await new Promise<void>((resolve) => this.#server.listen(port, LOOPBACK, resolve));
+    await new Promise<void>((resolve) => {
+      this.#datagrams.bind(port, LOOPBACK, resolve);
+    });
+  }
+
+  /** Resets every connection through it. */
+  reset(): void {
+    for (const socket of this.#sockets) {
+      socket.resetAndDestroy();
+    }
+  }
+
+  async close(): Promise<void> {
+    this.reset();
+    this.#senders.forEach((s) => s.close());
+    this.#datagrams.close();
+    await new Promise((resolve) => this.#server.close(resolve));
+  }
+
+  #join(outer: Socket): void {
+    const inner = connect(this.#to, LOOPBACK);
+    this.#pass(outer, inner, "in");
+    this.#pass(inner, outer, "out");
+  }
+
+  #pass(from: Socket, to: Socket, way: "in" | "out"): void {
+    this.#sockets.add(from);
+    from.on("data", (chunk) => {
+      this.#later(way, () => to.write(chunk));
+    });
+    from.on("end", () => {
+      this.#later(way, () => to.end());
+    });
+    from.on("error", () => undefined);
+    from.on("close", (hadError) => {
+      this.#sockets.delete(from);
+      if (hadError) {
+        to.resetAndDestroy();
+      } else if (this.mode === LinkMode.Open) {
+        to.end();
+      }
+    });
+  }
+
+  /** Lets something pass now, late, or never. */
+  #later(way: "in" | "out", act: () => void): void {
+    switch (this.mode) {
+      case LinkMode.Cut:
+        return;
+      case LinkMode.OneWay:
+        if (way === "in") {
+          act();
+        }
+        return;
+      case LinkMode.Delay:
+        setTimeout(act, DELAY_MS);
+        return;
+      case LinkMode.Open:
+      case LinkMode.Lossy:
+        act();
+    }
+  }
+
+  #onDatagram(message: Buffer, from: RemoteInfo): void {
+    const key = `${from.address}:${from.port}`;
+    let speaker = this.#senders.get(key);
+    if (!speaker) {
+      speaker = createSocket("udp4", (reply) => {
+        this.#laterDatagram("out", () => {
+          this.#datagrams.send(reply, from.port, from.address);
+        });
+      });
+      speaker.on("error", () => undefined);
+      this.#senders.set(key, speaker);
+    }
+    const { send } = { send: speaker.send.bind(speaker) };
+    this.#laterDatagram("in", () => {
+      send(message, this.#to, LOOPBACK);
+    });
+  }
+
+  #laterDatagram(way: "in" | "out", act: () => void): void {
+    if (this.mode !== LinkMode.Lossy) {
+      this.#later(way, act);
+      return;
+    }
+    const fate = this.#draws.int(1, 3);
+    if (fate === 2) {
+      setTimeout(act, LATE_MS);
+    } else if (fate === 3) {
+      act();
+    }
+  }
+}
--- /dev/null
+++ b/soak/planSoak.test.ts
@@ -0,0 +1,30 @@
+import test from "ava";
+import { planSoak, vmNames } from "./planSoak.ts";
+import { FaultKind } from "./SoakPlan.ts";
+
+test("plan: a seed tells the whole run, another seed another", (t) => {
+  t.deepEqual(planSoak(7, 60, 30), planSoak(7, 60, 30));
+  t.notDeepEqual(planSoak(7, 60, 30), planSoak(8, 60, 30));
+});
+
+test("plan: faults come to what is there, in the time between the quiet ones", (t) => {
+  for (let seed = 1; seed <= 50; seed++) {
+    const { faults, services, controls, seconds } = planSoak(seed, 60, 40);
+    const names = [
+      "",
+      ...services.flatMap((s) => vmNames(s)),
+      ...Array.from({ length: controls }, (_, n) => `control-${n + 1}`),
+    ];
+    t.true(faults.length > 10);
+    t.true(faults.every((f) => names.includes(f.on)));
+    t.true(faults.every((f) => f.atS >= 4 && f.atS + f.forS <= seconds - 16 + 1e-9));
+  }
+});
+
+test("plan: fifty seeds bring every kind of fault", (t) => {
+  const seen = new Set<string>();
+  for (let seed = 1; seed <= 50; seed++) {
+    planSoak(seed, 60, 30).faults.forEach((f) => seen.add(f.kind));
+  }
+  t.deepEqual([...seen].sort(), [...Object.values(FaultKind)].sort());
+});
--- a/src/common/settings/SidecarSettings.ts
+++ b/src/common/settings/SidecarSettings.ts
@@ -13,6 +13,12 @@
   slack: z.number().min(0).default(60),
 });
 
+/** Where others reach this sidecar, where that is not where it listens: behind an address translation, or a proxy. */
+const Advertise = z.strictObject({
+  peer: HostPort.optional(),
+  hop: HostPort.optional(),
+});
+
 /** How a planned stop goes. */
 const Stop = z.strictObject({
   /** Callers are served on for this long: whoever sends them here has to notice first. */
@@ -34,6 +40,7 @@
   peer: HostPort,
   /** For other sidecars: requests for the target beside this one. */
   hop: HostPort,
+  advertise: Advertise.prefault({}),
   /** The service beside which callers' requests begin here; targets may be told. */
   callerService: z.string().default(""),
   /** Whether targets see this sidecar's name in the `Via` header (RFC 9110, 7.6.3). */
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -268,11 +268,11 @@
   }
 
   #openTable(): TargetTable {
-    const { id, peer, hop, zone, announceTimeoutMs } = this.#cfg;
+    const { id, peer, hop, advertise, zone, announceTimeoutMs } = this.#cfg;
     const self = {
       id: SidecarId(id),
-      peerAddress: peer,
-      hopAddress: hop,
+      peerAddress: advertise.peer ?? peer,
+      hopAddress: advertise.hop ?? hop,
       zone: ZoneName(zone),
       incarnation: Date.now(),
     };
--- a/src/sidecar/routing/Dispatcher.test.ts
+++ b/src/sidecar/routing/Dispatcher.test.ts
@@ -90,6 +90,21 @@
     sends: 1,
     verdict: "done",
   },
+  // Told that it has not run, a caller believes that nothing happened; the first target had worked on it.
+  {
+    name: "lookup that one target failed and the others refuse has run",
+    idempotent: true,
+    answers: [failed, shed, shed],
+    sends: 3,
+    verdict: "done",
+  },
+  {
+    name: "lookup that is in doubt at one target and that the others refuse may have run",
+    idempotent: true,
+    answers: [inDoubt, shed, shed],
+    sends: 3,
+    verdict: "may-have-run",
+  },
   // A booking that may have run must not be sent again: a second run sends a van twice.
   {
     name: "booking never retried after may-have-run",
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -111,16 +111,17 @@
         }
         return last ?? notRun(sought);
       }
-      last = await this.#runHedged(course, sought.grant);
-      if (isVoid(last) && course.voided++ < MAX_VOIDED) {
+      const newest = await this.#runHedged(course, sought.grant);
+      last = moreTelling(last, newest);
+      if (isVoid(newest) && course.voided++ < MAX_VOIDED) {
         tried.delete(sought.grant.target.id);
       }
-      if (!this.#mayRetry(course, last)) {
+      if (!this.#mayRetry(course, newest)) {
         return last;
       }
       const { attempt } = req;
       this.#deps.onExtraTry?.(route.service.name, "retry");
-      this.#deps.log.info({ attempt, verdict: last.verdict, sends: course.sends }, "retrying");
+      this.#deps.log.info({ attempt, verdict: newest.verdict, sends: course.sends }, "retrying");
     }
   }
 
@@ -180,7 +181,7 @@
     }
     // The sooner one failed: the other, if there is one, may still be good.
     const [a, b] = await Promise.all([first.result, hedge.started ? hedge.result : undefined]);
-    return b && isGood(b) ? b : a;
+    return b && isGood(b) ? b : moreTelling(b, a);
   }
 
   /** A second run that starts when the first is stuck; its result is undefined when it never starts. */
@@ -304,6 +305,16 @@
   return result.verdict.kind === "done" && result.outcome === AttemptOutcome.Ok;
 }
 
+/**
+ * Of the results of two tries the one that tells what became of the request: a target that refuses it after
+ * another one has failed it, or may have run it, does not make it a request that has not run. Without this, callers
+ * were told "not run" of lookups that a gray target had worked on.
+ */
+function moreTelling(before: ForwardResult | undefined, newest: ForwardResult): ForwardResult {
+  const hides = newest.verdict.kind === "not-run" && before?.verdict.kind !== "not-run";
+  return before && hides ? before : newest;
+}
+
 /** The grant ran out, or was taken back, before the request got to the target. */
 function isVoid({ verdict, outcome }: ForwardResult): boolean {
   return verdict.kind === "not-run" && outcome === AttemptOutcome.Cancelled;
--- a/src/standin/FaultMode.ts
+++ b/src/standin/FaultMode.ts
@@ -11,6 +11,10 @@
   Silent = "silent",
   /** A share of answers are errors (status 500). */
   Error = "error",
+  /** Most requests are answered with an error at once. */
+  Gray = "gray",
+  /** Half of the requests are refused, unrun, though there is room. */
+  Sheds = "sheds",
   /** Works well, but its health endpoint says it does not. */
   HealthBad = "health-bad",
   /** Runs requests from one sidecar (see `via`) and never answers them: a one-way partition. */
--- a/src/standin/StandInOptions.ts
+++ b/src/standin/StandInOptions.ts
@@ -1,3 +1,5 @@
+import type { CallOptions } from "./CallOptions.ts";
+
 /** How a stand-in target is set up. */
 export interface StandInOptions {
   readonly id: string;
@@ -24,4 +26,8 @@
   readonly echoHeader: string;
   /** Finishes a request, effect and all, after its caller hung up. */
   readonly runsOn: boolean;
+  /** A file to write down in what became of each request; undefined for none. */
+  readonly journal: string | undefined;
+  /** The calls that it makes in the midst of its work; undefined for none. */
+  readonly calls: CallOptions | undefined;
 }
--- a/src/standin/StandInTarget.ts
+++ b/src/standin/StandInTarget.ts
@@ -1,7 +1,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { FaultMode } from "./FaultMode.ts";
+import { makeCall } from "./makeCall.ts";
 import type { StandInOptions } from "./StandInOptions.ts";
+import { WorkJournal } from "./WorkJournal.ts";
 
 /** Interval between announcements to the sidecar, ms: the target's heartbeat. */
 const ANNOUNCE_INTERVAL_MS = 500;
@@ -30,6 +32,10 @@
 /** Half-period of the flapping mode, ms. */
 const FLAP_PERIOD_MS = 2000;
 
+/** Share of requests that fail in the gray mode, and that are refused in the shedding one: about the users' gray targets'. */
+const GRAY_SHARE = 0.85;
+const SHED_SHARE = 0.5;
+
 /** One answer: its body, and the id the request asked to have echoed. */
 interface Answer {
   readonly body: string;
@@ -66,10 +72,14 @@
   #draining = false;
   #announcer: NodeJS.Timeout | undefined;
   #announcements = 1;
+  /** Calls made so far. */
+  #calls = 0;
   #lastAnswer: Answer | undefined;
+  readonly #journal: WorkJournal;
 
   constructor(opts: StandInOptions) {
     this.#opts = opts;
+    this.#journal = new WorkJournal(opts.journal, { target: opts.id, service: opts.service });
     this.#healthLies = opts.healthLies;
     this.#coldUntil = Date.now() + opts.coldMs;
     this.#server = createServer((req, res) => {
@@ -217,13 +227,22 @@
     if (this.#arrivals.length > MAX_ARRIVALS) {
       this.#arrivals.shift();
     }
+    const tag = String(req.headers["x-caller-tag"] ?? "");
+    this.#journal.note(tag, "arrived");
     const body = await readText(req);
     const before = (this.#openedAt.get(req.socket) ?? 0) < this.#faultAt;
     if (this.#mode === FaultMode.Silent || (this.#mode === FaultMode.SilentOld && before)) {
       return; // Never answers; the socket stays open until the caller gives up.
     }
-    if (this.#inFlight >= this.#opts.slots || this.#draining) {
-      shed(res, this.#draining ? "draining" : "no free slot");
+    const refusal = this.#refusal();
+    if (refusal !== undefined) {
+      this.#journal.note(tag, "shed");
+      shed(res, refusal);
+      return;
+    }
+    if (this.#mode === FaultMode.Gray && Math.random() < GRAY_SHARE) {
+      this.#journal.note(tag, "ran");
+      sendError(res);
       return;
     }
     this.#inFlight += 1;
@@ -246,10 +265,16 @@
       if (call.cancelled || workMs > leftMs || performance.now() >= deadlineAt) {
         // Cancelled or past its deadline before the effect: it did not run, and says so.
         if (!res.destroyed) {
+          this.#journal.note(tag, "shed");
           shed(res, "deadline passed");
         }
         return;
       }
+      this.#journal.note(tag, "ran");
+      if (!(await this.#callsServed(tag))) {
+        sendError(res);
+        return;
+      }
       const lost = this.#mode === FaultMode.OneWay && via.includes(this.#cutVia);
       await this.#answer(req, body, res, lost);
     } finally {
@@ -257,6 +282,24 @@
     }
   }
 
+  /** Why a request is refused, unrun; undefined when it is not. */
+  #refusal(): string | undefined {
+    if (this.#draining) {
+      return "draining";
+    }
+    const sheds = this.#mode === FaultMode.Sheds && Math.random() < SHED_SHARE;
+    return sheds || this.#inFlight >= this.#opts.slots ? "no free slot" : undefined;
+  }
+
+  /** Makes the call that this request's work needs, if it does; false when it failed. */
+  async #callsServed(tag: string): Promise<boolean> {
+    const { calls } = this.#opts;
+    if (calls === undefined || Math.random() >= calls.share) {
+      return true;
+    }
+    return makeCall(calls, `${tag}~${this.#calls++}`);
+  }
+
   /** Runs the request's effect and answers it, unless the answer is `lost` on the way back. */
   async #answer(
     req: IncomingMessage,
@@ -319,6 +362,11 @@
   }
 }
 
+function sendError(res: ServerResponse): void {
+  res.statusCode = 500;
+  res.end("{}");
+}
+
 function shed(res: ServerResponse, reason: string): void {
   res.statusCode = 503;
   res.setHeader("x-not-run", "1");
--- a/src/standin/main.ts
+++ b/src/standin/main.ts
@@ -20,6 +20,10 @@
     "runs-on": { type: "boolean", default: false },
     "echo-header": { type: "string", default: "x-burdockpass-request" },
     "health-lies": { type: "boolean", default: false },
+    journal: { type: "string", description: "A file for what became of each request" },
+    "call-path": { type: "string", description: "What it calls in the midst of its work" },
+    "call-port": { type: "string", description: "Its sidecar's port for callers" },
+    "call-share": { type: "string", default: "1" },
   },
   async run({ args }) {
     const target = new StandInTarget({
@@ -37,6 +41,8 @@
       netMs: Number(args["net-ms"]),
       echoHeader: args["echo-header"],
       healthLies: args["health-lies"],
+      journal: args.journal,
+      calls: callsOf(args["call-path"], args["call-port"], args["call-share"]),
     });
     const port = await target.start();
     process.stdout.write(JSON.stringify({ msg: "standin ready", id: args.id, port }) + "\n");
@@ -44,4 +50,8 @@
   },
 });
 
+function callsOf(path: string | undefined, port: string | undefined, share: string) {
+  return path === undefined ? undefined : { path, port: Number(port), share: Number(share) };
+}
+
 void runMain(main);
