--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -1,16 +1,14 @@
 import type { AttemptId } from "../../common/ids/AttemptId.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
-import type { Timer } from "../../common/lifecycle/Timer.ts";
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { Judge } from "../detection/Judge.ts";
 import type { Ask } from "../hop/Ask.ts";
 import type { AskReply } from "../hop/AskReply.ts";
 import type { GateLoad } from "../hop/GateLoad.ts";
 import { RefusalReason } from "../hop/RefusalReason.ts";
-import { AskQueue } from "./AskQueue.ts";
-import { isLate } from "./isLate.ts";
-import { LineForecast } from "./LineForecast.ts";
+import { AskLine } from "./AskLine.ts";
 import { runRoomMs } from "./runRoomMs.ts";
+import { SlotTable } from "./SlotTable.ts";
 import type { WaitingAsk } from "./WaitingAsk.ts";
 
 /** The target, as far as the gate needs to know it. */
@@ -32,7 +30,7 @@
   /** Told when the target is thought of otherwise: well, suspect or ejected. */
   readonly onJudged?: (load: GateLoad) => void;
   /** Who goes first of those that wait; left out, the product's own order. */
-  readonly order?: ConstructorParameters<typeof AskQueue>[0];
+  readonly order?: ConstructorParameters<typeof AskLine>[0];
 }
 
 /**
@@ -67,20 +65,6 @@
 /** Assumed service time before any request has run, ms. */
 const FIRST_SERVICE_MS = 300;
 
-/** What holds a slot: a grant that is to be taken, or a run. */
-interface Held {
-  readonly ask: Ask;
-  readonly state: "granted" | "running";
-  /** When it was granted, or its run began, by the gate's clock, ms. */
-  readonly since: number;
-  /** Ends a grant that is not taken; tells when a run is overdue. */
-  readonly timer: Timer;
-  /** The judge has been told that it is overdue. */
-  isOverdue: boolean;
-  /** It is there to tell whether a target under suspicion is well. */
-  readonly isProbe: boolean;
-}
-
 /** An ask being weighed, which whoever asked may take back. */
 interface Ticket {
   /** True while it waits for a slot. */
@@ -97,11 +81,9 @@
  */
 export class Gate {
   readonly #deps: GateDeps;
-  readonly #queue: AskQueue;
-  readonly #replies = new Map<WaitingAsk, (reply: AskReply) => void>();
-  readonly #held = new Map<AttemptId, Held>();
+  readonly #line: AskLine;
+  readonly #slots: SlotTable;
   readonly #life = new AbortController();
-  readonly #forecast = new LineForecast();
   #weighedAt = -Infinity;
   #serviceMs = FIRST_SERVICE_MS;
   #closed = false;
@@ -110,7 +92,8 @@
 
   constructor(deps: GateDeps) {
     this.#deps = deps;
-    this.#queue = new AskQueue(deps.order);
+    this.#line = new AskLine(deps.order);
+    this.#slots = new SlotTable(deps.clock);
   }
 
   /** How busy the target is. */
@@ -118,14 +101,14 @@
     const { judge } = this.#deps;
     return {
       slots: this.#deps.target()?.slots ?? 0,
-      busy: this.#held.size,
-      queued: this.#queue.length,
+      busy: this.#slots.size,
+      queued: this.#line.length,
       serviceMs: Math.round(this.#serviceMs),
       pace: judge.pace,
       risk: Math.round(judge.risk * 1000) / 1000,
       suspect: judge.isSuspect,
       ejected: judge.isEjected,
-      probeInMs: judge.probeInMs(this.#probes),
+      probeInMs: judge.probeInMs(this.#slots.probes),
       endsInMs: this.#endAt < Infinity ? this.#endAt - this.#deps.clock.now() : undefined,
     };
   }
@@ -139,7 +122,7 @@
       return { queued: false, withdraw: () => undefined };
     }
     if (this.#isIdle) {
-      this.#forecast.noteGrant(isLate(waiting, waiting.askedAt, this.#serviceMs));
+      this.#line.noteGrant(waiting, waiting.askedAt, this.#serviceMs);
       this.#grant(ask, reply);
       return {
         queued: false,
@@ -148,56 +131,48 @@
         },
       };
     }
-    this.#queue.add(waiting);
-    this.#replies.set(waiting, reply);
+    this.#line.add(waiting, reply);
     return {
       queued: true,
       withdraw: () => {
-        this.#replies.delete(waiting);
-        if (!this.#queue.remove(waiting)) {
+        if (!this.#line.remove(waiting)) {
           this.revoke(ask.attempt);
         }
       },
     };
   }
 
-  /** Begins the run that a grant was given for; false when the grant is void. */
+  /** Begins the run that a grant was given for; undefined when the grant is void. */
   take(attempt: AttemptId): Ask | undefined {
-    const { clock, judge } = this.#deps;
-    const granted = this.#held.get(attempt);
-    if (granted?.state !== "granted") {
-      return undefined;
+    return this.#slots.take(
+      attempt,
+      (ask) => this.#usualMs(ask) * OVERDUE_FACTOR,
+      (since) => this.#noteOverdue(since),
+    );
+  }
+
+  /** Tells the judge of a run that takes far longer than usual; false where the time is that of a target which it called. */
+  #noteOverdue(since: number): boolean {
+    if (this.#deps.waitsForCall?.(since)) {
+      return false;
     }
-    granted.timer.cancel();
-    const { ask, isProbe } = granted;
-    const timer = clock.after(this.#usualMs(ask) * OVERDUE_FACTOR, () => {
-      if (this.#deps.waitsForCall?.(since)) {
-        return; // The time is that of the target which was called.
-      }
-      running.isOverdue = true;
-      this.#tellJudge(() => {
-        judge.noteOverdue(clock.now() - since);
-      });
+    this.#tellJudge(() => {
+      this.#deps.judge.noteOverdue(this.#deps.clock.now() - since);
     });
-    const since = clock.now();
-    const running: Held = { ask, state: "running", since, timer, isOverdue: false, isProbe };
-    this.#held.set(attempt, running);
-    return ask;
+    return true;
   }
 
   /** Ends a run, and gives its slot to the next. */
   end(attempt: AttemptId, outcome: AttemptOutcome): void {
-    const held = this.#held.get(attempt);
-    if (held?.state !== "running") {
+    const ended = this.#slots.end(attempt);
+    if (!ended) {
       return;
     }
-    held.timer.cancel();
-    this.#held.delete(attempt);
-    const ms = this.#deps.clock.now() - held.since;
+    const { ask, ms, wasOverdue } = ended;
     // One that was overdue, and then ran out of time, is one observation.
-    if (!(held.isOverdue && outcome === AttemptOutcome.TimedOut)) {
+    if (!(wasOverdue && outcome === AttemptOutcome.TimedOut)) {
       this.#tellJudge(() => {
-        this.#deps.judge.note(outcome, ms, held.ask.typicalMs);
+        this.#deps.judge.note(outcome, ms, ask.typicalMs);
       });
     }
     this.#noteServiceMs(ms);
@@ -217,12 +192,12 @@
 
   /** Whether a slot is granted to `attempt` that it has not taken yet. */
   hasGrant(attempt: AttemptId): boolean {
-    return this.#held.get(attempt)?.state === "granted";
+    return this.#slots.hasGrant(attempt);
   }
 
   /** True while a slot is granted or in use. */
   get isBusy(): boolean {
-    return this.#held.size > 0;
+    return this.#slots.size > 0;
   }
 
   get #standing(): "ejected" | "suspect" | "well" {
@@ -243,22 +218,14 @@
    */
   #weighLine(): void {
     const now = this.#deps.clock.now();
-    if (this.#queue.length === 0 || now - this.#weighedAt < WEIGH_GAP_MS) {
+    if (this.#line.length === 0 || now - this.#weighedAt < WEIGH_GAP_MS) {
       return;
     }
     this.#weighedAt = now;
-    const refusals = new Map<WaitingAsk, RefusalReason>();
-    this.#queue.takeAll((waiting) => {
-      const refusal = this.#refusalOf(waiting);
-      if (refusal) {
-        refusals.set(waiting, refusal);
-      }
-      return refusal !== undefined;
-    });
-    for (const [waiting, reason] of refusals) {
-      this.#replies.get(waiting)?.(this.#refuse(reason, waiting));
-      this.#replies.delete(waiting);
-    }
+    this.#line.refuse(
+      (waiting) => this.#refusalOf(waiting),
+      (reason, waiting) => this.#refuse(reason, waiting),
+    );
   }
 
   /**
@@ -303,16 +270,16 @@
   }
 
   get #freeSlots(): number {
-    return (this.#deps.target()?.slots ?? 0) - this.#held.size;
+    return (this.#deps.target()?.slots ?? 0) - this.#slots.size;
   }
 
   /** Why an ask cannot join the line; undefined when it can. */
   #refusalOfNewcomer({ attempt }: Ask): RefusalReason | undefined {
-    if (this.#held.has(attempt)) {
+    if (this.#slots.has(attempt)) {
       return RefusalReason.Duplicate;
     }
     const slots = this.#deps.target()?.slots ?? 0;
-    const hasNoRoom = this.#queue.length >= QUEUE_PER_SLOT * slots;
+    const hasNoRoom = this.#line.length >= QUEUE_PER_SLOT * slots;
     return !this.#isIdle && hasNoRoom ? RefusalReason.Full : undefined;
   }
 
@@ -330,7 +297,7 @@
     if (this.#closed || !target.takesWork || endsTooSoon) {
       return RefusalReason.Leaving;
     }
-    if (!this.#deps.judge.admits(ask, this.#probes)) {
+    if (!this.#deps.judge.admits(ask, this.#slots.probes)) {
       return RefusalReason.Suspect;
     }
     return waitMs > 0 && waitMs + this.#serviceMs > remainingMs ? RefusalReason.Full : undefined;
@@ -348,12 +315,7 @@
 
   /** A slot is free, and nobody waits for it. */
   get #isIdle(): boolean {
-    return this.#freeSlots > 0 && this.#queue.length === 0;
-  }
-
-  /** Requests under way that will tell whether the target is well. */
-  get #probes(): number {
-    return [...this.#held.values()].filter((h) => h.isProbe).length;
+    return this.#freeSlots > 0 && this.#line.length === 0;
   }
 
   /** How long an ask will wait for a slot from now on, ms. */
@@ -362,7 +324,7 @@
       return 0;
     }
     const pace = { slots: this.#deps.target()?.slots ?? 1, serviceMs: this.#serviceMs };
-    return this.#forecast.waitMs(waiting, this.#queue, this.#deps.clock.now(), pace);
+    return this.#line.waitMs(waiting, this.#deps.clock.now(), pace);
   }
 
   #refuse(reason: RefusalReason, waiting: WaitingAsk): AskReply {
@@ -375,53 +337,49 @@
   }
 
   #grant(ask: Ask, reply: (reply: AskReply) => void): void {
-    const { clock, boot, judge } = this.#deps;
-    const timer = clock.after(GRANT_MS, () => {
+    const { boot, judge } = this.#deps;
+    const isProbe = judge.isSuspect && judge.risk > ask.acceptsRisk;
+    this.#slots.grant(ask, isProbe, GRANT_MS, () => {
       this.revoke(ask.attempt);
     });
-    const since = clock.now();
-    const isProbe = judge.isSuspect && judge.risk > ask.acceptsRisk;
-    const held = { ask, state: "granted", since, timer, isOverdue: false, isProbe } as const;
-    this.#held.set(ask.attempt, held);
     reply({ kind: "granted", boot, load: this.load });
   }
 
   /** Takes back a grant that was not taken; true when there was one. */
   revoke(attempt: AttemptId): boolean {
-    const held = this.#held.get(attempt);
-    if (held?.state !== "granted") {
-      return false;
+    const wasGranted = this.#slots.revoke(attempt);
+    if (wasGranted) {
+      this.#serveNext();
     }
-    held.timer.cancel();
-    this.#held.delete(attempt);
-    this.#serveNext();
-    return true;
+    return wasGranted;
   }
 
   /** Gives free slots to those whose turn it is. */
   #serveNext(): void {
-    const { clock } = this.#deps;
     while (this.#freeSlots > 0) {
-      const next = this.#queue.take(clock.now(), this.#serviceMs);
-      if (!next) {
+      const turn = this.#line.next(this.#deps.clock.now(), this.#serviceMs);
+      if (!turn) {
         return;
       }
-      const reply = this.#replies.get(next);
-      this.#replies.delete(next);
-      const waited = clock.now() - next.askedAt;
-      const left = { ...next.ask, remainingMs: next.ask.remainingMs - waited };
-      if (!reply || left.remainingMs <= 0) {
-        continue; // Whoever asked has given up by its own clock.
-      }
-      const endsTooSoon = clock.now() + this.#roomMs(left) > this.#endAt;
-      if (endsTooSoon) {
-        reply(this.#refuse(RefusalReason.Leaving, next));
-      } else if (!this.#deps.judge.admits(left, this.#probes)) {
-        reply(this.#refuse(RefusalReason.Suspect, next));
-      } else {
-        this.#forecast.noteGrant(isLate(next, clock.now(), this.#serviceMs));
-        this.#grant(left, reply);
-      }
+      this.#giveTurn(turn);
+    }
+  }
+
+  /** Grants a slot to the ask whose turn it is, unless it is of no use to it any more. */
+  #giveTurn({ waiting, reply }: NonNullable<ReturnType<AskLine["next"]>>): void {
+    const now = this.#deps.clock.now();
+    const remainingMs = waiting.ask.remainingMs - (now - waiting.askedAt);
+    const left = { ...waiting.ask, remainingMs };
+    if (!reply || remainingMs <= 0) {
+      return; // Whoever asked has given up by its own clock.
+    }
+    if (now + this.#roomMs(left) > this.#endAt) {
+      reply(this.#refuse(RefusalReason.Leaving, waiting));
+    } else if (!this.#deps.judge.admits(left, this.#slots.probes)) {
+      reply(this.#refuse(RefusalReason.Suspect, waiting));
+    } else {
+      this.#line.noteGrant(waiting, now, this.#serviceMs);
+      this.#grant(left, reply);
     }
   }
 
