Targets of which nothing fresh is known are taken to be as busy as others of their zone and service

Cause: at 232 sidecars one hears of a given gate about every 20 s, and load counts for 2 s: every target is taken for free, those of the own zone are asked first, and in a zone with more callers than others three asks stand in line there while other zones have room. An ask that is put in line told nothing of how busy the target is.

Ruled out: asking more gates at once (each ask is a message to a process with a quarter of a core, and withdrawn asks lengthen the lines that forecasts are made from); keeping load for longer than 2 s (it is wrong by then).

Change: the word that an ask stands in line says how busy the target is; what is heard of a service in a zone gives the expected wait at its other targets (ZoneWaits), which fades with a half-life of 1.5 s. A target in the own zone that was not heard of is asked first only while that wait is under 10 ms. A look at the targets takes the time once, and what is kept of each once, in place of once for each question asked of it.

--- a/experiment/Scenario.ts
+++ b/experiment/Scenario.ts
@@ -52,6 +52,8 @@
     readonly slots: number;
   }[];
   readonly zones: number;
+  /** How many of the callers come in each zone, in proportion; evenly where it is left out. */
+  readonly zoneShares?: readonly number[];
   /** One way between availability zones, ms. */
   readonly zoneMs: number;
   readonly kinds: readonly LoadKind[];
--- a/experiment/SimFleet.ts
+++ b/experiment/SimFleet.ts
@@ -258,7 +258,10 @@
   }
 
   async #caller(kind: LoadKind): Promise<void> {
-    const ready = [...this.#sidecars.values()].filter((s) => s.isReady);
+    const zone = this.#callerZone();
+    const ready = [...this.#sidecars.values()].filter(
+      (s) => s.isReady && (zone === undefined || s.vm.zone === zone),
+    );
     const from = ready[Math.floor(this.#random() * ready.length)]?.vm.name ?? "";
     const startedAt = this.#clock.now();
     this.#arrivals.noteRequest(kind.service, startedAt);
@@ -267,6 +270,13 @@
     this.tally.add({ kind, startedAt, endedAt: this.#clock.now(), end });
   }
 
+  /** Where the next caller comes; undefined for anywhere. */
+  #callerZone(): number | undefined {
+    const { zoneShares: shares } = this.#scenario;
+    let left = this.#random() * (shares ?? []).reduce((sum, share) => sum + share, 0);
+    return shares?.findIndex((share) => (left -= share) < 0);
+  }
+
   async #send(
     kind: LoadKind,
     { from, isRepeat }: Caller,
--- a/experiment/SimHop.ts
+++ b/experiment/SimHop.ts
@@ -6,6 +6,7 @@
 import type { RunState } from "../src/sidecar/gate/RunTable.ts";
 import type { Ask } from "../src/sidecar/hop/Ask.ts";
 import type { AskReply } from "../src/sidecar/hop/AskReply.ts";
+import type { GateLoad } from "../src/sidecar/hop/GateLoad.ts";
 import type { GrantOf, HopLink } from "../src/sidecar/hop/HopLink.ts";
 import type { HopRequest } from "../src/sidecar/hop/HopRequest.ts";
 import type { Pending } from "../src/sidecar/hop/Pending.ts";
@@ -35,7 +36,7 @@
     this.#deps = deps;
   }
 
-  ask(address: string, ask: Ask, onQueued: () => void): Pending<AskReply> {
+  ask(address: string, ask: Ask, onQueued: (load: GateLoad) => void): Pending<AskReply> {
     this.asks += 1;
     let givenUp = false;
     let withdraw: () => void = () => undefined;
@@ -53,7 +54,10 @@
           ticket.withdraw();
         };
         if (ticket.queued) {
-          reply(onQueued);
+          const { load } = gate;
+          reply(() => {
+            onQueued(load);
+          });
         }
       });
     });
--- a/experiment/main.ts
+++ b/experiment/main.ts
@@ -5,13 +5,13 @@
 import type { Figures } from "./Tally.ts";
 import { variants } from "./variants.ts";
 
-// Compares ways of deciding on the same loads: `npm run experiment -- [SEEDS] [SCENARIO]`.
-const [seeds = "5", only] = process.argv.slice(2);
+// Compares ways of deciding on the same loads: `npm run experiment -- [SEEDS] [SCENARIO [VARIANT]]`.
+const [seeds = "5", only, onlyVariant] = process.argv.slice(2);
 
 const columns = ["goal", "served", "worth", "worst", "refused", "failed"] as const;
 
 for (const scenario of scenarios.filter((s) => only === undefined || s.name === only)) {
-  for (const variant of variants) {
+  for (const variant of variants.filter((v) => (onlyVariant ?? v.name) === v.name)) {
     const runs: Figures[] = [];
     let asks = 0;
     for (let seed = 1; seed <= Number(seeds); seed++) {
--- a/experiment/scenarios.ts
+++ b/experiment/scenarios.ts
@@ -277,6 +277,13 @@
   },
   { ...LAB_LARGE, name: "large quiet", kinds: labLarge(0.7) },
   { ...LAB_LARGE, name: "large busy", kinds: labLarge(1.1) },
+  {
+    // Some zones have twice the callers of others, and no more targets.
+    ...LAB_LARGE,
+    name: "large uneven",
+    zoneShares: [1.4, 0.7, 1, 1.3, 1.2, 0.6],
+    kinds: labLarge(1),
+  },
   {
     // A third of the targets was taken away: sound ones have less room than callers need.
     ...HOLMGAARD,
--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -30,7 +30,7 @@
   GateMessage: {
     ask_id: number;
     ask: ProtoTypes["SlotAsk"] | null;
-    queued: boolean;
+    queued: ProtoTypes["GateLoad"] | null;
     reply: ProtoTypes["SlotReply"] | null;
     withdrawn: boolean;
     news: ProtoTypes["GateNews"] | null;
--- a/src/sidecar/gate/AskServer.ts
+++ b/src/sidecar/gate/AskServer.ts
@@ -153,7 +153,7 @@
       ticket.withdraw();
     };
     if (ticket.queued) {
-      say(gateWire.queued(id));
+      say(gateWire.queued(id, gate.load));
     }
   }
 
--- a/src/sidecar/hop/AskClient.test.ts
+++ b/src/sidecar/hop/AskClient.test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { FakeClock } from "../../../test/fixtures/FakeClock.ts";
-import { granted, refused } from "../../../test/fixtures/FakeHop.ts";
+import { granted, idleLoad, refused } from "../../../test/fixtures/FakeHop.ts";
 import { makeAsk } from "../../../test/fixtures/makeAsk.ts";
 import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
 import { AskClient } from "./AskClient.ts";
@@ -50,7 +50,7 @@
 test("asks: one that is known to wait in line is not sent again", async (t) => {
   const { clock, client, told, ask, kinds, queued } = rig();
   ask();
-  client.receive(gateWire.queued(told[0]?.ask_id ?? 0), GATE);
+  client.receive(gateWire.queued(told[0]?.ask_id ?? 0, idleLoad), GATE);
   await clock.advance(1000);
   t.is(queued(), 1);
   t.deepEqual(kinds(), ["ask"]);
@@ -76,7 +76,7 @@
 test("asks: what names no ask, or cannot be read, changes nothing", (t) => {
   const { client, ask, kinds, queued } = rig();
   ask();
-  client.receive(gateWire.queued(99), GATE);
+  client.receive(gateWire.queued(99, idleLoad), GATE);
   client.receive(gateWire.reply(99, refused()), GATE);
   client.receive({ ...gateWire.reply(1, refused()), reply: null }, GATE);
   t.is(queued(), 0);
--- a/src/sidecar/hop/AskClient.ts
+++ b/src/sidecar/hop/AskClient.ts
@@ -3,6 +3,7 @@
 import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
 import type { Ask } from "./Ask.ts";
 import type { AskReply } from "./AskReply.ts";
+import type { GateLoad } from "./GateLoad.ts";
 import { gateWire } from "./gateWire.ts";
 import type { Pending } from "./Pending.ts";
 
@@ -25,7 +26,7 @@
 
 /** An ask of which the last word has not come. */
 interface OpenAsk {
-  readonly onQueued: () => void;
+  readonly onQueued: (load: GateLoad) => void;
   readonly settle: (reply: AskReply) => void;
   timer: Timer | undefined;
 }
@@ -45,7 +46,7 @@
   }
 
   /** Asks the gate at `address`; see {@link HopLink.ask}. */
-  ask(address: string, ask: Ask, onQueued: () => void): Pending<AskReply> {
+  ask(address: string, ask: Ask, onQueued: OpenAsk["onQueued"]): Pending<AskReply> {
     const id = this.#nextId;
     this.#nextId = (this.#nextId % 0xffff_ffff) + 1;
     const message = gateWire.ask(id, ask);
@@ -68,13 +69,14 @@
     const { ask_id: id } = message;
     const open = this.#open.get(id);
     const reply = gateWire.readReply(message);
+    const queuedAt = gateWire.readQueued(message);
     if (reply && this.#end(id)) {
       open?.settle(reply);
     } else if (reply?.kind === "granted") {
       this.#deps.tell(from, gateWire.withdrawn(id));
-    } else if (message.queued && open) {
+    } else if (queuedAt && open) {
       open.timer?.cancel();
-      open.onQueued();
+      open.onQueued(queuedAt);
     }
   }
 
--- a/src/sidecar/hop/gateWire.ts
+++ b/src/sidecar/hop/gateWire.ts
@@ -14,7 +14,7 @@
 const NOTHING: GateMessage = {
   ask_id: 0,
   ask: null,
-  queued: false,
+  queued: null,
   reply: null,
   withdrawn: false,
   news: null,
@@ -38,7 +38,11 @@
     },
   }),
 
-  queued: (id: number): GateMessage => ({ ...NOTHING, ask_id: id, queued: true }),
+  queued: (id: number, load: GateLoad): GateMessage => ({
+    ...NOTHING,
+    ask_id: id,
+    queued: encodeLoad(load),
+  }),
 
   withdrawn: (id: number): GateMessage => ({ ...NOTHING, ask_id: id, withdrawn: true }),
 
@@ -74,6 +78,10 @@
         }
       : undefined,
 
+  /** How busy the target is at which the ask waits in line; undefined where it does not tell that. */
+  readQueued: ({ queued }: GateMessage): GateLoad | undefined =>
+    queued ? decodeLoad(queued) : undefined,
+
   /** Undefined where it is no reply. */
   readReply: ({ reply }: GateMessage): AskReply | undefined => {
     if (!reply?.load) {
--- a/src/sidecar/routing/AdaptivePolicy.ts
+++ b/src/sidecar/routing/AdaptivePolicy.ts
@@ -14,6 +14,7 @@
 import { LinkHealth } from "./LinkHealth.ts";
 import { pickByCost } from "./pickByCost.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
+import { ZoneWaits } from "./ZoneWaits.ts";
 import type { Picked, PickFor, RoutingPolicy, Suspected } from "./RoutingPolicy.ts";
 
 /** How busy a target's sidecar said that it is counts for this long, ms. */
@@ -28,6 +29,12 @@
 /** A large body or answer waits this long for a target in its own zone rather than cross zones, ms. */
 const BULK_PATIENCE_MS = 300;
 
+/**
+ * A target in the own zone of which nothing was heard lately is taken for free while those of its zone are expected to
+ * make an ask wait no longer than this, ms: what it takes to go to another zone and back.
+ */
+const UNHEARD_PATIENCE_MS = 10;
+
 /**
  * What the chance to fail weighs for a request that has no other try, against its time to an answer,
  * ms: a target that fails one in a hundred more is worth 50 ms, an eighth of the users' work times.
@@ -67,6 +74,19 @@
   outstanding: number;
 }
 
+/** A target that may be asked, and what is known of it. */
+interface Candidate {
+  readonly target: TargetInfo;
+  readonly standing: Standing;
+}
+
+/** One look at the targets, for one request. */
+interface Look extends PickFor {
+  readonly now: number;
+  /** What requests of the route usually take, ms. */
+  readonly typicalMs: number;
+}
+
 interface AdaptivePolicyDeps {
   readonly table: TargetTable;
   readonly zone: ZoneName;
@@ -87,6 +107,7 @@
   readonly #baselines = new Map<string, LatencyBaseline>();
   /** How long requests waited for a slot lately, on average, by services' names, ms. */
   readonly #waits = new Map<string, number>();
+  readonly #zoneWaits: ZoneWaits;
   /** Floors of services by their names, as of the last request. */
   readonly #floors = new Map<string, number>();
   readonly #startedAt: number;
@@ -95,48 +116,58 @@
   constructor(deps: AdaptivePolicyDeps) {
     this.#deps = deps;
     this.#startedAt = deps.clock.now();
+    this.#zoneWaits = new ZoneWaits(deps.clock);
   }
 
   pick(request: PickFor, tried: ReadonlySet<TargetId>): Picked | undefined {
-    const { route, isExpendable } = request;
-    const open = this.#open(request, tried);
-    const toProbe = isExpendable ? this.#toProbe(open, this.isPressed(route)) : [];
+    const look = this.#look(request);
+    const open = this.#open(look, tried);
     const { random } = this.#deps;
+    const toProbe = request.isExpendable ? this.#toProbe(look, open) : [];
     const probed = toProbe[Math.floor(random() * toProbe.length)];
     if (probed) {
-      return { target: probed, isProbe: true };
+      return { target: probed.target, isProbe: true };
     }
-    const well = open.filter((t) => !this.#isSuspected(t, isExpendable));
-    const reachable = well.filter((t) => !this.#standing(t).link.isSuspect);
+    const well = open.filter((c) => !isSuspected(look, c));
+    const reachable = well.filter((c) => !c.standing.link.isSuspect);
     const best = reachable.length > 0 ? reachable : well;
-    const near = this.#near(route, best);
+    const near = this.#near(look, best);
     const tier = near.length > 0 ? near : best;
-    const target = pickByCost(tier, (t) => this.#cost(request, t), random);
-    return target && { target };
+    const picked = pickByCost(tier, (c) => this.#cost(look, c), random);
+    return picked && { target: picked.target };
   }
 
   suspected(request: PickFor, tried: ReadonlySet<TargetId>): Suspected[] {
-    const { route, isExpendable } = request;
-    const rotation = this.#rotation(this.#targetsOf(route), route.service.floor);
-    return this.#open(request, tried)
-      .filter((t) => this.#isSuspected(t, isExpendable) && !this.#standing(t).link.isSuspect)
-      .map((target) => ({
-        target,
-        risk: this.#riskOf(target),
-        isKept: this.#isGray(target) && rotation.has(target.id),
+    const look = this.#look(request);
+    const suspected = this.#open(look, tried).filter(
+      (c) => isSuspected(look, c) && !c.standing.link.isSuspect,
+    );
+    if (suspected.length === 0) {
+      return [];
+    }
+    const { service } = request.route;
+    const rotation = this.#rotation(this.#targetsOf(request.route), service.floor);
+    return suspected
+      .map((c) => ({
+        target: c.target,
+        risk: riskOf(look, c),
+        isKept: isGray(look, c) && rotation.has(c.target.id),
       }))
       .sort((a, b) => a.risk - b.risk);
   }
 
   noteReply(target: TargetInfo, reply: AskReply, ms: number | undefined): void {
     const standing = this.#standing(target);
-    standing.load = reply.load;
-    standing.loadAt = this.#deps.clock.now();
+    this.#noteLoad(target, standing, reply.load);
     if (ms !== undefined) {
       standing.link.noteAnswer(ms);
     }
   }
 
+  noteQueued(target: TargetInfo, load: GateLoad): void {
+    this.#noteLoad(target, this.#standing(target), load);
+  }
+
   noteWait({ service }: RouteMatch, waitedMs: number): void {
     const before = this.#waits.get(service.name) ?? 0;
     this.#waits.set(service.name, before + WAIT_WEIGHT * (waitedMs - before));
@@ -192,34 +223,37 @@
     this.#standings.clear();
   }
 
-  /** Targets of a route's service that take work and have not had their chance. */
-  #open(request: PickFor, tried: ReadonlySet<TargetId>): TargetInfo[] {
-    const { route } = request;
-    this.#floors.set(route.service.name, route.service.floor);
-    return this.#targetsOf(route).filter(
-      (t) => t.state === TargetState.Ready && !tried.has(t.id) && !this.#endsTooSoon(request, t),
-    );
+  #noteLoad({ service, zone }: TargetInfo, standing: Standing, load: GateLoad): void {
+    standing.load = load;
+    standing.loadAt = this.#deps.clock.now();
+    this.#zoneWaits.note(service, zone, waitAt(load, load.serviceMs));
   }
 
-  /** The sidecar beside the target is being stopped, and ends before the request would; one that has ended may be back. */
-  #endsTooSoon({ route, isExpendable }: PickFor, target: TargetInfo): boolean {
-    const { load, loadAt } = this.#standing(target);
-    const leftMs = (load?.endsInMs ?? Infinity) - (this.#deps.clock.now() - loadAt);
-    return leftMs > 0 && leftMs < runRoomMs(this.typicalMs(route), isExpendable);
+  /** Targets of a route's service that take work and have not had their chance. */
+  #open(look: Look, tried: ReadonlySet<TargetId>): Candidate[] {
+    const { route } = look;
+    this.#floors.set(route.service.name, route.service.floor);
+    const open: Candidate[] = [];
+    for (const target of this.#targetsOf(route)) {
+      if (target.state === TargetState.Ready && !tried.has(target.id)) {
+        const candidate = { target, standing: this.#standing(target) };
+        if (!endsTooSoon(look, candidate)) {
+          open.push(candidate);
+        }
+      }
+    }
+    return open;
   }
 
-  /** Known to be gray; or only under suspicion, for a request that has no other try. */
-  #isSuspected(target: TargetInfo, isExpendable: boolean): boolean {
-    const judged = this.#judged(target);
-    return judged !== undefined && (judged.ejected || (judged.suspect && !isExpendable));
+  #look(request: PickFor): Look {
+    const typicalMs = this.typicalMs(request.route);
+    return { ...request, now: this.#deps.clock.now(), typicalMs };
   }
 
   /** Targets that an expendable request would tell something of. */
-  #toProbe(open: readonly TargetInfo[], isPressed: boolean): TargetInfo[] {
-    const now = this.#deps.clock.now();
-    const share = isPressed ? PRESSED_SHARE : 1;
-    return open.filter((t) => {
-      const { load, loadAt, link } = this.#standing(t);
+  #toProbe({ now, route }: Look, open: readonly Candidate[]): Candidate[] {
+    const share = this.isPressed(route) ? PRESSED_SHARE : 1;
+    return open.filter(({ standing: { load, loadAt, link } }) => {
       const age = now - loadAt;
       const inMs = (load?.probeInMs ?? Infinity) * share;
       return inMs <= age && age < PROBE_FRESH_MS && !link.isSuspect;
@@ -227,54 +261,51 @@
   }
 
   #rotation(targets: readonly TargetInfo[], floor: number): Set<TargetId> {
-    const judged = targets.map((t) => ({
-      id: t.id,
-      slots: t.slots,
-      ready: t.state === TargetState.Ready,
-      gray: this.#isGray(t),
-      badness: this.#riskOf(t),
-    }));
+    const now = this.#deps.clock.now();
+    const judged = targets.map((target) => {
+      const candidate = { target, standing: this.#standing(target) };
+      return {
+        id: target.id,
+        slots: target.slots,
+        ready: target.state === TargetState.Ready,
+        gray: isGray({ now }, candidate),
+        badness: riskOf({ now }, candidate),
+      };
+    });
     return chooseRotation(judged, floor);
   }
 
-  #isGray(target: TargetInfo): boolean {
-    return this.#judged(target)?.ejected ?? false;
-  }
-
-  #riskOf(target: TargetInfo): number {
-    return this.#judged(target)?.risk ?? 0;
-  }
-
   /**
    * Targets in this sidecar's zone that would serve a request as well as one elsewhere: those
    * that are free, and for what is large those that are soon. What stays in its zone is
    * there sooner, and costs no bytes between zones.
    */
-  #near(route: RouteMatch, targets: readonly TargetInfo[]): TargetInfo[] {
-    const patienceMs = route.bulk ? BULK_PATIENCE_MS : 0;
-    return targets.filter(
-      (t) => t.zone === this.#deps.zone && this.#waitMs(route, t) <= patienceMs,
-    );
+  #near(look: Look, candidates: readonly Candidate[]): Candidate[] {
+    const { zone } = this.#deps;
+    const unheardMs = look.route.bulk ? BULK_PATIENCE_MS : UNHEARD_PATIENCE_MS;
+    const heardMs = look.route.bulk ? BULK_PATIENCE_MS : 0;
+    return candidates.filter((c) => {
+      const patienceMs = freshLoad(look, c.standing) ? heardMs : unheardMs;
+      return c.target.zone === zone && this.#waitMs(look, c) <= patienceMs;
+    });
   }
 
   /** Expected time to the answer, ms; more for a target that has just come, so that nobody stampedes to it. */
-  #cost({ route, isExpendable }: PickFor, target: TargetInfo): number {
-    const standing = this.#standing(target);
-    const load = this.#freshLoad(target);
+  #cost(look: Look, candidate: Candidate): number {
+    const { target, standing } = candidate;
+    const load = freshLoad(look, standing);
     const busy = ((load?.busy ?? 0) + standing.outstanding) / Math.max(1, target.slots);
-    const workMs = this.typicalMs(route) * (load?.pace ?? 1) * (1 + busy);
-    const riskMs = isExpendable ? 0 : this.#riskOf(target) * RISK_MS;
-    const total = this.#waitMs(route, target) + workMs + standing.link.answerMs + riskMs;
-    return total / this.#weight(route, standing);
+    const workMs = look.typicalMs * (load?.pace ?? 1) * (1 + busy);
+    const riskMs = look.isExpendable ? 0 : riskOf(look, candidate) * RISK_MS;
+    const total = this.#waitMs(look, candidate) + workMs + standing.link.answerMs + riskMs;
+    return total / this.#weight(look.route, standing);
   }
 
-  #waitMs(route: RouteMatch, target: TargetInfo): number {
-    const load = this.#freshLoad(target);
-    if (!load || load.busy < load.slots) {
-      return 0;
-    }
-    const serviceMs = load.serviceMs > 0 ? load.serviceMs : this.typicalMs(route);
-    return ((load.queued / 2 + 1) * serviceMs) / Math.max(1, load.slots);
+  #waitMs(look: Look, { target, standing }: Candidate): number {
+    const load = freshLoad(look, standing);
+    return load
+      ? waitAt(load, load.serviceMs > 0 ? load.serviceMs : look.typicalMs)
+      : this.#zoneWaits.expectedMs(target.service, target.zone);
   }
 
   #weight(route: RouteMatch, standing: Standing): number {
@@ -286,17 +317,6 @@
     return Math.min(1, RAMP_START + (1 - RAMP_START) * share);
   }
 
-  /** What is thought of a target: that holds until its gate says otherwise, or is not heard of for long. */
-  #judged(target: TargetInfo): GateLoad | undefined {
-    const { load, loadAt } = this.#standing(target);
-    return this.#deps.clock.now() - loadAt < JUDGED_FRESH_MS ? load : undefined;
-  }
-
-  #freshLoad(target: TargetInfo): GateLoad | undefined {
-    const { load, loadAt } = this.#standing(target);
-    return this.#deps.clock.now() - loadAt < LOAD_FRESH_MS ? load : undefined;
-  }
-
   #targetsOf(route: RouteMatch): readonly TargetInfo[] {
     this.#forgetGone();
     return this.#deps.table.targetsOf(ServiceName(route.service.name));
@@ -342,3 +362,41 @@
     return baseline;
   }
 }
+
+/** The sidecar beside the target is being stopped, and ends before the request would; one that has ended may be back. */
+function endsTooSoon({ now, typicalMs, isExpendable }: Look, { standing }: Candidate): boolean {
+  const { load, loadAt } = standing;
+  if (load?.endsInMs === undefined) {
+    return false;
+  }
+  const leftMs = load.endsInMs - (now - loadAt);
+  return leftMs > 0 && leftMs < runRoomMs(typicalMs, isExpendable);
+}
+
+/** Known to be gray; or only under suspicion, for a request that has no other try. */
+function isSuspected(look: Look, { standing }: Candidate): boolean {
+  const judged = judgedOf(look, standing);
+  return judged !== undefined && (judged.ejected || (judged.suspect && !look.isExpendable));
+}
+
+function isGray(look: Pick<Look, "now">, { standing }: Candidate): boolean {
+  return judgedOf(look, standing)?.ejected ?? false;
+}
+
+function riskOf(look: Pick<Look, "now">, { standing }: Candidate): number {
+  return judgedOf(look, standing)?.risk ?? 0;
+}
+
+/** What is thought of a target: that holds until its gate says otherwise, or is not heard of for long. */
+function judgedOf({ now }: Pick<Look, "now">, { load, loadAt }: Standing): GateLoad | undefined {
+  return now - loadAt < JUDGED_FRESH_MS ? load : undefined;
+}
+
+function freshLoad({ now }: Pick<Look, "now">, { load, loadAt }: Standing): GateLoad | undefined {
+  return now - loadAt < LOAD_FRESH_MS ? load : undefined;
+}
+
+/** How long an ask waits at a target as busy as that, where a request takes `serviceMs`, ms. */
+function waitAt({ busy, slots, queued }: GateLoad, serviceMs: number): number {
+  return busy < slots ? 0 : ((queued / 2 + 1) * serviceMs) / Math.max(1, slots);
+}
--- a/src/sidecar/routing/GrantSeeker.ts
+++ b/src/sidecar/routing/GrantSeeker.ts
@@ -6,6 +6,7 @@
 import { RETRY_AFTER_MS } from "../forwarding/RETRY_AFTER_MS.ts";
 import type { Ask } from "../hop/Ask.ts";
 import type { AskReply } from "../hop/AskReply.ts";
+import type { GateLoad } from "../hop/GateLoad.ts";
 import type { HopLink } from "../hop/HopLink.ts";
 import type { Pending } from "../hop/Pending.ts";
 import { RefusalReason } from "../hop/RefusalReason.ts";
@@ -253,8 +254,8 @@
     this.#tried.add(target.id);
     const askedAt = clock.now();
     const words = { ...this.#words(target, askedAt), ...over };
-    const pending = this.#deps.ask(target.askAddress, words, () => {
-      this.#onQueued(target);
+    const pending = this.#deps.ask(target.askAddress, words, (load) => {
+      this.#onQueued(target, load);
     });
     const { acceptsRisk } = words;
     this.#open.set(target.id, {
@@ -308,7 +309,8 @@
     };
   }
 
-  #onQueued(target: TargetInfo): void {
+  #onQueued(target: TargetInfo, load: GateLoad): void {
+    this.#deps.policy.noteQueued(target, load);
     const open = this.#open.get(target.id);
     if (!open || open.queued || this.#done) {
       return;
--- a/src/sidecar/routing/NaivePolicy.ts
+++ b/src/sidecar/routing/NaivePolicy.ts
@@ -60,6 +60,10 @@
     // Listens to nobody.
   }
 
+  noteQueued(): void {
+    // Listens to nobody.
+  }
+
   noteWait(): void {
     // Listens to nobody.
   }
--- a/src/sidecar/routing/RoutingPolicy.ts
+++ b/src/sidecar/routing/RoutingPolicy.ts
@@ -37,6 +37,8 @@
   suspected(request: PickFor, tried: ReadonlySet<TargetId>): Suspected[];
   /** The sidecar beside `target` answered an ask, after `ms` without waiting for a slot. */
   noteReply(target: TargetInfo, reply: AskReply, ms: number | undefined): void;
+  /** An ask stands in line at the gate to `target`, which is as busy as that. */
+  noteQueued(target: TargetInfo, load: GateLoad): void;
   /** The gate to a target tells how it is, without having been asked. */
   noteNews(target: TargetId, load: GateLoad): void;
   /** A request of `route` was granted a slot, after `waitedMs`. */
--- a/src/sidecar/routing/policies.test.ts
+++ b/src/sidecar/routing/policies.test.ts
@@ -417,6 +417,34 @@
   });
 }
 
+test("own zone: where targets there were full one after the other, others are not taken for free", async (t) => {
+  // Story: a zone has more callers than others, and hundreds of targets are about. A sidecar hears of
+  // each so seldom that it took every one for free, and asked those of its own zone first: requests stood in
+  // line there while other zones had room.
+  const rig = zonesRig({});
+  const ids = ["n0", "n1", "n2"].map((id) => TargetId(id));
+  const nearShare = () => {
+    const picks = Array.from(
+      { length: 100 },
+      () => rig.policy.pick({ route: rig.route, isExpendable: true }, new Set())?.target.id,
+    );
+    return picks.filter((id) => id?.startsWith("n")).length;
+  };
+  ids.forEach((id) => {
+    rig.announce(id);
+  });
+  t.is(nearShare(), 100);
+  for (const id of ids) {
+    const target = rig.table.target(id);
+    if (target) {
+      const load = { ...idleLoad, slots: 4, busy: 4, queued: 3, serviceMs: 400 };
+      rig.policy.noteQueued(target, load);
+    }
+  }
+  await rig.clock.advance(2500);
+  t.true(nearShare() < 50, "nothing fresh is known of any, but the zone is known to be full");
+});
+
 const stops: readonly { name: string; afterMs: number; isPicked: boolean }[] = [
   { name: "has time for the request is picked", afterMs: 0, isPicked: true },
   { name: "ends before the request would is left alone", afterMs: 1400, isPicked: false },
