A request between sidecars for which no connection opened has not run

Cause: where the connection to the sidecar beside the target that gave a slot could not be opened (cut, dead, or its link full), the request was taken for in doubt: a lookup ended as 502 unless the retry budget had room, a booking was asked for again until its time was up and ended as 504, and no caller could send either again.

Ruled out: treating every loss before the first sign of life so (the request may have been read by then).

Change: HopClient tells errors of connecting apart (NotSentError); RunCourse ends as not-run, and the dispatcher asks elsewhere, at no cost to the budget. Tests failed before: both kinds in doubt (RunCourse), one target only (Dispatcher).

--- /dev/null
+++ b/src/sidecar/hop/HopClient.test.ts
@@ -0,0 +1,63 @@
+import { createServer, type AddressInfo, type Server, type Socket } from "node:net";
+import test from "ava";
+import { AttemptId } from "../../common/ids/AttemptId.ts";
+import { TargetId } from "../../common/ids/TargetId.ts";
+import { HopClient } from "./HopClient.ts";
+import type { HopRequest } from "./HopRequest.ts";
+import { NotSentError } from "./NotSentError.ts";
+
+const req: HopRequest = {
+  attempt: AttemptId("a1"),
+  target: TargetId("t1"),
+  boot: "b",
+  method: "GET",
+  path: "/",
+  headers: [],
+  body: undefined,
+  bodyLength: undefined,
+  remainingMs: 5000,
+  callerService: "desk",
+  idempotent: true,
+  echoHeader: undefined,
+};
+
+/** A server that does this with each connection; undefined for none at its address. */
+async function listen(onConnection?: (socket: Socket) => void): Promise<[string, Server]> {
+  const server = createServer(onConnection ?? (() => undefined));
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  if (!onConnection) {
+    await new Promise((resolve) => server.close(resolve));
+  }
+  return [address, server];
+}
+
+function closeOnceRead(socket: Socket): void {
+  socket.once("data", () => socket.destroy());
+}
+
+const cases = [
+  {
+    name: "one that nobody listens for has not been sent",
+    open: () => listen(),
+    isSent: false,
+  },
+  {
+    name: "one whose connection is closed as it was opened may have been read",
+    open: () => listen(closeOnceRead),
+    isSent: true,
+  },
+];
+
+for (const { name, open, isSent } of cases) {
+  test(`hop: ${name}`, async (t) => {
+    const [address, server] = await open();
+    const client = new HopClient({
+      ask: () => ({ answer: new Promise(() => undefined), giveUp: () => undefined }),
+    });
+    const err = await t.throwsAsync(client.run(address, req, () => undefined).answer);
+    t.is(err instanceof NotSentError, !isSent, err.message);
+    await client.dispose();
+    server.close();
+  });
+}
--- a/src/sidecar/hop/HopClient.ts
+++ b/src/sidecar/hop/HopClient.ts
@@ -9,6 +9,7 @@
 import type { GrantOf, HopLink } from "./HopLink.ts";
 import type { HopRequest } from "./HopRequest.ts";
 import { hopAnswer } from "./hopAnswer.ts";
+import { NotSentError } from "./NotSentError.ts";
 import type { Pending } from "./Pending.ts";
 
 /** A connection between sidecars that takes longer to open is given up, ms: across zones it takes 3. */
@@ -88,7 +89,9 @@
     act: (signal: AbortSignal, onInfo: () => void) => Promise<T>,
   ): Pending<T> {
     const stop = new AbortController();
-    const answer = act(stop.signal, onAlive);
+    const answer = act(stop.signal, onAlive).catch((err: unknown) => {
+      throw isOfConnecting(err) ? new NotSentError(err) : err;
+    });
     // Given up on by whoever asked: nobody is left to hear of its failure.
     answer.catch(() => undefined);
     return {
@@ -148,3 +151,9 @@
   }
   return result;
 }
+
+/** Whether an error came up while a connection was being opened, and so before anything was sent over it. */
+function isOfConnecting(err: unknown): err is Error {
+  const { code, syscall } = err as NodeJS.ErrnoException;
+  return err instanceof Error && (code === "UND_ERR_CONNECT_TIMEOUT" || syscall === "connect");
+}
--- a/src/sidecar/routing/Dispatcher.test.ts
+++ b/src/sidecar/routing/Dispatcher.test.ts
@@ -7,6 +7,7 @@
 import { makeRoute } from "../../../test/fixtures/makeRoute.ts";
 import { makeTarget } from "../../../test/fixtures/makeTarget.ts";
 import { results } from "../../../test/fixtures/results.ts";
+import { NotSentError } from "../hop/NotSentError.ts";
 import { RefusalReason } from "../hop/RefusalReason.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import { Dispatcher } from "./Dispatcher.ts";
@@ -295,3 +296,18 @@
     t.is(endedAt, endsAt);
   });
 }
+
+test("dispatch: a booking for which no connection opened goes to another target, at no cost to the budget", async (t) => {
+  // Story: the VM of the target that gave a slot is cut off before the booking is sent there. Nothing has
+  // reached it, so there is no repeat that a budget could be for, and the caller is served elsewhere.
+  const { hop, dispatcher, clock } = rig(0);
+  const result = dispatcher.dispatch(makeRoute({ idempotent: false }), makeCourse());
+  await clock.advance(0);
+  const [first] = hop.runs;
+  first?.call.fail(new NotSentError(new Error("connect timeout")));
+  await clock.advance(0);
+  t.is(hop.runs.length, 2);
+  t.not(hop.runs[1]?.address, first?.address);
+  hop.runs[1]?.call.answer(done);
+  t.is((await result).verdict.kind, "done");
+});
--- a/src/sidecar/routing/RunCourse.test.ts
+++ b/src/sidecar/routing/RunCourse.test.ts
@@ -6,6 +6,7 @@
 import { makeRoute } from "../../../test/fixtures/makeRoute.ts";
 import { makeTarget } from "../../../test/fixtures/makeTarget.ts";
 import { results } from "../../../test/fixtures/results.ts";
+import { NotSentError } from "../hop/NotSentError.ts";
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import { RunCourse } from "./RunCourse.ts";
 
@@ -85,6 +86,22 @@
   t.is(hop.joins.length, 0);
 });
 
+for (const idempotent of [true, false]) {
+  test(`run: ${idempotent ? "a lookup" : "a booking"} for which no connection opens has not run`, async (t) => {
+    // Story: the VM of the target that gave a slot is cut off, or too busy to take connections. Lookups ended as in
+    // doubt, and bookings were asked for until their time was up, though nothing had been sent.
+    const { clock, hop, start, silences } = rig(idempotent);
+    const course = start();
+    hop.runs[0]?.call.fail(new NotSentError(new Error("connect timeout")));
+    await clock.advance(0);
+    const { verdict, outcome } = await course.result;
+    t.is(verdict.kind, "not-run");
+    t.is(outcome, AttemptOutcome.NoAnswer);
+    t.is(hop.joins.length, 0);
+    t.is(silences(), 1, "the path is known to be bad");
+  });
+}
+
 test("run: without word by the deadline it may have run, and time ran out", async (t) => {
   const { clock, hop, start } = rig(false, { deadlineAt: 1000 });
   const course = start();
--- a/src/sidecar/routing/RunCourse.ts
+++ b/src/sidecar/routing/RunCourse.ts
@@ -5,6 +5,7 @@
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import { RETRY_AFTER_MS } from "../forwarding/RETRY_AFTER_MS.ts";
 import type { HopLink } from "../hop/HopLink.ts";
+import { NotSentError } from "../hop/NotSentError.ts";
 import type { Pending } from "../hop/Pending.ts";
 import type { CourseRequest } from "./CourseRequest.ts";
 import type { Grant } from "./GrantSeeker.ts";
@@ -108,7 +109,9 @@
       },
       (err: unknown) => {
         this.#pending.delete(pending);
-        if (!this.#done && isFirst) {
+        if (!this.#done && isFirst && err instanceof NotSentError) {
+          this.#onNotSent(err);
+        } else if (!this.#done && isFirst) {
           const reason = err instanceof Error ? err.message : String(err);
           this.#onLost(`the connection was lost: ${reason}`);
         }
@@ -116,6 +119,18 @@
     );
   }
 
+  /**
+   * No connection could be opened, so the request has not run, and can go to another target. Taken for in doubt, its
+   * caller could not send it again; work that must not repeat was asked for until its time was up.
+   */
+  #onNotSent({ message: reason }: NotSentError): void {
+    const { attempt } = this.#req;
+    this.#deps.log.info({ attempt, target: this.#grant.target.id, reason }, "run not sent");
+    this.#deps.onSilence();
+    const verdict = { kind: "not-run", reason, retryAfterMs: RETRY_AFTER_MS } as const;
+    this.#end({ verdict, outcome: AttemptOutcome.NoAnswer });
+  }
+
   #armSilence(): void {
     this.#silenceTimer?.cancel();
     if (!this.#done) {
