--- a/experiment/Scenario.ts
+++ b/experiment/Scenario.ts
@@ -52,6 +52,8 @@
     readonly slots: number;
   }[];
   readonly zones: number;
+  /** Extras that the fleet's retry budget allows in a window besides its share; the small fleets' where it is left out. */
+  readonly retrySlack?: number;
   /** How many of the callers come in each zone, in proportion; evenly where it is left out. */
   readonly zoneShares?: readonly number[];
   /** One way between availability zones, ms. */
--- a/experiment/scenarios.ts
+++ b/experiment/scenarios.ts
@@ -214,6 +214,7 @@
 
 /** The lab with hundreds of VMs, of which few keep the reports that all sign-offs call. */
 const LAB_LARGE = {
+  retrySlack: 430,
   services: [
     { name: "results", targets: 78, slots: 6 },
     { name: "certificates", targets: 138, slots: 6 },
--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -40,6 +40,7 @@
     target: string;
     expendable: boolean;
     pressed: boolean;
+    call: boolean;
     priority: number;
     remaining: number;
     objective: number;
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -27,8 +27,7 @@
 /**
  * Probes under way at once, at most. When many members are slow at the same time
  * (a fleet starting on a busy machine) every failed probe calls for more; without
- * a bound they feed on each other until nobody answers. Seen: 40 sidecars
- * starting together on 8 cores never settled.
+ * a bound they feed on each other until nobody answers, and the fleet never settles.
  */
 const MAX_PROBES = 6;
 
--- a/src/membership/logNews.ts
+++ b/src/membership/logNews.ts
@@ -3,8 +3,8 @@
 
 /**
  * Logs changes in what is believed of other members: that they are there, what stands beside them, that
- * they are gone. One line for all that came together: a line for each was 58 in 100 of what a sidecar
- * wrote while a third of a fleet of 78 was restarted, and crowded out what became of requests.
+ * they are gone. One line for all that came together: a line for each crowds out what became of requests
+ * while a fleet is being restarted.
  */
 export function logNews(log: bunyan): (members: readonly ProtoTypes["Member"][]) => void {
   return (members) => {
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -33,6 +33,7 @@
 import { HopClient } from "./hop/HopClient.ts";
 import type { HopLink } from "./hop/HopLink.ts";
 import { CallerServer } from "./ingress/CallerServer.ts";
+import { originOf } from "./ingress/originOf.ts";
 import { AdaptivePolicy } from "./routing/AdaptivePolicy.ts";
 import { CallTraffic } from "./routing/CallTraffic.ts";
 import { Dispatcher } from "./routing/Dispatcher.ts";
@@ -212,6 +213,11 @@
       waitForConfig: () => documentWait.wait(),
       dispatcher,
       dialect: this.#dialect,
+      originOf: (address) =>
+        originOf(
+          address,
+          table.localTargets().map((t) => t.url),
+        ),
       draw: (route) => splits.next(route),
       metrics,
       tracing,
--- a/src/sidecar/config/DocumentWait.ts
+++ b/src/sidecar/config/DocumentWait.ts
@@ -2,8 +2,8 @@
 import type { Timer } from "../../common/lifecycle/Timer.ts";
 
 /**
- * Longest that a request is held for a document, ms: within the objectives of the users'
- * routes (1.2 s and more), with time left to serve it.
+ * Longest that a request is held for a document, ms: within usual objectives of a second and more, with
+ * time left to serve it.
  */
 const HOLD_MS = 800;
 
--- a/src/sidecar/detection/TargetJudge.ts
+++ b/src/sidecar/detection/TargetJudge.ts
@@ -6,11 +6,7 @@
 import { GrayChance } from "./GrayChance.ts";
 import type { Admissible, Judge } from "./Judge.ts";
 
-/**
- * Share of requests that a healthy target fails, and that a gray one does. Healthy
- * back ends of the users answer 12 in 1,000 with an error of their own; gray ones fail
- * 45 to 90 in 100 for seconds.
- */
+/** Share of requests that a healthy target answers with an error of its own, and that a gray one fails. */
 const HEALTHY_FAILURES = 0.012;
 const GRAY_FAILURES = 0.85;
 
@@ -40,8 +36,8 @@
 
 /**
  * Share of answers that a healthy target garbles, cuts short or takes from another
- * request, and that a gray one does: next to never, and 5 in 100. Such answers are
- * remembered for long, since a few in a hundred are worth finding.
+ * request, and that a gray one does. Such answers are remembered for long, since a few in a hundred are
+ * worth finding.
  */
 const HEALTHY_WRONG = 0.001;
 const GRAY_WRONG = 0.05;
--- a/src/sidecar/gate/AskServer.ts
+++ b/src/sidecar/gate/AskServer.ts
@@ -71,8 +71,7 @@
 /**
  * The gates' side of asking: takes asks for slots from other sidecars, and from this
  * one, and answers them. An ask that is sent again is told again what was said of it. Whoever
- * has asked lately hears at once when a target is thought of otherwise: without that, a sidecar
- * asked two gates in vain for every slot that it was granted on a busy day.
+ * has asked lately hears at once when a target is thought of otherwise, rather than by asking in vain.
  */
 export class AskServer {
   readonly #deps: AskServerDeps;
--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -47,7 +47,7 @@
  */
 const QUEUE_PER_SLOT = 8;
 
-/** What waits is weighed again at most this often, ms: a line of 40 takes 0.1 ms of a processor. */
+/** What waits is weighed again at most this often, ms. */
 const WEIGH_GAP_MS = 50;
 
 /** How often a gate that is being closed weighs what waits, ms. */
@@ -231,9 +231,7 @@
   /**
    * This sidecar is being stopped, and ends at `endAt` by its clock, ms: asks are granted for as long as
    * their runs will be over by then. A stopping sidecar lives on for seconds for the sake of its callers; shut from the
-   * signal on, the targets beside a third of a fleet of 87 stood idle in a rolling stop while a seventh of the bookings
-   * was not served. Model, three seeds, sound targets in use while too little is served: 0.62 to 0.67 before; 0.92 in
-   * one and, in the others, no time left in which more than a tenth is not served.
+   * signal on, sound targets stand idle in a rolling stop while others have no room for what comes.
    */
   closeBy(endAt: number): void {
     this.#endAt = endAt;
--- a/src/sidecar/gate/RunsHere.ts
+++ b/src/sidecar/gate/RunsHere.ts
@@ -8,9 +8,8 @@
 const AFTERMATH_MS = 100;
 
 /**
- * How far back the share of idle time looks, ms. Over the whole life of a process a quiet start made a busy target
- * look idle: in a third of the sidecars of a played day callers' routes were taken for calls, since none of their
- * requests had met the target idle.
+ * How far back the share of idle time looks, ms. Over the whole life of a process a quiet start makes a busy target
+ * look idle, and callers' requests, of which none meets it idle, like calls.
  */
 const IDLE_WINDOW_MS = 10_000;
 
--- a/src/sidecar/gate/TargetRunner.ts
+++ b/src/sidecar/gate/TargetRunner.ts
@@ -90,9 +90,8 @@
 
   /**
    * What the end of a run says of the target. One that fails, or gives up with its time, right after a call of its
-   * own was not served fails for want of that call: held against the target, one gray service had the targets of every service
-   * that calls it ejected. In the logs of a played day 83 of 236 ejections rested on such runs alone; in the model,
-   * with two of three targets of a called service gray, 27 to 46 sound targets were ejected in 20 s, and none now.
+   * own was not served fails for want of that call: held against the target, one gray service has the targets of every
+   * service that calls it ejected.
    */
   #evidenceOf(
     { outcome }: ForwardResult,
--- a/src/sidecar/hop/Ask.ts
+++ b/src/sidecar/hop/Ask.ts
@@ -12,6 +12,8 @@
   readonly target: TargetId;
   /** Another try is left if this one fails: it may go to a target under suspicion, to tell how that is. */
   readonly isExpendable: boolean;
+  /** It is for a call that a target makes in the midst of a run: that holds a slot elsewhere, and is lost without it. */
+  readonly isCall: boolean;
   /** Requests wait in line for want of room where it comes from: whether a target is well is to be known soon. */
   readonly isPressed: boolean;
   /** 0 is the most urgent. */
--- a/src/sidecar/hop/AskClient.ts
+++ b/src/sidecar/hop/AskClient.ts
@@ -9,10 +9,7 @@
 
 type GateMessage = ProtoTypes["GateMessage"];
 
-/**
- * An ask of which nothing is heard is sent again after this long, ms: datagrams are lost now and then, 2 to
- * 12 in 100 on a bad link. Another target is asked meanwhile.
- */
+/** An ask of which nothing is heard is sent again after this long, ms: datagrams are lost. Another target is asked meanwhile. */
 const RESEND_MS = 60;
 
 /** Times that an ask is sent, at most. */
--- a/src/sidecar/ingress/CallerServer.test.ts
+++ b/src/sidecar/ingress/CallerServer.test.ts
@@ -15,6 +15,7 @@
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import type { CourseRequest } from "../routing/CourseRequest.ts";
 import type { RouteIndex } from "../routing/RouteIndex.ts";
+import { RequestOrigin } from "../routing/RequestOrigin.ts";
 import { CallerServer } from "./CallerServer.ts";
 
 const sleep = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
@@ -36,6 +37,7 @@
   const courses = new Map<string, { req: CourseRequest; settle: (out: ForwardResult) => void }>();
   const route = makeRoute();
   const server = new CallerServer({
+    originOf: () => RequestOrigin.Unknown,
     config: () => ({
       version: 1,
       routes: { match: () => route } as unknown as RouteIndex,
--- a/src/sidecar/ingress/CallerServer.ts
+++ b/src/sidecar/ingress/CallerServer.ts
@@ -17,6 +17,7 @@
 import { HOP } from "../hop/HOP.ts";
 import type { CourseRequest } from "../routing/CourseRequest.ts";
 import type { Dispatcher } from "../routing/Dispatcher.ts";
+import type { RequestOrigin } from "../routing/RequestOrigin.ts";
 import type { RouteIndex } from "../routing/RouteIndex.ts";
 import type { RouteMatch } from "../routing/RouteMatch.ts";
 import { CallerConnections } from "./CallerConnections.ts";
@@ -32,7 +33,7 @@
 
 /**
  * Bodies up to this size are held until the request is answered, so that it can be sent to another
- * target when one refuses it, bytes. Uploads of field maps are 60 KB on average and 360 KB at most.
+ * target when one refuses it, bytes.
  */
 const HELD_BYTES = 1 << 20;
 
@@ -54,6 +55,8 @@
   readonly waitForConfig: () => Promise<void>;
   readonly dispatcher: Pick<Dispatcher, "dispatch">;
   readonly dialect: Dialect;
+  /** Where a request comes from, by the address of its connection. */
+  readonly originOf: (address: string | undefined) => RequestOrigin;
   /** The next draw between the parts of a route's split, in [0, 1). */
   readonly draw: (route: string) => number;
   readonly metrics: SidecarMetrics;
@@ -182,6 +185,7 @@
       path: req.url ?? "/",
       headers: withHeaders(headers, forward.headers),
       body: opened.body,
+      origin: this.#deps.originOf(req.socket.remoteAddress),
       bodyLength: opened.kind === "stream" ? opened.length : undefined,
       ...due,
     });
--- a/src/sidecar/routing/AdaptivePolicy.ts
+++ b/src/sidecar/routing/AdaptivePolicy.ts
@@ -37,7 +37,7 @@
 
 /**
  * What the chance to fail weighs for a request that has no other try, against its time to an answer,
- * ms: a target that fails one in a hundred more is worth 50 ms, an eighth of the users' work times.
+ * ms: a target that fails one in a hundred more is worth 50 ms.
  */
 const RISK_MS = 5000;
 
@@ -50,7 +50,7 @@
 /** Where requests wait for want of room, a target is probed after this part of the time that its gate asks for. */
 const PRESSED_SHARE = 0.3;
 
-/** Requests wait for want of room where they did so for this long on average, ms: a fifth of the users' work times. */
+/** Requests wait for want of room where they did so for this long on average, ms. */
 const PRESSED_MS = 80;
 
 /** Weight of the newest wait in the average: about the last five count. */
--- a/src/sidecar/routing/CallTraffic.ts
+++ b/src/sidecar/routing/CallTraffic.ts
@@ -1,5 +1,6 @@
 import type bunyan from "bunyan";
 import type { RunsHere } from "../gate/RunsHere.ts";
+import { RequestOrigin } from "./RequestOrigin.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
 
 /**
@@ -17,10 +18,19 @@
 /** A route is taken for one of calls, or of callers' own requests, from this evidence on, nats: 9 to 1. */
 const SURE_NATS = Math.log(9);
 
+/** Where a request comes from is taken for this much evidence that it is a call, nats; what is seen then may outweigh it. */
+const ORIGIN_NATS: Readonly<Record<RequestOrigin, number>> = {
+  [RequestOrigin.TargetVm]: 5,
+  [RequestOrigin.Elsewhere]: -5,
+  [RequestOrigin.Unknown]: 0,
+};
+
 /** A request that begins at this sidecar, and what it counts as. */
 export interface Begun {
   /** It is taken for a caller's own request: it gives leave for extras. */
   readonly isOwn: boolean;
+  /** It is taken for a call, of a run that is lost without it. */
+  readonly isCall: boolean;
   /** Notes how it ended. */
   end(wasServed: boolean): void;
 }
@@ -33,14 +43,15 @@
 /**
  * Tells calls, which targets make in the midst of their work, from callers' own
  * requests. Both come to the sidecar beside the target, and nothing in them says which
- * is which; but a call comes only while a run is under way there. A route on which requests come at times when none is
- * gathers evidence (log-likelihood ratios) of callers' own; the busier the target, the slower.
+ * is which; but a call comes from the target's address, and only while a run is under way there. A route on which requests
+ * come at times when none is gathers evidence (log-likelihood ratios) of callers' own; the busier the target, the
+ * slower, so that where the address tells nothing it may take a minute.
  */
 export class CallTraffic {
   readonly #deps: CallTrafficDeps;
-  /** Evidence that a route's requests are calls, against callers' own, nats. */
+  /** Evidence that the requests of a route and an origin are calls, against callers' own, nats. */
   readonly #nats = new Map<string, number>();
-  /** What the log has last told of each route. */
+  /** What the log has last told of each. */
   readonly #told = new Map<string, number>();
 
   constructor(deps: CallTrafficDeps) {
@@ -48,33 +59,45 @@
   }
 
   /** Notes a request of `route` that begins here, and tells what it counts as. */
-  begin({ name: route, service }: Pick<RouteMatch, "name" | "service">): Begun {
+  begin(
+    { name: route, service }: Pick<RouteMatch, "name" | "service">,
+    origin = RequestOrigin.Unknown,
+  ): Begun {
     const { runs } = this.#deps;
-    const nats = this.#weigh(route);
+    const key = `${route} from ${origin}`;
+    const nats = this.#weigh(key, ORIGIN_NATS[origin]);
     const weight = weightOf(nats);
-    this.#tell(route, weight, nats);
+    this.#tell(key, weight, nats);
     const isOwn = weight === 0;
     return {
       isOwn,
+      isCall: weight === 1,
       end: isOwn ? () => undefined : runs.beginCall({ route, service: service.name, weight }),
     };
   }
 
-  #weigh(route: string): number {
-    const { count, idleShare } = this.#deps.runs;
-    const share = Math.min(1 - LEAST_SHARE, Math.max(LEAST_SHARE, idleShare));
-    const gained = count === 0 ? Math.log(STRAYS / share) : Math.log((1 - STRAYS) / (1 - share));
-    const nats = (this.#nats.get(route) ?? 0) + gained;
+  #weigh(key: string, before: number): number {
+    const nats = (this.#nats.get(key) ?? before) + this.#gained();
     const bounded = Math.min(MOST_NATS, Math.max(-MOST_NATS, nats));
-    this.#nats.set(route, bounded);
+    this.#nats.set(key, bounded);
     return bounded;
   }
 
-  #tell(route: string, weight: number, nats: number): void {
-    if (this.#told.get(route) !== weight) {
-      this.#told.set(route, weight);
+  /** What the request that comes now adds. One beside a target that is never idle adds nothing: either kind comes so. */
+  #gained(): number {
+    const { count, idleShare } = this.#deps.runs;
+    if (count > 0 && idleShare < LEAST_SHARE) {
+      return 0;
+    }
+    const share = Math.min(1 - LEAST_SHARE, Math.max(LEAST_SHARE, idleShare));
+    return count === 0 ? Math.log(STRAYS / share) : Math.log((1 - STRAYS) / (1 - share));
+  }
+
+  #tell(requests: string, weight: number, nats: number): void {
+    if (this.#told.get(requests) !== weight) {
+      this.#told.set(requests, weight);
       const { idleShare } = this.#deps.runs;
-      this.#deps.log.info({ route, weight, nats, idleShare }, "route taken for calls or callers");
+      this.#deps.log.info({ requests, weight, nats, idleShare }, "taken for calls or callers' own");
     }
   }
 }
--- a/src/sidecar/routing/CourseRequest.ts
+++ b/src/sidecar/routing/CourseRequest.ts
@@ -1,5 +1,6 @@
 import type { Readable } from "node:stream";
 import type { AttemptId } from "../../common/ids/AttemptId.ts";
+import type { RequestOrigin } from "./RequestOrigin.ts";
 import type { HeaderList } from "../forwarding/HeaderList.ts";
 
 /** A caller's request on its way to a target. */
@@ -11,6 +12,7 @@
   readonly headers: HeaderList;
   readonly body: Buffer | Readable | undefined;
   readonly bodyLength?: number;
+  readonly origin: RequestOrigin;
   /** When it came, by the steady clock, ms. */
   readonly startedAt: number;
   /** When its final answer is due, by the steady clock, ms. */
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -59,6 +59,8 @@
 interface Course {
   readonly route: RouteMatch;
   readonly req: CourseRequest;
+  /** A target makes it in the midst of a run. */
+  readonly isCall: boolean;
   /** Targets that had their chance. */
   readonly tried: Set<TargetId>;
   /** Targets that it was sent to and that may have run it. */
@@ -89,12 +91,14 @@
   /** Forwards `req` along `route`; always resolves with a verdict. */
   async dispatch(route: RouteMatch, req: CourseRequest): Promise<ForwardResult> {
     const { calls, budgets } = this.#deps;
-    const begun = calls?.begin(route);
+    const begun = calls?.begin(route, req.origin);
+    const isCall = begun?.isCall ?? false;
     if (begun?.isOwn ?? true) {
       budgets.onFirstTry(route);
     }
     const tried = new Set<TargetId>();
-    const result = await this.#serve({ route, req, tried, sends: 0, refusedSends: 0, voided: 0 });
+    const counts = { sends: 0, refusedSends: 0, voided: 0 };
+    const result = await this.#serve({ route, req, isCall, tried, ...counts });
     begun?.end(isGood(result));
     return result;
   }
@@ -151,8 +155,8 @@
   #seek(course: Course): GrantSeeker {
     const { policy, hop, clock, log } = this.#deps;
     const ask: HopLink["ask"] = (...args) => hop.ask(...args);
-    const { route, req, tried } = course;
-    const request = { route, isExpendable: this.#hasSpareTry(course) };
+    const { route, req, tried, isCall } = course;
+    const request = { route, isCall, isExpendable: this.#hasSpareTry(course) };
     const seeker = new GrantSeeker({ policy, ask, clock, log }, request, req, tried);
     this.#seekers.add(seeker);
     void seeker.sought.then(() => this.#seekers.delete(seeker));
--- a/src/sidecar/routing/GrantSeeker.ts
+++ b/src/sidecar/routing/GrantSeeker.ts
@@ -46,8 +46,8 @@
 const MAX_ASKS = 3;
 
 /**
- * Sound targets that may say that they are full before no other is asked: loads are even, and on an overloaded
- * day every request asked all targets there were, 18 each in the model.
+ * Sound targets that may say that they are full before no other is asked: loads are even, and under overload every
+ * request would ask all targets there are.
  */
 const MAX_FULL = 3;
 
@@ -72,16 +72,14 @@
 
 /**
  * A gray target that fails requests with at least this chance is left alone while there are sound
- * ones, though they be full: a gray target of the users fails 45 to 90 in 100 at once, and a caller
- * is better served late, or told in time that nothing has run, than by a failure of work that may
- * have been done.
+ * ones, though they be full: a caller is better served late, or told in time that nothing has run, than by
+ * a failure of work that may have been done.
  */
 const LEAST_BAD_RISK = 0.5;
 
 /**
  * The same for one that the service's floor keeps in rotation: where that many look gray, the detector may
- * be wrong, or all be slow, and more evidence is asked for. One that fails all it is given is left
- * alone even so: 215 of 2,790 bookings of a played day had gone to such, and 9 of 10 had failed there.
+ * be wrong, or all be slow, and more evidence is asked for. One that fails all it is given is left alone even so.
  */
 const KEPT_RISK = 0.75;
 
@@ -293,7 +291,7 @@
   }
 
   #words(target: TargetInfo, now: number): Ask {
-    const { route, isExpendable } = this.#request;
+    const { route, isExpendable, isCall = false } = this.#request;
     const { priority, objectiveMs } = route;
     const { attempt, startedAt, deadlineAt } = this.#req;
     return {
@@ -304,6 +302,7 @@
       objectiveMs: startedAt + objectiveMs - now,
       typicalMs: this.#deps.policy.typicalMs(route),
       isExpendable,
+      isCall,
       isPressed: this.#deps.policy.isPressed(route),
       acceptsRisk: 0,
     };
--- a/src/sidecar/routing/RetryBudgets.ts
+++ b/src/sidecar/routing/RetryBudgets.ts
@@ -21,9 +21,8 @@
 /**
  * This sidecar's parts of the services' retry budgets. A request that is sent again has its calls made again,
  * and these are repeats at the services called: it takes from the budgets of all of them, and is sent only where
- * all have room. Noted where the calls came out instead, once they had been made, they went beyond what the
- * fleet may send: extras at the service called, for 100 allowed, 94 to 108 on three played days and 117 to 136 in the
- * model.
+ * all have room. Noted only once they had been made, the calls would go beyond what the fleet may send: nothing can
+ * take them back.
  */
 export class RetryBudgets {
   readonly #deps: RetryBudgetsDeps;
--- a/src/sidecar/routing/RoutingPolicy.ts
+++ b/src/sidecar/routing/RoutingPolicy.ts
@@ -27,6 +27,8 @@
   readonly route: RouteMatch;
   /** Another try is left if this one fails. */
   readonly isExpendable: boolean;
+  /** A target makes it in the midst of a run, which is lost without it. */
+  readonly isCall?: boolean;
 }
 
 /** Chooses targets and learns from how they are heard of. */
--- a/src/sidecar/routing/policies.test.ts
+++ b/src/sidecar/routing/policies.test.ts
@@ -162,6 +162,7 @@
         typicalMs: this.policy.typicalMs(this.route),
         acceptsRisk,
         isPressed: false,
+        isCall: false,
       };
       const ticket = gate.ask(ask, (reply) => replies.push(reply));
       const [reply] = replies;
