A call that is refused is asked for again while it can be in time; own requests' forecasts reckon with calls to come

Cause: a call refused by every target at once (three lines full, the others suspect) was refused at once, and the run that made it lost with it, with most of its 2 s left. And since calls go first, what stands behind them waited longer than was forecast: calls that have not come yet go before it too.

Ruled out: asking all targets for a call (several asks more for each under overload); a place in every line for calls, whatever the forecast (lines then hold asks of runs that are given up).

Change: the dispatcher asks again for a call after 50 ms, then twice as long each time, while it can still be in time; callers' own requests are refused at once as before. LineForecast learns from the last grants which share calls take.

--- a/src/sidecar/gate/AskLine.ts
+++ b/src/sidecar/gate/AskLine.ts
@@ -70,7 +70,8 @@
 
   /** Notes that an ask was given a slot, in line or as it came. */
   noteGrant(waiting: WaitingAsk, now: number, serviceMs: number): void {
-    this.#forecast.noteGrant(isLate(waiting, now, serviceMs));
+    const { isCall } = waiting.ask;
+    this.#forecast.noteGrant({ isCall, isLate: isLate(waiting, now, serviceMs) });
   }
 
   /** How long `waiting`, in line or about to join it, will wait from now on, ms. */
--- a/src/sidecar/gate/LineForecast.test.ts
+++ b/src/sidecar/gate/LineForecast.test.ts
@@ -74,11 +74,52 @@
   },
 ];
 
+const callsFirst: readonly { name: string; callGrants: number; isCall: boolean; waitMs: number }[] =
+  [
+    {
+      name: "where no calls come, an own one has the next turn",
+      callGrants: 0,
+      isCall: false,
+      waitMs: 100,
+    },
+    {
+      name: "where half of the slots go to calls, every other turn",
+      callGrants: 10,
+      isCall: false,
+      waitMs: 191,
+    },
+    // Story: calls take nearly all that a target can do. Downloads stood in line until their time was up.
+    {
+      name: "where nearly all go to calls, hardly any",
+      callGrants: 18,
+      isCall: false,
+      waitMs: 700,
+    },
+    {
+      name: "a call does not wait for calls that come after it",
+      callGrants: 18,
+      isCall: true,
+      waitMs: 100,
+    },
+  ];
+
+for (const { name, callGrants, isCall, waitMs } of callsFirst) {
+  test(`line forecast: ${name}`, (t) => {
+    const forecast = new LineForecast();
+    for (let n = 0; n < 20; n++) {
+      forecast.noteGrant({ isCall: n < callGrants, isLate: false });
+    }
+    const ask = makeAsk({ isCall, objectiveMs: OBJECTIVE_MS, typicalMs: WORK_MS });
+    const ms = forecast.waitMs({ ask, askedAt: 0 }, new AskQueue(), 0, PACE);
+    t.is(Math.round(ms), waitMs);
+  });
+}
+
 for (const { name, line, lateGrants, who, waitMs } of cases) {
   test(`line forecast: ${name}`, (t) => {
     const forecast = new LineForecast();
     lateGrants.forEach((wasLate) => {
-      forecast.noteGrant(wasLate);
+      forecast.noteGrant({ isCall: false, isLate: wasLate });
     });
     const queue = new AskQueue();
     line.forEach((waiting) => {
--- a/src/sidecar/gate/LineForecast.ts
+++ b/src/sidecar/gate/LineForecast.ts
@@ -15,20 +15,28 @@
   readonly serviceMs: number;
 }
 
+/** A grant, as far as it tells what those that are behind in line may expect. */
+interface Granted {
+  /** It went to a call that a target makes. */
+  readonly isCall: boolean;
+  /** It went to one that is late anyway. */
+  readonly isLate: boolean;
+}
+
 /**
- * Tells how long an ask will stand in a gate's line. Asks that can still meet their
- * objective go before those that are late, so a late one's turn depends on how many
+ * Tells how long an ask will stand in a gate's line. Calls go first, and asks that can still meet their
+ * objective go before those that are late, so a turn further back depends on how many
  * slots the others leave: none while more come than can be served, and all once a burst
- * is over. That is told from the share of late ones among those who were served last.
+ * is over. That is told from the shares of each among those who were served last.
  */
 export class LineForecast {
-  readonly #late: boolean[] = [];
+  readonly #granted: Granted[] = [];
 
   /** Notes that an ask was given a slot. */
-  noteGrant(wasLate: boolean): void {
-    this.#late.push(wasLate);
-    if (this.#late.length > WINDOW) {
-      this.#late.shift();
+  noteGrant(granted: Granted): void {
+    this.#granted.push(granted);
+    if (this.#granted.length > WINDOW) {
+      this.#granted.shift();
     }
   }
 
@@ -36,7 +44,7 @@
   waitMs(waiting: WaitingAsk, line: AskQueue, now: number, { slots, serviceMs }: Pace): number {
     const turnMs = serviceMs / Math.max(1, slots);
     const ahead = line.ahead(waiting, now, serviceMs);
-    const soonMs = (ahead.length * ASKS_THAT_STAY + 1) * turnMs;
+    const soonMs = this.#turns(waiting, ahead) * turnMs;
     // One that will be late by its turn comes to stand with the late ones.
     if (!isLate(waiting, now + soonMs, serviceMs)) {
       return soonMs;
@@ -47,9 +55,24 @@
     return Math.max(soonMs, (onTime * ASKS_THAT_STAY + lateTurns) * turnMs);
   }
 
+  /** Turns until that of one which is not late, itself included. */
+  #turns({ ask }: WaitingAsk, ahead: readonly WaitingAsk[]): number {
+    const turns = ahead.length * ASKS_THAT_STAY + 1;
+    if (ask.isCall) {
+      return turns;
+    }
+    // Calls that have not come yet will go before it, too.
+    const own = ahead.filter((w) => !w.ask.isCall).length;
+    return Math.max(turns, (own * ASKS_THAT_STAY + 1) / this.#shareOf((g) => !g.isCall));
+  }
+
   /** Share of the grants that late asks get; all, until the others are seen to take them. */
   get #lateShare(): number {
-    const onTime = this.#late.filter((wasLate) => !wasLate).length;
-    return 1 - onTime / (WINDOW + 1);
+    return this.#shareOf((g) => g.isLate);
+  }
+
+  #shareOf(isOfKind: (granted: Granted) => boolean): number {
+    const others = this.#granted.filter((g) => !isOfKind(g)).length;
+    return 1 - others / (WINDOW + 1);
   }
 }
--- a/src/sidecar/routing/Dispatcher.test.ts
+++ b/src/sidecar/routing/Dispatcher.test.ts
@@ -8,9 +8,12 @@
 import { makeTarget } from "../../../test/fixtures/makeTarget.ts";
 import { results } from "../../../test/fixtures/results.ts";
 import { NotSentError } from "../hop/NotSentError.ts";
+import { RunsHere } from "../gate/RunsHere.ts";
 import { RefusalReason } from "../hop/RefusalReason.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
+import { CallTraffic } from "./CallTraffic.ts";
 import { Dispatcher } from "./Dispatcher.ts";
+import { RequestOrigin } from "./RequestOrigin.ts";
 import { RetryBudgets } from "./RetryBudgets.ts";
 
 const log = bunyan.createLogger({ name: "test", level: "fatal" });
@@ -21,6 +24,7 @@
   const clock = new FakeClock();
   const hop = new FakeHop();
   const policy = new FixedPolicy(known);
+  const runs = new RunsHere(clock);
   const dispatcher = new Dispatcher({
     policy,
     hop,
@@ -33,10 +37,11 @@
       random: () => 0,
     }),
     isStarting,
+    calls: new CallTraffic({ runs, log }),
     clock,
     log,
   });
-  return { clock, hop, policy, dispatcher };
+  return { clock, hop, policy, runs, dispatcher };
 }
 
 const { done, failed, shed, voided, inDoubt } = results;
@@ -311,3 +316,35 @@
   hop.runs[1]?.call.answer(done);
   t.is((await result).verdict.kind, "done");
 });
+
+const refusedThenGranted: readonly {
+  name: string;
+  origin: RequestOrigin;
+  deadlineAt: number;
+  verdict: ForwardResult["verdict"]["kind"];
+}[] = [
+  { name: "a call", origin: RequestOrigin.TargetVm, deadlineAt: 2000, verdict: "done" },
+  {
+    name: "a call that could not be served in time then",
+    origin: RequestOrigin.TargetVm,
+    deadlineAt: 120,
+    verdict: "not-run",
+  },
+  { name: "a caller's own", origin: RequestOrigin.Elsewhere, deadlineAt: 2000, verdict: "not-run" },
+];
+
+for (const { name, origin, deadlineAt, verdict } of refusedThenGranted) {
+  test(`dispatch: every target is full for a moment, and ${name} is ${verdict}`, async (t) => {
+    // Story: a sign-off has worked for a second when it needs a report, and every target of that service says that it is
+    // full. Refused at once, the call cost the whole run, though a place was free a tenth of a second later. A caller's own
+    // request has cost nothing yet, and hears at once that it has not run.
+    const { clock, hop, runs, dispatcher } = rig();
+    runs.begin();
+    hop.onAsk = () => (clock.now() < 100 ? refused(RefusalReason.Full) : granted);
+    hop.onRun = () => done;
+    const course = makeCourse({ origin, deadlineAt });
+    const result = dispatcher.dispatch(makeRoute({ idempotent: true }), course);
+    await clock.advance(2000);
+    t.is((await result).verdict.kind, verdict);
+  });
+}
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -55,6 +55,12 @@
 const STARTING_RETRY_MS = 50;
 const STARTING_HOLD_MS = 800;
 
+/**
+ * A call that every target has refused is asked for again after this long, ms, and then after twice as long each
+ * time: a refusal here loses the run that makes it, and a place in line may be free by then.
+ */
+const CALL_PAUSE_MS = 50;
+
 /** The state of one request on its way. */
 interface Course {
   readonly route: RouteMatch;
@@ -67,6 +73,8 @@
   sends: number;
   /** Sends that a target refused. */
   refusedSends: number;
+  /** Times that no target would take it. */
+  refusals: number;
   /** Grants that ran out before the request got there. */
   voided: number;
 }
@@ -97,7 +105,7 @@
       budgets.onFirstTry(route);
     }
     const tried = new Set<TargetId>();
-    const counts = { sends: 0, refusedSends: 0, voided: 0 };
+    const counts = { sends: 0, refusedSends: 0, refusals: 0, voided: 0 };
     const result = await this.#serve({ route, req, isCall, tried, ...counts });
     begun?.end(isGood(result));
     return result;
@@ -113,6 +121,10 @@
           await this.#pause(STARTING_RETRY_MS);
           continue;
         }
+        if (this.#mayWaitFor(course)) {
+          await this.#pause(CALL_PAUSE_MS * 2 ** course.refusals++);
+          continue;
+        }
         return last ?? notRun(sought);
       }
       const newest = await this.#runHedged(course, sought.grant);
@@ -148,6 +160,14 @@
     return isStarting?.() === true && clock.now() < holdUntil && !left.aborted && !this.#closed;
   }
 
+  /** Whether a call that was refused may be asked for again, and served in time then. */
+  #mayWaitFor({ route, req, isCall, refusals }: Course): boolean {
+    const { clock, policy } = this.#deps;
+    const from = clock.now() + CALL_PAUSE_MS * 2 ** refusals;
+    const isInTime = from + policy.typicalMs(route) < req.deadlineAt;
+    return isCall && isInTime && !req.left.aborted && !this.#closed;
+  }
+
   #pause(ms: number): Promise<void> {
     return new Promise((resolve) => this.#deps.clock.after(ms, resolve));
   }
