--- a/src/sidecar/gate/goesBefore.ts
+++ b/src/sidecar/gate/goesBefore.ts
@@ -2,10 +2,10 @@
 import type { WaitingAsk } from "./WaitingAsk.ts";
 
 /** Head start of each rank of priority over the next, ms: strict priority would leave the lower ranks nothing under load. */
-const RANK_MS = 300;
+const RANK_MS = 150;
 
 /** The same among those that are late anyway. */
-const LATE_RANK_MS = 1000;
+const LATE_RANK_MS = 500;
 
 /**
  * Whether `a` is to have the next free slot before `b`. Calls that targets make in the midst of their runs go first: each
