A slot is kept, and signs of life are sent, while the body of its request is on its way

Cause: a grant runs out after 250 ms, and the run began once the whole body was there. On links of a few Mbit/s a map of 60 to 360 KB takes longer: it came in vain, was sent again to the next target, and took the link from everything else on it; no sign of life was sent before the body was there, so lookups and bookings behind it were taken for lost after 750 ms. The time that the target was given was reckoned from the body's end, too: up to a second more than was left.

Ruled out: processors (0.07 of 0.27 cores at the most), the links' mean load (uploads are a seventh of it when each is sent once).

Change: the gate keeps a grant from the head of its request on (hold), gives the slot back when the body breaks off, signs life from the head on, reckons the time left from there, and refuses a void one before its body has come.

--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -142,6 +142,13 @@
     };
   }
 
+  /** Keeps a grant while the body of its request is on its way here; false when the grant is void. */
+  hold(attempt: AttemptId): boolean {
+    return this.#slots.hold(attempt, () => {
+      this.revoke(attempt);
+    });
+  }
+
   /** Begins the run that a grant was given for; undefined when the grant is void. */
   take(attempt: AttemptId): Ask | undefined {
     return this.#slots.take(
--- a/src/sidecar/gate/GateServer.ts
+++ b/src/sidecar/gate/GateServer.ts
@@ -18,6 +18,7 @@
 import type { TargetRequest } from "../forwarding/TargetRequest.ts";
 import { HOP } from "../hop/HOP.ts";
 import { hopAnswer } from "../hop/hopAnswer.ts";
+import { VOID_GRANT } from "./VOID_GRANT.ts";
 import type { GrantName, TargetRunner } from "./TargetRunner.ts";
 
 /** How often a sidecar that waits hears that its request is alive, ms; silence for three of these is suspicious. */
@@ -36,7 +37,7 @@
 const OWN_HEADERS = new Set<string>(Object.values(HOP));
 
 interface GateServerDeps {
-  readonly runner: TargetRunner;
+  readonly runner: Pick<TargetRunner, "hold" | "release" | "run" | "state">;
   readonly tracing: Tracing;
   readonly clock: Clock;
   readonly log: bunyan;
@@ -83,24 +84,36 @@
         left.abort();
       }
     });
-    const opened = await openBody(req, BODY);
+    const { runner, clock, log } = this.#deps;
+    const { attempt, target } = grant;
+    const arrivedAt = clock.now();
+    const alive = new AliveSignal(res, clock);
+    if (!runner.hold(grant)) {
+      log.info({ attempt, target, ...VOID_GRANT, ms: 0 }, "run ended");
+      req.resume();
+      this.#answer(res, VOID_GRANT);
+      return;
+    }
+    // From its head on: whoever waits would take a body that is long on its way for a lost connection.
+    alive.start();
+    const opened = await openBody(req, BODY).catch((err: unknown) => {
+      alive.stop();
+      runner.release(grant);
+      throw err;
+    });
     const body = "body" in opened ? opened.body : undefined;
-    const startedAt = this.#deps.clock.now();
+    const startedAt = clock.now();
     const span = this.#deps.tracing.begin("sidecar.run", req.headers);
-    const run = this.#deps.runner.run(grant, () => ({
-      ...this.#request(req, grant, left.signal),
+    const out = await runner.run(grant, () => ({
+      ...this.#request(req, grant, { arrivedAt, left: left.signal }),
       headers: withHeaders(ownHeadersOff(req.rawHeaders), span.headers),
       body,
       bodyLength: opened.kind === "stream" ? opened.length : undefined,
     }));
-    const alive = new AliveSignal(res, this.#deps.clock);
-    alive.start();
-    const out = await run;
     alive.stop();
-    const ms = Math.round(this.#deps.clock.now() - startedAt);
-    const { attempt, target } = grant;
+    const ms = Math.round(clock.now() - startedAt);
     const ended = { attempt, target, verdict: out.verdict, outcome: out.outcome, ms };
-    this.#deps.log.info(ended, "run ended");
+    log.info(ended, "run ended");
     span.end(out.verdict.kind, out.verdict.kind === "done");
     this.#answer(res, out);
   }
@@ -108,7 +121,7 @@
   #request(
     req: IncomingMessage,
     { attempt, target }: GrantName,
-    left: AbortSignal,
+    { arrivedAt, left }: { arrivedAt: number; left: AbortSignal },
   ): Omit<TargetRequest, "body" | "headers"> {
     const { headers } = req;
     const idempotent = headers[HOP.idempotent] === "1";
@@ -122,7 +135,8 @@
         callerService: ServiceName(String(headers[HOP.caller] ?? "")),
         echoHeader: typeof echo === "string" ? echo : undefined,
       },
-      deadlineAt: this.#deps.clock.now() + Number(headers[HOP.remaining]),
+      // From when the head came: the body's way here is part of the time that is left.
+      deadlineAt: arrivedAt + Number(headers[HOP.remaining]),
       idempotent,
       // Work that must not repeat runs to its end even when its caller leaves: cutting
       // it off would only leave its outcome unknown.
--- a/src/sidecar/gate/SlotTable.ts
+++ b/src/sidecar/gate/SlotTable.ts
@@ -59,6 +59,18 @@
     });
   }
 
+  /** Keeps a grant that was not taken for as long as its request has; false when there is none. */
+  hold(attempt: AttemptId, onVoid: () => void): boolean {
+    const held = this.#held.get(attempt);
+    if (held?.state !== "granted") {
+      return false;
+    }
+    held.timer.cancel();
+    const timer = this.#clock.after(held.ask.remainingMs, onVoid);
+    this.#held.set(attempt, { ...held, timer });
+    return true;
+  }
+
   /** Takes back a grant that was not taken; true when there was one. */
   revoke(attempt: AttemptId): boolean {
     const held = this.#held.get(attempt);
--- a/src/sidecar/gate/TargetRunner.ts
+++ b/src/sidecar/gate/TargetRunner.ts
@@ -10,6 +10,7 @@
 import type { RunsHere } from "./RunsHere.ts";
 import type { RunState, RunTable } from "./RunTable.ts";
 import type { TargetGates } from "./TargetGates.ts";
+import { VOID_GRANT } from "./VOID_GRANT.ts";
 
 /** A grant, as whoever was given it names it. */
 export interface GrantName {
@@ -40,6 +41,20 @@
     this.#deps = deps;
   }
 
+  /**
+   * Keeps the slot of a request whose head has come while its body is on its way; false when the grant is void. A
+   * large body takes longer than a grant lasts on a link of a few Mbit/s: it came in vain, was sent again, and
+   * took the link from the next one.
+   */
+  hold({ attempt, target, boot }: GrantName): boolean {
+    return boot === this.#deps.boot && (this.#deps.gates.get(target)?.hold(attempt) ?? false);
+  }
+
+  /** Gives back the slot of a request whose body broke off. */
+  release({ attempt, target }: GrantName): void {
+    this.#deps.gates.get(target)?.revoke(attempt);
+  }
+
   /** Runs the request that a grant of this life of the process was given for. */
   run(grant: GrantName, makeRequest: () => TargetRequest): Promise<ForwardResult> {
     const { attempt, target: id, boot } = grant;
@@ -47,7 +62,7 @@
     const gate = this.#deps.gates.get(id);
     if (boot !== this.#deps.boot || !target || !gate?.take(attempt)) {
       // A grant that has run out, or that another life of the process gave.
-      return Promise.resolve(notRun("the grant is void"));
+      return Promise.resolve(VOID_GRANT);
     }
     const run = this.#send(gate, attempt, target, makeRequest());
     this.#deps.runs.track(attempt, run);
