A document that control does not bring is taken from whichever member answers

Cause: since documents are taken from members only after 400 ms, each word of a newer one began another wait, and one of the member that spoke first: where that one did not answer, the change came late.

Ruled out: going back to fetching at once (most of the fleet then fetches each change over connections opened for it).

Change: the wait is one for all that is newer; after it, every member that tells of a newer version, asked or asking, is tried, two at a time.

--- a/src/membership/Membership.test.ts
+++ b/src/membership/Membership.test.ts
@@ -159,6 +159,23 @@
   t.deepEqual([...new Set([...s.up.values()].map((n) => n.config.version))], [7]);
 });
 
+test("a newer document is taken from another member where the first that tells of it does not answer", async (t) => {
+  // Story: half of the control replicas are cut off, and the sidecars that follow only these hear of a change from others. Some
+  // of those stand behind links so full that nothing more comes from them.
+  const s = new MemberFleet(24, 1, 3);
+  await s.run(4000);
+  const ids = [...s.up.keys()];
+  ids.slice(0, 16).forEach((id) => {
+    const node = s.up.get(id);
+    if (node) {
+      node.config.version = 7;
+    }
+  });
+  ids.slice(0, 10).forEach((id) => s.withoutConfig.add(id));
+  await s.run(1600);
+  t.deepEqual([...new Set([...s.up.values()].map((n) => n.config.version))], [7]);
+});
+
 test("a document that control brings in a moment is not fetched from other members", async (t) => {
   // Story: operators change the document again and again. Control brings each change to all within a fifth
   // of a second, but most sidecars had heard by then from another that it has it, and opened a connection to it.
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -46,6 +46,9 @@
 /** Control has this long to bring a document that members have already, ms: it takes a tenth of a second. */
 const BEHIND_MS = 400;
 
+/** Members of which the document is taken at the same time, at most. */
+const MAX_FETCHES = 2;
+
 /** Checksums that differ this often in a row are no news in flight but a gap. */
 const GAP_AFTER = 3;
 
@@ -96,9 +99,13 @@
   #gaps = 0;
   #comparedAt = -Infinity;
   #lastRoundAt = -Infinity;
-  /** A newer document than the one in force here was heard of, and control has a while to bring it. */
-  #isBehind = false;
+  /** When a newer document than the one in force here was first heard of; control has a while to bring it. */
+  #behindSince: number | undefined;
+  /** The newest version of the document that was heard of. */
+  #heardVersion = 0;
   #behindTimer: Timer | undefined;
+  /** Members of which the document is being taken. */
+  readonly #fetching = new Set<string>();
   #started = false;
   #hastened = false;
   #newsTimer: Timer | undefined;
@@ -163,6 +170,10 @@
   /** Answers another sidecar's probe. */
   onExchange(news: News): News {
     const { fresh, stale } = this.#takeIn(news);
+    const from = this.#deps.table.entry(news.sender);
+    if (from) {
+      this.#noteVersion(from.peer_address, news.config_version);
+    }
     const known = news.members.flatMap((m, at) => (fresh.has(m.sidecar_id) ? [] : [at]));
     const theirs = new Set(news.members.map((m) => m.sidecar_id));
     return this.#message(this.#hot(stale, theirs), known);
@@ -339,20 +350,34 @@
    */
   #noteVersion(address: string, version: number): void {
     const { clock, config } = this.#deps;
-    if (version <= config.version || this.#isBehind) {
+    if (this.#heardVersion <= config.version) {
+      this.#behindSince = undefined;
+    }
+    if (version <= config.version) {
+      return;
+    }
+    this.#heardVersion = Math.max(this.#heardVersion, version);
+    this.#behindSince ??= clock.now();
+    const waitMs = this.#behindSince + BEHIND_MS - clock.now();
+    if (waitMs <= 0) {
+      void this.#fetchConfig(address);
       return;
     }
-    this.#isBehind = true;
-    this.#behindTimer = clock.after(BEHIND_MS, () => {
-      this.#isBehind = false;
+    this.#behindTimer?.cancel();
+    this.#behindTimer = clock.after(waitMs, () => {
       if (version > config.version) {
         void this.#fetchConfig(address);
       }
     });
   }
 
+  /** Takes what a member has of the document; two may be asked at a time, as one of them may be cut off. */
   async #fetchConfig(address: string): Promise<void> {
     const { peers, config } = this.#deps;
+    if (this.#fetching.has(address) || this.#fetching.size >= MAX_FETCHES) {
+      return;
+    }
+    this.#fetching.add(address);
     try {
       const updates = await peers.config(address, config.version);
       updates.forEach((u) => {
@@ -360,6 +385,8 @@
       });
     } catch {
       // It is gone, or cut off meanwhile; the next member that tells of a newer version is asked.
+    } finally {
+      this.#fetching.delete(address);
     }
   }
 
