A grant that is told again is not given back while its request is on its way

Cause: a gate tells of a grant again after 60 and 140 ms until it is taken, in case it was lost. The client took the second word for a grant that nobody waits for, and withdrew it: every request that took more than 60 ms from its grant to its target came in vain and was sent again. With 1,000 Mbit/s and half a core that is rare; with 3 to 5 Mbit/s and a quarter of a core it is most uploads, and whatever stands behind them on the link.

Change: an ask that was granted is remembered for 2 s; only grants of asks that were given up, or are not known, are withdrawn. The test failed before.

--- a/src/sidecar/hop/AskClient.test.ts
+++ b/src/sidecar/hop/AskClient.test.ts
@@ -73,6 +73,21 @@
   t.deepEqual(kinds(), ["ask", "withdrawn", "withdrawn"]);
 });
 
+test("asks: a grant that is told again, as it is not taken yet, is not given back", async (t) => {
+  // Story: a request with a body is on its way to the target that gave it a slot. The gate tells of the grant again after
+  // 60 ms, in case it was lost. Taken for a grant that nobody waits for, it was given back, and the request came in vain.
+  const { clock, client, told, ask, kinds } = rig();
+  const pending = ask();
+  const id = told[0]?.ask_id ?? 0;
+  client.receive(gateWire.reply(id, granted), GATE);
+  t.is((await pending.answer).kind, "granted");
+  for (const ms of [60, 80]) {
+    await clock.advance(ms);
+    client.receive(gateWire.reply(id, granted), GATE);
+  }
+  t.deepEqual(kinds(), ["ask"]);
+});
+
 test("asks: what names no ask, or cannot be read, changes nothing", (t) => {
   const { client, ask, kinds, queued } = rig();
   ask();
--- a/src/sidecar/hop/AskClient.ts
+++ b/src/sidecar/hop/AskClient.ts
@@ -15,6 +15,9 @@
 /** Times that an ask is sent, at most. */
 const SENDS = 3;
 
+/** A grant may be told of again for this long, ms: twice, and over a slow path. */
+const TOLD_AGAIN_MS = 2000;
+
 interface AskClientDeps {
   /** Sends a message that may be lost. */
   readonly tell: (address: string, message: GateMessage) => void;
@@ -36,6 +39,8 @@
 export class AskClient {
   readonly #deps: AskClientDeps;
   readonly #open = new Map<number, OpenAsk>();
+  /** Asks whose grants were passed on lately. */
+  readonly #granted = new Set<number>();
   #nextId = 1;
 
   constructor(deps: AskClientDeps) {
@@ -68,8 +73,9 @@
     const reply = gateWire.readReply(message);
     const queuedAt = gateWire.readQueued(message);
     if (reply && this.#end(id)) {
+      this.#rememberGrant(id, reply);
       open?.settle(reply);
-    } else if (reply?.kind === "granted") {
+    } else if (reply?.kind === "granted" && !this.#granted.has(id)) {
       this.#deps.tell(from, gateWire.withdrawn(id));
     } else if (queuedAt && open) {
       open.timer?.cancel();
@@ -77,6 +83,16 @@
     }
   }
 
+  /** A gate tells of a grant again until it is taken; given back then, the request would come in vain. */
+  #rememberGrant(id: number, { kind }: AskReply): void {
+    if (kind === "granted") {
+      this.#granted.add(id);
+      this.#deps.clock.after(TOLD_AGAIN_MS, () => {
+        this.#granted.delete(id);
+      });
+    }
+  }
+
   #send(id: number, address: string, message: GateMessage, sends: number): void {
     const open = this.#open.get(id);
     if (!open) {
