--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -4,6 +4,7 @@
 import type { Timer } from "../common/lifecycle/Timer.ts";
 import type { ProtoTypes } from "../common/rpc/ProtoTypes.ts";
 import type { ConfigSource } from "./ConfigSource.ts";
+import { DocumentCatchUp } from "./DocumentCatchUp.ts";
 import type { MembershipPeers } from "./MembershipPeers.ts";
 import { RumorQueue, type Distance } from "./RumorQueue.ts";
 import { sampleOf } from "./sampleOf.ts";
@@ -43,12 +44,6 @@
 /** Entries of news per message: some 100 bytes each, one packet of the network or a little more. */
 const NEWS_PER_MESSAGE = 16;
 
-/** Control has this long to bring a document that members have already, ms: it takes a tenth of a second. */
-const BEHIND_MS = 400;
-
-/** Members of which the document is taken at the same time, at most. */
-const MAX_FETCHES = 2;
-
 /** Checksums that differ this often in a row are no news in flight but a gap. */
 const GAP_AFTER = 3;
 
@@ -99,13 +94,7 @@
   #gaps = 0;
   #comparedAt = -Infinity;
   #lastRoundAt = -Infinity;
-  /** When a newer document than the one in force here was first heard of; control has a while to bring it. */
-  #behindSince: number | undefined;
-  /** The newest version of the document that was heard of. */
-  #heardVersion = 0;
-  #behindTimer: Timer | undefined;
-  /** Members of which the document is being taken. */
-  readonly #fetching = new Set<string>();
+  readonly #catchUp: DocumentCatchUp;
   #started = false;
   #hastened = false;
   #newsTimer: Timer | undefined;
@@ -121,9 +110,10 @@
     this.register({
       dispose: () => {
         this.#newsTimer?.cancel();
-        this.#behindTimer?.cancel();
       },
     });
+    const { peers, config, clock } = deps;
+    this.#catchUp = this.register(new DocumentCatchUp({ peers, config, clock }));
     this.#pass([deps.table.own]);
   }
 
@@ -172,7 +162,7 @@
     const { fresh, stale } = this.#takeIn(news);
     const from = this.#deps.table.entry(news.sender);
     if (from) {
-      this.#noteVersion(from.peer_address, news.config_version);
+      this.#catchUp.noteVersion(from.peer_address, news.config_version);
     }
     const known = news.members.flatMap((m, at) => (fresh.has(m.sidecar_id) ? [] : [at]));
     const theirs = new Set(news.members.map((m) => m.sidecar_id));
@@ -218,7 +208,7 @@
         // Its address has gone to another member, so it is not there any more.
         this.#declareGone(id);
       }
-      this.#noteVersion(address, news.config_version);
+      this.#catchUp.noteVersion(address, news.config_version);
       await this.#closeGap(address, news.checksum);
     } catch {
       if (await this.#reachedByOthers(address)) {
@@ -343,53 +333,6 @@
     }
   }
 
-  /**
-   * Takes a newer document from a peer that has it, once control has not brought it for a while. This carries an
-   * accepted change to sidecars that cannot reach control, or whose replica was cut off. Fetched at once, each change
-   * was fetched by most of the fleet over connections opened for it, moments before control brought it.
-   */
-  #noteVersion(address: string, version: number): void {
-    const { clock, config } = this.#deps;
-    if (this.#heardVersion <= config.version) {
-      this.#behindSince = undefined;
-    }
-    if (version <= config.version) {
-      return;
-    }
-    this.#heardVersion = Math.max(this.#heardVersion, version);
-    this.#behindSince ??= clock.now();
-    const waitMs = this.#behindSince + BEHIND_MS - clock.now();
-    if (waitMs <= 0) {
-      void this.#fetchConfig(address);
-      return;
-    }
-    this.#behindTimer?.cancel();
-    this.#behindTimer = clock.after(waitMs, () => {
-      if (version > config.version) {
-        void this.#fetchConfig(address);
-      }
-    });
-  }
-
-  /** Takes what a member has of the document; two may be asked at a time, as one of them may be cut off. */
-  async #fetchConfig(address: string): Promise<void> {
-    const { peers, config } = this.#deps;
-    if (this.#fetching.has(address) || this.#fetching.size >= MAX_FETCHES) {
-      return;
-    }
-    this.#fetching.add(address);
-    try {
-      const updates = await peers.config(address, config.version);
-      updates.forEach((u) => {
-        config.offer(u);
-      });
-    } catch {
-      // It is gone, or cut off meanwhile; the next member that tells of a newer version is asked.
-    } finally {
-      this.#fetching.delete(address);
-    }
-  }
-
   #probeList(): Member[] {
     const { table, random } = this.#deps;
     const { near, far } = this.#byDistance;
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -8,7 +8,6 @@
 import { loadProto } from "../common/rpc/loadProto.ts";
 import { meterService } from "../common/rpc/meterService.ts";
 import type { NoteBytes } from "../common/rpc/NoteBytes.ts";
-import type { ProtoTypes } from "../common/rpc/ProtoTypes.ts";
 import { startGrpcServer } from "../common/rpc/startGrpcServer.ts";
 import type { SidecarSettings } from "../common/settings/SidecarSettings.ts";
 import { openTracing } from "../common/telemetry/openTracing.ts";
@@ -29,7 +28,7 @@
 import { ownDialect } from "./dialect/ownDialect.ts";
 import { drainSidecar, type DrainedParts } from "./drainSidecar.ts";
 import { AskClient } from "./hop/AskClient.ts";
-import { gateWire } from "./hop/gateWire.ts";
+import { GateMessages } from "./hop/GateMessages.ts";
 import { LoanClient } from "./hop/LoanClient.ts";
 import { HopClient } from "./hop/HopClient.ts";
 import type { HopLink } from "./hop/HopLink.ts";
@@ -39,6 +38,7 @@
 import { BudgetLoans } from "./routing/BudgetLoans.ts";
 import { CallTraffic } from "./routing/CallTraffic.ts";
 import { Dispatcher } from "./routing/Dispatcher.ts";
+import { lendersOf } from "./routing/lendersOf.ts";
 import { NaivePolicy } from "./routing/NaivePolicy.ts";
 import { RetryBudgets } from "./routing/RetryBudgets.ts";
 import type { RoutingPolicy } from "./routing/RoutingPolicy.ts";
@@ -67,9 +67,6 @@
 /** The last part of a stop's grace, for closing what is left, ms. */
 const STOP_RESERVE_MS = 300;
 
-/** Sidecars in a zone that lend to each other only, at least. */
-const FEW_LENDERS = 8;
-
 /** Ports that a sidecar listens at. */
 interface Ports {
   caller: number;
@@ -193,6 +190,8 @@
       ask: (...args) => loanClient.ask(...args),
       random: Math.random,
     });
+    const { askServer: gates } = targets;
+    const messages = new GateMessages({ asks, gates, policy, loans: loanClient, budgets, tell });
     metrics.watchConfig(
       () => follower,
       () => SystemClock.now(),
@@ -209,8 +208,7 @@
       onCompare: (digests) => membership.onCompare(digests),
       onProbeFor: (address) => membership.onProbe(address),
       onGate: (message, from) => {
-        const { askServer } = targets;
-        takeGateMessage(message, from, { asks, policy, askServer, budgets, loanClient, tell });
+        messages.take(message, from);
       },
     });
     const hopPort = this.register(await startHttpServer(targets.gateServer.server, cfg.hop));
@@ -373,41 +371,6 @@
   }
 }
 
-/** Hands a message between gates and those who ask them to whom it is for. */
-function takeGateMessage(
-  message: ProtoTypes["GateMessage"],
-  from: string,
-  to: {
-    asks: AskClient;
-    policy: RoutingPolicy;
-    askServer: TargetSide["askServer"];
-    budgets: RetryBudgets;
-    loanClient: LoanClient;
-    tell: DatagramLink["tell"];
-  },
-): void {
-  const news = gateWire.readNews(message);
-  const costs = gateWire.readLoanAsk(message);
-  if (costs) {
-    to.tell(from, gateWire.loan(message.ask_id, to.budgets.lend(costs)));
-  } else if (message.loan) {
-    to.loanClient.receive(message);
-  } else if (news) {
-    to.policy.noteNews(news.target, news.load);
-  } else if (message.ask || message.withdrawn) {
-    to.askServer.receive(message, from);
-  } else {
-    to.asks.receive(message, from);
-  }
-}
-
-/** Sidecars in the own zone, whose answers are soon here; all, where it has few. */
-function lendersOf(table: TargetTable): string[] {
-  const sidecars = table.liveMembers().filter((m) => !m.control);
-  const near = sidecars.filter((m) => m.zone === table.selfZone);
-  return (near.length >= FEW_LENDERS ? near : sidecars).map((m) => m.peer_address);
-}
-
 function configOf(follower: ConfigFollower) {
   const { routes, document, version } = follower;
   return routes && document && { version, routes, limits: document.limits };
--- a/src/sidecar/routing/AdaptivePolicy.ts
+++ b/src/sidecar/routing/AdaptivePolicy.ts
@@ -11,18 +11,12 @@
 import type { GateLoad } from "../hop/GateLoad.ts";
 import { runRoomMs } from "../gate/runRoomMs.ts";
 import { chooseRotation } from "./chooseRotation.ts";
-import { LinkHealth } from "./LinkHealth.ts";
 import { pickByCost } from "./pickByCost.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
+import { TargetStandings, type Standing } from "./TargetStandings.ts";
 import { ZoneWaits } from "./ZoneWaits.ts";
 import type { Picked, PickFor, RoutingPolicy, Suspected } from "./RoutingPolicy.ts";
 
-/** How busy a target's sidecar said that it is counts for this long, ms. */
-const LOAD_FRESH_MS = 2000;
-
-/** What a target's sidecar said that it thinks of it counts for this long, ms: a change is told at once, but may get lost. */
-const JUDGED_FRESH_MS = 5000;
-
 /** Assumed time of a request where nothing was measured: this share of its objective. */
 const TYPICAL_SHARE = 1 / 3;
 
@@ -56,24 +50,9 @@
 /** Weight of the newest wait in the average: about the last five count. */
 const WAIT_WEIGHT = 0.2;
 
-/** How often what is kept of targets that have gone is forgotten, ms. */
-const FORGET_MS = 5000;
-
 /** Share of its usual work that a target gets when it has just come. */
 const RAMP_START = 0.2;
 
-/** What this sidecar keeps about one target. */
-interface Standing {
-  readonly link: LinkHealth;
-  /** The life of the target that the rest tells of. */
-  readonly born: number;
-  readonly seenAt: number;
-  load: GateLoad | undefined;
-  loadAt: number;
-  /** Requests from here at the target now. */
-  outstanding: number;
-}
-
 /** A target that may be asked, and what is known of it. */
 interface Candidate {
   readonly target: TargetInfo;
@@ -103,19 +82,17 @@
  */
 export class AdaptivePolicy implements RoutingPolicy {
   readonly #deps: AdaptivePolicyDeps;
-  readonly #standings = new Map<TargetId, Standing>();
+  readonly #standings: TargetStandings;
   readonly #baselines = new Map<string, LatencyBaseline>();
   /** How long requests waited for a slot lately, on average, by services' names, ms. */
   readonly #waits = new Map<string, number>();
   readonly #zoneWaits: ZoneWaits;
   /** Floors of services by their names, as of the last request. */
   readonly #floors = new Map<string, number>();
-  readonly #startedAt: number;
-  #forgotAt = -Infinity;
 
   constructor(deps: AdaptivePolicyDeps) {
     this.#deps = deps;
-    this.#startedAt = deps.clock.now();
+    this.#standings = new TargetStandings(deps);
     this.#zoneWaits = new ZoneWaits(deps.clock);
   }
 
@@ -128,7 +105,7 @@
     if (probed) {
       return { target: probed.target, isProbe: true };
     }
-    const well = open.filter((c) => !isSuspected(look, c));
+    const well = open.filter((c) => !this.#isSuspected(look, c));
     const reachable = well.filter((c) => !c.standing.link.isSuspect);
     const best = reachable.length > 0 ? reachable : well;
     const near = this.#near(look, best);
@@ -140,7 +117,7 @@
   suspected(request: PickFor, tried: ReadonlySet<TargetId>): Suspected[] {
     const look = this.#look(request);
     const suspected = this.#open(look, tried).filter(
-      (c) => isSuspected(look, c) && !c.standing.link.isSuspect,
+      (c) => this.#isSuspected(look, c) && !c.standing.link.isSuspect,
     );
     if (suspected.length === 0) {
       return [];
@@ -150,14 +127,14 @@
     return suspected
       .map((c) => ({
         target: c.target,
-        risk: riskOf(look, c),
-        isKept: isGray(look, c) && rotation.has(c.target.id),
+        risk: this.#riskOf(look, c),
+        isKept: this.#isGray(look, c) && rotation.has(c.target.id),
       }))
       .sort((a, b) => a.risk - b.risk);
   }
 
   noteReply(target: TargetInfo, reply: AskReply, ms: number | undefined): void {
-    const standing = this.#standing(target);
+    const standing = this.#standings.of(target);
     this.#noteLoad(target, standing, reply.load);
     if (ms !== undefined) {
       standing.link.noteAnswer(ms);
@@ -165,7 +142,7 @@
   }
 
   noteQueued(target: TargetInfo, load: GateLoad): void {
-    this.#noteLoad(target, this.#standing(target), load);
+    this.#noteLoad(target, this.#standings.of(target), load);
   }
 
   noteWait({ service }: RouteMatch, waitedMs: number): void {
@@ -179,20 +156,19 @@
 
   /** A gate tells how its target is thought of, without having been asked. */
   noteNews(id: TargetId, load: GateLoad): void {
-    const standing = this.#standings.get(id);
+    const standing = this.#standings.known(id);
     if (standing) {
-      standing.load = load;
-      standing.loadAt = this.#deps.clock.now();
+      this.#standings.noteLoad(standing, load);
     }
   }
 
   noteSilence(target: TargetInfo): void {
-    this.#standing(target).link.noteSilence();
+    this.#standings.of(target).link.noteSilence();
   }
 
   begin(route: RouteMatch, target: TargetInfo): (outcome: AttemptOutcome) => void {
     const { clock } = this.#deps;
-    const standing = this.#standing(target);
+    const standing = this.#standings.of(target);
     const startedAt = clock.now();
     standing.outstanding += 1;
     return (outcome) => {
@@ -224,8 +200,7 @@
   }
 
   #noteLoad({ service, zone }: TargetInfo, standing: Standing, load: GateLoad): void {
-    standing.load = load;
-    standing.loadAt = this.#deps.clock.now();
+    this.#standings.noteLoad(standing, load);
     this.#zoneWaits.note(service, zone, waitAt(load, load.serviceMs));
   }
 
@@ -236,7 +211,7 @@
     const open: Candidate[] = [];
     for (const target of this.#targetsOf(route)) {
       if (target.state === TargetState.Ready && !tried.has(target.id)) {
-        const candidate = { target, standing: this.#standing(target) };
+        const candidate = { target, standing: this.#standings.of(target) };
         if (!endsTooSoon(look, candidate)) {
           open.push(candidate);
         }
@@ -250,6 +225,20 @@
     return { ...request, now: this.#deps.clock.now(), typicalMs };
   }
 
+  /** Known to be gray; or only under suspicion, for a request that has no other try. */
+  #isSuspected({ now, isExpendable }: Look, { standing }: Candidate): boolean {
+    const judged = this.#standings.judged(standing, now);
+    return judged !== undefined && (judged.ejected || (judged.suspect && !isExpendable));
+  }
+
+  #isGray({ now }: Pick<Look, "now">, { standing }: Candidate): boolean {
+    return this.#standings.judged(standing, now)?.ejected ?? false;
+  }
+
+  #riskOf({ now }: Pick<Look, "now">, { standing }: Candidate): number {
+    return this.#standings.judged(standing, now)?.risk ?? 0;
+  }
+
   /** Targets that an expendable request would tell something of. */
   #toProbe({ now, route }: Look, open: readonly Candidate[]): Candidate[] {
     const share = this.isPressed(route) ? PRESSED_SHARE : 1;
@@ -263,13 +252,13 @@
   #rotation(targets: readonly TargetInfo[], floor: number): Set<TargetId> {
     const now = this.#deps.clock.now();
     const judged = targets.map((target) => {
-      const candidate = { target, standing: this.#standing(target) };
+      const candidate = { target, standing: this.#standings.of(target) };
       return {
         id: target.id,
         slots: target.slots,
         ready: target.state === TargetState.Ready,
-        gray: isGray({ now }, candidate),
-        badness: riskOf({ now }, candidate),
+        gray: this.#isGray({ now }, candidate),
+        badness: this.#riskOf({ now }, candidate),
       };
     });
     return chooseRotation(judged, floor);
@@ -285,7 +274,7 @@
     const unheardMs = look.route.bulk ? BULK_PATIENCE_MS : UNHEARD_PATIENCE_MS;
     const heardMs = look.route.bulk ? BULK_PATIENCE_MS : 0;
     return candidates.filter((c) => {
-      const patienceMs = freshLoad(look, c.standing) ? heardMs : unheardMs;
+      const patienceMs = this.#standings.freshLoad(c.standing, look.now) ? heardMs : unheardMs;
       return c.target.zone === zone && this.#waitMs(look, c) <= patienceMs;
     });
   }
@@ -293,66 +282,31 @@
   /** Expected time to the answer, ms; more for a target that has just come, so that nobody stampedes to it. */
   #cost(look: Look, candidate: Candidate): number {
     const { target, standing } = candidate;
-    const load = freshLoad(look, standing);
+    const load = this.#standings.freshLoad(standing, look.now);
     const busy = ((load?.busy ?? 0) + standing.outstanding) / Math.max(1, target.slots);
     const workMs = look.typicalMs * (load?.pace ?? 1) * (1 + busy);
-    const riskMs = look.isExpendable ? 0 : riskOf(look, candidate) * RISK_MS;
+    const riskMs = look.isExpendable ? 0 : this.#riskOf(look, candidate) * RISK_MS;
     const total = this.#waitMs(look, candidate) + workMs + standing.link.answerMs + riskMs;
     return total / this.#weight(look.route, standing);
   }
 
   #waitMs(look: Look, { target, standing }: Candidate): number {
-    const load = freshLoad(look, standing);
+    const load = this.#standings.freshLoad(standing, look.now);
     return load
       ? waitAt(load, load.serviceMs > 0 ? load.serviceMs : look.typicalMs)
       : this.#zoneWaits.expectedMs(target.service, target.zone);
   }
 
   #weight(route: RouteMatch, standing: Standing): number {
-    // Those that were there when this sidecar started are not new, only new to it.
-    if (standing.seenAt - this.#startedAt < LOAD_FRESH_MS) {
-      return 1;
-    }
     const share = (this.#deps.clock.now() - standing.seenAt) / route.service.detection.rampMs;
     return Math.min(1, RAMP_START + (1 - RAMP_START) * share);
   }
 
   #targetsOf(route: RouteMatch): readonly TargetInfo[] {
-    this.#forgetGone();
+    this.#standings.forgetGone();
     return this.#deps.table.targetsOf(ServiceName(route.service.name));
   }
 
-  #forgetGone(): void {
-    const { table, clock } = this.#deps;
-    const now = clock.now();
-    if (now - this.#forgotAt < FORGET_MS) {
-      return;
-    }
-    this.#forgotAt = now;
-    for (const [id, { outstanding }] of this.#standings) {
-      if (outstanding === 0 && !table.target(id)) {
-        this.#standings.delete(id);
-      }
-    }
-  }
-
-  #standing(t: TargetInfo): Standing {
-    let standing = this.#standings.get(t.id);
-    if (standing?.born !== t.born) {
-      standing = {
-        // The path to it stays as it was: it leads to the sidecar beside it.
-        link: standing?.link ?? new LinkHealth(this.#deps.clock),
-        born: t.born,
-        seenAt: this.#deps.clock.now(),
-        load: undefined,
-        loadAt: -Infinity,
-        outstanding: 0,
-      };
-      this.#standings.set(t.id, standing);
-    }
-    return standing;
-  }
-
   #baseline(route: RouteMatch): LatencyBaseline {
     let baseline = this.#baselines.get(route.name);
     if (!baseline) {
@@ -373,29 +327,6 @@
   return leftMs > 0 && leftMs < runRoomMs(typicalMs, isExpendable);
 }
 
-/** Known to be gray; or only under suspicion, for a request that has no other try. */
-function isSuspected(look: Look, { standing }: Candidate): boolean {
-  const judged = judgedOf(look, standing);
-  return judged !== undefined && (judged.ejected || (judged.suspect && !look.isExpendable));
-}
-
-function isGray(look: Pick<Look, "now">, { standing }: Candidate): boolean {
-  return judgedOf(look, standing)?.ejected ?? false;
-}
-
-function riskOf(look: Pick<Look, "now">, { standing }: Candidate): number {
-  return judgedOf(look, standing)?.risk ?? 0;
-}
-
-/** What is thought of a target: that holds until its gate says otherwise, or is not heard of for long. */
-function judgedOf({ now }: Pick<Look, "now">, { load, loadAt }: Standing): GateLoad | undefined {
-  return now - loadAt < JUDGED_FRESH_MS ? load : undefined;
-}
-
-function freshLoad({ now }: Pick<Look, "now">, { load, loadAt }: Standing): GateLoad | undefined {
-  return now - loadAt < LOAD_FRESH_MS ? load : undefined;
-}
-
 /** How long an ask waits at a target as busy as that, where a request takes `serviceMs`, ms. */
 function waitAt({ busy, slots, queued }: GateLoad, serviceMs: number): number {
   return busy < slots ? 0 : ((queued / 2 + 1) * serviceMs) / Math.max(1, slots);
