An address tells calls from callers' own only where requests come from more than one

The model had callers elsewhere, which hid it.

Change: the target's address counts as evidence only once a request has come from another. On that platform calls are told as before, by whether they come only while a run is under way; what the model showed for the origin holds where addresses differ.

--- a/src/sidecar/routing/CallTraffic.test.ts
+++ b/src/sidecar/routing/CallTraffic.test.ts
@@ -115,6 +115,7 @@
     // minute of each process: no lookup was sent a second time, since none gave leave for it.
     const runs = { count: 4, idleShare: 0.05, beginCall: () => () => undefined };
     const calls = new CallTraffic({ runs, log });
+    calls.begin(makeRoute({ name: "other" }), RequestOrigin.Elsewhere);
     for (let n = 1; n < arrivals; n++) {
       calls.begin(route, origin);
     }
@@ -127,13 +128,23 @@
 test("calls: requests of one route are told apart by where they come from", (t) => {
   const runs = { count: 4, idleShare: 0.05, beginCall: () => () => undefined };
   const calls = new CallTraffic({ runs, log });
-  t.true(calls.begin(route, RequestOrigin.TargetVm).isCall);
   t.true(calls.begin(route, RequestOrigin.Elsewhere).isOwn);
+  t.true(calls.begin(route, RequestOrigin.TargetVm).isCall);
+});
+
+test("calls: where all requests come from the target's address, that tells nothing", (t) => {
+  // Story: on some platforms callers reach the sidecar from its own VM. All of their requests were taken for calls.
+  const runs = { count: 4, idleShare: 0.05, beginCall: () => () => undefined };
+  const calls = new CallTraffic({ runs, log });
+  const begun = calls.begin(route, RequestOrigin.TargetVm);
+  t.false(begun.isCall);
+  t.false(begun.isOwn);
 });
 
 test("calls: callers at the target's own address are found to be callers", (t) => {
   const runs = { count: 0, idleShare: 0.5, beginCall: () => () => undefined };
   const calls = new CallTraffic({ runs, log });
+  calls.begin(makeRoute({ name: "other" }), RequestOrigin.Elsewhere);
   for (let n = 0; n < 3; n++) {
     calls.begin(route, RequestOrigin.TargetVm);
   }
--- a/src/sidecar/routing/CallTraffic.ts
+++ b/src/sidecar/routing/CallTraffic.ts
@@ -51,6 +51,8 @@
   readonly #deps: CallTrafficDeps;
   /** Evidence that the requests of a route and an origin are calls, against callers' own, nats. */
   readonly #nats = new Map<string, number>();
+  /** Requests come from other addresses than the target's: until then, callers may share it, and it tells nothing. */
+  #hasElsewhere = false;
   /** What the log has last told of each. */
   readonly #told = new Map<string, number>();
 
@@ -64,8 +66,10 @@
     origin = RequestOrigin.Unknown,
   ): Begun {
     const { runs } = this.#deps;
-    const key = `${route} from ${origin}`;
-    const nats = this.#weigh(key, ORIGIN_NATS[origin]);
+    this.#hasElsewhere ||= origin === RequestOrigin.Elsewhere;
+    const tells = this.#hasElsewhere ? origin : RequestOrigin.Unknown;
+    const key = `${route} from ${tells}`;
+    const nats = this.#weigh(key, ORIGIN_NATS[tells]);
     const weight = weightOf(nats);
     this.#tell(key, weight, nats);
     const isOwn = weight === 0;
