Whoever finds a part of the fleet that has never heard of it tells it of itself

Cause: since lost parts are found by datagram rather than by whole views both ways, a member that was told of a seed it did not know came to know the others there, and they did not come to know its own side. Found by reading; the test with two fleets of six failed before, all twelve know each other now.

--- a/src/membership/Membership.test.ts
+++ b/src/membership/Membership.test.ts
@@ -136,6 +136,19 @@
   t.deepEqual(s.views(), all(10));
 });
 
+test("two fleets that know nothing of each other become one once a seed of one names the other", async (t) => {
+  // Story: half of the fleet was started with one list of seeds, and half with another. Then one sidecar is told of a seed
+  // on the other side: it comes to know the others there, and they have to come to know its own side, too.
+  const s = new MemberFleet(12);
+  const isLeft = (id: string) => Number(id.slice(1)) < 6;
+  s.seedsOf = (id) => (isLeft(id) ? ["s0"] : ["s6"]);
+  await s.run(4000);
+  t.deepEqual([...new Set(s.views())], [6]);
+  s.seedsOf = (id) => (id === "s3" ? ["s6"] : isLeft(id) ? ["s0"] : ["s6"]);
+  await s.run(15_000);
+  t.deepEqual(s.views(), all(12));
+});
+
 test("a restarted sidecar replaces its old self, also when it starts before it was missed", async (t) => {
   const s = new MemberFleet(8);
   s.states.set("s4", "ready");
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -242,7 +242,8 @@
   /** Finds a lost part of the fleet again, through a member found dead or a seed that is not known. */
   async #tryLost(address: string): Promise<void> {
     try {
-      await this.#exchange(address);
+      // It may never have heard of this one, and tells the others there.
+      await this.#exchange(address, [this.#deps.table.selfId]);
       await this.#compare(address);
     } catch {
       // Still down or cut off; a later round tries another.
