--- a/experiment/scenarios.ts
+++ b/experiment/scenarios.ts
@@ -117,46 +117,73 @@
   lengthMs: 32_000,
 };
 
+/** What differs between the lab's sizes: rates a second, work times and objectives of its kinds of request, ms. */
+interface LabSize {
+  readonly perSecond: readonly [lookups: number, signoffs: number, reports: number];
+  readonly workMs: readonly [lookups: number, signoffs: number, reports: number, calls: number];
+  readonly objectiveMs: readonly [lookups: number, reports: number, calls: number];
+  readonly deadlineMs: readonly [own: number, calls: number];
+}
+
+/** The lab's kinds of request at one of its sizes, at `share` of their rate. */
+function labKinds(size: LabSize, share: number): LoadKind[] {
+  const [lookups, signoffs, reports] = size.perSecond;
+  const [lookupMs, signoffMs, reportMs, callMs] = size.workMs;
+  const [objectiveMs, reportObjectiveMs, callObjectiveMs] = size.objectiveMs;
+  const [deadlineMs, callDeadlineMs] = size.deadlineMs;
+  const callTimes = { objectiveMs: callObjectiveMs, deadlineMs: callDeadlineMs };
+  return [
+    {
+      name: "result-lookup",
+      service: "results",
+      idempotent: true,
+      priority: 2,
+      perSecond: lookups * share,
+      workMs: lookupMs,
+      objectiveMs,
+      deadlineMs: Math.min(deadlineMs, 10_000),
+      worth: [1, 0.1],
+      calls: { kind: "sample-status", times: 2, share: 0.7 },
+    },
+    {
+      name: "certificate-signoff",
+      service: "certificates",
+      idempotent: false,
+      priority: 1,
+      perSecond: signoffs * share,
+      workMs: signoffMs,
+      objectiveMs,
+      deadlineMs,
+      worth: [2, 0.2],
+      calls: { kind: "report-index", times: 1, share: 0.7 },
+    },
+    {
+      name: "trend-report",
+      service: "reports",
+      idempotent: true,
+      priority: 2,
+      perSecond: reports * share,
+      workMs: reportMs,
+      objectiveMs: reportObjectiveMs,
+      deadlineMs,
+      worth: [1, 0.1],
+    },
+    { ...call("sample-status", "certificates", callMs), ...callTimes },
+    { ...call("report-index", "reports", callMs), ...callTimes },
+  ];
+}
+
 /** The lab's kinds of request, at `share` of half their full rate. */
-const lab = (share: number): LoadKind[] => [
-  {
-    name: "result-lookup",
-    service: "results",
-    idempotent: true,
-    priority: 2,
-    perSecond: 21 * share,
-    workMs: 1100,
-    objectiveMs: 4000,
-    deadlineMs: 10_000,
-    worth: [1, 0.1],
-    calls: { kind: "sample-status", times: 2, share: 0.7 },
-  },
-  {
-    name: "certificate-signoff",
-    service: "certificates",
-    idempotent: false,
-    priority: 1,
-    perSecond: 73 * share,
-    workMs: 860,
-    objectiveMs: 4000,
-    deadlineMs: 12_000,
-    worth: [2, 0.2],
-    calls: { kind: "report-index", times: 1, share: 0.7 },
-  },
-  {
-    name: "trend-report",
-    service: "reports",
-    idempotent: true,
-    priority: 2,
-    perSecond: 7.5 * share,
-    workMs: 700,
-    objectiveMs: 4000,
-    deadlineMs: 12_000,
-    worth: [1, 0.1],
-  },
-  { ...call("sample-status", "certificates", 210), objectiveMs: 850, deadlineMs: 2600 },
-  { ...call("report-index", "reports", 210), objectiveMs: 850, deadlineMs: 2600 },
-];
+const lab = (share: number): LoadKind[] =>
+  labKinds(
+    {
+      perSecond: [21, 73, 7.5],
+      workMs: [1100, 860, 700, 210],
+      objectiveMs: [4000, 4000, 850],
+      deadlineMs: [12_000, 2600],
+    },
+    share,
+  );
 
 /** The lab at half its size: few targets of the service that all sign-offs call. */
 const LAB = {
@@ -172,45 +199,16 @@
 };
 
 /** The lab's kinds of request where it runs hundreds of VMs, at `share` of their full rate. */
-const labLarge = (share: number): LoadKind[] => [
-  {
-    name: "result-lookup",
-    service: "results",
-    idempotent: true,
-    priority: 2,
-    perSecond: 111 * share,
-    workMs: 952,
-    objectiveMs: 4100,
-    deadlineMs: 10_000,
-    worth: [1, 0.1],
-    calls: { kind: "sample-status", times: 2, share: 0.7 },
-  },
-  {
-    name: "certificate-signoff",
-    service: "certificates",
-    idempotent: false,
-    priority: 1,
-    perSecond: 380 * share,
-    workMs: 752,
-    objectiveMs: 4100,
-    deadlineMs: 10_000,
-    worth: [2, 0.2],
-    calls: { kind: "report-index", times: 1, share: 0.7 },
-  },
-  {
-    name: "trend-report",
-    service: "reports",
-    idempotent: true,
-    priority: 2,
-    perSecond: 38.7 * share,
-    workMs: 600,
-    objectiveMs: 2800,
-    deadlineMs: 10_000,
-    worth: [1, 0.1],
-  },
-  { ...call("sample-status", "certificates", 190), objectiveMs: 900, deadlineMs: 2250 },
-  { ...call("report-index", "reports", 190), objectiveMs: 900, deadlineMs: 2250 },
-];
+const labLarge = (share: number): LoadKind[] =>
+  labKinds(
+    {
+      perSecond: [111, 380, 38.7],
+      workMs: [952, 752, 600, 190],
+      objectiveMs: [4100, 2800, 900],
+      deadlineMs: [10_000, 2250],
+    },
+    share,
+  );
 
 /** The lab with hundreds of VMs, of which few keep the reports that all sign-offs call. */
 const LAB_LARGE = {
