Failing test: a delayed request runs on a later grant of its attempt

A request that is delayed on its way between two sidecars (a lossy or congested link) is asked for over a new connection; the gate revokes its grant and answers that it has not run. The attempt is granted a slot at the same gate again, and the delayed request arrives before the second one: it takes the second grant and runs. The second request is then answered as not run: its caller gets 503 for work that is running (REFUSED), or the work runs twice (TWICE).

--- /dev/null
+++ b/test/delayedRequest.test.ts
@@ -0,0 +1,115 @@
+import type { AddressInfo } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import test, { type ExecutionContext } from "ava";
+import bunyan from "bunyan";
+import { TargetId } from "../src/common/ids/TargetId.ts";
+import { SystemClock } from "../src/common/lifecycle/SystemClock.ts";
+import { noTracing } from "../src/common/telemetry/noTracing.ts";
+import { TrustingJudge } from "../src/sidecar/detection/TrustingJudge.ts";
+import { Gate } from "../src/sidecar/gate/Gate.ts";
+import { GateServer } from "../src/sidecar/gate/GateServer.ts";
+import { RunsHere } from "../src/sidecar/gate/RunsHere.ts";
+import { RunTable } from "../src/sidecar/gate/RunTable.ts";
+import { TargetRunner } from "../src/sidecar/gate/TargetRunner.ts";
+import type { AskReply } from "../src/sidecar/hop/AskReply.ts";
+import { HopClient } from "../src/sidecar/hop/HopClient.ts";
+import { Dispatcher } from "../src/sidecar/routing/Dispatcher.ts";
+import { RetryBudgets } from "../src/sidecar/routing/RetryBudgets.ts";
+import { eventually } from "./fixtures/eventually.ts";
+import { FakeClock } from "./fixtures/FakeClock.ts";
+import { FixedPolicy } from "./fixtures/FixedPolicy.ts";
+import { HeldProxy } from "./fixtures/HeldProxy.ts";
+import { makeCourse } from "./fixtures/makeCourse.ts";
+import { makeRoute } from "./fixtures/makeRoute.ts";
+import { makeTarget } from "./fixtures/makeTarget.ts";
+import { results } from "./fixtures/results.ts";
+
+const BOOT = "this life";
+const TARGET = TargetId("x");
+const DEADLINE_MS = 8000;
+const log = bunyan.createLogger({ name: "test", level: "fatal" });
+
+/** A dispatcher, and a gate to one target at the other end of a link that holds what is sent over it. */
+async function rig(t: ExecutionContext, runMs: number) {
+  // Grants do not expire by themselves, however slow the machine.
+  const clock = new FakeClock();
+  const gate = new Gate({
+    target: () => ({ slots: 2, takesWork: true }),
+    judge: TrustingJudge,
+    clock,
+    boot: BOOT,
+  });
+  const counts = { asks: 0, arrivals: 0, runs: 0 };
+  const runner = new TargetRunner({
+    gates: { get: () => gate },
+    runs: new RunTable(clock),
+    here: new RunsHere(clock),
+    target: () => makeTarget(TARGET),
+    send: async () => {
+      counts.runs += 1;
+      await sleep(runMs);
+      return results.done;
+    },
+    boot: BOOT,
+    log,
+  });
+  const { server } = new GateServer({ runner, tracing: noTracing, clock, log });
+  server.prependListener("request", () => (counts.arrivals += 1));
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const link = new HeldProxy((server.address() as AddressInfo).port);
+  const address = await link.start();
+  const hop = new HopClient({
+    ask: (_address, ask) => {
+      counts.asks += 1;
+      let ticket: ReturnType<Gate["ask"]> | undefined;
+      const answer = new Promise<AskReply>((resolve) => (ticket = gate.ask(ask, resolve)));
+      return { answer, giveUp: () => ticket?.withdraw() };
+    },
+  });
+  const dispatcher = new Dispatcher({
+    policy: new FixedPolicy([makeTarget(TARGET, { hopAddress: address, askAddress: address })]),
+    hop,
+    callerService: "desk",
+    budgets: new RetryBudgets({
+      rule: () => ({ ratio: 0.2, windowMs: 10_000, slack: 100 }),
+      members: () => 1,
+      clock: SystemClock,
+      startedAt: -Infinity,
+      random: () => 0,
+    }),
+    clock: SystemClock,
+    log,
+  });
+  t.teardown(async () => {
+    await hop.dispose();
+    link.stop();
+    server.closeAllConnections();
+    server.close();
+  });
+  return { link, dispatcher, counts };
+}
+
+const cases = [
+  { name: "and its run ends at once", runMs: 0 },
+  { name: "and its run takes long", runMs: 500 },
+];
+
+for (const { name, runMs } of cases) {
+  test(`a delayed request does not run on a later grant of its attempt: ${name}`, async (t) => {
+    const { link, dispatcher, counts } = await rig(t, runMs);
+    const startedAt = SystemClock.now();
+    const course = makeCourse({ method: "POST", startedAt, deadlineAt: startedAt + DEADLINE_MS });
+    const answered = dispatcher.dispatch(makeRoute({ idempotent: false }), course);
+    await eventually(() => link.connections.length === 2);
+    const [delayed, join] = link.connections;
+    join?.release();
+    await eventually(() => counts.asks === 2 && link.connections.length === 3);
+    const before = counts.arrivals;
+    delayed?.release();
+    await eventually(() => counts.arrivals > before);
+    link.holdsNew = false;
+    link.connections[2]?.release();
+    const { verdict } = await answered;
+    t.deepEqual({ verdict: verdict.kind, runs: counts.runs }, { verdict: "done", runs: 1 });
+  });
+}
