Failing tests: no document reaches a sidecar over a slow link

Round trip 1.4 s, nothing lost. The keepalive ping times out after 1 s, so both watches are dropped together; each new watch is given up after 1 s, before the connection can open. The change never arrives (waited 15 s), nor does the first document of a sidecar that starts behind such a link.

A large document over a link of 200 KB/s arrives (5.1 s): not part of it.

--- /dev/null
+++ b/test/slowLink.test.ts
@@ -0,0 +1,126 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import * as grpc from "@grpc/grpc-js";
+import test, { type ExecutionContext } from "ava";
+import bunyan from "bunyan";
+import { DocumentHistory } from "../src/common/document/DocumentHistory.ts";
+import { EMPTY_DOCUMENT } from "../src/common/document/EMPTY_DOCUMENT.ts";
+import type { OperatorDocument } from "../src/common/document/OperatorDocument.ts";
+import { SystemClock } from "../src/common/lifecycle/SystemClock.ts";
+import { documentWire } from "../src/common/rpc/documentWire.ts";
+import { loadProto } from "../src/common/rpc/loadProto.ts";
+import type { ProtoTypes } from "../src/common/rpc/ProtoTypes.ts";
+import { startGrpcServer } from "../src/common/rpc/startGrpcServer.ts";
+import { ConfigFollower } from "../src/sidecar/config/ConfigFollower.ts";
+import { eventually } from "./fixtures/eventually.ts";
+import { SlowLink } from "./fixtures/SlowLink.ts";
+
+type WatchCall = grpc.ServerWritableStream<ProtoTypes["WatchRequest"], ProtoTypes["ConfigVersion"]>;
+
+const log = bunyan.createLogger({ name: "test", level: "fatal" });
+
+/** One way: a round trip takes longer than a connection on a fast path is given for an answer, ms. */
+const DELAY_MS = 700;
+
+/** Longer than a connection on a fast path is kept without an answer, ms. */
+const KEPT_MS = 2500;
+
+/** The first document arrives over the slow link within this time: three round trips, and a failed try before, ms. */
+const FIRST_MS = 8000;
+
+/** A change arrives within this time: it crosses the link once, ms. */
+const CHANGE_MS = 2000;
+
+/** A document of about `bytes`. */
+function documentOf(bytes: number): OperatorDocument {
+  const [limits, text] = [EMPTY_DOCUMENT.limits, "x".repeat(bytes)];
+  return { ...EMPTY_DOCUMENT, limits, annotations: { text } } as unknown as OperatorDocument;
+}
+
+/** A follower of two control replicas, each behind the same slow link. */
+async function rig(t: ExecutionContext) {
+  const history = new DocumentHistory();
+  const watches = new Set<() => void>();
+  const server = new grpc.Server();
+  server.addService((loadProto().Control as grpc.ServiceClientConstructor).service, {
+    Watch: (call: WatchCall) => {
+      let { have_version: version } = call.request;
+      call.sendMetadata(new grpc.Metadata());
+      const serve = () => {
+        for (const update of history.since(version)) {
+          version = update.version;
+          call.write(documentWire.encode(update));
+        }
+      };
+      watches.add(serve);
+      call.on("cancelled", () => watches.delete(serve));
+      serve();
+    },
+  });
+  const started = await startGrpcServer(server, "127.0.0.1:0", 0);
+  const links = [new SlowLink(started.port), new SlowLink(started.port)];
+  const controls = await Promise.all(links.map((l) => l.start()));
+  const follower = new ConfigFollower({
+    controls: () => controls,
+    dataDir: undefined,
+    sidecarId: "s",
+    clock: SystemClock,
+    random: Math.random,
+    log,
+  });
+  t.teardown(async () => {
+    follower.dispose();
+    links.forEach((l) => {
+      l.stop();
+    });
+    await started.dispose();
+  });
+  return {
+    links,
+    follower,
+    publish: (version: number, bytes = 0) => {
+      history.take({ kind: "whole", version, document: documentOf(bytes) });
+      watches.forEach((serve) => {
+        serve();
+      });
+    },
+  };
+}
+
+/** Waits for `version` to be in force; resolves with how long that took, ms. */
+async function inForce(follower: ConfigFollower, version: number): Promise<number> {
+  const startedAt = performance.now();
+  await eventually(() => follower.version === version);
+  return follower.version === version ? performance.now() - startedAt : Infinity;
+}
+
+test("a change reaches a sidecar whose link has become slower than the keepalive timeout", async (t) => {
+  const { links, follower, publish } = await rig(t);
+  publish(1);
+  follower.start();
+  await inForce(follower, 1);
+  links.forEach((l) => (l.delayMs = DELAY_MS));
+  await sleep(KEPT_MS);
+  publish(2);
+  const ms = await inForce(follower, 2);
+  t.true(ms < CHANGE_MS, `in force after ${ms} ms`);
+});
+
+test("the first document reaches a sidecar whose link is slower than the time to open a watch", async (t) => {
+  const { links, follower, publish } = await rig(t);
+  publish(1);
+  links.forEach((l) => (l.delayMs = DELAY_MS));
+  follower.start();
+  const ms = await inForce(follower, 1);
+  t.true(ms < FIRST_MS, `in force after ${ms} ms`);
+});
+
+test("a large change reaches a sidecar whose link needs seconds for it", async (t) => {
+  const { links, follower, publish } = await rig(t);
+  publish(1);
+  follower.start();
+  await inForce(follower, 1);
+  links.forEach((l) => (l.bytesPerS = 200_000));
+  publish(2, 1_000_000);
+  const ms = await inForce(follower, 2);
+  t.true(ms < FIRST_MS, `in force after ${ms} ms`);
+});
