Identify each grant of a slot by its own id

What callers saw: 503, not run, for a booking that was running or ran later (REFUSED); or it ran twice.

Cause: a grant was named by its attempt and the life of the granting process. A request that is delayed between two sidecars for longer than 750 ms is asked for over a new connection; the gate revokes the grant and answers that it has not run. The same attempt is then granted a slot at the same gate, under the same name. The delayed request arrives first and takes that grant; the request that the grant was meant for finds none, and is reported as not run.

Class: an identifier that is used again while messages that carry it are still on their way. The same name was used to withdraw a grant, to tell of it again and to look up its run; all use the id of the grant now.

Ruled out: revoking without granting again at that target (a slow path would exhaust the targets); a longer silence (it only moves the race).

Change: GrantId, numbered by GrantIds for the whole process, so that a target that starts again does not reuse one. A request whose grant was used already is answered with the outcome of that run, and only else as not run. The header on the wire keeps its name, and older sidecars pass the id on as it is.

--- a/experiment/SimSidecar.ts
+++ b/experiment/SimSidecar.ts
@@ -13,6 +13,7 @@
 import { RunsHere } from "../src/sidecar/gate/RunsHere.ts";
 import { RunTable } from "../src/sidecar/gate/RunTable.ts";
 import { Gate } from "../src/sidecar/gate/Gate.ts";
+import { GrantIds } from "../src/sidecar/gate/GrantIds.ts";
 import { TargetRunner } from "../src/sidecar/gate/TargetRunner.ts";
 import type { GateLoad } from "../src/sidecar/hop/GateLoad.ts";
 import type { CourseRequest } from "../src/sidecar/routing/CourseRequest.ts";
@@ -67,6 +68,7 @@
   readonly #deps: SimSidecarDeps;
   readonly #table: TargetTable;
   readonly #dispatcher: Dispatcher;
+  readonly #grants: GrantIds;
   #inFlight = 0;
   #isReady = true;
   readonly gate: Gate;
@@ -79,6 +81,7 @@
     this.#deps = deps;
     const { vm, clock, random, zoneMs, sidecars } = deps;
     const zone = ZoneName(zoneOf(vm));
+    this.#grants = new GrantIds(String(deps.life));
     this.#table = this.#openTable();
     const runs = new RunsHere(clock);
     this.budgets = this.#openBudgets();
@@ -178,21 +181,21 @@
   }
 
   #openGate(runs: RunsHere): Gate {
-    const { vm, clock, life, onJudged, variant } = this.#deps;
+    const { vm, clock, onJudged, variant } = this.#deps;
     const rule = Service.parse({ name: "svc", detection: GRAY_DETECTION }).detection;
     return new Gate({
       target: () => ({ slots: vm.slots, takesWork: true }),
       judge: new TargetJudge({ rule: () => rule, clock, log }),
       waitsForCall: (since) => runs.hasOpenCall(since),
       clock,
-      boot: String(life),
+      grants: this.#grants,
       onJudged,
       ...variant.gate,
     });
   }
 
   #openRunner(here: RunsHere): TargetRunner {
-    const { vm, clock, life, work } = this.#deps;
+    const { vm, clock, work } = this.#deps;
     const id = TargetId(vm.name);
     return new TargetRunner({
       gates: { get: () => this.gate },
@@ -200,7 +203,7 @@
       here,
       target: () => this.#table.target(id),
       send: (_target, req) => work(req),
-      boot: String(life),
+      grants: this.#grants,
       log,
     });
   }
--- a/src/cli/explain/explainRequest.ts
+++ b/src/cli/explain/explainRequest.ts
@@ -81,7 +81,7 @@
 
 /** What the process beside the target knows of a run whose outcome did not reach its caller. */
 function sightOf(about: readonly LogLine[]): string {
-  const lost = about.find((l) => l.msg === "run out of sight");
+  const lost = about.find((l) => l.msg === "lost contact with running attempt");
   const ended = about.filter((l) => l.msg === "run ended").at(-1);
   const lostPart = lost ? `; the origin lost sight of it: ${text(lost.fields.reason)}` : "";
   const endPart = ended
--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -53,7 +53,7 @@
     body: number;
   };
   SlotReply: {
-    boot: string;
+    grant: string;
     reason: string;
     retry_after: number;
     load: ProtoTypes["GateLoad"] | null;
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -26,6 +26,7 @@
 import { TargetSender } from "./forwarding/TargetSender.ts";
 import { AskServer } from "./gate/AskServer.ts";
 import { GateServer } from "./gate/GateServer.ts";
+import { GrantIds } from "./gate/GrantIds.ts";
 import { RunsHere } from "./gate/RunsHere.ts";
 import { RunTable } from "./gate/RunTable.ts";
 import { TargetGates } from "./gate/TargetGates.ts";
@@ -86,14 +87,14 @@
     super();
     this.#deps = deps;
     const { table, clock, log, dialect, cfg, tracing, metrics, tell } = deps;
-    const boot = randomBytes(BOOT_BYTES).toString("hex");
+    const grants = new GrantIds(randomBytes(BOOT_BYTES).toString("hex"));
     this.runs = new RunsHere(clock);
     this.#gates = new TargetGates({
       targets: () => table.localTargets(),
       judge: (target) => this.#judge(target),
       waitsForCall: (since) => this.runs.hasOpenCall(since),
       clock,
-      boot,
+      grants,
       log,
       onJudged: (target, load) => {
         this.askServer.tellNews(target, load);
@@ -122,7 +123,7 @@
       here: this.runs,
       target: (id) => table.localTargets().find((t) => t.id === id),
       send: (target, req) => sendUnderKey(sender, once, target, req),
-      boot,
+      grants,
       log,
     });
     this.gateServer = new GateServer({ runner, tracing, clock, log });
--- a/src/sidecar/gate/AskServer.ts
+++ b/src/sidecar/gate/AskServer.ts
@@ -1,5 +1,5 @@
 import type bunyan from "bunyan";
-import type { AttemptId } from "../../common/ids/AttemptId.ts";
+import type { GrantId } from "../../common/ids/GrantId.ts";
 import type { TargetId } from "../../common/ids/TargetId.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
@@ -139,7 +139,7 @@
       this.#note(entry, reply);
       say(gateWire.reply(id, reply));
       if (reply.kind === "granted") {
-        this.#tellAgain(entry, from);
+        this.#tellAgain(entry, reply.grant, from);
       }
     };
     const gate = this.#deps.gates.get(ask.target);
@@ -156,18 +156,18 @@
     }
   }
 
-  #tellAgain({ ask, said }: Entry, from: string): void {
+  #tellAgain({ ask, said }: Entry, grant: GrantId, from: string): void {
     for (const ms of GRANT_AGAIN_MS) {
       this.#deps.clock.after(ms, () => {
-        if (said && this.#isGranted(ask.target, ask.attempt)) {
+        if (said && this.#isOpen(ask.target, grant)) {
           this.#deps.tell(from, said);
         }
       });
     }
   }
 
-  #isGranted(target: TargetId, attempt: AttemptId): boolean {
-    return this.#deps.gates.get(target)?.hasGrant(attempt) ?? false;
+  #isOpen(target: TargetId, grant: GrantId): boolean {
+    return this.#deps.gates.get(target)?.isOpen(grant) ?? false;
   }
 
   #note({ ask, askedAt }: Entry, reply: AskReply): void {
--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -1,4 +1,4 @@
-import type { AttemptId } from "../../common/ids/AttemptId.ts";
+import type { GrantId } from "../../common/ids/GrantId.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { Judge } from "../detection/Judge.ts";
@@ -7,6 +7,7 @@
 import type { GateLoad } from "../hop/GateLoad.ts";
 import { RefusalReason } from "../hop/RefusalReason.ts";
 import { AskLine } from "./AskLine.ts";
+import type { GrantIds } from "./GrantIds.ts";
 import { runRoomMs } from "./runRoomMs.ts";
 import { SlotTable } from "./SlotTable.ts";
 import type { WaitingAsk } from "./WaitingAsk.ts";
@@ -23,8 +24,7 @@
   readonly target: () => GatedTarget | undefined;
   readonly judge: Judge;
   readonly clock: Clock;
-  /** Names this life of the process. */
-  readonly boot: string;
+  readonly grants: Pick<GrantIds, "next">;
   /** Whether a run that began at the time given may be waiting for a call of its own; left out, none makes any. */
   readonly waitsForCall?: (since: number) => boolean;
   /** Told when the target is thought of otherwise: well, suspect or ejected. */
@@ -122,43 +122,48 @@
   /** Weighs an ask; `reply` is called once, at once or when a slot is free. */
   ask(ask: Ask, reply: (reply: AskReply) => void): Ticket {
     const waiting = { ask, askedAt: this.#deps.clock.now() };
+    let grant: GrantId | undefined;
+    const answer = (said: AskReply) => {
+      grant = said.kind === "granted" ? said.grant : undefined;
+      reply(said);
+    };
+    const revoke = () => {
+      if (grant !== undefined) {
+        this.revoke(grant);
+      }
+    };
     const refusal = this.#refusalOf(waiting) ?? this.#refusalOfNewcomer(ask);
     if (refusal !== undefined) {
-      reply(this.#refuse(refusal, waiting));
+      answer(this.#refuse(refusal, waiting));
       return { queued: false, withdraw: () => undefined };
     }
     if (this.#isIdle) {
       this.#line.noteGrant(waiting, waiting.askedAt, this.#serviceMs);
-      this.#grant(ask, reply);
-      return {
-        queued: false,
-        withdraw: () => {
-          this.revoke(ask.attempt);
-        },
-      };
+      this.#grant(ask, answer);
+      return { queued: false, withdraw: revoke };
     }
-    this.#line.add(waiting, reply);
+    this.#line.add(waiting, answer);
     return {
       queued: true,
       withdraw: () => {
         if (!this.#line.remove(waiting)) {
-          this.revoke(ask.attempt);
+          revoke();
         }
       },
     };
   }
 
   /** Keeps a grant while the body of its request is on its way here; false when the grant is void. */
-  hold(attempt: AttemptId): boolean {
-    return this.#slots.hold(attempt, () => {
-      this.revoke(attempt);
+  hold(grant: GrantId): boolean {
+    return this.#slots.hold(grant, () => {
+      this.revoke(grant);
     });
   }
 
   /** Begins the run that a grant was given for; undefined when the grant is void. */
-  take(attempt: AttemptId): Ask | undefined {
+  take(grant: GrantId): Ask | undefined {
     return this.#slots.take(
-      attempt,
+      grant,
       (ask) => this.#usualMs(ask) * OVERDUE_FACTOR,
       (since) => this.#noteOverdue(since),
     );
@@ -176,8 +181,8 @@
   }
 
   /** Ends a run, and gives its slot to the next. */
-  end(attempt: AttemptId, outcome: AttemptOutcome): void {
-    const ended = this.#slots.end(attempt);
+  end(grant: GrantId, outcome: AttemptOutcome): void {
+    const ended = this.#slots.end(grant);
     if (!ended) {
       return;
     }
@@ -203,9 +208,9 @@
     }
   }
 
-  /** Whether a slot is granted to `attempt` that it has not taken yet. */
-  hasGrant(attempt: AttemptId): boolean {
-    return this.#slots.hasGrant(attempt);
+  /** Whether a slot is granted that has not been taken yet. */
+  isOpen(grant: GrantId): boolean {
+    return this.#slots.isOpen(grant);
   }
 
   /** True while a slot is granted or in use. */
@@ -348,18 +353,19 @@
   }
 
   #grant(ask: Ask, reply: (reply: AskReply) => void): void {
-    const { boot, judge } = this.#deps;
+    const { grants, judge } = this.#deps;
+    const grant = grants.next();
     const isProbe = judge.isSuspect && judge.risk > ask.acceptsRisk;
     const grantMs = GRANT_MS + ask.bodyBytes / GRANT_BYTES_PER_MS;
-    this.#slots.grant(ask, isProbe, grantMs, () => {
-      this.revoke(ask.attempt);
+    this.#slots.grant(grant, ask, isProbe, grantMs, () => {
+      this.revoke(grant);
     });
-    reply({ kind: "granted", boot, load: this.load });
+    reply({ kind: "granted", grant, load: this.load });
   }
 
   /** Takes back a grant that was not taken; true when there was one. */
-  revoke(attempt: AttemptId): boolean {
-    const wasGranted = this.#slots.revoke(attempt);
+  revoke(grant: GrantId): boolean {
+    const wasGranted = this.#slots.revoke(grant);
     if (wasGranted) {
       this.#serveNext();
     }
--- a/src/sidecar/gate/GateServer.ts
+++ b/src/sidecar/gate/GateServer.ts
@@ -3,23 +3,22 @@
 import type bunyan from "bunyan";
 import { AttemptId } from "../../common/ids/AttemptId.ts";
 import { ServiceName } from "../../common/ids/ServiceName.ts";
+import { GrantId } from "../../common/ids/GrantId.ts";
 import { TargetId } from "../../common/ids/TargetId.ts";
 import { sendJson } from "../../common/http/sendJson.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { Timer } from "../../common/lifecycle/Timer.ts";
 import type { Tracing } from "../../common/telemetry/Tracing.ts";
-import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import { endToEnd } from "../forwarding/endToEnd.ts";
 import type { HeaderList } from "../forwarding/HeaderList.ts";
 import { withHeaders } from "../forwarding/withHeaders.ts";
 import { openBody } from "../forwarding/openBody.ts";
-import { RETRY_AFTER_MS } from "../forwarding/RETRY_AFTER_MS.ts";
 import type { TargetRequest } from "../forwarding/TargetRequest.ts";
 import { HOP } from "../hop/HOP.ts";
 import { hopAnswer } from "../hop/hopAnswer.ts";
-import { VOID_GRANT } from "./VOID_GRANT.ts";
 import type { GrantName, TargetRunner } from "./TargetRunner.ts";
+import { unknownOutcome } from "./unknownOutcome.ts";
 
 /** How often a sidecar that waits hears that its request is alive, ms; silence for three of these is suspicious. */
 const ALIVE_MS = 300;
@@ -37,7 +36,7 @@
 const OWN_HEADERS = new Set<string>(Object.values(HOP));
 
 interface GateServerDeps {
-  readonly runner: Pick<TargetRunner, "hold" | "release" | "run" | "state">;
+  readonly runner: Pick<TargetRunner, "hold" | "release" | "run" | "outcomeOf" | "state">;
   readonly tracing: Tracing;
   readonly clock: Clock;
   readonly log: bunyan;
@@ -67,7 +66,7 @@
   }
 
   async #route(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    if (req.url === HOP.joinPath && req.headers[HOP.boot] !== undefined) {
+    if (req.url === HOP.joinPath && req.headers[HOP.grant] !== undefined) {
       await this.#join(req, res);
     } else if (req.headers[HOP.attempt] !== undefined) {
       await this.#run(req, res);
@@ -85,17 +84,18 @@
       }
     });
     const { runner, clock, log } = this.#deps;
-    const { attempt, target } = grant;
     const arrivedAt = clock.now();
     const alive = new AliveSignal(res, clock);
+    // From its head on: whoever waits would take a body that is long on its way for a lost connection.
+    alive.start();
     if (!runner.hold(grant)) {
-      log.info({ attempt, target, ...VOID_GRANT, ms: 0 }, "run ended");
       req.resume();
-      this.#answer(res, VOID_GRANT);
+      const known = await runner.outcomeOf(grant);
+      alive.stop();
+      log.info({ ...grant, verdict: known.verdict, outcome: known.outcome }, "grant not usable");
+      this.#answer(res, known);
       return;
     }
-    // From its head on: whoever waits would take a body that is long on its way for a lost connection.
-    alive.start();
     const opened = await openBody(req, BODY).catch((err: unknown) => {
       alive.stop();
       runner.release(grant);
@@ -112,7 +112,7 @@
     }));
     alive.stop();
     const ms = Math.round(clock.now() - startedAt);
-    const ended = { attempt, target, verdict: out.verdict, outcome: out.outcome, ms };
+    const ended = { ...grant, verdict: out.verdict, outcome: out.outcome, ms };
     log.info(ended, "run ended");
     span.end(out.verdict.kind, out.verdict.kind === "done");
     this.#answer(res, out);
@@ -149,8 +149,8 @@
     req.resume();
     const grant = grantOf(req);
     const state = this.#deps.runner.state(grant);
-    const { attempt, target } = grant;
-    this.#deps.log.info({ attempt, target, state: state.kind }, "answer asked for again");
+    const { target } = grant;
+    this.#deps.log.info({ ...grant, state: state.kind }, "result requested again");
     switch (state.kind) {
       case "running": {
         const alive = new AliveSignal(res, this.#deps.clock);
@@ -207,7 +207,7 @@
   return {
     attempt: AttemptId(text(HOP.attempt)),
     target: TargetId(text(HOP.target)),
-    boot: text(HOP.boot),
+    grant: GrantId(text(HOP.grant)),
   };
 }
 
@@ -243,19 +243,6 @@
   }
 }
 
-function unknownOutcome(target: TargetId): ForwardResult {
-  return {
-    verdict: {
-      kind: "may-have-run",
-      target,
-      reason: "the sidecar beside the target does not know how the run ended",
-      timedOut: false,
-      retryAfterMs: RETRY_AFTER_MS,
-    },
-    outcome: AttemptOutcome.NoAnswer,
-  };
-}
-
 /** The target's headers but for those of its connection. */
 function answerHeaders(
   headers: Readonly<Record<string, string | string[] | undefined>>,
--- a/src/sidecar/gate/RunTable.ts
+++ b/src/sidecar/gate/RunTable.ts
@@ -1,4 +1,4 @@
-import type { AttemptId } from "../../common/ids/AttemptId.ts";
+import type { GrantId } from "../../common/ids/GrantId.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 
@@ -14,12 +14,12 @@
 const MAX_KEPT_BYTES = 32 << 20;
 
 /**
- * How long an attempt is remembered after its end, ms: longer than any deadline
+ * How long a run is remembered after its end, ms: longer than any deadline
  * that a caller gives, so that a request delayed in a cut is known when it arrives.
  */
 const REMEMBER_MS = 60_000;
 
-/** How often old attempts are dropped, ms. */
+/** How often old runs are dropped, ms. */
 const SWEEP_MS = 10_000;
 
 interface Entry {
@@ -30,14 +30,14 @@
 }
 
 /**
- * Every attempt that ran at the target beside this sidecar, and its answer for a
+ * Every run at the target beside this sidecar, and its answer for a
  * while. Whoever asked for it may ask again over a new connection and gets the same
  * answer: a connection lost between two sidecars then leaves no request in doubt, and
  * none runs twice.
  */
 export class RunTable {
   readonly #clock: Clock;
-  readonly #entries = new Map<AttemptId, Entry>();
+  readonly #entries = new Map<GrantId, Entry>();
   #keptBytes = 0;
   #sweptAt = 0;
 
@@ -46,10 +46,10 @@
   }
 
   /** Notes a run from its start to its end. */
-  track(attempt: AttemptId, run: Promise<ForwardResult>): void {
+  track(grant: GrantId, run: Promise<ForwardResult>): void {
     this.#sweep();
     const entry: Entry = { running: run, result: undefined, endedAt: Infinity };
-    this.#entries.set(attempt, entry);
+    this.#entries.set(grant, entry);
     void run.then((result) => {
       entry.running = undefined;
       entry.endedAt = this.#clock.now();
@@ -57,9 +57,9 @@
     });
   }
 
-  /** How the run of `attempt` stands. */
-  state(attempt: AttemptId): RunState {
-    const entry = this.#entries.get(attempt);
+  /** How the run stands that took `grant`. */
+  state(grant: GrantId): RunState {
+    const entry = this.#entries.get(grant);
     if (!entry) {
       return { kind: "unknown" };
     }
@@ -69,7 +69,7 @@
     return entry.result ? { kind: "ended", result: entry.result } : { kind: "forgotten" };
   }
 
-  /** Attempts remembered. */
+  /** Runs remembered. */
   get size(): number {
     return this.#entries.size;
   }
@@ -102,10 +102,10 @@
       return;
     }
     this.#sweptAt = now;
-    for (const [attempt, entry] of this.#entries) {
+    for (const [grant, entry] of this.#entries) {
       if (now - entry.endedAt > REMEMBER_MS) {
         this.#drop(entry);
-        this.#entries.delete(attempt);
+        this.#entries.delete(grant);
       }
     }
   }
--- a/src/sidecar/gate/SlotTable.ts
+++ b/src/sidecar/gate/SlotTable.ts
@@ -1,4 +1,5 @@
 import type { AttemptId } from "../../common/ids/AttemptId.ts";
+import type { GrantId } from "../../common/ids/GrantId.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { Timer } from "../../common/lifecycle/Timer.ts";
 import type { Ask } from "../hop/Ask.ts";
@@ -20,7 +21,7 @@
 /** The slots of a target that are granted or in use, and since when. */
 export class SlotTable {
   readonly #clock: Clock;
-  readonly #held = new Map<AttemptId, Held>();
+  readonly #held = new Map<GrantId, Held>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -36,20 +37,21 @@
     return [...this.#held.values()].filter((h) => h.isProbe).length;
   }
 
+  /** Whether `attempt` has a slot, granted or in use. */
   has(attempt: AttemptId): boolean {
-    return this.#held.has(attempt);
+    return [...this.#held.values()].some((h) => h.ask.attempt === attempt);
   }
 
-  /** Whether a slot is granted to `attempt` that it has not taken yet. */
-  hasGrant(attempt: AttemptId): boolean {
-    return this.#held.get(attempt)?.state === "granted";
+  /** Whether a slot is granted that has not been taken yet. */
+  isOpen(grant: GrantId): boolean {
+    return this.#held.get(grant)?.state === "granted";
   }
 
   /** Grants a slot; `onVoid` is called if it is not taken within `voidMs`. */
-  grant(ask: Ask, isProbe: boolean, voidMs: number, onVoid: () => void): void {
+  grant(grant: GrantId, ask: Ask, isProbe: boolean, voidMs: number, onVoid: () => void): void {
     const timer = this.#clock.after(voidMs, onVoid);
     const since = this.#clock.now();
-    this.#held.set(ask.attempt, {
+    this.#held.set(grant, {
       ask,
       state: "granted",
       since,
@@ -60,25 +62,25 @@
   }
 
   /** Keeps a grant that was not taken for as long as its request has; false when there is none. */
-  hold(attempt: AttemptId, onVoid: () => void): boolean {
-    const held = this.#held.get(attempt);
+  hold(grant: GrantId, onVoid: () => void): boolean {
+    const held = this.#held.get(grant);
     if (held?.state !== "granted") {
       return false;
     }
     held.timer.cancel();
     const timer = this.#clock.after(held.ask.remainingMs, onVoid);
-    this.#held.set(attempt, { ...held, timer });
+    this.#held.set(grant, { ...held, timer });
     return true;
   }
 
   /** Takes back a grant that was not taken; true when there was one. */
-  revoke(attempt: AttemptId): boolean {
-    const held = this.#held.get(attempt);
+  revoke(grant: GrantId): boolean {
+    const held = this.#held.get(grant);
     if (held?.state !== "granted") {
       return false;
     }
     held.timer.cancel();
-    return this.#held.delete(attempt);
+    return this.#held.delete(grant);
   }
 
   /**
@@ -87,11 +89,11 @@
    * @param overdueMs how long the run may take before `onOverdue` is told; what that returns is whether it counts
    */
   take(
-    attempt: AttemptId,
+    grant: GrantId,
     overdueMs: (ask: Ask) => number,
     onOverdue: (since: number) => boolean,
   ): Ask | undefined {
-    const granted = this.#held.get(attempt);
+    const granted = this.#held.get(grant);
     if (granted?.state !== "granted") {
       return undefined;
     }
@@ -102,18 +104,18 @@
       running.isOverdue = onOverdue(since);
     });
     const running: Held = { ask, state: "running", since, timer, isProbe, isOverdue: false };
-    this.#held.set(attempt, running);
+    this.#held.set(grant, running);
     return ask;
   }
 
   /** Ends a run; undefined when none is under way. */
-  end(attempt: AttemptId): { ask: Ask; ms: number; wasOverdue: boolean } | undefined {
-    const held = this.#held.get(attempt);
+  end(grant: GrantId): { ask: Ask; ms: number; wasOverdue: boolean } | undefined {
+    const held = this.#held.get(grant);
     if (held?.state !== "running") {
       return undefined;
     }
     held.timer.cancel();
-    this.#held.delete(attempt);
+    this.#held.delete(grant);
     const { ask, since, isOverdue } = held;
     return { ask, ms: this.#clock.now() - since, wasOverdue: isOverdue };
   }
--- a/src/sidecar/gate/TargetGates.ts
+++ b/src/sidecar/gate/TargetGates.ts
@@ -6,6 +6,7 @@
 import type { Judge } from "../detection/Judge.ts";
 import type { GateLoad } from "../hop/GateLoad.ts";
 import { Gate } from "./Gate.ts";
+import type { GrantIds } from "./GrantIds.ts";
 
 interface TargetGatesDeps {
   /** Targets beside this sidecar now. */
@@ -13,8 +14,7 @@
   readonly judge: (target: TargetInfo) => Judge;
   readonly clock: Clock;
   readonly log: bunyan;
-  /** Names this life of the process. */
-  readonly boot: string;
+  readonly grants: GrantIds;
   /** Whether a run that began at the time given may be waiting for a call of its own. */
   readonly waitsForCall?: (since: number) => boolean;
   /** Told when a target is thought of otherwise. */
@@ -107,7 +107,7 @@
   }
 
   #open(target: TargetInfo): Gate {
-    const { clock, boot, judge, targets, log, waitsForCall } = this.#deps;
+    const { clock, grants, judge, targets, log, waitsForCall } = this.#deps;
     const { id, born } = target;
     const gate = new Gate({
       target: () => {
@@ -120,7 +120,7 @@
         this.#deps.onJudged?.(id, load);
       },
       clock,
-      boot,
+      grants,
     });
     if (this.#endAt !== undefined) {
       gate.closeBy(this.#endAt);
--- a/src/sidecar/gate/TargetRunner.ts
+++ b/src/sidecar/gate/TargetRunner.ts
@@ -1,5 +1,6 @@
 import type bunyan from "bunyan";
 import type { AttemptId } from "../../common/ids/AttemptId.ts";
+import type { GrantId } from "../../common/ids/GrantId.ts";
 import type { TargetId } from "../../common/ids/TargetId.ts";
 import type { TargetInfo } from "../../membership/TargetInfo.ts";
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
@@ -7,17 +8,18 @@
 import { RETRY_AFTER_MS } from "../forwarding/RETRY_AFTER_MS.ts";
 import type { TargetRequest } from "../forwarding/TargetRequest.ts";
 import type { Gate } from "./Gate.ts";
+import type { GrantIds } from "./GrantIds.ts";
 import type { RunsHere } from "./RunsHere.ts";
 import type { RunState, RunTable } from "./RunTable.ts";
 import type { TargetGates } from "./TargetGates.ts";
+import { unknownOutcome } from "./unknownOutcome.ts";
 import { VOID_GRANT } from "./VOID_GRANT.ts";
 
 /** A grant, as whoever was given it names it. */
 export interface GrantName {
   readonly attempt: AttemptId;
   readonly target: TargetId;
-  /** The life of the process that gave it. */
-  readonly boot: string;
+  readonly grant: GrantId;
 }
 
 interface TargetRunnerDeps {
@@ -28,8 +30,7 @@
   readonly target: (id: TargetId) => TargetInfo | undefined;
   /** Sends a request to the target, at most once under its idempotency key where it has one. */
   readonly send: (target: TargetInfo, req: TargetRequest) => Promise<ForwardResult>;
-  /** This life of the process. */
-  readonly boot: string;
+  readonly grants: Pick<GrantIds, "isOwn">;
   readonly log: bunyan;
 }
 
@@ -46,39 +47,54 @@
    * large body takes longer than a grant lasts on a link of a few Mbit/s: it came in vain, was sent again, and
    * took the link from the next one.
    */
-  hold({ attempt, target, boot }: GrantName): boolean {
-    return boot === this.#deps.boot && (this.#deps.gates.get(target)?.hold(attempt) ?? false);
+  hold({ target, grant }: GrantName): boolean {
+    return this.#deps.gates.get(target)?.hold(grant) ?? false;
   }
 
   /** Gives back the slot of a request whose body broke off. */
-  release({ attempt, target }: GrantName): void {
-    this.#deps.gates.get(target)?.revoke(attempt);
+  release({ target, grant }: GrantName): void {
+    this.#deps.gates.get(target)?.revoke(grant);
   }
 
-  /** Runs the request that a grant of this life of the process was given for. */
-  run(grant: GrantName, makeRequest: () => TargetRequest): Promise<ForwardResult> {
-    const { attempt, target: id, boot } = grant;
-    const target = this.#deps.target(id);
-    const gate = this.#deps.gates.get(id);
-    if (boot !== this.#deps.boot || !target || !gate?.take(attempt)) {
-      // A grant that has run out, or that another life of the process gave.
-      return Promise.resolve(VOID_GRANT);
+  /** Runs the request that a grant was given for. */
+  run(name: GrantName, makeRequest: () => TargetRequest): Promise<ForwardResult> {
+    const target = this.#deps.target(name.target);
+    const gate = this.#deps.gates.get(name.target);
+    if (!target || !gate?.take(name.grant)) {
+      return this.outcomeOf(name);
     }
-    const run = this.#send(gate, attempt, target, makeRequest());
-    this.#deps.runs.track(attempt, run);
+    const run = this.#send(gate, name, target, makeRequest());
+    this.#deps.runs.track(name.grant, run);
     return run;
   }
 
   /**
-   * How a run stands, for whoever lost the connection to it. An attempt that was
-   * granted and not taken is taken back: it will never run.
+   * The outcome of a request that cannot use its grant: that of the run which used it already, or not-run where the
+   * grant has run out, or was given by an earlier life of the process.
    */
-  state({ attempt, target, boot }: GrantName): RunState {
-    if (this.#deps.gates.get(target)?.revoke(attempt)) {
+  outcomeOf({ target, grant }: GrantName): Promise<ForwardResult> {
+    const state = this.#deps.runs.state(grant);
+    switch (state.kind) {
+      case "running":
+      case "ended":
+        return Promise.resolve(state.result);
+      case "forgotten":
+        return Promise.resolve(unknownOutcome(target));
+      case "unknown":
+        return Promise.resolve(VOID_GRANT);
+    }
+  }
+
+  /**
+   * How a run stands, for whoever lost the connection to it. A grant that was not
+   * taken is taken back: its request will never run.
+   */
+  state({ target, grant }: GrantName): RunState {
+    if (this.#deps.gates.get(target)?.revoke(grant)) {
       return { kind: "ended", result: notRun("the grant was not taken") };
     }
-    const state = this.#deps.runs.state(attempt);
-    if (state.kind === "unknown" && boot === this.#deps.boot) {
+    const state = this.#deps.runs.state(grant);
+    if (state.kind === "unknown" && this.#deps.grants.isOwn(grant)) {
       // Every run of this life is remembered, and a grant that is void stays so.
       return { kind: "ended", result: notRun("the grant was not taken") };
     }
@@ -87,7 +103,7 @@
 
   async #send(
     gate: Gate,
-    attempt: AttemptId,
+    { attempt, grant }: GrantName,
     target: TargetInfo,
     req: TargetRequest,
   ): Promise<ForwardResult> {
@@ -99,7 +115,7 @@
       return { ...out, calls: this.#deps.here.callMeans };
     } finally {
       here.end();
-      gate.end(attempt, outcome);
+      gate.end(grant, outcome);
     }
   }
 
--- a/src/sidecar/hop/AskReply.ts
+++ b/src/sidecar/hop/AskReply.ts
@@ -1,3 +1,4 @@
+import type { GrantId } from "../../common/ids/GrantId.ts";
 import type { GateLoad } from "./GateLoad.ts";
 import type { RefusalReason } from "./RefusalReason.ts";
 
@@ -5,8 +6,7 @@
 export type AskReply =
   | {
       readonly kind: "granted";
-      /** Names this life of the granting process: a later one knows nothing of the grant. */
-      readonly boot: string;
+      readonly grant: GrantId;
       readonly load: GateLoad;
     }
   | {
--- a/src/sidecar/hop/HOP.ts
+++ b/src/sidecar/hop/HOP.ts
@@ -9,8 +9,8 @@
 
   /** The attempt that the request, or the answer asked for, belongs to. */
   attempt: "x-burdockpass-attempt",
-  /** The life of the granting process that a grant is good for. */
-  boot: "x-burdockpass-boot",
+  /** The id of the grant, which begins with the life (the boot) of the granting process. */
+  grant: "x-burdockpass-boot",
   /** Time left for the answer, ms. */
   remaining: "x-burdockpass-hop-remaining-ms",
   /** The service beside which the request began. */
--- a/src/sidecar/hop/HopClient.ts
+++ b/src/sidecar/hop/HopClient.ts
@@ -120,9 +120,8 @@
 /** Whoever asks keeps the time: silence means different things to an ask and to a run. */
 const UNTIMED = { headersTimeout: 0, bodyTimeout: 0 } as const;
 
-function grantHeaders(grant: GrantOf): string[] {
-  const { attempt, target, boot } = grant;
-  return [HOP.attempt, attempt, HOP.target, target, HOP.boot, boot];
+function grantHeaders({ attempt, target, grant }: GrantOf): string[] {
+  return [HOP.attempt, attempt, HOP.target, target, HOP.grant, grant];
 }
 
 function runHeaders(req: HopRequest): string[] {
--- a/src/sidecar/hop/HopLink.ts
+++ b/src/sidecar/hop/HopLink.ts
@@ -6,7 +6,7 @@
 import type { Pending } from "./Pending.ts";
 
 /** Names a slot that was granted, or the run that took it. */
-export type GrantOf = Pick<HopRequest, "attempt" | "target" | "boot">;
+export type GrantOf = Pick<HopRequest, "attempt" | "target" | "grant">;
 
 type OnQueued = (load: GateLoad) => void;
 
--- a/src/sidecar/hop/HopRequest.ts
+++ b/src/sidecar/hop/HopRequest.ts
@@ -1,5 +1,6 @@
 import type { Readable } from "node:stream";
 import type { AttemptId } from "../../common/ids/AttemptId.ts";
+import type { GrantId } from "../../common/ids/GrantId.ts";
 import type { TargetId } from "../../common/ids/TargetId.ts";
 import type { HeaderList } from "../forwarding/HeaderList.ts";
 
@@ -7,8 +8,7 @@
 export interface HopRequest {
   readonly attempt: AttemptId;
   readonly target: TargetId;
-  /** The life of the granting process that the grant is good for. */
-  readonly boot: string;
+  readonly grant: GrantId;
   readonly method: string;
   readonly path: string;
   readonly headers: HeaderList;
--- a/src/sidecar/hop/gateWire.ts
+++ b/src/sidecar/hop/gateWire.ts
@@ -1,4 +1,5 @@
 import { AttemptId } from "../../common/ids/AttemptId.ts";
+import { GrantId } from "../../common/ids/GrantId.ts";
 import { TargetId } from "../../common/ids/TargetId.ts";
 import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
 import type { RetryCost } from "../routing/RetryCost.ts";
@@ -55,7 +56,7 @@
     ...NOTHING,
     ask_id: id,
     reply: {
-      boot: reply.kind === "granted" ? reply.boot : "",
+      grant: reply.kind === "granted" ? reply.grant : "",
       reason: reply.kind === "refused" ? reply.reason : "",
       retry_after: reply.kind === "refused" ? Math.round(reply.retryAfterMs) : 0,
       load: encodeLoad(reply.load),
@@ -109,8 +110,8 @@
       return undefined;
     }
     const load = decodeLoad(reply.load);
-    if (reply.boot !== "") {
-      return { kind: "granted", boot: reply.boot, load };
+    if (reply.grant !== "") {
+      return { kind: "granted", grant: GrantId(reply.grant), load };
     }
     const reason = REASONS.find((known) => (known as string) === reply.reason);
     return reason && { kind: "refused", reason, retryAfterMs: reply.retry_after, load };
--- a/src/sidecar/routing/GrantSeeker.ts
+++ b/src/sidecar/routing/GrantSeeker.ts
@@ -1,4 +1,5 @@
 import type bunyan from "bunyan";
+import type { GrantId } from "../../common/ids/GrantId.ts";
 import type { TargetId } from "../../common/ids/TargetId.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { Timer } from "../../common/lifecycle/Timer.ts";
@@ -16,8 +17,7 @@
 /** A slot that was granted. */
 export interface Grant {
   readonly target: TargetInfo;
-  /** The life of the granting process that the grant is good for. */
-  readonly boot: string;
+  readonly id: GrantId;
 }
 
 /** What came of asking: a slot, or why there is none. */
@@ -340,7 +340,7 @@
       const { acceptsRisk } = open;
       const how = { asked: this.#tried.size, acceptsRisk, waitedMs };
       this.#deps.log.info({ attempt, target: target.id, ...how, load }, "slot granted");
-      this.#end({ kind: "granted", grant: { target, boot: reply.boot } });
+      this.#end({ kind: "granted", grant: { target, id: reply.grant } });
       return;
     }
     if (reply.reason === RefusalReason.Suspect) {
--- a/src/sidecar/routing/RunCourse.ts
+++ b/src/sidecar/routing/RunCourse.ts
@@ -86,7 +86,7 @@
     return {
       attempt,
       target: this.#grant.target.id,
-      boot: this.#grant.boot,
+      grant: this.#grant.id,
       method,
       path,
       headers,
@@ -143,7 +143,10 @@
   #onLost(reason: string): void {
     const { attempt } = this.#req;
     const { target } = this.#grant;
-    this.#deps.log.info({ attempt, target: target.id, reason }, "run out of sight");
+    this.#deps.log.info(
+      { attempt, target: target.id, reason },
+      "lost contact with running attempt",
+    );
     this.#deps.onSilence();
     if (this.#route.idempotent) {
       this.#end(this.#inDoubt(reason, false));
@@ -158,9 +161,9 @@
     if (this.#done) {
       return;
     }
-    const { target, boot } = this.#grant;
-    const grant = { attempt: this.#req.attempt, target: target.id, boot };
-    const join = this.#deps.hop.join(target.hopAddress, grant, this.#onAlive);
+    const { target, id } = this.#grant;
+    const name = { attempt: this.#req.attempt, target: target.id, grant: id };
+    const join = this.#deps.hop.join(target.hopAddress, name, this.#onAlive);
     this.#watch(join, false);
     this.#silenceTimer = this.#deps.clock.after(JOIN_MS, () => {
       join.giveUp();
