Race watches of the document instead of giving them up one by one

What callers saw: sidecars on congested links handled requests by an old version for seconds to minutes after a newer one was acknowledged, or refused them with 404 (CONFIG).

Cause: timeouts shorter than the delay of a link that is slow and loses nothing. The keepalive ping of a watch timed out after 1 s and dropped the connection; a new watch was given up after 1 s, before a connection over such a link can open (three round trips), and the next one began from nothing. Both watches of a sidecar share the link, so both were in this loop at the same time.

Change: WatchSlot opens another watch beside one that is slow to open or silent, and keeps the first that opens; the open watch stays until then. A replica sends heartbeats on a watch, and long versions in parts, so that a slow transfer is not taken for a silent connection (a 1 MB version over 200 KB/s was restarted for ever without the parts). The peer connections that joins use get four failed calls instead of two before they are opened afresh, once two were not enough. Followers that do not ask for heartbeats are served as before, and replicas that send none are followed as before.

--- a/src/common/rpc/ControlClient.ts
+++ b/src/common/rpc/ControlClient.ts
@@ -22,9 +22,9 @@
   const { service } = loadProto().Control as grpc.ServiceClientConstructor;
   const metered = note ? meterService(service, note) : service;
   const ctor = grpc.makeGenericClientConstructor(metered, "Control");
-  return new ctor(
-    address,
-    grpc.credentials.createInsecure(),
-    CHANNEL_OPTIONS,
-  ) as unknown as ControlClient;
+  return new ctor(address, grpc.credentials.createInsecure(), {
+    ...CHANNEL_OPTIONS,
+    // Channels to one address share a connection otherwise, one that has gone silent, too.
+    "grpc.use_local_subchannel_pool": 1,
+  }) as unknown as ControlClient;
 };
--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -14,8 +14,14 @@
     version: number;
     message: string;
   };
-  WatchRequest: { sidecar_id: string; have_version: number };
-  ConfigVersion: { version: number; document: string; base: number; edit: string };
+  WatchRequest: { sidecar_id: string; have_version: number; heartbeats: boolean };
+  ConfigVersion: {
+    version: number;
+    document: string;
+    base: number;
+    edit: string;
+    more: boolean;
+  };
   ConfigVersions: { versions: ProtoTypes["ConfigVersion"][] };
   Datagram: {
     id: number;
--- a/src/common/rpc/RenewedClient.ts
+++ b/src/common/rpc/RenewedClient.ts
@@ -5,6 +5,17 @@
 /** Calls that fail in a row before the connection is taken for dead. */
 const FAILURES_TO_RENEW = 2;
 
+/** How a client treats its connection. */
+interface RenewedClientOptions {
+  /** The connection is closed when no call was made for this long, ms, and opened again by the next. */
+  readonly idleMs?: number;
+  /**
+   * Failures in a row before the connection is taken for dead are doubled with each connection on which no call
+   * succeeds, up to this many: a slow link needs more time to open a connection than calls on it need.
+   */
+  readonly mostFailures?: number;
+}
+
 /**
  * A gRPC client that is opened afresh when calls fail in a row. A connection that
  * something in between has lost track of, or one whose opening packets went into a
@@ -14,14 +25,20 @@
 export class RenewedClient<T extends grpc.Client> implements IDisposable {
   readonly #open: () => T;
   readonly #idleMs: number;
+  readonly #mostFailures: number;
   #client: T | undefined;
   #failures = 0;
+  #failuresToRenew = FAILURES_TO_RENEW;
   #underWay = 0;
   #idleTimer: NodeJS.Timeout | undefined;
 
-  /** @param idleMs the connection is closed when no call was made for this long, and opened again by the next */
-  constructor(ctor: grpc.ServiceClientConstructor, address: string, idleMs = Infinity) {
+  constructor(
+    ctor: grpc.ServiceClientConstructor,
+    address: string,
+    { idleMs = Infinity, mostFailures = FAILURES_TO_RENEW }: RenewedClientOptions = {},
+  ) {
     this.#idleMs = idleMs;
+    this.#mostFailures = mostFailures;
     this.#open = () =>
       new ctor(address, grpc.credentials.createInsecure(), {
         ...CHANNEL_OPTIONS,
@@ -44,10 +61,12 @@
     try {
       const res = await act(client);
       this.#failures = 0;
+      this.#failuresToRenew = FAILURES_TO_RENEW;
       return res;
     } catch (err) {
       this.#failures += 1;
-      if (this.#failures >= FAILURES_TO_RENEW && this.#client === client) {
+      if (this.#failures >= this.#failuresToRenew && this.#client === client) {
+        this.#failuresToRenew = Math.min(this.#mostFailures, this.#failuresToRenew * 2);
         this.renew();
       }
       throw err;
--- /dev/null
+++ b/src/common/rpc/splitVersion.test.ts
@@ -0,0 +1,29 @@
+import test from "ava";
+import { documentWire } from "./documentWire.ts";
+import { splitVersion } from "./splitVersion.ts";
+import { VersionParts } from "./VersionParts.ts";
+
+const texts: readonly { name: string; text: string; parts: number }[] = [
+  { name: "short", text: "short", parts: 1 },
+  { name: "as long as a part", text: "x".repeat(32 * 1024), parts: 1 },
+  { name: "long", text: "x".repeat(100_000), parts: 4 },
+  { name: "long, with surrogate pairs where parts end", text: "x" + "😀".repeat(40_000), parts: 3 },
+];
+
+for (const { name, text, parts } of texts) {
+  for (const field of ["document", "edit"] as const) {
+    test(`version parts: a ${field} that is ${name} arrives as it was`, (t) => {
+      const whole = { ...documentWire.heartbeat(7), base: 3, [field]: text };
+      // Each part is encoded as UTF-8 on its own.
+      const sent = splitVersion(whole).map((part) => ({
+        ...part,
+        [field]: Buffer.from(part[field]).toString(),
+      }));
+      t.is(sent.length, parts);
+      const joiner = new VersionParts();
+      const joined = sent.map((part) => joiner.add(part));
+      t.true(joined.slice(0, -1).every((j) => j === undefined));
+      t.deepEqual(joined.at(-1), whole);
+    });
+  }
+}
--- a/src/control/service/Watchers.ts
+++ b/src/control/service/Watchers.ts
@@ -1,13 +1,24 @@
 import type { DocumentUpdate } from "../../common/document/DocumentUpdate.ts";
+import { every } from "../../common/lifecycle/every.ts";
 import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
 import type { Replica } from "../replica/Replica.ts";
 
+/** How often a follower hears that its watch is alive, ms. */
+const HEARTBEAT_MS = 1000;
+
+/** The way to one follower of the document. */
+interface WatcherLink {
+  readonly send: (update: DocumentUpdate) => void;
+  /** Told the committed version; left out, the follower has not asked for heartbeats. */
+  readonly beat?: (version: number) => void;
+  readonly end: () => void;
+}
+
 /** One follower of the document. */
 interface Watcher {
   /** The version that it has. */
   version: number;
-  readonly send: (update: DocumentUpdate) => void;
-  readonly end: () => void;
+  readonly link: WatcherLink;
 }
 
 /**
@@ -16,12 +27,16 @@
  * that they move on to one that is not: what it holds may be hours old.
  */
 export class Watchers implements IDisposable {
-  readonly #replica: Replica;
+  readonly #replica: Pick<Replica, "inTouch" | "onChange" | "state">;
   readonly #watchers = new Set<Watcher>();
   readonly #stopListening: () => void;
+  readonly #heartbeats: IDisposable;
 
-  constructor(replica: Replica) {
+  constructor(replica: Pick<Replica, "inTouch" | "onChange" | "state">) {
     this.#replica = replica;
+    this.#heartbeats = every(HEARTBEAT_MS, () => {
+      this.#beat();
+    });
     this.#stopListening = replica.onChange(() => {
       this.#serve();
     });
@@ -33,22 +48,20 @@
   }
 
   /** Adds a follower that has `version`; returns how to remove it, or undefined where it must go elsewhere. */
-  add(
-    version: number,
-    send: (update: DocumentUpdate) => void,
-    end: () => void,
-  ): (() => void) | undefined {
+  add(version: number, link: WatcherLink): (() => void) | undefined {
     if (!this.#replica.inTouch) {
       return undefined;
     }
-    const watcher = { version, send, end };
+    const watcher = { version, link };
     this.#watchers.add(watcher);
+    link.beat?.(version);
     this.#bringUpToDate(watcher);
     return () => this.#watchers.delete(watcher);
   }
 
   /** Ends every watch, so that the server can stop. */
   dispose(): void {
+    void this.#heartbeats.dispose();
     this.#stopListening();
     this.#endAll();
   }
@@ -63,16 +76,23 @@
     }
   }
 
+  #beat(): void {
+    const { version } = this.#replica.state;
+    for (const { link } of this.#watchers) {
+      link.beat?.(version);
+    }
+  }
+
   #bringUpToDate(watcher: Watcher): void {
     for (const update of this.#replica.state.history.since(watcher.version)) {
       watcher.version = update.version;
-      watcher.send(update);
+      watcher.link.send(update);
     }
   }
 
   #endAll(): void {
-    for (const watcher of this.#watchers) {
-      watcher.end();
+    for (const { link } of this.#watchers) {
+      link.end();
     }
     this.#watchers.clear();
   }
--- a/src/control/service/controlHandlers.ts
+++ b/src/control/service/controlHandlers.ts
@@ -2,6 +2,7 @@
 import { parseOperatorDocument } from "../../common/document/parseOperatorDocument.ts";
 import { documentWire } from "../../common/rpc/documentWire.ts";
 import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
+import { splitVersion } from "../../common/rpc/splitVersion.ts";
 import type { ApplyOutcome } from "./ApplyOutcome.ts";
 import type { ControlService } from "./ControlService.ts";
 import type { Watchers } from "./Watchers.ts";
@@ -30,15 +31,21 @@
   const watch = (call: WatchCall): void => {
     // Tells the follower at once that its watch was taken on, before there is any news.
     call.sendMetadata(new grpc.Metadata());
-    const stop = watchers.add(
-      call.request.have_version,
-      (update) => {
-        call.write(documentWire.encode(update));
+    const { have_version: version, heartbeats } = call.request;
+    const beat = (committed: number) => {
+      call.write(documentWire.heartbeat(committed));
+    };
+    const stop = watchers.add(version, {
+      send: (update) => {
+        const whole = documentWire.encode(update);
+        const parts = heartbeats ? splitVersion(whole) : [whole];
+        parts.forEach((part) => call.write(part));
       },
-      () => {
+      beat: heartbeats ? beat : undefined,
+      end: () => {
         call.end();
       },
-    );
+    });
     if (!stop) {
       call.emit("error", { code: grpc.status.UNAVAILABLE, details: "out of touch with a quorum" });
       return;
--- a/src/membership/NetworkPeers.ts
+++ b/src/membership/NetworkPeers.ts
@@ -7,8 +7,11 @@
 import type { MembershipPeers } from "./MembershipPeers.ts";
 import type { PeerClients } from "./PeerClients.ts";
 
-/** Whole views and documents take longer than news: 2 MB at the two-year size, ms. */
-const BULK_TIMEOUT_MS = 2000;
+/** Whole views take longer than membership updates: 2 MB at the two-year size, ms. */
+const SYNC_TIMEOUT_MS = 2000;
+
+/** A document may need a new connection over a congested link; members are asked in a race, so none is waited for, ms. */
+const CONFIG_TIMEOUT_MS = 6000;
 
 /** {@link MembershipPeers} over datagrams, and gRPC for what is too large for one. */
 export class NetworkPeers implements MembershipPeers, IDisposable {
@@ -35,15 +38,15 @@
   async sync(address: string, members: ProtoTypes["Member"][]): Promise<ProtoTypes["Member"][]> {
     const reply = await this.#clients
       .get(address)
-      .call((client) => callUnary(client.Sync.bind(client), { members }, BULK_TIMEOUT_MS));
+      .call((client) => callUnary(client.Sync.bind(client), { members }, SYNC_TIMEOUT_MS));
     return reply.members;
   }
 
   async config(address: string, version: number): Promise<readonly DocumentUpdate[]> {
-    const req = { sidecar_id: "", have_version: version };
+    const req = { sidecar_id: "", have_version: version, heartbeats: false };
     const reply = await this.#clients
       .get(address)
-      .call((client) => callUnary(client.Config.bind(client), req, BULK_TIMEOUT_MS));
+      .call((client) => callUnary(client.Config.bind(client), req, CONFIG_TIMEOUT_MS));
     return reply.versions.map((v) => documentWire.decode(v));
   }
 
--- a/src/membership/PeerClients.ts
+++ b/src/membership/PeerClients.ts
@@ -9,6 +9,11 @@
  */
 const IDLE_MS = 3000;
 
+/** Calls that fail in a row before a connection is opened afresh, at most. */
+const MOST_FAILURES = 4;
+
+const OPTIONS = { idleMs: IDLE_MS, mostFailures: MOST_FAILURES };
+
 /** One gRPC client per peer address, shared by all that talk to that peer. */
 export class PeerClients implements IDisposable {
   readonly #ctor: grpc.ServiceClientConstructor;
@@ -23,7 +28,7 @@
   get(address: string): RenewedClient<PeerClient> {
     let client = this.#clients.get(address);
     if (!client) {
-      client = new RenewedClient<PeerClient>(this.#ctor, address, IDLE_MS);
+      client = new RenewedClient<PeerClient>(this.#ctor, address, OPTIONS);
       this.#clients.set(address, client);
     }
     return client;
--- a/src/sidecar/config/ConfigFollower.ts
+++ b/src/sidecar/config/ConfigFollower.ts
@@ -6,12 +6,12 @@
 import type { OperatorDocument } from "../../common/document/OperatorDocument.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
-import type { Timer } from "../../common/lifecycle/Timer.ts";
 import type { NoteBytes } from "../../common/rpc/NoteBytes.ts";
 import { writeFileSynced } from "../../common/storage/writeFileSynced.ts";
 import type { ConfigSource } from "../../membership/ConfigSource.ts";
 import { RouteIndex } from "../routing/RouteIndex.ts";
 import { ControlWatch } from "./ControlWatch.ts";
+import { WatchSlot } from "./WatchSlot.ts";
 
 const DOC_FILE = "accepted-config.json";
 
@@ -21,9 +21,6 @@
  */
 const WATCHES = 2;
 
-/** Wait before another replica is followed after one went away, ms. */
-const REWATCH_MS = 200;
-
 interface ConfigFollowerDeps {
   /** Control replicas known at the moment, host:port. */
   readonly controls: () => readonly string[];
@@ -39,13 +36,6 @@
   readonly onChange?: () => void;
 }
 
-/** One place for a watch, filled again whenever its watch ends. */
-interface Slot {
-  address: string;
-  watch: ControlWatch | undefined;
-  timer: Timer | undefined;
-}
-
 /**
  * Follows control's accepted documents. Versions only go up: an older or equal one
  * (a lagging replica, a replayed message) is dropped, so the document in force never
@@ -55,10 +45,9 @@
 export class ConfigFollower implements ConfigSource, IDisposable {
   readonly #deps: ConfigFollowerDeps;
   readonly #history = new DocumentHistory();
-  readonly #slots: Slot[] = [];
+  readonly #slots: WatchSlot[] = [];
   #routes: RouteIndex | undefined;
   #inForceSince: number | undefined;
-  #stopped = false;
 
   constructor(deps: ConfigFollowerDeps) {
     this.#deps = deps;
@@ -92,18 +81,16 @@
   /** Follows control until disposed. */
   start(): void {
     for (let n = 0; n < WATCHES; n++) {
-      const slot = { address: "", watch: undefined, timer: undefined };
+      const slot = this.#openSlot();
       this.#slots.push(slot);
-      this.#follow(slot);
+      slot.start();
     }
   }
 
   dispose(): void {
-    this.#stopped = true;
-    for (const { watch, timer } of this.#slots) {
-      timer?.cancel();
-      watch?.dispose();
-    }
+    this.#slots.forEach((s) => {
+      s.dispose();
+    });
   }
 
   /** Takes `update` when it is newer; the single gate through which documents enter. */
@@ -119,57 +106,29 @@
     return taken;
   }
 
-  #follow(slot: Slot): void {
-    const address = this.#choose(slot);
-    if (this.#stopped) {
-      return;
-    }
-    if (address === undefined) {
-      this.#followLater(slot);
-      return;
-    }
-    const { sidecarId, clock, note, log } = this.#deps;
-    slot.address = address;
-    slot.watch = new ControlWatch(
-      {
-        sidecarId,
-        clock,
-        note,
-        onOpen: () => {
-          log.info({ replica: address, version: this.version }, "following control");
-        },
-        onUpdate: (update) => {
-          if (this.offer(update) === "gap") {
-            // An edit that was missed: a new watch starts with what is lacking here.
-            slot.watch?.dispose();
-          }
-        },
-        onEnd: (reason) => {
-          log.info({ replica: address, reason }, "no longer following control");
-          slot.watch = undefined;
-          this.#followLater(slot);
-        },
-      },
-      address,
-      this.version,
-    );
-  }
-
-  #followLater(slot: Slot): void {
-    if (!this.#stopped) {
-      slot.timer = this.#deps.clock.after(REWATCH_MS, () => {
-        this.#follow(slot);
-      });
-    }
+  #openSlot(): WatchSlot {
+    const { sidecarId, note, clock, log } = this.#deps;
+    return new WatchSlot({
+      choose: (avoid) => this.#choose(avoid),
+      open: (address, events) =>
+        new ControlWatch({ sidecarId, note, ...events }, address, this.version),
+      take: (update) => this.offer(update),
+      clock,
+      log,
+    });
   }
 
-  /** A replica that no other slot follows; another one than before, where there is one. */
-  #choose(slot: Slot): string | undefined {
-    const taken = new Set(this.#slots.filter((s) => s !== slot).map((s) => s.address));
-    const free = this.#deps.controls().filter((a) => !taken.has(a));
-    const others = free.filter((a) => a !== slot.address);
-    const pool = others.length > 0 ? others : free;
-    return pool[Math.floor(this.#deps.random() * pool.length)];
+  /** A replica that no slot follows and that is not to be avoided, where there is one. */
+  #choose(avoid: ReadonlySet<string>): string | undefined {
+    const { controls, random } = this.#deps;
+    const taken = new Set(this.#slots.flatMap((s) => s.addresses));
+    const known = controls();
+    const pool = [
+      known.filter((a) => !taken.has(a) && !avoid.has(a)),
+      known.filter((a) => !avoid.has(a)),
+      known,
+    ].find((candidates) => candidates.length > 0);
+    return pool?.[Math.floor(random() * pool.length)];
   }
 
   #loadFromDisk(): void {
--- a/src/sidecar/config/ControlWatch.ts
+++ b/src/sidecar/config/ControlWatch.ts
@@ -1,21 +1,18 @@
 import type * as grpc from "@grpc/grpc-js";
 import type { DocumentUpdate } from "../../common/document/DocumentUpdate.ts";
-import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
-import type { Timer } from "../../common/lifecycle/Timer.ts";
 import { ControlClient } from "../../common/rpc/ControlClient.ts";
 import { documentWire } from "../../common/rpc/documentWire.ts";
 import type { NoteBytes } from "../../common/rpc/NoteBytes.ts";
 import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
-
-/** A replica that has not taken a watch on after this long is left for another, ms; across zones it takes 5. */
-const OPEN_MS = 1000;
+import { VersionParts } from "../../common/rpc/VersionParts.ts";
 
 interface ControlWatchDeps {
   readonly sidecarId: string;
-  readonly clock: Clock;
   readonly note: NoteBytes | undefined;
   readonly onUpdate: (update: DocumentUpdate) => void;
+  /** Called while the replica is reached: about once a second, and with each part of an update. */
+  readonly onHeartbeat: () => void;
   /** Called once, when the watch has ended, for whatever reason. */
   readonly onEnd: (reason: string) => void;
   /** Called once, when the replica has taken the watch on. */
@@ -27,27 +24,23 @@
   readonly #deps: ControlWatchDeps;
   readonly #client: ControlClient;
   readonly #call: grpc.ClientReadableStream<ProtoTypes["ConfigVersion"]>;
-  readonly #openTimer: Timer;
+  readonly #parts = new VersionParts();
   #ended = false;
 
   /** @param haveVersion the version in force here; what follows it is sent */
   constructor(deps: ControlWatchDeps, address: string, haveVersion: number) {
     this.#deps = deps;
     this.#client = ControlClient(address, deps.note);
-    const req = { sidecar_id: deps.sidecarId, have_version: haveVersion };
+    const req = { sidecar_id: deps.sidecarId, have_version: haveVersion, heartbeats: true };
     this.#call = this.#client.Watch(req);
-    this.#openTimer = deps.clock.after(OPEN_MS, () => {
-      this.#end("not taken on in time");
-    });
     this.#call.on("metadata", () => {
-      this.#openTimer.cancel();
       if (!this.#ended) {
         deps.onOpen();
       }
     });
     this.#call.on("data", (raw: ProtoTypes["ConfigVersion"]) => {
       if (!this.#ended) {
-        deps.onUpdate(documentWire.decode(raw));
+        this.#onData(raw);
       }
     });
     this.#call.on("error", (err: grpc.ServiceError) => {
@@ -59,7 +52,18 @@
   }
 
   dispose(): void {
-    this.#end("given up here");
+    this.#end("no longer needed");
+  }
+
+  #onData(raw: ProtoTypes["ConfigVersion"]): void {
+    this.#deps.onHeartbeat();
+    if (documentWire.isHeartbeat(raw)) {
+      return;
+    }
+    const whole = this.#parts.add(raw);
+    if (whole) {
+      this.#deps.onUpdate(documentWire.decode(whole));
+    }
   }
 
   #end(reason: string): void {
@@ -67,7 +71,6 @@
       return;
     }
     this.#ended = true;
-    this.#openTimer.cancel();
     this.#call.cancel();
     this.#client.close();
     this.#deps.onEnd(reason);
--- a/test/slowLink.test.ts
+++ b/test/slowLink.test.ts
@@ -6,16 +6,19 @@
 import { EMPTY_DOCUMENT } from "../src/common/document/EMPTY_DOCUMENT.ts";
 import type { OperatorDocument } from "../src/common/document/OperatorDocument.ts";
 import { SystemClock } from "../src/common/lifecycle/SystemClock.ts";
-import { documentWire } from "../src/common/rpc/documentWire.ts";
 import { loadProto } from "../src/common/rpc/loadProto.ts";
-import type { ProtoTypes } from "../src/common/rpc/ProtoTypes.ts";
 import { startGrpcServer } from "../src/common/rpc/startGrpcServer.ts";
+import type { ConfigState } from "../src/control/log/ConfigState.ts";
+import { controlHandlers } from "../src/control/service/controlHandlers.ts";
+import type { ControlService } from "../src/control/service/ControlService.ts";
+import { Watchers } from "../src/control/service/Watchers.ts";
+import { PeerClients } from "../src/membership/PeerClients.ts";
+import { NetworkPeers } from "../src/membership/NetworkPeers.ts";
+import type { DatagramLink } from "../src/membership/DatagramLink.ts";
 import { ConfigFollower } from "../src/sidecar/config/ConfigFollower.ts";
 import { eventually } from "./fixtures/eventually.ts";
 import { SlowLink } from "./fixtures/SlowLink.ts";
 
-type WatchCall = grpc.ServerWritableStream<ProtoTypes["WatchRequest"], ProtoTypes["ConfigVersion"]>;
-
 const log = bunyan.createLogger({ name: "test", level: "fatal" });
 
 /** One way: a round trip takes longer than a connection on a fast path is given for an answer, ms. */
@@ -36,26 +39,29 @@
   return { ...EMPTY_DOCUMENT, limits, annotations: { text } } as unknown as OperatorDocument;
 }
 
-/** A follower of two control replicas, each behind the same slow link. */
+/** A follower of two control replicas, each behind a slow link. */
 async function rig(t: ExecutionContext) {
   const history = new DocumentHistory();
-  const watches = new Set<() => void>();
-  const server = new grpc.Server();
-  server.addService((loadProto().Control as grpc.ServiceClientConstructor).service, {
-    Watch: (call: WatchCall) => {
-      let { have_version: version } = call.request;
-      call.sendMetadata(new grpc.Metadata());
-      const serve = () => {
-        for (const update of history.since(version)) {
-          version = update.version;
-          call.write(documentWire.encode(update));
-        }
-      };
-      watches.add(serve);
-      call.on("cancelled", () => watches.delete(serve));
-      serve();
+  const listeners = new Set<() => void>();
+  const replica = {
+    inTouch: true,
+    state: {
+      history,
+      get version() {
+        return history.version;
+      },
+    } as unknown as ConfigState,
+    onChange: (listener: () => void) => {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
     },
-  });
+  };
+  const watchers = new Watchers(replica);
+  const server = new grpc.Server();
+  server.addService(
+    (loadProto().Control as grpc.ServiceClientConstructor).service,
+    controlHandlers({} as unknown as ControlService, watchers),
+  );
   const started = await startGrpcServer(server, "127.0.0.1:0", 0);
   const links = [new SlowLink(started.port), new SlowLink(started.port)];
   const controls = await Promise.all(links.map((l) => l.start()));
@@ -69,6 +75,7 @@
   });
   t.teardown(async () => {
     follower.dispose();
+    watchers.dispose();
     links.forEach((l) => {
       l.stop();
     });
@@ -79,8 +86,8 @@
     follower,
     publish: (version: number, bytes = 0) => {
       history.take({ kind: "whole", version, document: documentOf(bytes) });
-      watches.forEach((serve) => {
-        serve();
+      listeners.forEach((listener) => {
+        listener();
       });
     },
   };
@@ -124,3 +131,48 @@
   const ms = await inForce(follower, 2);
   t.true(ms < FIRST_MS, `in force after ${ms} ms`);
 });
+
+test("a change reaches a sidecar whose watches have gone silent without a reset", async (t) => {
+  const { links, follower, publish } = await rig(t);
+  publish(1);
+  follower.start();
+  await inForce(follower, 1);
+  links.forEach((l) => {
+    l.silence();
+  });
+  await sleep(KEPT_MS);
+  publish(2);
+  const ms = await inForce(follower, 2);
+  t.true(ms < CHANGE_MS, `in force after ${ms} ms`);
+});
+
+test("a sidecar joins through a seed whose link is slower than the timeout of a call allows to connect", async (t) => {
+  const { service } = loadProto().Peer as grpc.ServiceClientConstructor;
+  const server = new grpc.Server();
+  const sync: grpc.handleUnaryCall<unknown, unknown> = (_call, cb) => {
+    cb(null, { members: [] });
+  };
+  server.addService(service, { Sync: sync });
+  const started = await startGrpcServer(server, "127.0.0.1:0", 0);
+  const link = new SlowLink(started.port);
+  link.delayMs = DELAY_MS;
+  const seed = await link.start();
+  const clients = new PeerClients(service);
+  const peers = new NetworkPeers(clients, { dispose: () => undefined } as unknown as DatagramLink);
+  t.teardown(async () => {
+    clients.dispose();
+    link.stop();
+    await started.dispose();
+  });
+  let isIn = false;
+  // As a member does that knows nobody: a call each second, whether or not the one before has ended.
+  await eventually(async () => {
+    void peers.sync(seed, []).then(
+      () => (isIn = true),
+      () => undefined,
+    );
+    await sleep(1000);
+    return isIn;
+  });
+  t.true(isIn);
+});
