Race fetches of the document from members, newest version first

What callers saw: with the watches of a sidecar out of order, a change came late, as it was fetched from members one by one, and possibly in an older version than others had reported.

The last member to report any newer version was asked, though another had reported a newer one: a sidecar that starts could take, and serve by, the old document of a member that lags.

Versions that control delivers meanwhile do not start a fetch. It logs what it fetched and what failed: a failed fetch left no line so far, so the hypotheses of the incident could not be told apart by logs. Membership only reports versions to it; control replicas, which take documents from nobody, no longer fetch them to drop them.

--- a/src/control/ControlRole.ts
+++ b/src/control/ControlRole.ts
@@ -93,7 +93,12 @@
       (loadProto("replica").Replica as grpc.ServiceClientConstructor).service,
       replicaHandlers(replica),
     );
-    server.addService(peerService, peerHandlers(membership, historyOf(replica)));
+    server.addService(
+      peerService,
+      peerHandlers(membership, {
+        since: (version: number) => replica.state.history.since(version),
+      }),
+    );
     const { port } = this.register(await startGrpcServer(server, listen, STOP_GRACE_MS));
     await link.listen(listen, {
       onProbe: (news) => membership.onExchange(news),
@@ -168,7 +173,7 @@
         table,
         peers,
         seeds: () => this.#cfg.seeds,
-        config: historyOf(replica),
+        documents: committedVersion(replica),
         clock: SystemClock,
         random: Math.random,
         onNews: logNews(this.#log),
@@ -210,14 +215,13 @@
   }
 }
 
-/** The committed document, as gossip passes it on; control takes it from nobody but its own log. */
-function historyOf(replica: Replica) {
+/** The committed version, as gossip passes it on; control takes a document from nobody but its own log. */
+function committedVersion(replica: Replica) {
   return {
     get version() {
       return replica.state.version;
     },
-    since: (version: number) => replica.state.history.since(version),
-    offer: () => undefined,
+    noteVersion: () => undefined,
   };
 }
 
--- a/src/membership/DocumentCatchUp.ts
+++ b/src/membership/DocumentCatchUp.ts
@@ -1,83 +1,136 @@
+import type bunyan from "bunyan";
 import type { Clock } from "../common/lifecycle/Clock.ts";
 import type { IDisposable } from "../common/lifecycle/IDisposable.ts";
 import type { Timer } from "../common/lifecycle/Timer.ts";
 import type { ConfigSource } from "./ConfigSource.ts";
 import type { MembershipPeers } from "./MembershipPeers.ts";
 
-/** Control has this long to bring a document that members have already, ms: it takes a tenth of a second. */
+/** Control has this long to deliver a document that members have already, ms: it takes a tenth of a second. */
 const BEHIND_MS = 400;
 
-/** Members of which the document is taken at the same time, at most: one of them may be cut off. */
-const MAX_FETCHES = 2;
+/** A fetch that is not answered within this time is raced by one from another member, ms. */
+const STAGGER_MS = 400;
+
+/** Fetches at the same time, at most: some of the members may be cut off. */
+const MAX_FETCHES = 4;
 
 interface DocumentCatchUpDeps {
   readonly peers: Pick<MembershipPeers, "config">;
   readonly config: ConfigSource;
   readonly clock: Clock;
+  readonly log: bunyan;
 }
 
 /**
- * Takes a newer document from members that have it, once control has not brought it for a while. This carries an
+ * Fetches a newer document from members that report one, once control has not delivered it for a while. This takes an
  * accepted change to sidecars that cannot reach control, or whose replicas were cut off. Fetched at once, each change
- * would be fetched by most of the fleet over connections opened for it, moments before control brings it.
+ * would be fetched by most of the fleet over connections opened for it, moments before control delivers it.
  */
 export class DocumentCatchUp implements IDisposable {
   readonly #deps: DocumentCatchUpDeps;
-  /** When a newer document than the one in force here was first heard of. */
-  #behindSince: number | undefined;
-  /** The newest version that was heard of. */
-  #heardVersion = 0;
-  #timer: Timer | undefined;
-  /** Members of which the document is being taken. */
+  /** Versions that members reported, newer than the one in force here, by the members' addresses. */
+  readonly #reported = new Map<string, number>();
   readonly #fetching = new Set<string>();
+  /** The first version that was missing here, and since when; it may have come meanwhile. */
+  #missing = { version: 0, since: 0 };
+  /** Set while a newer version is known. */
+  #timer: Timer | undefined;
+  #stopped = false;
 
   constructor(deps: DocumentCatchUpDeps) {
     this.#deps = deps;
   }
 
-  /** Notes the version that the member at `address` has. */
+  /** Version in force here. */
+  get version(): number {
+    return this.#deps.config.version;
+  }
+
+  /** Notes that the member at `address` has `version`. */
   noteVersion(address: string, version: number): void {
-    const { clock, config } = this.#deps;
-    if (this.#heardVersion <= config.version) {
-      this.#behindSince = undefined;
-    }
-    if (version <= config.version) {
-      return;
-    }
-    this.#heardVersion = Math.max(this.#heardVersion, version);
-    this.#behindSince ??= clock.now();
-    const waitMs = this.#behindSince + BEHIND_MS - clock.now();
-    if (waitMs <= 0) {
-      void this.#fetch(address);
+    if (version <= this.version) {
       return;
     }
-    this.#timer?.cancel();
-    this.#timer = clock.after(waitMs, () => {
-      if (version > config.version) {
-        void this.#fetch(address);
-      }
-    });
+    this.#reported.set(address, version);
+    this.#noteMissing();
+    this.#timer ??= this.#after(this.#controlHasMs);
   }
 
   dispose(): void {
+    this.#stopped = true;
     this.#timer?.cancel();
   }
 
-  async #fetch(address: string): Promise<void> {
-    const { peers, config } = this.#deps;
-    if (this.#fetching.has(address) || this.#fetching.size >= MAX_FETCHES) {
+  #after(ms: number): Timer {
+    return this.#deps.clock.after(Math.max(0, ms), () => {
+      this.#catchUp();
+    });
+  }
+
+  #catchUp(): void {
+    this.#timer?.cancel();
+    this.#timer = undefined;
+    this.#dropReported();
+    if (this.#reported.size === 0 || this.#stopped) {
       return;
     }
+    this.#noteMissing();
+    if (this.#controlHasMs > 0) {
+      this.#timer = this.#after(this.#controlHasMs);
+    } else {
+      this.#fetchNewest();
+      this.#timer = this.#after(STAGGER_MS);
+    }
+  }
+
+  /** Time that control still has to deliver what is missing here, ms. */
+  get #controlHasMs(): number {
+    return this.#missing.since + BEHIND_MS - this.#deps.clock.now();
+  }
+
+  /** Notes what is missing, where what was missing has come. */
+  #noteMissing(): void {
+    if (this.#missing.version <= this.version) {
+      const version = Math.max(...this.#reported.values());
+      this.#missing = { version, since: this.#deps.clock.now() };
+    }
+  }
+
+  /** Drops reports of versions that have come. */
+  #dropReported(): void {
+    for (const [address, version] of this.#reported) {
+      if (version <= this.version) {
+        this.#reported.delete(address);
+      }
+    }
+  }
+
+  /** Fetches from one of the members with the newest version. */
+  #fetchNewest(): void {
+    const free = [...this.#reported].filter(([address]) => !this.#fetching.has(address));
+    const [newest] = free.sort(([, a], [, b]) => b - a);
+    if (newest && this.#fetching.size < MAX_FETCHES) {
+      void this.#fetch(...newest);
+    }
+  }
+
+  async #fetch(address: string, reported: number): Promise<void> {
+    const { peers, config, log } = this.#deps;
+    this.#reported.delete(address);
     this.#fetching.add(address);
     try {
       const updates = await peers.config(address, config.version);
       updates.forEach((u) => {
         config.offer(u);
       });
-    } catch {
-      // It is gone, or cut off meanwhile; the next member that tells of a newer version is asked.
+      log.info({ from: address, reported, version: config.version }, "document fetched");
+    } catch (err) {
+      // It is gone, or cut off meanwhile.
+      const reason = err instanceof Error ? err.message : String(err);
+      log.info({ from: address, reported, reason }, "document not fetched");
     } finally {
       this.#fetching.delete(address);
+      this.#catchUp();
     }
   }
 }
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -3,12 +3,11 @@
 import { every } from "../common/lifecycle/every.ts";
 import type { Timer } from "../common/lifecycle/Timer.ts";
 import type { ProtoTypes } from "../common/rpc/ProtoTypes.ts";
-import type { ConfigSource } from "./ConfigSource.ts";
-import { DocumentCatchUp } from "./DocumentCatchUp.ts";
 import type { MembershipPeers } from "./MembershipPeers.ts";
 import { RumorQueue, type Distance } from "./RumorQueue.ts";
 import { sampleOf } from "./sampleOf.ts";
 import type { TargetTable } from "./TargetTable.ts";
+import type { VersionWatch } from "./VersionWatch.ts";
 
 type Member = ProtoTypes["Member"];
 type News = ProtoTypes["News"];
@@ -70,7 +69,7 @@
   readonly peers: MembershipPeers;
   /** Members to join through at the moment, host:port. */
   readonly seeds: () => readonly string[];
-  readonly config: ConfigSource;
+  readonly documents: VersionWatch;
   readonly clock: Clock;
   /** In [0, 1); tests pass a seeded one. */
   readonly random: () => number;
@@ -94,7 +93,6 @@
   #gaps = 0;
   #comparedAt = -Infinity;
   #lastRoundAt = -Infinity;
-  readonly #catchUp: DocumentCatchUp;
   #started = false;
   #hastened = false;
   #newsTimer: Timer | undefined;
@@ -112,8 +110,6 @@
         this.#newsTimer?.cancel();
       },
     });
-    const { peers, config, clock } = deps;
-    this.#catchUp = this.register(new DocumentCatchUp({ peers, config, clock }));
     this.#pass([deps.table.own]);
   }
 
@@ -162,7 +158,7 @@
     const { fresh, stale } = this.#takeIn(news);
     const from = this.#deps.table.entry(news.sender);
     if (from) {
-      this.#catchUp.noteVersion(from.peer_address, news.config_version);
+      this.#deps.documents.noteVersion(from.peer_address, news.config_version);
     }
     const known = news.members.flatMap((m, at) => (fresh.has(m.sidecar_id) ? [] : [at]));
     const theirs = new Set(news.members.map((m) => m.sidecar_id));
@@ -208,7 +204,7 @@
         // Its address has gone to another member, so it is not there any more.
         this.#declareGone(id);
       }
-      this.#catchUp.noteVersion(address, news.config_version);
+      this.#deps.documents.noteVersion(address, news.config_version);
       await this.#closeGap(address, news.checksum);
     } catch {
       if (await this.#reachedByOthers(address)) {
@@ -381,9 +377,9 @@
   }
 
   #message(members: Member[], known: number[] = []): News {
-    const { table, config } = this.#deps;
+    const { table, documents } = this.#deps;
     const { selfId: sender, checksum } = table;
-    return { sender, members, checksum, config_version: config.version, known };
+    return { sender, members, checksum, config_version: documents.version, known };
   }
 
   /** Entries to pass on now: `first`, and news that the receiver is not `known` to have. */
--- a/src/membership/peerHandlers.ts
+++ b/src/membership/peerHandlers.ts
@@ -7,7 +7,7 @@
 /** The gRPC handlers for whole views of the members and for the document in force here. */
 export function peerHandlers(
   membership: Membership,
-  source: ConfigSource,
+  source: Pick<ConfigSource, "since">,
 ): grpc.UntypedServiceImplementation {
   const sync: grpc.handleUnaryCall<ProtoTypes["Members"], ProtoTypes["Members"]> = (call, cb) => {
     cb(null, { members: membership.onSync(call.request.members) });
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -12,6 +12,7 @@
 import type { SidecarSettings } from "../common/settings/SidecarSettings.ts";
 import { openTracing } from "../common/telemetry/openTracing.ts";
 import { DatagramLink } from "../membership/DatagramLink.ts";
+import { DocumentCatchUp } from "../membership/DocumentCatchUp.ts";
 import { logNews } from "../membership/logNews.ts";
 import { Membership } from "../membership/Membership.ts";
 import { NetworkPeers } from "../membership/NetworkPeers.ts";
@@ -155,12 +156,14 @@
     const tell: DatagramLink["tell"] = (address, message) => {
       link.tell(address, message);
     };
+    const peers = new NetworkPeers(clients, link);
+    const catchUp = { peers, config: follower, clock: SystemClock, log: this.#log };
     const membership = this.register(
       new Membership({
         table,
-        peers: new NetworkPeers(clients, link),
+        peers,
         seeds: () => this.#cfg.seeds,
-        config: follower,
+        documents: this.register(new DocumentCatchUp(catchUp)),
         clock: SystemClock,
         random: Math.random,
         onNews: logNews(this.#log),
