Attribute a target's refusal to a request by its echoed id

What callers would see: 503, not run, for a booking that the target runs (REFUSED), or a second run elsewhere.

Cause: a target may send a second, late answer on a kept connection, where the next answer is expected; the echoed id says whose it is.

A refusal without any id is taken as before.

--- a/src/sidecar/dialect/ownDialect.ts
+++ b/src/sidecar/dialect/ownDialect.ts
@@ -25,15 +25,18 @@
   }),
 
   readAnswer: ({ attempt, echoHeader }, status, headers) => {
+    const echoed = echoHeader && headers[echoHeader];
+    if (echoed && echoed !== attempt) {
+      return { kind: "foreign", reason: "answer to another request" };
+    }
     if (status === 503 && headers[NOT_RUN_HEADER] === "1") {
       const asked = Number(headers["retry-after"]);
       const retryAfterMs = asked > 0 ? asked * 1000 : undefined;
       return { kind: "not-run", retryAfterMs, otherTarget: undefined };
     }
-    if (echoHeader && headers[echoHeader] !== attempt) {
-      return { kind: "foreign", reason: "answer to another request" };
-    }
-    return { kind: "own" };
+    return echoHeader && !echoed
+      ? { kind: "foreign", reason: "answer without the id of its request" }
+      : { kind: "own" };
   },
 
   // Whole seconds, as RFC 9110 has it.
--- a/src/sidecar/forwarding/TargetSender.test.ts
+++ b/src/sidecar/forwarding/TargetSender.test.ts
@@ -172,6 +172,13 @@
     verdict: "not-run",
     outcome: AttemptOutcome.Shed,
   },
+  {
+    name: "another request's refusal",
+    behave: (s) =>
+      s.write(`HTTP/1.1 503 Full\r\n${ECHO}: other\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n`),
+    verdict: "may-have-run",
+    outcome: AttemptOutcome.Wrong,
+  },
   {
     name: "no answer by the deadline",
     behave: () => undefined,
