Do not answer a request in progress for malformed bytes behind it

What callers would see: 408, a promise that nothing has run, for a booking that is running (REFUSED), or 400.

Cause: Node's HTTP server writes its refusal of malformed bytes, or of a head that does not end in time, on the connection at once where no answer was begun on it, also while a request before it is in progress there. The caller takes it for the answer to that request. A caller that sends further requests early, over a link that delays half a head for longer than the header timeout, is told so.

Change: where requests that were read whole are in progress, the connection ends after their answers; where an answer was begun, it is destroyed; else it is refused as before (cases for 400 and 408).

--- a/src/sidecar/ingress/CallerServer.test.ts
+++ b/src/sidecar/ingress/CallerServer.test.ts
@@ -241,3 +241,41 @@
   await eventually(() => answers(seen()).length > 0);
   t.deepEqual(answers(seen()), ["413"]);
 });
+
+const malformed: readonly { name: string; bytes: string; status: string }[] = [
+  { name: "a head that does not come to its end in time", bytes: "GET /b HT", status: "408" },
+  { name: "bytes that are no request", bytes: "what is this?\r\n\r\n", status: "400" },
+];
+
+for (const { name, bytes, status } of malformed) {
+  test(`a request in progress is not answered for ${name} behind it`, async (t) => {
+    const { server, socket, courses, seen } = await open(t);
+    server.limit(Limits.parse({ headerTimeoutMs: 100 }));
+    await pipeline(socket, courses, ["/a"]);
+    socket.write(bytes);
+    await sleep(2500);
+    t.is(seen(), "", "nothing is said while it is in progress");
+    courses.get("/a")?.settle(done("first"));
+    await eventually(() => socket.closed);
+    t.deepEqual(answers(seen()), ["first"]);
+  });
+
+  test(`${name} is refused with ${status} where no request is in progress`, async (t) => {
+    const { server, socket, seen } = await open(t);
+    server.limit(Limits.parse({ headerTimeoutMs: 100 }));
+    socket.write(bytes);
+    await eventually(() => socket.closed);
+    t.deepEqual(answers(seen()), [status]);
+  });
+}
+
+test("a request whose body breaks off the protocol ends with its connection, after the answers before it", async (t) => {
+  const { socket, courses, seen } = await open(t);
+  await pipeline(socket, courses, ["/a"]);
+  socket.write("POST /b HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nno length\r\n");
+  await sleep(100);
+  t.is(seen(), "");
+  courses.get("/a")?.settle(done("first"));
+  await eventually(() => socket.closed);
+  t.deepEqual(answers(seen()), ["first"]);
+});
--- a/src/sidecar/ingress/CallerServer.ts
+++ b/src/sidecar/ingress/CallerServer.ts
@@ -1,3 +1,4 @@
+import type { Socket } from "node:net";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { pipeline, type Readable } from "node:stream";
 import type bunyan from "bunyan";
@@ -21,6 +22,7 @@
 import type { RouteIndex } from "../routing/RouteIndex.ts";
 import type { RouteMatch } from "../routing/RouteMatch.ts";
 import { CallerConnections } from "./CallerConnections.ts";
+import { refuseMalformed } from "./refuseMalformed.ts";
 
 /** Headers between sidecars; a caller's own under these names go no further. */
 const HOP_NAMES = new Set<string>(Object.values(HOP));
@@ -107,6 +109,9 @@
         });
       },
     );
+    this.server.on("clientError", (err: NodeJS.ErrnoException, socket: Socket) => {
+      this.#onMalformed(err, socket);
+    });
   }
 
   /** Puts the document's limits on connections in force. */
@@ -123,6 +128,20 @@
     this.#stopping = true;
   }
 
+  /**
+   * Refuses what is no request. Behind a request in progress, Node would write that refusal as the answer to it: a 408
+   * for work that is running.
+   */
+  #onMalformed(err: NodeJS.ErrnoException, socket: Socket): void {
+    if (this.#connections.isBusy(socket)) {
+      this.#connections.endWhenAnswered(socket);
+    } else if (this.#connections.isAnswering(socket)) {
+      socket.destroy();
+    } else {
+      refuseMalformed(err, socket);
+    }
+  }
+
   async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const startedAt = this.#deps.clock.now();
     const { left, isLast } = this.#connections.enter(res);
