Remember a run until its request's deadline has passed

What callers would see: 503, not run, for a booking that has run (REFUSED), on routes with timeouts of more than a minute.

Cause: a run was remembered for 60 s after its end, and a grant that is not known is reported as not run. A sidecar that was cut off from the one beside the target for longer than that, with a request whose deadline is later, asked for the result again and was told that nothing had run.

Evidence: read in the code; the test in TargetRunner.test.ts fails before.

Change: a run is remembered for 60 s after its end and its request's deadline, whichever is later.

--- a/src/sidecar/gate/RunTable.ts
+++ b/src/sidecar/gate/RunTable.ts
@@ -14,8 +14,8 @@
 const MAX_KEPT_BYTES = 32 << 20;
 
 /**
- * How long a run is remembered after its end, ms: longer than any deadline
- * that a caller gives, so that a request delayed in a cut is known when it arrives.
+ * How long a run is remembered after its end and its request's deadline, ms: so that a request delayed in a cut is
+ * known when it arrives, also one from a machine that was suspended.
  */
 const REMEMBER_MS = 60_000;
 
@@ -26,7 +26,8 @@
   /** Set while it runs. */
   running: Promise<ForwardResult> | undefined;
   result: ForwardResult | undefined;
-  endedAt: number;
+  /** Its end, or its request's deadline if that is later; by the clock, ms. */
+  overAt: number;
 }
 
 /**
@@ -45,14 +46,18 @@
     this.#clock = clock;
   }
 
-  /** Notes a run from its start to its end. */
-  track(grant: GrantId, run: Promise<ForwardResult>): void {
+  /**
+   * Notes a run from its start to its end.
+   *
+   * @param deadlineAt whoever sent it may ask for its result until then, by the clock, ms
+   */
+  track(grant: GrantId, run: Promise<ForwardResult>, deadlineAt: number): void {
     this.#sweep();
-    const entry: Entry = { running: run, result: undefined, endedAt: Infinity };
+    const entry: Entry = { running: run, result: undefined, overAt: Infinity };
     this.#entries.set(grant, entry);
     void run.then((result) => {
       entry.running = undefined;
-      entry.endedAt = this.#clock.now();
+      entry.overAt = Math.max(this.#clock.now(), deadlineAt);
       this.#keep(entry, result);
     });
   }
@@ -103,7 +108,7 @@
     }
     this.#sweptAt = now;
     for (const [grant, entry] of this.#entries) {
-      if (now - entry.endedAt > REMEMBER_MS) {
+      if (now - entry.overAt > REMEMBER_MS) {
         this.#drop(entry);
         this.#entries.delete(grant);
       }
--- a/src/sidecar/gate/TargetRunner.test.ts
+++ b/src/sidecar/gate/TargetRunner.test.ts
@@ -51,7 +51,8 @@
     grants,
     log,
   });
-  const run = (name: GrantName) => runner.run(name, () => ({}) as TargetRequest);
+  const run = (name: GrantName, over: Partial<TargetRequest> = {}) =>
+    runner.run(name, () => ({ deadlineAt: 0, ...over }) as TargetRequest);
   /** Has a slot granted; returns how the grant is named. */
   const ask = (): GrantName => {
     let grant = GrantId("none");
@@ -143,17 +144,29 @@
   end(results.done);
   await first;
   await clock.advance(FORGET_MS);
-  runs.track(GrantId("b"), Promise.resolve(results.done));
+  runs.track(GrantId("b"), Promise.resolve(results.done), 0);
   t.is(runs.size, 1);
   t.is(runs.state(name.grant).kind, "unknown");
 });
 
+test("runner: a run is not reported as not run before its request's deadline, however long ago it ended", async (t) => {
+  const { clock, ask, run, end, runs, runner } = rig();
+  const name = ask();
+  const first = run(name, { deadlineAt: 2 * FORGET_MS });
+  end(results.done);
+  await first;
+  await clock.advance(FORGET_MS);
+  runs.track(GrantId("b"), Promise.resolve(results.done), 0);
+  const state = runner.state(name);
+  t.is(state.kind === "ended" && state.result.verdict.kind, "done");
+});
+
 test("run table: answers beyond the bound are dropped oldest first, and said to be", async (t) => {
   const runs = new RunTable(new FakeClock());
   const large = { ...results.done, body: Buffer.alloc(12 << 20) };
   for (const name of ["a", "b", "c"]) {
     const run = Promise.resolve(large);
-    runs.track(GrantId(name), run);
+    runs.track(GrantId(name), run, 0);
     await run;
   }
   const kinds = ["a", "b", "c"].map((name) => runs.state(GrantId(name)).kind);
--- a/src/sidecar/gate/TargetRunner.ts
+++ b/src/sidecar/gate/TargetRunner.ts
@@ -63,8 +63,9 @@
     if (!target || !gate?.take(name.grant)) {
       return this.outcomeOf(name);
     }
-    const run = this.#send(gate, name, target, makeRequest());
-    this.#deps.runs.track(name.grant, run);
+    const req = makeRequest();
+    const run = this.#send(gate, name, target, req);
+    this.#deps.runs.track(name.grant, run, req.deadlineAt);
     return run;
   }
 
