Take only errors of opening a connection as not sent

What callers would see: 503, not run, for a booking that a target had received (REFUSED), when its machine was no longer reached while the booking ran.

Cause: whether a connection had opened was told by the error's code. An open connection fails with EHOSTUNREACH or ENETUNREACH, too. Conversely, a connection that timed out while opening was taken for one that may have run.

Change: one function, used for targets and between sidecars, that goes by the system call that failed.

--- a/src/sidecar/forwarding/TargetSender.ts
+++ b/src/sidecar/forwarding/TargetSender.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import { isConnectError } from "../../common/http/isConnectError.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
 import type { TargetInfo } from "../../membership/TargetInfo.ts";
@@ -28,9 +29,6 @@
 /** Such an answer comes when no more than this share of the time is left: targets' clocks and timers are not exact. */
 const TIME_UP_SHARE = 0.1;
 
-/** Errors raised while connecting, before any byte of the request was sent: it cannot have run. */
-const CONNECT_ERRORS = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "ENOTFOUND"]);
-
 interface TargetSenderDeps {
   readonly dialect: Dialect;
   readonly clock: Clock;
@@ -189,7 +187,7 @@
     if (req.cancelled?.aborted) {
       return mayHaveRun(target, "the caller has left", AttemptOutcome.Cancelled);
     }
-    if (CONNECT_ERRORS.has(code)) {
+    if (isConnectError(err)) {
       const refused = notRun(`connect failed: ${code}`, RETRY_AFTER_MS);
       return { ...refused, outcome: AttemptOutcome.NoAnswer };
     }
--- a/src/sidecar/hop/HopClient.ts
+++ b/src/sidecar/hop/HopClient.ts
@@ -1,5 +1,6 @@
 import type { Readable } from "node:stream";
 import { Pool } from "undici";
+import { isConnectError } from "../../common/http/isConnectError.ts";
 import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import { readAnswer } from "../forwarding/readAnswer.ts";
@@ -90,7 +91,7 @@
   ): Pending<T> {
     const stop = new AbortController();
     const answer = act(stop.signal, onAlive).catch((err: unknown) => {
-      throw isOfConnecting(err) ? new NotSentError(err) : err;
+      throw isConnectError(err) ? new NotSentError(err) : err;
     });
     // Given up on by whoever asked: nobody is left to hear of its failure.
     answer.catch(() => undefined);
@@ -150,9 +151,3 @@
   }
   return result;
 }
-
-/** Whether an error came up while a connection was being opened, and so before anything was sent over it. */
-function isOfConnecting(err: unknown): err is Error {
-  const { code, syscall } = err as NodeJS.ErrnoException;
-  return err instanceof Error && (code === "UND_ERR_CONNECT_TIMEOUT" || syscall === "connect");
-}
