Reduce the head start of a priority rank to 100 ms

Cause: the head start of 150 ms for a rank is a tenth of the objective, and under sustained overload it decides who is still in time; the rank behind is late, and then goes last.

--- a/src/sidecar/gate/goesBefore.ts
+++ b/src/sidecar/gate/goesBefore.ts
@@ -2,7 +2,7 @@
 import type { WaitingAsk } from "./WaitingAsk.ts";
 
 /** Head start of each rank of priority over the next, ms: strict priority would leave the lower ranks nothing under load. */
-const RANK_MS = 150;
+const RANK_MS = 100;
 
 /** The same among those that are late anyway. */
 const LATE_RANK_MS = 500;
