--- a/src/cli/explain/explainRequest.ts
+++ b/src/cli/explain/explainRequest.ts
@@ -10,7 +10,7 @@
   "target has left",
   "another target answers at this address",
   "configuration in force",
-  "member news",
+  "member updates",
   "following control",
   "no longer following control",
   "stopping",
--- a/src/control/ControlRole.ts
+++ b/src/control/ControlRole.ts
@@ -13,7 +13,7 @@
 import type { ControlSettings } from "../common/settings/ControlSettings.ts";
 import { renderMetrics } from "../common/telemetry/renderMetrics.ts";
 import { DatagramLink } from "../membership/DatagramLink.ts";
-import { logNews } from "../membership/logNews.ts";
+import { logMemberUpdates } from "../membership/logMemberUpdates.ts";
 import { Membership } from "../membership/Membership.ts";
 import { NetworkPeers } from "../membership/NetworkPeers.ts";
 import { PeerClients } from "../membership/PeerClients.ts";
@@ -176,7 +176,7 @@
         documents: committedVersion(replica),
         clock: SystemClock,
         random: Math.random,
-        onNews: logNews(this.#log),
+        onNews: logMemberUpdates(this.#log),
       }),
     );
   }
--- a/src/control/replica/LeaderTerm.ts
+++ b/src/control/replica/LeaderTerm.ts
@@ -114,7 +114,7 @@
       return;
     }
     if (!this.#learners.has(replica.id)) {
-      logger.info({ replica }, "a replica asks to be let in");
+      logger.info({ replica }, "replica requests to join the group");
     }
     this.#learners.set(replica.id, { replica, askedAt: clock.now() });
     for (const voter of members) {
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -225,7 +225,7 @@
       const isNewcomer = table.memberCount === 1;
       const fresh = table.merge(members);
       if (isNewcomer) {
-        // News here, but to nobody else: a fleet that starts would pass on each member's view of it.
+        // Does not gossip entries learned from a join, which every newcomer would otherwise resend.
         this.#tell(fresh);
       } else {
         this.#pass(fresh);
--- a/src/membership/logNews.ts
+++ b/src/membership/logMemberUpdates.ts
@@ -6,9 +6,9 @@
  * they are gone. One line for all that came together: a line for each crowds out what became of requests
  * while a fleet is being restarted.
  */
-export function logNews(log: bunyan): (members: readonly ProtoTypes["Member"][]) => void {
+export function logMemberUpdates(log: bunyan): (members: readonly ProtoTypes["Member"][]) => void {
   return (members) => {
-    log.info({ members: members.map(describe) }, "member news");
+    log.info({ members: members.map(describe) }, "member updates");
   };
 }
 
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -13,7 +13,7 @@
 import { openTracing } from "../common/telemetry/openTracing.ts";
 import { DatagramLink } from "../membership/DatagramLink.ts";
 import { DocumentCatchUp } from "../membership/DocumentCatchUp.ts";
-import { logNews } from "../membership/logNews.ts";
+import { logMemberUpdates } from "../membership/logMemberUpdates.ts";
 import { Membership } from "../membership/Membership.ts";
 import { NetworkPeers } from "../membership/NetworkPeers.ts";
 import { PeerClients } from "../membership/PeerClients.ts";
@@ -166,7 +166,7 @@
         documents: this.register(new DocumentCatchUp(catchUp)),
         clock: SystemClock,
         random: Math.random,
-        onNews: logNews(this.#log),
+        onNews: logMemberUpdates(this.#log),
       }),
     );
     const targets = this.register(
--- a/src/sidecar/drainSidecar.ts
+++ b/src/sidecar/drainSidecar.ts
@@ -51,7 +51,7 @@
   parts.beginStop();
   parts.gates.closeBy(endAt);
   await sleep(callersMs);
-  log.info({ busy: parts.gates.isBusy, leftMs: endAt - clock.now() }, "callers have moved on");
+  log.info({ busy: parts.gates.isBusy, leftMs: endAt - clock.now() }, "drain: no new callers");
   const lineEnds = clock.after(endAt - LINE_ENDS_MS - clock.now(), parts.refuseWaiting);
   await Promise.race([parts.closeCallers(), sleep(endAt - clock.now())]);
   lineEnds.cancel();
--- a/src/sidecar/gate/AskServer.test.ts
+++ b/src/sidecar/gate/AskServer.test.ts
@@ -69,7 +69,7 @@
   t.is(gate.load.queued, 1);
 });
 
-test("ask server: a grant that is not taken is told again, and is void in the end", async (t) => {
+test("ask server: a grant that is not taken is sent again, and expires", async (t) => {
   const { clock, gate, ask, said } = rig();
   ask("a", 1);
   await clock.advance(1000);
--- a/src/sidecar/gate/AskServer.ts
+++ b/src/sidecar/gate/AskServer.ts
@@ -31,7 +31,7 @@
   },
 };
 
-/** A grant that has not been taken is told again after each of these, ms: it may have been lost, and is void after 250. */
+/** A grant that has not been taken is told again after each of these, ms: it may have been lost, and expires after 250. */
 const GRANT_AGAIN_MS = [60, 140];
 
 /** An ask is remembered for this long after its answer, ms: it may be sent again, as its answer was lost. */
--- a/src/sidecar/gate/Gate.test.ts
+++ b/src/sidecar/gate/Gate.test.ts
@@ -66,7 +66,7 @@
   ask("b");
   await clock.advance(GRANT_MS);
   t.is(said("b"), "granted");
-  t.is(gate.take(grantOf("a")), undefined, "the first grant is void");
+  t.is(gate.take(grantOf("a")), undefined, "the first grant has expired");
   t.truthy(gate.take(grantOf("b")));
 });
 
@@ -264,7 +264,7 @@
 
 for (const { name, bodyBytes, afterMs, isGood } of [
   {
-    name: "without a body is void after a quarter of a second",
+    name: "without a body expires after a quarter of a second",
     bodyBytes: 0,
     afterMs: 260,
     isGood: false,
--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -34,15 +34,12 @@
 }
 
 /**
- * A grant that nobody takes is void after this long, ms. A round trip takes 3; the
+ * A grant that nobody takes expires after this long, ms. A round trip takes 3; the
  * rest is for a sidecar on a slowed machine. The slot stands empty meanwhile.
  */
 const GRANT_MS = 250;
 
-/**
- * A request with a body has another ms for each so many bytes: it comes over a link of a few Mbit/s behind others. Were its grant
- * void by then, its body would come in vain, and again, and leave the link no time for any other.
- */
+/** Scales the lease with the body size, so that a slow upload does not lose its slot and retry from the start. */
 const GRANT_BYTES_PER_MS = 100;
 
 /**
@@ -153,14 +150,14 @@
     };
   }
 
-  /** Keeps a grant while the body of its request is on its way here; false when the grant is void. */
+  /** Keeps a grant while the body of its request is on its way here; false when the grant has expired. */
   hold(grant: GrantId): boolean {
     return this.#slots.hold(grant, () => {
       this.revoke(grant);
     });
   }
 
-  /** Begins the run that a grant was given for; undefined when the grant is void. */
+  /** Begins the run that a grant was given for; undefined when the grant has expired. */
   take(grant: GrantId): Ask | undefined {
     return this.#slots.take(
       grant,
--- a/src/sidecar/gate/GateServer.test.ts
+++ b/src/sidecar/gate/GateServer.test.ts
@@ -127,7 +127,7 @@
   close();
 });
 
-test("gate server: one whose grant is void is told so before its body has come", async (t) => {
+test("gate server: a request whose grant has expired is answered before its body has arrived", async (t) => {
   const { sent, close, open } = await rig();
   const req = open();
   req.on("error", () => undefined);
--- a/src/sidecar/gate/SlotTable.ts
+++ b/src/sidecar/gate/SlotTable.ts
@@ -47,9 +47,15 @@
     return this.#held.get(grant)?.state === "granted";
   }
 
-  /** Grants a slot; `onVoid` is called if it is not taken within `voidMs`. */
-  grant(grant: GrantId, ask: Ask, isProbe: boolean, voidMs: number, onVoid: () => void): void {
-    const timer = this.#clock.after(voidMs, onVoid);
+  /** Grants a slot; `onExpired` is called if it is not taken within `expiresMs`. */
+  grant(
+    grant: GrantId,
+    ask: Ask,
+    isProbe: boolean,
+    expiresMs: number,
+    onExpired: () => void,
+  ): void {
+    const timer = this.#clock.after(expiresMs, onExpired);
     const since = this.#clock.now();
     this.#held.set(grant, {
       ask,
@@ -62,13 +68,13 @@
   }
 
   /** Keeps a grant that was not taken for as long as its request has; false when there is none. */
-  hold(grant: GrantId, onVoid: () => void): boolean {
+  hold(grant: GrantId, onExpired: () => void): boolean {
     const held = this.#held.get(grant);
     if (held?.state !== "granted") {
       return false;
     }
     held.timer.cancel();
-    const timer = this.#clock.after(held.ask.remainingMs, onVoid);
+    const timer = this.#clock.after(held.ask.remainingMs, onExpired);
     this.#held.set(grant, { ...held, timer });
     return true;
   }
--- a/src/sidecar/gate/TargetGates.test.ts
+++ b/src/sidecar/gate/TargetGates.test.ts
@@ -98,7 +98,7 @@
   t.deepEqual(renewed, [200], "kept connections are left behind");
 });
 
-test("gates: a grant of a target's last life is void in the next", async (t) => {
+test("gates: a grant of a target's last life has expired in the next", async (t) => {
   const { ask, run, startAgain } = rig();
   ask("a");
   startAgain();
--- a/src/sidecar/gate/TargetRunner.test.ts
+++ b/src/sidecar/gate/TargetRunner.test.ts
@@ -77,12 +77,12 @@
   };
 }
 
-const voids: readonly { name: string; grant: GrantId; asked: boolean }[] = [
+const unusable: readonly { name: string; grant: GrantId; asked: boolean }[] = [
   { name: "that was never given", grant: GrantId(`${BOOT}.1`), asked: false },
   { name: "of an earlier life of the process", grant: GrantId("earlier.1"), asked: true },
 ];
 
-for (const { name, grant, asked } of voids) {
+for (const { name, grant, asked } of unusable) {
   test(`runner: a grant ${name} runs nothing, and says so`, async (t) => {
     const { run, ask, sends } = rig();
     if (asked) {
--- a/src/sidecar/gate/TargetRunner.ts
+++ b/src/sidecar/gate/TargetRunner.ts
@@ -13,7 +13,7 @@
 import type { RunState, RunTable } from "./RunTable.ts";
 import type { TargetGates } from "./TargetGates.ts";
 import { unknownOutcome } from "./unknownOutcome.ts";
-import { VOID_GRANT } from "./VOID_GRANT.ts";
+import { EXPIRED_GRANT } from "./EXPIRED_GRANT.ts";
 
 /** A grant, as whoever was given it names it. */
 export interface GrantName {
@@ -43,7 +43,7 @@
   }
 
   /**
-   * Keeps the slot of a request whose head has come while its body is on its way; false when the grant is void. A
+   * Keeps the slot of a request whose head has come while its body is on its way; false when the grant has expired. A
    * large body takes longer than a grant lasts on a link of a few Mbit/s: it came in vain, was sent again, and
    * took the link from the next one.
    */
@@ -82,7 +82,7 @@
       case "forgotten":
         return Promise.resolve(unknownOutcome(target));
       case "unknown":
-        return Promise.resolve(VOID_GRANT);
+        return Promise.resolve(EXPIRED_GRANT);
     }
   }
 
@@ -96,7 +96,7 @@
     }
     const state = this.#deps.runs.state(grant);
     if (state.kind === "unknown" && this.#deps.grants.isOwn(grant)) {
-      // Every run of this life is remembered, and a grant that is void stays so.
+      // Every run of this life is remembered, and a grant that has expired stays so.
       return { kind: "ended", result: notRun("the grant was not taken") };
     }
     return state;
--- a/src/sidecar/routing/CallTraffic.ts
+++ b/src/sidecar/routing/CallTraffic.ts
@@ -101,7 +101,7 @@
     if (this.#told.get(requests) !== weight) {
       this.#told.set(requests, weight);
       const { idleShare } = this.#deps.runs;
-      this.#deps.log.info({ requests, weight, nats, idleShare }, "taken for calls or callers' own");
+      this.#deps.log.info({ requests, weight, nats, idleShare }, "traffic classified");
     }
   }
 }
--- a/src/sidecar/routing/Dispatcher.test.ts
+++ b/src/sidecar/routing/Dispatcher.test.ts
@@ -50,7 +50,7 @@
   return { clock, hop, policy, runs, dispatcher };
 }
 
-const { done, failed, shed, voided, inDoubt } = results;
+const { done, failed, shed, expired, inDoubt } = results;
 
 const cases: readonly {
   name: string;
@@ -209,7 +209,7 @@
   // Story: a sidecar on a slowed machine takes its grant too late. Nothing has run, so
   // it must not count as the target's failure, even where there is no other target.
   const { hop, dispatcher } = rig(0, targets.slice(0, 1));
-  const answers = [voided, voided, done];
+  const answers = [expired, expired, done];
   hop.onRun = () => answers.shift() ?? shed;
   const out = await dispatcher.dispatch(makeRoute({ idempotent: false }), makeCourse());
   t.is(out.verdict.kind, "done");
@@ -380,7 +380,7 @@
   // Story: a field map takes longer to its target than a grant lasts, since the link there is full of maps that came
   // too late. Each was sent for as long as its caller waited, twenty times and more, and kept the link full.
   const { clock, hop, dispatcher } = rig();
-  hop.onRun = () => voided;
+  hop.onRun = () => expired;
   const result = dispatcher.dispatch(makeRoute({ idempotent: false }), makeCourse());
   await clock.advance(500);
   t.is((await result).verdict.kind, "not-run");
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -45,13 +45,13 @@
 const HEDGE_FACTOR = 2.5;
 
 /** Grants that ran out before they were taken, as on a machine that stood still; then another target's turn comes. */
-const MAX_VOIDED = 3;
+const MAX_EXPIRED = 3;
 
 /**
  * Grants of one request that may run out before it is given up. Its way to the targets is too slow then: sent on and on, it
  * would only make it slower for the others.
  */
-const MAX_VOIDED_IN_ALL = 6;
+const MAX_EXPIRED_IN_ALL = 6;
 
 /** Times that one request is sent to a target that then refuses it, at most. */
 const MAX_REFUSED_SENDS = 4;
@@ -85,7 +85,7 @@
   /** Times that no target would take it. */
   refusals: number;
   /** Grants that ran out before the request got there. */
-  voided: number;
+  expired: number;
 }
 
 /**
@@ -114,7 +114,7 @@
       budgets.onFirstTry(route);
     }
     const tried = new Set<TargetId>();
-    const counts = { sends: 0, refusedSends: 0, refusals: 0, voided: 0 };
+    const counts = { sends: 0, refusedSends: 0, refusals: 0, expired: 0 };
     const result = await this.#serve({ route, req, isCall, tried, ...counts });
     begun?.end(isGood(result));
     return result;
@@ -138,8 +138,8 @@
       }
       const newest = await this.#runHedged(course, sought.grant);
       last = moreTelling(last, newest);
-      course.voided += isVoid(newest) ? 1 : 0;
-      if (isVoid(newest) && course.voided <= MAX_VOIDED) {
+      course.expired += isExpired(newest) ? 1 : 0;
+      if (isExpired(newest) && course.expired <= MAX_EXPIRED) {
         tried.delete(sought.grant.target.id);
       }
       if (!(await this.#mayRetry(course, newest))) {
@@ -316,7 +316,7 @@
       return false;
     }
     if (last.outcome !== AttemptOutcome.Shed) {
-      return course.voided <= MAX_VOIDED_IN_ALL;
+      return course.expired <= MAX_EXPIRED_IN_ALL;
     }
     course.refusedSends += 1;
     return course.refusedSends <= MAX_REFUSED_SENDS && this.#takeLeave(course);
@@ -331,7 +331,7 @@
     }
     const costs = budgets.costs(route);
     if (await loans?.borrow(costs)) {
-      log.info({ attempt: req.attempt, costs }, "leave to retry borrowed");
+      log.info({ attempt: req.attempt, costs }, "retry tokens borrowed");
       return !req.left.aborted;
     }
     this.#noteDenied(course, "retry");
@@ -362,7 +362,7 @@
 }
 
 /** The grant ran out, or was taken back, before the request got to the target. */
-function isVoid({ verdict, outcome }: ForwardResult): boolean {
+function isExpired({ verdict, outcome }: ForwardResult): boolean {
   return verdict.kind === "not-run" && outcome === AttemptOutcome.Cancelled;
 }
 
