--- a/src/sidecar/gate/TargetRunner.ts
+++ b/src/sidecar/gate/TargetRunner.ts
@@ -43,9 +43,8 @@
   }
 
   /**
-   * Keeps the slot of a request whose head has come while its body is on its way; false when the grant has expired. A
-   * large body takes longer than a grant lasts on a link of a few Mbit/s: it came in vain, was sent again, and
-   * took the link from the next one.
+   * Keeps the slot of a request whose head has arrived while its body is on its way; false when the grant has expired.
+   * A large body on a slow link takes longer than a grant lasts.
    */
   hold({ target, grant }: GrantName): boolean {
     return this.#deps.gates.get(target)?.hold(grant) ?? false;
