Log why a search found no slot, and how long ready targets have been idle

Whether a sound target is idle because its gate refuses, because it is suspect or because no sender asks it could not be told from the logs. A refused search now logs what its sender believes about the targets that it did not try, with the age of the oldest report; a ready target without work for 1, 2, 4 ... s is logged by its sidecar with the requests received and refused meanwhile and its load.

--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -48,6 +48,9 @@
 /** Interval at which records past their retention time are removed, ms. */
 const EXPIRY_INTERVAL_MS = 60_000;
 
+/** Interval at which idle targets are looked for, ms. */
+const IDLE_CHECK_INTERVAL_MS = 500;
+
 /** Size of the random boot id of this process, bytes. Two incarnations of a sidecar must not have the same id. */
 const BOOT_ID_BYTES = 6;
 
@@ -139,6 +142,11 @@
         this.#records.expire();
       }),
     );
+    this.register(
+      every(IDLE_CHECK_INTERVAL_MS, () => {
+        this.#gates.reportIdle();
+      }),
+    );
     this.#startHandover();
   }
 
--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -7,6 +7,7 @@
 import type { GateLoad } from "../hop/GateLoad.ts";
 import { RefusalReason } from "../hop/RefusalReason.ts";
 import { AdmissionQueue } from "./AdmissionQueue.ts";
+import { GateActivity, type IdlePeriod } from "./GateActivity.ts";
 import type { GrantIds } from "./GrantIds.ts";
 import { runAllowanceMs } from "./runAllowanceMs.ts";
 import { SlotTable } from "./SlotTable.ts";
@@ -90,6 +91,7 @@
   readonly #deps: GateDeps;
   readonly #queue: AdmissionQueue;
   readonly #slots: SlotTable;
+  readonly #activity: GateActivity;
   readonly #retired = new AbortController();
   #reevaluatedAt = -Infinity;
   #serviceMs = INITIAL_SERVICE_MS;
@@ -101,6 +103,7 @@
     this.#deps = deps;
     this.#queue = new AdmissionQueue(deps.order);
     this.#slots = new SlotTable(deps.clock);
+    this.#activity = new GateActivity(deps.clock);
   }
 
   /** Current load and health of the target. */
@@ -126,6 +129,7 @@
    */
   requestSlot(request: SlotRequest, reply: (reply: SlotReply) => void): SlotRequestHandle {
     const waiting = { request, receivedAt: this.#deps.clock.now() };
+    this.#activity.recordRequest();
     let grant: GrantId | undefined;
     const onReply = (slotReply: SlotReply) => {
       grant = slotReply.kind === "granted" ? slotReply.grant : undefined;
@@ -166,11 +170,15 @@
 
   /** Uses a grant and begins its run; undefined if the grant has expired. */
   redeem(grant: GrantId): SlotRequest | undefined {
-    return this.#slots.redeem(
+    const redeemed = this.#slots.redeem(
       grant,
       (request) => this.#typicalRunMs(request) * OVERDUE_FACTOR,
       (since) => this.#reportOverdue(since),
     );
+    if (redeemed) {
+      this.#activity.recordRun();
+    }
+    return redeemed;
   }
 
   /**
@@ -194,6 +202,7 @@
       return;
     }
     const { request, ms, wasOverdue } = ended;
+    this.#activity.recordRun();
     // A run that was overdue and then timed out counts as a single observation.
     if (!(wasOverdue && outcome === AttemptOutcome.TimedOut)) {
       this.#updateDetector(() => {
@@ -220,6 +229,12 @@
     return this.#slots.isPending(grant);
   }
 
+  /** A report on the time that a ready target has been idle, when one is due; undefined otherwise. */
+  takeIdleReport(): IdlePeriod | undefined {
+    const isReady = this.#deps.target()?.acceptsRequests === true;
+    return isReady && !this.isBusy ? this.#activity.takeReport() : undefined;
+  }
+
   /** Whether any slot is granted or in use. */
   get isBusy(): boolean {
     return this.#slots.size > 0;
@@ -357,6 +372,7 @@
   }
 
   #refuse(reason: RefusalReason, waiting: QueuedRequest): SlotReply {
+    this.#activity.recordRefusal(reason);
     return {
       kind: "refused",
       reason,
--- a/src/sidecar/gate/TargetGates.ts
+++ b/src/sidecar/gate/TargetGates.ts
@@ -84,6 +84,17 @@
     }
   }
 
+  /** Logs the ready targets that have been idle for long, with what their gates did meanwhile. */
+  reportIdle(): void {
+    for (const [target, { gate }] of this.#gates) {
+      const idle = gate.takeIdleReport();
+      if (idle) {
+        const { load } = gate;
+        this.#deps.log.info({ target, ...idle, isClosed: this.#closed, load }, "target idle");
+      }
+    }
+  }
+
   /** Whether any slot of any target is granted or in use. */
   get isBusy(): boolean {
     return [...this.#gates.values()].some(({ gate }) => gate.isBusy);
--- a/src/sidecar/routing/AdaptivePolicy.ts
+++ b/src/sidecar/routing/AdaptivePolicy.ts
@@ -13,6 +13,7 @@
 import { chooseRotation } from "./chooseRotation.ts";
 import { pickByCost } from "./pickByCost.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
+import type { TargetSurvey } from "./TargetSurvey.ts";
 import { TargetViews, type TargetView } from "./TargetViews.ts";
 import { ZoneWaitEstimator } from "./ZoneWaitEstimator.ts";
 import type { PickedTarget, PickContext, RoutingPolicy, SuspectTarget } from "./RoutingPolicy.ts";
@@ -62,6 +63,9 @@
   readonly view: TargetView;
 }
 
+/** What this sidecar believes about a target that is known as ready; the first that applies. */
+type TargetBelief = "leaving" | "suspect" | "unreachable" | "unknown" | "free" | "full";
+
 /** A request with the time and the typical duration that all targets are evaluated by in one pick. */
 interface PickSnapshot extends PickContext {
   readonly now: number;
@@ -185,6 +189,30 @@
     return this.#baseline(route).median ?? route.objectiveMs * DEFAULT_TYPICAL_SHARE;
   }
 
+  survey(request: PickContext, tried: ReadonlySet<TargetId>): TargetSurvey {
+    const snapshot = this.#snapshot(request);
+    const ready = this.#targetsOf(request.route).filter((t) => t.state === TargetState.Ready);
+    const untried = ready
+      .filter((t) => !tried.has(t.id))
+      .map((target) => ({ target, view: this.#views.of(target) }));
+    const beliefs = untried.map((c) => this.#beliefAbout(snapshot, c));
+    const count = (belief: TargetBelief) => beliefs.filter((b) => b === belief).length;
+    const ages = untried
+      .filter(({ view }) => view.load !== undefined)
+      .map(({ view }) => Math.round(snapshot.now - view.loadReceivedAt));
+    return {
+      ready: ready.length,
+      tried: ready.length - untried.length,
+      free: count("free"),
+      full: count("full"),
+      unknown: count("unknown"),
+      suspect: count("suspect"),
+      unreachable: count("unreachable"),
+      leaving: count("leaving"),
+      oldestReportMs: ages.length > 0 ? Math.max(...ages) : undefined,
+    };
+  }
+
   describe(): { id: TargetId; rotation: "in" | "ejected" }[] {
     const { table } = this.#deps;
     return [...new Set(table.allTargets().map((t) => t.service))].flatMap((service) => {
@@ -206,6 +234,23 @@
     this.#zoneWaits.record(service, zone, expectedWaitMs(load, load.serviceMs));
   }
 
+  #beliefAbout(snapshot: PickSnapshot, candidate: Candidate): TargetBelief {
+    if (stopsTooSoon(snapshot, candidate)) {
+      return "leaving";
+    }
+    if (this.#isSuspected(snapshot, candidate)) {
+      return "suspect";
+    }
+    if (candidate.view.link.isSuspect) {
+      return "unreachable";
+    }
+    const load = this.#views.freshLoad(candidate.view, snapshot.now);
+    if (!load) {
+      return "unknown";
+    }
+    return load.busy < load.slots ? "free" : "full";
+  }
+
   /** Targets of the route's service that accept requests, are not in `tried` and don't stop too soon for this one. */
   #candidates(snapshot: PickSnapshot, tried: ReadonlySet<TargetId>): Candidate[] {
     const { route } = snapshot;
--- a/src/sidecar/routing/NaivePolicy.ts
+++ b/src/sidecar/routing/NaivePolicy.ts
@@ -6,6 +6,7 @@
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
 import type { PickedTarget, PickContext, RoutingPolicy, SuspectTarget } from "./RoutingPolicy.ts";
+import type { TargetSurvey } from "./TargetSurvey.ts";
 import type { TargetInfo } from "../../membership/TargetInfo.ts";
 import { TargetState } from "../../membership/TargetState.ts";
 import type { TargetTable } from "../../membership/TargetTable.ts";
@@ -45,9 +46,9 @@
   }
 
   pick({ route }: PickContext, tried: ReadonlySet<TargetId>): PickedTarget | undefined {
-    const candidates = this.#deps.table
-      .targetsOf(ServiceName(route.service.name))
-      .filter((t) => t.state === TargetState.Ready && !this.#ejected.has(t.id) && !tried.has(t.id));
+    const candidates = this.#readyTargets(route).filter(
+      (t) => !this.#ejected.has(t.id) && !tried.has(t.id),
+    );
     const target = candidates[this.#nextIndex++ % Math.max(1, candidates.length)];
     return target && { target };
   }
@@ -90,6 +91,23 @@
     };
   }
 
+  survey({ route }: PickContext, tried: ReadonlySet<TargetId>): TargetSurvey {
+    const ready = this.#readyTargets(route);
+    const untried = ready.filter((t) => !tried.has(t.id));
+    const suspect = untried.filter((t) => this.#ejected.has(t.id)).length;
+    return {
+      ready: ready.length,
+      tried: ready.length - untried.length,
+      free: 0,
+      full: 0,
+      unknown: untried.length - suspect,
+      suspect,
+      unreachable: 0,
+      leaving: 0,
+      oldestReportMs: undefined,
+    };
+  }
+
   describe(): { id: TargetId; rotation: "in" | "ejected" }[] {
     return this.#deps.table
       .allTargets()
@@ -111,6 +129,12 @@
     );
   }
 
+  #readyTargets({ service }: RouteMatch): TargetInfo[] {
+    return this.#deps.table
+      .targetsOf(ServiceName(service.name))
+      .filter((t) => t.state === TargetState.Ready);
+  }
+
   #recordOutcome(target: TargetInfo, outcome: AttemptOutcome): void {
     const isError = outcome === AttemptOutcome.Failed || outcome === AttemptOutcome.NoResponse;
     const errors = isError ? (this.#errors.get(target.id) ?? 0) + 1 : 0;
--- a/src/sidecar/routing/RoutingPolicy.ts
+++ b/src/sidecar/routing/RoutingPolicy.ts
@@ -5,6 +5,7 @@
 import type { SlotReply } from "../hop/SlotReply.ts";
 import type { GateLoad } from "../hop/GateLoad.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
+import type { TargetSurvey } from "./TargetSurvey.ts";
 
 /** The target to send the next slot request to. */
 export interface PickedTarget {
@@ -59,6 +60,8 @@
   recordStart(route: RouteMatch, target: TargetInfo): (outcome: AttemptOutcome) => void;
   /** Typical time that a request of `route` takes at a target of its service, ms. */
   typicalMs(route: RouteMatch): number;
+  /** Counts the targets of the request's service by what this sidecar believes about them, for log lines. */
+  survey(request: PickContext, tried: ReadonlySet<TargetId>): TargetSurvey;
   /** Returns the routing state of each known target, for `/status`. */
   describe(): { id: TargetId; rotation: "in" | "ejected" }[];
 }
--- a/src/sidecar/routing/SlotFinder.test.ts
+++ b/src/sidecar/routing/SlotFinder.test.ts
@@ -14,7 +14,7 @@
 /** Time that a queued request does not try gray targets with an acceptable risk, ms: half of the route's objective. */
 const GRAY_DELAY_MS = 150;
 
-function rig(names = ["a", "b", "c", "d"], gray: readonly string[] = []) {
+function rig(names = ["a", "b", "c", "d"], gray: readonly string[] = [], logger = log) {
   const clock = new FakeClock();
   const hop = new FakeHop();
   hop.onSlotRequest = () => undefined;
@@ -22,7 +22,7 @@
   const policy = new FixedPolicy(targets, gray);
   const findSlot = (overrides: Parameters<typeof makeCallerRequest>[0] = {}) =>
     new SlotFinder(
-      { policy, requestSlot: (...args) => hop.requestSlot(...args), clock, log },
+      { policy, requestSlot: (...args) => hop.requestSlot(...args), clock, log: logger },
       { route: makeRoute(), isRetryable: true },
       makeCallerRequest(overrides),
       new Set(),
@@ -221,3 +221,18 @@
   t.is(hop.slotRequests[0]?.request.remainingMs, 800);
   t.is(hop.slotRequests[0]?.request.objectiveMs, 100);
 });
+
+test("find slot: a refusal is logged with the targets that were not tried and why", async (t) => {
+  const ringBuffer = new bunyan.RingBuffer({ limit: 10 });
+  const logger = bunyan.createLogger({
+    name: "test",
+    streams: [{ type: "raw", stream: ringBuffer, level: "info" }],
+  });
+  const { clock, hop, findSlot } = rig(["a", "gray"], ["gray"], logger);
+  const finder = findSlot();
+  await replyOfFirst(hop, clock, "full");
+  t.is((await finder.result).kind, "refused");
+  const line = ringBuffer.records.find((r: { msg?: string }) => r.msg === "no slot found");
+  const { ready, tried, suspect } = (line as { targets: Record<string, number> }).targets;
+  t.deepEqual({ ready, tried, suspect }, { ready: 2, tried: 1, suspect: 1 });
+});
--- a/src/sidecar/routing/SlotFinder.ts
+++ b/src/sidecar/routing/SlotFinder.ts
@@ -380,10 +380,31 @@
   }
 
   #refuse(reason: string): void {
+    if (this.#done) {
+      return;
+    }
+    this.#logRefusal(reason);
     const retryAfterMs = Number.isFinite(this.#retryAfterMs) ? this.#retryAfterMs : RETRY_AFTER_MS;
     this.#finish({ kind: "refused", reason, retryAfterMs, isTargetUnknown: this.#isTargetUnknown });
   }
 
+  /** Logs why there is no slot, with what this sidecar believes about the service's targets. */
+  #logRefusal(reason: string): void {
+    const { attempt, startedAt } = this.#req;
+    const { service } = this.#context.route;
+    this.#deps.log.info(
+      {
+        attempt,
+        service: service.name,
+        reason,
+        ageMs: Math.round(this.#deps.clock.now() - startedAt),
+        queuedAt: [...this.#openRequests.values()].filter((o) => o.queued).length,
+        targets: this.#deps.policy.survey(this.#context, this.#tried),
+      },
+      "no slot found",
+    );
+  }
+
   #finish(result: SlotSearchResult): void {
     if (this.#done) {
       return;
