--- a/src/sidecar/routing/SlotFinder.test.ts
+++ b/src/sidecar/routing/SlotFinder.test.ts
@@ -232,7 +232,7 @@
   const finder = findSlot();
   await replyOfFirst(hop, clock, "full");
   t.is((await finder.result).kind, "refused");
-  const line = ringBuffer.records.find((r: { msg?: string }) => r.msg === "no slot found");
-  const { ready, tried, suspect } = (line as { targets: Record<string, number> }).targets;
+  const lines = ringBuffer.records as { msg: string; targets: Record<string, number> }[];
+  const { ready, tried, suspect } = lines.find((l) => l.msg === "no slot found")?.targets ?? {};
   t.deepEqual({ ready, tried, suspect }, { ready: 2, tried: 1, suspect: 1 });
 });
