--- a/experiment/Scenario.ts
+++ b/experiment/Scenario.ts
@@ -36,6 +36,14 @@
   readonly rateFactor: number;
 }
 
+/** Crashes of `count` targets of a service at `atMs`, each of which is back after `downMs`. */
+export interface Crash {
+  readonly service: string;
+  readonly count: number;
+  readonly atMs: number;
+  readonly downMs: number;
+}
+
 /** Planned stops of `count` sidecars, `intervalMs` apart; each is started again afterwards. */
 export interface RollingStop {
   readonly fromMs: number;
@@ -69,6 +77,7 @@
   /** Share of requests that healthy targets fail; by default as measured at the users' services. */
   readonly baseErrorRate?: number;
   readonly bursts?: readonly Burst[];
+  readonly crashes?: readonly Crash[];
   readonly stops?: readonly RollingStop[];
   readonly lengthMs: number;
 }
--- a/experiment/SimFleet.ts
+++ b/experiment/SimFleet.ts
@@ -11,7 +11,7 @@
 import type { RetryBudgetRule } from "../src/sidecar/routing/RetryBudget.ts";
 import type { RouteMatch } from "../src/sidecar/routing/RouteMatch.ts";
 import { Arrivals } from "./Arrivals.ts";
-import type { RequestKind, RollingStop, Scenario } from "./Scenario.ts";
+import type { Crash, RequestKind, RollingStop, Scenario } from "./Scenario.ts";
 import type { SimClock } from "./SimClock.ts";
 import { SimSidecar, type SimVm } from "./SimSidecar.ts";
 import { SimTarget } from "./SimTarget.ts";
@@ -98,6 +98,9 @@
     scenario.stops?.forEach((stop) => {
       this.#scheduleStops(stop);
     });
+    scenario.crashes?.forEach((crash) => {
+      this.#scheduleCrashes(crash);
+    });
   }
 
   /** Requests that have reached the targets. */
@@ -129,6 +132,23 @@
     return names.filter((name) => this.#targets.get(name)?.isHealthy(fromMs, untilMs));
   }
 
+  /** The state of a target as seen by its sidecar: `down` without one, otherwise its health, and whether it is stopping. */
+  stateOf(name: string): string {
+    const sidecar = this.#sidecars.get(name);
+    if (!sidecar) {
+      return "down";
+    }
+    const { ejected, suspect, busy, slots, endsInMs } = sidecar.gate.load;
+    const health = ejected ? "ejected" : suspect ? "suspect" : "healthy";
+    const stop = endsInMs === undefined ? "" : "stopping ";
+    return `${stop}${health}${busy < slots ? "" : ", full"}`;
+  }
+
+  /** Whether a run at a target failed by itself, without a gray interval, from `fromMs` to `untilMs`. */
+  hasFailedByItself(name: string, fromMs: number, untilMs: number): boolean {
+    return this.#targets.get(name)?.hasFailedByItself(fromMs, untilMs) ?? false;
+  }
+
   /** Runs the load to its end, and until every request has ended. */
   async run(): Promise<void> {
     const { kinds, lengthMs } = this.#scenario;
@@ -199,6 +219,32 @@
     });
   }
 
+  #scheduleCrashes({ service, count, atMs, downMs }: Crash): void {
+    this.#clock.after(atMs, () => {
+      const up = this.#vms.filter(
+        (vm) => vm.service === service && this.#targets.get(vm.name)?.isDown === false,
+      );
+      const first = Math.floor(this.#random() * up.length);
+      [...up.slice(first), ...up.slice(0, first)].slice(0, count).forEach((vm) => {
+        this.#crash(vm, downMs);
+      });
+    });
+  }
+
+  #crash(vm: SimVm, downMs: number): void {
+    this.#targets.get(vm.name)?.crash(downMs);
+    this.#clock.after(downMs + ANNOUNCE_MS, () => {
+      const sidecar = this.#sidecars.get(vm.name);
+      if (sidecar) {
+        sidecar.restartTarget();
+        const update = [sidecar.describeMember(false)];
+        this.#clock.after(GOSSIP_MS, () => {
+          this.#broadcast(update);
+        });
+      }
+    });
+  }
+
   #scheduleStops({ fromMs, count, intervalMs }: RollingStop): void {
     const order = [...this.#vms].sort((a, b) => a.zone - b.zone).slice(0, count);
     order.forEach((vm, n) => {
@@ -347,6 +393,16 @@
       const verdict = { kind: "not-run", reason: "refused", retryAfterMs: 1000 } as const;
       return { verdict, outcome: AttemptOutcome.Shed };
     }
+    if (outcome === "unreachable") {
+      const reason = "connect failed: ECONNREFUSED";
+      const verdict = { kind: "not-run", reason, retryAfterMs: 1000 } as const;
+      return { verdict, outcome: AttemptOutcome.NoResponse };
+    }
+    if (outcome === "lost") {
+      const details = { reason: "Error: ECONNRESET", timedOut: false, retryAfterMs: 1000 };
+      const verdict = { kind: "may-have-run", target: TargetId(vm.name), ...details } as const;
+      return { verdict, outcome: AttemptOutcome.NoResponse };
+    }
     if (this.#clock.now() > deadlineAt) {
       return resultOf(vm, TIMED_OUT);
     }
--- a/experiment/SimSidecar.ts
+++ b/experiment/SimSidecar.ts
@@ -7,7 +7,7 @@
 import type { ProtoTypes } from "../src/common/rpc/ProtoTypes.ts";
 import { TargetTable } from "../src/membership/TargetTable.ts";
 import { GrayFailureDetector } from "../src/sidecar/detection/GrayFailureDetector.ts";
-import { drainSidecar } from "../src/sidecar/drainSidecar.ts";
+import { drainSidecar, type DrainedParts } from "../src/sidecar/drainSidecar.ts";
 import type { ForwardResult } from "../src/sidecar/forwarding/ForwardResult.ts";
 import type { TargetRequest } from "../src/sidecar/forwarding/TargetRequest.ts";
 import { ActiveRuns } from "../src/sidecar/gate/ActiveRuns.ts";
@@ -69,9 +69,12 @@
   readonly #table: TargetTable;
   readonly #dispatcher: Dispatcher;
   readonly #grants: GrantIds;
+  readonly #activeRuns: ActiveRuns;
   #inFlight = 0;
   #isReady = true;
-  readonly gate: Gate;
+  #gate: Gate;
+  /** Number of restarts of the local target. */
+  #targetRestarts = 0;
   readonly runner: TargetRunner;
   readonly budgets: RetryBudgets;
   readonly policy: AdaptivePolicy;
@@ -83,19 +86,31 @@
     const zone = ZoneName(zoneOf(vm));
     this.#grants = new GrantIds(String(deps.incarnationNumber));
     this.#table = this.#createTable();
-    const runs = new ActiveRuns(clock);
+    this.#activeRuns = new ActiveRuns(clock);
     this.budgets = this.#createBudgets();
-    this.gate = this.#createGate(runs);
-    this.runner = this.#createRunner(runs);
+    this.#gate = this.#createGate();
+    this.runner = this.#createRunner();
     this.policy = new AdaptivePolicy({ table: this.#table, zone, clock, random });
     this.hop = new SimHop({ sidecars, zone: vm.zone, zoneLatencyMs, clock });
-    this.#dispatcher = this.#createDispatcher(runs);
+    this.#dispatcher = this.#createDispatcher();
   }
 
   get vm(): SimVm {
     return this.#deps.vm;
   }
 
+  /** The gate of the target's current incarnation. */
+  get gate(): Gate {
+    return this.#gate;
+  }
+
+  /** Replaces the gate: the target has started again. */
+  restartTarget(): void {
+    this.#targetRestarts += 1;
+    this.#gate.retire();
+    this.#gate = this.#createGate();
+  }
+
   /** Whether callers may send requests to this sidecar. */
   get isReady(): boolean {
     return this.#isReady;
@@ -116,14 +131,14 @@
       slots: vm.slots,
       state: "ready",
       health_path: "",
-      born: 0,
+      born: this.#targetRestarts,
     };
     return {
       sidecar_id: vm.name,
       peer_address: vm.name,
       hop_address: vm.name,
       zone: zoneOf(vm),
-      revision: isGone ? 1 : 0,
+      revision: this.#targetRestarts + (isGone ? 1 : 0),
       incarnation: incarnationNumber,
       gone: isGone,
       control: false,
@@ -152,7 +167,7 @@
       refuseQueued: () => {
         this.#dispatcher.close();
       },
-      gates: this.gate,
+      gates: this.#gates(),
       leave: () => {
         onLeaving();
         return Promise.resolve();
@@ -161,6 +176,22 @@
     await drainSidecar(parts, STOP_TIMES, clock, log);
   }
 
+  /** The gates as a planned stop sees them: a target that restarts meanwhile has another one. */
+  #gates(): DrainedParts["gates"] {
+    const gate = () => this.#gate;
+    return {
+      closeBy: (endAt) => {
+        gate().closeBy(endAt);
+      },
+      close: () => {
+        gate().close();
+      },
+      get isBusy() {
+        return gate().isBusy;
+      },
+    };
+  }
+
   async #waitForCallers(): Promise<void> {
     const { clock } = this.#deps;
     while (this.#inFlight > 0) {
@@ -180,13 +211,13 @@
     return new TargetTable(own, () => clock.now());
   }
 
-  #createGate(runs: ActiveRuns): Gate {
+  #createGate(): Gate {
     const { vm, clock, onHealthChange, variant } = this.#deps;
     const rule = Service.parse({ name: "svc", detection: GRAY_DETECTION }).detection;
     return new Gate({
       target: () => ({ slots: vm.slots, acceptsRequests: true }),
       detector: new GrayFailureDetector({ rule: () => rule, clock, log }),
-      mayAwaitNestedCall: (since) => runs.hasOpenNestedCall(since),
+      mayAwaitNestedCall: (since) => this.#activeRuns.hasOpenNestedCall(since),
       clock,
       grants: this.#grants,
       onHealthChange,
@@ -194,13 +225,13 @@
     });
   }
 
-  #createRunner(activeRuns: ActiveRuns): TargetRunner {
+  #createRunner(): TargetRunner {
     const { vm, clock, runAtTarget } = this.#deps;
     const id = TargetId(vm.name);
     return new TargetRunner({
       gates: { get: () => this.gate },
       runs: new RunTable(clock),
-      activeRuns,
+      activeRuns: this.#activeRuns,
       target: () => this.#table.target(id),
       send: (_target, req) => runAtTarget(req),
       grants: this.#grants,
@@ -208,7 +239,7 @@
     });
   }
 
-  #createDispatcher(runs: ActiveRuns): Dispatcher {
+  #createDispatcher(): Dispatcher {
     const { vm, clock } = this.#deps;
     return new Dispatcher({
       policy: this.policy,
@@ -216,7 +247,7 @@
       callerService: vm.service,
       budgets: this.budgets,
       borrower: this.#createTokenBorrower(),
-      classifier: new TrafficClassifier({ runs, log }),
+      classifier: new TrafficClassifier({ runs: this.#activeRuns, log }),
       clock,
       log,
     });
--- a/experiment/SimTarget.ts
+++ b/experiment/SimTarget.ts
@@ -1,7 +1,10 @@
 import type { Clock } from "../src/common/lifecycle/Clock.ts";
 
-/** How a run at a simulated target ends; `call-failed` if one of its nested calls was not served. */
-type RunOutcome = "ok" | "failed" | "call-failed" | "shed";
+/**
+ * How a run at a simulated target ends: `call-failed` if one of its nested calls was not served, `unreachable` if the
+ * target's process is down, `lost` if the process ends during the run.
+ */
+type RunOutcome = "ok" | "failed" | "call-failed" | "shed" | "unreachable" | "lost";
 
 /** Default share of requests that a healthy target fails; the users' services measure 12 in 1,000. */
 const BASE_ERROR_RATE = 0.012;
@@ -30,6 +33,12 @@
   readonly #grayIntervals: GrayInterval[] = [];
   /** Constant factor on this target's work times, which differs between targets. */
   readonly #workTimeFactor: number;
+  /** Times at which the process was down, ms. */
+  readonly #downIntervals: { readonly from: number; readonly until: number }[] = [];
+  /** Times at which a run failed by itself, outside of gray intervals, ms. */
+  readonly #ownFailures: number[] = [];
+  /** Ends the runs in progress when the process crashes. */
+  readonly #activeRuns = new Set<() => void>();
 
   constructor(clock: Clock, random: () => number, baseErrorRate = BASE_ERROR_RATE) {
     this.#clock = clock;
@@ -43,9 +52,29 @@
     this.#grayIntervals.push(interval);
   }
 
-  /** Whether no gray interval overlaps the time from `from` to `until`, ms. */
+  /** Ends the process for `downMs`; the runs in progress are lost. */
+  crash(downMs: number): void {
+    const from = this.#clock.now();
+    this.#downIntervals.push({ from, until: from + downMs });
+    this.#activeRuns.forEach((end) => {
+      end();
+    });
+  }
+
+  get isDown(): boolean {
+    const now = this.#clock.now();
+    return this.#downIntervals.some((i) => i.from <= now && now < i.until);
+  }
+
+  /** Whether the target is up, and in no gray interval, from `from` to `until`, ms. */
   isHealthy(from: number, until: number): boolean {
-    return !this.#grayIntervals.some((i) => i.from < until && from < i.until);
+    const intervals = [...this.#grayIntervals, ...this.#downIntervals];
+    return !intervals.some((i) => i.from < until && from < i.until);
+  }
+
+  /** Whether a run failed by itself from `from` to `until`, ms. */
+  hasFailedByItself(from: number, until: number): boolean {
+    return this.#ownFailures.some((at) => from <= at && at < until);
   }
 
   /**
@@ -54,6 +83,23 @@
    * @param makeNestedCalls called halfway through the work; resolves to whether all calls were served
    */
   async run(workMs: number, makeNestedCalls: () => Promise<boolean>): Promise<RunOutcome> {
+    if (this.isDown) {
+      return "unreachable";
+    }
+    return new Promise((resolve) => {
+      const end = (outcome: RunOutcome) => {
+        this.#activeRuns.delete(lose);
+        resolve(outcome);
+      };
+      const lose = () => {
+        end("lost");
+      };
+      this.#activeRuns.add(lose);
+      void this.#work(workMs, makeNestedCalls).then(end);
+    });
+  }
+
+  async #work(workMs: number, makeNestedCalls: () => Promise<boolean>): Promise<RunOutcome> {
     const interval = this.#currentInterval;
     if (interval && this.#random() < interval.shedRate) {
       return "shed";
@@ -68,7 +114,11 @@
       return "call-failed";
     }
     await this.#wait(ms / 2);
-    return this.#random() < this.#baseErrorRate ? "failed" : "ok";
+    if (this.#random() >= this.#baseErrorRate) {
+      return "ok";
+    }
+    this.#ownFailures.push(this.#clock.now());
+    return "failed";
   }
 
   get #currentInterval(): GrayInterval | undefined {
--- a/scripts/LocalFleet.ts
+++ b/scripts/LocalFleet.ts
@@ -133,6 +133,24 @@
     this.sidecars.set(id, await this.#launchDaemon(name, ports));
   }
 
+  /** Kills stand-in target `id` (SIGKILL), like a crash. */
+  async killTarget(id: string): Promise<void> {
+    await kill(this.#targetById(id));
+  }
+
+  /**
+   * Starts stand-in target `id` again, with the same port and options.
+   *
+   * @param announcedId the id that it announces; by default the same as before
+   */
+  async restartTarget(id: string, announcedId = id): Promise<void> {
+    const { proc, ports } = this.#targetById(id);
+    const args = proc.spawnargs
+      .slice(1)
+      .map((arg) => (arg.startsWith("--id=") ? `--id=${announcedId}` : arg));
+    this.targets.set(id, await this.#launchStandIn(id, args, ports));
+  }
+
   /** Kills control replica `id` (SIGKILL). */
   async killControl(id: string): Promise<void> {
     await kill(this.#controlById(id));
@@ -365,6 +383,14 @@
     return replica;
   }
 
+  #targetById(id: string): FleetProcess {
+    const target = this.targets.get(id);
+    if (!target) {
+      throw new Error(`there is no target ${id}`);
+    }
+    return target;
+  }
+
   #sidecarById(id: string): FleetProcess {
     const sidecar = this.sidecars.get(id);
     if (!sidecar) {
@@ -404,9 +430,17 @@
       ...(t.standInArgs ?? []),
       ...(this.#opts.standInArgs?.(t.id, sidecarPorts) ?? []),
     ];
+    return this.#launchStandIn(t.id, args, { http: port });
+  }
+
+  async #launchStandIn(
+    id: string,
+    args: readonly string[],
+    ports: Record<string, number>,
+  ): Promise<FleetProcess> {
     const proc = spawn(process.execPath, args, { cwd: ROOT, stdio: ["ignore", "pipe", "inherit"] });
-    const started = this.#track({ name: t.id, proc, ports: { http: port } });
-    await waitForLine(proc, /standin ready/, t.id, join(this.dir, `${t.id}.log`));
+    const started = this.#track({ name: id, proc, ports });
+    await waitForLine(proc, /standin ready/, id, join(this.dir, `${id}.log`));
     return started;
   }
 
