Give idle targets work while a tenth of their service's requests fails

Callers saw 55 of 380 sign-offs unserved while 3 of 8 sound targets got nothing.

Cause: a suspicion that can be cleared only by traffic which it keeps away itself. One failure (a healthy target fails 1.2% of its runs) makes a target suspect; requests that can't be retried avoid it, and only a request with a retry token left may probe it. Where most work can't be retried, or tokens are spent because much fails, nobody may, and the target is idle until the evidence expires after 5 s. Ejected targets likewise.

Change: senders report the unserved share of a service's requests with each slot request; a gate whose target has begun no run for 0.6 s while that share is 0.09 or more asks recent senders for work, takes one idempotent request at a time whatever the suspicion, and after 1.3 s any. A gate that hardly anyone asks asks as well, since it can't know. Senders prefer such a target. Counted (burdockpass_work_demands_total) and logged (target wants work).

--- a/experiment/SimSidecar.ts
+++ b/experiment/SimSidecar.ts
@@ -31,6 +31,9 @@
 /** Times of a planned stop, as on the users' platform, ms. */
 const STOP_TIMES = { callersMs: 2700, endsInMs: 5300 };
 
+/** Interval at which the gate checks whether its target wants work, ms; as in the product. */
+const DEMAND_CHECK_MS = 200;
+
 /** Interval at which a planned stop checks whether all callers' requests have got responses, ms. */
 const IN_FLIGHT_CHECK_MS = 20;
 
@@ -72,6 +75,7 @@
   readonly #activeRuns: ActiveRuns;
   #inFlight = 0;
   #isReady = true;
+  #hasEnded = false;
   #gate: Gate;
   /** Number of restarts of the local target. */
   #targetRestarts = 0;
@@ -93,6 +97,7 @@
     this.policy = new AdaptivePolicy({ table: this.#table, zone, clock, random });
     this.hop = new SimHop({ sidecars, zone: vm.zone, zoneLatencyMs, clock });
     this.#dispatcher = this.#createDispatcher();
+    this.#checkDemand();
   }
 
   get vm(): SimVm {
@@ -116,6 +121,15 @@
     return this.#isReady;
   }
 
+  #checkDemand(): void {
+    if (!this.#hasEnded) {
+      this.#gate.updateDemand();
+      this.#deps.clock.after(DEMAND_CHECK_MS, () => {
+        this.#checkDemand();
+      });
+    }
+  }
+
   /** Merges membership updates into this sidecar's view. */
   mergeMembers(members: readonly ProtoTypes["Member"][]): void {
     this.#table.merge(members);
@@ -174,6 +188,7 @@
       },
     };
     await drainSidecar(parts, STOP_TIMES, clock, log);
+    this.#hasEnded = true;
   }
 
   /** The gates as a planned stop sees them: a target that restarts meanwhile has another one. */
--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -58,6 +58,8 @@
     typical: number;
     accepts_risk: number;
     body: number;
+    idempotent: boolean;
+    unserved: number;
   };
   SlotReply: {
     grant: string;
@@ -77,6 +79,7 @@
     ejected: boolean;
     probe_in: number;
     ends_in: number;
+    wants_work: boolean;
   };
   Target: {
     target_id: string;
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -49,7 +49,7 @@
 const EXPIRY_INTERVAL_MS = 60_000;
 
 /** Interval at which idle targets are looked for, ms. */
-const IDLE_CHECK_INTERVAL_MS = 500;
+const IDLE_CHECK_INTERVAL_MS = 200;
 
 /** Size of the random boot id of this process, bytes. Two incarnations of a sidecar must not have the same id. */
 const BOOT_ID_BYTES = 6;
@@ -102,6 +102,9 @@
       onHealthChange: (target, load) => {
         this.slotServer.publishLoad(target, load);
       },
+      onDemand: (service) => {
+        metrics.countWorkDemand(service);
+      },
       onTargetRestart: (target) => {
         sender.retireConnections(target);
       },
@@ -144,6 +147,7 @@
     );
     this.register(
       every(IDLE_CHECK_INTERVAL_MS, () => {
+        this.#gates.updateDemand();
         this.#gates.reportIdle();
       }),
     );
--- a/src/sidecar/admin/SidecarMetrics.ts
+++ b/src/sidecar/admin/SidecarMetrics.ts
@@ -38,6 +38,7 @@
   readonly #refusals: Counter;
   readonly #queueWait: Histogram;
   readonly #ejections: Counter;
+  readonly #workDemands: Counter;
   readonly #extraRuns: Counter;
   readonly #retriesDenied: Counter;
 
@@ -81,6 +82,12 @@
       labelNames: ["service", "change"],
       registers: [this.registry],
     });
+    this.#workDemands = new Counter({
+      name: "burdockpass_work_demands_total",
+      help: "Times that a ready target beside this sidecar was idle and asked for requests, by service.",
+      labelNames: ["service"],
+      registers: [this.registry],
+    });
     this.#extraRuns = new Counter({
       name: "burdockpass_extra_tries_total",
       help: "Requests sent to a further target, by service and cause; the retry budget bounds them.",
@@ -131,6 +138,11 @@
     this.#ejections.inc({ service, change: isEjected ? "ejected" : "readmitted" });
   }
 
+  /** Counts that an idle target has asked for requests. */
+  countWorkDemand(service: string): void {
+    this.#workDemands.inc({ service });
+  }
+
   /** Adds a gauge of this sidecar's shares of the retry budgets, with the usage in the window that ends now. */
   watchBudgets(read: () => readonly BudgetUsage[]): void {
     new Gauge({
--- a/src/sidecar/gate/Gate.test.ts
+++ b/src/sidecar/gate/Gate.test.ts
@@ -239,6 +239,48 @@
   t.is(replyTo("any"), "granted");
 });
 
+/** Requests to a suspect target that has been idle for long, while many requests of its service are not served. */
+const idleCases: readonly { name: string; isIdempotent: boolean; idleMs: number; reply: string }[] =
+  [
+    { name: "a lookup after 0.6 s", isIdempotent: true, idleMs: 600, reply: "granted" },
+    { name: "no booking after 0.6 s", isIdempotent: false, idleMs: 600, reply: "suspect" },
+    { name: "a booking after 1.3 s", isIdempotent: false, idleMs: 1300, reply: "granted" },
+  ];
+
+for (const { name, isIdempotent, idleMs, reply } of idleCases) {
+  test(`gate: a suspect target is not left without work while its service fails: ${name}`, async (t) => {
+    const detector = { ...AlwaysHealthyDetector, isSuspect: true, risk: 0.4, admits: () => false };
+    const { clock, gate, requestSlot, replyTo } = rig(2, detector);
+    await clock.advance(idleMs);
+    requestSlot("a", { isIdempotent, isRetryable: false, unservedShare: 0.15 });
+    t.is(replyTo("a"), reply);
+    requestSlot("b", { isIdempotent, isRetryable: false, unservedShare: 0.15 });
+    t.is(replyTo("b"), "suspect", "one request at a time");
+    t.is(gate.load.wantsWork, true);
+  });
+}
+
+test("gate: publishes that its target wants work until it has some", async (t) => {
+  const published: boolean[] = [];
+  const clock = new FakeClock();
+  const gate = new Gate({
+    target: () => ({ slots: 1, acceptsRequests: true }),
+    detector: AlwaysHealthyDetector,
+    clock,
+    grants: new GrantIds("b"),
+    onHealthChange: (load) => published.push(load.wantsWork),
+  });
+  for (let ms = 0; ms < 1400; ms += 200) {
+    gate.updateDemand();
+    await clock.advance(200);
+  }
+  t.deepEqual(published, [true, true], "at 0.6 s and again at 1.2 s");
+  gate.requestSlot(makeSlotRequest(), (reply) => {
+    gate.redeem(reply.kind === "granted" ? reply.grant : GrantId("none"));
+  });
+  t.deepEqual(published, [true, true, false]);
+});
+
 test("gate: refuses requests for a target that is gone", (t) => {
   const { target, requestSlot, replyTo } = rig(1);
   target.isPresent = false;
--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -11,6 +11,7 @@
 import type { GrantIds } from "./GrantIds.ts";
 import { runAllowanceMs } from "./runAllowanceMs.ts";
 import { SlotTable } from "./SlotTable.ts";
+import { WorkDemand } from "./WorkDemand.ts";
 import type { QueuedRequest } from "./QueuedRequest.ts";
 
 /** The properties of the target that the gate uses. */
@@ -31,8 +32,10 @@
    * Whether a run that began at `since` (ms) may be waiting for a nested call; if absent, runs make no nested calls.
    */
   readonly mayAwaitNestedCall?: (since: number) => boolean;
-  /** Called when the health state of the target changes: healthy, suspect or ejected. */
+  /** Called when the health state of the target changes (healthy, suspect or ejected), and when its demand for work does. */
   readonly onHealthChange?: (load: GateLoad) => void;
+  /** Called when the target begins to want work, with the estimated unserved share of its service's requests, 0 to 1. */
+  readonly onDemand?: (unservedShare: number) => void;
   /** Order in which queued requests are served; by default that of `goesBefore`. */
   readonly order?: ConstructorParameters<typeof AdmissionQueue>[0];
 }
@@ -68,6 +71,9 @@
  */
 const OVERDUE_FACTOR = 3;
 
+/** Interval at which a target's demand for work is published again while it lasts, ms. */
+const DEMAND_REPEAT_MS = 500;
+
 /** Smoothing factor of the mean service time, an exponential moving average over about the last ten runs. */
 const SERVICE_TIME_SMOOTHING = 0.1;
 
@@ -92,6 +98,9 @@
   readonly #queue: AdmissionQueue;
   readonly #slots: SlotTable;
   readonly #activity: GateActivity;
+  readonly #demand: WorkDemand;
+  /** When the demand for work was last published, by the clock, ms; undefined while there is none. */
+  #demandPublishedAt: number | undefined;
   readonly #retired = new AbortController();
   #reevaluatedAt = -Infinity;
   #serviceMs = INITIAL_SERVICE_MS;
@@ -104,6 +113,7 @@
     this.#queue = new AdmissionQueue(deps.order);
     this.#slots = new SlotTable(deps.clock);
     this.#activity = new GateActivity(deps.clock);
+    this.#demand = new WorkDemand(deps.clock);
   }
 
   /** Current load and health of the target. */
@@ -119,6 +129,7 @@
       suspect: detector.isSuspect,
       ejected: detector.isEjected,
       probeInMs: detector.probeInMs(this.#slots.probes),
+      wantsWork: this.#wantsWork,
       endsInMs: this.#shutdownAt < Infinity ? this.#shutdownAt - this.#deps.clock.now() : undefined,
     };
   }
@@ -130,6 +141,7 @@
   requestSlot(request: SlotRequest, reply: (reply: SlotReply) => void): SlotRequestHandle {
     const waiting = { request, receivedAt: this.#deps.clock.now() };
     this.#activity.recordRequest();
+    this.#demand.recordReport(request.unservedShare);
     let grant: GrantId | undefined;
     const onReply = (slotReply: SlotReply) => {
       grant = slotReply.kind === "granted" ? slotReply.grant : undefined;
@@ -177,6 +189,8 @@
     );
     if (redeemed) {
       this.#activity.recordRun();
+      this.#demand.recordStart();
+      this.updateDemand();
     }
     return redeemed;
   }
@@ -229,6 +243,26 @@
     return this.#slots.isPending(grant);
   }
 
+  /** Publishes the load when the target begins to want work, while it does, and when it no longer does. */
+  updateDemand(): void {
+    const now = this.#deps.clock.now();
+    const wantsWork = this.#wantsWork;
+    const hadDemand = this.#demandPublishedAt !== undefined;
+    const isDue = now - (this.#demandPublishedAt ?? -Infinity) >= DEMAND_REPEAT_MS;
+    if (wantsWork && !hadDemand) {
+      this.#deps.onDemand?.(this.#demand.unservedShare);
+    }
+    if (wantsWork ? isDue : hadDemand) {
+      this.#demandPublishedAt = wantsWork ? now : undefined;
+      this.#deps.onHealthChange?.(this.load);
+    }
+  }
+
+  get #wantsWork(): boolean {
+    const isOpen = this.#deps.target()?.acceptsRequests === true && this.#shutdownAt === Infinity;
+    return isOpen && this.#freeSlots > 0 && this.#demand.isActive;
+  }
+
   /** A report on the time that a ready target has been idle, when one is due; undefined otherwise. */
   takeIdleReport(): IdlePeriod | undefined {
     const isReady = this.#deps.target()?.acceptsRequests === true;
@@ -338,12 +372,19 @@
     if (this.#closed || !target.acceptsRequests || endsTooSoon) {
       return RefusalReason.Leaving;
     }
-    if (!this.#deps.detector.admits(request, this.#slots.probes)) {
+    if (!this.#admits(request)) {
       return RefusalReason.Suspect;
     }
     return waitMs > 0 && waitMs + this.#serviceMs > remainingMs ? RefusalReason.Full : undefined;
   }
 
+  /** Whether the target's health admits the request, or it has been idle for so long that any request may test it. */
+  #admits(request: SlotRequest): boolean {
+    const { probes } = this.#slots;
+    const isTest = probes === 0 && this.#demand.accepts(request.isIdempotent);
+    return isTest || this.#deps.detector.admits(request, probes);
+  }
+
   /** Time to reserve for a run before this sidecar exits, ms; at most until its deadline, when it ends anyway. */
   #runAllowanceMs(request: SlotRequest): number {
     return Math.min(
@@ -422,7 +463,7 @@
     }
     if (now + this.#runAllowanceMs(current) > this.#shutdownAt) {
       reply(this.#refuse(RefusalReason.Leaving, waiting));
-    } else if (!this.#deps.detector.admits(current, this.#slots.probes)) {
+    } else if (!this.#admits(current)) {
       reply(this.#refuse(RefusalReason.Suspect, waiting));
     } else {
       this.#queue.recordGrant(waiting, now, this.#serviceMs);
--- a/src/sidecar/gate/SlotServer.ts
+++ b/src/sidecar/gate/SlotServer.ts
@@ -28,6 +28,7 @@
     risk: 0,
     suspect: false,
     ejected: false,
+    wantsWork: false,
   },
 };
 
--- a/src/sidecar/gate/TargetGates.ts
+++ b/src/sidecar/gate/TargetGates.ts
@@ -1,4 +1,5 @@
 import type bunyan from "bunyan";
+import type { ServiceName } from "../../common/ids/ServiceName.ts";
 import type { TargetId } from "../../common/ids/TargetId.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { TargetInfo } from "../../membership/TargetInfo.ts";
@@ -17,8 +18,10 @@
   readonly grants: GrantIds;
   /** Whether a run that began at `since` (ms) may be waiting for a nested call. */
   readonly mayAwaitNestedCall?: (since: number) => boolean;
-  /** Called when the health state of a target changes. */
+  /** Called when the health state of a target or its demand for work changes. */
   readonly onHealthChange?: (target: TargetId, load: GateLoad) => void;
+  /** Called when a target of a service begins to want work. */
+  readonly onDemand?: (service: ServiceName) => void;
   /** Called when a target has restarted under its id, after the gate of its previous incarnation was retired. */
   readonly onTargetRestart?: (target: TargetInfo) => void;
 }
@@ -84,6 +87,13 @@
     }
   }
 
+  /** Publishes which targets want work: see {@link Gate.updateDemand}. */
+  updateDemand(): void {
+    for (const { gate } of this.#gates.values()) {
+      gate.updateDemand();
+    }
+  }
+
   /** Logs the ready targets that have been idle for long, with what their gates did meanwhile. */
   reportIdle(): void {
     for (const [target, { gate }] of this.#gates) {
@@ -130,6 +140,10 @@
       onHealthChange: (load) => {
         this.#deps.onHealthChange?.(id, load);
       },
+      onDemand: (unservedShare) => {
+        this.#deps.log.info({ target: id, unservedShare, load: gate.load }, "target wants work");
+        this.#deps.onDemand?.(target.service);
+      },
       clock,
       grants,
     });
--- a/src/sidecar/hop/GateLoad.ts
+++ b/src/sidecar/hop/GateLoad.ts
@@ -18,6 +18,8 @@
   readonly ejected: boolean;
   /** Time until a retryable request can probe the target's health, ms; undefined if its health is known. */
   readonly probeInMs?: number;
+  /** The target has had no new work for long although its service is failing requests. */
+  readonly wantsWork: boolean;
   /** Time until the target's sidecar exits, ms; undefined unless the sidecar is being stopped. */
   readonly endsInMs?: number;
 }
--- a/src/sidecar/hop/SlotRequest.ts
+++ b/src/sidecar/hop/SlotRequest.ts
@@ -12,10 +12,14 @@
   readonly target: TargetId;
   /** The request can be retried if it fails, so it may go to a suspect target as a probe. */
   readonly isRetryable: boolean;
+  /** The request may run more than once. */
+  readonly isIdempotent: boolean;
   /** It is a nested call: the run that makes it holds a slot at another target, and fails if the call does. */
   readonly isNestedCall: boolean;
   /** Requests are queued at the sender for lack of capacity, so a suspect target should be probed soon. */
   readonly isCongested: boolean;
+  /** Share of the service's recent requests that its sender could not get served, 0 to 1. */
+  readonly unservedShare: number;
   /** Priority of the route; 0 is the highest. */
   readonly priority: number;
   /** Time remaining for the response, ms. */
--- a/src/sidecar/hop/gateCodec.ts
+++ b/src/sidecar/hop/gateCodec.ts
@@ -44,6 +44,8 @@
       typical: Math.round(request.typicalMs),
       body: request.bodyBytes,
       accepts_risk: Math.round(request.acceptsRisk * 1000),
+      idempotent: request.isIdempotent,
+      unserved: Math.round(request.unservedShare * 1000),
     },
   }),
 
@@ -96,6 +98,8 @@
           attempt: AttemptId(request.attempt),
           target: TargetId(request.target),
           isRetryable: request.expendable,
+          isIdempotent: request.idempotent,
+          unservedShare: Math.min(1, request.unserved / 1000),
           isNestedCall: request.call,
           isCongested: request.pressed,
           priority: request.priority,
@@ -142,6 +146,7 @@
     ejected,
     probe_in: encodeOptionalMs(load.probeInMs),
     ends_in: encodeOptionalMs(load.endsInMs),
+    wants_work: load.wantsWork,
   };
 }
 
@@ -158,6 +163,7 @@
     ejected,
     probeInMs: decodeOptionalMs(encoded.probe_in),
     endsInMs: decodeOptionalMs(encoded.ends_in),
+    wantsWork: encoded.wants_work,
   };
 }
 
--- a/src/sidecar/routing/AdaptivePolicy.ts
+++ b/src/sidecar/routing/AdaptivePolicy.ts
@@ -9,12 +9,14 @@
 import { LatencyBaseline } from "../detection/LatencyBaseline.ts";
 import type { SlotReply } from "../hop/SlotReply.ts";
 import type { GateLoad } from "../hop/GateLoad.ts";
+import { UNSERVED_THRESHOLD } from "../hop/UNSERVED_THRESHOLD.ts";
 import { runAllowanceMs } from "../gate/runAllowanceMs.ts";
 import { chooseRotation } from "./chooseRotation.ts";
 import { pickByCost } from "./pickByCost.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
 import type { TargetSurvey } from "./TargetSurvey.ts";
 import { TargetViews, type TargetView } from "./TargetViews.ts";
+import { UnservedShares } from "./UnservedShares.ts";
 import { ZoneWaitEstimator } from "./ZoneWaitEstimator.ts";
 import type { PickedTarget, PickContext, RoutingPolicy, SuspectTarget } from "./RoutingPolicy.ts";
 
@@ -42,6 +44,12 @@
  */
 const PROBE_MAX_AGE_MS = 4000;
 
+/** Age up to which a gate's report that its target wants work is used, ms; it is repeated twice as often. */
+const DEMAND_MAX_AGE_MS = 1000;
+
+/** Time for which such a target is left to idempotent requests, ms. */
+const DEMAND_IDEMPOTENT_FIRST_MS = 700;
+
 /**
  * While requests of the service wait for slots, a target is probed after this share of the delay that its
  * gate asks for.
@@ -94,6 +102,7 @@
   /** Moving averages of the wait for a slot, by service name, ms. */
   readonly #averageWaits = new Map<string, number>();
   readonly #zoneWaits: ZoneWaitEstimator;
+  readonly #unservedShares: UnservedShares;
   /** Floors by service name, as of the service's last request. */
   readonly #floors = new Map<string, number>();
 
@@ -101,6 +110,7 @@
     this.#deps = deps;
     this.#views = new TargetViews(deps);
     this.#zoneWaits = new ZoneWaitEstimator(deps.clock);
+    this.#unservedShares = new UnservedShares(deps.clock);
   }
 
   pick(request: PickContext, tried: ReadonlySet<TargetId>): PickedTarget | undefined {
@@ -108,7 +118,8 @@
     const candidates = this.#candidates(snapshot, tried);
     const { random } = this.#deps;
     const probeCandidates = request.isRetryable ? this.#probeCandidates(snapshot, candidates) : [];
-    const probe = probeCandidates[Math.floor(random() * probeCandidates.length)];
+    const inNeed = [...probeCandidates, ...this.#idleCandidates(snapshot, candidates)];
+    const probe = inNeed[Math.floor(random() * inNeed.length)];
     if (probe) {
       return { target: probe.target, isProbe: true };
     }
@@ -161,6 +172,14 @@
     return (this.#averageWaits.get(service.name) ?? 0) >= CONGESTED_WAIT_MS;
   }
 
+  recordResult({ service }: RouteMatch, isServed: boolean): void {
+    this.#unservedShares.record(service.name, isServed);
+  }
+
+  unservedShare(service: string): number {
+    return this.#unservedShares.of(service);
+  }
+
   recordLoad(id: TargetId, load: GateLoad): void {
     const view = this.#views.existing(id);
     if (view) {
@@ -296,6 +315,17 @@
     });
   }
 
+  /** Reachable targets that want work: suspect ones, and all while this sidecar can't get enough requests served. */
+  #idleCandidates({ now, route }: PickSnapshot, candidates: readonly Candidate[]): Candidate[] {
+    const minMs = route.idempotent ? 0 : DEMAND_IDEMPOTENT_FIRST_MS;
+    const isFailing = this.unservedShare(route.service.name) >= UNSERVED_THRESHOLD;
+    return candidates.filter(({ view: { load, loadReceivedAt, wantsWorkSince, link } }) => {
+      const isCurrent = load?.wantsWork === true && now - loadReceivedAt < DEMAND_MAX_AGE_MS;
+      const isNeeded = isFailing || load?.suspect === true;
+      return isCurrent && isNeeded && now - wantsWorkSince >= minMs && !link.isSuspect;
+    });
+  }
+
   #rotation(targets: readonly TargetInfo[], floor: number): Set<TargetId> {
     const now = this.#deps.clock.now();
     const candidates = targets.map((target) => {
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -129,6 +129,9 @@
       ...counts,
     });
     classified?.end(isSuccess(result));
+    if (!req.disconnected.aborted) {
+      this.#deps.policy.recordResult(route, isSuccess(result));
+    }
     return result;
   }
 
--- a/src/sidecar/routing/NaivePolicy.ts
+++ b/src/sidecar/routing/NaivePolicy.ts
@@ -69,6 +69,14 @@
     // Measures no waits.
   }
 
+  recordResult(): void {
+    // Reports no unserved share.
+  }
+
+  unservedShare(): number {
+    return 0;
+  }
+
   isCongested(): boolean {
     return false;
   }
--- a/src/sidecar/routing/RoutingPolicy.ts
+++ b/src/sidecar/routing/RoutingPolicy.ts
@@ -10,7 +10,10 @@
 /** The target to send the next slot request to. */
 export interface PickedTarget {
   readonly target: TargetInfo;
-  /** The target is suspect and due for a probe, which this request can serve as since it can still be retried. */
+  /**
+   * The target is suspect and due for a probe, which this request can serve as since it can still be retried, or the
+   * target wants work.
+   */
   readonly isProbe?: boolean;
 }
 
@@ -52,6 +55,10 @@
   recordLoad(target: TargetId, load: GateLoad): void;
   /** Records that a request of `route` waited `waitedMs` for its slot. */
   recordWait(route: RouteMatch, waitedMs: number): void;
+  /** Records whether a request of `route` was served in the end. */
+  recordResult(route: RouteMatch, isServed: boolean): void;
+  /** Share of the service's recent requests that this sidecar could not get served, 0 to 1. */
+  unservedShare(service: string): number;
   /** Whether requests of the route's service currently wait in admission queues because all slots are in use. */
   isCongested(route: RouteMatch): boolean;
   /** Records that the sidecar co-located with `target` stopped responding to a slot request or during a run. */
--- a/src/sidecar/routing/SlotFinder.ts
+++ b/src/sidecar/routing/SlotFinder.ts
@@ -321,8 +321,10 @@
       objectiveMs: startedAt + objectiveMs - now,
       typicalMs: this.#deps.policy.typicalMs(route),
       isRetryable,
+      isIdempotent: route.idempotent,
       isNestedCall,
       isCongested: this.#deps.policy.isCongested(route),
+      unservedShare: this.#deps.policy.unservedShare(route.service.name),
       bodyBytes: Buffer.isBuffer(body) ? body.length : bodyLength,
       acceptsRisk: 0,
     };
--- a/src/sidecar/routing/TargetViews.ts
+++ b/src/sidecar/routing/TargetViews.ts
@@ -26,6 +26,8 @@
   readonly firstSeenAt: number;
   load: GateLoad | undefined;
   loadReceivedAt: number;
+  /** When the target was first reported to want work, ms; Infinity while it does not. */
+  wantsWorkSince: number;
   /** Requests from this sidecar that are running at the target. */
   inFlight: number;
 }
@@ -61,6 +63,7 @@
         firstSeenAt: this.#firstSeenTime(),
         load: undefined,
         loadReceivedAt: -Infinity,
+        wantsWorkSince: Infinity,
         inFlight: 0,
       };
       this.#views.set(id, view);
@@ -75,8 +78,10 @@
 
   /** Stores a load report, which replaces the previous one. */
   recordLoad(view: TargetView, load: GateLoad): void {
+    const now = this.#deps.clock.now();
     view.load = load;
-    view.loadReceivedAt = this.#deps.clock.now();
+    view.loadReceivedAt = now;
+    view.wantsWorkSince = load.wantsWork ? Math.min(view.wantsWorkSince, now) : Infinity;
   }
 
   /** Returns the last report for its health fields; undefined if it is older than {@link HEALTH_MAX_AGE_MS}. */
--- a/src/sidecar/routing/policies.test.ts
+++ b/src/sidecar/routing/policies.test.ts
@@ -168,6 +168,8 @@
         acceptsRisk,
         isCongested: false,
         isNestedCall: false,
+        isIdempotent: true,
+        unservedShare: 0,
         bodyBytes: 0,
       };
       const ticket = gate.requestSlot(slotRequest, (reply) => replies.push(reply));
@@ -473,3 +475,45 @@
     t.is(policy.pick(request, others)?.target.id === "near", isPicked);
   });
 }
+
+/** A suspect target that wants work, and the requests that are sent to it after some time. */
+const demandCases: readonly {
+  name: string;
+  idempotent: boolean;
+  afterMs: number;
+  wantsWork: boolean;
+  isPicked: boolean;
+}[] = [
+  { name: "gets a lookup", idempotent: true, afterMs: 0, wantsWork: true, isPicked: true },
+  { name: "gets no booking", idempotent: false, afterMs: 600, wantsWork: true, isPicked: false },
+  {
+    name: "gets a booking once it has waited",
+    idempotent: false,
+    afterMs: 700,
+    wantsWork: true,
+    isPicked: true,
+  },
+  {
+    name: "no longer gets any when its report is old",
+    idempotent: true,
+    afterMs: 1000,
+    wantsWork: true,
+    isPicked: false,
+  },
+  {
+    name: "gets none without that",
+    idempotent: true,
+    afterMs: 0,
+    wantsWork: false,
+    isPicked: false,
+  },
+];
+
+for (const { name, idempotent, afterMs, wantsWork, isPicked } of demandCases) {
+  test(`a suspect target that wants work ${name}`, async (t) => {
+    const { clock, policy, route } = zonesRig({ suspect: true, risk: 0.4, wantsWork });
+    await clock.advance(afterMs);
+    const request = { route: { ...route, idempotent }, isRetryable: false };
+    t.is(policy.pick(request, new Set())?.target.id === "near", isPicked);
+  });
+}
