Take a target out of use as soon as its process has ended

Callers saw part of their requests spent on targets that no longer existed.

Cause: a target counts as ready until its announcements are overdue (6 s on the users' platform).

Change: after a run without a response the sidecar checks whether anything listens at the target's address. A refused connection takes the target out of the table at once, and the change is spread; the same id may be announced again from a new process, whose sequence begins anew.

Test with real processes: a target is killed whose announcements are not overdue for 30 s.

--- a/experiment/SimFleet.ts
+++ b/experiment/SimFleet.ts
@@ -171,15 +171,16 @@
       budget: this.budget,
       sidecars: this.#sidecars,
       runAtTarget: (req) => this.#runAtTarget(vm, req),
+      isTargetDown: () => this.#targets.get(vm.name)?.isDown ?? true,
+      onTargetGone: () => {
+        this.#spreadMember(sidecar.describeMember(false));
+      },
       onHealthChange: (load) => {
         this.#recordEjection(vm, load);
         this.#broadcastLoad(vm, load);
       },
       onLeaving: () => {
-        const update = [sidecar.describeMember(true)];
-        this.#clock.after(GOSSIP_MS, () => {
-          this.#broadcast(update);
-        });
+        this.#spreadMember(sidecar.describeMember(true));
       },
       variant: this.#variant,
       clock: this.#clock,
@@ -188,6 +189,13 @@
     return sidecar;
   }
 
+  /** Delivers a membership update to all sidecars once gossip has reached them. */
+  #spreadMember(member: ProtoTypes["Member"]): void {
+    this.#clock.after(GOSSIP_MS, () => {
+      this.#broadcast([member]);
+    });
+  }
+
   #broadcast(members: readonly ProtoTypes["Member"][]): void {
     for (const sidecar of this.#sidecars.values()) {
       sidecar.mergeMembers(members);
@@ -237,10 +245,7 @@
       const sidecar = this.#sidecars.get(vm.name);
       if (sidecar) {
         sidecar.restartTarget();
-        const update = [sidecar.describeMember(false)];
-        this.#clock.after(GOSSIP_MS, () => {
-          this.#broadcast(update);
-        });
+        this.#spreadMember(sidecar.describeMember(false));
       }
     });
   }
--- a/experiment/SimSidecar.ts
+++ b/experiment/SimSidecar.ts
@@ -57,6 +57,10 @@
   readonly sidecars: ReadonlyMap<string, SimSidecar>;
   /** Runs a request at the local target. */
   readonly runAtTarget: (req: TargetRequest) => Promise<ForwardResult>;
+  /** Whether the process of the local target is down. */
+  readonly isTargetDown: () => boolean;
+  /** Called when the process of the local target is known to have ended. */
+  readonly onTargetGone: () => void;
   /** Called when the health state of the local target changes, and when a planned stop begins. */
   readonly onHealthChange: (load: GateLoad) => void;
   /** Called when the sidecar leaves the membership in a planned stop. */
@@ -77,6 +81,10 @@
   #isReady = true;
   #hasEnded = false;
   #gate: Gate;
+  /** The process of the local target is known to have ended. */
+  #isTargetGone = false;
+  /** Number of changes of the membership entry: the target has ended, or started again. */
+  #revision = 0;
   /** Number of restarts of the local target. */
   #targetRestarts = 0;
   readonly runner: TargetRunner;
@@ -112,6 +120,7 @@
   /** Replaces the gate: the target has started again. */
   restartTarget(): void {
     this.#targetRestarts += 1;
+    this.#isTargetGone = false;
     this.#gate.retire();
     this.#gate = this.#createGate();
   }
@@ -152,12 +161,12 @@
       peer_address: vm.name,
       hop_address: vm.name,
       zone: zoneOf(vm),
-      revision: this.#targetRestarts + (isGone ? 1 : 0),
+      revision: this.#revision++,
       incarnation: incarnationNumber,
       gone: isGone,
       control: false,
       stopping: false,
-      targets: isGone ? [] : [target],
+      targets: isGone || this.#isTargetGone ? [] : [target],
     };
   }
 
@@ -230,7 +239,7 @@
     const { vm, clock, onHealthChange, variant } = this.#deps;
     const rule = Service.parse({ name: "svc", detection: GRAY_DETECTION }).detection;
     return new Gate({
-      target: () => ({ slots: vm.slots, acceptsRequests: true }),
+      target: () => (this.#isTargetGone ? undefined : { slots: vm.slots, acceptsRequests: true }),
       detector: new GrayFailureDetector({ rule: () => rule, clock, log }),
       mayAwaitNestedCall: (since) => this.#activeRuns.hasOpenNestedCall(since),
       clock,
@@ -249,11 +258,23 @@
       activeRuns: this.#activeRuns,
       target: () => this.#table.target(id),
       send: (_target, req) => runAtTarget(req),
+      endedTargets: { check: () => this.#checkTarget() },
       grants: this.#grants,
       log,
     });
   }
 
+  /** Whether the target's process is down, in which case the target is no longer offered. */
+  #checkTarget(): Promise<boolean> {
+    const isDown = this.#deps.isTargetDown();
+    if (isDown && !this.#isTargetGone) {
+      this.#isTargetGone = true;
+      this.#gate.reevaluateQueue();
+      this.#deps.onTargetGone();
+    }
+    return Promise.resolve(isDown);
+  }
+
   #createDispatcher(): Dispatcher {
     const { vm, clock } = this.#deps;
     return new Dispatcher({
--- a/src/membership/LocalTargets.test.ts
+++ b/src/membership/LocalTargets.test.ts
@@ -17,6 +17,7 @@
   | { announce: string; sequence: number; url?: string; born?: number }
   | { withdraw: string; born?: number }
   | { replaced: string }
+  | { ended: string }
   | { wait: number };
 
 const cases: readonly { name: string; steps: readonly Step[]; live: readonly string[] }[] = [
@@ -42,6 +43,21 @@
     steps: [{ withdraw: "a" }, { announce: "a", sequence: 4 }],
     live: [],
   },
+  {
+    name: "target whose process has ended is not live, also after a late announcement",
+    steps: [{ announce: "a", sequence: 8 }, { ended: "a" }, { announce: "a", sequence: 9 }],
+    live: [],
+  },
+  {
+    name: "target that is started again under its id is live before it has caught up with its sequence",
+    steps: [
+      { announce: "a", sequence: 8 },
+      { ended: "a" },
+      { announce: "a", sequence: 1 },
+      { announce: "a", sequence: 2 },
+    ],
+    live: ["a"],
+  },
   {
     name: "new target at the same address replaces the old one",
     steps: [
@@ -194,6 +210,8 @@
         targets.withdraw(TargetId(step.withdraw), step.born);
       } else if ("replaced" in step) {
         targets.noteReplaced(TargetId(step.replaced));
+      } else if ("ended" in step) {
+        targets.noteEnded(TargetId(step.ended));
       } else {
         now += step.wait;
       }
--- a/src/membership/LocalTargets.ts
+++ b/src/membership/LocalTargets.ts
@@ -16,7 +16,10 @@
   announcedAt: number;
   /** Sequence number of the newest announcement of this incarnation. */
   sequence: number;
-  /** `here`: live while it announces itself in time. `replaced`: another target uses its address. `left`: it was withdrawn. */
+  /**
+   * `here`: live while it announces itself in time. `replaced`: another target uses its address, or none does. `left`: it
+   * was withdrawn.
+   */
   state: "here" | "replaced" | "left";
   /** Announcements received since it was replaced or withdrawn. */
   repeats: number;
@@ -111,6 +114,19 @@
     }
   }
 
+  /**
+   * Records that the process of target `id` has ended. A process that is started again under the same id counts its
+   * announcements anew.
+   */
+  noteEnded(id: TargetId): void {
+    const known = this.#known.get(id);
+    if (known?.state === "here") {
+      known.state = "replaced";
+      known.repeats = 0;
+      known.sequence = 0;
+    }
+  }
+
   /** The live targets. */
   live(): Target[] {
     return [...this.#known.values()]
--- a/src/membership/TargetTable.ts
+++ b/src/membership/TargetTable.ts
@@ -152,6 +152,12 @@
     this.#indexOwn();
   }
 
+  /** Records that the process of a local target has ended. */
+  noteEnded(targetId: TargetId): void {
+    this.#local.noteEnded(targetId);
+    this.#indexOwn();
+  }
+
   /** Live local targets. */
   localTargets(): TargetInfo[] {
     return this.#local.live().map((t) => toTargetInfo(t, this.#self));
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -20,6 +20,8 @@
 import type { HealthDetector } from "./detection/HealthDetector.ts";
 import { GrayFailureDetector } from "./detection/GrayFailureDetector.ts";
 import { AlwaysHealthyDetector } from "./detection/AlwaysHealthyDetector.ts";
+import { EndedTargets } from "./liveness/EndedTargets.ts";
+import { isListening } from "./liveness/isListening.ts";
 import type { Dialect } from "./dialect/Dialect.ts";
 import type { ForwardResult } from "./forwarding/ForwardResult.ts";
 import type { TargetRequest } from "./forwarding/TargetRequest.ts";
@@ -129,6 +131,15 @@
       activeRuns: this.runs,
       target: (id) => table.localTargets().find((t) => t.id === id),
       send: (target, req) => sendAtMostOnce(sender, atMostOnceRunner, target, req),
+      endedTargets: new EndedTargets({
+        isListening,
+        onEnded: (target) => {
+          sender.retireConnections(target);
+          table.noteEnded(target.id);
+          this.#onTargetsChanged();
+        },
+        log,
+      }),
       grants,
       log,
     });
--- a/src/sidecar/gate/GateServer.test.ts
+++ b/src/sidecar/gate/GateServer.test.ts
@@ -44,6 +44,7 @@
     gates: { get: () => gate },
     runs: new RunTable(SystemClock),
     activeRuns: new ActiveRuns(SystemClock),
+    endedTargets: { check: () => Promise.resolve(false) },
     target: () => makeTarget(TARGET),
     send: (_target, req) => {
       sent.push(req);
--- a/src/sidecar/gate/TargetGates.test.ts
+++ b/src/sidecar/gate/TargetGates.test.ts
@@ -44,6 +44,7 @@
     gates,
     runs: new RunTable(clock),
     activeRuns: new ActiveRuns(clock),
+    endedTargets: { check: () => Promise.resolve(false) },
     target: () => targets[0],
     send: (_target, { targetRestarted }) =>
       new Promise<ForwardResult>((resolve) => {
--- a/src/sidecar/gate/TargetRunner.test.ts
+++ b/src/sidecar/gate/TargetRunner.test.ts
@@ -37,6 +37,7 @@
     grants,
   });
   const runs = new RunTable(clock);
+  const checked: string[] = [];
   let sends = 0;
   let settle: (result: ForwardResult) => void = () => undefined;
   const runner = new TargetRunner({
@@ -48,6 +49,12 @@
       sends += 1;
       return new Promise((resolve) => (settle = resolve));
     },
+    endedTargets: {
+      check: ({ id }) => {
+        checked.push(id);
+        return Promise.resolve(true);
+      },
+    },
     grants,
     log,
   });
@@ -70,6 +77,7 @@
     requestGrant,
     activeRuns,
     reported,
+    checked,
     sends: () => sends,
     end: (result: ForwardResult) => {
       settle(result);
@@ -204,3 +212,20 @@
     ]);
   });
 }
+
+for (const { name, result, isChecked } of [
+  {
+    name: "that gets no response is a reason to check its process",
+    result: "mayHaveRun",
+    isChecked: true,
+  },
+  { name: "that it answers with an error is none", result: "failed", isChecked: false },
+] as const) {
+  test(`target runner: a run at a target ${name}`, async (t) => {
+    const { run, requestGrant, end, checked } = rig();
+    const running = run(requestGrant());
+    end(results[result]);
+    await running;
+    t.is(checked.length, isChecked ? 1 : 0);
+  });
+}
--- a/src/sidecar/gate/TargetRunner.ts
+++ b/src/sidecar/gate/TargetRunner.ts
@@ -8,6 +8,7 @@
 import { RETRY_AFTER_MS } from "../forwarding/RETRY_AFTER_MS.ts";
 import type { TargetRequest } from "../forwarding/TargetRequest.ts";
 import type { Gate } from "./Gate.ts";
+import type { EndedTargets } from "../liveness/EndedTargets.ts";
 import type { GrantIds } from "./GrantIds.ts";
 import type { ActiveRuns } from "./ActiveRuns.ts";
 import type { RunState, RunTable } from "./RunTable.ts";
@@ -30,6 +31,8 @@
   readonly target: (id: TargetId) => TargetInfo | undefined;
   /** Sends a request to the target; if it has an idempotency key, at most once under that key. */
   readonly send: (target: TargetInfo, req: TargetRequest) => Promise<ForwardResult>;
+  /** Finds out whether the process of a target has ended, after a run without a response. */
+  readonly endedTargets: Pick<EndedTargets, "check">;
   readonly grants: Pick<GrantIds, "isOwn">;
   readonly log: bunyan;
 }
@@ -111,6 +114,9 @@
     let outcome = AttemptOutcome.NoResponse;
     try {
       const result = await this.#deps.send(target, { ...req, targetRestarted: gate.retired });
+      if (result.outcome === AttemptOutcome.NoResponse && !gate.retired.aborted) {
+        await this.#deps.endedTargets.check(target);
+      }
       outcome = this.#detectorOutcome(result, activeRun, { attempt, target: target.id });
       return { ...result, calls: this.#deps.activeRuns.callMeans };
     } finally {
--- a/test/delayedRequest.test.ts
+++ b/test/delayedRequest.test.ts
@@ -45,6 +45,7 @@
     gates: { get: () => gate },
     runs: new RunTable(clock),
     activeRuns: new ActiveRuns(clock),
+    endedTargets: { check: () => Promise.resolve(false) },
     target: () => makeTarget(TARGET),
     send: async () => {
       counts.runs += 1;
--- a/test/targetCrashes.test.ts
+++ b/test/targetCrashes.test.ts
@@ -1,3 +1,5 @@
+import { readFileSync } from "node:fs";
+import { join } from "node:path";
 import test from "ava";
 import type { FleetTarget, LocalFleet } from "../scripts/LocalFleet.ts";
 import { withFleet } from "./fixtures/withFleet.ts";
@@ -16,14 +18,28 @@
 /** Share of lookups that must be served beside such kills while half of the slots are free: the stated target. */
 const MIN_SERVED = 0.99;
 
+/** Slots of each target: as many requests may be on their way to it when it is found to have ended. */
+const SLOTS = 4;
+
+const TARGETS: readonly FleetTarget[] = Array.from({ length: TARGET_COUNT }, (_, n) => ({
+  id: `avail-${n}`,
+  service: "glenbrae-availability",
+  zone: `zone-${"abc"[n % 3] ?? "a"}`,
+  slots: SLOTS,
+  workMs: WORK_MS,
+}));
+
 const sleep = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
 
-/** Sends lookups through all sidecars in turn for `LOAD_MS`; resolves with the statuses and bodies. */
-async function sendLookups(fleet: LocalFleet): Promise<{ status: number; text: string }[]> {
+/** Sends lookups through all sidecars in turn for `loadMs`; resolves with the statuses and bodies. */
+async function sendLookups(
+  fleet: LocalFleet,
+  loadMs = LOAD_MS,
+): Promise<{ status: number; text: string }[]> {
   const ports = [...fleet.sidecars.values()].map((s) => s.ports.caller ?? 0);
   const results: Promise<{ status: number; text: string }>[] = [];
   const startedAt = Date.now();
-  for (let n = 0; Date.now() - startedAt < LOAD_MS; n++) {
+  for (let n = 0; Date.now() - startedAt < loadMs; n++) {
     const url = `http://127.0.0.1:${ports[n % ports.length] ?? 0}/glenbrae/availability/depot-${n}`;
     results.push(fetch(url).then(async (res) => ({ status: res.status, text: await res.text() })));
     await sleep(startedAt + ((n + 1) * 1000) / LOOKUPS_PER_SECOND - Date.now());
@@ -31,6 +47,13 @@
   return Promise.all(results);
 }
 
+/** Number of requests that the sidecar of target `id` sent to it while nothing listened there. */
+function countRefusedConnections(fleet: LocalFleet, id: string): number {
+  const lines = readFileSync(join(fleet.dir, `sidecar-${id}.log`), "utf8").split("\n");
+  return lines.filter((l) => l.includes("connect failed: ECONNREFUSED") && l.includes("run ended"))
+    .length;
+}
+
 async function killTargetsRepeatedly(fleet: LocalFleet): Promise<void> {
   const ids = [...fleet.targets.keys()];
   const restarts: Promise<void>[] = [];
@@ -50,14 +73,7 @@
 test.serial(
   "killed targets: lookups are served by those that are up, and none is refused",
   async (t) => {
-    const targets: FleetTarget[] = Array.from({ length: TARGET_COUNT }, (_, n) => ({
-      id: `avail-${n}`,
-      service: "glenbrae-availability",
-      zone: `zone-${"abc"[n % 3] ?? "a"}`,
-      slots: 4,
-      workMs: WORK_MS,
-    }));
-    const results = await withFleet(targets, async (fleet) => {
+    const results = await withFleet(TARGETS, async (fleet) => {
       const [lookups] = await Promise.all([sendLookups(fleet), killTargetsRepeatedly(fleet)]);
       return lookups;
     });
@@ -75,3 +91,24 @@
     );
   },
 );
+
+test.serial(
+  "killed target: no more requests are sent to it than were on their way, although its announcements are not overdue",
+  async (t) => {
+    const [id] = TARGETS.map((target) => target.id);
+    const options = { sidecarSettings: { announceTimeoutMs: 2 * LOAD_MS } };
+    const refused = await withFleet(
+      TARGETS,
+      async (fleet) => {
+        const lookups = sendLookups(fleet, 6000);
+        await sleep(1000);
+        await fleet.killTarget(id ?? "");
+        await lookups;
+        return countRefusedConnections(fleet, id ?? "");
+      },
+      options,
+    );
+    t.log({ refused });
+    t.true(refused <= SLOTS);
+  },
+);
