--- a/experiment/SimSidecar.ts
+++ b/experiment/SimSidecar.ts
@@ -245,6 +245,7 @@
       clock,
       grants: this.#grants,
       onHealthChange,
+      onDemandChange: onHealthChange,
       ...variant.gate,
     });
   }
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -104,6 +104,9 @@
       onHealthChange: (target, load) => {
         this.slotServer.publishLoad(target, load);
       },
+      onDemandChange: (target, load) => {
+        this.slotServer.publishDemand(target, load);
+      },
       onDemand: (service) => {
         metrics.countWorkDemand(service);
       },
--- a/src/sidecar/gate/Gate.test.ts
+++ b/src/sidecar/gate/Gate.test.ts
@@ -268,7 +268,7 @@
     detector: AlwaysHealthyDetector,
     clock,
     grants: new GrantIds("b"),
-    onHealthChange: (load) => published.push(load.wantsWork),
+    onDemandChange: (load) => published.push(load.wantsWork),
   });
   for (let ms = 0; ms < 1400; ms += 200) {
     gate.updateDemand();
--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -32,8 +32,10 @@
    * Whether a run that began at `since` (ms) may be waiting for a nested call; if absent, runs make no nested calls.
    */
   readonly mayAwaitNestedCall?: (since: number) => boolean;
-  /** Called when the health state of the target changes (healthy, suspect or ejected), and when its demand for work does. */
+  /** Called when the health state of the target changes: healthy, suspect or ejected. */
   readonly onHealthChange?: (load: GateLoad) => void;
+  /** Called when the target begins to want work, repeatedly while it does, and when it no longer does. */
+  readonly onDemandChange?: (load: GateLoad) => void;
   /** Called when the target begins to want work, with the estimated unserved share of its service's requests, 0 to 1. */
   readonly onDemand?: (unservedShare: number) => void;
   /** Order in which queued requests are served; by default that of `goesBefore`. */
@@ -254,7 +256,7 @@
     }
     if (wantsWork ? isDue : hadDemand) {
       this.#demandPublishedAt = wantsWork ? now : undefined;
-      this.#deps.onHealthChange?.(this.load);
+      this.#deps.onDemandChange?.(this.load);
     }
   }
 
--- a/src/sidecar/gate/SlotServer.test.ts
+++ b/src/sidecar/gate/SlotServer.test.ts
@@ -134,3 +134,17 @@
   t.deepEqual(sentMessages().slice(-1), ["b: news"]);
   t.is(sentMessages().filter((message) => message.endsWith("news")).length, 1);
 });
+
+test("slot server: a target that wants work does not flood the fleet", (t) => {
+  const { server, requestSlot, sentMessages } = rig();
+  const senders = Array.from({ length: 40 }, (_, n) => `s${n}`);
+  senders.forEach((sender, n) => {
+    requestSlot(sender, n + 1);
+  });
+  server.publishDemand(TargetId("x"), { ...idleLoad, wantsWork: true });
+  const told = sentMessages().filter((message) => message.endsWith("news"));
+  t.deepEqual(
+    told,
+    senders.slice(-16).map((sender) => `${sender}: news`),
+  );
+});
--- a/src/sidecar/gate/SlotServer.ts
+++ b/src/sidecar/gate/SlotServer.ts
@@ -49,6 +49,9 @@
  */
 const MAX_SUBSCRIBERS = 128;
 
+/** Number of sidecars that are told that a target wants work: any few of them soon have a request for it. */
+const MAX_DEMAND_RECEIVERS = 16;
+
 interface SlotServerDeps {
   readonly gates: Pick<TargetGates, "get">;
   readonly metrics: Pick<SidecarMetrics, "countRefusal" | "observeQueueWait">;
@@ -109,9 +112,18 @@
 
   /** Sends the load of a target to all recent requesters. */
   publishLoad(target: TargetId, load: GateLoad): void {
+    this.#publish(target, load, MAX_SUBSCRIBERS);
+  }
+
+  /** Sends the load of a target that wants work, or no longer does, to the most recent requesters. */
+  publishDemand(target: TargetId, load: GateLoad): void {
+    this.#publish(target, load, MAX_DEMAND_RECEIVERS);
+  }
+
+  #publish(target: TargetId, load: GateLoad, maxReceivers: number): void {
     const since = this.#deps.clock.now() - SUBSCRIPTION_MS;
     const update = gateCodec.loadUpdate(target, load);
-    const recent = [...this.#subscribers].filter(([, at]) => at >= since).slice(-MAX_SUBSCRIBERS);
+    const recent = [...this.#subscribers].filter(([, at]) => at >= since).slice(-maxReceivers);
     for (const [address] of recent) {
       this.#deps.sendGateMessage(address, update);
     }
--- a/src/sidecar/gate/TargetGates.ts
+++ b/src/sidecar/gate/TargetGates.ts
@@ -18,8 +18,10 @@
   readonly grants: GrantIds;
   /** Whether a run that began at `since` (ms) may be waiting for a nested call. */
   readonly mayAwaitNestedCall?: (since: number) => boolean;
-  /** Called when the health state of a target or its demand for work changes. */
+  /** Called when the health state of a target changes. */
   readonly onHealthChange?: (target: TargetId, load: GateLoad) => void;
+  /** Called when a target's demand for work changes, and repeatedly while there is one. */
+  readonly onDemandChange?: (target: TargetId, load: GateLoad) => void;
   /** Called when a target of a service begins to want work. */
   readonly onDemand?: (service: ServiceName) => void;
   /** Called when a target has restarted under its id, after the gate of its previous incarnation was retired. */
@@ -140,6 +142,9 @@
       onHealthChange: (load) => {
         this.#deps.onHealthChange?.(id, load);
       },
+      onDemandChange: (load) => {
+        this.#deps.onDemandChange?.(id, load);
+      },
       onDemand: (unservedShare) => {
         this.#deps.log.info({ target: id, unservedShare, load: gate.load }, "target wants work");
         this.#deps.onDemand?.(target.service);
