--- a/soak/History.ts
+++ b/soak/History.ts
@@ -31,8 +31,8 @@
   readonly target: string;
   readonly service: string;
   readonly tag: string;
-  /** The request arrived, its run took effect, or it was refused without a run. */
-  readonly event: "arrived" | "ran" | "shed";
+  /** The request arrived, its run took effect, it was refused without a run, or it ended the target's process. */
+  readonly event: "arrived" | "ran" | "shed" | "crashed";
 }
 
 /** A planned stop of a process, from its first SIGTERM until its exit. */
--- a/src/standin/StandInOptions.ts
+++ b/src/standin/StandInOptions.ts
@@ -26,6 +26,8 @@
   readonly echoHeader: string;
   /** Completes a request, including its effect, after its caller disconnected. */
   readonly ignoresCancellation: boolean;
+  /** A request whose path begins with this ends the process while it runs; undefined for none. */
+  readonly crashPath: string | undefined;
   /** Path of the {@link WorkJournal} file; undefined for none. */
   readonly journalFile: string | undefined;
   /** The nested calls that the target makes during its runs; undefined for none. */
--- a/src/standin/StandInTarget.ts
+++ b/src/standin/StandInTarget.ts
@@ -275,6 +275,11 @@
         }
         return;
       }
+      if (this.#crashesOn(req)) {
+        this.#journal.record(tag, "crashed");
+        process.kill(process.pid, "SIGKILL");
+        return;
+      }
       this.#journal.record(tag, "ran");
       if (!(await this.#makeNestedCallIfNeeded(tag))) {
         sendError(res);
@@ -287,6 +292,12 @@
     }
   }
 
+  /** Whether the request is a query of death: it ends the process of every target that runs it. */
+  #crashesOn({ url = "/" }: IncomingMessage): boolean {
+    const { crashPath } = this.#opts;
+    return crashPath !== undefined && url.startsWith(crashPath);
+  }
+
   /** The reason to shed a request without running it; undefined to accept it. */
   #shedReason(): string | undefined {
     if (this.#draining) {
--- a/src/standin/WorkJournal.ts
+++ b/src/standin/WorkJournal.ts
@@ -1,7 +1,7 @@
 import { appendFileSync } from "node:fs";
 
 /** A step in a stand-in target's handling of a request. */
-type WorkEvent = "arrived" | "ran" | "shed";
+type WorkEvent = "arrived" | "ran" | "shed" | "crashed";
 
 /**
  * Records every request that reached a stand-in target and how the target handled it, from the
--- a/src/standin/main.ts
+++ b/src/standin/main.ts
@@ -20,6 +20,7 @@
     "runs-on": { type: "boolean", default: false },
     "echo-header": { type: "string", default: "x-burdockpass-request" },
     "health-lies": { type: "boolean", default: false },
+    "crash-path": { type: "string", description: "Paths of requests that end the process" },
     journal: { type: "string", description: "File that records how each request was handled" },
     "call-path": { type: "string", description: "Path of the nested calls that its runs make" },
     "call-port": { type: "string", description: "Its sidecar's port for callers" },
@@ -41,6 +42,7 @@
       netMs: Number(args["net-ms"]),
       echoHeader: args["echo-header"],
       alwaysReportsHealthy: args["health-lies"],
+      crashPath: args["crash-path"],
       journalFile: args.journal,
       nestedCalls: nestedCallsOf(args["call-path"], args["call-port"], args["call-share"]),
     });
