Log which requests were running when a target's process ended

Which of the runs of an ended target is guilty, and that requests are equal, could not be seen: each has an id of its own.

--- a/src/sidecar/gate/TargetRunner.test.ts
+++ b/src/sidecar/gate/TargetRunner.test.ts
@@ -6,6 +6,7 @@
 import { results } from "../../../test/fixtures/results.ts";
 import { AttemptId } from "../../common/ids/AttemptId.ts";
 import { GrantId } from "../../common/ids/GrantId.ts";
+import { ServiceName } from "../../common/ids/ServiceName.ts";
 import { TargetId } from "../../common/ids/TargetId.ts";
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import { AlwaysHealthyDetector } from "../detection/AlwaysHealthyDetector.ts";
@@ -22,6 +23,16 @@
 const attempt = AttemptId("a");
 const target = TargetId("x");
 
+const REQUEST: TargetRequest = {
+  method: "GET",
+  path: "/",
+  headers: [],
+  body: undefined,
+  metadata: { attempt, target, callerService: ServiceName("svc"), echoHeader: undefined },
+  deadlineAt: 0,
+  idempotent: true,
+};
+
 /** Longer than a run without a later deadline is retained, ms. */
 const RETENTION_MS = 120_000;
 
@@ -59,7 +70,7 @@
     log,
   });
   const run = (ref: GrantRef, overrides: Partial<TargetRequest> = {}) =>
-    runner.run(ref, () => ({ deadlineAt: 0, ...overrides }) as TargetRequest);
+    runner.run(ref, () => ({ ...REQUEST, ...overrides }));
   /** Requests a slot and returns its grant. */
   const requestGrant = (): GrantRef => {
     let grant = GrantId("none");
--- a/src/sidecar/gate/TargetRunner.ts
+++ b/src/sidecar/gate/TargetRunner.ts
@@ -8,6 +8,8 @@
 import { RETRY_AFTER_MS } from "../forwarding/RETRY_AFTER_MS.ts";
 import type { TargetRequest } from "../forwarding/TargetRequest.ts";
 import type { Gate } from "./Gate.ts";
+import { describeRequest } from "../quarantine/describeRequest.ts";
+import { fingerprintOf } from "../quarantine/fingerprintOf.ts";
 import type { EndedTargets } from "../liveness/EndedTargets.ts";
 import type { GrantIds } from "./GrantIds.ts";
 import type { ActiveRuns } from "./ActiveRuns.ts";
@@ -115,7 +117,10 @@
     try {
       const result = await this.#deps.send(target, { ...req, targetRestarted: gate.retired });
       if (result.outcome === AttemptOutcome.NoResponse && !gate.retired.aborted) {
-        await this.#deps.endedTargets.check(target);
+        const hasEnded = await this.#deps.endedTargets.check(target);
+        if (hasEnded && result.verdict.kind === "may-have-run") {
+          this.#logLostRun(target, req);
+        }
       }
       outcome = this.#detectorOutcome(result, activeRun, { attempt, target: target.id });
       return { ...result, calls: this.#deps.activeRuns.callMeans };
@@ -125,6 +130,17 @@
     }
   }
 
+  /** Logs a run that was in progress when the target's process ended: its request may have caused that. */
+  #logLostRun(target: TargetInfo, req: TargetRequest): void {
+    const { attempt } = req.metadata;
+    const fingerprint = fingerprintOf(target.service, req);
+    const request = describeRequest(req);
+    this.#deps.log.info(
+      { attempt, target: target.id, fingerprint, request },
+      "run lost with its target",
+    );
+  }
+
   /**
    * Outcome of a run as reported to the health detector. A run that fails or times out right after one of its nested
    * calls was not served fails because of that call. Counting it against the target would let a single gray service
--- /dev/null
+++ b/src/sidecar/quarantine/fingerprintOf.ts
@@ -0,0 +1,54 @@
+import { createHash } from "node:crypto";
+import type { Readable } from "node:stream";
+import { RequestFingerprint } from "../../common/ids/RequestFingerprint.ts";
+import type { HeaderList } from "../forwarding/HeaderList.ts";
+
+/** Length of a fingerprint, bytes: two of a billion different requests collide with a probability of 10^-21. */
+const FINGERPRINT_BYTES = 16;
+
+/** Headers that are part of what a request asks for; others, such as ids, deadlines and traces, differ between attempts. */
+const IDENTIFYING_HEADERS = new Set([
+  "host",
+  "authorization",
+  "cookie",
+  "content-type",
+  "content-encoding",
+  "accept",
+  "range",
+]);
+
+/** The parts of a request that a fingerprint covers. */
+interface FingerprintedRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: HeaderList;
+  readonly body: Buffer | Readable | undefined;
+}
+
+/**
+ * Fingerprint of a request to `service`: a truncated SHA-256 of its method, path with query, identifying headers and body.
+ * Undefined for a streamed body, which is known only once it has been sent.
+ */
+export function fingerprintOf(
+  service: string,
+  { method, path, headers, body }: FingerprintedRequest,
+): RequestFingerprint | undefined {
+  if (body !== undefined && !Buffer.isBuffer(body)) {
+    return undefined;
+  }
+  const hash = createHash("sha256");
+  hash.update(JSON.stringify([service, method, path, identifyingHeaders(headers)]));
+  hash.update(body ?? "");
+  return RequestFingerprint(hash.digest("hex").slice(0, 2 * FINGERPRINT_BYTES));
+}
+
+function identifyingHeaders(headers: HeaderList): [name: string, value: string][] {
+  const found: [string, string][] = [];
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    const name = (headers[i] ?? "").toLowerCase();
+    if (IDENTIFYING_HEADERS.has(name)) {
+      found.push([name, headers[i + 1] ?? ""]);
+    }
+  }
+  return found.sort(([a], [b]) => (a < b ? -1 : a > b ? 1 : 0));
+}
