--- a/src/sidecar/quarantine/fingerprintOf.test.ts
+++ b/src/sidecar/quarantine/fingerprintOf.test.ts
@@ -41,6 +41,13 @@
   });
 }
 
+test("fingerprint: the address of the sidecar that gets the request makes no difference", (t) => {
+  const [first, ...others] = ["10.0.0.1:7080", "10.0.0.2:7080", "[::1]:7080"].map((host) =>
+    fingerprintOf("bookings", { ...request, headers: ["Host", host] }),
+  );
+  t.true(others.every((fingerprint) => fingerprint === first));
+});
+
 test("fingerprint: requests to two services are never equal", (t) => {
   t.not(fingerprintOf("bookings", request), fingerprintOf("lookups", request));
 });
--- a/src/sidecar/quarantine/fingerprintOf.ts
+++ b/src/sidecar/quarantine/fingerprintOf.ts
@@ -1,4 +1,5 @@
 import { createHash } from "node:crypto";
+import { isIP } from "node:net";
 import type { Readable } from "node:stream";
 import { RequestFingerprint } from "../../common/ids/RequestFingerprint.ts";
 import type { HeaderList } from "../forwarding/HeaderList.ts";
@@ -42,12 +43,19 @@
   return RequestFingerprint(hash.digest("hex").slice(0, 2 * FINGERPRINT_BYTES));
 }
 
+/** Whether a `Host` header holds an IP address: that of the sidecar, which differs between equal requests. */
+function isAddress(host: string): boolean {
+  const [, bracketed, plain = ""] = /^(?:\[(.*)\]|([^:]*))(?::\d+)?$/.exec(host) ?? [];
+  return isIP(bracketed ?? plain) !== 0;
+}
+
 function identifyingHeaders(headers: HeaderList): [name: string, value: string][] {
   const found: [string, string][] = [];
   for (let i = 0; i + 1 < headers.length; i += 2) {
     const name = (headers[i] ?? "").toLowerCase();
-    if (IDENTIFYING_HEADERS.has(name)) {
-      found.push([name, headers[i + 1] ?? ""]);
+    const value = headers[i + 1] ?? "";
+    if (IDENTIFYING_HEADERS.has(name) && !(name === "host" && isAddress(value))) {
+      found.push([name, value]);
     }
   }
   return found.sort(([a], [b]) => (a < b ? -1 : a > b ? 1 : 0));
