Spread evidence about requests that crash their targets with the gossip

What one sidecar knows of a request that has ended its target must be with all others within a second or two, with those that join or were cut off, too; suspects only.

A piece of evidence is a run that was lost with its target, or the end of a suspicion. Times are sent as ages. Control replicas pass them on.

--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -108,8 +108,19 @@
     checksum: number;
     config_version: number;
     known: number[];
+    evidence: ProtoTypes["CrashEvidence"][];
+    known_evidence: number[];
+  };
+  Members: { members: ProtoTypes["Member"][]; evidence: ProtoTypes["CrashEvidence"][] };
+  CrashEvidence: {
+    fingerprint: Buffer;
+    age_ms: number;
+    cleared_by: string;
+    service: string;
+    request: string;
+    target: string;
+    ran_ms: number;
   };
-  Members: { members: ProtoTypes["Member"][] };
   Record: {
     state: string;
     attempt: string;
--- a/src/control/ControlRole.ts
+++ b/src/control/ControlRole.ts
@@ -13,6 +13,7 @@
 import type { ControlSettings } from "../common/settings/ControlSettings.ts";
 import { renderMetrics } from "../common/telemetry/renderMetrics.ts";
 import { DatagramLink } from "../membership/DatagramLink.ts";
+import { EvidenceStore } from "../membership/evidence/EvidenceStore.ts";
 import { logMemberUpdates } from "../membership/logMemberUpdates.ts";
 import { Membership } from "../membership/Membership.ts";
 import { NetworkPeers } from "../membership/NetworkPeers.ts";
@@ -173,6 +174,8 @@
     const table = new TargetTable(self, () => SystemClock.now());
     return this.register(
       new Membership({
+        // Control replicas run no requests, but pass evidence on, and members may join through them.
+        evidence: new EvidenceStore(SystemClock),
         table,
         peers,
         seeds: () => this.#cfg.seeds,
--- a/src/membership/DatagramLink.test.ts
+++ b/src/membership/DatagramLink.test.ts
@@ -2,7 +2,15 @@
 import { FakeClock } from "../../test/fixtures/FakeClock.ts";
 import { DatagramLink } from "./DatagramLink.ts";
 
-const gossip = { sender: "a", members: [], checksum: 0, config_version: 0, known: [] };
+const gossip = {
+  sender: "a",
+  members: [],
+  checksum: 0,
+  config_version: 0,
+  known: [],
+  evidence: [],
+  known_evidence: [],
+};
 
 /** A link on a free port whose handlers reply with no membership updates. */
 const open = async () => {
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -3,6 +3,9 @@
 import { every } from "../common/lifecycle/every.ts";
 import type { Timer } from "../common/lifecycle/Timer.ts";
 import type { ProtoTypes } from "../common/rpc/ProtoTypes.ts";
+import type { CrashEvidence } from "./evidence/CrashEvidence.ts";
+import { EvidenceGossip } from "./evidence/EvidenceGossip.ts";
+import type { EvidenceStore } from "./evidence/EvidenceStore.ts";
 import type { MembershipPeers } from "./MembershipPeers.ts";
 import { RumorQueue, type Distance } from "./RumorQueue.ts";
 import { sampleOf } from "./sampleOf.ts";
@@ -11,6 +14,7 @@
 
 type Member = ProtoTypes["Member"];
 type GossipMessage = ProtoTypes["News"];
+type View = ProtoTypes["Members"];
 
 /** Number of members probed each round. */
 const FANOUT = 2;
@@ -73,6 +77,8 @@
   /** Current addresses of members to join through, host:port. */
   readonly seeds: () => readonly string[];
   readonly documents: DocumentVersions;
+  /** The crash evidence that is spread with the gossip. */
+  readonly evidence: EvidenceStore;
   readonly clock: Clock;
   /** Returns a number in [0, 1); seeded in tests. */
   readonly random: () => number;
@@ -90,6 +96,7 @@
 export class Membership extends Disposable {
   readonly #deps: MembershipDeps;
   readonly #rumors = new RumorQueue();
+  readonly #evidence: EvidenceGossip;
   /** Times at which members became suspect, by id. */
   readonly #suspects = new Map<string, number>();
   /** Ids of the members whose probes are in flight. */
@@ -111,6 +118,16 @@
   constructor(deps: MembershipDeps) {
     super();
     this.#deps = deps;
+    const { evidence: store, clock, random } = deps;
+    this.#evidence = new EvidenceGossip({
+      store,
+      clock,
+      random,
+      others: () => this.#otherCounts,
+      onNews: () => {
+        this.#scheduleEarlyRound();
+      },
+    });
     this.register({
       dispose: () => {
         this.#earlyRoundTimer?.cancel();
@@ -132,6 +149,11 @@
     }
   }
 
+  /** Spreads crash evidence that this member has found. */
+  addEvidence(evidence: CrashEvidence): void {
+    this.#evidence.add(evidence);
+  }
+
   /** Spreads that this member is being stopped. */
   beginStop(): void {
     this.#deps.table.beginStop();
@@ -168,7 +190,9 @@
     }
     const known = gossip.members.flatMap((m, index) => (fresh.has(m.sidecar_id) ? [] : [index]));
     const theirs = new Set(gossip.members.map((m) => m.sidecar_id));
-    return this.#message(this.#entriesToSend(stale, theirs), known);
+    const known_evidence = this.#evidence.receive(gossip.evidence);
+    const evidence = this.#evidence.take(gossip.evidence);
+    return this.#message(this.#entriesToSend(stale, theirs), { known, evidence, known_evidence });
   }
 
   /** Returns local entries where this member's view differs from the view with these digests. */
@@ -178,9 +202,10 @@
   }
 
   /** Merges another member's whole view; returns the view of this member. */
-  onSync(members: readonly Member[]): Member[] {
+  onSync({ members, evidence }: View): View {
     this.#spread(this.#deps.table.merge(members));
-    return this.#deps.table.entries();
+    this.#evidence.receive(evidence);
+    return this.#view;
   }
 
   /** Probes the member at `address` on behalf of another member; rejects when it does not reply. */
@@ -194,13 +219,18 @@
    * @param corrections ids of entries of which the member has an older version, sent before any rumors
    */
   async #exchange(address: string, corrections: string[] = []): Promise<GossipMessage> {
-    const sent = this.#message(this.#entriesToSend(corrections));
+    const evidence = this.#evidence.take();
+    const sent = this.#message(this.#entriesToSend(corrections), { evidence });
     const reply = await this.#deps.peers.exchange(address, sent);
     this.#applyGossip(reply);
     const distance = this.#distanceOf(reply.sender);
     for (const index of reply.known) {
       this.#rumors.noteKnown(sent.members[index]?.sidecar_id ?? "", distance);
     }
+    for (const index of reply.known_evidence) {
+      this.#evidence.noteKnown(evidence[index], distance);
+    }
+    this.#evidence.receive(reply.evidence);
     return reply;
   }
 
@@ -231,7 +261,8 @@
   async #tryJoin(address: string): Promise<void> {
     const { table, peers } = this.#deps;
     try {
-      const members = await peers.sync(address, table.entries());
+      const { members, evidence } = await peers.sync(address, this.#view);
+      this.#evidence.receive(evidence);
       const isJoining = table.memberCount === 1;
       const fresh = table.merge(members);
       if (isJoining) {
@@ -392,10 +423,28 @@
     return seeds().filter((s) => s !== table.selfAddress && !live.has(s));
   }
 
-  #message(members: Member[], known: number[] = []): GossipMessage {
+  #message(
+    members: Member[],
+    {
+      known = [],
+      evidence = [],
+      known_evidence = [],
+    }: Partial<Pick<GossipMessage, "known" | "evidence" | "known_evidence">> = {},
+  ): GossipMessage {
     const { table, documents } = this.#deps;
     const { selfId: sender, checksum } = table;
-    return { sender, members, checksum, config_version: documents.version, known };
+    const config_version = documents.version;
+    return { sender, members, checksum, config_version, known, evidence, known_evidence };
+  }
+
+  /** This member's whole view. */
+  get #view(): View {
+    return { members: this.#deps.table.entries(), evidence: this.#evidence.all() };
+  }
+
+  get #otherCounts(): Record<Distance, number> {
+    const { near, far } = this.#liveByDistance;
+    return { near: near.length, far: far.length };
   }
 
   /** Entries to send now: `first`, and rumors that the receiver is not `known` to have. */
@@ -420,8 +469,7 @@
   }
 
   #queueRumor(id: string): void {
-    const { near, far } = this.#liveByDistance;
-    this.#rumors.add(id, { near: near.length, far: far.length });
+    this.#rumors.add(id, this.#otherCounts);
     this.#scheduleEarlyRound();
   }
 
--- a/src/membership/MembershipPeers.ts
+++ b/src/membership/MembershipPeers.ts
@@ -7,8 +7,8 @@
   exchange(address: string, gossip: ProtoTypes["News"]): Promise<ProtoTypes["News"]>;
   /** Returns the entries in which the view of the member at `address` differs from a view with these digests. */
   compare(address: string, digests: readonly number[]): Promise<ProtoTypes["News"]>;
-  /** Exchanges whole views: sends `members`, and returns the view of the member at `address`. */
-  sync(address: string, members: ProtoTypes["Member"][]): Promise<ProtoTypes["Member"][]>;
+  /** Exchanges whole views: sends `view`, and returns the view of the member at `address`. */
+  sync(address: string, view: ProtoTypes["Members"]): Promise<ProtoTypes["Members"]>;
   /** Asks the member at `address` to probe the member at `target`; rejects unless both reply. */
   probe(address: string, target: string): Promise<void>;
   /** Fetches the document updates after `version` from the member at `address`. */
--- a/src/membership/NetworkPeers.ts
+++ b/src/membership/NetworkPeers.ts
@@ -41,11 +41,10 @@
     return this.#link.probeFor(address, target);
   }
 
-  async sync(address: string, members: ProtoTypes["Member"][]): Promise<ProtoTypes["Member"][]> {
-    const reply = await this.#clients
+  sync(address: string, view: ProtoTypes["Members"]): Promise<ProtoTypes["Members"]> {
+    return this.#clients
       .get(address)
-      .call((client) => callUnary(client.Sync.bind(client), { members }, SYNC_TIMEOUT_MS));
-    return reply.members;
+      .call((client) => callUnary(client.Sync.bind(client), view, SYNC_TIMEOUT_MS));
   }
 
   async config(address: string, version: number): Promise<readonly DocumentUpdate[]> {
--- a/src/membership/peerHandlers.ts
+++ b/src/membership/peerHandlers.ts
@@ -10,7 +10,7 @@
   source: Pick<ConfigSource, "since">,
 ): grpc.UntypedServiceImplementation {
   const sync: grpc.handleUnaryCall<ProtoTypes["Members"], ProtoTypes["Members"]> = (call, cb) => {
-    cb(null, { members: membership.onSync(call.request.members) });
+    cb(null, membership.onSync(call.request));
   };
   const config: grpc.handleUnaryCall<ProtoTypes["WatchRequest"], ProtoTypes["ConfigVersions"]> = (
     call,
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -19,6 +19,7 @@
 import { PeerClients } from "../membership/PeerClients.ts";
 import { peerHandlers } from "../membership/peerHandlers.ts";
 import { TargetTable } from "../membership/TargetTable.ts";
+import { EvidenceStore } from "../membership/evidence/EvidenceStore.ts";
 import { AdminServer } from "./admin/AdminServer.ts";
 import { SidecarMetrics } from "./admin/SidecarMetrics.ts";
 import type { TrafficKind } from "./admin/TrafficKind.ts";
@@ -160,6 +161,7 @@
     const catchUp = { peers, config: configFollower, clock: SystemClock, log: this.#log };
     const membership = this.register(
       new Membership({
+        evidence: new EvidenceStore(SystemClock),
         table,
         peers,
         seeds: () => this.#cfg.seeds,
--- a/test/slowLink.test.ts
+++ b/test/slowLink.test.ts
@@ -167,7 +167,7 @@
   let hasJoined = false;
   // Like a member that knows no others, calls the seed every second, whether or not the previous call has ended.
   await eventually(async () => {
-    void peers.sync(seed, []).then(
+    void peers.sync(seed, { members: [], evidence: [] }).then(
       () => (hasJoined = true),
       () => undefined,
     );
