Quarantine requests that crash every target that runs them

Callers of a service saw a quarter to a half of their requests fail while one request, 2.5 copies a second, ended 18 to 26 of its targets.

Cause: nothing knew of such a request. Each copy has an id of its own; a run that ends with its target counted as a failure of the target, and was retried at the next.

Change, in a module of its own (src/sidecar/quarantine): - Blame: runs in progress when the target's process ended (its address refuses connections); neither a lost connection nor a target that leaves counts. Crashes count as independent if each run began after the one before was lost, so a rack that is killed counts once; a run that completes refutes all; crashes that a blocked request explains no longer count against those that ran beside it. - From the first crash on one copy at a time is in progress at each sidecar, and none is hedged; after the second none is retried; after the third it is blocked for 5 minutes, doubled by each later crash: refused at once as not run (503), also while queued, and once more beside the target, whatever the sender knows. - Fingerprints are computed only while something is under suspicion. - One log line and a counter at suspicion, block, refusal and release; /status lists suspects; POST /v1/quarantine/release lifts one in the whole fleet.

--- a/experiment/SimFleet.ts
+++ b/experiment/SimFleet.ts
@@ -179,6 +179,11 @@
         this.#recordEjection(vm, load);
         this.#broadcastLoad(vm, load);
       },
+      onEvidence: (evidence) => {
+        this.#clock.after(GOSSIP_MS, () => {
+          this.#sidecars.forEach((s) => s.evidence.add(evidence));
+        });
+      },
       onLeaving: () => {
         this.#spreadMember(sidecar.describeMember(true));
       },
--- a/experiment/SimSidecar.ts
+++ b/experiment/SimSidecar.ts
@@ -5,6 +5,10 @@
 import { ZoneName } from "../src/common/ids/ZoneName.ts";
 import { Service } from "../src/common/document/Service.ts";
 import type { ProtoTypes } from "../src/common/rpc/ProtoTypes.ts";
+import type { CrashEvidence } from "../src/membership/evidence/CrashEvidence.ts";
+import { EvidenceStore } from "../src/membership/evidence/EvidenceStore.ts";
+import { Quarantine } from "../src/sidecar/quarantine/Quarantine.ts";
+import { RunGuard } from "../src/sidecar/quarantine/RunGuard.ts";
 import { TargetTable } from "../src/membership/TargetTable.ts";
 import { GrayFailureDetector } from "../src/sidecar/detection/GrayFailureDetector.ts";
 import { drainSidecar, type DrainedParts } from "../src/sidecar/drainSidecar.ts";
@@ -63,6 +67,8 @@
   readonly onTargetGone: () => void;
   /** Called when the health state of the local target changes, and when a planned stop begins. */
   readonly onHealthChange: (load: GateLoad) => void;
+  /** Called with crash evidence that the sidecar has found, for all others. */
+  readonly onEvidence: (evidence: CrashEvidence) => void;
   /** Called when the sidecar leaves the membership in a planned stop. */
   readonly onLeaving: () => void;
   readonly variant: Variant;
@@ -89,6 +95,8 @@
   #targetRestarts = 0;
   readonly runner: TargetRunner;
   readonly budgets: RetryBudgets;
+  readonly evidence: EvidenceStore;
+  readonly quarantine: Quarantine;
   readonly policy: AdaptivePolicy;
   readonly hop: SimHop;
 
@@ -99,6 +107,17 @@
     this.#grants = new GrantIds(String(deps.incarnationNumber));
     this.#table = this.#createTable();
     this.#activeRuns = new ActiveRuns(clock);
+    this.evidence = new EvidenceStore(clock);
+    this.quarantine = new Quarantine({
+      store: this.evidence,
+      spread: (evidence) => {
+        if (this.evidence.add(evidence)) {
+          deps.onEvidence(evidence);
+        }
+      },
+      clock,
+      log,
+    });
     this.budgets = this.#createBudgets();
     this.#gate = this.#createGate();
     this.runner = this.#createRunner();
@@ -259,7 +278,14 @@
       activeRuns: this.#activeRuns,
       target: () => this.#table.target(id),
       send: (_target, req) => runAtTarget(req),
-      endedTargets: { check: () => this.#checkTarget() },
+      guard: new RunGuard({
+        quarantine: this.quarantine,
+        endedTargets: { check: () => this.#checkTarget() },
+        target: (targetId) => this.#table.target(targetId),
+        clock,
+        log,
+      }),
+      clock,
       grants: this.#grants,
       log,
     });
@@ -283,6 +309,7 @@
       hop: this.hop,
       callerService: vm.service,
       budgets: this.budgets,
+      quarantine: this.quarantine,
       borrower: this.#createTokenBorrower(),
       classifier: new TrafficClassifier({ runs: this.#activeRuns, log }),
       clock,
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -20,6 +20,7 @@
 import { peerHandlers } from "../membership/peerHandlers.ts";
 import { TargetTable } from "../membership/TargetTable.ts";
 import { EvidenceStore } from "../membership/evidence/EvidenceStore.ts";
+import { Quarantine } from "./quarantine/Quarantine.ts";
 import { AdminServer } from "./admin/AdminServer.ts";
 import { SidecarMetrics } from "./admin/SidecarMetrics.ts";
 import type { TrafficKind } from "./admin/TrafficKind.ts";
@@ -90,6 +91,7 @@
   readonly hop: HopLink;
   readonly classifier: TrafficClassifier;
   readonly metrics: SidecarMetrics;
+  readonly quarantine: Quarantine;
 }
 
 /**
@@ -159,9 +161,10 @@
     };
     const peers = new NetworkPeers(clients, link);
     const catchUp = { peers, config: configFollower, clock: SystemClock, log: this.#log };
+    const evidence = new EvidenceStore(SystemClock);
     const membership = this.register(
       new Membership({
-        evidence: new EvidenceStore(SystemClock),
+        evidence,
         table,
         peers,
         seeds: () => this.#cfg.seeds,
@@ -171,8 +174,20 @@
         onMemberUpdates: logMemberUpdates(this.#log),
       }),
     );
+    const quarantine = new Quarantine({
+      store: evidence,
+      spread: (found) => {
+        membership.addEvidence(found);
+      },
+      clock: SystemClock,
+      log: this.#log,
+      onEvent: (event) => {
+        metrics.countQuarantine(event);
+      },
+    });
     const targetSide = this.register(
       new TargetSide({
+        quarantine,
         cfg,
         table,
         membership,
@@ -237,6 +252,7 @@
       metrics,
       budgets,
       borrower,
+      quarantine,
     });
     const splitSampler = new SplitSampler(Math.random);
     caller.server = new CallerServer({
@@ -258,7 +274,11 @@
     const admin = new AdminServer({
       announcements: targetSide,
       metrics,
-      status: () => this.#status(table, configFollower, policy, targetSide),
+      status: () => ({
+        ...this.#status(table, configFollower, policy, targetSide),
+        quarantine: quarantine.describe(),
+      }),
+      quarantine,
       isReady: () => this.isReady,
       log: this.#log,
     });
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -20,6 +20,8 @@
 import type { HealthDetector } from "./detection/HealthDetector.ts";
 import { GrayFailureDetector } from "./detection/GrayFailureDetector.ts";
 import { AlwaysHealthyDetector } from "./detection/AlwaysHealthyDetector.ts";
+import type { Quarantine } from "./quarantine/Quarantine.ts";
+import { RunGuard } from "./quarantine/RunGuard.ts";
 import { EndedTargets } from "./liveness/EndedTargets.ts";
 import { isListening } from "./liveness/isListening.ts";
 import type { Dialect } from "./dialect/Dialect.ts";
@@ -68,6 +70,8 @@
   readonly dialect: Dialect;
   readonly tracing: Tracing;
   readonly metrics: SidecarMetrics;
+  /** Knows the requests that crash the targets that run them. */
+  readonly quarantine: Quarantine;
   /** Sends a datagram, which may be lost. */
   readonly sendGateMessage: (address: string, message: ProtoTypes["GateMessage"]) => void;
   readonly clock: Clock;
@@ -134,15 +138,8 @@
       activeRuns: this.runs,
       target: (id) => table.localTargets().find((t) => t.id === id),
       send: (target, req) => sendAtMostOnce(sender, atMostOnceRunner, target, req),
-      endedTargets: new EndedTargets({
-        isListening,
-        onEnded: (target) => {
-          sender.retireConnections(target);
-          table.noteEnded(target.id);
-          this.#onTargetsChanged();
-        },
-        log,
-      }),
+      guard: this.#createGuard(sender),
+      clock,
       grants,
       log,
     });
@@ -261,6 +258,21 @@
     });
   }
 
+  #createGuard(sender: TargetSender): RunGuard {
+    const { quarantine, table, clock, log } = this.#deps;
+    const endedTargets = new EndedTargets({
+      isListening,
+      onEnded: (target) => {
+        sender.retireConnections(target);
+        table.noteEnded(target.id);
+        this.#onTargetsChanged();
+      },
+      log,
+    });
+    const target = (id: TargetId) => table.localTargets().find((t) => t.id === id);
+    return new RunGuard({ quarantine, endedTargets, target, clock, log });
+  }
+
   #createRecords(): RunRecords {
     const { cfg, clock } = this.#deps;
     const path = cfg.dataDir && join(cfg.dataDir, RECORDS_FILE);
--- a/src/sidecar/admin/AdminServer.ts
+++ b/src/sidecar/admin/AdminServer.ts
@@ -4,9 +4,11 @@
 import { readJson } from "../../common/http/readJson.ts";
 import { sendJson } from "../../common/http/sendJson.ts";
 import { TargetId } from "../../common/ids/TargetId.ts";
+import { RequestFingerprint } from "../../common/ids/RequestFingerprint.ts";
 import { renderMetrics } from "../../common/telemetry/renderMetrics.ts";
 import { TargetState } from "../../membership/TargetState.ts";
 import type { TargetAnnouncements } from "../TargetAnnouncements.ts";
+import type { Quarantine } from "../quarantine/Quarantine.ts";
 import type { SidecarMetrics } from "./SidecarMetrics.ts";
 
 /** Body of `POST /v1/announce`. */
@@ -30,6 +32,9 @@
   born: z.number().int().min(0).default(0),
 });
 
+/** Body of `POST /v1/quarantine/release`. */
+const Release = z.strictObject({ fingerprint: z.string().min(1) });
+
 /** Maximum size of a request body, bytes; announcements have a few hundred. */
 const MAX_BODY_BYTES = 16 * 1024;
 
@@ -37,6 +42,8 @@
   readonly announcements: TargetAnnouncements;
   readonly metrics: SidecarMetrics;
   readonly status: () => Record<string, unknown>;
+  /** Lifts the suspicion that a request crashes its targets. */
+  readonly quarantine: Pick<Quarantine, "release">;
   /** Whether callers may be routed to this sidecar. */
   readonly isReady: () => boolean;
   readonly log: bunyan;
@@ -44,7 +51,8 @@
 
 /**
  * The sidecar's admin HTTP server. Local targets announce themselves (`POST /v1/announce`, repeated as
- * a heartbeat) and withdraw before they exit (`POST /v1/withdraw`), Prometheus scrapes `/metrics`, load
+ * a heartbeat) and withdraw before they exit (`POST /v1/withdraw`), operators release quarantined requests
+ * (`POST /v1/quarantine/release`), Prometheus scrapes `/metrics`, load
  * balancers check `/ready`, and the CLI reads `/status`.
  */
 export class AdminServer {
@@ -69,6 +77,9 @@
       case "POST /v1/withdraw":
         await this.#withdraw(req, res);
         return;
+      case "POST /v1/quarantine/release":
+        await this.#release(req, res);
+        return;
       case "GET /metrics": {
         const { registry } = this.#deps.metrics;
         res.setHeader("content-type", registry.contentType);
@@ -104,6 +115,18 @@
     res.writeHead(204).end();
   }
 
+  /** Releases a quarantined request in the whole fleet; 404 if it is not under suspicion here. */
+  async #release(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const parsed = await parse(req, Release);
+    if (!parsed.ok) {
+      sendJson(res, 400, { error: parsed.error });
+      return;
+    }
+    const { fingerprint } = parsed.value;
+    const released = this.#deps.quarantine.release(RequestFingerprint(fingerprint));
+    sendJson(res, released ? 200 : 404, { released });
+  }
+
   async #withdraw(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const parsed = await parse(req, Withdrawal);
     if (!parsed.ok) {
--- a/src/sidecar/admin/SidecarMetrics.ts
+++ b/src/sidecar/admin/SidecarMetrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { QuarantineEvent } from "../quarantine/QuarantineEvent.ts";
 import type { TrafficKind } from "./TrafficKind.ts";
 
 /** Buckets for added latency, seconds. They are fine below 2 ms, the users' limit for the latency that a sidecar adds. */
@@ -39,6 +40,7 @@
   readonly #queueWait: Histogram;
   readonly #ejections: Counter;
   readonly #workDemands: Counter;
+  readonly #quarantine: Counter;
   readonly #extraRuns: Counter;
   readonly #retriesDenied: Counter;
 
@@ -88,6 +90,12 @@
       labelNames: ["service"],
       registers: [this.registry],
     });
+    this.#quarantine = new Counter({
+      name: "burdockpass_quarantine_total",
+      help: "Requests found to crash their targets: crashes counted, blocks, refusals, suspicions lifted.",
+      labelNames: ["event"],
+      registers: [this.registry],
+    });
     this.#extraRuns = new Counter({
       name: "burdockpass_extra_tries_total",
       help: "Requests sent to a further target, by service and cause; the retry budget bounds them.",
@@ -143,6 +151,11 @@
     this.#workDemands.inc({ service });
   }
 
+  /** Counts what happened to the suspicion that a request crashes its targets. */
+  countQuarantine(event: QuarantineEvent): void {
+    this.#quarantine.inc({ event });
+  }
+
   /** Adds a gauge of this sidecar's shares of the retry budgets, with the usage in the window that ends now. */
   watchBudgets(read: () => readonly BudgetUsage[]): void {
     new Gauge({
--- a/src/sidecar/forwarding/ForwardResult.ts
+++ b/src/sidecar/forwarding/ForwardResult.ts
@@ -9,6 +9,8 @@
   readonly outcome: AttemptOutcome;
   /** Mean number of nested calls per run at the target, by service; undefined if its sidecar did not report them. */
   readonly calls?: MeanNestedCalls;
+  /** The target's process has ended during the run. */
+  readonly targetEnded?: boolean;
 }
 
 /** Result of one attempt at one target: the verdict, and the response if the verdict is `done`. */
--- a/src/sidecar/gate/TargetRunner.ts
+++ b/src/sidecar/gate/TargetRunner.ts
@@ -1,5 +1,6 @@
 import type bunyan from "bunyan";
 import type { AttemptId } from "../../common/ids/AttemptId.ts";
+import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { GrantId } from "../../common/ids/GrantId.ts";
 import type { TargetId } from "../../common/ids/TargetId.ts";
 import type { TargetInfo } from "../../membership/TargetInfo.ts";
@@ -8,9 +9,7 @@
 import { RETRY_AFTER_MS } from "../forwarding/RETRY_AFTER_MS.ts";
 import type { TargetRequest } from "../forwarding/TargetRequest.ts";
 import type { Gate } from "./Gate.ts";
-import { describeRequest } from "../quarantine/describeRequest.ts";
-import { fingerprintOf } from "../quarantine/fingerprintOf.ts";
-import type { EndedTargets } from "../liveness/EndedTargets.ts";
+import type { RunGuard } from "../quarantine/RunGuard.ts";
 import type { GrantIds } from "./GrantIds.ts";
 import type { ActiveRuns } from "./ActiveRuns.ts";
 import type { RunState, RunTable } from "./RunTable.ts";
@@ -33,9 +32,9 @@
   readonly target: (id: TargetId) => TargetInfo | undefined;
   /** Sends a request to the target; if it has an idempotency key, at most once under that key. */
   readonly send: (target: TargetInfo, req: TargetRequest) => Promise<ForwardResult>;
-  /** Finds out whether the process of a target has ended, after a run without a response. */
-  readonly endedTargets: Pick<EndedTargets, "check">;
+  readonly guard: Pick<RunGuard, "refuse" | "examine">;
   readonly grants: Pick<GrantIds, "isOwn">;
+  readonly clock: Clock;
   readonly log: bunyan;
 }
 
@@ -64,10 +63,16 @@
   run(ref: GrantRef, makeRequest: () => TargetRequest): Promise<ForwardResult> {
     const target = this.#deps.target(ref.target);
     const gate = this.#deps.gates.get(ref.target);
-    if (!target || !gate?.redeem(ref.grant)) {
+    if (!target || !gate?.isPending(ref.grant)) {
       return this.outcomeOf(ref);
     }
     const req = makeRequest();
+    const refusal = this.#deps.guard.refuse(target, req);
+    if (refusal) {
+      gate.revoke(ref.grant);
+      return Promise.resolve(refusal);
+    }
+    gate.redeem(ref.grant);
     const run = this.#send(gate, ref, target, req);
     this.#deps.runs.track(ref.grant, run, req.deadlineAt);
     return run;
@@ -112,35 +117,22 @@
     target: TargetInfo,
     req: TargetRequest,
   ): Promise<ForwardResult> {
-    const activeRun = this.#deps.activeRuns.begin();
+    const { activeRuns, clock, guard } = this.#deps;
+    const activeRun = activeRuns.begin();
+    const startedAt = clock.now();
     let outcome = AttemptOutcome.NoResponse;
     try {
-      const result = await this.#deps.send(target, { ...req, targetRestarted: gate.retired });
-      if (result.outcome === AttemptOutcome.NoResponse && !gate.retired.aborted) {
-        const hasEnded = await this.#deps.endedTargets.check(target);
-        if (hasEnded && result.verdict.kind === "may-have-run") {
-          this.#logLostRun(target, req);
-        }
-      }
+      const sent = await this.#deps.send(target, { ...req, targetRestarted: gate.retired });
+      const run = { target, req, startedAt };
+      const result = await guard.examine(run, sent, gate.retired.aborted);
       outcome = this.#detectorOutcome(result, activeRun, { attempt, target: target.id });
-      return { ...result, calls: this.#deps.activeRuns.callMeans };
+      return { ...result, calls: activeRuns.callMeans };
     } finally {
       activeRun.end();
       gate.end(grant, outcome);
     }
   }
 
-  /** Logs a run that was in progress when the target's process ended: its request may have caused that. */
-  #logLostRun(target: TargetInfo, req: TargetRequest): void {
-    const { attempt } = req.metadata;
-    const fingerprint = fingerprintOf(target.service, req);
-    const request = describeRequest(req);
-    this.#deps.log.info(
-      { attempt, target: target.id, fingerprint, request },
-      "run lost with its target",
-    );
-  }
-
   /**
    * Outcome of a run as reported to the health detector. A run that fails or times out right after one of its nested
    * calls was not served fails because of that call. Counting it against the target would let a single gray service
--- a/src/sidecar/hop/HOP.ts
+++ b/src/sidecar/hop/HOP.ts
@@ -34,6 +34,8 @@
   status: "x-burdockpass-hop-status",
   /** Mean number of nested calls per run at the target: `service=mean`, separated by commas. */
   calls: "x-burdockpass-hop-calls",
+  /** Set to `1` if the target's process has ended during the run. */
+  targetEnded: "x-burdockpass-hop-target-ended",
   /** Id of the target that granted the slot or ran the request. */
   target: "x-burdockpass-hop-target",
 } as const;
--- a/src/sidecar/hop/hopResponse.ts
+++ b/src/sidecar/hop/hopResponse.ts
@@ -32,6 +32,9 @@
     if (result.calls && result.calls.size > 0) {
       headers[HOP.calls] = encodeCalls(result.calls);
     }
+    if (result.targetEnded) {
+      headers[HOP.targetEnded] = "1";
+    }
     if (verdict.kind === "not-run" && verdict.status !== undefined) {
       headers[HOP.status] = String(verdict.status);
     }
@@ -82,7 +85,8 @@
     if (verdict?.kind === "done") {
       return { verdict, outcome, calls, headers: withoutHopHeaders(headers), ...response };
     }
-    return verdict && { verdict, outcome, calls };
+    const targetEnded = headers[HOP.targetEnded] === "1";
+    return verdict && { verdict, outcome, calls, ...(targetEnded ? { targetEnded } : {}) };
   },
 };
 
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -1,6 +1,9 @@
 import type bunyan from "bunyan";
 import type { TargetId } from "../../common/ids/TargetId.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
+import { RequestGuard } from "../quarantine/RequestGuard.ts";
+import type { Quarantine } from "../quarantine/Quarantine.ts";
+import { SuspectTurns } from "../quarantine/SuspectTurns.ts";
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import type { HopLink } from "../hop/HopLink.ts";
@@ -23,6 +26,9 @@
   /** Name of the service whose target is co-located with this sidecar and its callers; empty if there is none. */
   readonly callerService: string;
   readonly budgets: RetryBudgets;
+  /** Knows the requests that crash the targets that run them. */
+  readonly quarantine: ConstructorParameters<typeof RequestGuard>[0]["quarantine"] &
+    Pick<Quarantine, "onBlocked">;
   /**
    * Borrows retry tokens from other sidecars when this one's share of the retry budget is used up; without
    * it, none are borrowed.
@@ -82,6 +88,7 @@
   readonly req: CallerRequest;
   /** It is made by a target during a run. */
   readonly isNestedCall: boolean;
+  readonly guard: RequestGuard;
   /** Targets that are not to be tried again. */
   readonly tried: Set<TargetId>;
   /** Number of targets that it was sent to and that may have run it. */
@@ -104,11 +111,19 @@
  */
 export class Dispatcher {
   readonly #deps: DispatcherDeps;
-  readonly #finders = new Set<SlotFinder>();
+  /** The searches in progress, with the guards of their requests. */
+  readonly #finders = new Map<SlotFinder, RequestGuard>();
+  readonly #turns = new SuspectTurns();
   #closed = false;
 
   constructor(deps: DispatcherDeps) {
     this.#deps = deps;
+    deps.quarantine.onBlocked((fingerprint) => {
+      const blocked = [...this.#finders].filter(([, guard]) => guard.matches(fingerprint));
+      blocked.forEach(([finder]) => {
+        finder.cancel("equal requests have been quarantined");
+      });
+    });
   }
 
   /** Forwards `req` along `route`; always resolves with a verdict. */
@@ -119,15 +134,23 @@
     if (classified?.isFromCaller ?? true) {
       budgets.onFirstTry(route);
     }
+    const { quarantine, clock } = this.#deps;
+    const guardDeps = { quarantine, turns: this.#turns, clock };
+    const guard = new RequestGuard(guardDeps, route.service.name, req);
     const tried = new Set<TargetId>();
     const counts = { sends: 0, refusedSends: 0, refusals: 0, expired: 0 };
+    if (guard.isSuspect) {
+      await guard.awaitTurn();
+    }
     const result = await this.#dispatchWithRetries({
       route,
       req,
       isNestedCall,
+      guard,
       tried,
       ...counts,
     });
+    guard.end();
     classified?.end(isSuccess(result));
     if (!req.disconnected.aborted) {
       this.#deps.policy.recordResult(route, isSuccess(result));
@@ -136,10 +159,18 @@
   }
 
   async #dispatchWithRetries(state: DispatchState): Promise<ForwardResult> {
-    const { route, req, tried } = state;
+    const { route, req, tried, guard } = state;
     let last: ForwardResult | undefined;
     for (;;) {
-      const search = await this.#findSlot(state).result;
+      const search = guard.refuse() ?? (await this.#findSlot(state).result);
+      if ("verdict" in search) {
+        return last ?? search;
+      }
+      // The request may have been blocked while it waited for its slot, which then expires unused.
+      const refusal = guard.refuse();
+      if (refusal) {
+        return last ?? refusal;
+      }
       if (search.kind === "refused") {
         if (search.isTargetUnknown && this.#mayAwaitTarget(req)) {
           await this.#delay(STARTUP_RETRY_MS);
@@ -173,7 +204,7 @@
    */
   close(): void {
     this.#closed = true;
-    for (const finder of this.#finders) {
+    for (const finder of this.#finders.keys()) {
       finder.cancel();
     }
   }
@@ -208,7 +239,7 @@
     const { route, req, tried, isNestedCall } = state;
     const request = { route, isNestedCall, isRetryable: this.#hasSpareAttempt(state) };
     const finder = new SlotFinder({ policy, requestSlot, clock, log }, request, req, tried);
-    this.#finders.add(finder);
+    this.#finders.set(finder, state.guard);
     void finder.result.then(() => this.#finders.delete(finder));
     if (this.#closed) {
       finder.cancel();
@@ -219,7 +250,7 @@
   /** Runs the request at the granted target, and also at a second one when the first run is stuck. */
   async #runHedged(state: DispatchState, grant: Grant): Promise<ForwardResult> {
     const first = this.#startRun(state, grant);
-    if (!this.#mayRepeat(state)) {
+    if (!this.#mayRepeat(state) || state.guard.isSuspect) {
       return first.result;
     }
     const hedge = this.#scheduleHedge(state);
@@ -286,8 +317,10 @@
     };
     const deps = { hop, callerService, clock, log, onContactLost };
     const run = new RemoteRun(deps, route, req, grant);
+    const startedAt = clock.now();
     void run.result.then((result) => {
       end(result.outcome);
+      state.guard.recordEnd(result, grant.target, startedAt);
       if (result.calls) {
         this.#deps.budgets.recordNestedCalls(route, result.calls);
       }
@@ -303,6 +336,9 @@
     if (req.disconnected.aborted || this.#deps.clock.now() >= req.deadlineAt) {
       return false;
     }
+    if (!state.guard.mayRetry) {
+      return false;
+    }
     switch (last.verdict.kind) {
       case "not-run":
         return last.verdict.status === undefined && this.#mayResend(state, last);
--- a/src/sidecar/routing/SlotFinder.ts
+++ b/src/sidecar/routing/SlotFinder.ts
@@ -162,8 +162,10 @@
   }
 
   /** Ends the search as refused and withdraws the open slot requests. */
-  cancel(): void {
-    this.#refuse("this sidecar gave it up, as it is being stopped or another try was quicker");
+  cancel(
+    reason = "this sidecar gave it up, as it is being stopped or another try was quicker",
+  ): void {
+    this.#refuse(reason);
   }
 
   readonly #onCallerDisconnected = (): void => {
