--- a/src/cli/account/AccountedRequest.ts
+++ b/src/cli/account/AccountedRequest.ts
@@ -22,6 +22,7 @@
   | "refused: no target known"
   | "refused: not reached in time"
   | "refused: stopping"
+  | "refused: quarantined"
   | "refused: otherwise"
   /** The caller disconnected before the response. */
   | "caller left"
--- a/src/cli/account/accountRequests.ts
+++ b/src/cli/account/accountRequests.ts
@@ -14,6 +14,7 @@
   ["could be reached", "refused: not reached in time"],
   ["no slot came free", "refused: not reached in time"],
   ["being stopped", "refused: stopping"],
+  ["quarantined", "refused: quarantined"],
   ["the caller has left", "caller left"],
 ];
 
--- a/src/cli/explain/explainRequest.test.ts
+++ b/src/cli/explain/explainRequest.test.ts
@@ -10,6 +10,8 @@
 const answered = (verdict: object, ms = 5) =>
   line("origin", "request answered", { attempt: "r1", route: "lookup", verdict, ms });
 
+const QUARANTINED = "quarantined: equal requests have ended 3 targets";
+
 const cases: readonly {
   name: string;
   log: readonly string[];
@@ -28,6 +30,15 @@
       "not run: every target refused, the last one as full (targets refused it: 2 as full, 1 as suspect)",
     missing: [],
   },
+  {
+    name: "request that was refused because equal ones have ended their targets",
+    log: [
+      line("origin", "request refused: quarantined", { attempt: "r1", fingerprint: "aa" }),
+      answered({ kind: "not-run", reason: QUARANTINED }),
+    ],
+    cause: `not run: ${QUARANTINED}`,
+    missing: [],
+  },
   {
     name: "request whose connection to the target was lost while it ran",
     log: [
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -9,6 +9,7 @@
 import { applyAtLeader } from "./applyAtLeader.ts";
 import { explainRequest } from "./explain/explainRequest.ts";
 import { parseLog } from "./logs/parseLog.ts";
+import { renderQuarantine } from "./quarantine/renderQuarantine.ts";
 import { renderTimeline } from "./explain/renderTimeline.ts";
 
 function fail(message: string): never {
@@ -99,18 +100,18 @@
   }
 }
 
+const ADMIN_ARG = {
+  type: "string",
+  default: "127.0.0.1:7500",
+  description: "A sidecar's admin host:port",
+} as const;
+
 const status = defineCommand({
   meta: {
     name: "status",
     description: "Show a sidecar's configuration version, and its targets with their states.",
   },
-  args: {
-    admin: {
-      type: "string",
-      default: "127.0.0.1:7500",
-      description: "A sidecar's admin host:port",
-    },
-  },
+  args: { admin: ADMIN_ARG },
   async run({ args }) {
     const body = (await readStatus(args.admin)) as {
       id: string;
@@ -129,6 +130,41 @@
   },
 });
 
+const listQuarantine = defineCommand({
+  meta: {
+    name: "list",
+    description:
+      "List the requests that are suspected or found to crash the targets that run them.",
+  },
+  args: { admin: ADMIN_ARG },
+  async run({ args }) {
+    process.stdout.write(renderQuarantine(await readStatus(args.admin)));
+  },
+});
+
+const release = defineCommand({
+  meta: {
+    name: "release",
+    description: "Lift the suspicion of a request in the whole fleet, after its targets are fixed.",
+  },
+  args: {
+    fingerprint: { type: "positional", required: true, description: "As shown by `list`" },
+    admin: ADMIN_ARG,
+  },
+  async run({ args }) {
+    const { fingerprint, admin } = args;
+    const res = await fetch(`http://${admin}/v1/quarantine/release`, {
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify({ fingerprint }),
+    }).catch((err: unknown) => fail(`no answer from ${admin}: ${String(err)}`));
+    if (!res.ok) {
+      fail(`${fingerprint} is not under suspicion at ${admin}`);
+    }
+    process.stdout.write(`released ${fingerprint}\n`);
+  },
+});
+
 const explain = defineCommand({
   meta: {
     name: "explain",
@@ -184,6 +220,10 @@
   subCommands: {
     config: defineCommand({ meta: { name: "config" }, subCommands: { validate, apply } }),
     status,
+    quarantine: defineCommand({
+      meta: { name: "quarantine", description: "Requests that crash the targets that run them." },
+      subCommands: { list: listQuarantine, release },
+    }),
     explain,
     account,
   },
