Model a request that ends every target that runs it

Every other request of the model has a path of its own now, as equal ones would refute the suspicion.

--- a/experiment/Scenario.ts
+++ b/experiment/Scenario.ts
@@ -44,6 +44,18 @@
   readonly downMs: number;
 }
 
+/** A request that ends every target that runs it, and comes again and again. */
+export interface FatalRequest {
+  /** Name of the kind of request. */
+  readonly kind: string;
+  readonly fromMs: number;
+  readonly durationMs: number;
+  readonly perSecond: number;
+  /** Time from the start of a run to the end of the target, and until the target is back, ms. */
+  readonly fatalAfterMs: number;
+  readonly downMs: number;
+}
+
 /** Planned stops of `count` sidecars, `intervalMs` apart; each is started again afterwards. */
 export interface RollingStop {
   readonly fromMs: number;
@@ -78,6 +90,7 @@
   readonly baseErrorRate?: number;
   readonly bursts?: readonly Burst[];
   readonly crashes?: readonly Crash[];
+  readonly fatalRequest?: FatalRequest;
   readonly stops?: readonly RollingStop[];
   readonly lengthMs: number;
 }
--- a/experiment/SimFleet.ts
+++ b/experiment/SimFleet.ts
@@ -67,6 +67,7 @@
   readonly #arrivals = new Arrivals();
   readonly #ejected = new Set<string>();
   readonly #ejections: Ejection[] = [];
+  readonly #crashTimes: number[] = [];
   /** Number of incarnations of each VM's sidecar so far. */
   readonly #incarnations = new Map<string, number>();
   #attemptCount = 0;
@@ -101,6 +102,7 @@
     scenario.crashes?.forEach((crash) => {
       this.#scheduleCrashes(crash);
     });
+    this.#scheduleFatalRequests();
   }
 
   /** Requests that have reached the targets. */
@@ -113,6 +115,11 @@
     return this.#ejections;
   }
 
+  /** Times at which targets crashed, ms. */
+  get crashTimes(): readonly number[] {
+    return this.#crashTimes;
+  }
+
   /** The fleet's retry budget. */
   get budget(): RetryBudgetRule {
     return { ...RETRY_BUDGET, slack: this.#scenario.retrySlack ?? RETRY_BUDGET.slack };
@@ -244,7 +251,23 @@
     });
   }
 
+  #scheduleFatalRequests(): void {
+    const fatal = this.#scenario.fatalRequest;
+    const kind = fatal && this.#kinds.get(fatal.kind);
+    if (!fatal || !kind) {
+      return;
+    }
+    const { fromMs, durationMs, perSecond } = fatal;
+    for (let at = fromMs; at < fromMs + durationMs; at += 1000 / perSecond) {
+      this.#clock.after(at, () => {
+        const caller = { from: this.#pickSidecar(), isRepeatedRun: false, isNestedCall: false };
+        void this.#send(kind, caller, at + kind.deadlineMs, FATAL_PATH);
+      });
+    }
+  }
+
   #crash(vm: SimVm, downMs: number): void {
+    this.#crashTimes.push(this.#clock.now());
     this.#targets.get(vm.name)?.crash(downMs);
     this.#clock.after(downMs + ANNOUNCE_MS, () => {
       const sidecar = this.#sidecars.get(vm.name);
@@ -339,11 +362,7 @@
   }
 
   async #sendCallerRequest(kind: RequestKind): Promise<void> {
-    const zone = this.#pickCallerZone();
-    const ready = [...this.#sidecars.values()].filter(
-      (s) => s.isReady && (zone === undefined || s.vm.zone === zone),
-    );
-    const from = ready[Math.floor(this.#random() * ready.length)]?.vm.name ?? "";
+    const from = this.#pickSidecar();
     const startedAt = this.#clock.now();
     this.#arrivals.recordRequest(kind.service, startedAt);
     const caller = { from, isRepeatedRun: false, isNestedCall: false };
@@ -351,6 +370,15 @@
     this.tally.add({ kind, startedAt, endedAt: this.#clock.now(), outcome });
   }
 
+  /** Name of the VM whose sidecar gets the next caller's request. */
+  #pickSidecar(): string {
+    const zone = this.#pickCallerZone();
+    const ready = [...this.#sidecars.values()].filter(
+      (s) => s.isReady && (zone === undefined || s.vm.zone === zone),
+    );
+    return ready[Math.floor(this.#random() * ready.length)]?.vm.name ?? "";
+  }
+
   /** The zone of the next caller; undefined for any. */
   #pickCallerZone(): number | undefined {
     const { zoneShares: shares } = this.#scenario;
@@ -362,12 +390,13 @@
     kind: RequestKind,
     { from, isRepeatedRun, isNestedCall }: Caller,
     deadlineAt: number,
+    path?: string,
   ): Promise<"served" | "refused" | "failed"> {
     const id = `${kind.name}/${++this.#attemptCount}${isRepeatedRun ? REPEAT_MARK : ""}`;
     const result = await this.#sidecars.get(from)?.dispatch(routeOf(kind), {
       attempt: AttemptId(id),
       method: "GET",
-      path: "/",
+      path: path ?? `/${this.#attemptCount}`,
       headers: [],
       body: undefined,
       origin: isNestedCall ? RequestOrigin.TargetVm : RequestOrigin.Elsewhere,
@@ -382,7 +411,10 @@
   }
 
   /** Runs a request at the target of `vm`, with the nested calls of its kind. */
-  async #runAtTarget(vm: SimVm, { metadata, deadlineAt }: TargetRequest): Promise<ForwardResult> {
+  async #runAtTarget(
+    vm: SimVm,
+    { metadata, path, deadlineAt }: TargetRequest,
+  ): Promise<ForwardResult> {
     const { attempt } = metadata;
     const kind = this.#kinds.get(attempt.split("/")[0] ?? "");
     const target = this.#targets.get(vm.name);
@@ -396,6 +428,14 @@
     const isFromRepeatedRun = attempt.endsWith(REPEAT_MARK);
     const isRepeatedRun = this.#arrivals.recordArrival(attempt, arrival, isFromRepeatedRun);
     const caller = { from: vm.name, isRepeatedRun, isNestedCall: true };
+    const { fatalRequest: fatal } = this.#scenario;
+    if (fatal && path === FATAL_PATH) {
+      this.#clock.after(fatal.fatalAfterMs, () => {
+        if (!target.isDown) {
+          this.#crash(vm, fatal.downMs);
+        }
+      });
+    }
     const outcome = await target.run(kind.workMs, () =>
       this.#makeNestedCalls(kind, caller, deadlineAt),
     );
@@ -438,6 +478,9 @@
   }
 }
 
+/** Path of the requests that end their targets; every other request has a path of its own. */
+const FATAL_PATH = "/fatal";
+
 /** Suffix of the attempt id of a nested call that a repeated run makes; the product does not read it. */
 const REPEAT_MARK = "+";
 
--- a/experiment/promises.test.ts
+++ b/experiment/promises.test.ts
@@ -66,6 +66,13 @@
 /** A target that failed a run by itself counts as healthy again after this long, ms: the users' rule. */
 const HEALTHY_AFTER_FAILURE_MS = 2000;
 
+/** The users' rule: this long after its third crash, a request ends no more than so many further targets. */
+const FATAL_KNOWN_AFTER_MS = 3000;
+const MAX_LATE_CRASHES = 3;
+
+/** A service is in trouble when it serves less than this share: the users' alert. */
+const MIN_SERVED = 0.9;
+
 /** Windows in which the share is below {@link FLOOR_SHARE} of the targets that also failed no run lately. */
 function windowsBelowFloor(fleet: SimFleet, { lengthMs }: Scenario, service: string) {
   const below: { fromMs: number; healthy: number; idle: string[] }[] = [];
@@ -104,6 +111,29 @@
     t.deepEqual(below, []);
   });
 
+  test(`query of death: a request that ends every target is kept away, and the others are served (seed ${seed})`, async (t) => {
+    const scenario: Scenario = {
+      ...scenarioNamed("quiet"),
+      lengthMs: 20_000,
+      randomGray: undefined,
+      fatalRequest: {
+        kind: "availability-check",
+        fromMs: 4000,
+        durationMs: 14_000,
+        perSecond: 2.5,
+        fatalAfterMs: 100,
+        downMs: 3000,
+      },
+    };
+    const fleet = await simulate(scenario, seed);
+    const knownAt = (fleet.crashTimes[2] ?? Infinity) + FATAL_KNOWN_AFTER_MS;
+    const late = fleet.crashTimes.filter((at) => at > knownAt).length;
+    const { served } = fleet.tally.figures();
+    t.log({ ended: fleet.crashTimes.length, late, served });
+    t.true(late <= MAX_LATE_CRASHES);
+    t.true(served >= MIN_SERVED);
+  });
+
   test(`floor: healthy targets keep getting requests during a rolling stop of their sidecars (seed ${seed})`, async (t) => {
     // A sidecar that is stopped serves its callers for 5 s or more. When its shutdown closed the gate of its target at
     // the signal, before anything else, healthy targets got no requests for seconds: in a rolling stop of a third of
