--- a/soak/FaultPlayer.ts
+++ b/soak/FaultPlayer.ts
@@ -1,10 +1,13 @@
 import { FaultMode } from "../src/standin/FaultMode.ts";
 import type { Disturbance, StopRecord } from "./History.ts";
 import { LinkMode } from "./LinkProxy.ts";
-import type { SoakFleet } from "./SoakFleet.ts";
+import { FATAL_REQUEST, type SoakFleet } from "./SoakFleet.ts";
 import type { SoakOperator } from "./SoakOperator.ts";
 import { FaultKind, type PlannedFault, type SoakPlan } from "./SoakPlan.ts";
 
+/** Interval between the copies of a request that ends its targets, ms. */
+const FATAL_INTERVAL_MS = 400;
+
 /** Interval between the signals of a repeated stop, ms. */
 const SIGNAL_GAP_MS = 300;
 
@@ -41,10 +44,14 @@
   readonly drains: { target: string; at: number }[] = [];
   /** By process: its latest stop or restart. Other faults that hit it meanwhile are injected without waiting. */
   readonly #restarts = new Map<string, Promise<void>>();
+  #fatalRequests = 0;
 
   constructor(fleet: SoakFleet, operator: SoakOperator) {
     this.#fleet = fleet;
     this.#operator = operator;
+    fleet.onTargetEnded = (vm, restarted) => {
+      void restarted.then(this.#beginDisturbance(vm, "target ended"));
+    };
   }
 
   /**
@@ -77,6 +84,12 @@
 
   async #playOther({ kind, on, forS }: PlannedFault): Promise<void> {
     switch (kind) {
+      case FaultKind.TargetKill:
+        this.#fleet.killTarget(on);
+        return;
+      case FaultKind.FatalRequest:
+        await this.#sendFatalRequests(on, forS);
+        return;
       case FaultKind.Config:
         this.#operator.applyNext();
         return;
@@ -123,6 +136,25 @@
     end();
   }
 
+  /** Sends a request that ends every target of the VM's service, through one sidecar after the other. */
+  async #sendFatalRequests(on: string, forS: number): Promise<void> {
+    const service = on.split("-")[0] ?? "";
+    const name = `${FATAL_REQUEST}${++this.#fatalRequests}`;
+    const init = service === "bookings" ? { method: "POST", body: "{}" } : {};
+    const until = this.#fleet.now + forS * 1000;
+    for (let n = 0; this.#fleet.now < until; n++) {
+      const via = this.#fleet.vms[n % this.#fleet.vms.length] ?? "";
+      const url = `http://127.0.0.1:${this.#fleet.callerPort(via)}/${service}/${name}`;
+      const headers = { "x-caller-tag": `${name}.${n}` };
+      // The response does not matter, nor does it if the sidecar is down.
+      void fetch(url, { ...init, headers }).then(
+        (res) => res.arrayBuffer(),
+        () => undefined,
+      );
+      await sleep(FATAL_INTERVAL_MS);
+    }
+  }
+
   async #faultLink(on: string, kind: string, mode: LinkMode, forS: number): Promise<void> {
     const end = this.#beginDisturbance(on, kind);
     const links = this.#fleet.links(on);
--- a/soak/SoakFleet.ts
+++ b/soak/SoakFleet.ts
@@ -24,6 +24,12 @@
 /** Share of the desk service's runs that make a nested call to the ledger service. */
 const NESTED_CALL_SHARE = "0.7";
 
+/** Time until a target whose process has ended is started again, ms. */
+const TARGET_RESTART_MS = 1500;
+
+/** Beginning of the last part of the path of a request that ends its target. */
+export const FATAL_REQUEST = "fatal-";
+
 /** Wait before the links are closed, ms: long enough for the processes to exit cleanly after the longest run. */
 const EXIT_WAIT_MS = 500;
 
@@ -36,7 +42,9 @@
   readonly #links = new Map<string, LinkProxy[]>();
   /** By process: its current incarnation; 1 until its first restart. */
   readonly #incarnations = new Map<string, number>();
+  readonly #targetRestarts = new Set<Promise<void>>();
   #startedAt = 0;
+  #isStopping = false;
 
   constructor(plan: SoakPlan) {
     this.#plan = plan;
@@ -84,6 +92,9 @@
       })),
     );
     await this.#fleet.start(targets);
+    this.vms.forEach((vm) => {
+      this.#keepTargetRunning(vm, 1);
+    });
   }
 
   /** Waits until every sidecar has the document version and knows every target; the load's clock starts then. */
@@ -156,6 +167,14 @@
     await this.#postToStandIn(vm, "fault", { mode, lies: true });
   }
 
+  /** Kills a stand-in target, which is then started again as a new incarnation. */
+  killTarget(vm: string): void {
+    this.#fleet.targets.get(vm)?.proc.kill("SIGKILL");
+  }
+
+  /** Called when the process of a stand-in target ends, with a promise of its restart. */
+  onTargetEnded: (vm: string, restarted: Promise<void>) => void = () => undefined;
+
   /** Makes a stand-in target report that it is draining. */
   async drain(vm: string): Promise<void> {
     await this.#postToStandIn(vm, "drain", {});
@@ -168,7 +187,9 @@
     for (const file of files) {
       for await (const line of createInterface({ input: createReadStream(join(this.dir, file)) })) {
         const record = JSON.parse(line) as TargetRecord;
-        records.push({ ...record, at: record.at - this.#startedAt });
+        // All incarnations of a target count as one.
+        const [target = ""] = record.target.split(".");
+        records.push({ ...record, target, at: record.at - this.#startedAt });
       }
     }
     return records;
@@ -196,6 +217,8 @@
 
   /** Stops all processes, frozen ones too, and closes the links. */
   async stop(): Promise<void> {
+    this.#isStopping = true;
+    await Promise.all(this.#targetRestarts);
     for (const name of [...this.vms, ...this.#fleet.controls.keys()]) {
       this.signal(name, "SIGCONT");
     }
@@ -217,14 +240,34 @@
     return { peer: toPeer.address, hop: toHop.address };
   }
 
+  /** Starts a target again whenever its process ends. */
+  #keepTargetRunning(vm: string, incarnation: number): void {
+    this.#fleet.targets.get(vm)?.proc.once("exit", () => {
+      if (this.#isStopping) {
+        return;
+      }
+      const restarted = this.#restartTarget(vm, incarnation);
+      this.#targetRestarts.add(restarted);
+      void restarted.finally(() => this.#targetRestarts.delete(restarted));
+      this.onTargetEnded(vm, restarted);
+    });
+  }
+
+  async #restartTarget(vm: string, incarnation: number): Promise<void> {
+    await new Promise((resolve) => setTimeout(resolve, TARGET_RESTART_MS));
+    await this.#fleet.restartTarget(vm, `${vm}.${incarnation}`);
+    this.#keepTargetRunning(vm, incarnation + 1);
+  }
+
   #standInArgs(id: string, ports: Record<string, number>): string[] {
     const journal = `--journal=${join(this.dir, `${id}.journal`)}`;
+    const fatal = `--crash-path=/${id.split("-")[0] ?? ""}/${FATAL_REQUEST}`;
     const calls = [
       "--call-path=/ledger/entry",
       `--call-port=${ports.caller ?? 0}`,
       `--call-share=${NESTED_CALL_SHARE}`,
     ];
-    return id.startsWith("desk") ? [journal, ...calls] : [journal];
+    return id.startsWith("desk") ? [journal, fatal, ...calls] : [journal, fatal];
   }
 
   async #postToStandIn(vm: string, path: string, body: object): Promise<void> {
--- a/soak/SoakPlan.ts
+++ b/soak/SoakPlan.ts
@@ -50,6 +50,10 @@
   TargetSilent = "target-silent",
   /** The target reports that it is draining, and still serves requests for a while. */
   TargetDrains = "target-drains",
+  /** The target's process is killed, and started again as a new incarnation. */
+  TargetKill = "target-kill",
+  /** Callers send a request that ends every target of the service that runs it, again and again. */
+  FatalRequest = "fatal-request",
   /** Operators apply another document; several such faults at the same time apply several at once. */
   Config = "config",
 }
--- a/soak/checks/allChecks.ts
+++ b/soak/checks/allChecks.ts
@@ -1,5 +1,6 @@
 import type { Check } from "./Check.ts";
 import { documentIsApplied } from "./documentIsApplied.ts";
+import { fatalRequestsAreContained } from "./fatalRequestsAreContained.ts";
 import { healthyStayInUse } from "./healthyStayInUse.ts";
 import { drainingGetsNoWork } from "./drainingGetsNoWork.ts";
 import { notRunNeverRan } from "./notRunNeverRan.ts";
@@ -19,6 +20,7 @@
   runsAtMostOnce,
   retryBudget(budget),
   healthyStayInUse,
+  fatalRequestsAreContained,
   drainingGetsNoWork,
   stopsAbortNothing,
   stopsEndInTime,
--- a/soak/checks/checks.test.ts
+++ b/soak/checks/checks.test.ts
@@ -64,6 +64,10 @@
   ).flat(),
 ];
 
+/** Records of targets that one request has ended, at these times. */
+const crashed = (times: readonly number[]): TargetRecord[] =>
+  times.map((at, n) => targetRecord({ at, tag: `fatal-1.${n}`, event: "crashed" }));
+
 const stop = { on: "desk-0", at: 10_000, endedAt: 13_000, code: 0 };
 
 const accepted = (change: number, version: number, acceptedAt: number) => ({
@@ -98,6 +102,11 @@
       { calls: [call({ bodyTag: undefined })] },
     ],
   },
+  {
+    guarantee: /ends its targets/,
+    satisfying: { targets: crashed([1000, 1500, 2000, 4900, 5100, 9000, 12_000]) },
+    violating: [{ targets: crashed([1000, 1500, 2000, 5100, 6000, 9000, 12_000]) }],
+  },
   {
     guarantee: /verdict "not-run"/,
     satisfying: {
--- a/soak/planSoak.ts
+++ b/soak/planSoak.ts
@@ -42,6 +42,8 @@
   [FaultKind.TargetTruncates, 1],
   [FaultKind.TargetSilent, 1],
   [FaultKind.TargetDrains, 1],
+  [FaultKind.TargetKill, 2],
+  [FaultKind.FatalRequest, 2],
   [FaultKind.Config, 5],
 ];
 
