Give a target that has just failed a run a rest before its next test

While a service fails, an ejected target was tested every 0.6 to 1.3 s, whatever it had answered.

The floor counts a target as healthy again 2 s after a failure, so nothing is gained by testing it sooner: after a failed run idempotent requests are taken from 2.6 s on, any from 3.3 s on.

--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -82,6 +82,14 @@
 /** Mean service time assumed before any request has run, ms. */
 const INITIAL_SERVICE_MS = 300;
 
+/** Outcomes of runs that a target has failed. */
+const FAILURES = new Set([
+  AttemptOutcome.Failed,
+  AttemptOutcome.NoResponse,
+  AttemptOutcome.InvalidResponse,
+  AttemptOutcome.TimedOut,
+]);
+
 /** A slot request in progress, which its sender can withdraw. */
 interface SlotRequestHandle {
   /** Whether the request was queued rather than granted or refused at once. */
@@ -219,6 +227,9 @@
     }
     const { request, ms, wasOverdue } = ended;
     this.#activity.recordRun();
+    if (FAILURES.has(outcome)) {
+      this.#demand.recordFailure();
+    }
     // A run that was overdue and then timed out counts as a single observation.
     if (!(wasOverdue && outcome === AttemptOutcome.TimedOut)) {
       this.#updateDetector(() => {
--- a/src/sidecar/gate/WorkDemand.test.ts
+++ b/src/sidecar/gate/WorkDemand.test.ts
@@ -7,6 +7,8 @@
   name: string;
   reports: readonly number[];
   idleMs: number;
+  /** Whether the target's last run has failed. */
+  hasFailed?: boolean;
   asks: boolean;
   acceptsIdempotent: boolean;
   acceptsAny: boolean;
@@ -35,6 +37,24 @@
     acceptsIdempotent: true,
     acceptsAny: true,
   },
+  {
+    name: "a target that has just failed a run is given a rest before it takes another",
+    reports: [0.2, 0, 0.2, 0.2],
+    idleMs: 2500,
+    hasFailed: true,
+    asks: false,
+    acceptsIdempotent: false,
+    acceptsAny: false,
+  },
+  {
+    name: "a target that failed its last run is tested again before it counts as left idle",
+    reports: [0.2, 0, 0.2, 0.2],
+    idleMs: 3300,
+    hasFailed: true,
+    asks: true,
+    acceptsIdempotent: true,
+    acceptsAny: true,
+  },
   {
     name: "a suspect target of a service that serves nearly all requests gets none that may not probe it",
     reports: [0, 0.15, 0, 0.15],
@@ -53,19 +73,21 @@
   },
 ];
 
-for (const { name, reports, idleMs, asks, acceptsIdempotent, acceptsAny } of cases) {
+for (const { name, reports, idleMs, hasFailed, ...expected } of cases) {
   test(`work demand: ${name}`, async (t) => {
     const clock = new FakeClock();
     const demand = new WorkDemand(clock);
     await clock.advance(100);
     demand.recordStart();
+    if (hasFailed) {
+      demand.recordFailure();
+    }
     await clock.advance(idleMs);
     reports.forEach((share) => {
       demand.recordReport(share);
     });
-    t.deepEqual(
-      [demand.isActive, demand.accepts(true), demand.accepts(false)],
-      [asks, acceptsIdempotent, acceptsAny],
-    );
+    const asks = demand.isActive;
+    const [acceptsIdempotent, acceptsAny] = [demand.accepts(true), demand.accepts(false)];
+    t.deepEqual({ asks, acceptsIdempotent, acceptsAny }, expected);
   });
 }
--- a/src/sidecar/gate/WorkDemand.ts
+++ b/src/sidecar/gate/WorkDemand.ts
@@ -8,11 +8,20 @@
 /** Number of reports below which their mean tells too little. */
 const MIN_REPORTS = 4;
 
-/** Time without a new run after which a target asks for idempotent requests, ms. */
-const IDLE_LIMIT_MS = 600;
+/** Time limits of idleness for one class of requests, ms. */
+interface IdleLimits {
+  /** Time without a new run after which the target takes a request. */
+  readonly idleMs: number;
+  /**
+   * The same after its last run that failed: most of such targets fail the next one, too, and the floor counts a target as
+   * healthy again 2 s after a failure.
+   */
+  readonly afterFailureMs: number;
+}
 
-/** The same for any request: idempotent ones, which do less harm when they fail, come first. */
-const IDLE_LIMIT_ANY_MS = 1300;
+/** Limits for idempotent requests, which do less harm when they fail, and later for any. */
+const IDEMPOTENT: IdleLimits = { idleMs: 600, afterFailureMs: 2600 };
+const ANY: IdleLimits = { idleMs: 1300, afterFailureMs: 3300 };
 
 /**
  * Decides whether a target asks the senders of its service for work. While many requests of a service are not served,
@@ -24,6 +33,7 @@
   readonly #reports = new SlidingWindowSum(REPORT_WINDOW_MS);
   readonly #reportedShares = new SlidingWindowSum(REPORT_WINDOW_MS);
   #lastStartAt: number;
+  #lastFailureAt = -Infinity;
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -42,6 +52,11 @@
     this.#lastStartAt = this.#clock.now();
   }
 
+  /** Records that a run has failed. */
+  recordFailure(): void {
+    this.#lastFailureAt = this.#clock.now();
+  }
+
   /** Mean of the recent reports, 0 to 1; 0 without any. */
   get unservedShare(): number {
     const now = this.#clock.now();
@@ -54,20 +69,20 @@
    */
   get isActive(): boolean {
     const isUnknown = this.#reports.valueAt(this.#clock.now()) < MIN_REPORTS;
-    return (isUnknown || this.#isServiceFailing) && this.#idleMs >= IDLE_LIMIT_MS;
+    return (isUnknown || this.#isServiceFailing) && this.#exceeds(IDEMPOTENT);
   }
 
   /** Whether to accept a request that the target's health alone would not admit. */
   accepts(isIdempotent: boolean): boolean {
-    const limitMs = isIdempotent ? IDLE_LIMIT_MS : IDLE_LIMIT_ANY_MS;
-    return this.#isServiceFailing && this.#idleMs >= limitMs;
+    return this.#isServiceFailing && this.#exceeds(isIdempotent ? IDEMPOTENT : ANY);
   }
 
   get #isServiceFailing(): boolean {
     return this.unservedShare >= UNSERVED_THRESHOLD;
   }
 
-  get #idleMs(): number {
-    return this.#clock.now() - this.#lastStartAt;
+  #exceeds({ idleMs, afterFailureMs }: IdleLimits): boolean {
+    const now = this.#clock.now();
+    return now - this.#lastStartAt >= idleMs && now - this.#lastFailureAt >= afterFailureMs;
   }
 }
