--- a/src/membership/evidence/EvidenceGossip.ts
+++ b/src/membership/evidence/EvidenceGossip.ts
@@ -12,8 +12,8 @@
 /** Maximum pieces of new evidence per gossip message, at some 100 bytes each. */
 const NEW_PER_MESSAGE = 8;
 
-/** Pieces of older evidence, drawn at random, that are repeated in each message for members that have missed them. */
-const REPEATED_PER_MESSAGE = 2;
+/** Interval at which an older piece, drawn at random, is repeated for members that have missed it, ms: 100 bytes/s. */
+const REPEAT_INTERVAL_MS = 1000;
 
 interface EvidenceGossipDeps {
   readonly store: EvidenceStore;
@@ -30,6 +30,7 @@
 export class EvidenceGossip {
   readonly #deps: EvidenceGossipDeps;
   readonly #rumors = new RumorQueue();
+  #repeatedAt = -Infinity;
 
   constructor(deps: EvidenceGossipDeps) {
     this.#deps = deps;
@@ -50,7 +51,7 @@
 
   /** Evidence to send now, without what the receiver has just sent. */
   take(received: readonly EvidenceMessage[] = []): EvidenceMessage[] {
-    const { store, clock, random } = this.#deps;
+    const { store, clock } = this.#deps;
     if (!store.hasAny) {
       return [];
     }
@@ -59,12 +60,10 @@
       received.flatMap((m) => evidenceCodec.decode(m, now) ?? []).map((e) => evidenceKey(e)),
     );
     const fresh = this.#rumors.take(NEW_PER_MESSAGE, known);
-    const older = store
-      .all()
-      .map((e) => evidenceKey(e))
-      .filter((key) => !known.has(key) && !fresh.includes(key));
-    const keys = [...fresh, ...sampleOf(older, REPEATED_PER_MESSAGE, random)];
-    return keys.flatMap((key) => store.get(key) ?? []).map((e) => evidenceCodec.encode(e, now));
+    const keys = new Set([...fresh, ...this.#takeOlder(now)]);
+    return [...keys]
+      .flatMap((key) => store.get(key) ?? [])
+      .map((e) => evidenceCodec.encode(e, now));
   }
 
   /** All evidence, for a member that joins. */
@@ -81,6 +80,16 @@
     }
   }
 
+  /** The key of the older piece to repeat now, if one is due. */
+  #takeOlder(now: number): string[] {
+    const { store, random } = this.#deps;
+    if (now - this.#repeatedAt < REPEAT_INTERVAL_MS) {
+      return [];
+    }
+    this.#repeatedAt = now;
+    return sampleOf(store.all(), 1, random).map((e) => evidenceKey(e));
+  }
+
   #merge(evidence: readonly CrashEvidence[]): Set<CrashEvidence> {
     const { store, others, onNews } = this.#deps;
     const fresh = new Set(evidence.filter((e) => store.add(e)));
--- a/src/sidecar/quarantine/RequestGuard.ts
+++ b/src/sidecar/quarantine/RequestGuard.ts
@@ -89,6 +89,12 @@
     return this.#suspectFingerprint !== undefined;
   }
 
+  /** Whether the request is blocked. */
+  get isBlocked(): boolean {
+    const fingerprint = this.#suspectFingerprint;
+    return fingerprint !== undefined && this.#deps.quarantine.blockOf(fingerprint) !== undefined;
+  }
+
   /** Whether the request may be sent to another target after a failure. */
   get mayRetry(): boolean {
     const fingerprint = this.#suspectFingerprint;
--- a/src/sidecar/quarantine/RunGuard.test.ts
+++ b/src/sidecar/quarantine/RunGuard.test.ts
@@ -29,13 +29,20 @@
   idempotent: true,
 });
 
-function rig({ hasEnded = true, state = TargetState.Ready } = {}) {
+function rig({
+  hasEnded,
+  state: initialState,
+}: {
+  hasEnded: boolean;
+  state: TargetState | undefined;
+}) {
+  let state = initialState;
   const clock = new FakeClock();
   const { quarantine, found } = makeQuarantine(clock);
   const guard = new RunGuard({
     quarantine,
     endedTargets: { check: () => Promise.resolve(hasEnded) },
-    target: (id) => ({ ...makeTarget(id), state }),
+    target: (id) => (state === undefined ? undefined : { ...makeTarget(id), state }),
     clock,
     log,
   });
@@ -44,14 +51,16 @@
     await clock.advance(50);
     return guard.examine({ target: makeTarget(target), req, startedAt }, result, false);
   };
-  return { guard, quarantine, found, examine };
+  const forget = () => (state = undefined);
+  return { guard, quarantine, found, examine, forget };
 }
 
 const cases: readonly {
   name: string;
   result: ForwardResult;
   hasEnded?: boolean;
-  state?: TargetState;
+  /** State of the target in the table; undefined if it is not there. */
+  state?: TargetState | undefined;
   isEvidence: boolean;
 }[] = [
   {
@@ -71,12 +80,18 @@
     state: TargetState.Draining,
     isEvidence: false,
   },
+  {
+    name: "a run that is cut by a target which has left already is none",
+    result: results.mayHaveRun,
+    state: undefined,
+    isEvidence: false,
+  },
   { name: "an error of the target is none", result: results.failed, isEvidence: false },
 ];
 
-for (const { name, result, hasEnded, state, isEvidence } of cases) {
+for (const { name, result, isEvidence, ...target } of cases) {
   test(`run guard: ${name}`, async (t) => {
-    const { found, examine } = rig({ hasEnded, state });
+    const { found, examine } = rig({ hasEnded: true, state: TargetState.Ready, ...target });
     const examined = await examine(result);
     t.is(found.length, isEvidence ? 1 : 0);
     t.is(examined.targetEnded === true, isEvidence);
@@ -84,7 +99,7 @@
 }
 
 test("run guard: a blocked request does not reach the target, whatever its sender knows", async (t) => {
-  const { guard, examine } = rig();
+  const { guard, examine } = rig({ hasEnded: true, state: TargetState.Ready });
   for (const target of ["x", "y", "z"]) {
     t.is(guard.refuse(makeTarget(target), makeRequest()), undefined);
     await examine(results.mayHaveRun, target);
@@ -95,9 +110,17 @@
 });
 
 test("run guard: a run that completes, even with an error, refutes the suspicion", async (t) => {
-  const { quarantine, examine } = rig();
+  const { quarantine, examine } = rig({ hasEnded: true, state: TargetState.Ready });
   await examine(results.mayHaveRun);
   t.true(quarantine.isActive);
   await examine(results.failed, "y");
   t.false(quarantine.isActive);
 });
+
+test("run guard: all runs that are lost with a target are evidence, also those lost after it was found to have ended", async (t) => {
+  const { found, examine, forget } = rig({ hasEnded: true, state: TargetState.Ready });
+  await examine(results.mayHaveRun);
+  forget();
+  await examine(results.mayHaveRun, "x", makeRequest("/beside"));
+  t.is(found.length, 2);
+});
--- a/src/sidecar/quarantine/RunGuard.ts
+++ b/src/sidecar/quarantine/RunGuard.ts
@@ -13,6 +13,9 @@
 import type { Quarantine } from "./Quarantine.ts";
 import { quarantinedResult } from "./quarantinedResult.ts";
 
+/** Number of ended targets that are remembered: the runs of one are lost within a moment. */
+const MAX_ENDED = 8;
+
 interface RunGuardDeps {
   readonly quarantine: Pick<
     Quarantine,
@@ -36,6 +39,8 @@
 /** Guards the local targets against requests that crash them, and collects the evidence against such requests. */
 export class RunGuard {
   readonly #deps: RunGuardDeps;
+  /** The targets that were last found to have ended, newest last. */
+  #ended: TargetId[] = [];
 
   constructor(deps: RunGuardDeps) {
     this.#deps = deps;
@@ -80,13 +85,22 @@
     return { ...result, targetEnded: true };
   }
 
-  /** Whether the target's process has ended without being told to: one that leaves cuts its last runs itself. */
-  async #hasEnded({ target }: GuardedRun, isRestarted: boolean): Promise<boolean> {
-    const isLeaving = this.#deps.target(target.id)?.state === TargetState.Draining;
-    const hasEnded = isRestarted || (await this.#deps.endedTargets.check(target));
+  /** Whether the target's process has ended without saying so: one that leaves cuts its last runs itself. */
+  async #hasEnded({ target: { id, ...rest } }: GuardedRun, isRestarted: boolean): Promise<boolean> {
+    const isLeaving = this.#isLeaving(id);
+    const hasEnded = isRestarted || (await this.#deps.endedTargets.check({ id, ...rest }));
+    if (hasEnded) {
+      this.#ended = [...this.#ended.filter((other) => other !== id), id].slice(-MAX_ENDED);
+    }
     return hasEnded && !isLeaving;
   }
 
+  /** Whether a target has said that it leaves; one that has ended is no longer known either. */
+  #isLeaving(id: TargetId): boolean {
+    const target = this.#deps.target(id);
+    return target ? target.state === TargetState.Draining : !this.#ended.includes(id);
+  }
+
   #recordCrash({ target, req, startedAt }: GuardedRun): void {
     const { quarantine, clock, log } = this.#deps;
     const fingerprint = fingerprintOf(target.service, req);
--- a/src/sidecar/routing/Dispatcher.test.ts
+++ b/src/sidecar/routing/Dispatcher.test.ts
@@ -8,6 +8,8 @@
 import { makeRoute } from "../../../test/fixtures/makeRoute.ts";
 import { makeTarget } from "../../../test/fixtures/makeTarget.ts";
 import { results } from "../../../test/fixtures/results.ts";
+import { RequestFingerprint } from "../../common/ids/RequestFingerprint.ts";
+import { fingerprintOf } from "../quarantine/fingerprintOf.ts";
 import { NotSentError } from "../hop/NotSentError.ts";
 import { ActiveRuns } from "../gate/ActiveRuns.ts";
 import { RefusalReason } from "../hop/RefusalReason.ts";
@@ -414,3 +416,34 @@
   t.is((await result).verdict.kind, "not-run");
   t.true(hop.runs.length <= 7, `${hop.runs.length} sends`);
 });
+
+/** A lookup is lost with its target; equal ones have ended `crashes` targets before. */
+const crashCases: readonly {
+  crashes: number;
+  sends: number;
+  verdict: ForwardResult["verdict"]["kind"];
+}[] = [
+  { crashes: 0, sends: 2, verdict: "done" },
+  { crashes: 1, sends: 1, verdict: "may-have-run" },
+  { crashes: 3, sends: 0, verdict: "not-run" },
+];
+
+for (const { crashes, sends, verdict } of crashCases) {
+  test(`dispatch: after ${crashes} crashes, a lookup is sent to ${sends} targets at most: ${verdict}`, async (t) => {
+    const { clock, hop, dispatcher, quarantine } = rig();
+    const route = makeRoute();
+    const req = makeCallerRequest();
+    const fingerprint = fingerprintOf(route.service.name, req) ?? RequestFingerprint("");
+    for (let n = 0; n < crashes; n++) {
+      const startedAt = clock.now();
+      await clock.advance(1);
+      const names = { fingerprint, service: route.service.name, request: "GET /", target: `t${n}` };
+      quarantine.recordCrash({ ...names, startedAt });
+    }
+    hop.onRun = () => (hop.runs.length === 1 ? { ...mayHaveRun, targetEnded: true } : done);
+    const result = dispatcher.dispatch(route, req);
+    await clock.advance(50);
+    t.is((await result).verdict.kind, verdict);
+    t.is(hop.runs.length, sends);
+  });
+}
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -152,7 +152,8 @@
     });
     guard.end();
     classified?.end(isSuccess(result));
-    if (!req.disconnected.aborted) {
+    // A blocked request says nothing about how well its service is served.
+    if (!req.disconnected.aborted && !guard.isBlocked) {
       this.#deps.policy.recordResult(route, isSuccess(result));
     }
     return result;
