Quarantine: only a successful run refutes the suspicion; bound the wait for a turn

A gray target that fails requests without running them would have cleared a request that crashes targets. A request that waits for an equal one goes on after 1 s. Idle targets are counted and logged as wanting work only while their service fails requests.

--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -36,7 +36,7 @@
   readonly onHealthChange?: (load: GateLoad) => void;
   /** Called when the target begins to want work, repeatedly while it does, and when it no longer does. */
   readonly onDemandChange?: (load: GateLoad) => void;
-  /** Called when the target begins to want work, with the estimated unserved share of its service's requests, 0 to 1. */
+  /** Called once for each time that the target is idle while its service fails a share of its requests, 0 to 1. */
   readonly onDemand?: (unservedShare: number) => void;
   /** Order in which queued requests are served; by default that of `goesBefore`. */
   readonly order?: ConstructorParameters<typeof AdmissionQueue>[0];
@@ -111,6 +111,7 @@
   readonly #demand: WorkDemand;
   /** When the demand for work was last published, by the clock, ms; undefined while there is none. */
   #demandPublishedAt: number | undefined;
+  #isDemandReported = false;
   readonly #retired = new AbortController();
   #reevaluatedAt = -Infinity;
   #serviceMs = INITIAL_SERVICE_MS;
@@ -200,6 +201,7 @@
     if (redeemed) {
       this.#activity.recordRun();
       this.#demand.recordStart();
+      this.#isDemandReported = false;
       this.updateDemand();
     }
     return redeemed;
@@ -262,7 +264,8 @@
     const wantsWork = this.#wantsWork;
     const hadDemand = this.#demandPublishedAt !== undefined;
     const isDue = now - (this.#demandPublishedAt ?? -Infinity) >= DEMAND_REPEAT_MS;
-    if (wantsWork && !hadDemand) {
+    if (wantsWork && this.#demand.isServiceFailing && !this.#isDemandReported) {
+      this.#isDemandReported = true;
       this.#deps.onDemand?.(this.#demand.unservedShare);
     }
     if (wantsWork ? isDue : hadDemand) {
--- a/src/sidecar/gate/TargetGates.ts
+++ b/src/sidecar/gate/TargetGates.ts
@@ -22,7 +22,7 @@
   readonly onHealthChange?: (target: TargetId, load: GateLoad) => void;
   /** Called when a target's demand for work changes, and repeatedly while there is one. */
   readonly onDemandChange?: (target: TargetId, load: GateLoad) => void;
-  /** Called when a target of a service begins to want work. */
+  /** Called when a target of a service is idle while the service fails requests. */
   readonly onDemand?: (service: ServiceName) => void;
   /** Called when a target has restarted under its id, after the gate of its previous incarnation was retired. */
   readonly onTargetRestart?: (target: TargetInfo) => void;
--- a/src/sidecar/gate/WorkDemand.ts
+++ b/src/sidecar/gate/WorkDemand.ts
@@ -63,22 +63,23 @@
     return this.#reportedShares.valueAt(now) / Math.max(1, this.#reports.valueAt(now));
   }
 
+  /** Whether senders report that too many of the service's requests are not served. */
+  get isServiceFailing(): boolean {
+    return this.unservedShare >= UNSERVED_THRESHOLD;
+  }
+
   /**
    * Whether the target asks for work. One that gets hardly any slot requests learns too little of its service, so it
    * asks as well; the requests that come then show whether the service is failing any.
    */
   get isActive(): boolean {
     const isUnknown = this.#reports.valueAt(this.#clock.now()) < MIN_REPORTS;
-    return (isUnknown || this.#isServiceFailing) && this.#exceeds(IDEMPOTENT);
+    return (isUnknown || this.isServiceFailing) && this.#exceeds(IDEMPOTENT);
   }
 
   /** Whether to accept a request that the target's health alone would not admit. */
   accepts(isIdempotent: boolean): boolean {
-    return this.#isServiceFailing && this.#exceeds(isIdempotent ? IDEMPOTENT : ANY);
-  }
-
-  get #isServiceFailing(): boolean {
-    return this.unservedShare >= UNSERVED_THRESHOLD;
+    return this.isServiceFailing && this.#exceeds(isIdempotent ? IDEMPOTENT : ANY);
   }
 
   #exceeds({ idleMs, afterFailureMs }: IdleLimits): boolean {
--- a/src/sidecar/quarantine/RequestGuard.test.ts
+++ b/src/sidecar/quarantine/RequestGuard.test.ts
@@ -70,17 +70,22 @@
   t.true(hasTurn);
 });
 
-test("request guard: a request that waits for its turn is not held beyond its deadline, and passes the turn on", async (t) => {
+test("request guard: a request that waits for its turn is held for 1 s or until its deadline, and passes the turn on", async (t) => {
   const { clock, guardOf, crash } = rig();
   await crash("a");
   const first = guardOf();
   await first.awaitTurn();
-  let isReleased = false;
-  void guardOf({ deadlineAt: clock.now() + 200 })
-    .awaitTurn()
-    .then(() => (isReleased = true));
+  const released: string[] = [];
+  const wait = (name: string, ms: number) => {
+    const waiting = guardOf({ deadlineAt: clock.now() + ms });
+    void waiting.awaitTurn().then(() => released.push(name));
+  };
+  wait("short", 200);
+  wait("long", 9000);
   await clock.advance(200);
-  t.true(isReleased);
+  t.deepEqual(released, ["short"]);
+  await clock.advance(800);
+  t.deepEqual(released, ["short", "long"]);
   first.end();
   await clock.advance(1);
   await t.notThrowsAsync(guardOf().awaitTurn());
--- a/src/sidecar/quarantine/RequestGuard.ts
+++ b/src/sidecar/quarantine/RequestGuard.ts
@@ -10,6 +10,9 @@
 import { quarantinedResult } from "./quarantinedResult.ts";
 import type { SuspectTurns } from "./SuspectTurns.ts";
 
+/** Longest wait for the result of an equal request, ms: a request that crashes its target mostly does so sooner. */
+const MAX_TURN_WAIT_MS = 1000;
+
 /** Number of independent crashes from which a request is not sent to another target after a crash. */
 const CRASHES_WITHOUT_RETRY = 2;
 
@@ -41,8 +44,8 @@
   }
 
   /**
-   * Waits while an equal request is in progress here, if they are under suspicion: a suspect is never sent twice at once.
-   * Resolves early when the caller disconnects or the deadline passes.
+   * Waits while an equal request is in progress here, if they are under suspicion: a suspect is not sent twice at once.
+   * Resolves early when that takes too long, the caller disconnects or the deadline passes.
    */
   async awaitTurn(): Promise<void> {
     const fingerprint = this.#suspectFingerprint;
@@ -64,7 +67,8 @@
         hasGivenUp = true;
         resolve();
       };
-      const timer = clock.after(Math.max(0, deadlineAt - clock.now()), giveUp);
+      const remainingMs = Math.max(0, deadlineAt - clock.now());
+      const timer = clock.after(Math.min(MAX_TURN_WAIT_MS, remainingMs), giveUp);
       disconnected.addEventListener("abort", giveUp, { once: true });
       void turn.then(() => {
         timer.cancel();
--- a/src/sidecar/quarantine/RunGuard.test.ts
+++ b/src/sidecar/quarantine/RunGuard.test.ts
@@ -109,11 +109,13 @@
   t.is(guard.refuse(makeTarget("u"), makeRequest("/other")), undefined);
 });
 
-test("run guard: a run that completes, even with an error, refutes the suspicion", async (t) => {
+test("run guard: a run that succeeds refutes the suspicion, an error of a gray target does not", async (t) => {
   const { quarantine, examine } = rig({ hasEnded: true, state: TargetState.Ready });
   await examine(results.mayHaveRun);
   t.true(quarantine.isActive);
   await examine(results.failed, "y");
+  t.true(quarantine.isActive);
+  await examine(results.done, "z");
   t.false(quarantine.isActive);
 });
 
--- a/src/sidecar/quarantine/RunGuard.ts
+++ b/src/sidecar/quarantine/RunGuard.ts
@@ -70,7 +70,8 @@
     isRestarted: boolean,
   ): Promise<ForwardResult> {
     const { quarantine } = this.#deps;
-    if (result.verdict.kind === "done" && quarantine.isActive) {
+    // An error does not show that the request has run: a gray target may fail requests without running them.
+    if (result.outcome === AttemptOutcome.Ok && quarantine.isActive) {
       const fingerprint = fingerprintOf(run.target.service, run.req);
       if (fingerprint) {
         quarantine.recordCompletion(fingerprint);
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -142,15 +142,10 @@
     if (guard.isSuspect) {
       await guard.awaitTurn();
     }
-    const result = await this.#dispatchWithRetries({
-      route,
-      req,
-      isNestedCall,
-      guard,
-      tried,
-      ...counts,
+    const state = { route, req, isNestedCall, guard, tried, ...counts };
+    const result = await this.#dispatchWithRetries(state).finally(() => {
+      guard.end();
     });
-    guard.end();
     classified?.end(isSuccess(result));
     // A blocked request says nothing about how well its service is served.
     if (!req.disconnected.aborted && !guard.isBlocked) {
