Reject a reply to a claim that neither grants it nor holds a record

What callers would see: a booking that runs a second time. A record holder's reply without a grant and without a record counted as a grant, so a claim could reach its quorum on replies that grant nothing. No holder sends such a reply today; one of a later version that refuses a claim for a new reason would.

--- a/src/sidecar/records/RemoteRecordPeer.ts
+++ b/src/sidecar/records/RemoteRecordPeer.ts
@@ -13,10 +13,10 @@
 /** The records of a peer, accessed over gRPC. */
 export class RemoteRecordPeer implements RecordPeer {
   readonly id: string;
-  readonly #client: ReconnectingClient<PeerClient>;
+  readonly #client: Pick<ReconnectingClient<PeerClient>, "call">;
   readonly #clock: Clock;
 
-  constructor(id: string, client: ReconnectingClient<PeerClient>, clock: Clock) {
+  constructor(id: string, client: Pick<ReconnectingClient<PeerClient>, "call">, clock: Clock) {
     this.id = id;
     this.#client = client;
     this.#clock = clock;
@@ -27,9 +27,13 @@
     const res = await this.#client.call((client) =>
       callUnary(client.Claim.bind(client), req, RECORD_TIMEOUT_MS),
     );
-    return res.granted || !res.held
-      ? { kind: "granted" }
-      : { kind: "held", record: recordCodec.decode(res.held, this.#clock.now()) };
+    if (res.granted) {
+      return { kind: "granted" };
+    }
+    if (!res.held) {
+      throw new Error("the reply to a claim is neither a grant nor a record");
+    }
+    return { kind: "held", record: recordCodec.decode(res.held, this.#clock.now()) };
   }
 
   async settle(key: string, attempt: string, record: RunRecord | undefined): Promise<void> {
