Ask the record group before a keyed request is refused as not run

A caller that believes it books again under a new key, and the booking runs twice.

Cause: only the sidecar beside a target asks for the record of a key, after a slot has been granted. A request that gets no slot was refused on the strength of its own attempt alone; so was one at a sidecar without a document. The class: a verdict about a request drawn from what one attempt did.

Why it works: the sidecar that is about to refuse asks the key's record holders itself. An outcome found at any of them is returned; not-run stands if a majority has no record, since a claim that those lack can't have had its quorum; fewer replies give may-have-run. The holders bar earlier attempts at the same time, by their age: one still waiting for a slot elsewhere would otherwise run after the refusal.

Records say which target ran, so that a verdict names that one and not the one that the resend was granted. The group's size and the digest of a request have files of their own. Requests without a key pay nothing.

--- a/src/cli/explain/explainRequest.ts
+++ b/src/cli/explain/explainRequest.ts
@@ -55,7 +55,7 @@
     case "not-run":
       return `not run: ${text(verdict.reason)}${refusalsIn(requestLines)}`;
     case "may-have-run":
-      return `may have run at ${text(verdict.target)}: ${text(verdict.reason)}${runOutcomeOf(requestLines)}`;
+      return `may have run${placeOf(verdict)}: ${text(verdict.reason)}${runOutcomeOf(requestLines)}`;
     case "in-progress":
       return "an earlier request with the same idempotency key was still running";
     default:
@@ -63,6 +63,11 @@
   }
 }
 
+/** The target that may have run the request; empty if it was not sent to any. */
+function placeOf({ target }: Readonly<Record<string, unknown>>): string {
+  return target === undefined || target === "" ? "" : ` at ${text(target)}`;
+}
+
 function doneCause(
   requestLines: readonly LogLine[],
   verdict: Readonly<Record<string, unknown>>,
--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -129,9 +129,11 @@
     status: number;
     headers: Record<string, string>;
     body: Buffer;
+    target: string;
   };
   KeyedRecord: { key: string; record: ProtoTypes["Record"] | null };
+  ClaimRequest: { key: string; record: ProtoTypes["Record"] | null; age_ms: number };
   KeyedRecords: { records: ProtoTypes["KeyedRecord"][] };
-  ClaimReply: { granted: boolean; held: ProtoTypes["Record"] | null };
+  ClaimReply: { granted: boolean; held: ProtoTypes["Record"] | null; refused: boolean };
   SettleRequest: { key: string; attempt: string; record: ProtoTypes["Record"] | null };
 }
--- a/src/membership/PeerClient.ts
+++ b/src/membership/PeerClient.ts
@@ -10,7 +10,8 @@
 export type PeerClient = grpc.Client & {
   Sync: Unary<ProtoTypes["Members"], ProtoTypes["Members"]>;
   Config: Unary<ProtoTypes["WatchRequest"], ProtoTypes["ConfigVersions"]>;
-  Claim: Unary<ProtoTypes["KeyedRecord"], ProtoTypes["ClaimReply"]>;
+  Claim: Unary<ProtoTypes["ClaimRequest"], ProtoTypes["ClaimReply"]>;
+  Refuse: Unary<ProtoTypes["ClaimRequest"], ProtoTypes["ClaimReply"]>;
   Settle: Unary<ProtoTypes["SettleRequest"], object>;
   Adopt: Unary<ProtoTypes["KeyedRecords"], object>;
 };
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -57,6 +57,7 @@
   Config: "config",
   Watch: "config",
   Claim: "records",
+  Refuse: "records",
   Settle: "records",
   Adopt: "records",
 };
@@ -92,6 +93,7 @@
   readonly classifier: TrafficClassifier;
   readonly metrics: SidecarMetrics;
   readonly quarantine: Quarantine;
+  readonly confirmRefusal: TargetSide["confirmRefusal"];
 }
 
 /**
@@ -188,6 +190,7 @@
     const targetSide = this.register(
       new TargetSide({
         quarantine,
+        isStarting: () => this.#isStarting,
         cfg,
         table,
         membership,
@@ -253,6 +256,7 @@
       budgets,
       borrower,
       quarantine,
+      confirmRefusal: (...args) => targetSide.confirmRefusal(...args),
     });
     const splitSampler = new SplitSampler(Math.random);
     caller.server = new CallerServer({
@@ -325,6 +329,11 @@
     await Promise.race([super.dispose(), sleep(STOP_RESERVE_MS)]);
   }
 
+  /** Whether this sidecar has started recently, and may not know all members and targets yet. */
+  get #isStarting(): boolean {
+    return SystemClock.now() - this.#startedAt < STARTUP_MS;
+  }
+
   #createTable(): TargetTable {
     const { id, peer, hop, advertise, zone, announceTimeoutMs } = this.#cfg;
     const self = {
@@ -383,7 +392,7 @@
     return new Dispatcher({
       ...parts,
       callerService: this.#cfg.callerService,
-      isStarting: () => SystemClock.now() - this.#startedAt < STARTUP_MS,
+      isStarting: () => this.#isStarting,
       onExtraRun: (service, cause) => {
         metrics.countExtraRun(service, cause);
       },
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -36,6 +36,9 @@
 import { TargetGates } from "./gate/TargetGates.ts";
 import { TargetRunner } from "./gate/TargetRunner.ts";
 import { sendRecordCopies } from "./records/sendRecordCopies.ts";
+import { RECORD_GROUP_SIZE } from "./records/RECORD_GROUP_SIZE.ts";
+import type { RecordPeer } from "./records/RecordPeer.ts";
+import { RefusalConfirmer } from "./records/RefusalConfirmer.ts";
 import { chooseRecordGroup } from "./records/chooseRecordGroup.ts";
 import { idempotencyKeyOf } from "./records/idempotencyKeyOf.ts";
 import { AtMostOnceRunner } from "./records/AtMostOnceRunner.ts";
@@ -44,6 +47,8 @@
 import { RemoteRecordPeer } from "./records/RemoteRecordPeer.ts";
 import { RunRecords } from "./records/RunRecords.ts";
 import { SyncedJournal } from "./records/SyncedJournal.ts";
+import type { CallerRequest } from "./routing/CallerRequest.ts";
+import type { RouteMatch } from "./routing/RouteMatch.ts";
 import type { TargetAnnouncements } from "./TargetAnnouncements.ts";
 
 /** File name of the journal of run records in the data folder. */
@@ -72,6 +77,8 @@
   readonly metrics: SidecarMetrics;
   /** Knows the requests that crash the targets that run them. */
   readonly quarantine: Quarantine;
+  /** Whether this sidecar has started recently, and may not know all members yet. */
+  readonly isStarting: () => boolean;
   /** Sends a datagram, which may be lost. */
   readonly sendGateMessage: (address: string, message: ProtoTypes["GateMessage"]) => void;
   readonly clock: Clock;
@@ -86,6 +93,7 @@
   readonly #deps: TargetSideDeps;
   readonly #gates: TargetGates;
   readonly #records: RunRecords;
+  readonly #refusalConfirmer: RefusalConfirmer;
   readonly gateServer: GateServer;
   /** The runs in progress at the local targets. */
   readonly runs: ActiveRuns;
@@ -131,7 +139,17 @@
         },
       }),
     );
-    const atMostOnceRunner = this.#createAtMostOnceRunner(sender);
+    const atMostOnceRunner = new AtMostOnceRunner({
+      group: (key) => this.#recordGroup(key),
+      send: (target, req) => sender.send(target, req),
+      clock,
+    });
+    this.#refusalConfirmer = new RefusalConfirmer({
+      group: (key) => this.#recordGroup(key),
+      isGroupKnown: ({ length }) => length >= RECORD_GROUP_SIZE || !deps.isStarting(),
+      clock,
+      log,
+    });
     const runner = new TargetRunner({
       gates: this.#gates,
       runs: new RunTable(clock),
@@ -191,6 +209,26 @@
     this.#onTargetsChanged();
   }
 
+  /**
+   * Confirms that a request whose attempt is refused has not been run by an earlier attempt with its idempotency key;
+   * see {@link RefusalConfirmer}. A request without a key, or that may be repeated, has no earlier attempts.
+   */
+  async confirmRefusal(
+    route: RouteMatch,
+    req: CallerRequest,
+    refusal: ForwardResult,
+  ): Promise<ForwardResult> {
+    const key = route.idempotent ? undefined : idempotencyKeyOf(req.headers);
+    return key === undefined
+      ? refusal
+      : this.#refusalConfirmer.confirm(
+          recordKey(route.service.name, key),
+          req,
+          route.timeoutMs,
+          refusal,
+        );
+  }
+
   /** The gRPC handlers for the records that this sidecar keeps. */
   recordHandlers(): grpc.UntypedServiceImplementation {
     return new RecordService(this.#records, this.#deps.clock).handlers();
@@ -280,24 +318,19 @@
     return new RunRecords(journal, () => clock.now());
   }
 
-  #createAtMostOnceRunner(sender: TargetSender): AtMostOnceRunner {
+  #recordGroup(key: string): RecordPeer[] {
     const { cfg, table, clients, clock } = this.#deps;
     const records = this.#records;
-    const localPeer = {
-      id: cfg.id,
-      claim: records.claim.bind(records),
-      settle: records.settle.bind(records),
-    };
-    return new AtMostOnceRunner({
-      group: (key) =>
-        chooseRecordGroup(key, table.recordHolderPool()).map((holder) =>
-          holder.id === localPeer.id
-            ? localPeer
-            : new RemoteRecordPeer(holder.id, clients.get(holder.peerAddress), clock),
-        ),
-      send: (target, req) => sender.send(target, req),
-      clock,
-    });
+    return chooseRecordGroup(key, table.recordHolderPool()).map((holder) =>
+      holder.id === cfg.id
+        ? {
+            id: cfg.id,
+            claim: records.claim.bind(records),
+            refuse: records.refuse.bind(records),
+            settle: records.settle.bind(records),
+          }
+        : new RemoteRecordPeer(holder.id, clients.get(holder.peerAddress), clock),
+    );
   }
 
   #startHandover(): void {
@@ -327,5 +360,10 @@
   const key = req.idempotent ? undefined : idempotencyKeyOf(req.headers);
   return key === undefined
     ? sender.send(target, req)
-    : atMostOnceRunner.run(`${target.service}/${key}`, target, req);
+    : atMostOnceRunner.run(recordKey(target.service, key), target, req);
+}
+
+/** Key of a request's records: callers choose idempotency keys for each service. */
+function recordKey(service: string, idempotencyKey: string): string {
+  return `${service}/${idempotencyKey}`;
 }
--- a/src/sidecar/forwarding/TargetRequest.ts
+++ b/src/sidecar/forwarding/TargetRequest.ts
@@ -13,6 +13,8 @@
   readonly bodyLength?: number;
   /** Metadata sent to the target in headers; the remaining time is computed when the request is sent. */
   readonly metadata: Omit<TargetMetadata, "remainingMs">;
+  /** Arrival at the first sidecar, by the monotonic clock, ms; undefined if unknown. */
+  readonly startedAt?: number;
   /** Deadline for the response, by the monotonic clock, ms. */
   readonly deadlineAt: number;
   readonly idempotent: boolean;
--- a/src/sidecar/gate/GateServer.ts
+++ b/src/sidecar/gate/GateServer.ts
@@ -12,6 +12,7 @@
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import { forwardableHeaders } from "../forwarding/forwardableHeaders.ts";
 import type { HeaderList } from "../forwarding/HeaderList.ts";
+import { MAX_BUFFERED_RUN_BYTES } from "../forwarding/MAX_BUFFERED_RUN_BYTES.ts";
 import { withHeaders } from "../forwarding/withHeaders.ts";
 import { openBody } from "../forwarding/openBody.ts";
 import type { TargetRequest } from "../forwarding/TargetRequest.ts";
@@ -34,7 +35,7 @@
  * configured limit. A small body is buffered before the run, so that the target does not get half of it if that
  * sidecar exits.
  */
-const BODY_LIMITS = { maxBytes: Infinity, maxBufferedBytes: 256 * 1024 };
+const BODY_LIMITS = { maxBytes: Infinity, maxBufferedBytes: MAX_BUFFERED_RUN_BYTES };
 
 /** Headers used between sidecars, which are not passed to the target. */
 const HOP_HEADERS = new Set<string>(Object.values(HOP));
@@ -142,6 +143,7 @@
         callerService: ServiceName(String(headers[HOP.caller] ?? "")),
         echoHeader: typeof echo === "string" ? echo : undefined,
       },
+      startedAt: arrivedAt - Number(headers[HOP.age] ?? 0),
       // Counted from the arrival of the head: the upload of the body is part of the remaining time.
       deadlineAt: arrivedAt + Number(headers[HOP.remaining]),
       idempotent,
--- a/src/sidecar/hop/HOP.ts
+++ b/src/sidecar/hop/HOP.ts
@@ -13,6 +13,8 @@
   grant: "x-burdockpass-boot",
   /** Time remaining for the response, ms. */
   remaining: "x-burdockpass-hop-remaining-ms",
+  /** For a request with an idempotency key: time since its arrival at the first sidecar, ms. */
+  age: "x-burdockpass-hop-age-ms",
   /** Name of the service co-located with the sidecar at which the request originated. */
   caller: "x-burdockpass-caller-service",
   /** Set to `1` if the request is idempotent and may run more than once. */
--- a/src/sidecar/hop/HopClient.ts
+++ b/src/sidecar/hop/HopClient.ts
@@ -134,9 +134,10 @@
     req.callerService,
   ];
   const idempotent = req.idempotent ? [HOP.idempotent, "1"] : [];
+  const age = req.ageMs === undefined ? [] : [HOP.age, String(Math.round(req.ageMs))];
   const echo = req.echoHeader === undefined ? [] : [HOP.echo, req.echoHeader];
   const length = req.bodyLength === undefined ? [] : ["content-length", String(req.bodyLength)];
-  return [...req.headers, ...hopHeaders, ...idempotent, ...echo, ...length];
+  return [...req.headers, ...hopHeaders, ...idempotent, ...age, ...echo, ...length];
 }
 
 async function readResult(
--- a/src/sidecar/hop/HopRequest.ts
+++ b/src/sidecar/hop/HopRequest.ts
@@ -17,6 +17,8 @@
   readonly bodyLength?: number;
   /** Time remaining for the response, ms. */
   readonly remainingMs: number;
+  /** For a request with an idempotency key: time since its arrival at the first sidecar, ms. */
+  readonly ageMs?: number;
   /** Name of the service co-located with the sidecar at which the request originated; empty if unknown. */
   readonly callerService: string;
   readonly idempotent: boolean;
--- a/src/sidecar/ingress/CallerServer.test.ts
+++ b/src/sidecar/ingress/CallerServer.test.ts
@@ -33,7 +33,7 @@
 };
 
 /** Opens a caller server and a connection to it; the test settles each request, found by its path in `dispatched`. */
-async function openConnection(t: ExecutionContext, limits: Partial<Limits> = {}) {
+async function openConnection(t: ExecutionContext, limits: Partial<Limits> = {}, hasConfig = true) {
   const dispatched = new Map<
     string,
     { req: CallerRequest; settle: (out: ForwardResult) => void }
@@ -41,11 +41,14 @@
   const route = makeRoute();
   const server = new CallerServer({
     originOf: () => RequestOrigin.Unknown,
-    config: () => ({
-      version: 1,
-      routes: { match: () => route } as unknown as RouteIndex,
-      limits: Limits.parse(limits),
-    }),
+    config: () =>
+      hasConfig
+        ? {
+            version: 1,
+            routes: { match: () => route } as unknown as RouteIndex,
+            limits: Limits.parse(limits),
+          }
+        : undefined,
     waitForConfig: () => Promise.resolve(),
     dispatcher: {
       dispatch: (_route, req) =>
@@ -286,3 +289,24 @@
   await eventually(() => socket.closed);
   t.deepEqual(responsesIn(received()), ["first"]);
 });
+
+const withoutConfig = [
+  { name: "no key", headers: "", verdict: "not-run", status: "503" },
+  // Guards against a resend that is refused as not run by a sidecar that cannot look up the earlier attempt.
+  {
+    name: "an idempotency key",
+    headers: "idempotency-key: k\r\n",
+    verdict: "may-have-run",
+    status: "502",
+  },
+];
+
+for (const { name, headers, verdict, status } of withoutConfig) {
+  test(`caller server without a document, request with ${name}: ${verdict}`, async (t) => {
+    const { socket, received } = await openConnection(t, {}, false);
+    socket.write(`POST /a HTTP/1.1\r\nhost: a\r\n${headers}content-length: 0\r\n\r\n`);
+    await eventually(() => received().includes("\r\n\r\n"));
+    t.regex(received(), new RegExp(`^HTTP/1.1 ${status}`));
+    t.regex(received(), new RegExp(`x-burdockpass-verdict: ${verdict}\r\n`));
+  });
+}
--- a/src/sidecar/ingress/CallerServer.ts
+++ b/src/sidecar/ingress/CallerServer.ts
@@ -16,6 +16,8 @@
 import { RETRY_AFTER_MS } from "../forwarding/RETRY_AFTER_MS.ts";
 import { withHeaders } from "../forwarding/withHeaders.ts";
 import { HOP } from "../hop/HOP.ts";
+import { idempotencyKeyOf } from "../records/idempotencyKeyOf.ts";
+import { unknownEarlierAttempt } from "../records/unknownEarlierAttempt.ts";
 import type { CallerRequest } from "../routing/CallerRequest.ts";
 import type { Dispatcher } from "../routing/Dispatcher.ts";
 import type { RequestOrigin } from "../routing/RequestOrigin.ts";
@@ -162,9 +164,12 @@
       this.#refuse(ctx, metadata, 400);
       return;
     }
-    if (!config || !route) {
-      const [reason, status] = config ? NO_ROUTE : NO_CONFIG;
-      this.#refuse(ctx, reason, status);
+    if (!config) {
+      this.#refuseWithoutConfig(ctx);
+      return;
+    }
+    if (!route) {
+      this.#refuse(ctx, "no route", 404);
       return;
     }
     if (requestHeadBytes(req) > config.limits.maxHeaderBytes) {
@@ -224,6 +229,20 @@
     return bytes;
   }
 
+  /**
+   * Refuses a request while no document is known. Without one, the service of a request is unknown, and so is whether an
+   * earlier attempt with its idempotency key has run.
+   */
+  #refuseWithoutConfig(ctx: RequestContext): void {
+    const reason = "no accepted configuration yet";
+    if (idempotencyKeyOf(ctx.res.req.rawHeaders) === undefined) {
+      this.#refuse(ctx, reason, 503);
+    } else {
+      const result = unknownEarlierAttempt(reason);
+      this.#respond(ctx, result, statusFor(result.verdict));
+    }
+  }
+
   #refuse(ctx: RequestContext, reason: string, status: number): void {
     const verdict = { kind: "not-run", reason, retryAfterMs: RETRY_AFTER_MS } as const;
     this.#respond(ctx, { verdict, outcome: AttemptOutcome.Cancelled }, status);
@@ -302,9 +321,6 @@
 /** Statuses of refusals that the same request would get again, so that they carry no `Retry-After`. */
 const FINAL_REFUSALS = new Set([400, 404, 413, 422, 431]);
 
-const NO_ROUTE = ["no route", 404] as const;
-const NO_CONFIG = ["no accepted configuration yet", 503] as const;
-
 function statusFor(verdict: Verdict): number {
   switch (verdict.kind) {
     case "done":
--- a/src/sidecar/records/AtMostOnceRunner.test.ts
+++ b/src/sidecar/records/AtMostOnceRunner.test.ts
@@ -1,15 +1,14 @@
 import test from "ava";
 import fc from "fast-check";
+import { FakeRecordHolder } from "../../../test/fixtures/FakeRecordHolder.ts";
 import { makeTarget } from "../../../test/fixtures/makeTarget.ts";
 import { AttemptId } from "../../common/ids/AttemptId.ts";
 import { SystemClock } from "../../common/lifecycle/SystemClock.ts";
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import { chooseRecordGroup } from "./chooseRecordGroup.ts";
-import type { ClaimReply } from "./ClaimReply.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import { AtMostOnceRunner } from "./AtMostOnceRunner.ts";
 import type { TargetRequest } from "../forwarding/TargetRequest.ts";
-import type { RecordPeer } from "./RecordPeer.ts";
 import { RunRecords } from "./RunRecords.ts";
 
 const target = makeTarget("vans-0");
@@ -53,43 +52,11 @@
   outcome: AttemptOutcome.NoResponse,
 };
 
-/** A replica in this process; it can be down, and replies after `delayMs`. */
-class FakeReplica implements RecordPeer {
-  readonly id: string;
-  readonly zone: string;
-  records = new RunRecords(undefined, () => performance.now());
-  down = false;
-  delayMs = 0;
-
-  constructor(n: number) {
-    this.id = `s${n}`;
-    this.zone = `zone-${n % 3}`;
-  }
-
-  async claim(...args: Parameters<RunRecords["claim"]>): Promise<ClaimReply> {
-    await this.#simulateNetwork();
-    return this.records.claim(...args);
-  }
-
-  async settle(...args: Parameters<RunRecords["settle"]>): Promise<void> {
-    await this.#simulateNetwork();
-    return this.records.settle(...args);
-  }
-
-  async #simulateNetwork(): Promise<void> {
-    if (this.delayMs > 0) {
-      await new Promise((r) => setTimeout(r, this.delayMs));
-    }
-    if (this.down) {
-      throw new Error("unreachable");
-    }
-  }
-}
-
-const makeReplicas = (count: number) => Array.from({ length: count }, (_, n) => new FakeReplica(n));
+const makeReplicas = (count: number) =>
+  Array.from({ length: count }, (_, n) => new FakeRecordHolder(n));
 
 /** A runner over `pool` whose target returns `results` one after the other, and the last one from then on. */
-function makeRunner(pool: readonly FakeReplica[], ...results: ForwardResult[]) {
+function makeRunner(pool: readonly FakeRecordHolder[], ...results: ForwardResult[]) {
   const sent = { count: 0 };
   const runner = new AtMostOnceRunner({
     clock: SystemClock,
--- a/src/sidecar/records/AtMostOnceRunner.ts
+++ b/src/sidecar/records/AtMostOnceRunner.ts
@@ -1,4 +1,4 @@
-import { createHash, randomUUID } from "node:crypto";
+import { randomUUID } from "node:crypto";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import { claimQuorum } from "./claimQuorum.ts";
@@ -7,17 +7,17 @@
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import { RETRY_AFTER_MS } from "../forwarding/RETRY_AFTER_MS.ts";
 import type { TargetRequest } from "../forwarding/TargetRequest.ts";
+import { moreConclusive } from "./moreConclusive.ts";
 import { OutcomeReplicator } from "./OutcomeReplicator.ts";
+import { recordFingerprint } from "./recordFingerprint.ts";
 import type { RecordPeer } from "./RecordPeer.ts";
+import { resultOfRecord } from "./resultOfRecord.ts";
 import type { RunRecord } from "./RunRecord.ts";
 import type { TargetInfo } from "../../membership/TargetInfo.ts";
 
 /** Larger responses are not stored for replay, bytes; a resend of the request then gets a may-have-run verdict. */
 const MAX_STORED_BYTES = 64 * 1024;
 
-/** Grace period after an attempt's deadline, ms. A claim that is not settled by then has an unknown outcome. */
-const CLAIM_GRACE_MS = 500;
-
 /** Dependencies on the rest of the sidecar, which tests replace by fakes. */
 interface AtMostOnceRunnerDeps {
   /** Returns the record group of a key: the sidecars that hold its record. */
@@ -30,6 +30,7 @@
 type ClaimResult =
   | { readonly kind: "granted" }
   | { readonly kind: "held"; readonly record: RunRecord }
+  | { readonly kind: "refused" }
   | { readonly kind: "unreachable" };
 
 /**
@@ -58,16 +59,21 @@
     const record: RunRecord = {
       state: "claimed",
       attempt: randomUUID(),
-      fingerprint: fingerprint(req),
+      target: target.id,
+      fingerprint: recordFingerprint(req),
       deadlineAt: req.deadlineAt,
     };
-    const claimed = await claimAll(group, key, record);
+    const startedAt = req.startedAt ?? this.#deps.clock.now();
+    const claimed = await claimAll(group, key, record, startedAt);
     switch (claimed.kind) {
       case "granted":
         return this.#runClaimed(group, key, record, target, req);
       case "held":
         await this.#outcomes.replicate(group, key, record.attempt, undefined);
-        return toResult(claimed.record, record.fingerprint, target, this.#deps.clock.now());
+        return resultOfRecord(claimed.record, record.fingerprint, this.#deps.clock.now());
+      case "refused":
+        await this.#outcomes.replicate(group, key, record.attempt, undefined);
+        return notRun("a later attempt with this key has been refused");
       case "unreachable":
         // Without a quorum a later attempt might not find this one, so it must not run.
         await this.#outcomes.replicate(group, key, record.attempt, undefined);
@@ -99,16 +105,20 @@
   group: readonly RecordPeer[],
   key: string,
   record: RunRecord,
+  startedAt: number,
 ): Promise<ClaimResult> {
   const needed = claimQuorum(group.length);
   return new Promise<ClaimResult>((resolve) => {
     let granted = 0;
     let replies = 0;
     let held: RunRecord | undefined;
+    let isRefused = false;
     const onReply = (reply: ClaimReply | undefined) => {
       replies += 1;
       if (reply?.kind === "granted") {
         granted += 1;
+      } else if (reply?.kind === "refused") {
+        isRefused = true;
       } else if (reply) {
         held = moreConclusive(held, reply.record);
       }
@@ -120,85 +130,38 @@
       } else if (held && (held.state === "done" || replies === group.length)) {
         resolve({ kind: "held", record: held });
       } else if (replies === group.length) {
-        resolve({ kind: "unreachable" });
+        resolve({ kind: isRefused ? "refused" : "unreachable" });
       }
     };
     for (const replica of group) {
-      replica.claim(key, record).then(onReply, () => {
+      replica.claim(key, record, startedAt).then(onReply, () => {
         onReply(undefined);
       });
     }
   });
 }
 
-/** Returns the record that is closer to a final outcome: done before unknown before claimed. */
-function moreConclusive(a: RunRecord | undefined, b: RunRecord): RunRecord {
-  const rank = { claimed: 0, unknown: 1, done: 2 } as const;
-  return a && rank[a.state] >= rank[b.state] ? a : b;
-}
-
-function toResult(
-  held: RunRecord,
-  ownFingerprint: string,
-  target: TargetInfo,
-  now: number,
-): ForwardResult {
-  if (held.fingerprint !== ownFingerprint) {
-    return notRun("idempotency key was used for another request", 422);
-  }
-  if (held.state === "done") {
-    return {
-      verdict: { kind: "done", target: target.id, status: held.answer.status },
-      outcome: AttemptOutcome.Cancelled,
-      headers: { ...held.answer.headers, "idempotency-replayed": "true" },
-      body: Buffer.from(held.answer.body, "base64"),
-    };
-  }
-  if (held.state === "claimed" && now < held.deadlineAt + CLAIM_GRACE_MS) {
-    return {
-      verdict: { kind: "in-progress", retryAfterMs: RETRY_AFTER_MS },
-      outcome: AttemptOutcome.Cancelled,
-    };
-  }
-  return {
-    verdict: {
-      kind: "may-have-run",
-      target: target.id,
-      reason: "an earlier attempt with this key has no known outcome",
-      timedOut: true,
-      retryAfterMs: RETRY_AFTER_MS,
-    },
-    outcome: AttemptOutcome.Cancelled,
-  };
-}
-
 /** The record of an attempt's outcome; undefined if it did not run, which releases the key. */
 function toRecord(claim: RunRecord, out: ForwardResult): RunRecord | undefined {
   if (out.verdict.kind === "not-run") {
     return undefined;
   }
-  const { attempt, fingerprint: digest, deadlineAt } = claim;
+  const { attempt, target, fingerprint, deadlineAt } = claim;
+  const common = { attempt, target, fingerprint, deadlineAt };
   if (!("body" in out) || !Buffer.isBuffer(out.body) || out.body.length > MAX_STORED_BYTES) {
-    return { state: "unknown", attempt, fingerprint: digest, deadlineAt };
+    return { state: "unknown", ...common };
   }
   const answer = {
     status: out.verdict.status,
     headers: flattenHeaders(out.headers),
     body: out.body.toString("base64"),
   };
-  return { state: "done", attempt, fingerprint: digest, deadlineAt, answer };
-}
-
-/** Digest of a request. Only the length of a streamed body is included, as it cannot be read before it is sent. */
-function fingerprint(req: TargetRequest): string {
-  const digest = createHash("sha256").update(`${req.method}\n${req.path}\n`);
-  const body = Buffer.isBuffer(req.body) ? req.body : `stream of ${req.bodyLength ?? "any"} bytes`;
-  return digest.update(req.body === undefined ? "" : body).digest("base64");
+  return { state: "done", ...common, answer };
 }
 
-function notRun(reason: string, status?: number): ForwardResult {
+function notRun(reason: string): ForwardResult {
   return {
-    verdict: { kind: "not-run", reason, retryAfterMs: RETRY_AFTER_MS, status },
+    verdict: { kind: "not-run", reason, retryAfterMs: RETRY_AFTER_MS },
     outcome: AttemptOutcome.Cancelled,
   };
 }
--- a/src/sidecar/records/OutcomeReplicator.test.ts
+++ b/src/sidecar/records/OutcomeReplicator.test.ts
@@ -15,9 +15,8 @@
 const makeHolder = (clock: FakeClock, id: string, failures = 0, ms = 5) => {
   const settled: (RunRecord | undefined)[] = [];
   let failuresLeft = failures;
-  const peer: RecordPeer = {
+  const peer: Pick<RecordPeer, "id" | "settle"> = {
     id,
-    claim: () => Promise.reject(new Error("claim is not part of this test")),
     settle: (_key, _attempt, record) =>
       new Promise((resolve, reject) => {
         clock.after(ms, () => {
--- a/src/sidecar/records/OutcomeReplicator.ts
+++ b/src/sidecar/records/OutcomeReplicator.ts
@@ -25,7 +25,7 @@
    * the claim, which counts as an unknown outcome after its deadline.
    */
   replicate(
-    group: readonly RecordPeer[],
+    group: readonly Pick<RecordPeer, "settle">[],
     key: string,
     attempt: string,
     record: RunRecord | undefined,
--- a/src/sidecar/records/RecordService.ts
+++ b/src/sidecar/records/RecordService.ts
@@ -1,7 +1,9 @@
 import type * as grpc from "@grpc/grpc-js";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
+import type { ClaimReply } from "./ClaimReply.ts";
 import { recordCodec } from "./recordCodec.ts";
+import type { RunRecord } from "./RunRecord.ts";
 import type { RunRecords } from "./RunRecords.ts";
 
 /** gRPC handlers for the records of non-idempotent requests that this sidecar holds. */
@@ -16,27 +18,34 @@
 
   /** Handlers by rpc name, for `server.addService`. */
   handlers(): grpc.UntypedServiceImplementation {
-    return { Claim: this.#claim, Settle: this.#settle, Adopt: this.#adopt };
+    return {
+      Claim: this.#claimHandler((...args) => this.#records.claim(...args)),
+      Refuse: this.#claimHandler((...args) => this.#records.refuse(...args)),
+      Settle: this.#settle,
+      Adopt: this.#adopt,
+    };
   }
 
-  readonly #claim: grpc.handleUnaryCall<ProtoTypes["KeyedRecord"], ProtoTypes["ClaimReply"]> = (
-    call,
-    cb,
-  ) => {
-    respond(cb, async () => {
-      const { key, record } = call.request;
-      if (!record) {
-        throw new Error("claim request has no record");
-      }
-      const claimReply = await this.#records.claim(
-        key,
-        recordCodec.decode(record, this.#clock.now()),
-      );
-      return claimReply.kind === "granted"
-        ? { granted: true, held: null }
-        : { granted: false, held: recordCodec.encode(claimReply.record, this.#clock.now()) };
-    });
-  };
+  #claimHandler(
+    handle: (key: string, record: RunRecord, startedAt: number) => Promise<ClaimReply>,
+  ): grpc.handleUnaryCall<ProtoTypes["ClaimRequest"], ProtoTypes["ClaimReply"]> {
+    return (call, cb) => {
+      respond(cb, async () => {
+        const { key, record, age_ms: ageMs } = call.request;
+        if (!record) {
+          throw new Error("claim request has no record");
+        }
+        const now = this.#clock.now();
+        const reply = await handle(key, recordCodec.decode(record, now), now - ageMs);
+        const held = reply.kind === "held" ? reply.record : undefined;
+        return {
+          granted: reply.kind === "granted",
+          held: held ? recordCodec.encode(held, this.#clock.now()) : null,
+          refused: reply.kind === "refused",
+        };
+      });
+    };
+  }
 
   readonly #settle: grpc.handleUnaryCall<ProtoTypes["SettleRequest"], object> = (call, cb) => {
     respond(cb, async () => {
--- a/src/sidecar/records/RemoteRecordPeer.test.ts
+++ b/src/sidecar/records/RemoteRecordPeer.test.ts
@@ -22,20 +22,25 @@
 }
 
 const cases: readonly { name: string; reply: ProtoTypes["ClaimReply"]; kind: string }[] = [
-  { name: "a grant", reply: { granted: true, held: null }, kind: "granted" },
+  { name: "a grant", reply: { granted: true, held: null, refused: false }, kind: "granted" },
   {
     name: "the record of another attempt",
-    reply: { granted: false, held: recordCodec.encode(record, 0) },
+    reply: { granted: false, held: recordCodec.encode(record, 0), refused: false },
     kind: "held",
   },
+  {
+    name: "a refusal",
+    reply: { granted: false, held: null, refused: true },
+    kind: "refused",
+  },
   // Guards against a run on the strength of a reply that grants nothing.
-  { name: "neither", reply: { granted: false, held: null }, kind: "rejected" },
+  { name: "neither", reply: { granted: false, held: null, refused: false }, kind: "rejected" },
 ];
 
 for (const { name, reply, kind } of cases) {
   test(`remote record peer: a claim answered with ${name}: ${kind}`, async (t) => {
     const result = await peerWith(reply)
-      .claim("k", record)
+      .claim("k", record, 0)
       .catch(() => ({ kind: "rejected" }));
     t.is(result.kind, kind);
   });
--- a/src/sidecar/records/RemoteRecordPeer.ts
+++ b/src/sidecar/records/RemoteRecordPeer.ts
@@ -22,24 +22,42 @@
     this.#clock = clock;
   }
 
-  async claim(key: string, record: RunRecord): Promise<ClaimReply> {
-    const req = { key, record: recordCodec.encode(record, this.#clock.now()) };
+  claim(key: string, record: RunRecord, startedAt: number): Promise<ClaimReply> {
+    return this.#call((client) => client.Claim.bind(client), key, record, startedAt);
+  }
+
+  refuse(key: string, record: RunRecord, startedAt: number): Promise<ClaimReply> {
+    return this.#call((client) => client.Refuse.bind(client), key, record, startedAt);
+  }
+
+  async settle(key: string, attempt: string, record: RunRecord | undefined): Promise<void> {
+    const encoded = record ? recordCodec.encode(record, this.#clock.now()) : null;
+    await this.#client.call((client) =>
+      callUnary(client.Settle.bind(client), { key, attempt, record: encoded }, RECORD_TIMEOUT_MS),
+    );
+  }
+
+  async #call(
+    method: (client: PeerClient) => PeerClient["Claim"],
+    key: string,
+    record: RunRecord,
+    startedAt: number,
+  ): Promise<ClaimReply> {
+    const now = this.#clock.now();
+    const age_ms = Math.max(0, Math.round(now - startedAt));
+    const req = { key, record: recordCodec.encode(record, now), age_ms };
     const res = await this.#client.call((client) =>
-      callUnary(client.Claim.bind(client), req, RECORD_TIMEOUT_MS),
+      callUnary(method(client), req, RECORD_TIMEOUT_MS),
     );
     if (res.granted) {
       return { kind: "granted" };
     }
+    if (res.refused) {
+      return { kind: "refused" };
+    }
     if (!res.held) {
       throw new Error("the reply to a claim is neither a grant nor a record");
     }
     return { kind: "held", record: recordCodec.decode(res.held, this.#clock.now()) };
   }
-
-  async settle(key: string, attempt: string, record: RunRecord | undefined): Promise<void> {
-    const encoded = record ? recordCodec.encode(record, this.#clock.now()) : null;
-    await this.#client.call((client) =>
-      callUnary(client.Settle.bind(client), { key, attempt, record: encoded }, RECORD_TIMEOUT_MS),
-    );
-  }
 }
--- a/src/sidecar/records/RunRecord.ts
+++ b/src/sidecar/records/RunRecord.ts
@@ -16,6 +16,8 @@
 export type RunRecord = {
   /** The attempt that claimed the key; only this attempt may settle it. */
   readonly attempt: string;
+  /** Id of the target that it was sent to; undefined in records of earlier versions. */
+  readonly target?: string;
   /** Digest of method, path and body: one key must not be used for two requests. */
   readonly fingerprint: string;
   /** Deadline of the attempt on the record holder's monotonic clock, ms. */
--- a/src/sidecar/records/RunRecords.ts
+++ b/src/sidecar/records/RunRecords.ts
@@ -1,5 +1,6 @@
 import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
 import type { ClaimReply } from "./ClaimReply.ts";
+import { RefusedKeys } from "./RefusedKeys.ts";
 import type { RunRecord } from "./RunRecord.ts";
 import type { SyncedJournal } from "./SyncedJournal.ts";
 
@@ -31,12 +32,14 @@
   readonly #journal: SyncedJournal<JournalEntry> | undefined;
   readonly #now: () => number;
   readonly #held = new Map<string, HeldRecord>();
+  readonly #refusedKeys: RefusedKeys;
   #staleLines = 0;
 
   /** @param now reads the monotonic clock, ms */
   constructor(journal: SyncedJournal<JournalEntry> | undefined, now: () => number) {
     this.#journal = journal;
     this.#now = now;
+    this.#refusedKeys = new RefusedKeys(now);
     for (const entry of journal?.read() ?? []) {
       this.#apply(toCurrentClock(entry, now()));
     }
@@ -48,16 +51,37 @@
     return this.#held.size;
   }
 
-  /** Claims `key` for the attempt in `claimRecord`, unless there is a record of another attempt. */
-  async claim(key: string, claimRecord: RunRecord): Promise<ClaimReply> {
+  /**
+   * Claims `key` for the attempt in `claimRecord`, unless there is a record of another attempt, or one that began
+   * later has been refused.
+   *
+   * @param startedAt when the attempt arrived at its first sidecar, ms
+   */
+  async claim(key: string, claimRecord: RunRecord, startedAt = this.#now()): Promise<ClaimReply> {
     const held = this.#held.get(key);
     if (held && held.record.attempt !== claimRecord.attempt) {
       return { kind: "held", record: held.record };
     }
+    if (this.#refusedKeys.bars(key, startedAt)) {
+      return { kind: "refused" };
+    }
     await this.#persist({ key, at: this.#now(), record: claimRecord });
     return { kind: "granted" };
   }
 
+  /**
+   * Bars attempts that began before `startedAt` (ms) from claiming `key`, until the deadline in `record`; if another
+   * attempt holds the key, returns its record instead.
+   */
+  refuse(key: string, { attempt, deadlineAt }: RunRecord, startedAt: number): Promise<ClaimReply> {
+    const held = this.#held.get(key);
+    if (held && held.record.attempt !== attempt) {
+      return Promise.resolve({ kind: "held", record: held.record });
+    }
+    this.#refusedKeys.add(key, startedAt, deadlineAt);
+    return Promise.resolve({ kind: "granted" });
+  }
+
   /** Stores the outcome of an attempt; `undefined` means that it did not run, and releases the key. */
   async settle(key: string, attempt: string, record: RunRecord | undefined): Promise<void> {
     const held = this.#held.get(key);
@@ -83,6 +107,7 @@
 
   /** Drops records older than {@link RETENTION_MS}. Must be called periodically. */
   expire(): void {
+    this.#refusedKeys.expire();
     const cutoff = this.#now() - RETENTION_MS;
     for (const [key, { at }] of this.#held) {
       if (at < cutoff) {
--- a/src/sidecar/records/chooseRecordGroup.ts
+++ b/src/sidecar/records/chooseRecordGroup.ts
@@ -1,4 +1,5 @@
 import { createHash } from "node:crypto";
+import { RECORD_GROUP_SIZE } from "./RECORD_GROUP_SIZE.ts";
 
 /** A sidecar that may hold records. */
 interface Replica {
@@ -6,9 +7,6 @@
   readonly zone: string;
 }
 
-/** Number of replicas that hold each record. */
-const GROUP_SIZE = 5;
-
 /**
  * Chooses the sidecars that hold the record of `key`, by highest random weight
  * (rendezvous hashing, Thaler and Ravishankar, "Using Name-Based Mappings to
@@ -26,11 +24,11 @@
     insertRanked(ranked, { replica, weight: mix(keyHash ^ idHash(replica.id)) });
   }
   const group: Ranked<T>[] = [];
-  for (let round = 0; round < GROUP_SIZE; round++) {
+  for (let round = 0; round < RECORD_GROUP_SIZE; round++) {
     const nextPerZone = [...zones.values()].flatMap((ranked) => ranked[round] ?? []);
     group.push(...nextPerZone.sort(byWeight));
   }
-  return group.slice(0, GROUP_SIZE).map((r) => r.replica);
+  return group.slice(0, RECORD_GROUP_SIZE).map((r) => r.replica);
 }
 
 interface Ranked<T> {
@@ -42,15 +40,15 @@
   return b.weight - a.weight || (a.replica.id < b.replica.id ? -1 : 1);
 }
 
-/** Inserts a candidate into `ranked`, which keeps the {@link GROUP_SIZE} highest weights in order. */
+/** Inserts a candidate into `ranked`, which keeps the {@link RECORD_GROUP_SIZE} highest weights in order. */
 function insertRanked<T extends Replica>(ranked: Ranked<T>[], candidate: Ranked<T>): void {
-  const last = ranked[GROUP_SIZE - 1];
+  const last = ranked[RECORD_GROUP_SIZE - 1];
   if (last && byWeight(last, candidate) < 0) {
     return;
   }
   const index = ranked.findIndex((r) => byWeight(candidate, r) < 0);
   ranked.splice(index < 0 ? ranked.length : index, 0, candidate);
-  ranked.length = Math.min(ranked.length, GROUP_SIZE);
+  ranked.length = Math.min(ranked.length, RECORD_GROUP_SIZE);
 }
 
 /** Hashes of member ids, so that ranking thousands of members per request needs no SHA-256 for each. */
--- a/src/sidecar/records/recordCodec.ts
+++ b/src/sidecar/records/recordCodec.ts
@@ -13,26 +13,28 @@
       status: answer?.status ?? 0,
       headers: { ...answer?.headers },
       body: Buffer.from(answer?.body ?? "", "base64"),
+      target: record.target ?? "",
     };
   },
 
   decode(raw: ProtoTypes["Record"], now: number): RunRecord {
-    const { attempt, fingerprint } = raw;
+    const { attempt, fingerprint, target } = raw;
     const deadlineAt = now + raw.remaining_ms;
+    const common = { attempt, target, fingerprint, deadlineAt };
     switch (raw.state) {
       case "claimed":
-        return { state: "claimed", attempt, fingerprint, deadlineAt };
+        return { state: "claimed", ...common };
       case "done": {
         const answer = {
           status: raw.status,
           headers: raw.headers,
           body: raw.body.toString("base64"),
         };
-        return { state: "done", attempt, fingerprint, deadlineAt, answer };
+        return { state: "done", ...common, answer };
       }
       default:
         // A state added by a newer version: the safe interpretation is that the request may have run.
-        return { state: "unknown", attempt, fingerprint, deadlineAt };
+        return { state: "unknown", ...common };
     }
   },
 };
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -36,6 +36,15 @@
   readonly borrower?: Pick<RetryTokenBorrower, "borrow">;
   /** Whether this sidecar has started recently, and may not know all targets yet; false if left out. */
   readonly isStarting?: () => boolean;
+  /**
+   * Confirms that a request which is refused here has not run under its idempotency key; without it, a refusal is
+   * returned as it is.
+   */
+  readonly confirmRefusal?: (
+    route: RouteMatch,
+    req: CallerRequest,
+    refusal: ForwardResult,
+  ) => Promise<ForwardResult>;
   /** Distinguishes nested calls from callers' own requests; without it, all requests count as callers' own. */
   readonly classifier?: Pick<TrafficClassifier, "begin">;
   /** Called for each retry or hedge that is sent. */
@@ -151,7 +160,20 @@
     if (!req.disconnected.aborted && !guard.isBlocked) {
       this.#deps.policy.recordResult(route, isSuccess(result));
     }
-    return result;
+    return this.#confirmRefusal(route, req, result);
+  }
+
+  /** Replaces a refusal by the outcome of an earlier attempt at the same request, if there is one. */
+  async #confirmRefusal(
+    route: RouteMatch,
+    req: CallerRequest,
+    result: ForwardResult,
+  ): Promise<ForwardResult> {
+    const { confirmRefusal } = this.#deps;
+    const isRefusal = result.verdict.kind === "not-run" && result.verdict.status === undefined;
+    return confirmRefusal && isRefusal && !req.disconnected.aborted
+      ? confirmRefusal(route, req, result)
+      : result;
   }
 
   async #dispatchWithRetries(state: DispatchState): Promise<ForwardResult> {
--- a/src/sidecar/routing/RemoteRun.ts
+++ b/src/sidecar/routing/RemoteRun.ts
@@ -7,6 +7,7 @@
 import type { HopLink } from "../hop/HopLink.ts";
 import { NotSentError } from "../hop/NotSentError.ts";
 import type { PendingCall } from "../hop/PendingCall.ts";
+import { idempotencyKeyOf } from "../records/idempotencyKeyOf.ts";
 import type { CallerRequest } from "./CallerRequest.ts";
 import type { Grant } from "./SlotFinder.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
@@ -85,7 +86,9 @@
   };
 
   #hopRequest() {
-    const { attempt, method, path, headers, body, bodyLength, deadlineAt } = this.#req;
+    const { attempt, method, path, headers, body, bodyLength, startedAt, deadlineAt } = this.#req;
+    const now = this.#deps.clock.now();
+    const isKeyed = !this.#route.idempotent && idempotencyKeyOf(headers) !== undefined;
     return {
       attempt,
       target: this.#grant.target.id,
@@ -95,7 +98,8 @@
       headers,
       body,
       bodyLength,
-      remainingMs: deadlineAt - this.#deps.clock.now() - DEADLINE_MARGIN_MS,
+      remainingMs: deadlineAt - now - DEADLINE_MARGIN_MS,
+      ageMs: isKeyed ? now - startedAt : undefined,
       callerService: this.#deps.callerService,
       idempotent: this.#route.idempotent,
       echoHeader: this.#route.service.echoHeader,
