Refuse a keyed request when there is no record holder

What callers would see: no response to a booking with a key. A sidecar that is being stopped is no record holder; if it knows no other member, as the last of its fleet or cut off for over 30 s, the group of every key is empty. The claim waited for replies that nobody sends, past the request's deadline at the target.

Cause: claimAll and OutcomeReplicator decide when a reply arrives, and neither asked whether any will. Found by reading, beside the record group's use for refusals; the test timed out before, and gets not-run without a run now.

--- a/src/sidecar/records/AtMostOnceRunner.test.ts
+++ b/src/sidecar/records/AtMostOnceRunner.test.ts
@@ -149,6 +149,8 @@
   { down: 2, of: 5, runs: 0 },
   { down: 1, of: 3, runs: 0 },
   { down: 0, of: 1, runs: 1 },
+  // Guards against a booking without a response while the only sidecar of a fleet is being stopped.
+  { down: 0, of: 0, runs: 0 },
 ];
 
 for (const c of downCases) {
--- a/src/sidecar/records/AtMostOnceRunner.ts
+++ b/src/sidecar/records/AtMostOnceRunner.ts
@@ -113,6 +113,9 @@
     let replies = 0;
     let held: RunRecord | undefined;
     let isRefused = false;
+    if (group.length === 0) {
+      resolve({ kind: "unreachable" });
+    }
     const onReply = (reply: ClaimReply | undefined) => {
       replies += 1;
       if (reply?.kind === "granted") {
--- a/src/sidecar/records/OutcomeReplicator.ts
+++ b/src/sidecar/records/OutcomeReplicator.ts
@@ -30,6 +30,9 @@
     attempt: string,
     record: RunRecord | undefined,
   ): Promise<void> {
+    if (group.length === 0) {
+      return Promise.resolve();
+    }
     const needed = claimQuorum(group.length);
     return new Promise((resolve) => {
       let acknowledged = 0;
