Read what has arrived before a timeout concludes that it is missing

The same fault takes paths for cut, targets for slow and members for dead, starts hedges, elections and watches for nothing, and withdraws all targets of a sidecar that was stopped for two seconds.

Cause: Node runs the timers that are due before it reads the sockets, so after a pause of the process every timer that takes silence for absence is wrong.

All uses of Clock.after were read; those that conclude something from silence use it now. A target's last announcement is measured without the time for which the process was stalled. Late timeouts are counted and logged.

--- a/experiment/SimClock.ts
+++ b/experiment/SimClock.ts
@@ -37,6 +37,11 @@
     };
   }
 
+  /** Simulated processes are never blocked, so timeouts are ordinary timers. */
+  timeout(ms: number, callback: () => void): Timer {
+    return this.after(ms, callback);
+  }
+
   /** Runs timers until the simulated time is `until`, ms; promises settle between timers. */
   async run(until: number): Promise<void> {
     for (;;) {
--- a/src/common/lifecycle/Clock.ts
+++ b/src/common/lifecycle/Clock.ts
@@ -10,4 +10,10 @@
   now(): number;
   /** Calls `callback` once after `ms` milliseconds, unless cancelled before. */
   after(ms: number, callback: () => void): Timer;
+  /**
+   * Calls `callback` once when the input awaited for `ms` milliseconds has not arrived, unless cancelled before. Input
+   * that the kernel had received by then is processed first: timers of an event loop that was blocked are due before it
+   * reads its sockets, so with {@link after} a reply that arrived in time would count as missing.
+   */
+  timeout(ms: number, callback: () => void): Timer;
 }
--- a/src/common/lifecycle/StallClock.test.ts
+++ b/src/common/lifecycle/StallClock.test.ts
@@ -5,7 +5,7 @@
   // Guards against blaming the targets for a stall of the sidecar: after a garbage collection
   // of 200 ms, every response read appears 200 ms slower, at all targets at the same time.
   const clock = { now: 0 };
-  const stalls = new StallClock(() => clock.now);
+  const stalls = new StallClock(() => clock.now, { tickMs: 10, jitterMs: 5 });
   for (const step of [10, 11, 12]) {
     clock.now += step;
     stalls.tick();
--- a/src/common/lifecycle/StallClock.ts
+++ b/src/common/lifecycle/StallClock.ts
@@ -1,34 +1,39 @@
 import { Disposable } from "./Disposable.ts";
 import { every } from "./every.ts";
 
-/** Interval of the timer whose lateness is measured, ms. */
-const TICK_MS = 10;
+interface StallTiming {
+  /** Interval of the timer whose lateness is measured, ms. */
+  readonly tickMs: number;
+  /** Lateness up to this is ordinary timer jitter, ms. */
+  readonly jitterMs: number;
+}
 
-/** Lateness up to this is ordinary timer jitter, ms. */
-const JITTER_MS = 5;
+/** Timing for stalls that are long compared with the intervals of announcements and heartbeats. */
+const DEFAULT_TIMING: StallTiming = { tickMs: 250, jitterMs: 250 };
 
 /**
  * Measures the total time for which this process was stalled (garbage collection, a
- * busy machine, a freeze), detected by timers that fire late. A latency measured
- * across a stall is caused by this process, not by the target; without this
- * correction, one stall makes every target look slow at the same time.
+ * busy machine, a freeze), detected by timers that fire late. What arrived during a stall
+ * has not been read, so a silence measured across it is this process's own.
  */
 export class StallClock extends Disposable {
   readonly #now: () => number;
+  readonly #timing: StallTiming;
   #stalledMs = 0;
   #lastTickAt: number;
 
   /** `now` reads a monotonic clock, ms. */
-  constructor(now: () => number) {
+  constructor(now: () => number, timing = DEFAULT_TIMING) {
     super();
     this.#now = now;
+    this.#timing = timing;
     this.#lastTickAt = now();
   }
 
   /** Starts measuring, until disposed. */
   start(): void {
     this.register(
-      every(TICK_MS, () => {
+      every(this.#timing.tickMs, () => {
         this.tick();
       }),
     );
@@ -36,18 +41,14 @@
 
   /** Records one firing of the timer. */
   tick(): void {
-    const now = this.#now();
-    const lateMs = now - this.#lastTickAt - TICK_MS;
-    if (lateMs > JITTER_MS) {
-      this.#stalledMs += lateMs;
-    }
-    this.#lastTickAt = now;
+    this.#stalledMs = this.totalMs;
+    this.#lastTickAt = this.#now();
   }
 
   /** Total time stalled since the start, ms; includes a stall that is still going on. */
   get totalMs(): number {
     // A current stall: the tick that will record it has not fired yet.
-    const pendingMs = this.#now() - this.#lastTickAt - TICK_MS;
-    return this.#stalledMs + (pendingMs > JITTER_MS ? pendingMs : 0);
+    const lateMs = this.#now() - this.#lastTickAt - this.#timing.tickMs;
+    return this.#stalledMs + (lateMs > this.#timing.jitterMs ? lateMs : 0);
   }
 }
--- a/src/common/rpc/callUnary.ts
+++ b/src/common/rpc/callUnary.ts
@@ -1,4 +1,5 @@
 import type * as grpc from "@grpc/grpc-js";
+import { SystemClock } from "../lifecycle/SystemClock.ts";
 
 type Callback<Res> = (err: grpc.ServiceError | null, res?: Res) => void;
 
@@ -17,7 +18,7 @@
 ): Promise<Res> {
   return new Promise((resolve, reject) => {
     const call = method(req, (err, res) => {
-      clearTimeout(timer);
+      timer.cancel();
       if (err) {
         reject(err);
       } else if (res === undefined) {
@@ -26,8 +27,8 @@
         resolve(res);
       }
     });
-    const timer = setTimeout(() => {
+    const timer = SystemClock.timeout(timeoutMs, () => {
       call.cancel();
-    }, timeoutMs);
+    });
   });
 }
--- a/src/control/ControlMetrics.ts
+++ b/src/control/ControlMetrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { lateTimeoutCounter } from "../common/telemetry/lateTimeoutCounter.ts";
 import type { Replica } from "./replica/Replica.ts";
 import type { DocumentWatchers } from "./service/DocumentWatchers.ts";
 
@@ -14,6 +15,7 @@
 /** A control replica's prom-client metrics, in a separate registry. */
 export class ControlMetrics {
   readonly registry = new Registry();
+  readonly lateTimeouts = lateTimeoutCounter(this.registry);
   readonly #writeSeconds = new Histogram({
     name: "burdockpass_control_write_seconds",
     help: "Time that a synced write of the control log took.",
--- a/src/control/ControlRole.ts
+++ b/src/control/ControlRole.ts
@@ -7,6 +7,7 @@
 import { SidecarId } from "../common/ids/SidecarId.ts";
 import { ZoneName } from "../common/ids/ZoneName.ts";
 import { Disposable } from "../common/lifecycle/Disposable.ts";
+import { LateTimeoutReport } from "../common/lifecycle/LateTimeoutReport.ts";
 import { SystemClock } from "../common/lifecycle/SystemClock.ts";
 import { loadProto } from "../common/rpc/loadProto.ts";
 import { startGrpcServer } from "../common/rpc/startGrpcServer.ts";
@@ -77,6 +78,11 @@
   /** Opens the log, joins the membership and the control group, and starts the servers. */
   async start(): Promise<void> {
     const { listen } = this.#cfg;
+    this.register(
+      new LateTimeoutReport(this.#log, (isAnswered) => {
+        this.#metrics.lateTimeouts.inc({ input: isAnswered ? "arrived" : "missing" });
+      }),
+    );
     const replica = this.#openReplica();
     const service = new ControlService(replica, SystemClock, this.#log);
     this.#service = service;
--- a/src/control/replica/Election.ts
+++ b/src/control/replica/Election.ts
@@ -190,7 +190,7 @@
   /** Sets the only timer; heartbeats move `#electionDueAt`, which the timer compares when it fires. */
   #scheduleCheck(): void {
     const wait = Math.max(0, this.#electionDueAt - this.#deps.clock.now());
-    this.#timer = this.#deps.clock.after(wait, () => {
+    this.#timer = this.#deps.clock.timeout(wait, () => {
       if (this.#deps.clock.now() >= this.#electionDueAt) {
         this.postpone();
         this.#deps.onElectionTimeout();
--- a/src/control/replica/LeaderTerm.ts
+++ b/src/control/replica/LeaderTerm.ts
@@ -154,7 +154,7 @@
     this.#replicateAll();
     this.#reconfigureGroup();
     if (!this.#ended) {
-      this.#timer = clock.after(timing.heartbeatMs, () => {
+      this.#timer = clock.timeout(timing.heartbeatMs, () => {
         this.#sendHeartbeat();
       });
     }
@@ -315,7 +315,7 @@
           settle(!this.#ended && condition());
         }
       };
-      const timer = clock.after(timing.commitTimeoutMs, () => {
+      const timer = clock.timeout(timing.commitTimeoutMs, () => {
         settle(false);
       });
       this.#waiters.add(check);
--- a/src/membership/DatagramLink.ts
+++ b/src/membership/DatagramLink.ts
@@ -147,7 +147,7 @@
         cleanUp();
         reject(err);
       };
-      const timeout = this.#clock.after(timeoutMs, () => {
+      const timeout = this.#clock.timeout(timeoutMs, () => {
         fail(new Error(`${address} did not reply in time`));
       });
       const complete = (reply: Datagram) => {
--- a/src/membership/DocumentCatchUp.ts
+++ b/src/membership/DocumentCatchUp.ts
@@ -63,7 +63,7 @@
   }
 
   #scheduleCatchUp(ms: number): Timer {
-    return this.#deps.clock.after(Math.max(0, ms), () => {
+    return this.#deps.clock.timeout(Math.max(0, ms), () => {
       this.#catchUp();
     });
   }
--- a/src/membership/TargetTable.ts
+++ b/src/membership/TargetTable.ts
@@ -82,10 +82,16 @@
    * @param self this member; its incarnation is its start time by the wall clock, ms
    * @param now monotonic clock, ms
    * @param announceTimeoutMs a target that has not announced itself for this long is considered gone
+   * @param stalledMs total time for which this process was stalled, in which it has read no announcements, ms
    */
-  constructor(self: Self, now: () => number, announceTimeoutMs = ANNOUNCE_TIMEOUT_MS) {
+  constructor(
+    self: Self,
+    now: () => number,
+    announceTimeoutMs = ANNOUNCE_TIMEOUT_MS,
+    stalledMs: () => number = () => 0,
+  ) {
     this.#now = now;
-    this.#local = new LocalTargets(now, announceTimeoutMs);
+    this.#local = new LocalTargets(() => now() - stalledMs(), announceTimeoutMs);
     this.#self = {
       sidecar_id: self.id,
       peer_address: self.peerAddress,
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -4,6 +4,8 @@
 import { SidecarId } from "../common/ids/SidecarId.ts";
 import { ZoneName } from "../common/ids/ZoneName.ts";
 import { Disposable } from "../common/lifecycle/Disposable.ts";
+import { LateTimeoutReport } from "../common/lifecycle/LateTimeoutReport.ts";
+import { StallClock } from "../common/lifecycle/StallClock.ts";
 import { SystemClock } from "../common/lifecycle/SystemClock.ts";
 import { loadProto } from "../common/rpc/loadProto.ts";
 import { meterService } from "../common/rpc/meterService.ts";
@@ -140,6 +142,11 @@
   async start(): Promise<void> {
     const cfg = this.#cfg;
     const metrics = new SidecarMetrics();
+    this.register(
+      new LateTimeoutReport(this.#log, (isAnswered) => {
+        metrics.lateTimeouts.inc({ input: isAnswered ? "arrived" : "missing" });
+      }),
+    );
     const onMessageSize: MessageSizeListener = (method, bytes) => {
       metrics.countControlBytes(TRAFFIC_KINDS[method] ?? "other", bytes);
     };
@@ -343,7 +350,10 @@
       zone: ZoneName(zone),
       incarnation: Date.now(),
     };
-    return new TargetTable(self, () => SystemClock.now(), announceTimeoutMs);
+    const stalls = this.register(new StallClock(() => SystemClock.now()));
+    stalls.start();
+    const now = () => SystemClock.now();
+    return new TargetTable(self, now, announceTimeoutMs, () => stalls.totalMs);
   }
 
   #createConfigFollower(
--- a/src/sidecar/admin/SidecarMetrics.ts
+++ b/src/sidecar/admin/SidecarMetrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { lateTimeoutCounter } from "../../common/telemetry/lateTimeoutCounter.ts";
 import type { QuarantineEvent } from "../quarantine/QuarantineEvent.ts";
 import type { TrafficKind } from "./TrafficKind.ts";
 
@@ -33,6 +34,7 @@
 /** The sidecar's prom-client metrics, in a separate registry. */
 export class SidecarMetrics {
   readonly registry = new Registry();
+  readonly lateTimeouts = lateTimeoutCounter(this.registry);
   readonly #requests: Counter;
   readonly #duration: Histogram;
   readonly #controlBytes: Counter;
--- a/src/sidecar/config/DocumentWait.ts
+++ b/src/sidecar/config/DocumentWait.ts
@@ -40,7 +40,7 @@
       return Promise.resolve();
     }
     return new Promise((resolve) => {
-      const timer: Timer = this.#clock.after(MAX_HOLD_MS, () => {
+      const timer: Timer = this.#clock.timeout(MAX_HOLD_MS, () => {
         release();
       });
       const release = () => {
--- a/src/sidecar/config/WatchSupervisor.ts
+++ b/src/sidecar/config/WatchSupervisor.ts
@@ -130,7 +130,7 @@
     }
     this.#endRace();
     this.#heartbeatTimer?.cancel();
-    this.#heartbeatTimer = this.#deps.clock.after(HEARTBEAT_TIMEOUT_MS, () => {
+    this.#heartbeatTimer = this.#deps.clock.timeout(HEARTBEAT_TIMEOUT_MS, () => {
       this.#deps.log.info(
         { replica: handle.address, ms: HEARTBEAT_TIMEOUT_MS },
         "no heartbeats from control replica",
@@ -163,7 +163,7 @@
   #scheduleStart(ms: number): void {
     this.#raceTimer?.cancel();
     if (!this.#stopped) {
-      this.#raceTimer = this.#deps.clock.after(ms, () => {
+      this.#raceTimer = this.#deps.clock.timeout(ms, () => {
         this.start();
       });
     }
--- a/src/sidecar/forwarding/TargetSender.ts
+++ b/src/sidecar/forwarding/TargetSender.ts
@@ -77,7 +77,7 @@
     const progress: Progress = { isResponding: false, timedOut: false };
     // Closing the connection ends the run at the target, and ensures that a late response cannot be mistaken for that
     // of the next request.
-    const timer = clock.after(remainingMs, () => {
+    const timer = clock.timeout(remainingMs, () => {
       progress.timedOut = true;
       exchange.abort();
     });
--- a/src/sidecar/gate/SlotTable.ts
+++ b/src/sidecar/gate/SlotTable.ts
@@ -55,7 +55,7 @@
     ttlMs: number,
     onExpired: () => void,
   ): void {
-    const timer = this.#clock.after(ttlMs, onExpired);
+    const timer = this.#clock.timeout(ttlMs, onExpired);
     const since = this.#clock.now();
     this.#holders.set(grant, {
       request,
@@ -74,7 +74,7 @@
       return false;
     }
     holder.timer.cancel();
-    const timer = this.#clock.after(holder.request.remainingMs, onExpired);
+    const timer = this.#clock.timeout(holder.request.remainingMs, onExpired);
     this.#holders.set(grant, { ...holder, timer });
     return true;
   }
@@ -107,7 +107,7 @@
     holder.timer.cancel();
     const { request, isProbe } = holder;
     const since = this.#clock.now();
-    const timer = this.#clock.after(overdueMs(request), () => {
+    const timer = this.#clock.timeout(overdueMs(request), () => {
       running.isOverdue = onOverdue(since);
     });
     const running: SlotHolder = {
--- a/src/sidecar/hop/RetryTokenClient.ts
+++ b/src/sidecar/hop/RetryTokenClient.ts
@@ -47,7 +47,7 @@
         this.#pending.delete(id);
         resolve(isGranted);
       };
-      const timer = this.#deps.clock.after(REPLY_TIMEOUT_MS, () => {
+      const timer = this.#deps.clock.timeout(REPLY_TIMEOUT_MS, () => {
         settle(false);
       });
       this.#pending.set(id, { settle, timer });
--- a/src/sidecar/quarantine/RequestGuard.ts
+++ b/src/sidecar/quarantine/RequestGuard.ts
@@ -68,7 +68,7 @@
         resolve();
       };
       const remainingMs = Math.max(0, deadlineAt - clock.now());
-      const timer = clock.after(Math.min(MAX_TURN_WAIT_MS, remainingMs), giveUp);
+      const timer = clock.timeout(Math.min(MAX_TURN_WAIT_MS, remainingMs), giveUp);
       disconnected.addEventListener("abort", giveUp, { once: true });
       void turn.then(() => {
         timer.cancel();
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -305,7 +305,7 @@
       },
       giveUp: () => run?.cancel(),
     };
-    const timer = clock.after(policy.typicalMs(state.route) * HEDGE_FACTOR, () => {
+    const timer = clock.timeout(policy.typicalMs(state.route) * HEDGE_FACTOR, () => {
       if (!this.#deps.budgets.tryRetry(state.route)) {
         this.#reportDenied(state, "hedge");
         return;
--- a/src/sidecar/routing/RemoteRun.ts
+++ b/src/sidecar/routing/RemoteRun.ts
@@ -64,7 +64,7 @@
     let settle: (result: ForwardResult) => void = () => undefined;
     this.result = new Promise((resolve) => (settle = resolve));
     this.#settle = settle;
-    this.#deadlineTimer = deps.clock.after(req.deadlineAt - deps.clock.now(), () => {
+    this.#deadlineTimer = deps.clock.timeout(req.deadlineAt - deps.clock.now(), () => {
       this.#finish(this.#mayHaveRun("no answer in time", true, AttemptOutcome.TimedOut));
     });
     req.disconnected.addEventListener("abort", this.#onCallerAbort);
@@ -142,7 +142,7 @@
   #restartHeartbeatTimer(): void {
     this.#livenessTimer?.cancel();
     if (!this.#finished) {
-      this.#livenessTimer = this.#deps.clock.after(HEARTBEAT_TIMEOUT_MS, () => {
+      this.#livenessTimer = this.#deps.clock.timeout(HEARTBEAT_TIMEOUT_MS, () => {
         this.#onContactLost("the connection fell silent");
       });
     }
@@ -173,7 +173,7 @@
     const grant = { attempt: this.#req.attempt, target: target.id, grant: id };
     const pending = this.#deps.hop.reattach(target.hopAddress, grant, this.#onHeartbeat);
     this.#track(pending, false);
-    this.#livenessTimer = this.#deps.clock.after(REATTACH_TIMEOUT_MS, () => {
+    this.#livenessTimer = this.#deps.clock.timeout(REATTACH_TIMEOUT_MS, () => {
       pending.cancel();
       this.#reattach();
     });
--- a/src/sidecar/routing/SlotFinder.ts
+++ b/src/sidecar/routing/SlotFinder.ts
@@ -425,7 +425,7 @@
   }
 
   #after(ms: number, callback: () => void): void {
-    const timer = this.#deps.clock.after(Math.max(0, ms), () => {
+    const timer = this.#deps.clock.timeout(Math.max(0, ms), () => {
       this.#timers.delete(timer);
       callback();
     });
