Serve what the kernel has accepted before a stop closes its sockets

Cause: closing a listening socket resets the connections in its accept queue, and closing a connection resets it if a request on it has not been read. One turn of the event loop before the close does not help if that turn takes long. Node closes connections for their keep-alive timeout, and answers 408 to late heads, before it reads their sockets: the same fault.

Why it works: the sockets are closed after a turn with little to do, which leaves less than a millisecond between the last look at the socket and its close.

--- a/src/common/http/OpenConnections.ts
+++ b/src/common/http/OpenConnections.ts
@@ -1,5 +1,6 @@
 import type { Server } from "node:http";
 import type { Socket } from "node:net";
+import { afterPendingInput } from "../lifecycle/afterPendingInput.ts";
 
 /** State of one connection. */
 interface Connection {
@@ -20,6 +21,7 @@
  */
 export class OpenConnections {
   readonly #connections = new Map<Socket, Connection>();
+  #isSweeping = false;
 
   constructor(server: Server) {
     server.on("connection", (socket) => {
@@ -46,6 +48,8 @@
     server.closeIdleConnections = () => {
       this.closeIdle();
     };
+    // With this listener, Node leaves it to the server to close a connection whose keep-alive timeout has passed.
+    server.on("timeout", closeUnlessInputArrives);
   }
 
   /**
@@ -54,8 +58,13 @@
    * read. Must be called repeatedly.
    */
   closeIdle(): void {
-    // Timers run before sockets are read: after a stall, let the data that arrived meanwhile be read first.
-    setImmediate(() => {
+    if (this.#isSweeping) {
+      return;
+    }
+    this.#isSweeping = true;
+    // Closing a connection resets it if a request on it has arrived and has not been read.
+    afterPendingInput(() => {
+      this.#isSweeping = false;
       for (const [socket, connection] of this.#connections) {
         this.#closeIfIdle(socket, connection);
       }
@@ -74,3 +83,12 @@
     connection.wasIdle = isIdle;
   }
 }
+
+function closeUnlessInputArrives(socket: Socket): void {
+  const { bytesRead } = socket;
+  afterPendingInput(() => {
+    if (socket.bytesRead === bytesRead) {
+      socket.destroy();
+    }
+  });
+}
--- a/src/common/http/startHttpServer.ts
+++ b/src/common/http/startHttpServer.ts
@@ -1,6 +1,7 @@
 import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import type { IDisposable } from "../lifecycle/IDisposable.ts";
+import { afterPendingInput } from "../lifecycle/afterPendingInput.ts";
 import { OpenConnections } from "./OpenConnections.ts";
 
 /** A listening HTTP server. Disposing it stops accepting connections and waits for open requests. */
@@ -37,9 +38,8 @@
         const sweeper = setInterval(() => {
           connections.closeIdle();
         }, IDLE_SWEEP_MS);
-        // Deferred until pending socket events were handled, so that connections waiting in
-        // the accept backlog are accepted and not reset.
-        setImmediate(() => {
+        // Closing the listening socket resets the connections in its accept queue, so those are accepted first.
+        afterPendingInput(() => {
           server.close(() => {
             clearInterval(sweeper);
             resolve();
--- a/src/sidecar/ingress/CallerServer.test.ts
+++ b/src/sidecar/ingress/CallerServer.test.ts
@@ -1,3 +1,4 @@
+import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
 import { PassThrough, type Readable } from "node:stream";
@@ -310,3 +311,27 @@
     t.regex(received(), new RegExp(`x-burdockpass-verdict: ${verdict}\r\n`));
   });
 }
+
+const lateHeads = [
+  { name: "whose rest has arrived is served", rest: "\r\n", isServed: true },
+  { name: "of which nothing more has arrived is refused", rest: "", isServed: false },
+];
+
+for (const { name, rest, isServed } of lateHeads) {
+  // Guards against a 408 for a request that arrived in time, after a pause of the process.
+  test(`caller server: a request head that is late and ${name}`, async (t) => {
+    const { server, socket, dispatched, received } = await openConnection(t);
+    const connection = once(server.server, "connection") as Promise<[Socket]>;
+    socket.write("GET /late HTTP/1.1\r\nhost: a\r\n");
+    const [serverSocket] = await connection;
+    await eventually(() => serverSocket.bytesRead > 0);
+    socket.write(rest);
+    const err = Object.assign(new Error("timeout"), { code: "ERR_HTTP_REQUEST_TIMEOUT" });
+    server.server.emit("clientError", err, serverSocket);
+    await eventually(() => dispatched.has("/late") || received() !== "");
+    t.deepEqual(
+      [dispatched.has("/late"), received().slice(0, 12)],
+      [isServed, isServed ? "" : "HTTP/1.1 408"],
+    );
+  });
+}
--- a/src/sidecar/ingress/CallerServer.ts
+++ b/src/sidecar/ingress/CallerServer.ts
@@ -4,6 +4,7 @@
 import type bunyan from "bunyan";
 import type { Limits } from "../../common/document/Limits.ts";
 import { AttemptId } from "../../common/ids/AttemptId.ts";
+import { afterPendingInput } from "../../common/lifecycle/afterPendingInput.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { Tracing } from "../../common/telemetry/Tracing.ts";
 import type { Verdict } from "../../common/Verdict.ts";
@@ -111,7 +112,11 @@
       },
     );
     this.server.on("clientError", (err: NodeJS.ErrnoException, socket: Socket) => {
-      this.#onClientError(err, socket);
+      if (err.code === "ERR_HTTP_REQUEST_TIMEOUT") {
+        this.#onHeadTimeout(err, socket);
+      } else {
+        this.#onClientError(err, socket);
+      }
     });
   }
 
@@ -129,6 +134,16 @@
     this.#isStopping = true;
   }
 
+  /** Refuses a request whose head is late, unless more of it has arrived while the event loop was blocked. */
+  #onHeadTimeout(err: NodeJS.ErrnoException, socket: Socket): void {
+    const { bytesRead } = socket;
+    afterPendingInput(() => {
+      if (socket.bytesRead === bytesRead) {
+        this.#onClientError(err, socket);
+      }
+    });
+  }
+
   /**
    * Refuses malformed or late input. While an earlier request on the connection is in progress, nothing is written: the
    * caller would take the refusal for the response to that request, as in a 408 for a request that is running.
