Soak: pipeline what is said to be pipelined, count requests from when they are sent

The agent of Node's HTTP client sends a lookup after the response to the one before it, so the soak's pipelined lookups were not, and the third of them waited for up to 3.3 s at the caller. A request counted as sent when it was given to the agent.

Pipelined lookups are written at once to one connection. Those behind a response that closes the connection were not read and are sent again, as HTTP asks of clients. A request counts as sent when it is written to an open connection. The plan and the check are unchanged, and so is what counts as no response.

--- a/soak/SoakCallers.ts
+++ b/soak/SoakCallers.ts
@@ -1,6 +1,7 @@
 import { Agent, request, type IncomingMessage } from "node:http";
 import type { CallRecord } from "./History.ts";
 import { createRng, type Rng } from "./createRng.ts";
+import { sendPipelined } from "./sendPipelined.ts";
 import type { SoakFleet } from "./SoakFleet.ts";
 import { CallKind, type SoakPlan } from "./SoakPlan.ts";
 
@@ -18,7 +19,7 @@
 /** Largest number of resends of one keyed booking. */
 const MAX_RESENDS = 3;
 
-/** Lookups that a caller occasionally issues at once for one connection. */
+/** Lookups that a caller occasionally pipelines on one connection. */
 const BURST_LENGTH = 3;
 
 const SERVICE_OF: Readonly<Record<CallKind, string>> = {
@@ -32,6 +33,12 @@
 /** The outcome of one exchange, as the caller observed it. */
 type CallOutcome = Pick<CallRecord, "status" | "verdict" | "bodyTag" | "isWhole" | "hadBegun">;
 
+/** A request that a caller has sent: when it was written to an open connection, and its outcome. */
+interface SentCall {
+  readonly sentAt: number | undefined;
+  readonly outcome: CallOutcome;
+}
+
 /** A request that a caller is to send. */
 interface CallSpec {
   readonly tag: string;
@@ -90,7 +97,7 @@
   #send(kind: CallKind): void {
     const via = this.#rng.pick(this.#readyVms());
     const isBurst = kind === CallKind.Lookup && this.#rng.int(1, 12) === 1;
-    const done = isBurst ? this.#callOnOneConnection(via) : this.#call(via, this.#nextCall(kind));
+    const done = isBurst ? this.#callPipelined(via) : this.#call(via, this.#nextCall(kind));
     this.#pending.add(done);
     void done.finally(() => this.#pending.delete(done));
   }
@@ -107,62 +114,82 @@
     return { tag, kind, bytes: this.#rng.pick(RESPONSE_BYTES), key };
   }
 
-  /** Issues several lookups at once for one connection; the agent sends each after the response to the previous one. */
-  async #callOnOneConnection(via: string): Promise<void> {
-    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  /**
+   * Pipelines several lookups on one connection. Those behind a response that closes it were not read, and are sent
+   * again to another sidecar.
+   */
+  async #callPipelined(via: string): Promise<void> {
     const specs = Array.from({ length: BURST_LENGTH }, () => this.#nextCall(CallKind.Lookup));
-    await Promise.all(specs.map((spec) => this.#exchange(via, spec, agent, undefined)));
-    agent.destroy();
+    const requests = specs.map((spec) => ({ path: pathOf(spec), headers: headersOf(spec) }));
+    const port = this.#fleet.callerPort(via);
+    const { sentAt, responses, hadBegun, hasTimedOut } = await sendPipelined(
+      port,
+      requests,
+      GIVE_UP_MS,
+      () => this.#fleet.now,
+    );
+    const isClosed = responses.at(-1)?.headers.get("connection") === "close";
+    const unread = isClosed ? specs.slice(responses.length) : [];
+    specs.slice(0, BURST_LENGTH - unread.length).forEach((spec, n) => {
+      const response = responses[n];
+      const verdict = hasTimedOut ? "left" : "";
+      const outcome = response
+        ? outcomeOf(response.status, response.headers.get(VERDICT), response.body, spec.bytes)
+        : { ...NO_RESPONSE, verdict, hadBegun: hadBegun && n === responses.length };
+      this.#record(via, spec, { sentAt, outcome }, undefined);
+    });
+    await Promise.all(unread.map((spec) => this.#call(this.#rng.pick(this.#readyVms()), spec)));
   }
 
   /** Sends a request, and resends it under its idempotency key, if it has one, until the outcome is final. */
   async #call(via: string, spec: CallSpec): Promise<void> {
-    let last = await this.#exchange(via, spec, this.#agent, undefined);
+    let last = await this.#exchange(via, spec, undefined);
     for (let n = 1; spec.key !== undefined && n <= MAX_RESENDS && !isFinal(last); n++) {
       await new Promise((resolve) => setTimeout(resolve, RESEND_DELAY_MS));
       const resend = { ...spec, tag: `${spec.tag}.${n}` };
-      last = await this.#exchange(this.#rng.pick(this.#readyVms()), resend, this.#agent, spec.tag);
+      last = await this.#exchange(this.#rng.pick(this.#readyVms()), resend, spec.tag);
     }
   }
 
   /** Sends one request and records its outcome. */
-  async #exchange(
+  async #exchange(via: string, spec: CallSpec, resendOf: string | undefined): Promise<CallOutcome> {
+    const sent = await this.#request(this.#fleet.callerPort(via), spec);
+    this.#record(via, spec, sent, resendOf);
+    return sent.outcome;
+  }
+
+  /** Records a request; one that was not sent, since no connection could be opened, counts as sent when that failed. */
+  #record(
     via: string,
-    spec: CallSpec,
-    agent: Agent,
+    { tag, kind }: CallSpec,
+    { sentAt, outcome }: SentCall,
     resendOf: string | undefined,
-  ): Promise<CallOutcome> {
-    const sentAt = this.#fleet.now;
-    const outcome = await this.#request(this.#fleet.callerPort(via), spec, agent);
-    const { tag, kind } = spec;
+  ): void {
     const service = SERVICE_OF[kind];
     const endedAt = this.#fleet.now;
-    this.records.push({ tag, kind, service, via, resendOf, sentAt, endedAt, ...outcome });
-    return outcome;
+    const times = { sentAt: sentAt ?? endedAt, endedAt };
+    this.records.push({ tag, kind, service, via, resendOf, ...times, ...outcome });
   }
 
-  #request(port: number, { tag, kind, bytes, key }: CallSpec, agent: Agent): Promise<CallOutcome> {
-    const isBooking = SERVICE_OF[kind] === "bookings";
-    const headers: Record<string, string> = { "x-caller-tag": tag };
-    if (key !== undefined) {
-      headers["idempotency-key"] = key;
-    }
+  #request(port: number, spec: CallSpec): Promise<SentCall> {
+    const { kind, bytes } = spec;
     const options = {
       host: "127.0.0.1",
       port,
-      agent,
-      method: isBooking ? "POST" : "GET",
-      path: `/${SERVICE_OF[kind]}/${tag}?bytes=${bytes}`,
-      headers,
+      agent: this.#agent,
+      method: SERVICE_OF[kind] === "bookings" ? "POST" : "GET",
+      path: pathOf(spec),
+      headers: headersOf(spec),
     };
     return new Promise((resolve) => {
       let isSettled = false;
       let hadBegun = false;
+      let sentAt: number | undefined;
       const settle = (outcome: CallOutcome) => {
         if (!isSettled) {
           isSettled = true;
           clearTimeout(timer);
-          resolve(outcome);
+          resolve({ sentAt, outcome });
         }
       };
       const onFailure = () => {
@@ -172,6 +199,15 @@
         hadBegun = true;
         readOutcome(res, bytes).then(settle, onFailure);
       });
+      // A request is written as soon as its connection is open.
+      req.on("socket", (socket) => {
+        const onOpen = () => (sentAt = this.#fleet.now);
+        if (socket.connecting) {
+          socket.once("connect", onOpen);
+        } else {
+          onOpen();
+        }
+      });
       const timer = setTimeout(() => {
         // The caller gave up: the request counts neither as aborted nor as answered.
         settle({ ...NO_RESPONSE, verdict: "left", hadBegun });
@@ -183,6 +219,9 @@
   }
 }
 
+/** Header with the verdict, which states whether the request ran. */
+const VERDICT = "x-burdockpass-verdict";
+
 const NO_RESPONSE: CallOutcome = {
   status: 0,
   verdict: "",
@@ -197,13 +236,20 @@
   for await (const chunk of res as AsyncIterable<Buffer>) {
     chunks.push(chunk);
   }
-  const verdict = String(res.headers["x-burdockpass-verdict"] ?? "");
-  const status = res.statusCode ?? 0;
+  const body = Buffer.concat(chunks).toString("utf8");
+  return outcomeOf(res.statusCode ?? 0, res.headers[VERDICT], body, bytes);
+}
+
+/** The outcome of a request whose response has been received. */
+function outcomeOf(
+  status: number,
+  verdictHeader: string | string[] | undefined,
+  text: string,
+  bytes: number,
+): CallOutcome {
+  const verdict = String(verdictHeader ?? "");
   try {
-    const body = JSON.parse(Buffer.concat(chunks).toString("utf8")) as {
-      tag?: string;
-      filler?: string;
-    };
+    const body = JSON.parse(text) as { tag?: string; filler?: string };
     const isWhole = body.filler?.length === bytes;
     return { status, verdict, bodyTag: body.tag, isWhole, hadBegun: true };
   } catch {
@@ -211,6 +257,14 @@
   }
 }
 
+function pathOf({ kind, tag, bytes }: CallSpec): string {
+  return `/${SERVICE_OF[kind]}/${tag}?bytes=${bytes}`;
+}
+
+function headersOf({ tag, key }: CallSpec): Record<string, string> {
+  return { "x-caller-tag": tag, ...(key === undefined ? {} : { "idempotency-key": key }) };
+}
+
 /** Whether a resend could not give a clearer outcome. */
 function isFinal({ status, verdict }: CallOutcome): boolean {
   return status === 200 || (verdict === "may-have-run" && status !== 0);
