Let a fleet that starts for the first time use its retry slack at once

Each of the traced requests ended with "no retry left": firstTries 24, allowed 4.1.

Cause: a sidecar has no share of the budget's slack for its first window, as its previous incarnation may have used it. In a fleet that starts for the first time there is no previous incarnation, so the safeguard only refuses callers.

Change: `bootstrap: true` in a sidecar's settings says so, as it does in a control replica's. The local fleet sets it and takes it back at a restart. The platform's template leaves it out: traffic begins there after the first window.

--- a/scripts/LocalFleet.ts
+++ b/scripts/LocalFleet.ts
@@ -127,9 +127,10 @@
     return exited;
   }
 
-  /** Starts the sidecar of target `id` again, with the same settings and ports. */
+  /** Starts the sidecar of target `id` again, with the same settings and ports but `bootstrap: false`. */
   async restartSidecar(id: string): Promise<void> {
     const { name, ports } = this.#sidecarById(id);
+    this.#endBootstrap(name);
     this.sidecars.set(id, await this.#launchDaemon(name, ports));
   }
 
@@ -159,10 +160,15 @@
   /** Starts control replica `id` again, with `bootstrap: false`, as its group already exists. */
   async restartControl(id: string): Promise<void> {
     const { name, ports } = this.#controlById(id);
+    this.#endBootstrap(name);
+    this.controls.set(id, await this.#launchDaemon(name, ports));
+  }
+
+  /** Sets `bootstrap: false` in a process's settings file: its fleet has been started before. */
+  #endBootstrap(name: string): void {
     const file = join(this.dir, `${name}.yaml`);
     const settings = parse(readFileSync(file, "utf8")) as object;
     writeFileSync(file, stringify({ ...settings, bootstrap: false }));
-    this.controls.set(id, await this.#launchDaemon(name, ports));
   }
 
   /** A control replica's `/status`; undefined if it does not respond. */
@@ -358,6 +364,7 @@
       policy: this.#opts.policy,
       control: this.controlAddresses,
       dataDir: join(this.dir, `sidecar-${id}`),
+      bootstrap: true,
       traceFile: join(this.dir, `trace-${id}.jsonl`),
     };
     const sidecar = await this.#startDaemon(`sidecar-${id}`, settings, ports);
--- a/src/common/settings/SidecarSettings.ts
+++ b/src/common/settings/SidecarSettings.ts
@@ -59,6 +59,11 @@
   /** A target that has not announced itself for this long is considered gone. */
   announceTimeoutMs: Millis.default(1500),
   retryBudget: RetryBudget.prefault({}),
+  /**
+   * The whole fleet starts for the first time. A sidecar that is started again has no share of the retry budget's slack for
+   * one window, as its previous incarnation may have used it.
+   */
+  bootstrap: z.boolean().default(false),
   stop: Stop.prefault({}),
 });
 
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -391,7 +391,7 @@
       rule: () => this.#cfg.retryBudget,
       members: () => table.knownCount,
       clock: SystemClock,
-      startedAt: this.#startedAt,
+      startedAt: this.#cfg.bootstrap ? -Infinity : this.#startedAt,
       random: Math.random,
     });
     metrics.watchBudgets(() => budgets.usage);
