Send a target that refuses requests one at a time, at growing intervals

A target that drains refuses what it is sent until its announcement arrives. Its sidecar granted slots there for as long as the announcement said ready, each refusal took a retry token, and callers whose request had none left got 503.

Why it works: the gate is beside the target and knows of each refusal at once. After two in a row it sends one request at a time, 10 ms apart and twice as long after each further refusal, up to 500 ms, until one has not been refused for 50 ms or is answered. Others wait in its queue and go to another target after 15 ms.

--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -9,6 +9,7 @@
 import { AdmissionQueue } from "./AdmissionQueue.ts";
 import { GateActivity, type IdlePeriod } from "./GateActivity.ts";
 import type { GrantIds } from "./GrantIds.ts";
+import { RefusalBackoff } from "./RefusalBackoff.ts";
 import { runAllowanceMs } from "./runAllowanceMs.ts";
 import { SlotTable } from "./SlotTable.ts";
 import { WorkDemand } from "./WorkDemand.ts";
@@ -90,6 +91,14 @@
   AttemptOutcome.TimedOut,
 ]);
 
+/** Outcomes of requests that a target has accepted. */
+const ACCEPTED = new Set([
+  AttemptOutcome.Ok,
+  AttemptOutcome.Failed,
+  AttemptOutcome.NestedCallFailed,
+  AttemptOutcome.TimedOut,
+]);
+
 /** A slot request in progress, which its sender can withdraw. */
 interface SlotRequestHandle {
   /** Whether the request was queued rather than granted or refused at once. */
@@ -109,6 +118,9 @@
   readonly #slots: SlotTable;
   readonly #activity: GateActivity;
   readonly #demand: WorkDemand;
+  readonly #backoff: RefusalBackoff;
+  /** Whether slots are free, but the next grant is delayed. */
+  #isBackingOff = false;
   /** When the demand for work was last published, by the clock, ms; undefined while there is none. */
   #demandPublishedAt: number | undefined;
   #isDemandReported = false;
@@ -125,6 +137,7 @@
     this.#slots = new SlotTable(deps.clock);
     this.#activity = new GateActivity(deps.clock);
     this.#demand = new WorkDemand(deps.clock);
+    this.#backoff = new RefusalBackoff(deps.clock);
   }
 
   /** Current load and health of the target. */
@@ -174,6 +187,7 @@
       return { isQueued: false, withdraw: revoke };
     }
     this.#queue.add(waiting, onReply);
+    this.#awaitBackoff();
     return {
       isQueued: true,
       withdraw: () => {
@@ -199,6 +213,7 @@
       (since) => this.#reportOverdue(since),
     );
     if (redeemed) {
+      this.#backoff.recordStart();
       this.#activity.recordRun();
       this.#demand.recordStart();
       this.#isDemandReported = false;
@@ -228,6 +243,11 @@
       return;
     }
     const { request, ms, wasOverdue } = ended;
+    if (outcome === AttemptOutcome.Shed) {
+      this.#backoff.recordRefusal();
+    } else if (ACCEPTED.has(outcome)) {
+      this.#backoff.recordAccepted();
+    }
     this.#activity.recordRun();
     if (FAILURES.has(outcome)) {
       this.#demand.recordFailure();
@@ -276,7 +296,7 @@
 
   get #wantsWork(): boolean {
     const isOpen = this.#deps.target()?.acceptsRequests === true && this.#shutdownAt === Infinity;
-    return isOpen && this.#freeSlots > 0 && this.#demand.isActive;
+    return isOpen && this.#mayGrant && this.#demand.isActive;
   }
 
   /** A report on the time that a ready target has been idle, when one is due; undefined otherwise. */
@@ -414,9 +434,14 @@
     return typicalMs > 0 ? typicalMs : this.#serviceMs;
   }
 
-  /** Whether a slot is free and no request is queued. */
+  /** Whether a slot is free, and the target does not refuse what it is sent. */
+  get #mayGrant(): boolean {
+    return this.#freeSlots > 0 && this.#backoff.waitMs === 0;
+  }
+
+  /** Whether a slot may be granted and no request is queued. */
   get #hasIdleSlot(): boolean {
-    return this.#freeSlots > 0 && this.#queue.length === 0;
+    return this.#mayGrant && this.#queue.length === 0;
   }
 
   /** Estimated remaining wait for a slot, ms. */
@@ -425,7 +450,8 @@
       return 0;
     }
     const pace = { slots: this.#deps.target()?.slots ?? 1, serviceMs: this.#serviceMs };
-    return this.#queue.waitMs(waiting, this.#deps.clock.now(), pace);
+    const queueMs = this.#queue.waitMs(waiting, this.#deps.clock.now(), pace);
+    return Math.max(queueMs, this.#backoff.waitMs);
   }
 
   #refuse(reason: RefusalReason, waiting: QueuedRequest): SlotReply {
@@ -442,6 +468,7 @@
     const { grants, detector } = this.#deps;
     const grant = grants.next();
     const isProbe = detector.isSuspect && detector.risk > request.acceptsRisk;
+    this.#backoff.recordGrant();
     const grantMs = GRANT_TTL_MS + request.bodyBytes / MIN_UPLOAD_BYTES_PER_MS;
     this.#slots.grant(grant, request, isProbe, grantMs, () => {
       this.revoke(grant);
@@ -460,13 +487,28 @@
 
   /** Grants the free slots to queued requests, in order. */
   #grantFreeSlots(): void {
-    while (this.#freeSlots > 0) {
+    while (this.#mayGrant) {
       const dequeued = this.#queue.dequeue(this.#deps.clock.now(), this.#serviceMs);
       if (!dequeued) {
         return;
       }
       this.#grantOrRefuse(dequeued);
     }
+    this.#awaitBackoff();
+  }
+
+  /** Continues to grant slots once the target may be sent the next request. */
+  #awaitBackoff(): void {
+    const { waitMs } = this.#backoff;
+    const isDelayed = waitMs > 0 && this.#queue.length > 0 && this.#freeSlots > 0;
+    if (this.#isBackingOff || !isDelayed) {
+      return;
+    }
+    this.#isBackingOff = true;
+    this.#deps.clock.after(waitMs, () => {
+      this.#isBackingOff = false;
+      this.#grantFreeSlots();
+    });
   }
 
   /** Grants a slot to a dequeued request, or refuses it if it can no longer be served. */
--- a/src/standin/StandInOptions.ts
+++ b/src/standin/StandInOptions.ts
@@ -18,6 +18,8 @@
   readonly wrongRate: number;
   /** Delay with which the health endpoint reports a change of the target's health, ms. */
   readonly healthLagMs: number;
+  /** Delay with which its announcements reach the sidecar, ms. */
+  readonly announceLagMs: number;
   /** Makes the health endpoint report healthy whatever the fault mode, except in the `health-bad` mode. */
   readonly alwaysReportsHealthy: boolean;
   /** Simulated one-way network delay between a sidecar and this target, ms; added before and after the work. */
--- a/src/standin/StandInTarget.ts
+++ b/src/standin/StandInTarget.ts
@@ -144,11 +144,13 @@
       healthPath: "/_standin/health",
       sequence: this.#nextSequence++,
     });
-    fetch(`http://${this.#opts.sidecarAdmin}/v1/announce`, {
-      method: "POST",
-      headers: { "content-type": "application/json" },
-      body,
-    }).catch(() => undefined);
+    setTimeout(() => {
+      fetch(`http://${this.#opts.sidecarAdmin}/v1/announce`, {
+        method: "POST",
+        headers: { "content-type": "application/json" },
+        body,
+      }).catch(() => undefined);
+    }, this.#opts.announceLagMs);
   }
 
   async #route(req: IncomingMessage, res: ServerResponse): Promise<void> {
