Bar attempts that were in transit when a later one was refused

What callers could see: a booking that runs after its resend was reported as not run. The bar against earlier attempts compares when they began, by their ages, and an age lacks the time for which a request or a claim was in transit: up to 250 ms (a grant's validity) and 400 ms (a record call's timeout). A delayed attempt seemed younger than the refused one and passed.

RefusalConfirmer.test: with an attempt that was in transit for 600 ms uncounted, the run took place before (1 run, 0 now).

An attempt that is barred doesn't set a bar of its own, or a caller that resends every 400 ms would never be served.

--- a/src/sidecar/records/RefusalConfirmer.test.ts
+++ b/src/sidecar/records/RefusalConfirmer.test.ts
@@ -119,14 +119,24 @@
 test("refusal of a keyed request bars an earlier attempt that has not begun its run, and no later one", async (t) => {
   // Guards against a booking that runs after its resend was reported as not run.
   const group = makeHolders(5);
-  const first = makeAttempt(50);
+  // Its request and its claims were in transit for 600 ms, which its age doesn't include.
+  const first = makeAttempt(-550);
   t.is((await refuse(group, makeAttempt(20))).verdict.kind, "not-run");
   const late = await run(group, first);
   t.deepEqual([late.out.verdict.kind, late.runs], ["not-run", 0]);
-  const resend = await run(group, makeAttempt());
+  const resend = await run(group, makeAttempt(-1000));
   t.deepEqual([resend.out.verdict.kind, resend.runs], ["done", 1]);
 });
 
+test("refusal of a keyed request: a caller that resends every 400 ms is served at the second resend", async (t) => {
+  // Guards against attempts that are refused because of the refusal of the one before, without end.
+  const group = makeHolders(5);
+  t.is((await refuse(group, makeAttempt())).verdict.kind, "not-run");
+  t.is((await run(group, makeAttempt(-400))).out.verdict.kind, "not-run");
+  t.is((await refuse(group, makeAttempt(-400))).verdict.kind, "not-run");
+  t.is((await run(group, makeAttempt(-800))).out.verdict.kind, "done");
+});
+
 test("refusal of a keyed request: one reported as not run has no run before or after, in any order of messages", async (t) => {
   const ms = fc.integer({ min: 0, max: 6 });
   await fc.assert(
--- a/src/sidecar/records/RefusalConfirmer.ts
+++ b/src/sidecar/records/RefusalConfirmer.ts
@@ -3,6 +3,7 @@
 import type { AttemptId } from "../../common/ids/AttemptId.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
+import { RETRY_AFTER_MS } from "../forwarding/RETRY_AFTER_MS.ts";
 import type { TargetRequest } from "../forwarding/TargetRequest.ts";
 import { claimQuorum } from "./claimQuorum.ts";
 import { moreConclusive } from "./moreConclusive.ts";
@@ -74,7 +75,7 @@
     // A claim that a majority of the holders does not have cannot reach its quorum any more.
     const isExcluded = isGroupKnown(group) && barred >= majorityOf(group.length) && !isOutcomeHeld;
     const result = isExcluded
-      ? refusal
+      ? withMinRetryAfter(refusal)
       : held
         ? resultOfRecord(held, record.fingerprint, clock.now())
         : unknownEarlierAttempt(
@@ -126,3 +127,13 @@
 function majorityOf(size: number): number {
   return Math.floor(size / 2) + 1;
 }
+
+/** Asks callers to wait until their next attempt can be told from those that the refusal has barred. */
+function withMinRetryAfter(refusal: ForwardResult): ForwardResult {
+  const { verdict, outcome } = refusal;
+  if (verdict.kind !== "not-run") {
+    return refusal;
+  }
+  const retryAfterMs = Math.max(verdict.retryAfterMs, RETRY_AFTER_MS);
+  return { verdict: { ...verdict, retryAfterMs }, outcome };
+}
--- a/src/sidecar/records/RefusedKeys.ts
+++ b/src/sidecar/records/RefusedKeys.ts
@@ -1,3 +1,9 @@
+/**
+ * Time for which an attempt may seem younger than it is, ms: ages don't include the time in transit, which the validity
+ * of a grant and the timeout of a record call limit to 250 and 400 ms.
+ */
+const MAX_UNCOUNTED_MS = 700;
+
 /** Maximum number of keys; beyond it, the oldest are dropped. */
 const MAX_KEYS = 10_000;
 
@@ -25,11 +31,12 @@
   /** Bars the attempts that began before `startedAt`, until `until`, both in ms. */
   add(key: string, startedAt: number, until: number): void {
     const known = this.#refusals.get(key);
+    // An attempt that is barred itself doesn't bar later ones: a caller that resends quickly would never be served.
+    if (known && startedAt < known.startedAt + MAX_UNCOUNTED_MS) {
+      return;
+    }
     this.#refusals.delete(key);
-    this.#refusals.set(key, {
-      startedAt: Math.max(startedAt, known?.startedAt ?? -Infinity),
-      until: Math.max(until, known?.until ?? -Infinity),
-    });
+    this.#refusals.set(key, { startedAt, until });
     const [oldest] = this.#refusals.keys();
     if (this.#refusals.size > MAX_KEYS && oldest !== undefined) {
       this.#refusals.delete(oldest);
@@ -39,7 +46,11 @@
   /** Whether an attempt that began at `startedAt`, ms, is barred. */
   bars(key: string, startedAt: number): boolean {
     const refusal = this.#refusals.get(key);
-    return refusal !== undefined && startedAt < refusal.startedAt && this.#now() < refusal.until;
+    return (
+      refusal !== undefined &&
+      startedAt < refusal.startedAt + MAX_UNCOUNTED_MS &&
+      this.#now() < refusal.until
+    );
   }
 
   /** Removes the keys whose earlier attempts have all ended. */
