Don't send a booking with a grant that has expired meanwhile

Cause: a request was written when its connection was ready, however old its grant. A grant that the sender knows to have expired can't be used any more, so the outcome is known before a byte is sent.

Evidence: HopClient.test blocks the event loop while the connection opens; the request was sent before, and is reported as expired now, so that it gets another slot.

--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -5,6 +5,7 @@
 import type { SlotRequest } from "../hop/SlotRequest.ts";
 import type { SlotReply } from "../hop/SlotReply.ts";
 import type { GateLoad } from "../hop/GateLoad.ts";
+import { grantTtlMs } from "../hop/grantTtlMs.ts";
 import { RefusalReason } from "../hop/RefusalReason.ts";
 import { AdmissionQueue } from "./AdmissionQueue.ts";
 import { GateActivity, type IdlePeriod } from "./GateActivity.ts";
@@ -43,18 +44,6 @@
   readonly order?: ConstructorParameters<typeof AdmissionQueue>[0];
 }
 
-/**
- * Time after which an unused grant expires, ms. A round trip takes 3 ms; the rest is margin for a sidecar on a slowed
- * VM. The slot is idle meanwhile.
- */
-const GRANT_TTL_MS = 250;
-
-/**
- * Upload rate by which a grant is extended for the body, bytes/ms: a slow upload must not lose its slot and start
- * over.
- */
-const MIN_UPLOAD_BYTES_PER_MS = 100;
-
 /**
  * Maximum number of queued requests per slot. A sidecar asks two or three gates for each request, so half or more of
  * the queued requests will be withdrawn. Eight per slot thus amount to two to four runs per slot, about the longest
@@ -469,7 +458,7 @@
     const grant = grants.next();
     const isProbe = detector.isSuspect && detector.risk > request.acceptsRisk;
     this.#backoff.recordGrant();
-    const grantMs = GRANT_TTL_MS + request.bodyBytes / MIN_UPLOAD_BYTES_PER_MS;
+    const grantMs = grantTtlMs(request.bodyBytes);
     this.#slots.grant(grant, request, isProbe, grantMs, () => {
       this.revoke(grant);
     });
--- a/src/sidecar/hop/HopClient.test.ts
+++ b/src/sidecar/hop/HopClient.test.ts
@@ -3,6 +3,7 @@
 import { AttemptId } from "../../common/ids/AttemptId.ts";
 import { GrantId } from "../../common/ids/GrantId.ts";
 import { TargetId } from "../../common/ids/TargetId.ts";
+import { GrantExpiredError } from "./GrantExpiredError.ts";
 import { HopClient } from "./HopClient.ts";
 import type { HopRequest } from "./HopRequest.ts";
 import { NotSentError } from "./NotSentError.ts";
@@ -62,3 +63,36 @@
     server.close();
   });
 }
+
+const grantCases = [
+  // Guards against a booking with an unknown outcome: written to a connection whose other end has gone meanwhile.
+  { name: "that expires while its connection is opened", ttlMs: 50, isSent: false },
+  { name: "that is valid when its connection is open", ttlMs: 5000, isSent: true },
+];
+
+for (const { name, ttlMs, isSent } of grantCases) {
+  test(`hop client: a request with a grant ${name} is ${isSent ? "" : "not "}sent`, async (t) => {
+    let received = "";
+    const [address, server] = await listen((socket) => {
+      socket.on("data", (chunk: Buffer) => (received += chunk.toString()));
+    });
+    const client = new HopClient({
+      requestSlot: () => ({ result: new Promise(() => undefined), cancel: () => undefined }),
+    });
+    const usableUntil = performance.now() + ttlMs;
+    const isGrantExpired = () => performance.now() >= usableUntil;
+    const call = client.run(address, { ...req, isGrantExpired }, () => undefined);
+    const outcome = call.result.catch((err: unknown) => err);
+    const blockedUntil = performance.now() + 100;
+    while (performance.now() < blockedUntil) {
+      // The kernel opens the connection meanwhile.
+    }
+    const waited = new Promise((resolve) => setTimeout(resolve, 200, "sent"));
+    const first = await Promise.race([outcome, waited]);
+    t.is(first instanceof GrantExpiredError, !isSent);
+    t.is(received !== "", isSent);
+    call.cancel();
+    await client.dispose();
+    server.close();
+  });
+}
--- a/src/sidecar/hop/HopClient.ts
+++ b/src/sidecar/hop/HopClient.ts
@@ -1,11 +1,13 @@
 import type { Readable } from "node:stream";
-import { Pool } from "undici";
+import { Pool, type Dispatcher } from "undici";
 import { isConnectError } from "../../common/http/isConnectError.ts";
 import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import { readResponse } from "../forwarding/readResponse.ts";
 import type { SlotClient } from "./SlotClient.ts";
 import type { SlotReply } from "./SlotReply.ts";
+import { checkBeforeSending, type CheckedDispatchOptions } from "./checkBeforeSending.ts";
+import { GrantExpiredError } from "./GrantExpiredError.ts";
 import { HOP } from "./HOP.ts";
 import type { GrantRef, HopLink } from "./HopLink.ts";
 import type { HopRequest } from "./HopRequest.ts";
@@ -22,10 +24,16 @@
 /** Called when the other sidecar signals (by status 102) that it is still processing the request. */
 type OnHeartbeat = () => void;
 
+/** The connections to one sidecar, and the same with checks before a request is sent. */
+interface HopPools {
+  readonly pool: Pool;
+  readonly checkedPool: Dispatcher;
+}
+
 /** Client for the sidecars of targets: requests slots by datagrams and forwards requests by HTTP. */
 export class HopClient implements HopLink, IDisposable {
   readonly #slotClient: Pick<SlotClient, "requestSlot">;
-  readonly #pools = new Map<string, Pool>();
+  readonly #pools = new Map<string, HopPools>();
 
   /** @param slotClient sends the slot requests */
   constructor(slotClient: Pick<SlotClient, "requestSlot">) {
@@ -39,7 +47,8 @@
   /** Sends a request for which a slot was granted; see {@link HopLink.run}. */
   run(address: string, req: HopRequest, onHeartbeat: OnHeartbeat): PendingCall<ForwardResult> {
     return this.#call(onHeartbeat, async (signal, onInfo) => {
-      const res = await this.#pool(address).request({
+      const { pool, checkedPool } = this.#poolsTo(address);
+      const res = await (req.isGrantExpired ? checkedPool : pool).request({
         method: req.method,
         path: req.path,
         headers: runHeaders(req),
@@ -47,6 +56,7 @@
         signal,
         onInfo,
         ...NO_TIMEOUTS,
+        ...checkGrant(req),
       });
       return readResult(res.statusCode, res.headers, res.body);
     });
@@ -56,7 +66,7 @@
   reattach(address: string, grant: GrantRef, onHeartbeat: OnHeartbeat): PendingCall<ForwardResult> {
     this.retirePool(address);
     return this.#call(onHeartbeat, async (signal, onInfo) => {
-      const res = await this.#pool(address).request({
+      const res = await this.#poolsTo(address).pool.request({
         method: "POST",
         path: HOP.reattachPath,
         headers: grantHeaders(grant),
@@ -73,16 +83,16 @@
    * failed as well, while new connections work. Requests in flight on them continue.
    */
   retirePool(address: string): void {
-    const pool = this.#pools.get(address);
+    const pools = this.#pools.get(address);
     this.#pools.delete(address);
-    void pool?.close().catch(() => undefined);
+    void pools?.pool.close().catch(() => undefined);
   }
 
   /** Closes all connections and aborts the requests on them. */
   async dispose(): Promise<void> {
     const pools = [...this.#pools.values()];
     this.#pools.clear();
-    await Promise.all(pools.map((p) => p.destroy()));
+    await Promise.all(pools.map(({ pool }) => pool.destroy()));
   }
 
   #call<T>(
@@ -103,21 +113,29 @@
     };
   }
 
-  #pool(address: string): Pool {
-    let pool = this.#pools.get(address);
-    if (!pool) {
-      pool = new Pool(`http://${address}`, {
+  #poolsTo(address: string): HopPools {
+    let pools = this.#pools.get(address);
+    if (!pools) {
+      const pool = new Pool(`http://${address}`, {
         connectTimeout: CONNECT_TIMEOUT_MS,
         keepAliveTimeout: IDLE_TIMEOUT_MS,
         keepAliveMaxTimeout: IDLE_TIMEOUT_MS,
         pipelining: 1,
       });
-      this.#pools.set(address, pool);
+      pools = { pool, checkedPool: pool.compose(checkBeforeSending) };
+      this.#pools.set(address, pools);
     }
-    return pool;
+    return pools;
   }
 }
 
+/** Checks the grant when the request is written: opening a connection may take longer than it is valid. */
+function checkGrant({ isGrantExpired }: HopRequest): CheckedDispatchOptions {
+  return {
+    checkBeforeSending: () => (isGrantExpired?.() === true ? new GrantExpiredError() : undefined),
+  };
+}
+
 /** Disables undici's timeouts: the caller detects silence itself, with a different timeout for each kind of call. */
 const NO_TIMEOUTS = { headersTimeout: 0, bodyTimeout: 0 } as const;
 
--- a/src/sidecar/hop/HopRequest.ts
+++ b/src/sidecar/hop/HopRequest.ts
@@ -15,6 +15,8 @@
   readonly body: Buffer | Readable | undefined;
   /** Length of a streamed body, bytes, if known. */
   readonly bodyLength?: number;
+  /** Whether the grant has expired, by what this sidecar knows; for a request whose outcome must not become unknown. */
+  readonly isGrantExpired?: () => boolean;
   /** Time remaining for the response, ms. */
   readonly remainingMs: number;
   /** For a request with an idempotency key: time since its arrival at the first sidecar, ms. */
--- a/src/sidecar/routing/RemoteRun.ts
+++ b/src/sidecar/routing/RemoteRun.ts
@@ -4,6 +4,9 @@
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import { RETRY_AFTER_MS } from "../forwarding/RETRY_AFTER_MS.ts";
+import { EXPIRED_GRANT } from "../gate/EXPIRED_GRANT.ts";
+import { GrantExpiredError } from "../hop/GrantExpiredError.ts";
+import { grantTtlMs } from "../hop/grantTtlMs.ts";
 import type { HopLink } from "../hop/HopLink.ts";
 import { NotSentError } from "../hop/NotSentError.ts";
 import type { PendingCall } from "../hop/PendingCall.ts";
@@ -88,6 +91,8 @@
   #hopRequest() {
     const { attempt, method, path, headers, body, bodyLength, startedAt, deadlineAt } = this.#req;
     const now = this.#deps.clock.now();
+    const bodyBytes = Buffer.isBuffer(body) ? body.length : (bodyLength ?? 0);
+    const usableUntil = now + grantTtlMs(bodyBytes);
     const isKeyed = !this.#route.idempotent && idempotencyKeyOf(headers) !== undefined;
     return {
       attempt,
@@ -99,6 +104,9 @@
       body,
       bodyLength,
       remainingMs: deadlineAt - now - DEADLINE_MARGIN_MS,
+      isGrantExpired: this.#route.idempotent
+        ? undefined
+        : () => this.#deps.clock.now() >= usableUntil,
       ageMs: isKeyed ? now - startedAt : undefined,
       callerService: this.#deps.callerService,
       idempotent: this.#route.idempotent,
@@ -117,7 +125,9 @@
       },
       (err: unknown) => {
         this.#pending.delete(pending);
-        if (!this.#finished && isOriginal && err instanceof NotSentError) {
+        if (!this.#finished && isOriginal && err instanceof GrantExpiredError) {
+          this.#finish(EXPIRED_GRANT);
+        } else if (!this.#finished && isOriginal && err instanceof NotSentError) {
           this.#onNotSent(err);
         } else if (!this.#finished && isOriginal) {
           const reason = err instanceof Error ? err.message : String(err);
