--- a/src/sidecar/hop/checkBeforeSending.ts
+++ b/src/sidecar/hop/checkBeforeSending.ts
@@ -1,4 +1,4 @@
-import { DecoratorHandler, type Dispatcher } from "undici";
+import type { Dispatcher } from "undici";
 
 /** Dispatch options with a check that is made when the request is about to be written to a connection. */
 export interface CheckedDispatchOptions {
@@ -8,28 +8,25 @@
 
 type Handler = Dispatcher.DispatchHandler;
 
-class CheckingHandler extends DecoratorHandler {
-  readonly #handler: Handler;
-  readonly #check: () => Error | undefined;
-
-  constructor(handler: Handler, check: () => Error | undefined) {
-    super(handler);
-    this.#handler = handler;
-    this.#check = check;
-  }
-
-  onRequestStart(controller: Dispatcher.DispatchController, context: unknown): void {
-    this.#handler.onRequestStart?.(controller, context);
-    const reason = this.#check();
-    if (reason) {
-      controller.abort(reason);
-    }
-  }
-}
-
 /** Interceptor that makes a request's {@link CheckedDispatchOptions.checkBeforeSending}. */
 export const checkBeforeSending: Dispatcher.DispatcherComposeInterceptor =
   (dispatch) => (options, handler) => {
     const { checkBeforeSending: check } = options as CheckedDispatchOptions;
-    return dispatch(options, check ? new CheckingHandler(handler, check) : handler);
+    return dispatch(options, check ? withCheck(handler, check) : handler);
   };
+
+function withCheck(handler: Handler, check: () => Error | undefined): Handler {
+  return {
+    onRequestStart: (controller, context: unknown) => {
+      handler.onRequestStart?.(controller, context);
+      const reason = check();
+      if (reason) {
+        controller.abort(reason);
+      }
+    },
+    onResponseStart: (...args) => handler.onResponseStart?.(...args),
+    onResponseData: (...args) => handler.onResponseData?.(...args),
+    onResponseEnd: (...args) => handler.onResponseEnd?.(...args),
+    onResponseError: (...args) => handler.onResponseError?.(...args),
+  };
+}
