Claim a key again from record holders that do not reply in time

Cause: a claim was given up after 400 ms. Two record holders whose event loops were blocked that long made a booking start over: the release of the key waits for them as well, and an attempt that finds the claim of the one before reports it as in progress. A pause is taken for absence.

RemoteRecordPeer.test: a claim whose first call times out was rejected, and is granted now.

Why it works: the claim is repeated up to three times, which a holder that has granted it confirms. A holder that the members hold for dead is not waited for, which also makes the refusal immediate when two have really gone.

--- a/src/membership/TargetTable.ts
+++ b/src/membership/TargetTable.ts
@@ -33,6 +33,8 @@
   readonly id: string;
   readonly zone: string;
   readonly peerAddress: string;
+  /** It is held for dead, and counted as a record holder for a while. */
+  readonly isGone: boolean;
   /** Rises with each start of its process; a restarted record holder may have lost its records. */
   readonly incarnation: number;
 }
@@ -290,6 +292,7 @@
       id: m.sidecar_id,
       zone: m.zone,
       peerAddress: m.peer_address,
+      isGone: m.gone,
       incarnation: m.incarnation,
     }));
   }
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -329,7 +329,7 @@
             refuse: records.refuse.bind(records),
             settle: records.settle.bind(records),
           }
-        : new RemoteRecordPeer(holder.id, clients.get(holder.peerAddress), clock),
+        : new RemoteRecordPeer(holder.id, clients.get(holder.peerAddress), clock, holder.isGone),
     );
   }
 
--- a/src/sidecar/records/RemoteRecordPeer.test.ts
+++ b/src/sidecar/records/RemoteRecordPeer.test.ts
@@ -1,3 +1,4 @@
+import * as grpc from "@grpc/grpc-js";
 import test from "ava";
 import { FakeClock } from "../../../test/fixtures/FakeClock.ts";
 import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
@@ -6,42 +7,82 @@
 import { RemoteRecordPeer } from "./RemoteRecordPeer.ts";
 import type { RunRecord } from "./RunRecord.ts";
 
+type Reply = ProtoTypes["ClaimReply"];
+
 const record: RunRecord = { state: "claimed", attempt: "a", fingerprint: "f", deadlineAt: 1000 };
+const granted: Reply = { granted: true, held: null, refused: false };
+const unavailable = Object.assign(new Error("refused"), { code: grpc.status.UNAVAILABLE });
+const timedOut = Object.assign(new Error("cancelled"), { code: grpc.status.CANCELLED });
 
-/** A record holder whose sidecar replies to every claim with `reply`. */
-function peerWith(reply: ProtoTypes["ClaimReply"]): RemoteRecordPeer {
+/** A record holder whose sidecar answers claims with `answers`, one after the other. */
+function openPeer(answers: readonly (Reply | Error)[], isGone = false) {
+  const calls = { count: 0 };
   const client = {
-    Claim: (_req: unknown, cb: (err: null, res: ProtoTypes["ClaimReply"]) => void) => {
+    Claim: (_req: unknown, cb: (err: Error | null, res?: Reply) => void) => {
+      const answer = answers[calls.count++];
       setImmediate(() => {
-        cb(null, reply);
+        if (answer instanceof Error) {
+          cb(answer);
+        } else {
+          cb(null, answer);
+        }
       });
       return { cancel: () => undefined };
     },
   } as unknown as PeerClient;
-  return new RemoteRecordPeer("s1", { call: (makeCall) => makeCall(client) }, new FakeClock());
+  const clients = { call: <T>(makeCall: (c: PeerClient) => Promise<T>) => makeCall(client) };
+  return { peer: new RemoteRecordPeer("s1", clients, new FakeClock(), isGone), calls };
 }
 
-const cases: readonly { name: string; reply: ProtoTypes["ClaimReply"]; kind: string }[] = [
-  { name: "a grant", reply: { granted: true, held: null, refused: false }, kind: "granted" },
+const cases: readonly {
+  name: string;
+  answers: readonly (Reply | Error)[];
+  isGone?: boolean;
+  kind: string;
+  calls: number;
+}[] = [
+  { name: "a grant", answers: [granted], kind: "granted", calls: 1 },
   {
     name: "the record of another attempt",
-    reply: { granted: false, held: recordCodec.encode(record, 0), refused: false },
+    answers: [{ granted: false, held: recordCodec.encode(record, 0), refused: false }],
     kind: "held",
+    calls: 1,
   },
   {
     name: "a refusal",
-    reply: { granted: false, held: null, refused: true },
+    answers: [{ granted: false, held: null, refused: true }],
     kind: "refused",
+    calls: 1,
   },
   // Guards against a run on the strength of a reply that grants nothing.
-  { name: "neither", reply: { granted: false, held: null, refused: false }, kind: "rejected" },
+  {
+    name: "neither",
+    answers: [{ granted: false, held: null, refused: false }],
+    kind: "rejected",
+    calls: 1,
+  },
+  // Guards against a booking that is refused because the event loops of two record holders are blocked for a moment.
+  { name: "a grant after a timeout", answers: [timedOut, granted], kind: "granted", calls: 2 },
+  {
+    name: "timeouts only",
+    answers: [timedOut, timedOut, timedOut, granted],
+    kind: "rejected",
+    calls: 3,
+  },
+  { name: "a refused connection", answers: [unavailable, granted], kind: "rejected", calls: 1 },
+  {
+    name: "nothing, as it is held for dead",
+    answers: [granted],
+    isGone: true,
+    kind: "rejected",
+    calls: 0,
+  },
 ];
 
-for (const { name, reply, kind } of cases) {
+for (const { name, answers, isGone, kind, calls: wanted } of cases) {
   test(`remote record peer: a claim answered with ${name}: ${kind}`, async (t) => {
-    const result = await peerWith(reply)
-      .claim("k", record, 0)
-      .catch(() => ({ kind: "rejected" }));
-    t.is(result.kind, kind);
+    const { peer, calls } = openPeer(answers, isGone);
+    const result = await peer.claim("k", record, 0).catch(() => ({ kind: "rejected" }));
+    t.deepEqual([result.kind, calls.count], [kind, wanted]);
   });
 }
--- a/src/sidecar/records/RemoteRecordPeer.ts
+++ b/src/sidecar/records/RemoteRecordPeer.ts
@@ -1,3 +1,4 @@
+import * as grpc from "@grpc/grpc-js";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import { callUnary } from "../../common/rpc/callUnary.ts";
 import type { ReconnectingClient } from "../../common/rpc/ReconnectingClient.ts";
@@ -10,20 +11,43 @@
 /** Timeout of a record call, ms. A disk sync takes about 2 ms, a hop between zones 1.5 ms. */
 const RECORD_TIMEOUT_MS = 400;
 
+/**
+ * Number of times that a claim is sent to a record holder that does not reply: its event loop may be blocked, on a busy
+ * machine for a second. A booking that is refused instead has to start over.
+ */
+const MAX_CLAIMS = 3;
+
 /** The records of a peer, accessed over gRPC. */
 export class RemoteRecordPeer implements RecordPeer {
   readonly id: string;
   readonly #client: Pick<ReconnectingClient<PeerClient>, "call">;
   readonly #clock: Clock;
+  readonly #isGone: boolean;
 
-  constructor(id: string, client: Pick<ReconnectingClient<PeerClient>, "call">, clock: Clock) {
+  /** @param isGone whether the members hold the peer for dead; no reply is waited for then */
+  constructor(
+    id: string,
+    client: Pick<ReconnectingClient<PeerClient>, "call">,
+    clock: Clock,
+    isGone = false,
+  ) {
     this.id = id;
     this.#client = client;
     this.#clock = clock;
+    this.#isGone = isGone;
   }
 
-  claim(key: string, record: RunRecord, startedAt: number): Promise<ClaimReply> {
-    return this.#call((client) => client.Claim.bind(client), key, record, startedAt);
+  async claim(key: string, record: RunRecord, startedAt: number): Promise<ClaimReply> {
+    for (let sent = 1; ; sent++) {
+      try {
+        return await this.#call((client) => client.Claim.bind(client), key, record, startedAt);
+      } catch (err) {
+        const isLast = sent === MAX_CLAIMS || this.#clock.now() >= record.deadlineAt;
+        if (!isTimeout(err) || isLast) {
+          throw err;
+        }
+      }
+    }
   }
 
   refuse(key: string, record: RunRecord, startedAt: number): Promise<ClaimReply> {
@@ -43,6 +67,9 @@
     record: RunRecord,
     startedAt: number,
   ): Promise<ClaimReply> {
+    if (this.#isGone) {
+      throw new Error(`record holder ${this.id} is gone`);
+    }
     const now = this.#clock.now();
     const age_ms = Math.max(0, Math.round(now - startedAt));
     const req = { key, record: recordCodec.encode(record, now), age_ms };
@@ -61,3 +88,8 @@
     return { kind: "held", record: recordCodec.decode(res.held, this.#clock.now()) };
   }
 }
+
+/** Whether a call was cancelled because its timeout had passed. */
+function isTimeout(err: unknown): boolean {
+  return (err as Partial<grpc.ServiceError>).code === grpc.status.CANCELLED;
+}
