Let a booking claim its key again at the next target, and log failed claims

Traced: the first target's sidecar found too few record holders within 1.6 s; the second one found the claim of the first, not released yet by a holder whose event loop was blocked, and reported it as an earlier request in progress.

Cause: the claims of one booking at two targets could not be told from those of two attempts. The first sidecar gives the booking an id now, which is part of its claims; a claim of the same dispatch replaces one that is left behind. The booking goes to the second target only after the first has certainly not run it. The id never comes from the caller, so two attempts of one caller can't pass for one. A late release names its own claim and doesn't touch the second.

Holders to which no connection can be opened are tried again like those that don't reply: a sidecar that has just started counts as a holder, while the connection to it waits for its backoff. "too few record holders reachable" is logged with the reply of each holder, which the trace lacked.

--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -142,6 +142,9 @@
     const atMostOnceRunner = new AtMostOnceRunner({
       group: (key) => this.#recordGroup(key),
       send: (target, req) => sender.send(target, req),
+      onUnreachable: ({ metadata: { attempt } }, replies) => {
+        log.info({ attempt, replies }, "too few record holders reachable");
+      },
       clock,
     });
     this.#refusalConfirmer = new RefusalConfirmer({
--- a/src/sidecar/forwarding/TargetRequest.ts
+++ b/src/sidecar/forwarding/TargetRequest.ts
@@ -1,4 +1,5 @@
 import type { Readable } from "node:stream";
+import type { DispatchId } from "../../common/ids/DispatchId.ts";
 import type { TargetMetadata } from "../dialect/Dialect.ts";
 import type { HeaderList } from "./HeaderList.ts";
 
@@ -13,6 +14,8 @@
   readonly bodyLength?: number;
   /** Metadata sent to the target in headers; the remaining time is computed when the request is sent. */
   readonly metadata: Omit<TargetMetadata, "remainingMs">;
+  /** Id that the first sidecar has given to a request with an idempotency key. */
+  readonly dispatch?: DispatchId;
   /** Arrival at the first sidecar, by the monotonic clock, ms; undefined if unknown. */
   readonly startedAt?: number;
   /** Deadline for the response, by the monotonic clock, ms. */
--- a/src/sidecar/gate/GateServer.ts
+++ b/src/sidecar/gate/GateServer.ts
@@ -2,6 +2,7 @@
 import { pipeline } from "node:stream";
 import type bunyan from "bunyan";
 import { AttemptId } from "../../common/ids/AttemptId.ts";
+import { DispatchId } from "../../common/ids/DispatchId.ts";
 import { ServiceName } from "../../common/ids/ServiceName.ts";
 import { GrantId } from "../../common/ids/GrantId.ts";
 import { TargetId } from "../../common/ids/TargetId.ts";
@@ -134,6 +135,7 @@
     const { headers } = req;
     const idempotent = headers[HOP.idempotent] === "1";
     const echo = headers[HOP.echo];
+    const dispatch = headers[HOP.dispatch];
     return {
       method: req.method ?? "GET",
       path: req.url ?? "/",
@@ -143,6 +145,7 @@
         callerService: ServiceName(String(headers[HOP.caller] ?? "")),
         echoHeader: typeof echo === "string" ? echo : undefined,
       },
+      dispatch: typeof dispatch === "string" ? DispatchId(dispatch) : undefined,
       startedAt: arrivedAt - Number(headers[HOP.age] ?? 0),
       // Counted from the arrival of the head: the upload of the body is part of the remaining time.
       deadlineAt: arrivedAt + Number(headers[HOP.remaining]),
--- a/src/sidecar/hop/HOP.ts
+++ b/src/sidecar/hop/HOP.ts
@@ -13,6 +13,8 @@
   grant: "x-burdockpass-boot",
   /** Time remaining for the response, ms. */
   remaining: "x-burdockpass-hop-remaining-ms",
+  /** For a request with an idempotency key: id that the first sidecar has given to it. */
+  dispatch: "x-burdockpass-hop-dispatch",
   /** For a request with an idempotency key: time since its arrival at the first sidecar, ms. */
   age: "x-burdockpass-hop-age-ms",
   /** Name of the service co-located with the sidecar at which the request originated. */
--- a/src/sidecar/hop/HopClient.ts
+++ b/src/sidecar/hop/HopClient.ts
@@ -153,9 +153,10 @@
   ];
   const idempotent = req.idempotent ? [HOP.idempotent, "1"] : [];
   const age = req.ageMs === undefined ? [] : [HOP.age, String(Math.round(req.ageMs))];
+  const dispatch = req.dispatch === undefined ? [] : [HOP.dispatch, req.dispatch];
   const echo = req.echoHeader === undefined ? [] : [HOP.echo, req.echoHeader];
   const length = req.bodyLength === undefined ? [] : ["content-length", String(req.bodyLength)];
-  return [...req.headers, ...hopHeaders, ...idempotent, ...age, ...echo, ...length];
+  return [...req.headers, ...hopHeaders, ...idempotent, ...age, ...dispatch, ...echo, ...length];
 }
 
 async function readResult(
--- a/src/sidecar/hop/HopRequest.ts
+++ b/src/sidecar/hop/HopRequest.ts
@@ -1,5 +1,6 @@
 import type { Readable } from "node:stream";
 import type { AttemptId } from "../../common/ids/AttemptId.ts";
+import type { DispatchId } from "../../common/ids/DispatchId.ts";
 import type { GrantId } from "../../common/ids/GrantId.ts";
 import type { TargetId } from "../../common/ids/TargetId.ts";
 import type { HeaderList } from "../forwarding/HeaderList.ts";
@@ -19,6 +20,8 @@
   readonly isGrantExpired?: () => boolean;
   /** Time remaining for the response, ms. */
   readonly remainingMs: number;
+  /** For a request with an idempotency key: id that the first sidecar has given to it. */
+  readonly dispatch?: DispatchId;
   /** For a request with an idempotency key: time since its arrival at the first sidecar, ms. */
   readonly ageMs?: number;
   /** Name of the service co-located with the sidecar at which the request originated; empty if unknown. */
--- a/src/sidecar/records/AtMostOnceRunner.ts
+++ b/src/sidecar/records/AtMostOnceRunner.ts
@@ -1,4 +1,3 @@
-import { randomUUID } from "node:crypto";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import { claimQuorum } from "./claimQuorum.ts";
@@ -9,6 +8,7 @@
 import type { TargetRequest } from "../forwarding/TargetRequest.ts";
 import { moreConclusive } from "./moreConclusive.ts";
 import { OutcomeReplicator } from "./OutcomeReplicator.ts";
+import { recordAttempt } from "./recordAttempt.ts";
 import { recordFingerprint } from "./recordFingerprint.ts";
 import type { RecordPeer } from "./RecordPeer.ts";
 import { resultOfRecord } from "./resultOfRecord.ts";
@@ -23,6 +23,8 @@
   /** Returns the record group of a key: the sidecars that hold its record. */
   readonly group: (key: string) => readonly RecordPeer[];
   readonly send: (target: TargetInfo, req: TargetRequest) => Promise<ForwardResult>;
+  /** Called with the replies of the record group, by holder, when a claim finds too few of them. */
+  readonly onUnreachable?: (req: TargetRequest, replies: Readonly<Record<string, string>>) => void;
   readonly clock: Clock;
 }
 
@@ -31,7 +33,7 @@
   | { readonly kind: "granted" }
   | { readonly kind: "held"; readonly record: RunRecord }
   | { readonly kind: "refused" }
-  | { readonly kind: "unreachable" };
+  | { readonly kind: "unreachable"; readonly replies: Readonly<Record<string, string>> };
 
 /**
  * Runs non-idempotent requests at the co-located target at most once. Before
@@ -58,7 +60,7 @@
     const group = this.#deps.group(key);
     const record: RunRecord = {
       state: "claimed",
-      attempt: randomUUID(),
+      attempt: recordAttempt.create(req.dispatch),
       target: target.id,
       fingerprint: recordFingerprint(req),
       deadlineAt: req.deadlineAt,
@@ -75,6 +77,7 @@
         await this.#outcomes.replicate(group, key, record.attempt, undefined);
         return notRun("a later attempt with this key has been refused");
       case "unreachable":
+        this.#deps.onUnreachable?.(req, claimed.replies);
         // Without a quorum a later attempt might not find this one, so it must not run.
         await this.#outcomes.replicate(group, key, record.attempt, undefined);
         return notRun("too few record replicas reachable");
@@ -109,38 +112,40 @@
 ): Promise<ClaimResult> {
   const needed = claimQuorum(group.length);
   return new Promise<ClaimResult>((resolve) => {
+    const replies: Record<string, string> = {};
     let granted = 0;
-    let replies = 0;
     let held: RunRecord | undefined;
     let isRefused = false;
-    if (group.length === 0) {
-      resolve({ kind: "unreachable" });
-    }
-    const onReply = (reply: ClaimReply | undefined) => {
-      replies += 1;
-      if (reply?.kind === "granted") {
-        granted += 1;
-      } else if (reply?.kind === "refused") {
-        isRefused = true;
-      } else if (reply) {
-        held = moreConclusive(held, reply.record);
-      }
+    const resolveIfCertain = () => {
+      const isComplete = Object.keys(replies).length === group.length;
       const hasOutcome = held !== undefined && held.state !== "claimed";
-      if (granted >= needed && !hasOutcome) {
+      if (granted >= needed && granted > 0 && !hasOutcome) {
         // Another attempt's claim, found in spite of a quorum of grants, cannot have
         // had a quorum itself, so that attempt has not run.
         resolve({ kind: "granted" });
-      } else if (held && (held.state === "done" || replies === group.length)) {
+      } else if (held && (held.state === "done" || isComplete)) {
         resolve({ kind: "held", record: held });
-      } else if (replies === group.length) {
-        resolve({ kind: isRefused ? "refused" : "unreachable" });
+      } else if (isComplete) {
+        resolve(isRefused ? { kind: "refused" } : { kind: "unreachable", replies });
       }
     };
+    const onReply = (reply: ClaimReply) => {
+      granted += reply.kind === "granted" ? 1 : 0;
+      isRefused ||= reply.kind === "refused";
+      held = reply.kind === "held" ? moreConclusive(held, reply.record) : held;
+      return reply.kind;
+    };
+    const onError = (err: unknown) => (err instanceof Error ? err.message : String(err));
     for (const replica of group) {
-      replica.claim(key, record, startedAt).then(onReply, () => {
-        onReply(undefined);
-      });
+      void replica
+        .claim(key, record, startedAt)
+        .then(onReply, onError)
+        .then((reply) => {
+          replies[replica.id] = reply;
+          resolveIfCertain();
+        });
     }
+    resolveIfCertain();
   });
 }
 
--- a/src/sidecar/records/RemoteRecordPeer.ts
+++ b/src/sidecar/records/RemoteRecordPeer.ts
@@ -13,10 +13,16 @@
 
 /**
  * Number of times that a claim is sent to a record holder that does not reply: its event loop may be blocked, on a busy
- * machine for a second. A booking that is refused instead has to start over.
+ * machine for a second, or its process has just started. A booking that is refused instead has to start over.
  */
 const MAX_CLAIMS = 3;
 
+/** Status of a call whose timeout has passed. */
+const TIMED_OUT = grpc.status.CANCELLED;
+
+/** Pause before a claim is sent again where no connection could be opened, ms. */
+const RECONNECT_PAUSE_MS = 100;
+
 /** The records of a peer, accessed over gRPC. */
 export class RemoteRecordPeer implements RecordPeer {
   readonly id: string;
@@ -42,8 +48,11 @@
       try {
         return await this.#call((client) => client.Claim.bind(client), key, record, startedAt);
       } catch (err) {
+        const { code } = err as Partial<grpc.ServiceError>;
         const isLast = sent === MAX_CLAIMS || this.#clock.now() >= record.deadlineAt;
-        if (!isTimeout(err) || isLast) {
+        if (code === grpc.status.UNAVAILABLE && !isLast) {
+          await new Promise<void>((resolve) => this.#clock.after(RECONNECT_PAUSE_MS, resolve));
+        } else if (code !== TIMED_OUT || isLast) {
           throw err;
         }
       }
@@ -88,8 +97,3 @@
     return { kind: "held", record: recordCodec.decode(res.held, this.#clock.now()) };
   }
 }
-
-/** Whether a call was cancelled because its timeout had passed. */
-function isTimeout(err: unknown): boolean {
-  return (err as Partial<grpc.ServiceError>).code === grpc.status.CANCELLED;
-}
--- a/src/sidecar/records/RunRecords.test.ts
+++ b/src/sidecar/records/RunRecords.test.ts
@@ -89,3 +89,30 @@
   records.expire();
   t.is(records.size, 0);
 });
+
+const leftBehind: readonly {
+  name: string;
+  first: RunRecord;
+  second: string;
+  kind: "granted" | "held";
+}[] = [
+  // Guards against "in progress" for a booking that its first target has not run, before its claim there is released.
+  { name: "of the same dispatch", first: claimed("c/1"), second: "c/2", kind: "granted" },
+  { name: "of another dispatch", first: claimed("c/1"), second: "d/2", kind: "held" },
+  { name: "with an outcome", first: done("c/1"), second: "c/2", kind: "held" },
+];
+
+for (const { name, first, second, kind } of leftBehind) {
+  test(`run records: a claim after a record ${name}: ${kind}`, async (t) => {
+    const records = setUp().reopen();
+    await records.claim("a", first);
+    t.is((await records.claim("a", claimed(second))).kind, kind);
+    await records.settle("a", "c/1", undefined);
+    const after = await records.claim("a", claimed("e/1"));
+    t.is(
+      after.kind,
+      kind === "granted" ? "held" : "granted",
+      "a late release is only of its own claim",
+    );
+  });
+}
--- a/src/sidecar/records/RunRecords.ts
+++ b/src/sidecar/records/RunRecords.ts
@@ -1,5 +1,6 @@
 import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
 import type { ClaimReply } from "./ClaimReply.ts";
+import { recordAttempt } from "./recordAttempt.ts";
 import { RefusedKeys } from "./RefusedKeys.ts";
 import type { RunRecord } from "./RunRecord.ts";
 import type { SyncedJournal } from "./SyncedJournal.ts";
@@ -59,7 +60,7 @@
    */
   async claim(key: string, claimRecord: RunRecord, startedAt = this.#now()): Promise<ClaimReply> {
     const held = this.#held.get(key);
-    if (held && held.record.attempt !== claimRecord.attempt) {
+    if (held && !isReplacedBy(held.record, claimRecord)) {
       return { kind: "held", record: held.record };
     }
     if (this.#refusedKeys.bars(key, startedAt)) {
@@ -148,6 +149,13 @@
   }
 }
 
+/** Whether a claim replaces a record: that of the same attempt, or a claim that the same dispatch left behind. */
+function isReplacedBy(held: RunRecord, claim: RunRecord): boolean {
+  const isLeftBehind =
+    held.state === "claimed" && recordAttempt.isSameDispatch(held.attempt, claim.attempt);
+  return isLeftBehind || held.attempt === claim.attempt;
+}
+
 /**
  * Converts the times of an entry written by an earlier incarnation to this one's monotonic
  * clock. How long the process was down is unknown, as the wall clock may have been changed,
--- a/src/sidecar/routing/CallerRequest.ts
+++ b/src/sidecar/routing/CallerRequest.ts
@@ -1,5 +1,6 @@
 import type { Readable } from "node:stream";
 import type { AttemptId } from "../../common/ids/AttemptId.ts";
+import type { DispatchId } from "../../common/ids/DispatchId.ts";
 import type { RequestOrigin } from "./RequestOrigin.ts";
 import type { HeaderList } from "../forwarding/HeaderList.ts";
 
@@ -13,6 +14,8 @@
   readonly body: Buffer | Readable | undefined;
   readonly bodyLength?: number;
   readonly origin: RequestOrigin;
+  /** Set by the dispatcher for a request with an idempotency key that must not be repeated. */
+  readonly dispatch?: DispatchId;
   /** Arrival time on the monotonic clock, ms. */
   readonly startedAt: number;
   /** Deadline of the final response on the monotonic clock, ms. */
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -1,4 +1,6 @@
+import { randomUUID } from "node:crypto";
 import type bunyan from "bunyan";
+import { DispatchId } from "../../common/ids/DispatchId.ts";
 import type { TargetId } from "../../common/ids/TargetId.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import { RequestGuard } from "../quarantine/RequestGuard.ts";
@@ -7,6 +9,7 @@
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import type { HopLink } from "../hop/HopLink.ts";
+import { idempotencyKeyOf } from "../records/idempotencyKeyOf.ts";
 import type { RetryTokenBorrower } from "./RetryTokenBorrower.ts";
 import type { TrafficClassifier } from "./TrafficClassifier.ts";
 import type { CallerRequest } from "./CallerRequest.ts";
@@ -135,8 +138,9 @@
     });
   }
 
-  /** Forwards `req` along `route`; always resolves with a verdict. */
-  async dispatch(route: RouteMatch, req: CallerRequest): Promise<ForwardResult> {
+  /** Forwards `callerReq` along `route`; always resolves with a verdict. */
+  async dispatch(route: RouteMatch, callerReq: CallerRequest): Promise<ForwardResult> {
+    const req = withDispatchId(route, callerReq);
     const { classifier, budgets } = this.#deps;
     const classified = classifier?.begin(route, req.origin);
     const isNestedCall = classified?.isNestedCall ?? false;
@@ -444,6 +448,12 @@
   return earlier && hides ? earlier : latest;
 }
 
+/** Gives an id to a request whose attempts are recorded under its idempotency key. */
+function withDispatchId(route: RouteMatch, req: CallerRequest): CallerRequest {
+  const isRecorded = !route.idempotent && idempotencyKeyOf(req.headers) !== undefined;
+  return isRecorded ? { ...req, dispatch: DispatchId(randomUUID()) } : req;
+}
+
 /** Whether the grant expired or was withdrawn before the request reached the target. */
 function isExpired({ verdict, outcome }: ForwardResult): boolean {
   return verdict.kind === "not-run" && outcome === AttemptOutcome.Cancelled;
--- a/src/sidecar/routing/RemoteRun.ts
+++ b/src/sidecar/routing/RemoteRun.ts
@@ -10,7 +10,6 @@
 import type { HopLink } from "../hop/HopLink.ts";
 import { NotSentError } from "../hop/NotSentError.ts";
 import type { PendingCall } from "../hop/PendingCall.ts";
-import { idempotencyKeyOf } from "../records/idempotencyKeyOf.ts";
 import type { CallerRequest } from "./CallerRequest.ts";
 import type { Grant } from "./SlotFinder.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
@@ -89,11 +88,11 @@
   };
 
   #hopRequest() {
-    const { attempt, method, path, headers, body, bodyLength, startedAt, deadlineAt } = this.#req;
+    const { attempt, method, path, headers, body, bodyLength } = this.#req;
+    const { dispatch, startedAt, deadlineAt } = this.#req;
     const now = this.#deps.clock.now();
     const bodyBytes = Buffer.isBuffer(body) ? body.length : (bodyLength ?? 0);
     const usableUntil = now + grantTtlMs(bodyBytes);
-    const isKeyed = !this.#route.idempotent && idempotencyKeyOf(headers) !== undefined;
     return {
       attempt,
       target: this.#grant.target.id,
@@ -107,7 +106,8 @@
       isGrantExpired: this.#route.idempotent
         ? undefined
         : () => this.#deps.clock.now() >= usableUntil,
-      ageMs: isKeyed ? now - startedAt : undefined,
+      dispatch,
+      ageMs: dispatch === undefined ? undefined : now - startedAt,
       callerService: this.#deps.callerService,
       idempotent: this.#route.idempotent,
       echoHeader: this.#route.service.echoHeader,
