Drop an assumed run time that the first responses refute, at a stopping sidecar

Now the slowest of three or more responses replaces the assumption where that is more than twice as long. policies.test: not picked before, picked now. Used for every target, the bound changed detection and the model's floor, so it is used only where the sidecar is stopping.

--- a/src/sidecar/detection/LatencyBaseline.ts
+++ b/src/sidecar/detection/LatencyBaseline.ts
@@ -4,6 +4,9 @@
 /** There is no baseline below this number of samples, since a median of three varies too much. */
 const MIN_SAMPLES = 16;
 
+/** From this number of samples on, the slowest of them bounds the median. */
+const MIN_BOUND_SAMPLES = 3;
+
 /** The median is recomputed once every this many samples. */
 const REFRESH_EVERY = 8;
 
@@ -23,6 +26,11 @@
     return this.#median;
   }
 
+  /** The slowest of a few first samples, as an upper bound of the median, ms; undefined without them. */
+  get bound(): number | undefined {
+    return this.#samples.length >= MIN_BOUND_SAMPLES ? Math.max(...this.#samples) : undefined;
+  }
+
   /** Adds the latency of one complete response, ms. */
   add(ms: number): void {
     this.#samples[this.#next] = ms;
--- a/src/sidecar/routing/AdaptivePolicy.ts
+++ b/src/sidecar/routing/AdaptivePolicy.ts
@@ -23,6 +23,9 @@
 /** Typical time that is assumed without any measurement, as a share of the route's objective. */
 const DEFAULT_TYPICAL_SHARE = 1 / 3;
 
+/** The assumption is dropped when a few first responses have all been faster by more than this factor. */
+const REFUTED_BY_FACTOR = 2;
+
 /** Longest expected wait at a local-zone target for which a request of a bulk route is still kept in the zone, ms. */
 const BULK_MAX_LOCAL_WAIT_MS = 300;
 
@@ -204,8 +207,13 @@
     };
   }
 
-  typicalMs(route: RouteMatch): number {
-    return this.#baseline(route).median ?? route.objectiveMs * DEFAULT_TYPICAL_SHARE;
+  typicalMs(route: RouteMatch, target?: TargetInfo): number {
+    const { median, bound = Infinity } = this.#baseline(route);
+    const isStopping =
+      target !== undefined && this.#views.existing(target.id)?.load?.endsInMs !== undefined;
+    const assumedMs = route.objectiveMs * DEFAULT_TYPICAL_SHARE;
+    const isRefuted = isStopping && bound * REFUTED_BY_FACTOR < assumedMs;
+    return median ?? (isRefuted ? bound : assumedMs);
   }
 
   survey(request: PickContext, tried: ReadonlySet<TargetId>): TargetSurvey {
@@ -254,7 +262,7 @@
   }
 
   #beliefAbout(snapshot: PickSnapshot, candidate: Candidate): TargetBelief {
-    if (stopsTooSoon(snapshot, candidate)) {
+    if (this.#stopsTooSoon(snapshot, candidate)) {
       return "leaving";
     }
     if (this.#isSuspected(snapshot, candidate)) {
@@ -278,7 +286,7 @@
     for (const target of this.#targetsOf(route)) {
       if (target.state === TargetState.Ready && !tried.has(target.id)) {
         const candidate = { target, view: this.#views.of(target) };
-        if (!stopsTooSoon(snapshot, candidate)) {
+        if (!this.#stopsTooSoon(snapshot, candidate)) {
           candidates.push(candidate);
         }
       }
@@ -286,6 +294,20 @@
     return candidates;
   }
 
+  /**
+   * Whether the co-located sidecar is being stopped and will exit before the request would end. After the
+   * announced exit it may have restarted, so the target may be picked again.
+   */
+  #stopsTooSoon({ now, route, isRetryable }: PickSnapshot, { target, view }: Candidate): boolean {
+    const { load, loadReceivedAt } = view;
+    if (load?.endsInMs === undefined) {
+      return false;
+    }
+    const remainingMs = load.endsInMs - (now - loadReceivedAt);
+    const typicalMs = this.typicalMs(route, target);
+    return remainingMs > 0 && remainingMs < runAllowanceMs(typicalMs, isRetryable);
+  }
+
   #snapshot(request: PickContext): PickSnapshot {
     const typicalMs = this.typicalMs(request.route);
     return { ...request, now: this.#deps.clock.now(), typicalMs };
@@ -401,19 +423,6 @@
   }
 }
 
-/**
- * Whether the co-located sidecar is being stopped and will exit before the request would end. After the
- * announced exit it may have restarted, so the target may be picked again.
- */
-function stopsTooSoon({ now, typicalMs, isRetryable }: PickSnapshot, { view }: Candidate): boolean {
-  const { load, loadReceivedAt } = view;
-  if (load?.endsInMs === undefined) {
-    return false;
-  }
-  const remainingMs = load.endsInMs - (now - loadReceivedAt);
-  return remainingMs > 0 && remainingMs < runAllowanceMs(typicalMs, isRetryable);
-}
-
 /** Expected wait of a slot request at a target with this load where a request takes `serviceMs`, ms. */
 function expectedWaitMs({ busy, slots, queued }: GateLoad, serviceMs: number): number {
   return busy < slots ? 0 : ((queued / 2 + 1) * serviceMs) / Math.max(1, slots);
--- a/src/sidecar/routing/RoutingPolicy.ts
+++ b/src/sidecar/routing/RoutingPolicy.ts
@@ -65,8 +65,13 @@
   recordTimeout(target: TargetInfo): void;
   /** Records a request sent to `target`; the returned function must be called once, with the outcome. */
   recordStart(route: RouteMatch, target: TargetInfo): (outcome: AttemptOutcome) => void;
-  /** Typical time that a request of `route` takes at a target of its service, ms. */
-  typicalMs(route: RouteMatch): number;
+  /**
+   * Typical response time of a request on the route, ms.
+   *
+   * @param target the target that it is to be sent to; where its sidecar is being stopped, a few first responses limit
+   * an assumption that was never measured
+   */
+  typicalMs(route: RouteMatch, target?: TargetInfo): number;
   /** Counts the targets of the request's service by what this sidecar believes about them, for log lines. */
   survey(request: PickContext, tried: ReadonlySet<TargetId>): TargetSurvey;
   /** Returns the routing state of each known target, for `/status`. */
--- a/src/sidecar/routing/SlotFinder.ts
+++ b/src/sidecar/routing/SlotFinder.ts
@@ -321,7 +321,7 @@
       priority,
       remainingMs: Math.max(1, deadlineAt - now),
       objectiveMs: startedAt + objectiveMs - now,
-      typicalMs: this.#deps.policy.typicalMs(route),
+      typicalMs: this.#deps.policy.typicalMs(route, target),
       isRetryable,
       isIdempotent: route.idempotent,
       isNestedCall,
--- a/src/sidecar/routing/policies.test.ts
+++ b/src/sidecar/routing/policies.test.ts
@@ -476,6 +476,24 @@
   });
 }
 
+test("a target whose sidecar is being stopped is picked once a few runs have shown that they are short", async (t) => {
+  // Guards against a target that stays idle through a stop, as its runs are assumed to take a third of a long objective.
+  const { clock, policy, route, table } = zonesRig({ endsInMs: 9000 });
+  const near = table.target(TargetId("near"));
+  const others = new Set(table.allTargets().map((x) => x.id));
+  others.delete(TargetId("near"));
+  const longRoute = { ...route, objectiveMs: 15_000 };
+  const request = { route: longRoute, isRetryable: false };
+  const isPicked = () => policy.pick(request, others)?.target.id === "near";
+  t.false(isPicked());
+  for (let n = 0; n < 3 && near; n++) {
+    const end = policy.recordStart(longRoute, near);
+    await clock.advance(200);
+    end(AttemptOutcome.Ok);
+  }
+  t.true(isPicked());
+});
+
 /** A suspect target that wants work, and the requests that are sent to it after some time. */
 const demandCases: readonly {
   name: string;
