Report the first reason for which a request to a target was aborted

What callers saw: nothing; the detector did. A request whose caller had left counted as timed out at its target if the deadline came up before the aborted connection had reported its error, as it does on an event loop that was blocked, and the connections to that target were retired. A request whose caller had left before it was sent was sent nevertheless, and was not cancelled.

The first is the product's fault; the second is the test's premise, which it waits for now: its caller leaves once the target has the request, and its deadline is a minute away. Its assertions are as they were.

The first of the reasons is kept, and a request with no caller left is not sent.

--- a/src/common/http/closingConnections.test.ts
+++ b/src/common/http/closingConnections.test.ts
@@ -3,6 +3,7 @@
 import { createServer, type RequestListener } from "node:http";
 import { fileURLToPath } from "node:url";
 import test from "ava";
+import { blockEventLoop } from "../../../test/fixtures/blockEventLoop.ts";
 import type { CallerScript } from "../../../test/fixtures/scriptedCaller.ts";
 import { startHttpServer } from "./startHttpServer.ts";
 
@@ -11,14 +12,6 @@
 /** Duration of a caller's script, ms. */
 const END_MS = 2500;
 
-/** Blocks the event loop for `ms`. */
-function block(ms: number): void {
-  const until = performance.now() + ms;
-  while (performance.now() < until) {
-    // Busy.
-  }
-}
-
 type StartedServer = Awaited<ReturnType<typeof startHttpServer>>;
 
 /** Starts a server, and a caller that plays `steps` once `begin` has been called; resolves with what its connections got. */
@@ -59,7 +52,7 @@
   const outcomes = await serve(steps, (server) => (req, res) => {
     if (req.url === "/stop") {
       stop(server);
-      block(400);
+      blockEventLoop(400);
     }
     res.end("ok");
   });
@@ -97,7 +90,7 @@
         stop(server);
       }
       if (req.url === "/block") {
-        block(150);
+        blockEventLoop(150);
       }
       setTimeout(() => res.end("ok"), req.url === "/stop" ? 1200 : 0);
     });
@@ -123,7 +116,7 @@
         if (req.url === "/") {
           setTimeout(() => {
             setImmediate(() => {
-              block(600);
+              blockEventLoop(600);
             });
           }, 1100);
         }
--- a/src/sidecar/forwarding/TargetSender.test.ts
+++ b/src/sidecar/forwarding/TargetSender.test.ts
@@ -1,6 +1,7 @@
 import { PassThrough } from "node:stream";
 import type { Socket } from "node:net";
 import test from "ava";
+import { blockEventLoop } from "../../../test/fixtures/blockEventLoop.ts";
 import { eventually } from "../../../test/fixtures/eventually.ts";
 import { makeTarget } from "../../../test/fixtures/makeTarget.ts";
 import { RawTarget } from "../../../test/fixtures/RawTarget.ts";
@@ -270,18 +271,47 @@
   const behave = (s: Socket) => {
     s.once("close", () => (closed = true));
   };
-  await withTarget(behave, async (send) => {
+  await withTarget(behave, async (send, target) => {
     const controller = new AbortController();
-    const result = send(request("a1", { cancelled: controller.signal }));
-    setTimeout(() => {
-      controller.abort();
-    }, 50);
+    const deadlineAt = SystemClock.now() + 60_000;
+    const result = send(request("a1", { cancelled: controller.signal, deadlineAt }));
+    await eventually(() => target.heads.length > 0);
+    controller.abort();
     t.is((await result).outcome, AttemptOutcome.Cancelled);
     await eventually(() => closed);
     t.true(closed);
   });
 });
 
+test.serial(
+  "target sender: a deadline due in the same turn as a disconnect does not count as a timeout",
+  async (t) => {
+    await withTarget(
+      () => undefined,
+      async (send) => {
+        const controller = new AbortController();
+        const result = send(request("a1", { cancelled: controller.signal }));
+        setTimeout(() => {
+          controller.abort();
+        }, 50);
+        blockEventLoop(600);
+        t.is((await result).outcome, AttemptOutcome.Cancelled);
+      },
+    );
+  },
+);
+
+test("target sender: a request whose caller has left already is not sent", async (t) => {
+  await withTarget(
+    () => undefined,
+    async (send, target) => {
+      const result = await send(request("a1", { cancelled: AbortSignal.abort() }));
+      t.like(result, { verdict: { kind: "not-run" }, outcome: AttemptOutcome.Cancelled });
+      t.is(target.connections, 0);
+    },
+  );
+});
+
 test("target sender: headers are forwarded unchanged, and the dialect's replace forged ones", async (t) => {
   const behave = (s: Socket, head: string) => s.write(response(echoOf(head), "ok"));
   await withTarget(behave, async (send, target) => {
--- a/src/sidecar/forwarding/TargetSender.ts
+++ b/src/sidecar/forwarding/TargetSender.ts
@@ -41,10 +41,14 @@
   readonly onOtherTarget?: (target: TargetInfo, other: string) => void;
 }
 
+/** Why this sender aborted a request. */
+type AbortReason = "timed-out" | "target-restarted" | "caller-left";
+
 /** State of a request in flight. */
 interface Progress {
   isResponding: boolean;
-  timedOut: boolean;
+  /** First reason to abort it; its connection may report the error only after a second one has come up. */
+  abortedFor: AbortReason | undefined;
 }
 
 /**
@@ -70,34 +74,40 @@
     if (remainingMs <= 0) {
       return notRun("no time left", RETRY_AFTER_MS);
     }
+    if (req.cancelled?.aborted) {
+      return {
+        ...notRun("the caller has left", RETRY_AFTER_MS),
+        outcome: AttemptOutcome.Cancelled,
+      };
+    }
     const metadata = { ...req.metadata, remainingMs };
     const headers = this.#headersFor(req, metadata);
     const connection = this.#agentFor(target, req);
     const exchange = new TargetExchange({ url: target.url, agent: connection.agent, headers }, req);
-    const progress: Progress = { isResponding: false, timedOut: false };
+    const progress: Progress = { isResponding: false, abortedFor: undefined };
     // Closing the connection ends the run at the target, and ensures that a late response cannot be mistaken for that
     // of the next request.
-    const timer = clock.timeout(remainingMs, () => {
-      progress.timedOut = true;
-      exchange.abort();
-    });
-    const onAbort = () => {
+    const abortFor = (reason: AbortReason) => () => {
+      progress.abortedFor ??= reason;
       exchange.abort();
     };
-    req.cancelled?.addEventListener("abort", onAbort);
-    req.targetRestarted?.addEventListener("abort", onAbort);
+    const timer = clock.timeout(remainingMs, abortFor("timed-out"));
+    const onCancelled = abortFor("caller-left");
+    const onRestarted = abortFor("target-restarted");
+    req.cancelled?.addEventListener("abort", onCancelled);
+    req.targetRestarted?.addEventListener("abort", onRestarted);
     try {
       const res = await exchange.response;
       progress.isResponding = true;
       return await this.#toResult(target, req, metadata, res, exchange);
     } catch (err) {
-      return this.#toFailure(target, req, progress, err);
+      return this.#toFailure(target, progress, err);
     } finally {
       // The deadline applies to the response, or to the start of a large one. How fast a slow client then reads the
       // rest does not depend on the target.
       timer.cancel();
-      req.cancelled?.removeEventListener("abort", onAbort);
-      req.targetRestarted?.removeEventListener("abort", onAbort);
+      req.cancelled?.removeEventListener("abort", onCancelled);
+      req.targetRestarted?.removeEventListener("abort", onRestarted);
       connection.release();
     }
   }
@@ -183,22 +193,18 @@
     return isAtDeadline ? AttemptOutcome.TimedOut : AttemptOutcome.Failed;
   }
 
-  #toFailure(
-    target: TargetInfo,
-    req: TargetRequest,
-    progress: Progress,
-    err: unknown,
-  ): ForwardResult {
+  #toFailure(target: TargetInfo, progress: Progress, err: unknown): ForwardResult {
     const code = (err as { code?: string }).code ?? "";
-    if (progress.timedOut) {
-      this.#retireAgent(target.url);
-      return mayHaveRun(target, "no answer in time", AttemptOutcome.TimedOut, true);
-    }
-    if (req.targetRestarted?.aborted) {
-      return mayHaveRun(target, "the target has started again", AttemptOutcome.NoResponse);
-    }
-    if (req.cancelled?.aborted) {
-      return mayHaveRun(target, "the caller has left", AttemptOutcome.Cancelled);
+    switch (progress.abortedFor) {
+      case "timed-out":
+        this.#retireAgent(target.url);
+        return mayHaveRun(target, "no answer in time", AttemptOutcome.TimedOut, true);
+      case "target-restarted":
+        return mayHaveRun(target, "the target has started again", AttemptOutcome.NoResponse);
+      case "caller-left":
+        return mayHaveRun(target, "the caller has left", AttemptOutcome.Cancelled);
+      case undefined:
+        break;
     }
     if (isConnectError(err)) {
       const result = notRun(`connect failed: ${code}`, RETRY_AFTER_MS);
--- a/test/blockedEventLoop.test.ts
+++ b/test/blockedEventLoop.test.ts
@@ -29,6 +29,7 @@
 import { RetryTokenClient } from "../src/sidecar/hop/RetryTokenClient.ts";
 import { RemoteRun } from "../src/sidecar/routing/RemoteRun.ts";
 import { SlotFinder } from "../src/sidecar/routing/SlotFinder.ts";
+import { blockEventLoop } from "./fixtures/blockEventLoop.ts";
 import { FakeClock } from "./fixtures/FakeClock.ts";
 import { FakeHop, granted } from "./fixtures/FakeHop.ts";
 import { FixedPolicy } from "./fixtures/FixedPolicy.ts";
@@ -326,9 +327,7 @@
   const until = performance.now() + ms;
   setTimeout(() => {
     setImmediate(() => {
-      while (performance.now() < until) {
-        // Busy.
-      }
+      blockEventLoop(until - performance.now());
     });
   }, BLOCKED_FROM_MS);
 }
