Compare views with other zones although those of the own zone match

What callers saw: a ready target that got no request from one zone; had the missed update been a drain, requests sent to a leaving target.

Cause: the comparison of views, which repairs what gossip has missed, needed three checksum mismatches in a row, and a match with any member set the count to zero. A member probes at least one of its own zone in each round, so a zone that lacks an update as a whole never compared with others, nor they with it.

Why it works: mismatches are counted separately for the own zone and for others.

--- a/src/membership/Membership.test.ts
+++ b/src/membership/Membership.test.ts
@@ -223,3 +223,28 @@
   t.log(`at most ${most} calls per sidecar and round`);
   t.true(most <= 24);
 });
+
+for (const { count, zones } of [
+  { count: 7, zones: 3 },
+  { count: 24, zones: 4 },
+  { count: 120, zones: 4 },
+]) {
+  test(`a zone of ${count} members in ${zones} that has missed an update receives it from the others`, async (t) => {
+    // Guards against a drain that stays unknown in a whole zone: its members mostly probe each other, and their views match.
+    const fleet = new MemberFleet(count, 1, zones);
+    fleet.states.set("s1", "ready");
+    await fleet.run(10_000);
+    const inZone = [...fleet.up.keys()].filter((id) => Number(id.slice(1)) % zones === 0);
+    for (const id of inZone) {
+      fleet.dropUpdates(id);
+    }
+    fleet.states.set("s1", "draining");
+    await fleet.run(5000);
+    t.deepEqual([...fleet.statesSeen("s1")].sort(), ["draining", "ready"]);
+    for (const id of inZone) {
+      fleet.restoreUpdates(id);
+    }
+    await fleet.run(3000);
+    t.deepEqual([...fleet.statesSeen("s1")], ["draining"]);
+  });
+}
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -102,7 +102,11 @@
   /** Ids of the members whose probes are in flight. */
   readonly #probing = new Set<string>();
   #rounds = 0;
-  #mismatches = 0;
+  /**
+   * Consecutive checksum mismatches, separately for members of the own zone and of others: where a whole zone has missed
+   * an update, the views within it match.
+   */
+  readonly #mismatches: Record<Distance, number> = { near: 0, far: 0 };
   /** Time of the last comparison of views; -Infinity if the next one need not wait. */
   #comparedAt = -Infinity;
   #lastRoundAt = -Infinity;
@@ -245,7 +249,7 @@
         this.#declareGone(id);
       }
       this.#deps.documents.noteVersion(address, reply.config_version);
-      await this.#compareIfDiverged(address, reply.checksum);
+      await this.#compareIfDiverged(member, reply.checksum);
     } catch {
       if (await this.#probeIndirectly(address)) {
         this.#clearSuspicion(id);
@@ -347,11 +351,16 @@
   }
 
   /** Compares views if their checksums differ for longer than updates in flight explain. */
-  async #compareIfDiverged(address: string, checksum: number): Promise<void> {
+  async #compareIfDiverged(
+    { sidecar_id: id, peer_address: address }: Member,
+    checksum: number,
+  ): Promise<void> {
     const { table, clock } = this.#deps;
-    this.#mismatches = checksum === table.checksum ? 0 : this.#mismatches + 1;
+    const distance = this.#distanceOf(id);
+    const count = checksum === table.checksum ? 0 : this.#mismatches[distance] + 1;
+    this.#mismatches[distance] = count;
     if (
-      this.#mismatches >= MISMATCHES_BEFORE_COMPARE &&
+      count >= MISMATCHES_BEFORE_COMPARE &&
       clock.now() - this.#comparedAt >= MIN_COMPARE_INTERVAL_MS
     ) {
       await this.#compare(address);
@@ -361,7 +370,8 @@
   /** Merges the entries that differ at the member at `address`, and sends it those that are outdated there. */
   async #compare(address: string): Promise<void> {
     const { table, peers, clock } = this.#deps;
-    this.#mismatches = 0;
+    this.#mismatches.near = 0;
+    this.#mismatches.far = 0;
     this.#comparedAt = clock.now();
     const count = Math.ceil(table.memberCount / MEMBERS_PER_DIGEST);
     const reply = await peers.compare(address, table.digests(Math.min(count, MAX_DIGESTS)));
