--- a/src/common/storage/Disk.ts
+++ b/src/common/storage/Disk.ts
@@ -1,3 +1,5 @@
+import type { AsyncFile } from "./AsyncFile.ts";
+
 /** A file that is open for writing at given offsets. */
 export interface OpenFile {
   /** Writes all of `bytes` at `offset`. When it throws, some or none of them have been written. */
@@ -14,9 +16,12 @@
   read(path: string): Buffer | undefined;
   /** Opens an existing file. */
   open(path: string): OpenFile;
+  /** Opens an existing file, as {@link open} does, for appending. */
+  openAsync(path: string): Promise<AsyncFile>;
   /**
    * Replaces the content of the file with `bytes`, durably, creating the file and its
    * folder if needed. After a failure the file has either its old or its new content, complete.
+   * A file that is open keeps the content that was replaced.
    */
   replace(path: string, bytes: Buffer): void;
 }
--- a/src/common/storage/RecordFile.ts
+++ b/src/common/storage/RecordFile.ts
@@ -93,7 +93,7 @@
     try {
       return this.#disk.read(this.#path)?.toString() ?? "";
     } catch (err) {
-      throw new StorageError(this.#path, err);
+      throw new StorageError(this.#path, err, "read");
     }
   }
 
--- a/src/common/storage/systemDisk.ts
+++ b/src/common/storage/systemDisk.ts
@@ -6,6 +6,8 @@
   readFileSync,
   writeSync,
 } from "node:fs";
+import { open } from "node:fs/promises";
+import type { AsyncFile } from "./AsyncFile.ts";
 import type { Disk, OpenFile } from "./Disk.ts";
 import { writeFileSynced } from "./writeFileSynced.ts";
 
@@ -43,5 +45,14 @@
     };
   },
 
+  async openAsync(path): Promise<AsyncFile> {
+    const file = await open(path, "a");
+    return {
+      append: (text) => file.appendFile(text),
+      sync: () => file.datasync(),
+      close: () => file.close(),
+    };
+  },
+
   replace: writeFileSynced,
 };
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -315,10 +315,10 @@
   }
 
   #createRecords(): RunRecords {
-    const { cfg, clock } = this.#deps;
+    const { cfg, clock, log } = this.#deps;
     const path = cfg.dataDir && join(cfg.dataDir, RECORDS_FILE);
     const journal = path ? new SyncedJournal<never>(path) : undefined;
-    return new RunRecords(journal, () => clock.now());
+    return new RunRecords(journal, () => clock.now(), log);
   }
 
   #recordGroup(key: string): RecordPeer[] {
--- a/src/sidecar/records/RunRecords.test.ts
+++ b/src/sidecar/records/RunRecords.test.ts
@@ -1,7 +1,10 @@
-import { appendFileSync, mkdtempSync, readFileSync, rmSync } from "node:fs";
+import { appendFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import test from "ava";
+import { FaultyDisk } from "../../../test/fixtures/FaultyDisk.ts";
+import { seededRandom } from "../../../test/fixtures/seededRandom.ts";
+import { StorageError } from "../../common/storage/StorageError.ts";
 import { RunRecords } from "./RunRecords.ts";
 import type { RunRecord } from "./RunRecord.ts";
 import { SyncedJournal } from "./SyncedJournal.ts";
@@ -116,3 +119,97 @@
     );
   });
 }
+
+test("run records: claims made after a compaction survive a crash", async (t) => {
+  const { reopen } = setUp();
+  const records = reopen();
+  const keys = Array.from({ length: 5001 }, (_, n) => `k${n}`);
+  await Promise.all(keys.map((key) => records.claim(key, claimed("1"))));
+  await Promise.all(keys.map((key) => records.settle(key, "1", undefined)));
+  records.expire();
+  await records.claim("a", claimed("1"));
+  t.is((await reopen().claim("a", claimed("2"))).kind, "held");
+});
+
+test("run records: a corrupt line is reported, and the records before and after it are kept", async (t) => {
+  const { path, reopen } = setUp();
+  const before = reopen();
+  await before.claim("a", claimed("1"));
+  await before.claim("b", claimed("1"));
+  await before.claim("c", claimed("1"));
+  const damaged = readFileSync(path, "utf8").replace('{"key":"b"', '{"key\0\0b"');
+  writeFileSync(path, damaged);
+  const problems: object[] = [];
+  const log = { error: (fields: object) => problems.push(fields) } as never;
+  const after = new RunRecords(new SyncedJournal(path), () => 0, log);
+  t.deepEqual(
+    after.entries().map(({ key }) => key),
+    ["a", "c"],
+  );
+  t.deepEqual(problems, [{ corruptLines: 1, read: 2 }]);
+  t.is(readFileSync(`${path}.damaged`, "utf8"), damaged);
+});
+
+test("run records: a journal that cannot be read is not replaced by an empty one", async (t) => {
+  const disk = new FaultyDisk(() => 0);
+  const open = () => new RunRecords(new SyncedJournal("f", disk), () => 0);
+  await open().claim("a", claimed("1"));
+  disk.fault = "refuses";
+  t.throws(open, { instanceOf: StorageError });
+  disk.fault = "none";
+  t.is(open().size, 1);
+});
+
+test("run records: acknowledged claims and outcomes survive full disks, compactions and losses of power", async (t) => {
+  // Guards against a second run of a booking whose claim was acknowledged, and not in the file after a restart.
+  const faults = [
+    ...Array.from({ length: 12 }, () => "none" as const),
+    ...(["refuses", "fails-midway", "fails-after"] as const),
+  ];
+  for (let seed = 0; seed < 3000; seed++) {
+    const random = seededRandom(seed);
+    const disk = new FaultyDisk(random);
+    const open = () => new RunRecords(new SyncedJournal("f", disk.forProcess()), () => 0);
+    let records = open();
+    const acknowledged = new Map<string, "claimed" | "done">();
+    for (let step = 0; step < 25; step++) {
+      const key = `${step}`;
+      disk.fault = faults[Math.floor(random() * faults.length)] ?? "none";
+      const isSettled = random() < 0.5;
+      const incarnation = records;
+      const acknowledge = (state: "claimed" | "done") => {
+        if (incarnation === records) {
+          acknowledged.set(key, state);
+        }
+      };
+      const book = async () => {
+        await incarnation.claim(key, claimed(key));
+        acknowledge("claimed");
+        if (isSettled) {
+          await incarnation.settle(key, key, done(key));
+          acknowledge("done");
+        }
+      };
+      const writes = book().catch((err: unknown) => t.true(err instanceof StorageError));
+      if (random() < 0.3) {
+        for (let turns = Math.floor(random() * 8); turns > 0; turns--) {
+          await Promise.resolve();
+        }
+        records.compact();
+      }
+      if (random() < 0.5) {
+        await writes;
+      }
+      if (random() < 0.15) {
+        disk.fault = "none";
+        disk.losePower();
+        records = open();
+        const held = new Map(records.entries().map((e) => [e.key, e.record.state]));
+        const lost = [...acknowledged].filter(
+          ([known, state]) => held.get(known) !== state && held.get(known) !== "done",
+        );
+        t.deepEqual(lost, [], `seed ${seed}`);
+      }
+    }
+  }
+});
--- a/src/sidecar/records/RunRecords.ts
+++ b/src/sidecar/records/RunRecords.ts
@@ -1,3 +1,4 @@
+import type bunyan from "bunyan";
 import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
 import type { ClaimReply } from "./ClaimReply.ts";
 import { recordAttempt } from "./recordAttempt.ts";
@@ -32,19 +33,32 @@
 export class RunRecords implements IDisposable {
   readonly #journal: SyncedJournal<JournalEntry> | undefined;
   readonly #now: () => number;
+  readonly #log: Pick<bunyan, "error"> | undefined;
   readonly #held = new Map<string, HeldRecord>();
   readonly #refusedKeys: RefusedKeys;
   #staleLines = 0;
 
-  /** @param now reads the monotonic clock, ms */
-  constructor(journal: SyncedJournal<JournalEntry> | undefined, now: () => number) {
+  /**
+   * @param now reads the monotonic clock, ms
+   * @throws StorageError if the journal can't be read
+   */
+  constructor(
+    journal: SyncedJournal<JournalEntry> | undefined,
+    now: () => number,
+    log?: Pick<bunyan, "error">,
+  ) {
     this.#journal = journal;
     this.#now = now;
+    this.#log = log;
     this.#refusedKeys = new RefusedKeys(now);
-    for (const entry of journal?.read() ?? []) {
+    const { entries, corruptLines } = journal?.read() ?? { entries: [], corruptLines: 0 };
+    if (corruptLines > 0) {
+      log?.error({ corruptLines, read: entries.length }, "journal of records is damaged");
+    }
+    for (const entry of entries) {
       this.#apply(toCurrentClock(entry, now()));
     }
-    this.#compact();
+    this.compact();
   }
 
   /** Number of records. */
@@ -117,7 +131,16 @@
       }
     }
     if (this.#staleLines > MAX_STALE_LINES) {
-      this.#compact();
+      this.compact();
+    }
+  }
+
+  /** Compacts the journal; until that succeeds, on a full disk for example, no record is accepted. */
+  compact(): void {
+    try {
+      this.#rewriteJournal();
+    } catch (err) {
+      this.#log?.error({ err }, "journal of records not rewritten");
     }
   }
 
@@ -128,7 +151,11 @@
   async #persist(entry: JournalEntry): Promise<void> {
     // In memory first: a second claim that arrives during the sync must find this one.
     this.#apply(entry);
-    await this.#journal?.append(entry);
+    if (this.#journal?.needsRewrite) {
+      this.#rewriteJournal(); // The new file contains the entry.
+    } else {
+      await this.#journal?.append(entry);
+    }
   }
 
   #apply(entry: JournalEntry): void {
@@ -143,9 +170,9 @@
     }
   }
 
-  #compact(): void {
-    this.#staleLines = 0;
+  #rewriteJournal(): void {
     this.#journal?.rewrite([...this.#held].map(([key, held]) => ({ key, ...held })));
+    this.#staleLines = 0;
   }
 }
 
--- a/src/sidecar/records/SyncedJournal.ts
+++ b/src/sidecar/records/SyncedJournal.ts
@@ -1,8 +1,26 @@
-import { mkdirSync, readFileSync } from "node:fs";
-import { open, type FileHandle } from "node:fs/promises";
-import { dirname } from "node:path";
+import type { AsyncFile } from "../../common/storage/AsyncFile.ts";
+import type { Disk } from "../../common/storage/Disk.ts";
+import { StorageError } from "../../common/storage/StorageError.ts";
+import { systemDisk } from "../../common/storage/systemDisk.ts";
 import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
-import { writeFileSynced } from "../../common/storage/writeFileSynced.ts";
+
+/** Appended to the path of a journal with corrupt lines, for the copy that is kept of it. */
+const DAMAGED_SUFFIX = ".damaged";
+
+/** An entry that is to be appended. */
+interface PendingWrite {
+  readonly line: string;
+  readonly resolve: () => void;
+  readonly reject: (err: unknown) => void;
+}
+
+/** Content of a journal. */
+interface JournalContent<T> {
+  /** Its entries, oldest first. */
+  readonly entries: T[];
+  /** Number of complete lines that can't be read: the file has been damaged. */
+  readonly corruptLines: number;
+}
 
 /**
  * An append-only file of JSON lines. {@link append} resolves once its line is
@@ -11,44 +29,64 @@
  */
 export class SyncedJournal<T> implements IDisposable {
   readonly #path: string;
-  #file: Promise<FileHandle> | undefined;
-  #pending: { line: string; resolve: () => void; reject: (err: unknown) => void }[] = [];
-  #flushing = false;
+  readonly #disk: Disk;
+  /** The open file; undefined until the next append, after a rewrite. */
+  #file: Promise<AsyncFile> | undefined;
+  /** Whether the file ends with a complete line, so that lines may be appended. */
+  #isAppendable = false;
+  /** Number of successful rewrites. */
+  #rewrites = 0;
+  #pending: PendingWrite[] = [];
+  #isFlushing = false;
 
-  constructor(path: string) {
+  /** @param disk the real file system, or a substitute in tests */
+  constructor(path: string, disk: Disk = systemDisk) {
     this.#path = path;
-    mkdirSync(dirname(path), { recursive: true });
+    this.#disk = disk;
   }
 
-  /** All complete lines of the file, oldest first. A last line truncated by a crash is dropped. */
-  read(): T[] {
-    let text: string;
-    try {
-      text = readFileSync(this.#path, "utf8");
-    } catch {
-      return []; // There is no file yet, or the disk was lost: the other replicas still have their records.
-    }
-    const entries: T[] = [];
-    for (const line of text.split("\n")) {
-      try {
-        entries.push(JSON.parse(line) as T);
-      } catch {
-        // Truncated by a crash before its sync, so it was never acknowledged.
-      }
+  /**
+   * Whether {@link rewrite} must succeed before the next append: before the first one, and after a failed write, which
+   * may have left a part of a line behind.
+   */
+  get needsRewrite(): boolean {
+    return !this.#isAppendable;
+  }
+
+  /**
+   * Reads the file; it has no entries if it does not exist, as after the loss of its disk. A last line truncated by a
+   * crash was never acknowledged, and is dropped. A journal with corrupt lines is copied before it can be rewritten.
+   *
+   * @throws StorageError if the file can't be read, or not be copied: its entries must not count as lost
+   */
+  read(): JournalContent<T> {
+    const bytes = this.#readFile();
+    const content = parseLines<T>(bytes?.toString() ?? "");
+    if (bytes && content.corruptLines > 0) {
+      this.#replace(this.#path + DAMAGED_SUFFIX, bytes);
     }
-    return entries;
+    return content;
   }
 
-  /** Replaces the file atomically by one with `entries`, to drop superseded and expired ones. */
+  /**
+   * Replaces the file atomically by one with `entries`, which include those that are being appended.
+   *
+   * @throws StorageError if the file can't be replaced; it has its old or its new content then
+   */
   rewrite(entries: readonly T[]): void {
-    writeFileSynced(this.#path, entries.map((e) => JSON.stringify(e) + "\n").join(""));
+    this.#isAppendable = false;
+    // An open file is no longer the one at the path; what is appended to it would be lost.
+    this.#closeFile();
+    this.#replace(this.#path, Buffer.from(entries.map(toLine).join("")));
+    this.#isAppendable = true;
+    this.#rewrites += 1;
   }
 
   /** Appends one entry; resolves once it is synced to disk, rejects if the write or the sync fails. */
   append(entry: T): Promise<void> {
     return new Promise<void>((resolve, reject) => {
-      this.#pending.push({ line: JSON.stringify(entry) + "\n", resolve, reject });
-      if (!this.#flushing) {
+      this.#pending.push({ line: toLine(entry), resolve, reject });
+      if (!this.#isFlushing) {
         void this.#flush();
       }
     });
@@ -60,25 +98,84 @@
   }
 
   async #flush(): Promise<void> {
-    this.#flushing = true;
+    this.#isFlushing = true;
     while (this.#pending.length > 0) {
       const batch = this.#pending;
       this.#pending = [];
-      try {
-        this.#file ??= open(this.#path, "a");
-        const file = await this.#file;
-        await file.write(batch.map((write) => write.line).join(""));
-        await file.datasync();
-        batch.forEach((write) => {
-          write.resolve();
-        });
-      } catch (err) {
-        this.#file = undefined;
-        batch.forEach((write) => {
-          write.reject(err);
-        });
+      const result = await this.#write(batch.map((write) => write.line).join(""));
+      for (const { resolve, reject } of batch) {
+        if (result instanceof StorageError) {
+          reject(result);
+        } else {
+          resolve();
+        }
       }
     }
-    this.#flushing = false;
+    this.#isFlushing = false;
+  }
+
+  /** Appends `text` and syncs it; returns the error if that fails. */
+  async #write(text: string): Promise<StorageError | undefined> {
+    if (this.needsRewrite) {
+      return new StorageError(
+        this.#path,
+        "the end of the file is unknown until a rewrite succeeds",
+      );
+    }
+    const rewrites = this.#rewrites;
+    try {
+      const file = await (this.#file ??= this.#disk.openAsync(this.#path));
+      await file.append(text);
+      await file.sync();
+      return undefined;
+    } catch (err) {
+      if (this.#rewrites !== rewrites) {
+        return undefined; // A rewrite has closed the file, and stored the text, meanwhile.
+      }
+      this.#isAppendable = false;
+      this.#closeFile();
+      return new StorageError(this.#path, err);
+    }
+  }
+
+  #readFile(): Buffer | undefined {
+    try {
+      return this.#disk.read(this.#path);
+    } catch (err) {
+      throw new StorageError(this.#path, err, "read");
+    }
+  }
+
+  #replace(path: string, bytes: Buffer): void {
+    try {
+      this.#disk.replace(path, bytes);
+    } catch (err) {
+      throw new StorageError(path, err);
+    }
+  }
+
+  #closeFile(): void {
+    const file = this.#file;
+    this.#file = undefined;
+    // An error of the close says nothing about what has been synced.
+    void file?.then((f) => f.close()).catch(() => undefined);
+  }
+}
+
+function toLine(entry: unknown): string {
+  return JSON.stringify(entry) + "\n";
+}
+
+function parseLines<T>(text: string): JournalContent<T> {
+  const entries: T[] = [];
+  let corruptLines = 0;
+  // What follows the last line break is a line truncated by a crash.
+  for (const line of text.split("\n").slice(0, -1)) {
+    try {
+      entries.push(JSON.parse(line) as T);
+    } catch {
+      corruptLines += 1;
+    }
   }
+  return { entries, corruptLines };
 }
