Answer a resent membership request again without handling it twice

Cause: a probe without a reply is resent after 120 ms, as on a busy machine. Its gossip was handled twice, and counted as that of two members that have the same updates, so that the receiver, and where the first reply was lost the sender, spread them too seldom.

DatagramLink.test: probes, comparisons and indirect probes were handled twice before, and once now.

Why it works: a request that arrives again within 1.5 s gets the reply that it got the first time. Ids of requests begin at random, so that a restarted process is not confused with its previous incarnation.

--- a/src/membership/DatagramLink.ts
+++ b/src/membership/DatagramLink.ts
@@ -1,3 +1,4 @@
+import { randomInt } from "node:crypto";
 import { createSocket, type Socket } from "node:dgram";
 import type { IDisposable } from "../common/lifecycle/IDisposable.ts";
 import type { Clock } from "../common/lifecycle/Clock.ts";
@@ -5,6 +6,7 @@
 import { datagramCodec } from "../common/rpc/datagramCodec.ts";
 import type { MessageSizeListener } from "../common/rpc/MessageSizeListener.ts";
 import type { ProtoTypes } from "../common/rpc/ProtoTypes.ts";
+import { RecentReplies } from "./RecentReplies.ts";
 
 type GossipMessage = ProtoTypes["News"];
 type Datagram = ProtoTypes["Datagram"];
@@ -19,6 +21,9 @@
 /** Timeout of an indirect probe, ms: it takes two hops, and the helper may have to resend its own probe. */
 const INDIRECT_PROBE_TIMEOUT_MS = 700;
 
+/** Largest id of a request, which has 32 bits. */
+const MAX_ID = 0xffff_ffff;
+
 /** Handlers for the requests and messages of other members. */
 export interface DatagramHandlers {
   /** Handles a probe and the gossip that it carries; returns the reply. */
@@ -59,13 +64,16 @@
   readonly #noteBytes: MessageSizeListener;
   readonly #pending = new Map<number, PendingRequest>();
   #handlers: DatagramHandlers | undefined;
-  #nextId = 1;
+  readonly #recentReplies: RecentReplies;
+  /** Starts at random, so that requests of a restarted process are not taken for those of its previous incarnation. */
+  #nextId = randomInt(1, MAX_ID);
   #closed = false;
 
   /** @param noteBytes called with the kind and size of every datagram, sent or received */
   constructor(clock: Clock, noteBytes: MessageSizeListener) {
     this.#clock = clock;
     this.#noteBytes = noteBytes;
+    this.#recentReplies = new RecentReplies(clock);
   }
 
   /** Binds the socket to `hostPort` and passes incoming messages to `handlers`. */
@@ -131,7 +139,7 @@
       return Promise.reject(new Error("datagram link is closed"));
     }
     const id = this.#nextId;
-    this.#nextId = (this.#nextId % 0xffff_ffff) + 1;
+    this.#nextId = (this.#nextId % MAX_ID) + 1;
     const bytes = datagramCodec.encode({ id, ...message });
     return new Promise((resolve, reject) => {
       const cleanUp = () => {
@@ -165,27 +173,46 @@
     if (!message) {
       return; // Not a datagram of this protocol.
     }
-    const { id, probe, answer, probe_for: target, reached, gate, compare } = message;
+    const { id, answer, reached, gate } = message;
     if (gate) {
       this.#handlers?.onGate?.(gate, from);
     } else if (answer || reached) {
       this.#pending.get(id)?.complete(message);
-    } else if (probe && this.#handlers) {
-      this.#reply(id, from, this.#handlers.onProbe(probe));
+    } else {
+      this.#receiveRequest(message, from);
+    }
+  }
+
+  /** Handles a request of another member; one that was resent gets the reply that the first one got. */
+  #receiveRequest(request: Datagram, from: string): void {
+    const { id } = request;
+    const known = this.#recentReplies.begin(from, id);
+    if (!known) {
+      this.#handle(request, from);
+    } else if (known.reply) {
+      this.#send(known.reply, from);
+    }
+  }
+
+  #handle({ id, probe, probe_for: target, compare }: Datagram, from: string): void {
+    if (probe && this.#handlers) {
+      this.#reply(from, { id, answer: this.#handlers.onProbe(probe) });
     } else if (compare && this.#handlers) {
-      this.#reply(id, from, this.#handlers.onCompare(compare.digests));
+      this.#reply(from, { id, answer: this.#handlers.onCompare(compare.digests) });
     } else if (target !== "") {
       this.#handlers?.onProbeFor(target).then(
         () => {
-          this.#send(datagramCodec.encode({ ...EMPTY_DATAGRAM, id, reached: true }), from);
+          this.#reply(from, { id, reached: true });
         },
         () => undefined, // No reply is sent, so the indirect probe of the requester times out.
       );
     }
   }
 
-  #reply(id: number, to: string, answer: GossipMessage): void {
-    this.#send(datagramCodec.encode({ ...EMPTY_DATAGRAM, id, answer }), to);
+  #reply(to: string, reply: Pick<Datagram, "id"> & Partial<Datagram>): void {
+    const bytes = datagramCodec.encode({ ...EMPTY_DATAGRAM, ...reply });
+    this.#recentReplies.complete(to, reply.id, bytes);
+    this.#send(bytes, to);
   }
 
   #send(bytes: Buffer, address: string, kind = "Datagram"): void {
