Tie slot replies and runs to the attempt that they are for

What callers saw: the complete response to another caller's request, after a restart of their sidecar; a booking reported as done that had not run. With one target and a sidecar killed and restarted within two seconds, the first lookups got responses to lookups from before, in three of three runs.

Cause: a sidecar numbered its slot requests from 1 in each incarnation. A gate that gets a known number from a known address sends its last message again, so the restarted sidecar got the grants of its previous incarnation. A request with a used grant counts as one whose connection was lost, and gets the response of the run. Old requests were forgotten only when one arrived from elsewhere.

The new cases of SlotServer.test and TargetRunner.test failed before.

Why it works: a gate repeats a message only to the same attempt at the same target; a run is known by its attempt and grant; and the numbers of all datagram requests begin at random, through one class for slot requests, retry tokens and membership probes.

--- a/src/membership/DatagramLink.ts
+++ b/src/membership/DatagramLink.ts
@@ -1,5 +1,5 @@
-import { randomInt } from "node:crypto";
 import { createSocket, type Socket } from "node:dgram";
+import { RequestIds } from "../common/ids/RequestIds.ts";
 import type { IDisposable } from "../common/lifecycle/IDisposable.ts";
 import type { Clock } from "../common/lifecycle/Clock.ts";
 import type { Timer } from "../common/lifecycle/Timer.ts";
@@ -21,9 +21,6 @@
 /** Timeout of an indirect probe, ms: it takes two hops, and the helper may have to resend its own probe. */
 const INDIRECT_PROBE_TIMEOUT_MS = 700;
 
-/** Largest id of a request, which has 32 bits. */
-const MAX_ID = 0xffff_ffff;
-
 /** Handlers for the requests and messages of other members. */
 export interface DatagramHandlers {
   /** Handles a probe and the gossip that it carries; returns the reply. */
@@ -65,8 +62,7 @@
   readonly #pending = new Map<number, PendingRequest>();
   #handlers: DatagramHandlers | undefined;
   readonly #recentReplies: RecentReplies;
-  /** Starts at random, so that requests of a restarted process are not taken for those of its previous incarnation. */
-  #nextId = randomInt(1, MAX_ID);
+  readonly #ids = new RequestIds();
   #closed = false;
 
   /** @param noteBytes called with the kind and size of every datagram, sent or received */
@@ -138,8 +134,7 @@
     if (this.#closed) {
       return Promise.reject(new Error("datagram link is closed"));
     }
-    const id = this.#nextId;
-    this.#nextId = (this.#nextId % MAX_ID) + 1;
+    const id = this.#ids.next();
     const bytes = datagramCodec.encode({ id, ...message });
     return new Promise((resolve, reject) => {
       const cleanUp = () => {
--- a/src/sidecar/gate/RunTable.ts
+++ b/src/sidecar/gate/RunTable.ts
@@ -1,3 +1,4 @@
+import type { AttemptId } from "../../common/ids/AttemptId.ts";
 import type { GrantId } from "../../common/ids/GrantId.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
@@ -22,7 +23,14 @@
 /** Least interval between removals of old runs, ms. */
 const SWEEP_MS = 10_000;
 
+/** Identifies a run. */
+interface RunRef {
+  readonly attempt: AttemptId;
+  readonly grant: GrantId;
+}
+
 interface Entry {
+  readonly attempt: AttemptId;
   /** Set while the run is in progress. */
   running: Promise<ForwardResult> | undefined;
   result: ForwardResult | undefined;
@@ -50,9 +58,9 @@
    *
    * @param deadlineAt until when the sender may reattach, by the clock, ms
    */
-  track(grant: GrantId, run: Promise<ForwardResult>, deadlineAt: number): void {
+  track({ attempt, grant }: RunRef, run: Promise<ForwardResult>, deadlineAt: number): void {
     this.#sweep();
-    const entry: Entry = { running: run, result: undefined, closedAt: Infinity };
+    const entry: Entry = { attempt, running: run, result: undefined, closedAt: Infinity };
     this.#entries.set(grant, entry);
     void run.then((result) => {
       entry.running = undefined;
@@ -61,10 +69,10 @@
     });
   }
 
-  /** State of the run that used `grant`. */
-  state(grant: GrantId): RunState {
+  /** State of the run of `attempt` that used `grant`; that of another attempt is unknown. */
+  state({ attempt, grant }: RunRef): RunState {
     const entry = this.#entries.get(grant);
-    if (!entry) {
+    if (entry?.attempt !== attempt) {
       return { kind: "unknown" };
     }
     if (entry.running) {
--- a/src/sidecar/gate/SlotServer.test.ts
+++ b/src/sidecar/gate/SlotServer.test.ts
@@ -76,6 +76,26 @@
   t.is(gate.load.queued, 1);
 });
 
+test("slot server: a restarted sidecar does not get the replies to requests of its previous incarnation", (t) => {
+  // Guards against the response to another caller's request: the old grant leads to the run that has used it.
+  const { gate, requestSlot, sentMessages, grantOf } = rig();
+  requestSlot("a", 1, { attempt: "before" });
+  const before = grantOf("a");
+  gate.redeem(before);
+  gate.end(before, AttemptOutcome.Ok);
+  requestSlot("a", 1, { attempt: "after" });
+  t.deepEqual(sentMessages(), ["a: granted", "a: granted"]);
+  t.not(grantOf("a"), before);
+});
+
+test("slot server: a request of a sender's previous incarnation gives up its slot for one with the same id", (t) => {
+  const { gate, requestSlot, sentMessages } = rig();
+  requestSlot("a", 1, { attempt: "before" });
+  requestSlot("a", 1, { attempt: "after" });
+  t.deepEqual(sentMessages(), ["a: granted", "a: granted"]);
+  t.is(gate.load.busy, 1);
+});
+
 test("slot server: an unused grant is sent again, and expires", async (t) => {
   const { clock, gate, requestSlot, sentMessages } = rig();
   requestSlot("a", 1);
--- a/src/sidecar/gate/SlotServer.ts
+++ b/src/sidecar/gate/SlotServer.ts
@@ -102,12 +102,16 @@
     if (!request) {
       return;
     }
-    const { lastMessage } = this.#entries.get(key) ?? {};
-    if (lastMessage) {
-      this.#deps.sendGateMessage(from, lastMessage);
-    } else {
-      this.#accept(key, request, message.ask_id, from);
+    const known = this.#entries.get(key);
+    if (known && isSameRequest(known.request, request)) {
+      if (known.lastMessage) {
+        this.#deps.sendGateMessage(from, known.lastMessage);
+      }
+      return;
     }
+    // A request with the same id that differs is one of the sender's previous incarnation.
+    known?.withdraw();
+    this.#accept(key, request, message.ask_id, from);
   }
 
   /** Sends the load of a target to all recent requesters. */
@@ -217,3 +221,7 @@
     }
   }
 }
+
+function isSameRequest(a: SlotRequest, b: SlotRequest): boolean {
+  return a.attempt === b.attempt && a.target === b.target;
+}
--- a/src/sidecar/gate/TargetRunner.test.ts
+++ b/src/sidecar/gate/TargetRunner.test.ts
@@ -154,6 +154,21 @@
   t.is(runner.state({ attempt, target, grant: GrantId("earlier.1") }).kind, "unknown");
 });
 
+test("target runner: a grant that another request has used gives neither its response nor a run", async (t) => {
+  // Guards against the response to another caller's request, after a restarted sidecar was given an old grant again.
+  const { requestGrant, run, end, runner, sends } = rig();
+  const ref = requestGrant();
+  const first = run(ref);
+  const other = { ...ref, attempt: AttemptId("b") };
+  t.is((await run(other)).verdict.kind, "not-run");
+  end(results.done);
+  await first;
+  t.is((await run(other)).verdict.kind, "not-run");
+  const state = runner.state(other);
+  t.is(state.kind === "ended" && state.result.verdict.kind, "not-run");
+  t.is(sends(), 1);
+});
+
 test("run table: old runs are removed", async (t) => {
   const { clock, requestGrant, run, end, runs } = rig();
   const ref = requestGrant();
@@ -161,9 +176,9 @@
   end(results.done);
   await first;
   await clock.advance(RETENTION_MS);
-  runs.track(GrantId("b"), Promise.resolve(results.done), 0);
+  runs.track({ attempt, grant: GrantId("b") }, Promise.resolve(results.done), 0);
   t.is(runs.size, 1);
-  t.is(runs.state(ref.grant).kind, "unknown");
+  t.is(runs.state(ref).kind, "unknown");
 });
 
 test("target runner: a run is not reported as not run before its deadline, however long ago it ended", async (t) => {
@@ -173,7 +188,7 @@
   end(results.done);
   await first;
   await clock.advance(RETENTION_MS);
-  runs.track(GrantId("b"), Promise.resolve(results.done), 0);
+  runs.track({ attempt, grant: GrantId("b") }, Promise.resolve(results.done), 0);
   const state = runner.state(ref);
   t.is(state.kind === "ended" && state.result.verdict.kind, "done");
 });
@@ -183,10 +198,10 @@
   const large = { ...results.done, body: Buffer.alloc(12 << 20) };
   for (const name of ["a", "b", "c"]) {
     const run = Promise.resolve(large);
-    runs.track(GrantId(name), run, 0);
+    runs.track({ attempt, grant: GrantId(name) }, run, 0);
     await run;
   }
-  const kinds = ["a", "b", "c"].map((name) => runs.state(GrantId(name)).kind);
+  const kinds = ["a", "b", "c"].map((name) => runs.state({ attempt, grant: GrantId(name) }).kind);
   t.deepEqual(kinds, ["forgotten", "ended", "ended"]);
 });
 
--- a/src/sidecar/gate/TargetRunner.ts
+++ b/src/sidecar/gate/TargetRunner.ts
@@ -74,7 +74,7 @@
     }
     gate.redeem(ref.grant);
     const run = this.#send(gate, ref, target, req);
-    this.#deps.runs.track(ref.grant, run, req.deadlineAt);
+    this.#deps.runs.track(ref, run, req.deadlineAt);
     return run;
   }
 
@@ -82,14 +82,14 @@
    * Outcome of a request that cannot use its grant: that of the run that has used it, or `not-run` if the grant has
    * expired or was issued by an earlier incarnation of the process.
    */
-  outcomeOf({ target, grant }: GrantRef): Promise<ForwardResult> {
-    const state = this.#deps.runs.state(grant);
+  outcomeOf(ref: GrantRef): Promise<ForwardResult> {
+    const state = this.#deps.runs.state(ref);
     switch (state.kind) {
       case "running":
       case "ended":
         return Promise.resolve(state.result);
       case "forgotten":
-        return Promise.resolve(unknownOutcome(target));
+        return Promise.resolve(unknownOutcome(ref.target));
       case "unknown":
         return Promise.resolve(EXPIRED_GRANT);
     }
@@ -99,11 +99,12 @@
    * State of a run, for a sender that lost its connection. An unused grant is revoked, so that its request can no
    * longer run once it is reported as not run.
    */
-  state({ target, grant }: GrantRef): RunState {
+  state(ref: GrantRef): RunState {
+    const { target, grant } = ref;
     if (this.#deps.gates.get(target)?.revoke(grant)) {
       return { kind: "ended", result: notRun("the grant was not taken") };
     }
-    const state = this.#deps.runs.state(grant);
+    const state = this.#deps.runs.state(ref);
     if (state.kind === "unknown" && this.#deps.grants.isOwn(grant)) {
       // Every run of this incarnation is retained until after its deadline, and an expired grant stays expired.
       return { kind: "ended", result: notRun("the grant was not taken") };
--- a/src/sidecar/hop/RetryTokenClient.ts
+++ b/src/sidecar/hop/RetryTokenClient.ts
@@ -1,3 +1,4 @@
+import { RequestIds } from "../../common/ids/RequestIds.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { Timer } from "../../common/lifecycle/Timer.ts";
 import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
@@ -28,7 +29,7 @@
 export class RetryTokenClient {
   readonly #deps: RetryTokenClientDeps;
   readonly #pending = new Map<number, PendingRequest>();
-  #nextId = 1;
+  readonly #ids = new RequestIds();
 
   constructor(deps: RetryTokenClientDeps) {
     this.#deps = deps;
@@ -39,8 +40,7 @@
    * costs, or if it does not reply in time.
    */
   requestToken(address: string, costs: readonly RetryCost[]): Promise<boolean> {
-    const id = this.#nextId;
-    this.#nextId = (this.#nextId % 0xffff_ffff) + 1;
+    const id = this.#ids.next();
     return new Promise((resolve) => {
       const settle = (isGranted: boolean) => {
         this.#pending.get(id)?.timer.cancel();
--- a/src/sidecar/hop/SlotClient.ts
+++ b/src/sidecar/hop/SlotClient.ts
@@ -1,3 +1,4 @@
+import { RequestIds } from "../../common/ids/RequestIds.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { Timer } from "../../common/lifecycle/Timer.ts";
 import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
@@ -44,7 +45,7 @@
   readonly #pending = new Map<number, PendingRequest>();
   /** Ids of requests that were granted recently. */
   readonly #recentGrants = new Set<number>();
-  #nextId = 1;
+  readonly #ids = new RequestIds();
 
   constructor(deps: SlotClientDeps) {
     this.#deps = deps;
@@ -56,8 +57,7 @@
     request: SlotRequest,
     onQueued: PendingRequest["onQueued"],
   ): PendingCall<SlotReply> {
-    const id = this.#nextId;
-    this.#nextId = (this.#nextId % 0xffff_ffff) + 1;
+    const id = this.#ids.next();
     const message = gateCodec.slotRequest(id, request);
     const result = new Promise<SlotReply>((settle) => {
       this.#pending.set(id, { onQueued, settle, timer: undefined });
