Report a run that ends with an error as may-have-run

What callers would see: the sidecar exits and cuts all its requests. The run's outcome is unknown and is reported as that; its slot is free again, and the error is logged.

TargetRunner.test, with a send that rejects: the test's process exited with an unhandled rejection before; may-have-run and a free slot now.

--- a/src/sidecar/gate/TargetRunner.test.ts
+++ b/src/sidecar/gate/TargetRunner.test.ts
@@ -51,6 +51,7 @@
   const runs = new RunTable(clock);
   let sends = 0;
   let settle: (result: ForwardResult) => void = () => undefined;
+  let fail: (err: Error) => void = () => undefined;
   const runner = new TargetRunner({
     gates: { get: () => gate },
     runs,
@@ -58,7 +59,10 @@
     target: () => makeTarget(target),
     send: () => {
       sends += 1;
-      return new Promise((resolve) => (settle = resolve));
+      return new Promise((resolve, reject) => {
+        settle = resolve;
+        fail = reject;
+      });
     },
     guard: openGuard,
     clock,
@@ -88,6 +92,9 @@
     end: (result: ForwardResult) => {
       settle(result);
     },
+    fail: (err: Error) => {
+      fail(err);
+    },
   };
 }
 
@@ -169,6 +176,15 @@
   t.is(sends(), 1);
 });
 
+test("target runner: a run that ends with an error has an unknown outcome, and gives up its slot", async (t) => {
+  // Guards against a sidecar that exits, on an unhandled rejection, with all requests that it has in flight.
+  const { requestGrant, run, fail, gate } = rig();
+  const running = run(requestGrant());
+  fail(new Error("no more memory"));
+  t.is((await running).verdict.kind, "may-have-run");
+  t.is(gate.load.busy, 0);
+});
+
 test("run table: old runs are removed", async (t) => {
   const { clock, requestGrant, run, end, runs } = rig();
   const ref = requestGrant();
--- a/src/sidecar/gate/TargetRunner.ts
+++ b/src/sidecar/gate/TargetRunner.ts
@@ -128,6 +128,9 @@
       const result = await guard.examine(run, sent, gate.retired.aborted);
       outcome = this.#detectorOutcome(result, activeRun, { attempt, target: target.id });
       return { ...result, calls: activeRuns.callMeans };
+    } catch (err) {
+      this.#deps.log.error({ err, attempt, target: target.id }, "run ended with an error");
+      return unknownOutcome(target.id);
     } finally {
       activeRun.end();
       gate.end(grant, outcome);
