Drop a slot request that is overtaken by its withdrawal

What callers could see: a slot that is granted to a request that nobody waits for, for a round trip or, if the sender has gone, until the grant expires. SlotServer.test: the slot was busy before.

--- a/src/sidecar/gate/SlotServer.test.ts
+++ b/src/sidecar/gate/SlotServer.test.ts
@@ -123,6 +123,16 @@
   t.is(gate.load.queued, 0);
 });
 
+test("slot server: a request that is overtaken by its withdrawal takes no slot", async (t) => {
+  const { clock, gate, server, requestSlot } = rig();
+  server.receive(gateCodec.withdrawn(1), "a");
+  await clock.advance(100);
+  requestSlot("a", 1);
+  t.is(gate.load.busy, 0);
+  requestSlot("a", 2);
+  t.is(gate.load.busy, 1);
+});
+
 test("slot server: removes queued requests past their deadline, even if their sender is gone", async (t) => {
   const { clock, gate, requestSlot, grantOf } = rig();
   requestSlot("a", 1);
--- a/src/sidecar/gate/SlotServer.ts
+++ b/src/sidecar/gate/SlotServer.ts
@@ -82,6 +82,8 @@
 export class SlotServer {
   readonly #deps: SlotServerDeps;
   readonly #entries = new Map<string, Entry>();
+  /** Withdrawn requests that have not arrived, overtaken by their withdrawals; when these arrived, ms, by key. */
+  readonly #withdrawnEarly = new Map<string, number>();
   /** When each sidecar last sent a request, ms, by address; the most recent is last. */
   readonly #subscribers = new Map<string, number>();
   #sweptAt = -Infinity;
@@ -94,12 +96,11 @@
   receive(message: GateMessage, from: string): void {
     const key = `${from}/${message.ask_id}`;
     if (message.withdrawn) {
-      this.#entries.get(key)?.withdraw();
-      this.#entries.delete(key);
+      this.#onWithdrawn(key);
       return;
     }
     const request = gateCodec.readSlotRequest(message);
-    if (!request) {
+    if (!request || this.#withdrawnEarly.delete(key)) {
       return;
     }
     const known = this.#entries.get(key);
@@ -124,6 +125,18 @@
     this.#publish(target, load, MAX_DEMAND_RECEIVERS);
   }
 
+  #onWithdrawn(key: string): void {
+    const entry = this.#entries.get(key);
+    if (entry) {
+      entry.withdraw();
+      this.#entries.delete(key);
+    } else {
+      const now = this.#deps.clock.now();
+      this.#sweep(now);
+      this.#withdrawnEarly.set(key, now);
+    }
+  }
+
   #publish(target: TargetId, load: GateLoad, maxReceivers: number): void {
     const since = this.#deps.clock.now() - SUBSCRIPTION_MS;
     const update = gateCodec.loadUpdate(target, load);
@@ -214,6 +227,11 @@
         }
       }
     }
+    for (const [key, at] of this.#withdrawnEarly) {
+      if (at < now - RETENTION_MS) {
+        this.#withdrawnEarly.delete(key);
+      }
+    }
     for (const [address, at] of this.#subscribers) {
       if (at < now - SUBSCRIPTION_MS) {
         this.#subscribers.delete(address);
