Report a damaged control log instead of reading its beginning

What callers could see: an accepted configuration that is gone, if a majority counts a replica that has forgotten it. The replica's log was read up to the first line with a wrong checksum, also where complete lines followed.

RecordFile.test: the case "a changed byte in the middle" asserted that reading stops there, which was wrong; it demands the error now, and a changed last line is still dropped.

--- a/src/common/storage/RecordFile.test.ts
+++ b/src/common/storage/RecordFile.test.ts
@@ -23,6 +23,12 @@
   t.is(file.length, readFileSync(path).length);
 });
 
+const changeByte = (path: string, at: string) => {
+  const bytes = readFileSync(path);
+  bytes[bytes.indexOf(at)] = 0x37;
+  writeFileSync(path, bytes);
+};
+
 const corruptions: readonly {
   name: string;
   corrupt: (path: string) => void;
@@ -43,13 +49,11 @@
     remaining: [1, 2, 3],
   },
   {
-    name: "a changed byte in the middle",
+    name: "a changed byte in the last line",
     corrupt: (path) => {
-      const bytes = readFileSync(path);
-      bytes[bytes.indexOf("2\n")] = 0x37;
-      writeFileSync(path, bytes);
+      changeByte(path, "3\n");
     },
-    remaining: [1],
+    remaining: [1, 2],
   },
 ];
 
@@ -64,6 +68,19 @@
   });
 }
 
+test("RecordFile: a changed byte in the middle is reported, and not taken for the end of the file", (t) => {
+  // Guards against a control replica that forgets changes which it has acknowledged, and votes without them.
+  const path = tempFile();
+  const file = new RecordFile<number>(path);
+  file.rewrite([1, 2, 3]);
+  file.close();
+  changeByte(path, "2\n");
+  t.throws(() => new RecordFile<number>(path).read(), {
+    instanceOf: StorageError,
+    message: /line 2 is damaged/,
+  });
+});
+
 test("RecordFile: a failed rewrite blocks appends, which could leave a hole in the new file", (t) => {
   // Guards against losing acknowledged records: the disk replaces the file but then fails to
   // sync the folder. A line appended at the old file's end would be beyond the end of the new
--- a/src/common/storage/RecordFile.ts
+++ b/src/common/storage/RecordFile.ts
@@ -9,8 +9,8 @@
 
 /**
  * A file of checksummed JSON lines, each synced when it is appended. After a loss of
- * power, the last, unsynced line may be complete, torn or missing. {@link read} stops
- * at the first line whose checksum fails, since no later line was ever acknowledged.
+ * power, the last, unsynced line may be complete, torn or missing. Complete lines after
+ * one whose checksum fails show that the file has been damaged.
  */
 export class RecordFile<T> {
   readonly #path: string;
@@ -33,17 +33,19 @@
     return this.#length ?? 0;
   }
 
-  /** Returns every complete record, oldest first; empty if there is no file. */
+  /**
+   * Returns every complete record, oldest first; empty if there is no file.
+   *
+   * @throws StorageError if the file can't be read, or acknowledged records in the middle of it are damaged
+   */
   read(): T[] {
-    const records: T[] = [];
-    for (const line of this.#readText().split("\n")) {
-      const payload = line.slice(PREFIX_CHARS);
-      if (line.length < PREFIX_CHARS || line.slice(0, CHECKSUM_CHARS) !== checksum(payload)) {
-        break;
-      }
-      records.push(JSON.parse(payload) as T);
+    const lines = [...this.#readText().split("\n"), ""];
+    const end = lines.findIndex((line) => !isComplete(line));
+    if (lines.slice(end).some(isComplete)) {
+      const cause = `line ${end + 1} is damaged, and complete ones follow it`;
+      throw new StorageError(this.#path, cause, "read");
     }
-    return records;
+    return lines.slice(0, end).map((line) => JSON.parse(line.slice(PREFIX_CHARS)) as T);
   }
 
   /** Replaces the content of the file with `records`, atomically; later appends follow them. */
@@ -116,6 +118,12 @@
   return `${checksum(payload)} ${payload}\n`;
 }
 
+/** Whether a line, without its line break, is as it was written. */
+function isComplete(line: string): boolean {
+  const payload = line.slice(PREFIX_CHARS);
+  return line.length >= PREFIX_CHARS && line.slice(0, CHECKSUM_CHARS) === checksum(payload);
+}
+
 function checksum(payload: string): string {
   return crc32(payload).toString(16).padStart(CHECKSUM_CHARS, "0");
 }
