Drop a service's retry ratio once the document no longer sets it

The last ratio seen stayed in force until the restart of the sidecar; the default applies now. RetryBudgets.test: no retry before, 17 now.

--- a/src/sidecar/routing/RetryBudgets.test.ts
+++ b/src/sidecar/routing/RetryBudgets.test.ts
@@ -100,3 +100,13 @@
   }
   t.is(spendAll(budgets, checks), 17);
 });
+
+test("budgets: a ratio that is removed from the document is no longer in force", (t) => {
+  const budgets = rig(0, 0);
+  for (let n = 0; n < 99; n++) {
+    budgets.onFirstTry(route("ledger", 0));
+  }
+  t.is(spendAll(budgets, route("ledger")), 0);
+  budgets.onFirstTry(route("ledger"));
+  t.is(spendAll(budgets, route("ledger")), 17);
+});
--- a/src/sidecar/routing/RetryBudgets.ts
+++ b/src/sidecar/routing/RetryBudgets.ts
@@ -38,7 +38,9 @@
 
   /** Records the first try of a caller's request. */
   onFirstTry({ service, budgetRatio }: RouteMatch): void {
-    if (budgetRatio !== undefined) {
+    if (budgetRatio === undefined) {
+      this.#ratios.delete(service.name);
+    } else {
       this.#ratios.set(service.name, budgetRatio);
     }
     this.#budget(service.name).onFirstTry();
