Forget nested calls that a service no longer makes

What callers would see: lookups that are not retried since the budget of a service is used up that they do not call any more. A mean below a hundredth counts as none now. RetryBudgets.test: no retry before, 17 now.

--- a/src/sidecar/routing/RetryBudgets.test.ts
+++ b/src/sidecar/routing/RetryBudgets.test.ts
@@ -110,3 +110,13 @@
   budgets.onFirstTry(route("ledger"));
   t.is(spendAll(budgets, route("ledger")), 17);
 });
+
+test("budgets: nested calls that are no longer made do not prevent retries", (t) => {
+  // The bookings' budget is used up, and checks have stopped to call that service.
+  const budgets = rig(100, 0);
+  budgets.recordNestedCalls(checks, new Map([["bookings", 2]]));
+  for (let n = 0; n < 30; n++) {
+    budgets.recordNestedCalls(checks, new Map());
+  }
+  t.is(spendAll(budgets, checks), 17);
+});
--- a/src/sidecar/routing/RetryBudgets.ts
+++ b/src/sidecar/routing/RetryBudgets.ts
@@ -7,6 +7,9 @@
 /** Weight of the newest report of nested calls in the moving average: about the last five reports count. */
 const MEAN_CALLS_WEIGHT = 0.2;
 
+/** Mean number of nested calls per run below which a service counts as no longer called. */
+const MIN_MEAN_CALLS = 0.01;
+
 interface RetryBudgetsDeps {
   /** Rule for services whose retry ratio the operator document does not set. */
   readonly rule: () => RetryBudgetRule;
@@ -52,7 +55,12 @@
     this.#meanCalls.set(service.name, known);
     for (const called of new Set([...known.keys(), ...means.keys()])) {
       const before = known.get(called) ?? means.get(called) ?? 0;
-      known.set(called, before + MEAN_CALLS_WEIGHT * ((means.get(called) ?? 0) - before));
+      const mean = before + MEAN_CALLS_WEIGHT * ((means.get(called) ?? 0) - before);
+      if (mean < MIN_MEAN_CALLS) {
+        known.delete(called);
+      } else {
+        known.set(called, mean);
+      }
     }
   }
 
