Read logs of hundreds of thousands of lines in the account command

The new test, with 300,000 lines, failed before. Other such calls get one value for each target or kind, not for each line.

--- a/src/cli/account/accountRequests.test.ts
+++ b/src/cli/account/accountRequests.test.ts
@@ -160,3 +160,10 @@
     atS: 4,
   });
 });
+
+test("account: logs of hundreds of thousands of lines are read", (t) => {
+  // Guards against passing every line's time as an argument of one call, which overflows the stack.
+  const [answer] = parseLog(answered("r", OK));
+  const lines = Array.from({ length: 300_000 }, () => answer).flatMap((l) => l ?? []);
+  t.is(accountRequests(lines).length, 1);
+});
--- a/src/cli/account/accountRequests.ts
+++ b/src/cli/account/accountRequests.ts
@@ -32,7 +32,8 @@
 export function accountRequests(lines: readonly LogLine[]): AccountedRequest[] {
   const requestLinesByAttempt = linesByRequest(lines);
   const streaks = failureStreaks(lines);
-  const startMs = Math.min(...lines.map((l) => Date.parse(l.time)).filter(Number.isFinite));
+  const times = lines.map((l) => Date.parse(l.time)).filter(Number.isFinite);
+  const startMs = times.reduce((a, b) => Math.min(a, b), Infinity);
   return [...requestLinesByAttempt].flatMap(([attempt, requestLines]) => {
     const { answeredLine, grants } = requestLines;
     const line = answeredLine ?? grants[0];
