--- a/src/sidecar/hop/hopResponse.ts
+++ b/src/sidecar/hop/hopResponse.ts
@@ -47,7 +47,7 @@
   /** The verdict in a response's headers; undefined if there is none. */
   verdictOf(status: number, headers: IncomingHttpHeaders): Verdict | undefined {
     const valueOf = (name: string): string => String(headers[name] ?? "");
-    const reason = decodeURIComponent(valueOf(HOP.reason));
+    const reason = decodeText(valueOf(HOP.reason));
     const retryAfterMs = Number(valueOf(HOP.retryAfter));
     const target = TargetId(valueOf(HOP.target));
     switch (headers[HOP.verdict]) {
@@ -102,11 +102,20 @@
     .split(",")
     .map((part) => part.split("="));
   const means = parts.map(
-    ([service = "", mean]) => [decodeURIComponent(service), Number(mean ?? NaN)] as const,
+    ([service = "", mean]) => [decodeText(service), Number(mean ?? NaN)] as const,
   );
   return new Map(means.filter(([service, mean]) => service !== "" && mean > 0));
 }
 
+/** Decodes percent-encoded text; returns it unchanged if it is malformed, as its response is of use nevertheless. */
+function decodeText(raw: string): string {
+  try {
+    return decodeURIComponent(raw);
+  } catch {
+    return raw;
+  }
+}
+
 function toOutcome(raw: string | string[] | undefined): AttemptOutcome {
   const outcome = Object.values(AttemptOutcome).find((o) => (o as string) === raw);
   return outcome ?? AttemptOutcome.Cancelled;
