--- a/src/sidecar/records/RefusalConfirmer.ts
+++ b/src/sidecar/records/RefusalConfirmer.ts
@@ -128,7 +128,7 @@
   return Math.floor(size / 2) + 1;
 }
 
-/** Asks callers to wait until their next attempt can be told from those that the refusal has barred. */
+/** Asks callers to wait until their next attempt can be distinguished from those that the refusal has barred. */
 function withMinRetryAfter(refusal: ForwardResult): ForwardResult {
   const { verdict, outcome } = refusal;
   if (verdict.kind !== "not-run") {
--- a/src/sidecar/records/RefusedKeys.ts
+++ b/src/sidecar/records/RefusedKeys.ts
@@ -15,7 +15,7 @@
 }
 
 /**
- * Idempotency keys of refused attempts. A caller that is told that its request was not run may act on that, so an
+ * Idempotency keys of refused attempts. A caller whose request is reported as not run may act on that, so an
  * earlier attempt with the same key that is still under way must not run any more. They are held in memory only: an
  * attempt lasts for seconds.
  */
--- a/src/sidecar/routing/RemoteRun.test.ts
+++ b/src/sidecar/routing/RemoteRun.test.ts
@@ -130,7 +130,7 @@
   t.true(remaining > 700 && remaining < 800);
 });
 
-// Guards against an outcome that the target's sidecar knows only after the caller was told that it is unknown.
+// Guards against an outcome that the target's sidecar knows only after it was reported to the caller as unknown.
 for (const [deadlineAt, remainingMs] of [
   [300, 280],
   [2000, 1920],
