Wait for a booking to reach its target before its caller's sidecar is killed

The test "caller's sidecar killed during a booking" failed once on beside a load of 30 to 90: the response of the resend had status 200, but was not marked as replayed.

Cause: the test slept for 250 ms and then killed the sidecar. Beside load, the booking had not reached a target by then, so nothing had run, and the resend was the first to run it.

The test now kills the sidecar once a target has received the booking; its assertions are as before. A second test covers the other case: killed before it has reached a target, a resend runs the booking, once.

--- a/test/once.test.ts
+++ b/test/once.test.ts
@@ -83,7 +83,7 @@
     // sidecar: it must get the response of the booking that ran, without a second run.
     await withFleet(fleetOf(vans(3)), async (fleet) => {
       const first = book(fleet, "door-0", "kill-door");
-      await sleep(WORK_MS / 2);
+      await standIn.waitForFirstReceiver(fleet, ["vans-0", "vans-1", "vans-2"]);
       await fleet.killSidecar("door-0");
       t.is((await first).status, 0);
       const resend = await resendUntilFinal(fleet, "door-1", "kill-door");
@@ -94,6 +94,22 @@
   },
 );
 
+test.serial(
+  "caller's sidecar killed before a booking has reached a target: a resend runs it, once",
+  async (t) => {
+    // Guards against a record of the first attempt that outlives it without a run, and against a run by both attempts.
+    await withFleet(fleetOf(vans(3)), async (fleet) => {
+      const first = book(fleet, "door-0", "kill-early");
+      await fleet.killSidecar("door-0");
+      t.is((await first).status, 0);
+      const resend = await resendUntilFinal(fleet, "door-1", "kill-early");
+      t.is(resend.status, 200);
+      await sleep(WORK_MS);
+      t.is(await standIn.countRuns(fleet, "kill-early"), 1);
+    });
+  },
+);
+
 test.serial("target's sidecar killed during a booking: never a second run", async (t) => {
   // The target's local sidecar is killed during the run, and the target finishes the booking without being able to
   // deliver its response. The response is lost: a resend must get `may-have-run` and must not run at another target.
