Add workspaces with API keys, quotas and priorities to the document

A document may now contain workspaces (name, API keys, quota, priority), and routes and services may be public. Keys are stored as they were sent at control replicas only; updates for sidecars contain their digests. Operators may write digests themselves.

--- a/src/common/document/DocumentEdit.ts
+++ b/src/common/document/DocumentEdit.ts
@@ -1,6 +1,7 @@
 import type { Limits } from "./Limits.ts";
 import type { Route } from "./Route.ts";
 import type { Service } from "./Service.ts";
+import type { Workspace } from "./Workspace.ts";
 
 /** Items to add or replace, identified by name, and names of items to remove. */
 interface TableEdit<T> {
@@ -17,4 +18,6 @@
   readonly services: TableEdit<Service>;
   readonly routes: TableEdit<Route>;
   readonly limits?: Limits;
+  /** Absent if unchanged; null if the document no longer has workspaces. */
+  readonly workspaces?: TableEdit<Workspace> | null;
 }
--- a/src/common/document/DocumentHistory.ts
+++ b/src/common/document/DocumentHistory.ts
@@ -16,6 +16,8 @@
 export class DocumentHistory {
   #version = 0;
   #document = EMPTY_DOCUMENT;
+  /** The current version as a whole document; made on first use. */
+  #whole: DocumentUpdate | undefined;
   readonly #edits: Edit[] = [];
 
   /** Current version; 0 before any document has been accepted. */
@@ -46,6 +48,7 @@
       return "gap";
     }
     this.#version = update.version;
+    this.#whole = undefined;
     return "taken";
   }
 
@@ -60,6 +63,7 @@
 
   /** The current version as a whole document. */
   get whole(): DocumentUpdate {
-    return { kind: "whole", version: this.#version, document: this.#document };
+    this.#whole ??= { kind: "whole", version: this.#version, document: this.#document };
+    return this.#whole;
   }
 }
--- a/src/common/document/OperatorDocument.ts
+++ b/src/common/document/OperatorDocument.ts
@@ -2,6 +2,7 @@
 import { Limits } from "./Limits.ts";
 import { Route } from "./Route.ts";
 import { Service } from "./Service.ts";
+import { Workspace } from "./Workspace.ts";
 
 const unique = (items: readonly { name: string }[]) =>
   new Set(items.map((i) => i.name)).size === items.length;
@@ -16,6 +17,11 @@
   /** Routes by host and path prefix; a service may also define simple routes itself. */
   routes: z.array(Route).default([]).refine(unique, { error: "route names must be unique" }),
   limits: Limits.prefault({}),
+  /** If given, though empty, requests need an API key of a workspace, except on public routes. */
+  workspaces: z
+    .array(Workspace)
+    .refine(unique, { error: "workspace names must be unique" })
+    .optional(),
 });
 
 /** The parsed, validated operators' document. */
--- a/src/common/document/Route.ts
+++ b/src/common/document/Route.ts
@@ -33,6 +33,8 @@
   /** The service that handles the requests; `split` divides them among several by weight instead. */
   service: z.string().min(1).optional(),
   split: z.array(Part).min(1).optional(),
+  /** Whether requests need no API key although the document contains workspaces. */
+  public: z.boolean().optional(),
   annotations: Annotations,
 });
 
--- a/src/common/document/Service.ts
+++ b/src/common/document/Service.ts
@@ -45,6 +45,8 @@
   /** Simple routes: path prefixes of callers' URLs that are forwarded to this service. */
   routes: z.array(z.string().startsWith("/")).min(1).optional(),
   requests: z.array(RequestKind).min(1).optional(),
+  /** Whether requests of the simple routes need no API key although the document contains workspaces. */
+  public: z.boolean().optional(),
   /** Ejection never reduces the healthy targets below this fraction of the announced ones. */
   floor: z.number().min(0).max(1).default(0.5),
   timeoutMs: Millis.optional(),
--- a/src/common/document/checkCrossFieldRules.test.ts
+++ b/src/common/document/checkCrossFieldRules.test.ts
@@ -9,6 +9,9 @@
 const route = (rest: string) =>
   `${head}  - { name: r, host: a.example, prefix: /x/, idempotent: true, ${rest} }\n`;
 
+const workspaces = (...items: string[]) =>
+  `services:\n  - name: desk\nworkspaces:\n${items.map((i) => `  - ${i}\n`).join("")}`;
+
 const cases: readonly { name: string; text: string; problems: readonly string[] }[] = [
   {
     name: "a route to an existing service",
@@ -80,6 +83,42 @@
     text: "services:\n  - name: desk\n    colour: red\n    floor: 0.5\nlimit: 3\n",
     problems: ["3 services.0.colour: unknown key", "5 limit: unknown key"],
   },
+  {
+    name: "two workspaces with keys of their own",
+    text: workspaces("{ name: a, apiKeys: [k1, k2] }", "{ name: b, apiKeys: [k3] }"),
+    problems: [],
+  },
+  {
+    name: "an API key of two workspaces, which is not repeated in the problem",
+    text: workspaces("{ name: a, apiKeys: [secret] }", "{ name: b, apiKeys: [k1, secret] }"),
+    problems: ["5 workspaces.1.apiKeys.1: also a key of workspace a"],
+  },
+  {
+    name: "an API key of one workspace whose digest is a key of another",
+    text: workspaces(
+      "{ name: a, apiKeys: [k1] }",
+      '{ name: b, apiKeys: ["sha256:arnx6499M4j0-dWG9m6Z_VQIDfLERvDlhmiwnAihbdA"] }',
+    ),
+    problems: ["5 workspaces.1.apiKeys.0: also a key of workspace a"],
+  },
+  {
+    name: "two workspaces of one name",
+    text: workspaces("{ name: a, apiKeys: [] }", "{ name: a, apiKeys: [] }"),
+    problems: ["4 workspaces: workspace names must be unique"],
+  },
+  {
+    name: "a workspace with invalid values",
+    text: workspaces(
+      '{ name: a b, apiKeys: ["k 1"], quota: { ratePerS: -1, burst: -1 }, priority: -1 }',
+    ),
+    problems: [
+      "4 workspaces.0.name: visible ASCII characters only",
+      "4 workspaces.0.apiKeys.0: visible ASCII characters only",
+      "4 workspaces.0.quota.ratePerS: Too small: expected number to be >0",
+      "4 workspaces.0.quota.burst: Too small: expected number to be >=0",
+      "4 workspaces.0.priority: Too small: expected number to be >=0",
+    ],
+  },
 ];
 
 for (const c of cases) {
--- a/src/common/document/checkCrossFieldRules.ts
+++ b/src/common/document/checkCrossFieldRules.ts
@@ -1,5 +1,7 @@
+import { apiKeyDigest } from "./apiKeyDigest.ts";
 import type { Route } from "./Route.ts";
 import type { Service } from "./Service.ts";
+import type { Workspace } from "./Workspace.ts";
 
 /** A violation of a rule that spans several fields, and the path at which it is reported. */
 export interface Violation {
@@ -14,11 +16,12 @@
 interface UnvalidatedDocument {
   readonly services?: readonly Partial<Service>[];
   readonly routes?: readonly Partial<Route>[];
+  readonly workspaces?: readonly Partial<Workspace>[];
 }
 
 /**
  * Checks the rules that span several fields: simple routes are complete, routes name
- * existing services, and the weights of a split have a positive sum. Accepts
+ * existing services, the weights of a split have a positive sum, and no two workspaces share an API key. Accepts
  * documents that also have invalid fields, so that an operator sees all problems at once.
  */
 export function checkCrossFieldRules(doc: UnvalidatedDocument): Violation[] {
@@ -28,6 +31,7 @@
   return [
     ...services.flatMap((s, i) => checkSimpleRoutes(s, i)),
     ...routes.flatMap((r, i) => checkDestination(r, i, knownServices)),
+    ...checkSharedKeys(toList(doc.workspaces)),
   ];
 }
 
@@ -76,3 +80,30 @@
     ? unknownServices
     : [...unknownServices, { path: pathTo("split"), message: "the weights add up to 0" }];
 }
+
+/** A request's key has to identify its workspace. The violations name the workspaces, never the keys, which are secret. */
+function checkSharedKeys(workspaces: readonly Partial<Workspace>[]): Violation[] {
+  const owners = new Map<string, string | undefined>();
+  return workspaces.flatMap(({ name, apiKeys }, i) =>
+    stringsOf(apiKeys).flatMap((key, n) => {
+      const digest = apiKeyDigest(key);
+      if (!owners.has(digest)) {
+        owners.set(digest, name);
+      }
+      const owner = owners.get(digest);
+      return owner === name
+        ? []
+        : [
+            {
+              path: ["workspaces", i, "apiKeys", n],
+              message: `also a key of workspace ${owner ?? "without a name"}`,
+            },
+          ];
+    }),
+  );
+}
+
+/** The strings in a value that may not be a list of strings; the schema reports what is invalid. */
+function stringsOf(value: unknown): string[] {
+  return Array.isArray(value) ? value.filter((item) => typeof item === "string") : [];
+}
--- a/src/common/document/diffDocuments.ts
+++ b/src/common/document/diffDocuments.ts
@@ -8,7 +8,21 @@
     services: diffTables(from.services, to.services),
     routes: diffTables(from.routes, to.routes),
   };
-  return isDeepStrictEqual(from.limits, to.limits) ? edit : { ...edit, limits: to.limits };
+  return {
+    ...edit,
+    ...(isDeepStrictEqual(from.limits, to.limits) ? {} : { limits: to.limits }),
+    ...diffWorkspaces(from.workspaces, to.workspaces),
+  };
+}
+
+function diffWorkspaces(
+  from: OperatorDocument["workspaces"],
+  to: OperatorDocument["workspaces"],
+): Pick<DocumentEdit, "workspaces"> {
+  if (isDeepStrictEqual(from, to)) {
+    return {};
+  }
+  return { workspaces: to ? diffTables(from ?? [], to) : null };
 }
 
 function diffTables<T extends { name: string }>(from: readonly T[], to: readonly T[]) {
--- a/src/common/document/editDocument.test.ts
+++ b/src/common/document/editDocument.test.ts
@@ -6,28 +6,41 @@
 import type { OperatorDocument } from "./OperatorDocument.ts";
 import { Route } from "./Route.ts";
 import { Service } from "./Service.ts";
+import { Workspace } from "./Workspace.ts";
 
 const name = fc.constantFrom("a", "b", "c", "d", "e");
 const service = fc.record({ name, floor: fc.constantFrom(0, 0.5, 1) }).map((s) => Service.parse(s));
 const route = fc
   .record({ name, prefix: fc.constantFrom("/x/", "/y/"), timeoutMs: fc.constantFrom(1, 2) })
   .map((r) => Route.parse({ ...r, idempotent: true, attempts: 1, service: "a" }));
+const workspace = fc
+  .record({ name, apiKeys: fc.uniqueArray(fc.constantFrom("k1", "k2"), { maxLength: 2 }) })
+  .map((w) => Workspace.parse(w));
 const table = <T extends { name: string }>(item: fc.Arbitrary<T>) =>
   fc.uniqueArray(item, { selector: (i) => i.name, maxLength: 5 });
 const document = fc
-  .record({ services: table(service), routes: table(route) })
-  .map((tables): OperatorDocument => ({
+  .record({
+    services: table(service),
+    routes: table(route),
+    workspaces: fc.option(table(workspace), { nil: undefined }),
+  })
+  .map(({ workspaces, ...tables }): OperatorDocument => ({
     ...tables,
+    ...(workspaces && { workspaces }),
     limits: { ...EMPTY_DOCUMENT.limits, maxBodyBytes: 1 + tables.routes.length },
   }));
 
 /** The same document with its items sorted by name. */
 const sorted = (doc: OperatorDocument): OperatorDocument => ({
-  services: doc.services.toSorted((a, b) => (a.name < b.name ? -1 : 1)),
-  routes: doc.routes.toSorted((a, b) => (a.name < b.name ? -1 : 1)),
-  limits: doc.limits,
+  ...doc,
+  services: byName(doc.services),
+  routes: byName(doc.routes),
+  ...(doc.workspaces && { workspaces: byName(doc.workspaces) }),
 });
 
+const byName = <T extends { name: string }>(items: readonly T[]) =>
+  items.toSorted((a, b) => (a.name < b.name ? -1 : 1));
+
 test("editDocument: applying the difference of two documents to the first gives the second", (t) => {
   fc.assert(
     fc.property(document, document, (from, to) => {
--- a/src/common/document/editDocument.ts
+++ b/src/common/document/editDocument.ts
@@ -7,9 +7,20 @@
     services: editTable(doc.services, edit.services.set, edit.services.drop),
     routes: editTable(doc.routes, edit.routes.set, edit.routes.drop),
     limits: edit.limits ?? doc.limits,
+    ...editWorkspaces(doc, edit),
   };
 }
 
+function editWorkspaces(
+  { workspaces }: OperatorDocument,
+  { workspaces: edit }: DocumentEdit,
+): Pick<OperatorDocument, "workspaces"> {
+  if (edit === undefined) {
+    return workspaces ? { workspaces } : {};
+  }
+  return edit ? { workspaces: editTable(workspaces ?? [], edit.set, edit.drop) } : {};
+}
+
 function editTable<T extends { name: string }>(
   items: readonly T[],
   set: readonly T[],
--- a/src/control/ControlRole.ts
+++ b/src/control/ControlRole.ts
@@ -3,6 +3,7 @@
 import type bunyan from "bunyan";
 import { startHttpServer } from "../common/http/startHttpServer.ts";
 import { sendJson } from "../common/http/sendJson.ts";
+import { publishDocument } from "../common/document/publishDocument.ts";
 import { ReplicaId } from "../common/ids/ReplicaId.ts";
 import { SidecarId } from "../common/ids/SidecarId.ts";
 import { ZoneName } from "../common/ids/ZoneName.ts";
@@ -104,7 +105,8 @@
     server.addService(
       peerService,
       peerHandlers(membership, {
-        since: (version: number) => replica.state.history.updatesSince(version),
+        since: (version: number) =>
+          replica.state.history.updatesSince(version).map(publishDocument),
       }),
     );
     const { port } = this.register(await startGrpcServer(server, listen, STOP_GRACE_MS));
--- a/src/control/service/ChangeRequest.ts
+++ b/src/control/service/ChangeRequest.ts
@@ -23,5 +23,6 @@
         readonly services: TableEdit;
         readonly routes: TableEdit;
         readonly limits?: unknown;
+        readonly workspaces?: TableEdit;
       }
   );
--- a/src/control/service/controlHandlers.ts
+++ b/src/control/service/controlHandlers.ts
@@ -1,4 +1,5 @@
 import * as grpc from "@grpc/grpc-js";
+import { publishDocument } from "../../common/document/publishDocument.ts";
 import { parseOperatorDocument } from "../../common/document/parseOperatorDocument.ts";
 import { documentCodec } from "../../common/rpc/documentCodec.ts";
 import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
@@ -37,7 +38,7 @@
     };
     const removeWatcher = watchers.add(version, {
       send: (update) => {
-        const message = documentCodec.encode(update);
+        const message = documentCodec.encode(publishDocument(update));
         const parts = heartbeats ? splitVersion(message) : [message];
         parts.forEach((part) => call.write(part));
       },
@@ -56,7 +57,7 @@
   const current: grpc.handleUnaryCall<unknown, ProtoTypes["ConfigVersion"]> = (_call, cb) => {
     void service.read().then((state) => {
       if (state) {
-        cb(null, documentCodec.encode(state.history.whole));
+        cb(null, documentCodec.encode(publishDocument(state.history.whole)));
       } else {
         const details = `not the leader; leader: ${service.leaderApi ?? "none yet"}`;
         cb({ code: grpc.status.FAILED_PRECONDITION, details });
--- a/src/control/service/evaluateChange.ts
+++ b/src/control/service/evaluateChange.ts
@@ -48,9 +48,20 @@
     services: mergeTable(current.services, req.services.set, req.services.drop),
     routes: mergeTable(current.routes, req.routes.set, req.routes.drop),
     limits: req.limits ?? current.limits,
+    ...requestedWorkspaces(current, req),
   };
 }
 
+function requestedWorkspaces(
+  { workspaces }: OperatorDocument,
+  { workspaces: edit }: Extract<ChangeRequest, { kind: "edit" }>,
+): { workspaces?: unknown[] } {
+  if (edit) {
+    return { workspaces: mergeTable(workspaces ?? [], edit.set, edit.drop) };
+  }
+  return workspaces ? { workspaces } : {};
+}
+
 function mergeTable(
   items: readonly { name: string }[],
   set: readonly unknown[],
