Bound the age of the committed state at every control replica

A sidecar has to know up to when its document is current, so that no request runs under an API key that was taken away too long ago. Asking the leader each time would put that load on one replica.

The leader now adds to each append how long ago a quorum last confirmed it, and the number of the last reply that it has from that follower. A follower counts the age from that reply by its own clock, so a delay of the append cannot make its state look more recent. This takes no further messages. Ages are counted by a clock that also advances over a suspension of the VM, as far as the time of day shows it.

--- a/src/control/ControlRole.ts
+++ b/src/control/ControlRole.ts
@@ -8,6 +8,7 @@
 import { SidecarId } from "../common/ids/SidecarId.ts";
 import { ZoneName } from "../common/ids/ZoneName.ts";
 import { Disposable } from "../common/lifecycle/Disposable.ts";
+import { ElapsedClock } from "../common/lifecycle/ElapsedClock.ts";
 import { LateTimeoutReport } from "../common/lifecycle/LateTimeoutReport.ts";
 import { SystemClock } from "../common/lifecycle/SystemClock.ts";
 import { loadProto } from "../common/rpc/loadProto.ts";
@@ -48,6 +49,9 @@
   joinIntervalMs: 300,
 };
 
+/** Limit for the random number of the first reply to a leader; the numbers are sent as 32 bits. */
+const MAX_FIRST_REPLY = 2 ** 30;
+
 /** Maximum time that a stop waits for open calls, such as document watches, to end, ms. */
 const STOP_GRACE_MS = 500;
 
@@ -61,6 +65,7 @@
   readonly #log: bunyan;
   #service: ControlService | undefined;
   readonly #metrics = new ControlMetrics();
+  readonly #elapsed = new ElapsedClock();
 
   constructor(cfg: ControlSettings, log: bunyan) {
     super();
@@ -161,6 +166,8 @@
         link,
         timing: TIMING,
         clock: SystemClock,
+        elapsed: () => this.#elapsed.now(),
+        firstReply: Math.floor(Math.random() * MAX_FIRST_REPLY),
         random: Math.random,
         logger: this.#log,
         onWrite: (ms) => {
--- a/src/control/link/ReplicaProto.ts
+++ b/src/control/link/ReplicaProto.ts
@@ -27,8 +27,10 @@
     prevTerm: number;
     entries: ReplicaProto["Entry"][];
     snapshot: string;
+    echo: number;
+    stateAge: number;
   };
-  AppendReply: { term: number; ok: boolean; matched: number; stranger: string };
+  AppendReply: { term: number; ok: boolean; matched: number; stranger: string; number: number };
   JoinRequest: { replica: Voter | null };
   JoinReply: { leader: string };
   HandoverRequest: { to: string; term: number };
--- a/src/control/link/replicaCodec.ts
+++ b/src/control/link/replicaCodec.ts
@@ -10,6 +10,7 @@
 export const replicaCodec = {
   encodeAppend: (req: AppendRequest): Proto<"AppendRequest"> => ({
     ...req,
+    stateAge: req.stateAgeMs === undefined ? 0 : Math.ceil(req.stateAgeMs) + 1,
     entries: req.entries.map((e) => ({ ...e, body: JSON.stringify(e.body) })),
     snapshot: req.snapshot ? JSON.stringify(req.snapshot) : "",
   }),
@@ -17,6 +18,7 @@
   decodeAppend: (raw: Proto<"AppendRequest">): AppendRequest => ({
     ...raw,
     kind: "append",
+    stateAgeMs: raw.stateAge > 0 ? raw.stateAge - 1 : undefined,
     to: ReplicaId(raw.to),
     leader: raw.leader ?? { id: ReplicaId(""), address: "", zone: "" },
     entries: raw.entries.map(decodeEntry),
@@ -31,7 +33,7 @@
   }),
 
   encodeAppendReply: (reply: ReplicaReply): Proto<"AppendReply"> => {
-    const rejected = { term: 0, ok: false, matched: -1, stranger: "" };
+    const rejected = { term: 0, ok: false, matched: -1, stranger: "", number: 0 };
     switch (reply.kind) {
       case "append":
         return { ...rejected, ...reply };
@@ -56,7 +58,13 @@
 
   decodeAppendReply: (raw: Proto<"AppendReply">): ReplicaReply =>
     raw.stranger === ""
-      ? { kind: "append", term: raw.term, ok: raw.ok, matched: raw.matched }
+      ? {
+          kind: "append",
+          term: raw.term,
+          ok: raw.ok,
+          matched: raw.matched,
+          number: raw.number,
+        }
       : { kind: "stranger", id: ReplicaId(raw.stranger) },
 
   decodeVoteReply: (raw: Proto<"VoteReply">): ReplicaReply =>
--- a/src/control/replica/LeaderTerm.ts
+++ b/src/control/replica/LeaderTerm.ts
@@ -24,6 +24,8 @@
   readonly link: ReplicaLink;
   readonly timing: ReplicaTiming;
   readonly clock: Clock;
+  /** Clock by which confirmations age, ms; see ElapsedClock. */
+  readonly elapsed: () => number;
   readonly logger: bunyan;
   /** Index up to which entries are committed. */
   readonly commitIndex: () => number;
@@ -84,6 +86,22 @@
     return commitIndex >= this.#firstIndex && this.#quorumAckedAt() + timing.leaseMs > clock.now();
   }
 
+  /**
+   * Upper bound of the age of the committed state, ms: the time since a quorum last confirmed this leader. Undefined
+   * while entries of earlier terms may be committed without the leader knowing.
+   */
+  stateAgeMs(commitIndex: number): number | undefined {
+    const { log, elapsed } = this.#deps;
+    if (commitIndex < this.#firstIndex) {
+      return undefined;
+    }
+    const now = elapsed();
+    const confirmedAt = quorumValue(log.group, (v) =>
+      v.id === log.id ? now : this.#progress(v).confirmedAt,
+    );
+    return Number.isFinite(confirmedAt) ? now - confirmedAt : undefined;
+  }
+
   /** Appends an entry and replicates it; returns its index, or undefined if the disk write failed. */
   append(body: EntryBody): number | undefined {
     const { log, tryWrite } = this.#deps;
@@ -167,32 +185,40 @@
   }
 
   #replicate(replica: Voter): void {
-    const { log, clock, link, self, api } = this.#deps;
+    const { log, clock, elapsed, link, self, api } = this.#deps;
     const progress = this.#progress(replica);
     const sentAt = clock.now();
+    const sentElapsed = elapsed();
     const sequence = this.#ended ? undefined : progress.begin(sentAt);
     if (sequence === undefined) {
       return;
     }
     const { term } = log;
+    const committed = this.#deps.commitIndex();
     const req = {
       kind: "append",
       to: replica.id,
       term,
       leader: self,
       leaderApi: api,
-      committed: this.#deps.commitIndex(),
+      committed,
+      echo: progress.lastReply,
+      stateAgeMs: this.stateAgeMs(committed),
       ...progress.nextContent(log),
     } as const;
     link.send(replica.address, req, (reply) => {
       const resend = progress.end(sequence);
       if (!this.#ended && log.term === term) {
-        this.#handleReply(progress, reply, sentAt, resend);
+        this.#handleReply(progress, reply, { sentAt, sentElapsed, resend });
       }
     });
   }
 
-  #handleReply(progress: PeerProgress, reply: ReplicaReply, sentAt: number, resend: boolean): void {
+  #handleReply(
+    progress: PeerProgress,
+    reply: ReplicaReply,
+    { sentAt, sentElapsed, resend }: { sentAt: number; sentElapsed: number; resend: boolean },
+  ): void {
     const { log, noteTerm } = this.#deps;
     if (reply.kind === "stranger") {
       progress.noteDiskLost();
@@ -205,7 +231,7 @@
     if (this.#ended || reply.term !== log.term) {
       return;
     }
-    const progressed = progress.applyReply(reply, sentAt);
+    const progressed = progress.applyReply(reply, sentAt, sentElapsed);
     this.#advanceCommitIndex();
     if (resend || (progressed && progress.matched < log.lastIndex)) {
       this.#replicate(progress.replica);
--- a/src/control/replica/PeerProgress.ts
+++ b/src/control/replica/PeerProgress.ts
@@ -26,6 +26,9 @@
   #resendNeeded = false;
   #sequence = 0;
   #isDiskLost = false;
+  #lastReply = 0;
+  /** As `ackedAt`, by the clock that also counts suspensions, ms. */
+  #confirmedAt = -Infinity;
 
   /** @param now initial {@link ackedAt}: when the leader's term began */
   constructor(replica: Voter, now: number) {
@@ -43,6 +46,16 @@
     return this.#ackedAt;
   }
 
+  /** Send time of the latest message that the replica acknowledged, by the clock that also counts suspensions, ms. */
+  get confirmedAt(): number {
+    return this.#confirmedAt;
+  }
+
+  /** Number of the last reply received; 0 before the first. */
+  get lastReply(): number {
+    return this.#lastReply;
+  }
+
   /**
    * True once a replica with another id has appeared at the address: this one's disk is lost,
    * and its id will not return.
@@ -93,12 +106,14 @@
   }
 
   /**
-   * Applies the reply to a message sent at `sentAt`. Returns true if the next message starts
+   * Applies the reply to a message sent at `sentAt`, or `sentElapsed` by the clock that counts suspensions. Returns true if the next message starts
    * at another index, so that it can be sent at once. A replica that rejects the same message
    * again, for example because its disk is full, has to wait for the next heartbeat.
    */
-  applyReply(reply: AppendReply, sentAt: number): boolean {
+  applyReply(reply: AppendReply, sentAt: number, sentElapsed: number): boolean {
     this.#ackedAt = Math.max(this.#ackedAt, sentAt);
+    this.#confirmedAt = Math.max(this.#confirmedAt, sentElapsed);
+    this.#lastReply = reply.number;
     const progressed = this.#nextPrevIndex !== reply.matched;
     this.#nextPrevIndex = reply.matched;
     if (reply.ok) {
--- a/src/control/replica/Replica.model.test.ts
+++ b/src/control/replica/Replica.model.test.ts
@@ -15,11 +15,13 @@
 ];
 
 let acknowledged = 0;
+let confirmations = 0;
 
 const play = async (seed: number): Promise<string[]> => {
   const chaos = new ControlChaos(seed);
   await chaos.play(STEPS);
   acknowledged += chaos.acknowledged;
+  confirmations += chaos.confirmations;
   return chaos.problems;
 };
 
@@ -31,11 +33,12 @@
   for (let seed = FROM; seed < FROM + SEEDS; seed++) {
     t.deepEqual(await play(seed), [], `seed ${seed}`);
   }
-  t.log(`${SEEDS} seeds, ${acknowledged} changes acknowledged`);
+  t.log(`${SEEDS} seeds, ${acknowledged} changes acknowledged, ${confirmations} states confirmed`);
   t.true(
     acknowledged > 3 * SEEDS,
     "too few changes were acknowledged for the run to be meaningful",
   );
+  t.true(confirmations > 10 * SEEDS, "too few states were confirmed for the run to be meaningful");
 });
 
 for (const { seed, cause } of REGRESSIONS) {
--- a/src/control/replica/Replica.ts
+++ b/src/control/replica/Replica.ts
@@ -21,6 +21,7 @@
 } from "./ReplicaMessages.ts";
 import type { ReplicatedLog } from "../log/ReplicatedLog.ts";
 import type { ReplicaTiming } from "./ReplicaTiming.ts";
+import { StateConfirmation } from "./StateConfirmation.ts";
 import type { Voter } from "../log/Voter.ts";
 
 /** Outcome of a proposal. */
@@ -41,6 +42,10 @@
   readonly link: ReplicaLink;
   readonly timing: ReplicaTiming;
   readonly clock: Clock;
+  /** Clock by which confirmations age, ms; see ElapsedClock. */
+  readonly elapsed: () => number;
+  /** Number before that of the first reply to a leader; random, so that it differs between incarnations. */
+  readonly firstReply: number;
   /** Random numbers in [0, 1); seeded in tests. */
   readonly random: () => number;
   readonly logger: bunyan;
@@ -74,6 +79,7 @@
   readonly #deps: ReplicaDeps;
   readonly #log: ReplicatedLog;
   readonly #election: Election;
+  readonly #confirmation: StateConfirmation;
   readonly #listeners = new Set<() => void>();
   #state: ConfigState;
   /** Index up to which entries are committed and applied to the state. */
@@ -91,6 +97,7 @@
     const { snapshot } = deps.log;
     this.#state = new ConfigState(snapshot.config);
     this.#commitIndex = snapshot.index;
+    this.#confirmation = new StateConfirmation(deps.elapsed, deps.firstReply);
     this.#election = new Election({
       log: deps.log,
       link: deps.link,
@@ -186,6 +193,19 @@
     return this.holdsLease || (this.#term === undefined && this.#hasRecentHeartbeat);
   }
 
+  /**
+   * Upper bound of the age of the committed state, ms: it includes every change that was acknowledged longer ago.
+   * Undefined while there is none. Unlike {@link inTouch}, it also holds after this replica or the leader was
+   * suspended.
+   */
+  get stateAgeMs(): number | undefined {
+    if (this.#term) {
+      return this.#term.stateAgeMs(this.#commitIndex);
+    }
+    const { ageMs } = this.#confirmation;
+    return Number.isFinite(ageMs) ? ageMs : undefined;
+  }
+
   /**
    * Calls `listener` after every commit, and when this replica stops leading or loses contact
    * with the leader; returns a function that removes the listener.
@@ -337,11 +357,15 @@
     }
     const matched = req.prevIndex + req.entries.length;
     this.#commit(Math.min(req.committed, Math.max(matched, this.#commitIndex)));
+    if (req.stateAgeMs !== undefined && this.#commitIndex >= req.committed) {
+      this.#confirmation.confirm(req.echo, req.stateAgeMs);
+    }
     return this.#appendReply(true, Math.max(matched, this.#commitIndex));
   }
 
   #appendReply(ok: boolean, matched: number): ReplicaReply {
-    return { kind: "append", term: this.#log.term, ok, matched };
+    const number = this.#confirmation.nextReply();
+    return { kind: "append", term: this.#log.term, ok, matched, number };
   }
 
   /** Accepts the sender as the leader of its term; false if the new term could not be stored. */
--- a/src/control/replica/ReplicaMessages.ts
+++ b/src/control/replica/ReplicaMessages.ts
@@ -32,6 +32,10 @@
   readonly prevIndex: number;
   readonly prevTerm: number;
   readonly entries: readonly LogEntry[];
+  /** Number of the follower's last reply that the leader has received; 0 for none. */
+  readonly echo: number;
+  /** Time since a quorum last confirmed this leader, ms; undefined until it has committed an entry of its term. */
+  readonly stateAgeMs: number | undefined;
 }
 
 /** Requests membership, from a replica that is outside the control group or hears no leader. */
@@ -63,6 +67,8 @@
        * its last committed entry, up to which all logs are equal.
        */
       readonly matched: number;
+      /** Number of this reply, which the leader returns with a later append. */
+      readonly number: number;
     }
   /** The addressed replica is no longer at this address: replica `id`, with another disk, replied. */
   | { readonly kind: "stranger"; readonly id: ReplicaId }
--- a/src/control/service/ControlService.test.ts
+++ b/src/control/service/ControlService.test.ts
@@ -52,6 +52,8 @@
       joinIntervalMs: 300,
     },
     clock,
+    elapsed: () => clock.now(),
+    firstReply: 0,
     random: () => 0.5,
     logger: log,
   });
