--- a/experiment/SimFleet.ts
+++ b/experiment/SimFleet.ts
@@ -506,6 +506,7 @@
     service: Service.parse({ name: kind.service, floor: FLOOR, detection: GRAY_DETECTION }),
     idempotent: kind.idempotent,
     bulk: false,
+    isPublic: false,
     timeoutMs: kind.deadlineMs,
     attempts: ATTEMPTS,
     priority: kind.priority,
--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -32,7 +32,11 @@
     reached: boolean;
     gate: ProtoTypes["GateMessage"] | null;
     compare: ProtoTypes["Digests"] | null;
+    admission_ask: ProtoTypes["AdmissionAsk"] | null;
+    admission: ProtoTypes["AdmissionReply"] | null;
   };
+  AdmissionAsk: { workspace: string; returned: boolean };
+  AdmissionReply: { version: number; age: number; credit: string; retry_after: number };
   Digests: { digests: number[] };
   GateMessage: {
     ask_id: number;
--- a/src/common/settings/ControlSettings.ts
+++ b/src/common/settings/ControlSettings.ts
@@ -22,6 +22,8 @@
    * data folder means that the disk was lost, and the replica waits for its data from the others.
    */
   bootstrap: z.boolean().default(false),
+  /** Number of requests by which the fleet may exceed the quota of each workspace for a moment; see docs/design/workspaces.md. */
+  quotaSlack: z.number().min(0).default(0),
   gossipIntervalMs: z.number().int().positive().default(200),
 });
 
--- a/src/common/settings/SidecarSettings.ts
+++ b/src/common/settings/SidecarSettings.ts
@@ -19,6 +19,19 @@
   hop: HostPort.optional(),
 });
 
+/**
+ * Ages of the document, counted from when it was last known to be the current one, up to which requests are decided by
+ * it. They matter only for documents with workspaces, and for requests that match no route.
+ */
+const DocumentAge = z.strictObject({
+  /** For admitting a request by its API key, ms: a key that was taken away stops working within this time. */
+  admitMs: Millis.nullable()
+    .default(5000)
+    .transform((ms) => ms ?? undefined),
+  /** For refusing a request because its key or route does not exist, ms: one that was added works within this time. */
+  refuseMs: Millis.default(2000),
+});
+
 /** Durations of the phases of a planned stop. */
 const Stop = z.strictObject({
   /** Callers are served for this long after the stop begins, so that whatever routes them here can notice it first. */
@@ -41,6 +54,8 @@
   /** Address for other sidecars: requests that they forward to local targets. */
   hop: HostPort,
   advertise: Advertise.prefault({}),
+  /** Address of the local target, host:port; if given, its nested calls are recognized before it announces itself. */
+  targetAddress: HostPort.nullish().transform((address) => address ?? undefined),
   /** Service whose local instance sends its requests through this sidecar; may be passed on to targets. */
   callerService: z.string().default(""),
   /** Whether the `Via` header (RFC 9110, section 7.6.3) of requests to targets contains this sidecar's name. */
@@ -59,6 +74,7 @@
   /** A target that has not announced itself for this long is considered gone. */
   announceTimeoutMs: Millis.default(1500),
   retryBudget: RetryBudget.prefault({}),
+  documentAge: DocumentAge.prefault({}),
   /**
    * The whole fleet starts for the first time. A sidecar that is started again has no share of the retry budget's slack for
    * one window, as its previous incarnation may have used it.
--- a/src/control/ControlRole.ts
+++ b/src/control/ControlRole.ts
@@ -1,6 +1,7 @@
 import { createServer } from "node:http";
 import * as grpc from "@grpc/grpc-js";
 import type bunyan from "bunyan";
+import { admissionCodec } from "../common/rpc/admissionCodec.ts";
 import { startHttpServer } from "../common/http/startHttpServer.ts";
 import { sendJson } from "../common/http/sendJson.ts";
 import { publishDocument } from "../common/document/publishDocument.ts";
@@ -26,6 +27,8 @@
 import { ControlMetrics } from "./ControlMetrics.ts";
 import { FileReplicaStore } from "./log/FileReplicaStore.ts";
 import { GrpcReplicaLink } from "./link/GrpcReplicaLink.ts";
+import { VoterShares } from "./quota/VoterShares.ts";
+import { WorkspaceQuotas } from "./quota/WorkspaceQuotas.ts";
 import { Replica } from "./replica/Replica.ts";
 import { replicaHandlers } from "./link/replicaHandlers.ts";
 import { ReplicatedLog } from "./log/ReplicatedLog.ts";
@@ -93,6 +96,7 @@
     const service = new ControlService(replica, SystemClock, this.#log);
     this.#service = service;
     const watchers = new DocumentWatchers(replica);
+    const quotas = this.#createQuotas(replica);
     const proto = loadProto();
     const peerService = (proto.Peer as grpc.ServiceClientConstructor).service;
     const link = new DatagramLink(SystemClock, () => undefined);
@@ -119,6 +123,15 @@
       onProbe: (updates) => membership.onExchange(updates),
       onCompare: (digests) => membership.onCompare(digests),
       onProbeFor: (address) => membership.onProbe(address),
+      onAdmissionAsk: ({ workspace }) =>
+        admissionCodec.encode({
+          version: replica.state.version,
+          ageMs: replica.stateAgeMs,
+          credit: workspace === "" ? undefined : quotas.take(workspace),
+        }),
+      onCreditReturned: (workspace) => {
+        quotas.putBack(workspace);
+      },
     });
     this.register(link);
     this.register(watchers);
@@ -142,9 +155,19 @@
     this.#cfg = { ...this.#cfg, seeds };
   }
 
+  get #initialGroup(): readonly string[] {
+    const { seeds, listen } = this.#cfg;
+    return seeds.length > 0 ? seeds : [listen];
+  }
+
+  /** Number of voters needed for the configured fault tolerance. */
+  get #wantedVoters(): number {
+    return 2 * (this.#cfg.tolerate ?? Math.floor((this.#initialGroup.length - 1) / 2)) + 1;
+  }
+
   #openReplica(): Replica {
-    const { listen, zone, api, seeds, dataDir, bootstrap, tolerate } = this.#cfg;
-    const initialGroup = seeds.length > 0 ? seeds : [listen];
+    const { listen, zone, api, dataDir, bootstrap } = this.#cfg;
+    const initialGroup = this.#initialGroup;
     const link = this.register(new GrpcReplicaLink());
     // A single replica cannot receive state from another one, so an empty disk means a first start.
     const isFirstStart = bootstrap || (initialGroup.length === 1 && initialGroup[0] === listen);
@@ -156,12 +179,11 @@
           }
         : { id: ReplicaId(`${listen}~${randomSuffix()}`), voters: [] },
     );
-    const tolerated = tolerate ?? Math.floor((initialGroup.length - 1) / 2);
     return this.register(
       new Replica({
         self: { address: listen, zone, api: api ?? listen },
         contacts: () => [...this.#cfg.seeds, ...initialGroup],
-        wantedVoters: 2 * tolerated + 1,
+        wantedVoters: this.#wantedVoters,
         log,
         link,
         timing: TIMING,
@@ -177,6 +199,24 @@
     );
   }
 
+  #createQuotas(replica: Replica): WorkspaceQuotas {
+    const shares = new VoterShares({
+      replica,
+      wantedVoters: this.#wantedVoters,
+      slack: () => this.#cfg.quotaSlack,
+      clock: SystemClock,
+    });
+    const stopListening = replica.onChange(() => {
+      shares.update();
+    });
+    this.register({ dispose: stopListening });
+    return new WorkspaceQuotas({
+      document: () => replica.state.document,
+      holders: () => shares.holders,
+      clock: SystemClock,
+    });
+  }
+
   /** Control replicas are members too, so that sidecars discover them, and each other, through any of them. */
   #createMembership(replica: Replica, peers: NetworkPeers): Membership {
     const { id, zone, listen } = this.#cfg;
--- /dev/null
+++ b/src/control/quota/ShareHolders.ts
@@ -0,0 +1,11 @@
+/** The control replicas that quotas are divided among, as one of them sees it. */
+export interface ShareHolders {
+  /** Id of this replica. */
+  readonly self: string;
+  /** Ids of the voters, this one included. */
+  readonly ids: readonly string[];
+  /** Number of parts that quotas are divided into: at least the number of voters. */
+  readonly parts: number;
+  /** Tokens that each part may hold in addition to its part of the burst, 0 to 1. */
+  readonly bonus: number;
+}
--- /dev/null
+++ b/src/control/quota/TokenBucket.ts
@@ -0,0 +1,50 @@
+import type { BucketLimits } from "./BucketLimits.ts";
+
+/** A token bucket whose limits may change between uses. In any `t` seconds, at most `capacity + ratePerS * t` are taken. */
+export class TokenBucket {
+  #level: number;
+  #updatedAt: number;
+
+  /**
+   * @param level tokens at the start
+   * @param now monotonic time, ms
+   */
+  constructor(level: number, now: number) {
+    this.#level = level;
+    this.#updatedAt = now;
+  }
+
+  /** Takes a token; false if there is none. */
+  take(limits: BucketLimits, now: number): boolean {
+    this.#fill(limits, now);
+    if (this.#level < 1) {
+      return false;
+    }
+    this.#level -= 1;
+    return true;
+  }
+
+  /** Puts a token back that was taken and not used. */
+  putBack(limits: BucketLimits, now: number): void {
+    this.#level += 1;
+    this.#fill(limits, now);
+  }
+
+  /** Time until a token can be taken, ms. */
+  waitMs(limits: BucketLimits, now: number): number {
+    this.#fill(limits, now);
+    return Math.max(0, ((1 - this.#level) / limits.ratePerS) * 1000);
+  }
+
+  /** Whether no token has been taken for so long that the bucket is full. */
+  isFull(limits: BucketLimits, now: number): boolean {
+    this.#fill(limits, now);
+    return this.#level >= limits.capacity;
+  }
+
+  #fill({ capacity, ratePerS }: BucketLimits, now: number): void {
+    const added = ((now - this.#updatedAt) / 1000) * ratePerS;
+    this.#level = Math.min(capacity, this.#level + added);
+    this.#updatedAt = now;
+  }
+}
--- /dev/null
+++ b/src/control/quota/VoterShares.ts
@@ -0,0 +1,79 @@
+import type { Clock } from "../../common/lifecycle/Clock.ts";
+import type { Replica } from "../replica/Replica.ts";
+import type { ShareHolders } from "./ShareHolders.ts";
+
+/** Maximum age of the committed state with which a replica grants its parts of the quotas, ms. */
+const MAX_STATE_AGE_MS = 2000;
+
+/**
+ * Time after a change of the control group until the parts follow it, ms. A replica that the change has removed, and
+ * does not know it, has stopped granting its parts by then.
+ */
+const GROUP_CHANGE_MS = 3000;
+
+/** Times that a replica may use its bonus in a window: from a full bucket, and again after each restart. */
+const BONUS_USES = 4;
+
+interface VoterSharesDeps {
+  readonly replica: Pick<Replica, "id" | "voters" | "role" | "stateAgeMs">;
+  /** Number of voters that the group should have. */
+  readonly wantedVoters: number;
+  /** Requests by which the fleet may exceed each workspace's quota in a window. */
+  readonly slack: () => number;
+  readonly clock: Clock;
+}
+
+/**
+ * Decides whether this replica grants its parts of the workspaces' quotas, and into how many parts these are divided.
+ * Only voters with a recent state hold parts. A group that shrinks, or exchanges a voter, keeps the old division for
+ * a while, and a new voter waits for as long, so that no part is granted twice.
+ */
+export class VoterShares {
+  readonly #deps: VoterSharesDeps;
+  #voterSince: number;
+  #wasVoter: boolean;
+  /** Largest number of parts in use, and until when it stays so, ms. */
+  #held = { parts: 0, until: -Infinity };
+
+  constructor(deps: VoterSharesDeps) {
+    this.#deps = deps;
+    this.#wasVoter = this.#isVoter;
+    this.#voterSince = -Infinity;
+    this.update();
+  }
+
+  /** Notes the current group; to be called after each commit. */
+  update(): void {
+    const now = this.#deps.clock.now();
+    if (this.#isVoter && !this.#wasVoter) {
+      this.#voterSince = now;
+    }
+    this.#wasVoter = this.#isVoter;
+    const parts = Math.max(this.#deps.wantedVoters, this.#deps.replica.voters.length);
+    if (parts >= this.#held.parts) {
+      this.#held = { parts, until: Infinity };
+    } else if (this.#held.until === Infinity) {
+      this.#held = { ...this.#held, until: now + GROUP_CHANGE_MS };
+    } else if (now >= this.#held.until) {
+      this.#held = { parts, until: Infinity };
+    }
+  }
+
+  /** The division of the quotas; undefined while this replica must not grant any part. */
+  get holders(): ShareHolders | undefined {
+    this.update();
+    const { replica, clock, slack } = this.#deps;
+    const { stateAgeMs } = replica;
+    const isNew = clock.now() < this.#voterSince + GROUP_CHANGE_MS;
+    if (!this.#isVoter || isNew || stateAgeMs === undefined || stateAgeMs > MAX_STATE_AGE_MS) {
+      return undefined;
+    }
+    const { parts } = this.#held;
+    const bonus = Math.min(1, slack() / (BONUS_USES * parts));
+    return { self: replica.id, ids: replica.voters.map((v) => v.id), parts, bonus };
+  }
+
+  get #isVoter(): boolean {
+    return this.#deps.replica.role !== "learner";
+  }
+}
--- a/src/membership/DatagramLink.ts
+++ b/src/membership/DatagramLink.ts
@@ -11,6 +11,8 @@
 type GossipMessage = ProtoTypes["News"];
 type Datagram = ProtoTypes["Datagram"];
 type GateMessage = ProtoTypes["GateMessage"];
+type AdmissionAsk = ProtoTypes["AdmissionAsk"];
+type AdmissionReply = ProtoTypes["AdmissionReply"];
 
 /** A request without a reply is resent once after this long, ms, since datagrams get lost. */
 const RESEND_AFTER_MS = 120;
@@ -21,6 +23,9 @@
 /** Timeout of an indirect probe, ms: it takes two hops, and the helper may have to resend its own probe. */
 const INDIRECT_PROBE_TIMEOUT_MS = 700;
 
+/** Timeout of a request for a confirmation or a credit, ms; the sender asks other members meanwhile. */
+const ADMISSION_TIMEOUT_MS = 300;
+
 /** Handlers for the requests and messages of other members. */
 export interface DatagramHandlers {
   /** Handles a probe and the gossip that it carries; returns the reply. */
@@ -31,6 +36,10 @@
   onProbeFor(address: string): Promise<void>;
   /** Handles a message between a gate and a sidecar that requests slots from it; absent where there is no gate. */
   onGate?(message: GateMessage, from: string): void;
+  /** Replies to a request for a confirmation of the document or for a credit. */
+  onAdmissionAsk?(ask: AdmissionAsk): AdmissionReply;
+  /** Takes back a credit that was not used. */
+  onCreditReturned?(workspace: string): void;
 }
 
 /** A request that waits for its reply. */
@@ -47,6 +56,8 @@
   reached: false,
   compare: null,
   gate: null,
+  admission_ask: null,
+  admission: null,
 };
 
 /**
@@ -118,6 +129,23 @@
     this.#send(datagramCodec.encode({ ...EMPTY_DATAGRAM, id: 0, gate }), address, "GateDatagram");
   }
 
+  /** Asks the member at `address` for a confirmation of the document or a credit; rejects when it does not reply in time. */
+  async askAdmission(address: string, workspace: string): Promise<AdmissionReply> {
+    const admission_ask = { workspace, returned: false };
+    const message = { ...EMPTY_DATAGRAM, admission_ask };
+    const { admission } = await this.#request(address, message, ADMISSION_TIMEOUT_MS);
+    if (!admission) {
+      throw new Error("reply without an admission");
+    }
+    return admission;
+  }
+
+  /** Returns a credit of `workspace` that was not used; the message may get lost without notice. */
+  returnCredit(address: string, workspace: string): void {
+    const admission_ask = { workspace, returned: true };
+    this.#send(datagramCodec.encode({ ...EMPTY_DATAGRAM, id: 0, admission_ask }), address);
+  }
+
   /** Closes the socket; pending and later requests are rejected. */
   dispose(): void {
     if (this.#closed) {
@@ -168,10 +196,12 @@
     if (!message) {
       return; // Not a datagram of this protocol.
     }
-    const { id, answer, reached, gate } = message;
+    const { id, answer, reached, gate, admission, admission_ask: ask } = message;
     if (gate) {
       this.#handlers?.onGate?.(gate, from);
-    } else if (answer || reached) {
+    } else if (ask?.returned) {
+      this.#handlers?.onCreditReturned?.(ask.workspace);
+    } else if (answer || reached || admission) {
       this.#pending.get(id)?.complete(message);
     } else {
       this.#receiveRequest(message, from);
@@ -189,11 +219,17 @@
     }
   }
 
-  #handle({ id, probe, probe_for: target, compare }: Datagram, from: string): void {
+  #handle(request: Datagram, from: string): void {
+    const { id, probe, probe_for: target, compare, admission_ask: ask } = request;
     if (probe && this.#handlers) {
       this.#reply(from, { id, answer: this.#handlers.onProbe(probe) });
     } else if (compare && this.#handlers) {
       this.#reply(from, { id, answer: this.#handlers.onCompare(compare.digests) });
+    } else if (ask) {
+      const admission = this.#handlers?.onAdmissionAsk?.(ask);
+      if (admission) {
+        this.#reply(from, { id, admission });
+      }
     } else if (target !== "") {
       this.#handlers?.onProbeFor(target).then(
         () => {
--- a/src/membership/TargetTable.ts
+++ b/src/membership/TargetTable.ts
@@ -5,7 +5,7 @@
 import { ZoneName } from "../common/ids/ZoneName.ts";
 import { entryDigest } from "./entryDigest.ts";
 import { memberAddress } from "./memberAddress.ts";
-import { hash32 } from "./hash32.ts";
+import { hash32 } from "../common/hash32.ts";
 import { LocalTargets } from "./LocalTargets.ts";
 import { TargetIndex } from "./TargetIndex.ts";
 import type { TargetInfo } from "./TargetInfo.ts";
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -1,9 +1,11 @@
 import * as grpc from "@grpc/grpc-js";
 import type bunyan from "bunyan";
+import { admissionCodec } from "../common/rpc/admissionCodec.ts";
 import { startHttpServer } from "../common/http/startHttpServer.ts";
 import { SidecarId } from "../common/ids/SidecarId.ts";
 import { ZoneName } from "../common/ids/ZoneName.ts";
 import { Disposable } from "../common/lifecycle/Disposable.ts";
+import { ElapsedClock } from "../common/lifecycle/ElapsedClock.ts";
 import { LateTimeoutReport } from "../common/lifecycle/LateTimeoutReport.ts";
 import { StallClock } from "../common/lifecycle/StallClock.ts";
 import { SystemClock } from "../common/lifecycle/SystemClock.ts";
@@ -26,28 +28,12 @@
 import { AdminServer } from "./admin/AdminServer.ts";
 import { SidecarMetrics } from "./admin/SidecarMetrics.ts";
 import type { TrafficKind } from "./admin/TrafficKind.ts";
+import { CallerSide } from "./CallerSide.ts";
 import { ConfigFollower } from "./config/ConfigFollower.ts";
-import { DocumentWait } from "./config/DocumentWait.ts";
-import { probeHealth } from "./detection/probeHealth.ts";
+import { DocumentFreshness } from "./config/DocumentFreshness.ts";
 import type { Dialect } from "./dialect/Dialect.ts";
 import { ownDialect } from "./dialect/ownDialect.ts";
 import { drainSidecar, type DrainedParts } from "./drainSidecar.ts";
-import { SlotClient } from "./hop/SlotClient.ts";
-import { GateMessageDispatcher } from "./hop/GateMessageDispatcher.ts";
-import { RetryTokenClient } from "./hop/RetryTokenClient.ts";
-import { HopClient } from "./hop/HopClient.ts";
-import type { HopLink } from "./hop/HopLink.ts";
-import { CallerServer } from "./ingress/CallerServer.ts";
-import { originOf } from "./ingress/originOf.ts";
-import { AdaptivePolicy } from "./routing/AdaptivePolicy.ts";
-import { RetryTokenBorrower } from "./routing/RetryTokenBorrower.ts";
-import { TrafficClassifier } from "./routing/TrafficClassifier.ts";
-import { Dispatcher } from "./routing/Dispatcher.ts";
-import { chooseLenders } from "./routing/chooseLenders.ts";
-import { NaivePolicy } from "./routing/NaivePolicy.ts";
-import { RetryBudgets } from "./routing/RetryBudgets.ts";
-import type { RoutingPolicy } from "./routing/RoutingPolicy.ts";
-import { SplitSampler } from "./routing/SplitSampler.ts";
 import type { TargetAnnouncements } from "./TargetAnnouncements.ts";
 import { TargetSide } from "./TargetSide.ts";
 
@@ -86,18 +72,6 @@
   readonly announcements: TargetAnnouncements;
 }
 
-/** The parts that the dispatcher uses. */
-interface DispatcherParts {
-  readonly budgets: RetryBudgets;
-  readonly borrower: RetryTokenBorrower;
-  readonly policy: RoutingPolicy;
-  readonly hop: HopLink;
-  readonly classifier: TrafficClassifier;
-  readonly metrics: SidecarMetrics;
-  readonly quarantine: Quarantine;
-  readonly confirmRefusal: TargetSide["confirmRefusal"];
-}
-
 /**
  * The sidecar of one target VM: the root of its process's component tree. Disposing it is an orderly stop: callers
  * are still served until load balancers route them elsewhere, requests in flight end, and then all components are
@@ -152,15 +126,19 @@
     };
     const tracing = await openTracing("burdockpass-sidecar", cfg.traceFile);
     const table = this.#createTable();
-    const caller: { server?: CallerServer } = {};
-    const documentWait = new DocumentWait(SystemClock);
+    const elapsed = new ElapsedClock();
+    const caller: { side?: CallerSide } = {};
     const configFollower = this.#createConfigFollower(table, onMessageSize, () => {
+      freshness.onVersionChange();
       const { document } = configFollower;
       if (document) {
-        caller.server?.applyLimits(document.limits);
-        documentWait.release();
+        caller.side?.onDocumentChange(document.limits);
       }
     });
+    const freshness = new DocumentFreshness({
+      version: () => configFollower.version,
+      elapsed: () => elapsed.now(),
+    });
     const { service } = loadProto().Peer as grpc.ServiceClientConstructor;
     const peerService = meterService(service, onMessageSize);
     const clients = this.register(new PeerClients(peerService));
@@ -170,6 +148,7 @@
     };
     const peers = new NetworkPeers(clients, link);
     const catchUp = { peers, config: configFollower, clock: SystemClock, log: this.#log };
+    const documents = this.register(new DocumentCatchUp(catchUp));
     const evidence = new EvidenceStore(SystemClock);
     const membership = this.register(
       new Membership({
@@ -177,7 +156,7 @@
         table,
         peers,
         seeds: () => this.#cfg.seeds,
-        documents: this.register(new DocumentCatchUp(catchUp)),
+        documents,
         clock: SystemClock,
         random: Math.random,
         onMemberUpdates: logMemberUpdates(this.#log),
@@ -211,24 +190,29 @@
         log: this.#log,
       }),
     );
-    const policy = this.register(this.#createPolicy(table));
-    const slotClient = new SlotClient({ sendGateMessage, clock: SystemClock });
-    const budgets = this.#createRetryBudgets(table, metrics);
-    const retryTokenClient = new RetryTokenClient({ sendGateMessage, clock: SystemClock });
-    const borrower = new RetryTokenBorrower({
-      lenders: () => chooseLenders(table),
-      requestToken: (...args) => retryTokenClient.requestToken(...args),
-      random: Math.random,
-    });
-    const { slotServer: gates } = targetSide;
-    const gateMessages = new GateMessageDispatcher({
-      slotClient,
-      gates,
-      policy,
-      retryTokenClient,
-      budgets,
-      sendGateMessage,
-    });
+    const callerSide = this.register(
+      new CallerSide({
+        cfg: () => this.#cfg,
+        table,
+        link,
+        configFollower,
+        documents,
+        freshness,
+        targetSide,
+        quarantine,
+        dialect: this.#dialect,
+        tracing,
+        metrics,
+        sendGateMessage,
+        isStarting: () => this.#isStarting,
+        startedAt: this.#startedAt,
+        clock: SystemClock,
+        elapsed: () => elapsed.now(),
+        random: Math.random,
+        log: this.#log,
+      }),
+    );
+    caller.side = callerSide;
     metrics.watchConfig(
       () => configFollower,
       () => SystemClock.now(),
@@ -245,48 +229,24 @@
       onCompare: (digests) => membership.onCompare(digests),
       onProbeFor: (address) => membership.onProbe(address),
       onGate: (message, from) => {
-        gateMessages.dispatch(message, from);
+        callerSide.gateMessages.dispatch(message, from);
       },
+      onAdmissionAsk: () => admissionCodec.encode(confirmationOf(configFollower, freshness)),
     });
     const hopPort = this.register(await startHttpServer(targetSide.gateServer.server, cfg.hop));
     this.#ports.hop = hopPort.port;
     membership.start(cfg.gossipIntervalMs);
     configFollower.start();
 
-    const hop = this.register(new HopClient(slotClient));
-    const classifier = new TrafficClassifier({ runs: targetSide.runs, log: this.#log });
-    const dispatcher = this.#createDispatcher({
-      policy,
-      hop,
-      classifier,
-      metrics,
-      budgets,
-      borrower,
-      quarantine,
-      confirmRefusal: (...args) => targetSide.confirmRefusal(...args),
-    });
-    const splitSampler = new SplitSampler(Math.random);
-    caller.server = new CallerServer({
-      config: () => configOf(configFollower),
-      waitForConfig: () => documentWait.wait(),
-      dispatcher,
-      dialect: this.#dialect,
-      originOf: (address) =>
-        originOf(
-          address,
-          table.localTargets().map((t) => t.url),
-        ),
-      draw: (route) => splitSampler.next(route),
-      metrics,
-      tracing,
-      clock: SystemClock,
-      log: this.#log,
-    });
+    callerSide.start();
+    if (configFollower.document) {
+      callerSide.onDocumentChange(configFollower.document.limits);
+    }
     const admin = new AdminServer({
       announcements: targetSide,
       metrics,
       status: () => ({
-        ...this.#status(table, configFollower, policy, targetSide),
+        ...this.#status(table, configFollower, callerSide, targetSide),
         quarantine: quarantine.describe(),
       }),
       quarantine,
@@ -294,18 +254,17 @@
       log: this.#log,
     });
     this.#ports.admin = this.register(await startHttpServer(admin.server, cfg.admin)).port;
-    const callerPort = await startHttpServer(caller.server.server, cfg.listen);
+    const callerPort = await startHttpServer(callerSide.server.server, cfg.listen);
     this.#ports.caller = callerPort.port;
-    const { server } = caller;
     this.#parts = {
       announcements: targetSide,
       beginStop: () => {
-        server.beginStop();
+        callerSide.server.beginStop();
         membership.beginStop();
       },
       closeCallers: () => Promise.resolve(callerPort.dispose()),
       refuseQueued: () => {
-        dispatcher.close();
+        callerSide.refuseQueued();
       },
       gates: targetSide,
       leave: () => membership.leave(),
@@ -376,48 +335,10 @@
     );
   }
 
-  #createPolicy(table: TargetTable): RoutingPolicy {
-    if (this.#cfg.policy === "naive") {
-      const policy = new NaivePolicy({ table, probe: probeHealth, log: this.#log });
-      policy.start();
-      return policy;
-    }
-    const zone = ZoneName(this.#cfg.zone);
-    return new AdaptivePolicy({ table, zone, clock: SystemClock, random: Math.random });
-  }
-
-  #createRetryBudgets(table: TargetTable, metrics: SidecarMetrics): RetryBudgets {
-    const budgets = new RetryBudgets({
-      rule: () => this.#cfg.retryBudget,
-      members: () => table.knownCount,
-      clock: SystemClock,
-      startedAt: this.#cfg.bootstrap ? -Infinity : this.#startedAt,
-      random: Math.random,
-    });
-    metrics.watchBudgets(() => budgets.usage);
-    return budgets;
-  }
-
-  #createDispatcher({ metrics, ...parts }: DispatcherParts): Dispatcher {
-    return new Dispatcher({
-      ...parts,
-      callerService: this.#cfg.callerService,
-      isStarting: () => this.#isStarting,
-      onExtraRun: (service, cause) => {
-        metrics.countExtraRun(service, cause);
-      },
-      onRetryDenied: (service) => {
-        metrics.countDeniedRetry(service);
-      },
-      clock: SystemClock,
-      log: this.#log,
-    });
-  }
-
   #status(
     table: TargetTable,
     configFollower: ConfigFollower,
-    policy: RoutingPolicy,
+    { policy }: CallerSide,
     targetSide: TargetSide,
   ): Record<string, unknown> {
     const rotation = new Map(policy.describe().map((d) => [d.id, d.rotation]));
@@ -433,9 +354,9 @@
   }
 }
 
-function configOf(configFollower: ConfigFollower) {
-  const { routes, document, version } = configFollower;
-  return routes && document && { version, routes, limits: document.limits };
+/** What this sidecar can tell others about the age of the document in force. */
+function confirmationOf({ version }: ConfigFollower, { ageMs }: DocumentFreshness) {
+  return { version, ageMs: Number.isFinite(ageMs) ? ageMs : undefined, credit: undefined };
 }
 
 function sleep(ms: number): Promise<void> {
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -5,6 +5,7 @@
 import type { OperatorDocument } from "../common/document/OperatorDocument.ts";
 import { Service } from "../common/document/Service.ts";
 import type { TargetId } from "../common/ids/TargetId.ts";
+import type { WorkspaceName } from "../common/ids/WorkspaceName.ts";
 import { Disposable } from "../common/lifecycle/Disposable.ts";
 import type { Clock } from "../common/lifecycle/Clock.ts";
 import { every } from "../common/lifecycle/every.ts";
@@ -225,7 +226,7 @@
     return key === undefined
       ? refusal
       : this.#refusalConfirmer.confirm(
-          recordKey(route.service.name, key),
+          recordKey(route.service.name, req.workspace, key),
           req,
           route.timeoutMs,
           refusal,
@@ -363,10 +364,19 @@
   const key = req.idempotent ? undefined : idempotencyKeyOf(req.headers);
   return key === undefined
     ? sender.send(target, req)
-    : atMostOnceRunner.run(recordKey(target.service, key), target, req);
+    : atMostOnceRunner.run(recordKey(target.service, req.metadata.workspace, key), target, req);
 }
 
-/** Key of a request's records: callers choose idempotency keys for each service. */
-function recordKey(service: string, idempotencyKey: string): string {
-  return `${service}/${idempotencyKey}`;
+/**
+ * Key of a request's records: callers choose idempotency keys for each service, and those of one workspace must not get
+ * the responses of another.
+ */
+function recordKey(
+  service: string,
+  workspace: WorkspaceName | undefined,
+  idempotencyKey: string,
+): string {
+  return workspace === undefined
+    ? `${service}/${idempotencyKey}`
+    : `${service}@${workspace}/${idempotencyKey}`;
 }
--- a/src/sidecar/admin/SidecarMetrics.ts
+++ b/src/sidecar/admin/SidecarMetrics.ts
@@ -45,6 +45,7 @@
   readonly #quarantine: Counter;
   readonly #extraRuns: Counter;
   readonly #retriesDenied: Counter;
+  readonly #notAdmitted: Counter;
 
   constructor() {
     // prom-client's default metrics are not collected. Their event loop monitor wakes the process
@@ -110,6 +111,17 @@
       labelNames: ["service"],
       registers: [this.registry],
     });
+    this.#notAdmitted = new Counter({
+      name: "burdockpass_requests_not_admitted_total",
+      help: "Callers' requests refused by API key (401), route (404), quota (429) or an outdated document (503).",
+      labelNames: ["status"],
+      registers: [this.registry],
+    });
+  }
+
+  /** Counts a request that was refused by its API key, route, quota or the age of the document. */
+  countNotAdmitted(status: number): void {
+    this.#notAdmitted.inc({ status });
   }
 
   /** Adds gauges of the document in force, which `read` returns; `now` is the monotonic clock, ms. */
--- a/src/sidecar/config/ConfigFollower.ts
+++ b/src/sidecar/config/ConfigFollower.ts
@@ -10,6 +10,7 @@
 import { writeFileSynced } from "../../common/storage/writeFileSynced.ts";
 import type { ConfigSource } from "../../membership/ConfigSource.ts";
 import { RouteIndex } from "../routing/RouteIndex.ts";
+import { WorkspaceIndex } from "../workspaces/WorkspaceIndex.ts";
 import { ControlWatch } from "./ControlWatch.ts";
 import { WatchSupervisor } from "./WatchSupervisor.ts";
 
@@ -48,6 +49,7 @@
   readonly #history = new DocumentHistory();
   readonly #watches: WatchSupervisor[] = [];
   #routes: RouteIndex | undefined;
+  #workspaces: WorkspaceIndex | undefined;
   #inForceSince: number | undefined;
 
   constructor(deps: ConfigFollowerDeps) {
@@ -75,6 +77,11 @@
     return this.#routes;
   }
 
+  /** Workspaces in force at this sidecar; undefined if the document has none. */
+  get workspaces(): WorkspaceIndex | undefined {
+    return this.#workspaces;
+  }
+
   since(version: number): readonly DocumentUpdate[] {
     return this.#history.updatesSince(version);
   }
@@ -96,9 +103,14 @@
 
   /** Applies `update` if it is newer. All documents, from control, disk or members, pass through here. */
   offer(update: DocumentUpdate): "taken" | "stale" | "gap" {
+    const { workspaces: before } = this.#history.document;
     const result = this.#history.apply(update);
     if (result === "taken") {
+      const { workspaces } = this.#history.document;
       this.#routes = new RouteIndex(this.#history.document);
+      if (workspaces !== before) {
+        this.#workspaces = workspaces && new WorkspaceIndex(workspaces);
+      }
       this.#inForceSince = this.#deps.clock.now();
       this.#persist();
       this.#deps.log.info({ version: update.version, by: update.kind }, "configuration in force");
--- a/src/sidecar/dialect/Dialect.ts
+++ b/src/sidecar/dialect/Dialect.ts
@@ -2,6 +2,7 @@
 import type { AttemptId } from "../../common/ids/AttemptId.ts";
 import type { ServiceName } from "../../common/ids/ServiceName.ts";
 import type { TargetId } from "../../common/ids/TargetId.ts";
+import type { WorkspaceName } from "../../common/ids/WorkspaceName.ts";
 
 /** Metadata that a caller sends with its request. */
 export interface CallerMetadata {
@@ -19,6 +20,8 @@
   readonly target: TargetId;
   /** The service whose sidecar received the request from the caller; empty if unknown. */
   readonly callerService: ServiceName | "";
+  /** The workspace that the request belongs to; undefined if it belongs to none. */
+  readonly workspace?: WorkspaceName;
   /** Header for the attempt id, which targets of the service echo in the response; undefined if they do not. */
   readonly echoHeader: string | undefined;
 }
@@ -40,6 +43,8 @@
  * standard fields. The sidecar decides by this metadata and never by the name of a header.
  */
 export interface Dialect {
+  /** Name of the header, in lower case, with which a target is sent the workspace of a request. */
+  readonly workspaceHeader: string;
   /** Reads the metadata of a caller's request; returns an error message for the caller if a header is invalid. */
   readCaller(headers: IncomingHttpHeaders): CallerMetadata | string;
   /** Headers for the target, which replace headers of the same names from the caller. */
--- a/src/sidecar/dialect/ownDialect.ts
+++ b/src/sidecar/dialect/ownDialect.ts
@@ -8,8 +8,13 @@
 /** Set to 1 by a target that rejected a request without running it. */
 const NOT_RUN_HEADER = "x-not-run";
 
+/** Name of the workspace that a request belongs to, for its target. */
+const WORKSPACE_HEADER = "x-burdockpass-workspace";
+
 /** The dialect of this project's own headers, which docs/operating/requests.md describes. */
 export const ownDialect: Dialect = {
+  workspaceHeader: WORKSPACE_HEADER,
+
   readCaller: (headers) => {
     const value = headers[REMAINING_HEADER];
     const remainingMs = value === undefined ? undefined : Number(value);
@@ -19,9 +24,10 @@
     return { attempt: AttemptId(randomUUID()), remainingMs };
   },
 
-  writeTarget: ({ attempt, remainingMs, echoHeader }) => ({
+  writeTarget: ({ attempt, remainingMs, echoHeader, workspace }) => ({
     [REMAINING_HEADER]: String(Math.max(1, Math.floor(remainingMs))),
     ...(echoHeader ? { [echoHeader]: attempt } : {}),
+    ...(workspace === undefined ? {} : { [WORKSPACE_HEADER]: workspace }),
   }),
 
   readResponse: ({ attempt, echoHeader }, status, headers) => {
--- a/src/sidecar/gate/GateServer.ts
+++ b/src/sidecar/gate/GateServer.ts
@@ -6,6 +6,7 @@
 import { ServiceName } from "../../common/ids/ServiceName.ts";
 import { GrantId } from "../../common/ids/GrantId.ts";
 import { TargetId } from "../../common/ids/TargetId.ts";
+import { WorkspaceName } from "../../common/ids/WorkspaceName.ts";
 import { sendJson } from "../../common/http/sendJson.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { Timer } from "../../common/lifecycle/Timer.ts";
@@ -136,6 +137,7 @@
     const idempotent = headers[HOP.idempotent] === "1";
     const echo = headers[HOP.echo];
     const dispatch = headers[HOP.dispatch];
+    const workspace = headers[HOP.workspace];
     return {
       method: req.method ?? "GET",
       path: req.url ?? "/",
@@ -144,6 +146,7 @@
         target,
         callerService: ServiceName(String(headers[HOP.caller] ?? "")),
         echoHeader: typeof echo === "string" ? echo : undefined,
+        workspace: typeof workspace === "string" ? WorkspaceName(workspace) : undefined,
       },
       dispatch: typeof dispatch === "string" ? DispatchId(dispatch) : undefined,
       startedAt: arrivedAt - Number(headers[HOP.age] ?? 0),
--- a/src/sidecar/hop/HOP.ts
+++ b/src/sidecar/hop/HOP.ts
@@ -19,6 +19,8 @@
   age: "x-burdockpass-hop-age-ms",
   /** Name of the service co-located with the sidecar at which the request originated. */
   caller: "x-burdockpass-caller-service",
+  /** Name of the workspace that the request belongs to; absent if it belongs to none. */
+  workspace: "x-burdockpass-hop-workspace",
   /** Set to `1` if the request is idempotent and may run more than once. */
   idempotent: "x-burdockpass-idempotent",
   /** Name of the header in which targets of the service echo the attempt id. */
--- a/src/sidecar/hop/HopClient.ts
+++ b/src/sidecar/hop/HopClient.ts
@@ -155,8 +155,18 @@
   const age = req.ageMs === undefined ? [] : [HOP.age, String(Math.round(req.ageMs))];
   const dispatch = req.dispatch === undefined ? [] : [HOP.dispatch, req.dispatch];
   const echo = req.echoHeader === undefined ? [] : [HOP.echo, req.echoHeader];
+  const workspace = req.workspace === undefined ? [] : [HOP.workspace, req.workspace];
   const length = req.bodyLength === undefined ? [] : ["content-length", String(req.bodyLength)];
-  return [...req.headers, ...hopHeaders, ...idempotent, ...age, ...dispatch, ...echo, ...length];
+  return [
+    ...req.headers,
+    ...hopHeaders,
+    ...idempotent,
+    ...age,
+    ...dispatch,
+    ...echo,
+    ...workspace,
+    ...length,
+  ];
 }
 
 async function readResult(
--- a/src/sidecar/hop/HopRequest.ts
+++ b/src/sidecar/hop/HopRequest.ts
@@ -3,6 +3,7 @@
 import type { DispatchId } from "../../common/ids/DispatchId.ts";
 import type { GrantId } from "../../common/ids/GrantId.ts";
 import type { TargetId } from "../../common/ids/TargetId.ts";
+import type { WorkspaceName } from "../../common/ids/WorkspaceName.ts";
 import type { HeaderList } from "../forwarding/HeaderList.ts";
 
 /** A caller's request as it is forwarded to the sidecar of a target. */
@@ -26,6 +27,8 @@
   readonly ageMs?: number;
   /** Name of the service co-located with the sidecar at which the request originated; empty if unknown. */
   readonly callerService: string;
+  /** The workspace that the request belongs to; undefined if it belongs to none. */
+  readonly workspace?: WorkspaceName;
   readonly idempotent: boolean;
   /** Name of the header in which targets of the service echo the attempt id, if they do. */
   readonly echoHeader: string | undefined;
--- a/src/sidecar/ingress/CallerServer.test.ts
+++ b/src/sidecar/ingress/CallerServer.test.ts
@@ -15,7 +15,6 @@
 import { ownDialect } from "../dialect/ownDialect.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import type { CallerRequest } from "../routing/CallerRequest.ts";
-import type { RouteIndex } from "../routing/RouteIndex.ts";
 import { RequestOrigin } from "../routing/RequestOrigin.ts";
 import { CallerServer } from "./CallerServer.ts";
 
@@ -46,11 +45,20 @@
       hasConfig
         ? {
             version: 1,
-            routes: { match: () => route } as unknown as RouteIndex,
             limits: Limits.parse(limits),
           }
         : undefined,
     waitForConfig: () => Promise.resolve(),
+    admission: {
+      admit: () =>
+        Promise.resolve({
+          kind: "admitted",
+          route,
+          workspace: undefined,
+          hasWorkspaces: false,
+          release: () => undefined,
+        }),
+    },
     dispatcher: {
       dispatch: (_route, req) =>
         new Promise((settle) => {
@@ -58,7 +66,6 @@
         }),
     },
     dialect: ownDialect,
-    draw: () => 0,
     metrics: new SidecarMetrics(),
     tracing: noTracing,
     clock: SystemClock,
--- a/src/sidecar/ingress/CallerServer.ts
+++ b/src/sidecar/ingress/CallerServer.ts
@@ -21,10 +21,11 @@
 import { unknownEarlierAttempt } from "../records/unknownEarlierAttempt.ts";
 import type { CallerRequest } from "../routing/CallerRequest.ts";
 import type { Dispatcher } from "../routing/Dispatcher.ts";
-import type { RequestOrigin } from "../routing/RequestOrigin.ts";
-import type { RouteIndex } from "../routing/RouteIndex.ts";
+import { RequestOrigin } from "../routing/RequestOrigin.ts";
 import type { RouteMatch } from "../routing/RouteMatch.ts";
 import { CallerConnections } from "./CallerConnections.ts";
+import type { Admission } from "../workspaces/Admission.ts";
+import type { RequestAdmission } from "../workspaces/RequestAdmission.ts";
 import { refuseMalformed } from "./refuseMalformed.ts";
 
 /** Names of headers that sidecars exchange; removed from callers' requests. */
@@ -45,10 +46,12 @@
 /** Maximum size of all buffered bodies together, bytes: an eighth of the memory that a sidecar may use. */
 const MAX_BUFFERED_TOTAL_BYTES = 32 << 20;
 
+/** Status for missing or unknown API keys. */
+const UNAUTHORIZED = 401;
+
 /** The parts of the document in force that apply to callers' requests. */
 interface CallerConfig {
   readonly version: number;
-  readonly routes: RouteIndex;
   readonly limits: Limits;
 }
 
@@ -58,12 +61,11 @@
   readonly config: () => CallerConfig | undefined;
   /** Resolves once there is a document, or when the request should not be held any longer. */
   readonly waitForConfig: () => Promise<void>;
+  readonly admission: Pick<RequestAdmission, "admit">;
   readonly dispatcher: Pick<Dispatcher, "dispatch">;
   readonly dialect: Dialect;
   /** Returns the origin of a request, from the remote address of its connection. */
   readonly originOf: (address: string | undefined) => RequestOrigin;
-  /** Returns the next sample for a route's traffic split, in [0, 1). */
-  readonly draw: (route: string) => number;
   readonly metrics: SidecarMetrics;
   readonly tracing: Tracing;
   readonly clock: Clock;
@@ -167,72 +169,95 @@
     const config = this.#deps.config();
     const metadata = this.#deps.dialect.readCaller(req.headers);
     const attempt = typeof metadata === "string" ? AttemptId("") : metadata.attempt;
-    const route = config?.routes.match(
-      req.method ?? "GET",
-      req.url ?? "/",
-      req.headers.host,
-      this.#deps.draw,
-    );
     const version = config?.version ?? 0;
-    const ctx: RequestContext = { res, attempt, startedAt, version, route, isLast };
+    const ctx: RequestContext = { res, attempt, startedAt, version, route: undefined, isLast };
     if (typeof metadata === "string") {
       this.#refuse(ctx, metadata, 400);
       return;
     }
     if (!config) {
-      this.#refuseWithoutConfig(ctx);
-      return;
-    }
-    if (!route) {
-      this.#refuse(ctx, "no route", 404);
+      this.#refuse(ctx, "no accepted configuration yet", 503);
       return;
     }
     if (requestHeadBytes(req) > config.limits.maxHeaderBytes) {
       this.#refuse(ctx, "headers too large", 431);
       return;
     }
-    const timeoutMs = Math.min(route.timeoutMs, metadata.remainingMs ?? Infinity);
-    const timing = { startedAt, deadlineAt: startedAt + timeoutMs, disconnected };
+    const origin = this.#deps.originOf(req.socket.remoteAddress);
+    const admission = await this.#admit(req, origin);
+    const { route } = admission;
+    const admitted = { ...ctx, route, version: this.#deps.config()?.version ?? version };
+    if (admission.kind === "refused") {
+      this.#refuseAdmission(admitted, admission);
+      return;
+    }
+    const timeoutMs = Math.min(admission.route.timeoutMs, metadata.remainingMs ?? Infinity);
+    const timing = { startedAt, deadlineAt: startedAt + timeoutMs, disconnected, origin };
     const bufferBytes = this.#reserveBuffer(req);
     try {
       const bounds = { maxBytes: config.limits.maxBodyBytes, maxBufferedBytes: bufferBytes };
-      await this.#forward(ctx, route, await openBody(req, bounds), timing);
+      await this.#forward(admitted, admission, await openBody(req, bounds), timing);
+    } catch (err) {
+      admission.release();
+      throw err;
     } finally {
       this.#bufferedBytes -= bufferBytes;
     }
   }
 
+  #admit(req: IncomingMessage, origin: RequestOrigin): Promise<Admission> {
+    return this.#deps.admission.admit({
+      method: req.method ?? "GET",
+      path: req.url ?? "/",
+      host: req.headers.host,
+      rawHeaders: req.rawHeaders,
+      isFromTarget: origin === RequestOrigin.TargetVm,
+    });
+  }
+
   /** Dispatches a request and writes its response or refusal. */
   async #forward(
     ctx: RequestContext,
-    route: RouteMatch,
+    { route, workspace, hasWorkspaces, release }: Extract<Admission, { kind: "admitted" }>,
     opened: Awaited<ReturnType<typeof openBody>>,
-    timing: Pick<CallerRequest, "startedAt" | "deadlineAt" | "disconnected">,
+    timing: Pick<CallerRequest, "startedAt" | "deadlineAt" | "disconnected" | "origin">,
   ): Promise<void> {
     if (opened.kind === "too-large") {
+      release();
       this.#refuse(ctx, "request body too large", 413);
       return;
     }
     const { req } = ctx.res;
     const span = this.#deps.tracing.startSpan("sidecar.ingress", req.headers);
     const forwardSpan = span.startChild("sidecar.forward");
-    const headers = forwardableHeaders(req.rawHeaders, (name) => HOP_HEADERS.has(name));
+    const headers = forwardableHeaders(
+      req.rawHeaders,
+      (name) => HOP_HEADERS.has(name) || (hasWorkspaces && this.#isCredential(name)),
+    );
     const result = await this.#deps.dispatcher.dispatch(route, {
       attempt: ctx.attempt,
       method: req.method ?? "GET",
       path: req.url ?? "/",
       headers: withHeaders(headers, forwardSpan.headers),
       body: opened.body,
-      origin: this.#deps.originOf(req.socket.remoteAddress),
+      workspace,
       bodyLength: opened.kind === "stream" ? opened.length : undefined,
       ...timing,
     });
+    if (result.verdict.kind === "not-run") {
+      release();
+    }
     const isDone = result.verdict.kind === "done";
     forwardSpan.end(result.verdict.kind, isDone);
     this.#respond(ctx, result, statusFor(result.verdict));
     span.end(result.verdict.kind, isDone);
   }
 
+  /** Whether a header says, or claims, whose request it is; targets are told by the sidecar instead. */
+  #isCredential(name: string): boolean {
+    return name === "authorization" || name === this.#deps.dialect.workspaceHeader;
+  }
+
   /** Reserves buffer space for a request's body; returns its size in bytes, or 0 if the body does not fit. */
   #reserveBuffer({ headers }: IncomingMessage): number {
     const isChunked = headers["transfer-encoding"] !== undefined;
@@ -244,22 +269,35 @@
     return bytes;
   }
 
-  /**
-   * Refuses a request while no document is known. Without one, the service of a request is unknown, and so is whether an
-   * earlier attempt with its idempotency key has run.
-   */
-  #refuseWithoutConfig(ctx: RequestContext): void {
-    const reason = "no accepted configuration yet";
-    if (idempotencyKeyOf(ctx.res.req.rawHeaders) === undefined) {
-      this.#refuse(ctx, reason, 503);
-    } else {
-      const result = unknownEarlierAttempt(reason);
-      this.#respond(ctx, result, statusFor(result.verdict));
+  #refuseAdmission(
+    ctx: RequestContext,
+    { status, reason, retryAfterMs }: Extract<Admission, { kind: "refused" }>,
+  ): void {
+    const { attempt, version } = ctx;
+    this.#deps.log.info(
+      { attempt, status, reason, configVersion: version },
+      "request not admitted",
+    );
+    this.#deps.metrics.countNotAdmitted(status);
+    if (status === UNAUTHORIZED) {
+      ctx.res.setHeader("www-authenticate", "Bearer");
     }
+    this.#refuse(ctx, reason, status, retryAfterMs);
   }
 
-  #refuse(ctx: RequestContext, reason: string, status: number): void {
-    const verdict = { kind: "not-run", reason, retryAfterMs: RETRY_AFTER_MS } as const;
+  #refuse(
+    ctx: RequestContext,
+    reason: string,
+    status: number,
+    retryAfterMs = RETRY_AFTER_MS,
+  ): void {
+    if (!FINAL_REFUSALS.has(status) && idempotencyKeyOf(ctx.res.req.rawHeaders) !== undefined) {
+      // An earlier attempt with the same key may have run.
+      const result = unknownEarlierAttempt(reason);
+      this.#respond(ctx, result, statusFor(result.verdict));
+      return;
+    }
+    const verdict = { kind: "not-run", reason, retryAfterMs } as const;
     this.#respond(ctx, { verdict, outcome: AttemptOutcome.Cancelled }, status);
   }
 
@@ -334,7 +372,7 @@
 }
 
 /** Statuses of refusals that the same request would get again, so that they carry no `Retry-After`. */
-const FINAL_REFUSALS = new Set([400, 404, 413, 422, 431]);
+const FINAL_REFUSALS = new Set([400, UNAUTHORIZED, 404, 413, 422, 431]);
 
 function statusFor(verdict: Verdict): number {
   switch (verdict.kind) {
--- a/src/sidecar/quarantine/RunGuard.ts
+++ b/src/sidecar/quarantine/RunGuard.ts
@@ -1,4 +1,5 @@
 import type bunyan from "bunyan";
+import type { RequestFingerprint } from "../../common/ids/RequestFingerprint.ts";
 import type { TargetId } from "../../common/ids/TargetId.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { TargetInfo } from "../../membership/TargetInfo.ts";
@@ -49,7 +50,7 @@
   /** The refusal of a request that is blocked; undefined if it may run. */
   refuse({ service }: TargetInfo, req: TargetRequest): ForwardResult | undefined {
     const { quarantine } = this.#deps;
-    const fingerprint = quarantine.isActive ? fingerprintOf(service, req) : undefined;
+    const fingerprint = quarantine.isActive ? fingerprintOfRun(service, req) : undefined;
     const block = fingerprint && quarantine.blockOf(fingerprint);
     if (!block) {
       return undefined;
@@ -72,7 +73,7 @@
     const { quarantine } = this.#deps;
     // An error does not show that the request has run: a gray target may fail requests without running them.
     if (result.outcome === AttemptOutcome.Ok && quarantine.isActive) {
-      const fingerprint = fingerprintOf(run.target.service, run.req);
+      const fingerprint = fingerprintOfRun(run.target.service, run.req);
       if (fingerprint) {
         quarantine.recordCompletion(fingerprint);
       }
@@ -104,7 +105,7 @@
 
   #recordCrash({ target, req, startedAt }: GuardedRun): void {
     const { quarantine, clock, log } = this.#deps;
-    const fingerprint = fingerprintOf(target.service, req);
+    const fingerprint = fingerprintOfRun(target.service, req);
     const { attempt } = req.metadata;
     const request = describeRequest(req);
     const ms = Math.round(clock.now() - startedAt);
@@ -116,3 +117,7 @@
     }
   }
 }
+
+function fingerprintOfRun(service: string, req: TargetRequest): RequestFingerprint | undefined {
+  return fingerprintOf(service, { ...req, workspace: req.metadata.workspace });
+}
--- a/src/sidecar/quarantine/fingerprintOf.ts
+++ b/src/sidecar/quarantine/fingerprintOf.ts
@@ -1,6 +1,7 @@
 import { createHash } from "node:crypto";
 import { isIP } from "node:net";
 import type { Readable } from "node:stream";
+import type { WorkspaceName } from "../../common/ids/WorkspaceName.ts";
 import { RequestFingerprint } from "../../common/ids/RequestFingerprint.ts";
 import type { HeaderList } from "../forwarding/HeaderList.ts";
 
@@ -24,6 +25,8 @@
   readonly path: string;
   readonly headers: HeaderList;
   readonly body: Buffer | Readable | undefined;
+  /** The workspace that it belongs to, whose key has been removed from the headers. */
+  readonly workspace?: WorkspaceName;
 }
 
 /**
@@ -32,13 +35,14 @@
  */
 export function fingerprintOf(
   service: string,
-  { method, path, headers, body }: FingerprintedRequest,
+  { method, path, headers, body, workspace }: FingerprintedRequest,
 ): RequestFingerprint | undefined {
   if (body !== undefined && !Buffer.isBuffer(body)) {
     return undefined;
   }
   const hash = createHash("sha256");
-  hash.update(JSON.stringify([service, method, path, identifyingHeaders(headers)]));
+  const parts = [service, method, path, identifyingHeaders(headers)];
+  hash.update(JSON.stringify(workspace === undefined ? parts : [...parts, workspace]));
   hash.update(body ?? "");
   return RequestFingerprint(hash.digest("hex").slice(0, 2 * FINGERPRINT_BYTES));
 }
--- a/src/sidecar/routing/CallerRequest.ts
+++ b/src/sidecar/routing/CallerRequest.ts
@@ -1,6 +1,7 @@
 import type { Readable } from "node:stream";
 import type { AttemptId } from "../../common/ids/AttemptId.ts";
 import type { DispatchId } from "../../common/ids/DispatchId.ts";
+import type { WorkspaceName } from "../../common/ids/WorkspaceName.ts";
 import type { RequestOrigin } from "./RequestOrigin.ts";
 import type { HeaderList } from "../forwarding/HeaderList.ts";
 
@@ -14,6 +15,8 @@
   readonly body: Buffer | Readable | undefined;
   readonly bodyLength?: number;
   readonly origin: RequestOrigin;
+  /** The workspace whose API key the request carried; undefined if it belongs to none. */
+  readonly workspace?: WorkspaceName;
   /** Set by the dispatcher for a request with an idempotency key that must not be repeated. */
   readonly dispatch?: DispatchId;
   /** Arrival time on the monotonic clock, ms. */
--- a/src/sidecar/routing/RemoteRun.ts
+++ b/src/sidecar/routing/RemoteRun.ts
@@ -90,7 +90,7 @@
 
   #hopRequest() {
     const { attempt, method, path, headers, body, bodyLength } = this.#req;
-    const { dispatch, startedAt, deadlineAt } = this.#req;
+    const { dispatch, startedAt, deadlineAt, workspace } = this.#req;
     const now = this.#deps.clock.now();
     const remainingMs = deadlineAt - now;
     const bodyBytes = Buffer.isBuffer(body) ? body.length : (bodyLength ?? 0);
@@ -111,6 +111,7 @@
       dispatch,
       ageMs: dispatch === undefined ? undefined : now - startedAt,
       callerService: this.#deps.callerService,
+      workspace,
       idempotent: this.#route.idempotent,
       echoHeader: this.#route.service.echoHeader,
     };
--- a/src/sidecar/routing/RouteIndex.ts
+++ b/src/sidecar/routing/RouteIndex.ts
@@ -105,6 +105,7 @@
         service,
         idempotent,
         bulk,
+        isPublic: route.public ?? false,
         timeoutMs,
         attempts,
         priority,
@@ -144,6 +145,7 @@
       // A request of an unknown kind must not be treated as idempotent, since it could then run twice.
       idempotent: kind?.idempotent ?? false,
       bulk: false,
+      isPublic: service.public ?? false,
       timeoutMs,
       attempts: service.retry?.attempts ?? 1,
       priority: SIMPLE_ROUTE_PRIORITY,
--- a/src/sidecar/routing/RouteMatch.ts
+++ b/src/sidecar/routing/RouteMatch.ts
@@ -8,6 +8,8 @@
   readonly idempotent: boolean;
   /** Whether request or response bodies are large: such requests stay in the availability zone where possible. */
   readonly bulk: boolean;
+  /** Whether requests need no API key although the document has workspaces. */
+  readonly isPublic: boolean;
   /** Longest time until the caller gets a final response, ms. */
   readonly timeoutMs: number;
   /** Maximum number of targets to which the request may be sent, including the first. */
