--- a/src/common/settings/ControlSettings.ts
+++ b/src/common/settings/ControlSettings.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import { HostPort } from "./HostPort.ts";
+import { QuotaTolerance } from "./QuotaTolerance.ts";
 
 /** Settings of a control replica. */
 export const ControlSettings = z.strictObject({
@@ -22,8 +23,7 @@
    * data folder means that the disk was lost, and the replica waits for its data from the others.
    */
   bootstrap: z.boolean().default(false),
-  /** Number of requests by which the fleet may exceed the quota of each workspace for a moment; see docs/design/workspaces.md. */
-  quotaSlack: z.number().min(0).default(0),
+  quotaTolerance: QuotaTolerance.prefault({}),
   gossipIntervalMs: z.number().int().positive().default(200),
 });
 
--- a/src/control/ControlRole.ts
+++ b/src/control/ControlRole.ts
@@ -203,7 +203,6 @@
     const shares = new VoterShares({
       replica,
       wantedVoters: this.#wantedVoters,
-      slack: () => this.#cfg.quotaSlack,
       clock: SystemClock,
     });
     const stopListening = replica.onChange(() => {
@@ -213,6 +212,7 @@
     return new WorkspaceQuotas({
       document: () => replica.state.document,
       holders: () => shares.holders,
+      tolerance: () => this.#cfg.quotaTolerance,
       clock: SystemClock,
     });
   }
--- a/src/control/quota/ShareHolders.ts
+++ b/src/control/quota/ShareHolders.ts
@@ -6,6 +6,4 @@
   readonly ids: readonly string[];
   /** Number of parts that quotas are divided into: at least the number of voters. */
   readonly parts: number;
-  /** Tokens that each part may hold in addition to its part of the burst, 0 to 1. */
-  readonly bonus: number;
 }
--- a/src/control/quota/VoterShares.ts
+++ b/src/control/quota/VoterShares.ts
@@ -11,15 +11,10 @@
  */
 const GROUP_CHANGE_MS = 3000;
 
-/** Times that a replica may use its bonus in a window: from a full bucket, and again after each restart. */
-const BONUS_USES = 4;
-
 interface VoterSharesDeps {
   readonly replica: Pick<Replica, "id" | "voters" | "role" | "stateAgeMs">;
   /** Number of voters that the group should have. */
   readonly wantedVoters: number;
-  /** Requests by which the fleet may exceed each workspace's quota in a window. */
-  readonly slack: () => number;
   readonly clock: Clock;
 }
 
@@ -62,15 +57,13 @@
   /** The division of the quotas; undefined while this replica must not grant any part. */
   get holders(): ShareHolders | undefined {
     this.update();
-    const { replica, clock, slack } = this.#deps;
+    const { replica, clock } = this.#deps;
     const { stateAgeMs } = replica;
     const isNew = clock.now() < this.#voterSince + GROUP_CHANGE_MS;
     if (!this.#isVoter || isNew || stateAgeMs === undefined || stateAgeMs > MAX_STATE_AGE_MS) {
       return undefined;
     }
-    const { parts } = this.#held;
-    const bonus = Math.min(1, slack() / (BONUS_USES * parts));
-    return { self: replica.id, ids: replica.voters.map((v) => v.id), parts, bonus };
+    return { self: replica.id, ids: replica.voters.map((v) => v.id), parts: this.#held.parts };
   }
 
   get #isVoter(): boolean {
--- a/src/control/quota/WorkspaceQuotas.ts
+++ b/src/control/quota/WorkspaceQuotas.ts
@@ -1,5 +1,6 @@
 import type { OperatorDocument } from "../../common/document/OperatorDocument.ts";
 import type { Workspace } from "../../common/document/Workspace.ts";
+import type { QuotaTolerance } from "../../common/settings/QuotaTolerance.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { BucketLimits } from "./BucketLimits.ts";
 import type { CreditOutcome } from "../../common/rpc/CreditOutcome.ts";
@@ -14,6 +15,7 @@
   readonly document: () => OperatorDocument;
   /** The division of the quotas; undefined while this replica must not grant any part. */
   readonly holders: () => ShareHolders | undefined;
+  readonly tolerance: () => QuotaTolerance;
   readonly clock: Clock;
 }
 
@@ -28,8 +30,8 @@
 
 /**
  * Grants this replica's parts of the workspaces' quotas, one credit for each request. Only workspaces that were used
- * recently have state. After a restart, all buckets start with no more than their bonus, since the previous
- * incarnation may have just emptied them.
+ * recently have state. After a restart, all buckets are almost empty, since the previous incarnation may just have granted
+ * what they held.
  */
 export class WorkspaceQuotas {
   readonly #deps: WorkspaceQuotasDeps;
@@ -83,13 +85,14 @@
   #find(workspace: string): WorkspaceUsage | undefined {
     const holders = this.#deps.holders();
     const quota = this.#workspaces.get(workspace)?.quota;
-    const limits = holders && quota && quotaShare(workspace, quota, holders);
+    const limits =
+      holders && quota && quotaShare(workspace, quota, holders, this.#deps.tolerance());
     if (!limits) {
       return undefined;
     }
     let usage = this.#usage.get(workspace);
     if (!usage) {
-      const bucket = new TokenBucket(Math.min(limits.capacity, holders.bonus), this.#startedAt);
+      const bucket = new TokenBucket(limits.initial, this.#startedAt);
       usage = { bucket, limits, granted: 0, refused: 0 };
       this.#usage.set(workspace, usage);
     }
