Show operators the workspaces, and test admission from credentials to real processes

`burdockpass workspaces` lists them with quotas and the credits granted and refused in the last minute, summed over the control replicas, never with keys. Buckets are full after the first start of a system.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,6 +10,7 @@
 import { explainRequest } from "./explain/explainRequest.ts";
 import { parseLog } from "./logs/parseLog.ts";
 import { renderQuarantine } from "./quarantine/renderQuarantine.ts";
+import { renderWorkspaces } from "./workspaces/renderWorkspaces.ts";
 import { renderTimeline } from "./explain/renderTimeline.ts";
 
 function fail(message: string): never {
@@ -89,10 +90,10 @@
   },
 });
 
-/** Fetches a process's status; exits with an error message when that fails. */
-async function readStatus(admin: string): Promise<unknown> {
+/** Fetches a process's status, or another page of its admin server; exits with an error message when that fails. */
+async function readStatus(admin: string, page = "status"): Promise<unknown> {
   try {
-    const res = await fetch(`http://${admin}/status`);
+    const res = await fetch(`http://${admin}/${page}`);
     return await res.json();
   } catch (err) {
     const cause = err instanceof Error && err.cause instanceof Error ? err.cause : err;
@@ -165,6 +166,24 @@
   },
 });
 
+const workspaces = defineCommand({
+  meta: {
+    name: "workspaces",
+    description: "List the workspaces with their quotas, and how much of these was used.",
+  },
+  args: {
+    admin: {
+      type: "string",
+      default: "127.0.0.1:7401",
+      description: "Admin addresses of all control replicas, host:port,host:port",
+    },
+  },
+  async run({ args }) {
+    const replies = args.admin.split(",").map((admin) => readStatus(admin, "workspaces"));
+    process.stdout.write(renderWorkspaces(await Promise.all(replies)));
+  },
+});
+
 const explain = defineCommand({
   meta: {
     name: "explain",
@@ -224,6 +243,7 @@
       meta: { name: "quarantine", description: "Requests that crash the targets that run them." },
       subCommands: { list: listQuarantine, release },
     }),
+    workspaces,
     explain,
     account,
   },
--- a/src/control/ControlRole.ts
+++ b/src/control/ControlRole.ts
@@ -27,6 +27,7 @@
 import { ControlMetrics } from "./ControlMetrics.ts";
 import { FileReplicaStore } from "./log/FileReplicaStore.ts";
 import { GrpcReplicaLink } from "./link/GrpcReplicaLink.ts";
+import { describeWorkspaces } from "./quota/describeWorkspaces.ts";
 import { VoterShares } from "./quota/VoterShares.ts";
 import { WorkspaceQuotas } from "./quota/WorkspaceQuotas.ts";
 import { Replica } from "./replica/Replica.ts";
@@ -144,7 +145,7 @@
     replica.start();
     membership.start(this.#cfg.gossipIntervalMs);
     this.register(
-      await startHttpServer(this.#createAdminServer(replica, watchers), this.#cfg.admin),
+      await startHttpServer(this.#createAdminServer(replica, watchers, quotas), this.#cfg.admin),
     );
     const { version } = replica.state;
     this.#log.info({ grpcPort: port, version, replica: replica.id }, "control started");
@@ -213,6 +214,7 @@
       document: () => replica.state.document,
       holders: () => shares.holders,
       tolerance: () => this.#cfg.quotaTolerance,
+      isFirstStart: this.#cfg.bootstrap,
       clock: SystemClock,
     });
   }
@@ -242,10 +244,14 @@
     );
   }
 
-  #createAdminServer(replica: Replica, watchers: DocumentWatchers) {
+  #createAdminServer(replica: Replica, watchers: DocumentWatchers, quotas: WorkspaceQuotas) {
     const { registry } = this.#metrics;
     this.#metrics.observe(replica, watchers);
     return createServer((req, res) => {
+      if (req.url === "/workspaces") {
+        sendJson(res, 200, describeWorkspaces(replica.state.document, quotas));
+        return;
+      }
       if (req.url !== "/metrics") {
         sendJson(res, 200, this.#status(replica));
         return;
--- a/src/control/quota/WorkspaceQuotas.ts
+++ b/src/control/quota/WorkspaceQuotas.ts
@@ -4,6 +4,7 @@
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { BucketLimits } from "./BucketLimits.ts";
 import type { CreditOutcome } from "../../common/rpc/CreditOutcome.ts";
+import { RecentCount } from "./RecentCount.ts";
 import { quotaShare } from "./quotaShare.ts";
 import type { ShareHolders } from "./ShareHolders.ts";
 import { TokenBucket } from "./TokenBucket.ts";
@@ -16,6 +17,8 @@
   /** The division of the quotas; undefined while this replica must not grant any part. */
   readonly holders: () => ShareHolders | undefined;
   readonly tolerance: () => QuotaTolerance;
+  /** Whether the whole system starts for the first time, so that no earlier incarnation has granted anything. */
+  readonly isFirstStart?: boolean;
   readonly clock: Clock;
 }
 
@@ -24,8 +27,8 @@
   readonly bucket: TokenBucket;
   /** The limits by which the bucket was last used. */
   limits: BucketLimits;
-  granted: number;
-  refused: number;
+  readonly granted: RecentCount;
+  readonly refused: RecentCount;
 }
 
 /**
@@ -42,8 +45,9 @@
 
   constructor(deps: WorkspaceQuotasDeps) {
     this.#deps = deps;
-    this.#startedAt = deps.clock.now();
-    this.#sweptAt = this.#startedAt;
+    const now = deps.clock.now();
+    this.#startedAt = deps.isFirstStart ? -Infinity : now;
+    this.#sweptAt = now;
   }
 
   /** Takes a credit for one request of `workspace`. */
@@ -56,10 +60,10 @@
     const now = this.#deps.clock.now();
     this.#sweep(now);
     if (usage.bucket.take(limits, now)) {
-      usage.granted += 1;
+      usage.granted.add(1, now);
       return { kind: "granted" };
     }
-    usage.refused += 1;
+    usage.refused.add(1, now);
     return { kind: "exhausted", retryAfterMs: Math.ceil(usage.bucket.waitMs(limits, now)) };
   }
 
@@ -67,17 +71,19 @@
   putBack(workspace: string): void {
     const usage = this.#usage.get(workspace);
     if (usage) {
-      usage.granted -= 1;
-      usage.bucket.putBack(usage.limits, this.#deps.clock.now());
+      const now = this.#deps.clock.now();
+      usage.granted.add(-1, now);
+      usage.bucket.putBack(usage.limits, now);
     }
   }
 
-  /** Credits granted and refused by this replica, for the workspaces that were used recently. */
+  /** Credits of the last minute granted and refused by this replica, for the workspaces that were used recently. */
   describe(): { workspace: string; granted: number; refused: number }[] {
+    const now = this.#deps.clock.now();
     return [...this.#usage].map(([workspace, { granted, refused }]) => ({
       workspace,
-      granted,
-      refused,
+      granted: granted.valueAt(now),
+      refused: refused.valueAt(now),
     }));
   }
 
@@ -93,7 +99,7 @@
     let usage = this.#usage.get(workspace);
     if (!usage) {
       const bucket = new TokenBucket(limits.initial, this.#startedAt);
-      usage = { bucket, limits, granted: 0, refused: 0 };
+      usage = { bucket, limits, granted: new RecentCount(), refused: new RecentCount() };
       this.#usage.set(workspace, usage);
     }
     usage.limits = limits;
--- a/src/sidecar/CallerSide.ts
+++ b/src/sidecar/CallerSide.ts
@@ -252,14 +252,13 @@
     });
   }
 
-  /** Addresses of the live control replicas, those of this zone first, otherwise in random order. */
+  /** Addresses of the control replicas: live members of this zone first, then others, then those of the settings. */
   #controlReplicas(): string[] {
-    const { table, random } = this.#deps;
+    const { table, random, cfg } = this.#deps;
     const controls = table.liveMembers().filter((m) => m.control);
     const inOrder = sampleOf(controls, controls.length, random);
-    const [near, far] = [true, false].map((isNear) =>
-      inOrder.filter((m) => (m.zone === table.selfZone) === isNear),
-    );
-    return [...(near ?? []), ...(far ?? [])].map((m) => m.peer_address);
+    const near = inOrder.filter((m) => m.zone === table.selfZone);
+    const members = [...near, ...inOrder].map((m) => m.peer_address);
+    return [...new Set([...members, ...cfg().control])];
   }
 }
--- a/src/sidecar/ingress/CallerServer.test.ts
+++ b/src/sidecar/ingress/CallerServer.test.ts
@@ -8,6 +8,7 @@
 import { makeRoute } from "../../../test/fixtures/makeRoute.ts";
 import { Limits } from "../../common/document/Limits.ts";
 import { TargetId } from "../../common/ids/TargetId.ts";
+import { WorkspaceName } from "../../common/ids/WorkspaceName.ts";
 import { SystemClock } from "../../common/lifecycle/SystemClock.ts";
 import { noTracing } from "../../common/telemetry/noTracing.ts";
 import { SidecarMetrics } from "../admin/SidecarMetrics.ts";
@@ -16,6 +17,8 @@
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import type { CallerRequest } from "../routing/CallerRequest.ts";
 import { RequestOrigin } from "../routing/RequestOrigin.ts";
+import type { Admission } from "../workspaces/Admission.ts";
+import type { RequestAdmission } from "../workspaces/RequestAdmission.ts";
 import { CallerServer } from "./CallerServer.ts";
 
 const sleep = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
@@ -32,13 +35,25 @@
   outcome: AttemptOutcome.Shed,
 };
 
+const admitted: Admission = {
+  kind: "admitted",
+  route: makeRoute(),
+  workspace: undefined,
+  hasWorkspaces: false,
+  release: () => undefined,
+};
+
 /** Opens a caller server and a connection to it; the test settles each request, found by its path in `dispatched`. */
-async function openConnection(t: ExecutionContext, limits: Partial<Limits> = {}, hasConfig = true) {
+async function openConnection(
+  t: ExecutionContext,
+  limits: Partial<Limits> = {},
+  hasConfig = true,
+  admit: RequestAdmission["admit"] = () => Promise.resolve(admitted),
+) {
   const dispatched = new Map<
     string,
     { req: CallerRequest; settle: (out: ForwardResult) => void }
   >();
-  const route = makeRoute();
   const server = new CallerServer({
     originOf: () => RequestOrigin.Unknown,
     config: () =>
@@ -49,16 +64,7 @@
           }
         : undefined,
     waitForConfig: () => Promise.resolve(),
-    admission: {
-      admit: () =>
-        Promise.resolve({
-          kind: "admitted",
-          route,
-          workspace: undefined,
-          hasWorkspaces: false,
-          release: () => undefined,
-        }),
-    },
+    admission: { admit },
     dispatcher: {
       dispatch: (_route, req) =>
         new Promise((settle) => {
@@ -342,3 +348,81 @@
     );
   });
 }
+
+const refusals: readonly { status: number; more: string; expected: readonly RegExp[] }[] = [
+  { status: 401, more: "", expected: [/^HTTP\/1.1 401 /, /^www-authenticate: Bearer\r$/im] },
+  { status: 429, more: "", expected: [/^HTTP\/1.1 429 /, /^retry-after: 2\r$/im] },
+  // An earlier attempt with the key may have run, so "not run" is not known to be true.
+  { status: 429, more: "idempotency-key: k\r\n", expected: [/^HTTP\/1.1 502 /, /may-have-run/] },
+];
+
+for (const { status, more, expected } of refusals) {
+  test(`a refusal with ${status} ${more}leaves its connection usable while the body still arrives`, async (t) => {
+    const refusal = { kind: "refused", status, reason: "x", retryAfterMs: 2000 } as const;
+    const { socket, dispatched, received } = await openConnection(t, {}, true, ({ path }) =>
+      Promise.resolve(path === "/refused" ? { ...refusal, route: undefined } : admitted),
+    );
+    socket.write(`POST /refused HTTP/1.1\r\nhost: a\r\n${more}content-length: 90000\r\n\r\n`);
+    socket.write("x".repeat(1000));
+    await eventually(() => received().includes("HTTP/1.1"));
+    socket.write("x".repeat(89_000));
+    await pipeline(socket, dispatched, ["/next"]);
+    dispatched.get("/next")?.settle(done("next"));
+    await eventually(() => responsesIn(received()).length === 2);
+    expected.forEach((part) => {
+      t.regex(received(), part);
+    });
+    t.is(responsesIn(received())[1], "next");
+  });
+}
+
+test("targets are sent neither the caller's credentials nor the workspace that it claims", async (t) => {
+  const workspace = WorkspaceName("lab");
+  const { socket, dispatched } = await openConnection(t, {}, true, () =>
+    Promise.resolve({ ...admitted, workspace, hasWorkspaces: true }),
+  );
+  const claims = "Authorization: Bearer k\r\nX-Burdockpass-Workspace: other\r\nx-kept: 1\r\n";
+  socket.write(`GET /a HTTP/1.1\r\nhost: a\r\n${claims}\r\n`);
+  await eventually(() => dispatched.has("/a"));
+  const req = dispatched.get("/a")?.req;
+  t.deepEqual(req?.headers, ["host", "a", "x-kept", "1"]);
+  t.is(req?.workspace, workspace);
+});
+
+const mayHaveRun: ForwardResult = {
+  verdict: {
+    kind: "may-have-run",
+    target: TargetId("x"),
+    reason: "lost",
+    timedOut: false,
+    retryAfterMs: 0,
+  },
+  outcome: AttemptOutcome.NoResponse,
+};
+
+const credits: readonly { name: string; body: string; out?: ForwardResult; released: number }[] = [
+  { name: "has run", body: "", out: done("x"), released: 0 },
+  { name: "may have run", body: "", out: mayHaveRun, released: 0 },
+  { name: "has not run", body: "", out: notRun, released: 1 },
+  { name: "is too large", body: "xx", released: 1 },
+];
+
+for (const { name, body, out, released } of credits) {
+  test(`the credit of a request that ${name} is returned ${released} times`, async (t) => {
+    let releases = 0;
+    const release = () => (releases += 1);
+    const { socket, dispatched, received } = await openConnection(
+      t,
+      { maxBodyBytes: 1 },
+      true,
+      () => Promise.resolve({ ...admitted, release }),
+    );
+    socket.write(`POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
+    if (out) {
+      await eventually(() => dispatched.has("/a"));
+      dispatched.get("/a")?.settle(out);
+    }
+    await eventually(() => received().includes("HTTP/1.1"));
+    t.is(releases, released);
+  });
+}
--- a/src/standin/StandInTarget.ts
+++ b/src/standin/StandInTarget.ts
@@ -343,6 +343,8 @@
       service: this.#opts.service,
       path: req.url,
       tag: req.headers["x-caller-tag"] ?? null,
+      workspace: req.headers["x-burdockpass-workspace"] ?? null,
+      hasCredentials: req.headers.authorization !== undefined,
       bodyBytes: body.length,
       filler: "x".repeat(filler),
     });
