--- a/scripts/LocalFleet.ts
+++ b/scripts/LocalFleet.ts
@@ -46,6 +46,8 @@
   readonly controls: number;
   /** Addresses that a sidecar which listens at `addresses` advertises to other members; by default `addresses`. */
   readonly advertise?: (id: string, addresses: SidecarAddresses) => Promise<SidecarAddresses>;
+  /** Whether the sidecars write trace spans. */
+  readonly traces: boolean;
   /** Additional settings of every sidecar; see SidecarSettings. */
   readonly sidecarSettings?: object;
   /** Additional arguments for a stand-in that depend on its sidecar's ports. */
@@ -84,7 +86,7 @@
   #controlPorts: number[] = [];
 
   constructor(opts: Partial<FleetOptions> = {}) {
-    this.#opts = { policy: "adaptive", controls: 1, ...opts };
+    this.#opts = { policy: "adaptive", controls: 1, traces: true, ...opts };
   }
 
   /** Control replicas by id, `control-1` and so on. */
@@ -365,7 +367,7 @@
       control: this.controlAddresses,
       dataDir: join(this.dir, `sidecar-${id}`),
       bootstrap: true,
-      traceFile: join(this.dir, `trace-${id}.jsonl`),
+      ...(this.#opts.traces ? { traceFile: join(this.dir, `trace-${id}.jsonl`) } : {}),
     };
     const sidecar = await this.#startDaemon(`sidecar-${id}`, settings, ports);
     this.sidecars.set(id, sidecar);
