Encode messages by tables instead of code generated at each start, and trim libraries

Each message was also converted twice.

Schemas are now written at development time (`npm run proto`, checked by a test), and one codec writes and reads all messages by them, with the library's reader and writer. Fields with default values are no longer sent. Property tests compare it with the library for every message, in both directions. Parts of most, prom-client and proto-loader that are never used are left out of the programs.

--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -1,5 +1,4 @@
-import { cpSync, rmSync } from "node:fs";
-import { join } from "node:path";
+import { rmSync } from "node:fs";
 import { fileURLToPath } from "node:url";
 import { build, type BuildOptions } from "esbuild";
 import { trimLibraries } from "./trimLibraries.ts";
@@ -36,10 +35,9 @@
 };
 
 /**
- * Compiles each program into one file, `NAME.program.js`, with a launcher, `NAME.cjs`, that runs it, and copies the
- * protocol definitions to the same directory, `outDir`, whose previous contents are removed. A process then reads one
- * file at its start instead of a thousand, and needs no compiler. The output is CommonJS, since Node has no way to use
- * a code cache for an ES module.
+ * Compiles each program into one file, `NAME.program.js`, with a launcher, `NAME.cjs`, that runs it, in the directory
+ * `outDir`, whose previous contents are removed. A process then reads one file at its start instead of a thousand, and
+ * needs no compiler. The output is CommonJS, since Node has no way to use a code cache for an ES module.
  */
 export async function bundle(
   outDir: string,
@@ -58,5 +56,4 @@
       outExtension: { ".js": ".cjs" },
     }),
   ]);
-  cpSync(join(ROOT, "proto"), join(outDir, "proto"), { recursive: true });
 }
--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -1,6 +1,6 @@
 /**
- * Types of the plain objects that proto-loader produces for the messages of
- * `proto/burdockpass.proto` (keepCase, longs as numbers, defaults filled in).
+ * Types of the plain objects that MessageCodec produces for the messages of
+ * `proto/burdockpass.proto` (64-bit integers as numbers, defaults filled in).
  * Maintained by hand: update it whenever that file changes.
  */
 export interface ProtoTypes {
--- a/src/common/rpc/datagramCodec.ts
+++ b/src/common/rpc/datagramCodec.ts
@@ -1,26 +1,19 @@
-import type * as grpc from "@grpc/grpc-js";
-import { loadProto } from "./loadProto.ts";
+import { BURDOCKPASS_SCHEMA } from "./proto/BURDOCKPASS_SCHEMA.ts";
+import { MessageCodec } from "./proto/MessageCodec.ts";
 import type { ProtoTypes } from "./ProtoTypes.ts";
 
 type Datagram = ProtoTypes["Datagram"];
 
-let sendMethod: grpc.MethodDefinition<Datagram, Datagram> | undefined;
-
-/** The method definition whose serializers encode and decode datagrams, loaded on first use. */
-function loadSendMethod(): grpc.MethodDefinition<Datagram, Datagram> {
-  const { service } = loadProto().Datagrams as grpc.ServiceClientConstructor;
-  sendMethod ??= service.Send as grpc.MethodDefinition<Datagram, Datagram>;
-  return sendMethod;
-}
+const codec = new MessageCodec(BURDOCKPASS_SCHEMA);
 
 /** Encodes and decodes datagrams, as defined in `proto/burdockpass.proto`. */
 export const datagramCodec = {
-  encode: (message: Datagram): Buffer => loadSendMethod().requestSerialize(message),
+  encode: (message: Datagram): Buffer => codec.encode("Datagram", message),
 
   /** Returns undefined for bytes that cannot be decoded as a datagram. */
   decode: (bytes: Buffer): Datagram | undefined => {
     try {
-      return loadSendMethod().requestDeserialize(bytes);
+      return codec.decode("Datagram", bytes) as Datagram;
     } catch {
       return undefined;
     }
--- a/src/common/rpc/loadProto.ts
+++ b/src/common/rpc/loadProto.ts
@@ -1,38 +1,56 @@
-import { existsSync } from "node:fs";
-import { fileURLToPath } from "node:url";
 import * as grpc from "@grpc/grpc-js";
-import * as protoLoader from "@grpc/proto-loader";
+import { BURDOCKPASS_SCHEMA } from "./proto/BURDOCKPASS_SCHEMA.ts";
+import { MessageCodec } from "./proto/MessageCodec.ts";
+import type { ProtoSchema } from "./proto/ProtoSchema.ts";
+import { REPLICA_SCHEMA } from "./proto/REPLICA_SCHEMA.ts";
 
-/** The .proto files of the repository, and the gRPC package that each defines. */
-const FILES = {
-  /** Messages between members, and from sidecars and the CLI to control; fields keep their proto names. */
-  v1: { file: "burdockpass.proto", path: ["burdockpass", "v1"], keepCase: true },
-  /** Messages between control replicas; fields are in camel case, as in `ReplicaProto`. */
-  replica: { file: "replica.proto", path: ["burdockpass", "replica", "v1"], keepCase: false },
-} as const;
+/** The gRPC packages of burdockpass: of all members, and of the control replicas among themselves. */
+const SCHEMAS = { v1: BURDOCKPASS_SCHEMA, replica: REPLICA_SCHEMA } as const;
 
-const loaded = new Map<string, grpc.GrpcObject>();
+/** The services of each package. */
+interface Packages {
+  readonly v1: Readonly<Record<"Control" | "Peer", grpc.ServiceClientConstructor>>;
+  readonly replica: Readonly<Record<"Replica", grpc.ServiceClientConstructor>>;
+}
+
+const loaded = new Map<string, Packages[keyof Packages]>();
 
-/** Returns a gRPC package of burdockpass, loaded from its .proto file on first use. */
-export function loadProto(name: keyof typeof FILES = "v1"): grpc.GrpcObject {
-  let pkg = loaded.get(name);
+/** Returns the services of a gRPC package, by name. */
+export function loadProto<K extends keyof Packages = "v1">(name = "v1" as K): Packages[K] {
+  let pkg = loaded.get(name) as Packages[K] | undefined;
   if (!pkg) {
-    const { file, path, keepCase } = FILES[name];
-    const options = { keepCase, longs: Number, defaults: true, arrays: true };
-    const def = protoLoader.loadSync(protoPath(file), options);
-    pkg = path.reduce(
-      (scope, part) => scope[part] as grpc.GrpcObject,
-      grpc.loadPackageDefinition(def),
-    );
+    pkg = createPackage(SCHEMAS[name]) as Packages[K];
     loaded.set(name, pkg);
   }
   return pkg;
 }
 
-/** Compiled programs have the .proto files next to them; when run from source, they are at the repository's root. */
-function protoPath(file: string): string {
-  const bundled = fileURLToPath(new URL(`./proto/${file}`, import.meta.url));
-  return existsSync(bundled)
-    ? bundled
-    : fileURLToPath(new URL(`../../../proto/${file}`, import.meta.url));
+function createPackage(schema: ProtoSchema): Record<string, grpc.ServiceClientConstructor> {
+  const codec = new MessageCodec(schema);
+  const services = Object.entries(schema.services).map(([service, methods]) => {
+    const definition = Object.fromEntries(
+      methods.map((method) => [
+        method.name,
+        methodDefinition(codec, `${schema.package}.${service}`, method),
+      ]),
+    );
+    return [service, grpc.makeGenericClientConstructor(definition, service)] as const;
+  });
+  return Object.fromEntries(services);
+}
+
+function methodDefinition(
+  codec: MessageCodec,
+  service: string,
+  { name, request, response, streamsResponse }: ProtoSchema["services"][string][number],
+): grpc.MethodDefinition<object, object> {
+  return {
+    path: `/${service}/${name}`,
+    requestStream: false,
+    responseStream: streamsResponse,
+    requestSerialize: (message) => codec.encode(request, message),
+    requestDeserialize: (bytes) => codec.decode(request, bytes),
+    responseSerialize: (message) => codec.encode(response, message),
+    responseDeserialize: (bytes) => codec.decode(response, bytes),
+  };
 }
--- a/src/control/ControlRole.ts
+++ b/src/control/ControlRole.ts
@@ -99,19 +99,13 @@
     const watchers = new DocumentWatchers(replica);
     const quotas = this.#createQuotas(replica);
     const proto = loadProto();
-    const peerService = (proto.Peer as grpc.ServiceClientConstructor).service;
+    const peerService = proto.Peer.service;
     const link = new DatagramLink(SystemClock, () => undefined);
     const clients = this.register(new PeerClients(peerService));
     const membership = this.#createMembership(replica, new NetworkPeers(clients, link));
     const server = new grpc.Server();
-    server.addService(
-      (proto.Control as grpc.ServiceClientConstructor).service,
-      controlHandlers(service, watchers),
-    );
-    server.addService(
-      (loadProto("replica").Replica as grpc.ServiceClientConstructor).service,
-      replicaHandlers(replica),
-    );
+    server.addService(proto.Control.service, controlHandlers(service, watchers));
+    server.addService(loadProto("replica").Replica.service, replicaHandlers(replica));
     server.addService(
       peerService,
       peerHandlers(membership, {
--- a/src/control/link/GrpcReplicaLink.ts
+++ b/src/control/link/GrpcReplicaLink.ts
@@ -25,7 +25,7 @@
 
 /** A {@link ReplicaLink} over gRPC, with one connection to each replica. */
 export class GrpcReplicaLink implements ReplicaLink, IDisposable {
-  readonly #clientClass = loadProto("replica").Replica as grpc.ServiceClientConstructor;
+  readonly #clientClass = loadProto("replica").Replica;
   readonly #clients = new Map<string, ReconnectingClient<ReplicaClient>>();
 
   send(address: string, req: ReplicaRequest, onReply: (reply: ReplicaReply) => void): void {
--- a/src/control/link/ReplicaProto.ts
+++ b/src/control/link/ReplicaProto.ts
@@ -1,7 +1,7 @@
 import type { Voter } from "../log/Voter.ts";
 
 /**
- * Types of the plain objects that proto-loader produces for `proto/replica.proto` (camel
+ * Types of the plain objects that MessageCodec produces for `proto/replica.proto` (camel
  * case, longs as numbers, defaults filled in). They have to be kept in step with it by hand.
  */
 export interface ReplicaProto {
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -139,7 +139,7 @@
       version: () => configFollower.version,
       elapsed: () => elapsed.now(),
     });
-    const { service } = loadProto().Peer as grpc.ServiceClientConstructor;
+    const { service } = loadProto().Peer;
     const peerService = meterService(service, onMessageSize);
     const clients = this.register(new PeerClients(peerService));
     const link = this.register(new DatagramLink(SystemClock, onMessageSize));
--- a/test/blockedEventLoop.test.ts
+++ b/test/blockedEventLoop.test.ts
@@ -364,7 +364,7 @@
     name: "a gRPC reply",
     timeoutMs: 400,
     request: async ({ grpcPort }, timeoutMs) => {
-      const Peer = loadProto().Peer as grpc.ServiceClientConstructor;
+      const Peer = loadProto().Peer;
       const credentials = grpc.credentials.createInsecure();
       const client = new Peer(`127.0.0.1:${grpcPort}`, credentials) as unknown as PeerClient;
       const req = { key: "k", attempt: "a", record: null };
--- a/test/slowLink.test.ts
+++ b/test/slowLink.test.ts
@@ -59,7 +59,7 @@
   const watchers = new DocumentWatchers(replica);
   const server = new grpc.Server();
   server.addService(
-    (loadProto().Control as grpc.ServiceClientConstructor).service,
+    loadProto().Control.service,
     controlHandlers({} as unknown as ControlService, watchers),
   );
   const started = await startGrpcServer(server, "127.0.0.1:0", 0);
@@ -147,7 +147,7 @@
 });
 
 test("a sidecar joins through a seed to which a connection takes longer than the timeout of a call", async (t) => {
-  const { service } = loadProto().Peer as grpc.ServiceClientConstructor;
+  const { service } = loadProto().Peer;
   const server = new grpc.Server();
   const sync: grpc.handleUnaryCall<unknown, unknown> = (_call, cb) => {
     cb(null, { members: [] });
