--- a/src/standin/StandInTarget.ts
+++ b/src/standin/StandInTarget.ts
@@ -78,6 +78,8 @@
   #nestedCallCount = 0;
   #lastResponse: SentResponse | undefined;
   readonly #journal: WorkJournal;
+  /** Headers of all responses to requests and health checks, such as a limit that the target names. */
+  #addedHeaders: Readonly<Record<string, string | string[]>> = {};
 
   constructor(opts: StandInOptions) {
     this.#opts = opts;
@@ -178,6 +180,7 @@
       res.end(JSON.stringify(this.#arrivals));
     } else if (url === "/_standin/health") {
       await sleep(HEALTH_CHECK_WORK_MS);
+      this.#addHeaders(res);
       res.statusCode = this.#reportsHealthy() ? 200 : 503;
       res.end(JSON.stringify({ inFlight: this.#inFlight, slots: this.#opts.slots }));
     } else if (url === "/_standin/fault" && req.method === "POST") {
@@ -203,12 +206,21 @@
       this.#drainedAt = Date.now();
       this.#announce();
       res.end(JSON.stringify({ draining: true }));
+    } else if (url === "/_standin/headers" && req.method === "POST") {
+      this.#addedHeaders = JSON.parse(await readText(req)) as Record<string, string | string[]>;
+      res.end(JSON.stringify(this.#addedHeaders));
     } else {
       res.statusCode = 404;
       res.end("{}");
     }
   }
 
+  #addHeaders(res: ServerResponse): void {
+    for (const [name, value] of Object.entries(this.#addedHeaders)) {
+      res.setHeader(name, value);
+    }
+  }
+
   /** Health that the endpoint reports: the state `healthLagMs` ago, or always healthy with `alwaysReportsHealthy`. */
   #reportsHealthy(): boolean {
     if (this.#mode === FaultMode.HealthBad) {
@@ -241,6 +253,7 @@
     ) {
       return; // Never responds; the socket stays open until the caller gives up.
     }
+    this.#addHeaders(res);
     const shedReason = this.#shedReason();
     if (shedReason !== undefined) {
       this.#journal.record(tag, "shed");
@@ -268,6 +281,7 @@
         // setTimeout(0) still costs about 1 ms; a zero work time must add nothing.
         await sleep(sleepMs);
       }
+      this.#addHeaders(res);
       // Work cut short by the deadline is not complete, even if the timer fires slightly early.
       if (run.cancelled || workMs > remainingMs || performance.now() >= deadline) {
         // Cancelled or past its deadline before the effect: reported as not run.
