--- /dev/null
+++ b/src/sidecar/gate/AdmissionRule.ts
@@ -0,0 +1,89 @@
+import type { Clock } from "../../common/lifecycle/Clock.ts";
+import type { HealthDetector } from "../detection/HealthDetector.ts";
+import { RefusalReason } from "../hop/RefusalReason.ts";
+import type { SlotRequest } from "../hop/SlotRequest.ts";
+import type { DemandPublisher } from "./DemandPublisher.ts";
+import type { GatedTarget } from "./GatedTarget.ts";
+import type { ServiceTime } from "./ServiceTime.ts";
+import type { SlotTable } from "./SlotTable.ts";
+
+interface AdmissionRuleDeps {
+  /** The target as last announced; undefined if it is gone. */
+  readonly target: () => GatedTarget | undefined;
+  readonly detector: Pick<HealthDetector, "admits">;
+  readonly slots: Pick<SlotTable, "probes">;
+  readonly demand: Pick<DemandPublisher, "accepts">;
+  readonly serviceTime: ServiceTime;
+  readonly clock: Clock;
+}
+
+/**
+ * Decides which slot requests a gate refuses, by the state of its target, the end of the sidecar, the target's health
+ * and the expected wait.
+ */
+export class AdmissionRule {
+  readonly #deps: AdmissionRuleDeps;
+  #isClosed = false;
+  /** When the sidecar exits, by the clock, ms; runs have to end before. */
+  #shutdownAt = Infinity;
+
+  constructor(deps: AdmissionRuleDeps) {
+    this.#deps = deps;
+  }
+
+  /** Time until the sidecar exits, ms; undefined unless it is being stopped. */
+  get endsInMs(): number | undefined {
+    return this.#shutdownAt < Infinity ? this.#shutdownAt - this.#deps.clock.now() : undefined;
+  }
+
+  /** Whether all requests are refused. */
+  get isClosed(): boolean {
+    return this.#isClosed;
+  }
+
+  /** Whether the target accepts requests, and the sidecar is not being stopped. */
+  get isOpen(): boolean {
+    return this.#deps.target()?.acceptsRequests === true && this.#shutdownAt === Infinity;
+  }
+
+  /** Refuses requests whose runs are not expected to end before `endAt` (ms, by the clock). */
+  closeBy(endAt: number): void {
+    this.#shutdownAt = endAt;
+  }
+
+  /** Refuses all requests. */
+  close(): void {
+    this.#isClosed = true;
+  }
+
+  /**
+   * Why a request cannot be granted now or later; undefined if it can.
+   *
+   * @param request the request, with the time that remains for it now
+   * @param waitMs its expected wait for a slot, ms
+   */
+  refusalReason(request: SlotRequest, waitMs: number): RefusalReason | undefined {
+    const { serviceTime, clock } = this.#deps;
+    const target = this.#deps.target();
+    if (!target) {
+      return RefusalReason.NoTarget;
+    }
+    const endsTooSoon = clock.now() + waitMs + serviceTime.allowanceMs(request) > this.#shutdownAt;
+    if (this.#isClosed || !target.acceptsRequests || endsTooSoon) {
+      return RefusalReason.Leaving;
+    }
+    if (!this.#admits(request)) {
+      return RefusalReason.Suspect;
+    }
+    const isTooLate = waitMs > 0 && waitMs + serviceTime.meanMs > request.remainingMs;
+    return isTooLate ? RefusalReason.Full : undefined;
+  }
+
+  /** Whether the target's health admits the request, or it has been idle for so long that any request may test it. */
+  #admits(request: SlotRequest): boolean {
+    const { slots, demand, detector } = this.#deps;
+    const { probes } = slots;
+    const isTest = probes === 0 && demand.accepts(request.isIdempotent);
+    return isTest || detector.admits(request, probes);
+  }
+}
--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -8,21 +8,16 @@
 import { grantTtlMs } from "../hop/grantTtlMs.ts";
 import { RefusalReason } from "../hop/RefusalReason.ts";
 import { AdmissionQueue } from "./AdmissionQueue.ts";
+import { AdmissionRule } from "./AdmissionRule.ts";
+import { DemandPublisher } from "./DemandPublisher.ts";
 import { GateActivity, type IdlePeriod } from "./GateActivity.ts";
+import type { GatedTarget } from "./GatedTarget.ts";
 import type { GrantIds } from "./GrantIds.ts";
-import { RefusalBackoff } from "./RefusalBackoff.ts";
-import { runAllowanceMs } from "./runAllowanceMs.ts";
-import { SlotTable } from "./SlotTable.ts";
-import { WorkDemand } from "./WorkDemand.ts";
+import { GrantPacer } from "./GrantPacer.ts";
 import type { QueuedRequest } from "./QueuedRequest.ts";
-
-/** The properties of the target that the gate uses. */
-interface GatedTarget {
-  /** Number of requests that the target can run at once. */
-  readonly slots: number;
-  /** Whether the target accepts new requests: it is ready and not leaving. */
-  readonly acceptsRequests: boolean;
-}
+import { ServiceTime } from "./ServiceTime.ts";
+import { SlotTable } from "./SlotTable.ts";
+import { TargetHealth } from "./TargetHealth.ts";
 
 interface GateDeps {
   /** The target as last announced; undefined if it is gone. */
@@ -63,15 +58,6 @@
  */
 const OVERDUE_FACTOR = 3;
 
-/** Interval at which a target's demand for work is published again while it lasts, ms. */
-const DEMAND_REPEAT_MS = 500;
-
-/** Smoothing factor of the mean service time, an exponential moving average over about the last ten runs. */
-const SERVICE_TIME_SMOOTHING = 0.1;
-
-/** Mean service time assumed before any request has run, ms. */
-const INITIAL_SERVICE_MS = 300;
-
 /** Outcomes of runs that a target has failed. */
 const FAILURES = new Set([
   AttemptOutcome.Failed,
@@ -106,27 +92,38 @@
   readonly #queue: AdmissionQueue;
   readonly #slots: SlotTable;
   readonly #activity: GateActivity;
-  readonly #demand: WorkDemand;
-  readonly #backoff: RefusalBackoff;
-  /** Whether slots are free, but the next grant is delayed. */
-  #isBackingOff = false;
-  /** When the demand for work was last published, by the clock, ms; undefined while there is none. */
-  #demandPublishedAt: number | undefined;
-  #isDemandReported = false;
+  readonly #demand: DemandPublisher;
+  readonly #health: TargetHealth;
+  readonly #pacer: GrantPacer;
+  readonly #serviceTime = new ServiceTime();
+  readonly #rule: AdmissionRule;
   readonly #retired = new AbortController();
   #reevaluatedAt = -Infinity;
-  #serviceMs = INITIAL_SERVICE_MS;
-  #closed = false;
-  /** When the sidecar exits, by the gate's clock, ms; runs have to end before. */
-  #shutdownAt = Infinity;
 
   constructor(deps: GateDeps) {
     this.#deps = deps;
     this.#queue = new AdmissionQueue(deps.order);
     this.#slots = new SlotTable(deps.clock);
     this.#activity = new GateActivity(deps.clock);
-    this.#demand = new WorkDemand(deps.clock);
-    this.#backoff = new RefusalBackoff(deps.clock);
+    this.#pacer = new GrantPacer(deps.clock);
+    this.#demand = new DemandPublisher({
+      clock: deps.clock,
+      mayGrant: () => this.#rule.isOpen && this.#mayGrant,
+      onChange: () => {
+        deps.onDemandChange?.(this.load);
+      },
+      onDemand: deps.onDemand,
+    });
+    const { target, detector, clock } = deps;
+    const [slots, demand, serviceTime] = [this.#slots, this.#demand, this.#serviceTime];
+    this.#rule = new AdmissionRule({ target, detector, slots, demand, serviceTime, clock });
+    this.#health = new TargetHealth({
+      detector: deps.detector,
+      onChange: () => {
+        this.reevaluateQueue();
+        deps.onHealthChange?.(this.load);
+      },
+    });
   }
 
   /** Current load and health of the target. */
@@ -136,14 +133,14 @@
       slots: this.#deps.target()?.slots ?? 0,
       busy: this.#slots.size,
       queued: this.#queue.length,
-      serviceMs: Math.round(this.#serviceMs),
+      serviceMs: Math.round(this.#serviceTime.meanMs),
       pace: detector.pace,
       risk: Math.round(detector.risk * 1000) / 1000,
       suspect: detector.isSuspect,
       ejected: detector.isEjected,
       probeInMs: detector.probeInMs(this.#slots.probes),
-      wantsWork: this.#wantsWork,
-      endsInMs: this.#shutdownAt < Infinity ? this.#shutdownAt - this.#deps.clock.now() : undefined,
+      wantsWork: this.#demand.wantsWork,
+      endsInMs: this.#rule.endsInMs,
     };
   }
 
@@ -171,12 +168,12 @@
       return { isQueued: false, withdraw: () => undefined };
     }
     if (this.#hasIdleSlot) {
-      this.#queue.recordGrant(waiting, waiting.receivedAt, this.#serviceMs);
+      this.#queue.recordGrant(waiting, waiting.receivedAt, this.#serviceTime.meanMs);
       this.#grant(request, onReply);
       return { isQueued: false, withdraw: revoke };
     }
     this.#queue.add(waiting, onReply);
-    this.#awaitBackoff();
+    this.#resumeWhenDue();
     return {
       isQueued: true,
       withdraw: () => {
@@ -198,15 +195,13 @@
   redeem(grant: GrantId): SlotRequest | undefined {
     const redeemed = this.#slots.redeem(
       grant,
-      (request) => this.#typicalRunMs(request) * OVERDUE_FACTOR,
+      (request) => this.#serviceTime.typicalMs(request) * OVERDUE_FACTOR,
       (since) => this.#reportOverdue(since),
     );
     if (redeemed) {
-      this.#backoff.recordStart();
+      this.#pacer.recordStart();
       this.#activity.recordRun();
       this.#demand.recordStart();
-      this.#isDemandReported = false;
-      this.updateDemand();
     }
     return redeemed;
   }
@@ -219,9 +214,7 @@
     if (this.#deps.mayAwaitNestedCall?.(since)) {
       return false;
     }
-    this.#updateDetector(() => {
-      this.#deps.detector.recordOverdue(this.#deps.clock.now() - since);
-    });
+    this.#health.recordOverdue(this.#deps.clock.now() - since);
     return true;
   }
 
@@ -233,35 +226,20 @@
     }
     const { request, ms, wasOverdue } = ended;
     if (outcome === AttemptOutcome.Shed) {
-      this.#backoff.recordRefusal();
+      this.#pacer.recordRefusal();
     } else if (ACCEPTED.has(outcome)) {
-      this.#backoff.recordAccepted();
+      this.#pacer.recordAccepted();
     }
     this.#activity.recordRun();
     if (FAILURES.has(outcome)) {
       this.#demand.recordFailure();
     }
-    // A run that was overdue and then timed out counts as a single observation.
-    if (!(wasOverdue && outcome === AttemptOutcome.TimedOut)) {
-      this.#updateDetector(() => {
-        this.#deps.detector.recordOutcome(outcome, ms, request.typicalMs);
-      });
-    }
-    this.#updateServiceMs(ms);
+    this.#health.recordEnd({ outcome, ms, typicalMs: request.typicalMs, wasOverdue });
+    this.#serviceTime.record(ms);
     this.#grantFreeSlots();
     this.#refuseUnservable();
   }
 
-  /** Updates the detector, and evaluates the queue again if the health state of the target has changed. */
-  #updateDetector(update: () => void): void {
-    const before = this.#health;
-    update();
-    if (this.#health !== before) {
-      this.reevaluateQueue();
-      this.#deps.onHealthChange?.(this.load);
-    }
-  }
-
   /** Whether a grant is neither used nor expired. */
   isPending(grant: GrantId): boolean {
     return this.#slots.isPending(grant);
@@ -269,23 +247,7 @@
 
   /** Publishes the load when the target begins to want work, while it does, and when it no longer does. */
   updateDemand(): void {
-    const now = this.#deps.clock.now();
-    const wantsWork = this.#wantsWork;
-    const hadDemand = this.#demandPublishedAt !== undefined;
-    const isDue = now - (this.#demandPublishedAt ?? -Infinity) >= DEMAND_REPEAT_MS;
-    if (wantsWork && this.#demand.isServiceFailing && !this.#isDemandReported) {
-      this.#isDemandReported = true;
-      this.#deps.onDemand?.(this.#demand.unservedShare);
-    }
-    if (wantsWork ? isDue : hadDemand) {
-      this.#demandPublishedAt = wantsWork ? now : undefined;
-      this.#deps.onDemandChange?.(this.load);
-    }
-  }
-
-  get #wantsWork(): boolean {
-    const isOpen = this.#deps.target()?.acceptsRequests === true && this.#shutdownAt === Infinity;
-    return isOpen && this.#mayGrant && this.#demand.isActive;
+    this.#demand.update();
   }
 
   /** A report on the time that a ready target has been idle, when one is due; undefined otherwise. */
@@ -299,11 +261,6 @@
     return this.#slots.size > 0;
   }
 
-  get #health(): "ejected" | "suspect" | "well" {
-    const { detector } = this.#deps;
-    return detector.isEjected ? "ejected" : detector.isSuspect ? "suspect" : "well";
-  }
-
   /** Evaluates the queue again: the target or its health state has changed, or it has appeared or is leaving. */
   reevaluateQueue(): void {
     this.#reevaluatedAt = -Infinity;
@@ -333,7 +290,7 @@
    * closed at the signal, healthy targets would be idle during a rolling restart while the others lack capacity.
    */
   closeBy(endAt: number): void {
-    this.#shutdownAt = endAt;
+    this.#rule.closeBy(endAt);
     this.reevaluateQueue();
     this.#deps.onHealthChange?.(this.load);
     this.#reevaluateUntilShutdown();
@@ -341,7 +298,7 @@
 
   /** Evaluates the queue periodically until the sidecar exits, also while no run ends. */
   #reevaluateUntilShutdown(): void {
-    if (!this.#closed && this.#deps.clock.now() < this.#shutdownAt) {
+    if (!this.#rule.isClosed && (this.#rule.endsInMs ?? 0) > 0) {
       this.#refuseUnservable();
       this.#deps.clock.after(SHUTDOWN_REEVALUATION_MS, () => {
         this.#reevaluateUntilShutdown();
@@ -351,7 +308,7 @@
 
   /** Refuses all further slot requests and the queued ones. Runs in progress continue. */
   close(): void {
-    this.#closed = true;
+    this.#rule.close();
     this.reevaluateQueue();
   }
 
@@ -384,48 +341,18 @@
 
   /** Why a request, queued or new, cannot be granted now or later; undefined if it can. */
   #refusalReason(waiting: QueuedRequest): RefusalReason | undefined {
-    const { request, receivedAt } = waiting;
-    const target = this.#deps.target();
-    if (!target) {
-      return RefusalReason.NoTarget;
-    }
-    const now = this.#deps.clock.now();
-    const remainingMs = request.remainingMs - (now - receivedAt);
-    const waitMs = this.#waitMs(waiting);
-    const endsTooSoon =
-      now + waitMs + this.#runAllowanceMs({ ...request, remainingMs }) > this.#shutdownAt;
-    if (this.#closed || !target.acceptsRequests || endsTooSoon) {
-      return RefusalReason.Leaving;
-    }
-    if (!this.#admits(request)) {
-      return RefusalReason.Suspect;
-    }
-    return waitMs > 0 && waitMs + this.#serviceMs > remainingMs ? RefusalReason.Full : undefined;
+    return this.#rule.refusalReason(this.#current(waiting), this.#waitMs(waiting));
   }
 
-  /** Whether the target's health admits the request, or it has been idle for so long that any request may test it. */
-  #admits(request: SlotRequest): boolean {
-    const { probes } = this.#slots;
-    const isTest = probes === 0 && this.#demand.accepts(request.isIdempotent);
-    return isTest || this.#deps.detector.admits(request, probes);
-  }
-
-  /** Time to reserve for a run before this sidecar exits, ms; at most until its deadline, when it ends anyway. */
-  #runAllowanceMs(request: SlotRequest): number {
-    return Math.min(
-      request.remainingMs,
-      runAllowanceMs(this.#typicalRunMs(request), request.isRetryable),
-    );
-  }
-
-  /** Typical time of a run of the request, or the mean service time if that is unknown, ms. */
-  #typicalRunMs({ typicalMs }: SlotRequest): number {
-    return typicalMs > 0 ? typicalMs : this.#serviceMs;
+  /** The request with the time that remains for it now. */
+  #current({ request, receivedAt }: QueuedRequest): SlotRequest {
+    const waitedMs = this.#deps.clock.now() - receivedAt;
+    return { ...request, remainingMs: request.remainingMs - waitedMs };
   }
 
   /** Whether a slot is free, and the target does not refuse what it is sent. */
   get #mayGrant(): boolean {
-    return this.#freeSlots > 0 && this.#backoff.waitMs === 0;
+    return this.#freeSlots > 0 && this.#pacer.waitMs === 0;
   }
 
   /** Whether a slot may be granted and no request is queued. */
@@ -438,9 +365,9 @@
     if (this.#hasIdleSlot) {
       return 0;
     }
-    const pace = { slots: this.#deps.target()?.slots ?? 1, serviceMs: this.#serviceMs };
+    const pace = { slots: this.#deps.target()?.slots ?? 1, serviceMs: this.#serviceTime.meanMs };
     const queueMs = this.#queue.waitMs(waiting, this.#deps.clock.now(), pace);
-    return Math.max(queueMs, this.#backoff.waitMs);
+    return Math.max(queueMs, this.#pacer.waitMs);
   }
 
   #refuse(reason: RefusalReason, waiting: QueuedRequest): SlotReply {
@@ -457,7 +384,7 @@
     const { grants, detector } = this.#deps;
     const grant = grants.next();
     const isProbe = detector.isSuspect && detector.risk > request.acceptsRisk;
-    this.#backoff.recordGrant();
+    this.#pacer.recordGrant();
     const grantMs = grantTtlMs(request.bodyBytes);
     this.#slots.grant(grant, request, isProbe, grantMs, () => {
       this.revoke(grant);
@@ -477,48 +404,36 @@
   /** Grants the free slots to queued requests, in order. */
   #grantFreeSlots(): void {
     while (this.#mayGrant) {
-      const dequeued = this.#queue.dequeue(this.#deps.clock.now(), this.#serviceMs);
+      const dequeued = this.#queue.dequeue(this.#deps.clock.now(), this.#serviceTime.meanMs);
       if (!dequeued) {
         return;
       }
       this.#grantOrRefuse(dequeued);
     }
-    this.#awaitBackoff();
+    this.#resumeWhenDue();
   }
 
   /** Continues to grant slots once the target may be sent the next request. */
-  #awaitBackoff(): void {
-    const { waitMs } = this.#backoff;
-    const isDelayed = waitMs > 0 && this.#queue.length > 0 && this.#freeSlots > 0;
-    if (this.#isBackingOff || !isDelayed) {
-      return;
+  #resumeWhenDue(): void {
+    if (this.#queue.length > 0 && this.#freeSlots > 0) {
+      this.#pacer.resumeWhenDue(() => {
+        this.#grantFreeSlots();
+      });
     }
-    this.#isBackingOff = true;
-    this.#deps.clock.after(waitMs, () => {
-      this.#isBackingOff = false;
-      this.#grantFreeSlots();
-    });
   }
 
   /** Grants a slot to a dequeued request, or refuses it if it can no longer be served. */
   #grantOrRefuse({ waiting, reply }: NonNullable<ReturnType<AdmissionQueue["dequeue"]>>): void {
-    const now = this.#deps.clock.now();
-    const remainingMs = waiting.request.remainingMs - (now - waiting.receivedAt);
-    const current = { ...waiting.request, remainingMs };
-    if (!reply || remainingMs <= 0) {
+    const current = this.#current(waiting);
+    if (!reply || current.remainingMs <= 0) {
       return; // The sender has given up by its own clock.
     }
-    if (now + this.#runAllowanceMs(current) > this.#shutdownAt) {
-      reply(this.#refuse(RefusalReason.Leaving, waiting));
-    } else if (!this.#admits(current)) {
-      reply(this.#refuse(RefusalReason.Suspect, waiting));
+    const refusal = this.#rule.refusalReason(current, 0);
+    if (refusal !== undefined) {
+      reply(this.#refuse(refusal, waiting));
     } else {
-      this.#queue.recordGrant(waiting, now, this.#serviceMs);
+      this.#queue.recordGrant(waiting, this.#deps.clock.now(), this.#serviceTime.meanMs);
       this.#grant(current, reply);
     }
   }
-
-  #updateServiceMs(ms: number): void {
-    this.#serviceMs += SERVICE_TIME_SMOOTHING * (ms - this.#serviceMs);
-  }
 }
