--- a/src/cli/explain/explainRequest.ts
+++ b/src/cli/explain/explainRequest.ts
@@ -11,6 +11,8 @@
   "another target answers at this address",
   "target ended",
   "target wants work",
+  "target limit",
+  "target has said",
   "request suspected",
   "request quarantined",
   "suspicion lifted",
--- a/src/control/quota/TokenBucket.ts
+++ b/src/common/rates/TokenBucket.ts
@@ -24,16 +24,22 @@
     return true;
   }
 
+  /** Takes a token even if there is none: what it stands for can no longer be prevented. */
+  spend(limits: BucketLimits, now: number): void {
+    this.#fill(limits, now);
+    this.#level -= 1;
+  }
+
   /** Puts a token back that was taken and not used. */
   putBack(limits: BucketLimits, now: number): void {
     this.#level += 1;
     this.#fill(limits, now);
   }
 
-  /** Time until a token can be taken, ms. */
-  waitMs(limits: BucketLimits, now: number): number {
+  /** Time until `tokens` can be taken, ms. */
+  waitMs(limits: BucketLimits, now: number, tokens = 1): number {
     this.#fill(limits, now);
-    return Math.max(0, ((1 - this.#level) / limits.ratePerS) * 1000);
+    return Math.max(0, ((tokens - this.#level) / limits.ratePerS) * 1000);
   }
 
   /** Whether no token has been taken for so long that the bucket is full. */
--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -64,6 +64,7 @@
     body: number;
     idempotent: boolean;
     unserved: number;
+    limit: number;
   };
   SlotReply: {
     grant: string;
@@ -84,6 +85,8 @@
     probe_in: number;
     ends_in: number;
     wants_work: boolean;
+    limit: number;
+    limit_wait: number;
   };
   Target: {
     target_id: string;
--- a/src/common/rpc/proto/BURDOCKPASS_SCHEMA.ts
+++ b/src/common/rpc/proto/BURDOCKPASS_SCHEMA.ts
@@ -80,6 +80,7 @@
       { name: "body", id: 12, type: "uint64" },
       { name: "idempotent", id: 13, type: "bool" },
       { name: "unserved", id: 14, type: "uint32" },
+      { name: "limit", id: 15, type: "uint64" },
     ],
     SlotReply: [
       { name: "grant", id: 1, type: "string" },
@@ -103,6 +104,8 @@
       { name: "probe_in", id: 9, type: "uint32" },
       { name: "ends_in", id: 10, type: "uint32" },
       { name: "wants_work", id: 11, type: "bool" },
+      { name: "limit", id: 12, type: "uint64" },
+      { name: "limit_wait", id: 13, type: "uint32" },
     ],
     ConfigVersions: [{ name: "versions", id: 1, type: "ConfigVersion", repeated: true }],
     KeyedRecord: [
--- a/src/control/quota/WorkspaceQuotas.ts
+++ b/src/control/quota/WorkspaceQuotas.ts
@@ -2,12 +2,12 @@
 import type { Workspace } from "../../common/document/Workspace.ts";
 import type { QuotaTolerance } from "../../common/settings/QuotaTolerance.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
-import type { BucketLimits } from "./BucketLimits.ts";
+import type { BucketLimits } from "../../common/rates/BucketLimits.ts";
 import type { CreditOutcome } from "../../common/rpc/CreditOutcome.ts";
 import { RecentCount } from "./RecentCount.ts";
 import { quotaShare } from "./quotaShare.ts";
 import type { ShareHolders } from "./ShareHolders.ts";
-import { TokenBucket } from "./TokenBucket.ts";
+import { TokenBucket } from "../../common/rates/TokenBucket.ts";
 
 /** Interval at which the state of workspaces whose buckets are full again is dropped, ms. */
 const SWEEP_MS = 10_000;
--- a/src/control/quota/quotaShare.ts
+++ b/src/control/quota/quotaShare.ts
@@ -1,6 +1,6 @@
 import { hash32 } from "../../common/hash32.ts";
 import type { QuotaTolerance } from "../../common/settings/QuotaTolerance.ts";
-import type { BucketLimits } from "./BucketLimits.ts";
+import type { BucketLimits } from "../../common/rates/BucketLimits.ts";
 import type { ShareHolders } from "./ShareHolders.ts";
 
 /** The quota of a workspace over the whole fleet. */
--- a/src/sidecar/CallerSide.ts
+++ b/src/sidecar/CallerSide.ts
@@ -26,6 +26,7 @@
 import type { Quarantine } from "./quarantine/Quarantine.ts";
 import { AdaptivePolicy } from "./routing/AdaptivePolicy.ts";
 import { chooseLenders } from "./routing/chooseLenders.ts";
+import type { TargetResponse } from "./forwarding/TargetResponse.ts";
 import { Dispatcher } from "./routing/Dispatcher.ts";
 import { NaivePolicy } from "./routing/NaivePolicy.ts";
 import { RetryBudgets } from "./routing/RetryBudgets.ts";
@@ -33,6 +34,7 @@
 import type { RoutingPolicy } from "./routing/RoutingPolicy.ts";
 import { SplitSampler } from "./routing/SplitSampler.ts";
 import { TrafficClassifier } from "./routing/TrafficClassifier.ts";
+import { TargetNotices } from "./signals/TargetNotices.ts";
 import type { TargetSide } from "./TargetSide.ts";
 import { AdmissionAsker } from "./workspaces/AdmissionAsker.ts";
 import { CreditClient } from "./workspaces/CreditClient.ts";
@@ -74,6 +76,7 @@
 export class CallerSide extends Disposable {
   readonly #deps: CallerSideDeps;
   readonly #documentWait: DocumentWait;
+  readonly #notices: TargetNotices;
   readonly #dispatcher: Dispatcher;
   readonly #confirmer: DocumentConfirmer;
   readonly policy: RoutingPolicy;
@@ -86,6 +89,7 @@
     this.#deps = deps;
     const { clock, sendGateMessage, targetSide, dialect, metrics, tracing, log } = deps;
     this.#documentWait = new DocumentWait(clock);
+    this.#notices = new TargetNotices(clock);
     this.policy = this.register(this.#createPolicy());
     const slotClient = new SlotClient({ sendGateMessage, clock });
     const retryTokenClient = new RetryTokenClient({ sendGateMessage, clock });
@@ -107,6 +111,9 @@
       admission: this.#createAdmission(asker),
       dispatcher: this.#dispatcher,
       dialect,
+      onResponse: (...args) => {
+        this.#recordSignals(...args);
+      },
       originOf: (address) => originOf(address, this.#targetUrls),
       metrics,
       tracing,
@@ -151,7 +158,18 @@
       policy.start();
       return policy;
     }
-    return new AdaptivePolicy({ table, zone: ZoneName(cfg().zone), clock, random });
+    const zone = ZoneName(cfg().zone);
+    return new AdaptivePolicy({ table, zone, clock, random });
+  }
+
+  /** Records what a response that is returned to a caller says about its target. */
+  #recordSignals({ verdict, headers }: TargetResponse, receivedAt: number): void {
+    const { dialect, table, log } = this.#deps;
+    const signals = dialect.readSignals(verdict.status, headers);
+    const change = signals && this.#notices.record(verdict.target, table, signals, receivedAt);
+    if (change) {
+      log.info({ target: verdict.target, ...change }, "target has said");
+    }
   }
 
   #createRetryBudgets(): RetryBudgets {
@@ -186,6 +204,7 @@
       borrower,
       quarantine,
       confirmRefusal: (...args) => targetSide.confirmRefusal(...args),
+      notices: this.#notices,
       callerService: this.#deps.cfg().callerService,
       isStarting: this.#deps.isStarting,
       onExtraRun: (service, cause) => {
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -48,6 +48,7 @@
 import { RemoteRecordPeer } from "./records/RemoteRecordPeer.ts";
 import { RunRecords } from "./records/RunRecords.ts";
 import { SyncedJournal } from "./records/SyncedJournal.ts";
+import type { TargetSignals } from "./signals/TargetSignals.ts";
 import type { CallerRequest } from "./routing/CallerRequest.ts";
 import type { RouteMatch } from "./routing/RouteMatch.ts";
 import type { TargetAnnouncements } from "./TargetAnnouncements.ts";
@@ -127,12 +128,16 @@
         sender.retireConnections(target);
       },
     });
+    metrics.watchLimits(() => this.#gates.limits());
     this.#records = this.register(this.#createRecords());
     const sender = this.register(
       new TargetSender({
         dialect,
         clock,
         via: cfg.via ? cfg.id : "",
+        onSignals: (target, signals, sentAt) => {
+          this.#recordSignals(target, signals, sentAt);
+        },
         onOtherTarget: (target, other) => {
           log.info({ target: target.id, other }, "another target answers at this address");
           table.noteReplaced(target.id);
@@ -300,6 +305,11 @@
     });
   }
 
+  /** Records what a response to a request that was sent at `sentAt` (ms) says about a local target. */
+  #recordSignals(target: TargetInfo, { limit }: TargetSignals, sentAt: number): void {
+    this.#gates.recordLimit(target, limit, sentAt);
+  }
+
   #createGuard(sender: TargetSender): RunGuard {
     const { quarantine, table, clock, log } = this.#deps;
     const endedTargets = new EndedTargets({
--- a/src/sidecar/admin/SidecarMetrics.ts
+++ b/src/sidecar/admin/SidecarMetrics.ts
@@ -24,6 +24,14 @@
   };
 }
 
+/** The limit that a target names. */
+interface TargetLimit {
+  readonly service: string;
+  readonly target: string;
+  /** Requests a second. */
+  readonly perS: number;
+}
+
 /** The document in force, as far as the metrics report it. */
 interface ConfigInForce {
   readonly version: number;
@@ -39,6 +47,7 @@
   readonly #duration: Histogram;
   readonly #controlBytes: Counter;
   readonly #refusals: Counter;
+  readonly #limitWaits: Counter;
   readonly #queueWait: Histogram;
   readonly #ejections: Counter;
   readonly #workDemands: Counter;
@@ -75,6 +84,11 @@
       labelNames: ["reason"],
       registers: [this.registry],
     });
+    this.#limitWaits = new Counter({
+      name: "burdockpass_slot_limit_waits_total",
+      help: "Slot requests that had to wait for the limit that the target beside this sidecar names.",
+      registers: [this.registry],
+    });
     this.#queueWait = new Histogram({
       name: "burdockpass_slot_wait_seconds",
       help: "Time that granted asks had waited for a slot at the target beside this sidecar.",
@@ -150,6 +164,27 @@
     this.#refusals.inc({ reason });
   }
 
+  /** Counts a slot request that waits for the limit that its target names. */
+  countLimitWait(): void {
+    this.#limitWaits.inc();
+  }
+
+  /** Adds a gauge of the limits that local targets name, requests a second. */
+  watchLimits(read: () => readonly TargetLimit[]): void {
+    new Gauge({
+      name: "burdockpass_target_limit",
+      help: "Limit that a target beside this sidecar names, requests a second; no sample without a limit.",
+      labelNames: ["service", "target"],
+      registers: [this.registry],
+      collect() {
+        this.reset();
+        for (const { service, target, perS } of read()) {
+          this.set({ service, target }, perS);
+        }
+      },
+    });
+  }
+
   /** Records how long a granted slot request waited in the admission queue, ms. */
   observeQueueWait(ms: number): void {
     this.#queueWait.observe(ms / 1000);
--- a/src/sidecar/dialect/Dialect.ts
+++ b/src/sidecar/dialect/Dialect.ts
@@ -3,6 +3,7 @@
 import type { ServiceName } from "../../common/ids/ServiceName.ts";
 import type { TargetId } from "../../common/ids/TargetId.ts";
 import type { WorkspaceName } from "../../common/ids/WorkspaceName.ts";
+import type { TargetSignals } from "../signals/TargetSignals.ts";
 
 /** Metadata that a caller sends with its request. */
 export interface CallerMetadata {
@@ -26,6 +27,9 @@
   readonly echoHeader: string | undefined;
 }
 
+/** Headers of a response, as received or as stored. */
+export type ResponseHeaders = Readonly<Record<string, string | string[] | undefined>>;
+
 /** What the head of a response says: whether it belongs to this request, and whether the request ran. */
 export type ResponseHead =
   | { readonly kind: "own" }
@@ -55,6 +59,8 @@
     status: number,
     headers: IncomingHttpHeaders,
   ): ResponseHead;
+  /** Reads what a response's headers say about the target that sent it; undefined if that is another target. */
+  readSignals(status: number, headers: ResponseHeaders): TargetSignals | undefined;
   /** The value of `Retry-After` for a delay of `ms`. */
   writeRetryAfter(ms: number): string;
 }
--- a/src/sidecar/dialect/ownDialect.ts
+++ b/src/sidecar/dialect/ownDialect.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from "node:crypto";
 import { AttemptId } from "../../common/ids/AttemptId.ts";
+import { readTargetSignals } from "../signals/readTargetSignals.ts";
 import type { Dialect } from "./Dialect.ts";
 
 /** Time that the caller, or the sidecar, will wait for the response: a duration in ms, never a time of day. */
@@ -8,6 +9,12 @@
 /** Set to 1 by a target that rejected a request without running it. */
 const NOT_RUN_HEADER = "x-not-run";
 
+/** Limit of a target on the rate of requests from all sidecars together, requests a second. */
+const LIMIT_HEADER = "x-burdockpass-limit";
+
+/** Set to 1 by a target that is leaving. */
+const LEAVING_HEADER = "x-burdockpass-leaving";
+
 /** Name of the workspace that a request belongs to, for its target. */
 const WORKSPACE_HEADER = "x-burdockpass-workspace";
 
@@ -45,6 +52,9 @@
       : { kind: "own" };
   },
 
+  readSignals: (_status, headers) =>
+    readTargetSignals(headers, { limit: LIMIT_HEADER, leaving: LEAVING_HEADER }),
+
   // Whole seconds, as RFC 9110 requires.
   writeRetryAfter: (ms) => String(Math.max(1, Math.ceil(ms / 1000))),
 };
--- a/src/sidecar/forwarding/TargetSender.test.ts
+++ b/src/sidecar/forwarding/TargetSender.test.ts
@@ -324,3 +324,55 @@
     t.regex(head, /x-burdockpass-remaining-ms: \d+/);
   });
 });
+
+const LIMIT_HEADER = "x-burdockpass-limit: 2\r\n";
+
+const signalCases: readonly {
+  name: string;
+  behave: (socket: Socket, head: string) => void;
+  reported: readonly number[];
+}[] = [
+  {
+    name: "a complete response",
+    behave: (socket, head) => socket.write(response(echoOf(head), "x", LIMIT_HEADER)),
+    reported: [2],
+  },
+  {
+    name: "a response that is cut short",
+    behave: (socket, head) => {
+      socket.write(response(echoOf(head), "xx", LIMIT_HEADER).slice(0, -1), () => {
+        socket.destroy();
+      });
+    },
+    reported: [2],
+  },
+  {
+    name: "a refusal",
+    behave: (socket) =>
+      socket.write(`HTTP/1.1 503 Busy\r\nx-not-run: 1\r\n${LIMIT_HEADER}content-length: 0\r\n\r\n`),
+    reported: [2],
+  },
+  {
+    name: "a response to another request, which says nothing",
+    behave: (socket) => socket.write(response("other", "x", LIMIT_HEADER)),
+    reported: [],
+  },
+];
+
+for (const { name, behave, reported } of signalCases) {
+  test(`target sender: what a target says about itself is read from ${name}`, async (t) => {
+    const raw = new RawTarget(behave);
+    const target = makeTarget("t", { url: await raw.start() });
+    const limits: number[] = [];
+    const sender = new TargetSender({
+      dialect: ownDialect,
+      clock: SystemClock,
+      via: "",
+      onSignals: (_target, { limit }) => limits.push(limit.kind === "limit" ? limit.perS : -1),
+    });
+    await sender.send(target, request("a1"));
+    t.deepEqual(limits, [...reported]);
+    sender.dispose();
+    raw.stop();
+  });
+}
--- a/src/sidecar/forwarding/TargetSender.ts
+++ b/src/sidecar/forwarding/TargetSender.ts
@@ -6,6 +6,7 @@
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { Dialect, TargetMetadata } from "../dialect/Dialect.ts";
 import type { ForwardResult } from "./ForwardResult.ts";
+import type { TargetSignals } from "../signals/TargetSignals.ts";
 import { readResponse } from "./readResponse.ts";
 import { RETRY_AFTER_MS } from "./RETRY_AFTER_MS.ts";
 import { TargetAgent } from "./TargetAgent.ts";
@@ -39,6 +40,8 @@
   readonly via: string;
   /** Called when a different target responds at a target's address. */
   readonly onOtherTarget?: (target: TargetInfo, other: string) => void;
+  /** Called with what a response to a request that was sent at `sentAt` (ms) says about its target. */
+  readonly onSignals?: (target: TargetInfo, signals: TargetSignals, sentAt: number) => void;
 }
 
 /** Why this sender aborted a request. */
@@ -156,7 +159,13 @@
     exchange: TargetExchange,
   ): Promise<ForwardResult> {
     const status = res.statusCode ?? 0;
-    const head = this.#deps.dialect.readResponse(metadata, status, res.headers);
+    const { dialect, onSignals } = this.#deps;
+    const head = dialect.readResponse(metadata, status, res.headers);
+    const signals = head.kind === "foreign" ? undefined : dialect.readSignals(status, res.headers);
+    if (signals) {
+      // Reported before the body, whose end may never come.
+      onSignals?.(target, signals, req.deadlineAt - metadata.remainingMs);
+    }
     switch (head.kind) {
       case "not-run":
         res.resume();
--- a/src/sidecar/gate/AdmissionQueue.ts
+++ b/src/sidecar/gate/AdmissionQueue.ts
@@ -75,7 +75,11 @@
   }
 
   /** Estimated remaining wait of `waiting`, queued or about to be, ms. */
-  waitMs(waiting: QueuedRequest, now: number, pace: { slots: number; serviceMs: number }): number {
+  waitMs(
+    waiting: QueuedRequest,
+    now: number,
+    pace: { msPerGrant: number; serviceMs: number },
+  ): number {
     return this.#estimator.waitMs(waiting, this.#queue, now, pace);
   }
 }
--- a/src/sidecar/gate/AdmissionRule.ts
+++ b/src/sidecar/gate/AdmissionRule.ts
@@ -3,10 +3,18 @@
 import { RefusalReason } from "../hop/RefusalReason.ts";
 import type { SlotRequest } from "../hop/SlotRequest.ts";
 import type { DemandPublisher } from "./DemandPublisher.ts";
+import type { ExpectedWait } from "./ExpectedWait.ts";
 import type { GatedTarget } from "./GatedTarget.ts";
 import type { ServiceTime } from "./ServiceTime.ts";
 import type { SlotTable } from "./SlotTable.ts";
 
+/**
+ * Maximum number of queued requests per slot. A sidecar asks two or three gates for each request, so half or more of
+ * the queued requests will be withdrawn. Eight per slot thus amount to two to four runs per slot, about the longest
+ * queue that still meets a deadline of ten times the service time.
+ */
+const MAX_QUEUED_PER_SLOT = 8;
+
 interface AdmissionRuleDeps {
   /** The target as last announced; undefined if it is gone. */
   readonly target: () => GatedTarget | undefined;
@@ -60,23 +68,35 @@
    * Why a request cannot be granted now or later; undefined if it can.
    *
    * @param request the request, with the time that remains for it now
-   * @param waitMs its expected wait for a slot, ms
+   * @param wait its expected wait for a grant
    */
-  refusalReason(request: SlotRequest, waitMs: number): RefusalReason | undefined {
+  refusalReason(request: SlotRequest, wait: ExpectedWait): RefusalReason | undefined {
     const { serviceTime, clock } = this.#deps;
     const target = this.#deps.target();
     if (!target) {
       return RefusalReason.NoTarget;
     }
-    const endsTooSoon = clock.now() + waitMs + serviceTime.allowanceMs(request) > this.#shutdownAt;
+    const endsTooSoon = clock.now() + wait.ms + serviceTime.allowanceMs(request) > this.#shutdownAt;
     if (this.#isClosed || !target.acceptsRequests || endsTooSoon) {
       return RefusalReason.Leaving;
     }
     if (!this.#admits(request)) {
       return RefusalReason.Suspect;
     }
-    const isTooLate = waitMs > 0 && waitMs + serviceTime.meanMs > request.remainingMs;
-    return isTooLate ? RefusalReason.Full : undefined;
+    const isTooLate = wait.ms > 0 && wait.ms + serviceTime.meanMs > request.remainingMs;
+    return isTooLate ? fullReason(wait) : undefined;
+  }
+
+  /** Why a request that cannot be granted at once cannot join a queue of this length; undefined if it can. */
+  refusalOfQueue(
+    length: number,
+    wait: ExpectedWait,
+    msPerGrant: number,
+  ): RefusalReason | undefined {
+    const slots = this.#deps.target()?.slots ?? 0;
+    const rounds = MAX_QUEUED_PER_SLOT * this.#deps.serviceTime.meanMs;
+    const most = Math.min(MAX_QUEUED_PER_SLOT * slots, Math.ceil(rounds / msPerGrant));
+    return length >= most ? fullReason(wait) : undefined;
   }
 
   /** Whether the target's health admits the request, or it has been idle for so long that any request may test it. */
@@ -87,3 +107,7 @@
     return isTest || detector.admits(request, probes);
   }
 }
+
+function fullReason({ isForLimit }: ExpectedWait): RefusalReason {
+  return isForLimit ? RefusalReason.Limited : RefusalReason.Full;
+}
--- a/src/sidecar/gate/Gate.test.ts
+++ b/src/sidecar/gate/Gate.test.ts
@@ -9,6 +9,7 @@
 import { AlwaysHealthyDetector } from "../detection/AlwaysHealthyDetector.ts";
 import type { HealthDetector } from "../detection/HealthDetector.ts";
 import type { SlotReply } from "../hop/SlotReply.ts";
+import type { LimitSignal } from "../signals/LimitSignal.ts";
 import { Gate } from "./Gate.ts";
 import { GrantIds } from "./GrantIds.ts";
 
@@ -366,3 +367,103 @@
     t.is(gate.redeem(grantOf("a")) !== undefined, isValid);
   });
 }
+
+const LIMIT: LimitSignal = { kind: "limit", perS: 2 };
+const NO_LIMIT: LimitSignal = { kind: "none" };
+
+test("gate: a target with free slots is granted no more requests than its limit allows", async (t) => {
+  const { clock, gate, requestSlot, run, replies, grantOf } = rig(4);
+  gate.recordLimit(LIMIT, 0);
+  let granted = 0;
+  for (let n = 0; n < 100; n++) {
+    requestSlot(`a${n}`, { remainingMs: 3000 });
+    await clock.advance(40);
+    const started = [...replies.keys()].filter((attempt) => gate.isPending(grantOf(attempt)));
+    granted += started.length;
+    started.forEach((attempt) => {
+      run(attempt, 10);
+    });
+  }
+  t.true(granted >= 6 && granted <= 9, `${granted} in 4 s`);
+});
+
+const limitCases: readonly {
+  name: string;
+  act: (r: ReturnType<typeof rig>) => Promise<void> | void;
+  replies: readonly string[];
+}[] = [
+  {
+    name: "a raised limit grants queued requests at once",
+    act: async ({ clock, gate, requestSlot }) => {
+      gate.recordLimit({ kind: "limit", perS: 0 }, 0);
+      requestSlot("a", { remainingMs: 5000 });
+      await clock.advance(200);
+      gate.recordLimit({ kind: "limit", perS: 1000 }, 200);
+      await clock.advance(2);
+    },
+    replies: ["granted"],
+  },
+  {
+    name: "a limit that is no longer named grants queued requests at once",
+    act: async ({ clock, gate, requestSlot }) => {
+      gate.recordLimit(LIMIT, 0);
+      requestSlot("a", { remainingMs: 3000 });
+      requestSlot("b", { remainingMs: 3000 });
+      await clock.advance(100);
+      gate.recordLimit(NO_LIMIT, 100);
+    },
+    replies: ["granted", "granted"],
+  },
+  {
+    name: "a request that the limit cannot serve before its deadline is refused at once",
+    act: ({ gate, requestSlot }) => {
+      gate.recordLimit(LIMIT, 0);
+      requestSlot("a", { remainingMs: 600 });
+    },
+    replies: ["limited"],
+  },
+  {
+    name: "the more urgent of two requests goes first",
+    act: async ({ clock, gate, requestSlot }) => {
+      gate.recordLimit(LIMIT, 0);
+      requestSlot("a", { priority: 3, remainingMs: 5000 });
+      requestSlot("b", { priority: 0, remainingMs: 5000 });
+      await clock.advance(500);
+    },
+    replies: ["waits", "granted"],
+  },
+  {
+    name: "a gate that has not seen a response keeps to the limit that a sender knows",
+    act: ({ requestSlot }) => {
+      requestSlot("a", { limitPerS: 2 });
+    },
+    replies: ["waits"],
+  },
+  {
+    name: "an expired grant does not count against the limit",
+    act: async ({ clock, gate, requestSlot }) => {
+      gate.recordLimit(LIMIT, 0);
+      requestSlot("a", { remainingMs: 5000 });
+      await clock.advance(500 + GRANT_TTL_MS);
+      requestSlot("b");
+    },
+    replies: ["granted", "granted"],
+  },
+];
+
+for (const { name, act, replies } of limitCases) {
+  test(`gate, limit: ${name}`, async (t) => {
+    const r = rig(4);
+    await act(r);
+    t.deepEqual(["a", "b"].slice(0, replies.length).map(r.replyTo), [...replies]);
+  });
+}
+
+test("gate, limit: a refusal says when the limit allows a further request", (t) => {
+  const { gate, requestSlot, replies } = rig(4);
+  gate.recordLimit(LIMIT, 0);
+  requestSlot("a", { remainingMs: 600 });
+  const reply = replies.get("a");
+  t.is(reply?.kind === "refused" && reply.retryAfterMs, 500);
+  t.like(reply?.load, { limitPerS: 2, limitWaitMs: 500 });
+});
--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -7,14 +7,19 @@
 import type { GateLoad } from "../hop/GateLoad.ts";
 import { grantTtlMs } from "../hop/grantTtlMs.ts";
 import { RefusalReason } from "../hop/RefusalReason.ts";
+import type { LimitSignal } from "../signals/LimitSignal.ts";
 import { AdmissionQueue } from "./AdmissionQueue.ts";
 import { AdmissionRule } from "./AdmissionRule.ts";
 import { DemandPublisher } from "./DemandPublisher.ts";
 import { GateActivity, type IdlePeriod } from "./GateActivity.ts";
+import type { ExpectedWait } from "./ExpectedWait.ts";
 import type { GatedTarget } from "./GatedTarget.ts";
 import type { GrantIds } from "./GrantIds.ts";
 import { GrantPacer } from "./GrantPacer.ts";
+import type { LimitChange } from "./LimitChange.ts";
 import type { QueuedRequest } from "./QueuedRequest.ts";
+import { QueueForecast } from "./QueueForecast.ts";
+import type { RequestRateLimit } from "./RequestRateLimit.ts";
 import { ServiceTime } from "./ServiceTime.ts";
 import { SlotTable } from "./SlotTable.ts";
 import { TargetHealth } from "./TargetHealth.ts";
@@ -35,17 +40,12 @@
   readonly onDemandChange?: (load: GateLoad) => void;
   /** Called once for each time that the target is idle while its service fails a share of its requests, 0 to 1. */
   readonly onDemand?: (unservedShare: number) => void;
+  /** Called when the limit that the target names has changed. */
+  readonly onLimitChange?: (change: LimitChange) => void;
   /** Order in which queued requests are served; by default that of `goesBefore`. */
   readonly order?: ConstructorParameters<typeof AdmissionQueue>[0];
 }
 
-/**
- * Maximum number of queued requests per slot. A sidecar asks two or three gates for each request, so half or more of
- * the queued requests will be withdrawn. Eight per slot thus amount to two to four runs per slot, about the longest
- * queue that still meets a deadline of ten times the service time.
- */
-const MAX_QUEUED_PER_SLOT = 8;
-
 /** Least interval between two evaluations of the queue, ms. */
 const MIN_REEVALUATION_GAP_MS = 50;
 
@@ -74,6 +74,8 @@
   AttemptOutcome.TimedOut,
 ]);
 
+const NO_WAIT: ExpectedWait = { ms: 0, isForLimit: false };
+
 /** A slot request in progress, which its sender can withdraw. */
 interface SlotRequestHandle {
   /** Whether the request was queued rather than granted or refused at once. */
@@ -97,6 +99,7 @@
   readonly #pacer: GrantPacer;
   readonly #serviceTime = new ServiceTime();
   readonly #rule: AdmissionRule;
+  readonly #forecast: QueueForecast;
   readonly #retired = new AbortController();
   #reevaluatedAt = -Infinity;
 
@@ -105,7 +108,7 @@
     this.#queue = new AdmissionQueue(deps.order);
     this.#slots = new SlotTable(deps.clock);
     this.#activity = new GateActivity(deps.clock);
-    this.#pacer = new GrantPacer(deps.clock);
+    this.#pacer = new GrantPacer({ clock: deps.clock, pending: () => this.#slots.pending });
     this.#demand = new DemandPublisher({
       clock: deps.clock,
       mayGrant: () => this.#rule.isOpen && this.#mayGrant,
@@ -117,6 +120,13 @@
     const { target, detector, clock } = deps;
     const [slots, demand, serviceTime] = [this.#slots, this.#demand, this.#serviceTime];
     this.#rule = new AdmissionRule({ target, detector, slots, demand, serviceTime, clock });
+    this.#forecast = new QueueForecast({
+      queue: this.#queue,
+      pacer: this.#pacer,
+      serviceTime,
+      slots: () => target()?.slots ?? 1,
+      clock,
+    });
     this.#health = new TargetHealth({
       detector: deps.detector,
       onChange: () => {
@@ -141,6 +151,7 @@
       probeInMs: detector.probeInMs(this.#slots.probes),
       wantsWork: this.#demand.wantsWork,
       endsInMs: this.#rule.endsInMs,
+      ...this.#forecast.limitLoad,
     };
   }
 
@@ -152,6 +163,9 @@
     const waiting = { request, receivedAt: this.#deps.clock.now() };
     this.#activity.recordRequest();
     this.#demand.recordReport(request.unservedShare);
+    this.#updateLimit("sender", (limit) => {
+      limit.recordReport(request.limitPerS);
+    });
     let grant: GrantId | undefined;
     const onReply = (slotReply: SlotReply) => {
       grant = slotReply.kind === "granted" ? slotReply.grant : undefined;
@@ -162,7 +176,7 @@
         this.revoke(grant);
       }
     };
-    const refusal = this.#refusalReason(waiting) ?? this.#refusalReasonOnArrival(request);
+    const refusal = this.#refusalReason(waiting) ?? this.#refusalReasonOnArrival(waiting);
     if (refusal !== undefined) {
       onReply(this.#refuse(refusal, waiting));
       return { isQueued: false, withdraw: () => undefined };
@@ -184,6 +198,25 @@
     };
   }
 
+  /** Records what a response says of the target's limit; its request was sent at `sentAt` (ms). */
+  recordLimit(signal: LimitSignal, sentAt: number): void {
+    this.#updateLimit("response", (limit) => {
+      limit.recordResponse(signal, sentAt);
+    });
+  }
+
+  #updateLimit(source: LimitChange["source"], record: (limit: RequestRateLimit) => void): void {
+    const { limit } = this.#pacer;
+    const before = limit.perS;
+    record(limit);
+    const { perS } = limit;
+    if (perS !== before) {
+      this.#deps.onLimitChange?.({ perS, before, source });
+      this.reevaluateQueue();
+      this.#deps.onHealthChange?.(this.load);
+    }
+  }
+
   /** Keeps a grant while the body of its request is being received; false if the grant has expired. */
   hold(grant: GrantId): boolean {
     return this.#slots.hold(grant, () => {
@@ -330,18 +363,19 @@
   }
 
   /** Why a new request cannot be queued; undefined if it can. */
-  #refusalReasonOnArrival({ attempt }: SlotRequest): RefusalReason | undefined {
-    if (this.#slots.has(attempt)) {
+  #refusalReasonOnArrival(waiting: QueuedRequest): RefusalReason | undefined {
+    if (this.#slots.has(waiting.request.attempt)) {
       return RefusalReason.Duplicate;
     }
-    const slots = this.#deps.target()?.slots ?? 0;
-    const isQueueFull = this.#queue.length >= MAX_QUEUED_PER_SLOT * slots;
-    return !this.#hasIdleSlot && isQueueFull ? RefusalReason.Full : undefined;
+    const { msPerGrant } = this.#forecast;
+    return this.#hasIdleSlot
+      ? undefined
+      : this.#rule.refusalOfQueue(this.#queue.length, this.#wait(waiting), msPerGrant);
   }
 
   /** Why a request, queued or new, cannot be granted now or later; undefined if it can. */
   #refusalReason(waiting: QueuedRequest): RefusalReason | undefined {
-    return this.#rule.refusalReason(this.#current(waiting), this.#waitMs(waiting));
+    return this.#rule.refusalReason(this.#current(waiting), this.#wait(waiting));
   }
 
   /** The request with the time that remains for it now. */
@@ -360,14 +394,9 @@
     return this.#mayGrant && this.#queue.length === 0;
   }
 
-  /** Estimated remaining wait for a slot, ms. */
-  #waitMs(waiting: QueuedRequest): number {
-    if (this.#hasIdleSlot) {
-      return 0;
-    }
-    const pace = { slots: this.#deps.target()?.slots ?? 1, serviceMs: this.#serviceTime.meanMs };
-    const queueMs = this.#queue.waitMs(waiting, this.#deps.clock.now(), pace);
-    return Math.max(queueMs, this.#pacer.waitMs);
+  /** Estimated remaining wait for a grant. */
+  #wait(waiting: QueuedRequest): ExpectedWait {
+    return this.#hasIdleSlot ? NO_WAIT : this.#forecast.waitOf(waiting);
   }
 
   #refuse(reason: RefusalReason, waiting: QueuedRequest): SlotReply {
@@ -375,7 +404,7 @@
     return {
       kind: "refused",
       reason,
-      retryAfterMs: Math.round(this.#waitMs(waiting)),
+      retryAfterMs: Math.round(this.#wait(waiting).ms),
       load: this.load,
     };
   }
@@ -418,6 +447,7 @@
     if (this.#queue.length > 0 && this.#freeSlots > 0) {
       this.#pacer.resumeWhenDue(() => {
         this.#grantFreeSlots();
+        this.#refuseUnservable();
       });
     }
   }
@@ -428,7 +458,7 @@
     if (!reply || current.remainingMs <= 0) {
       return; // The sender has given up by its own clock.
     }
-    const refusal = this.#rule.refusalReason(current, 0);
+    const refusal = this.#rule.refusalReason(current, NO_WAIT);
     if (refusal !== undefined) {
       reply(this.#refuse(refusal, waiting));
     } else {
--- a/src/sidecar/gate/SlotServer.test.ts
+++ b/src/sidecar/gate/SlotServer.test.ts
@@ -26,7 +26,11 @@
   const sent: { to: string; message: ProtoTypes["GateMessage"] }[] = [];
   const server = new SlotServer({
     gates: { get: (id) => (id === TargetId("x") ? gate : undefined) },
-    metrics: { countRefusal: () => undefined, observeQueueWait: () => undefined },
+    metrics: {
+      countRefusal: () => undefined,
+      countLimitWait: () => undefined,
+      observeQueueWait: () => undefined,
+    },
     sendGateMessage: (to, message) => sent.push({ to, message }),
     clock,
     log: bunyan.createLogger({ name: "test", level: "fatal" }),
--- a/src/sidecar/gate/SlotServer.ts
+++ b/src/sidecar/gate/SlotServer.ts
@@ -54,7 +54,7 @@
 
 interface SlotServerDeps {
   readonly gates: Pick<TargetGates, "get">;
-  readonly metrics: Pick<SidecarMetrics, "countRefusal" | "observeQueueWait">;
+  readonly metrics: Pick<SidecarMetrics, "countRefusal" | "countLimitWait" | "observeQueueWait">;
   /** Sends a datagram, which may be lost. */
   readonly sendGateMessage: (address: string, message: GateMessage) => void;
   readonly clock: Clock;
@@ -184,7 +184,17 @@
       handle.withdraw();
     };
     if (handle.isQueued) {
-      send(gateCodec.queued(id, gate.load));
+      const { load } = gate;
+      this.#recordQueued(request, load);
+      send(gateCodec.queued(id, load));
+    }
+  }
+
+  #recordQueued({ attempt, target }: SlotRequest, load: GateLoad): void {
+    const { metrics, log } = this.#deps;
+    if ((load.limitWaitMs ?? 0) > 0) {
+      metrics.countLimitWait();
+      log.info({ attempt, target, load }, "slot request waits for limit");
     }
   }
 
--- a/src/sidecar/gate/SlotTable.ts
+++ b/src/sidecar/gate/SlotTable.ts
@@ -32,6 +32,11 @@
     return this.#holders.size;
   }
 
+  /** Number of granted slots whose requests have not arrived. */
+  get pending(): number {
+    return [...this.#holders.values()].filter((h) => h.state === "granted").length;
+  }
+
   /** Number of probes granted or in progress. */
   get probes(): number {
     return [...this.#holders.values()].filter((h) => h.isProbe).length;
--- a/src/sidecar/gate/TargetGates.ts
+++ b/src/sidecar/gate/TargetGates.ts
@@ -6,6 +6,7 @@
 import { TargetState } from "../../membership/TargetState.ts";
 import type { HealthDetector } from "../detection/HealthDetector.ts";
 import type { GateLoad } from "../hop/GateLoad.ts";
+import type { LimitSignal } from "../signals/LimitSignal.ts";
 import { Gate } from "./Gate.ts";
 import type { GrantIds } from "./GrantIds.ts";
 
@@ -32,6 +33,8 @@
 interface GateEntry {
   readonly born: number;
   readonly gate: Gate;
+  /** Last value of the limit header that could not be read; reported once. */
+  invalidLimit: string | undefined;
 }
 
 /** The gates of the local targets: usually one, two while one target replaces another. */
@@ -54,6 +57,19 @@
     return this.#gates.get(id)?.gate ?? (target && this.#createGate(target));
   }
 
+  /** Records what a response to a request that was sent at `sentAt` (ms) says of a target's limit. */
+  recordLimit({ id, born }: TargetInfo, signal: LimitSignal, sentAt: number): void {
+    const entry = this.#gates.get(id);
+    if (entry?.born !== born) {
+      return;
+    }
+    if (signal.kind === "invalid" && entry.invalidLimit !== signal.text) {
+      entry.invalidLimit = signal.text;
+      this.#deps.log.warn({ target: id, value: signal.text }, "target names an invalid limit");
+    }
+    entry.gate.recordLimit(signal, sentAt);
+  }
+
   /** Evaluates the queues of all gates again: targets have appeared, changed or left. */
   targetsChanged(): void {
     const targets = this.#deps.targets();
@@ -107,6 +123,14 @@
     }
   }
 
+  /** The limits that local targets name, requests a second. */
+  limits(): { target: TargetId; service: ServiceName; perS: number }[] {
+    return this.#deps.targets().flatMap(({ id, service }) => {
+      const perS = this.#gates.get(id)?.gate.load.limitPerS;
+      return perS === undefined ? [] : [{ target: id, service, perS }];
+    });
+  }
+
   /** Whether any slot of any target is granted or in use. */
   get isBusy(): boolean {
     return [...this.#gates.values()].some(({ gate }) => gate.isBusy);
@@ -149,6 +173,9 @@
         this.#deps.log.info({ target: id, unservedShare, load: gate.load }, "target wants work");
         this.#deps.onDemand?.(target.service);
       },
+      onLimitChange: (change) => {
+        this.#deps.log.info({ target: id, ...change }, "target limit");
+      },
       clock,
       grants,
     });
@@ -158,7 +185,7 @@
     if (this.#closed) {
       gate.close();
     }
-    this.#gates.set(id, { born, gate });
+    this.#gates.set(id, { born, gate, invalidLimit: undefined });
     log.info({ target: id, service: target.service, slots: target.slots }, "target here");
     return gate;
   }
--- a/src/sidecar/gate/WaitEstimator.test.ts
+++ b/src/sidecar/gate/WaitEstimator.test.ts
@@ -4,7 +4,7 @@
 import { WaitEstimator } from "./WaitEstimator.ts";
 
 /** Five slots and 500 ms of service time: a grant every 100 ms. */
-const PACE = { slots: 5, serviceMs: 500 };
+const PACE = { msPerGrant: 500 / 5, serviceMs: 500 };
 
 /** Latency objective of requests that are on time, and typical time of all, ms. */
 const OBJECTIVE_MS = 1500;
--- a/src/sidecar/gate/WaitEstimator.ts
+++ b/src/sidecar/gate/WaitEstimator.ts
@@ -1,16 +1,15 @@
 import type { SlotRequestQueue } from "./SlotRequestQueue.ts";
 import { isLate } from "./isLate.ts";
 import type { QueuedRequest } from "./QueuedRequest.ts";
-
-/** Share of the queued requests that will be served here; the others will use a grant of another gate. */
-const SERVED_HERE_SHARE = 0.5;
+import { SERVED_HERE_SHARE } from "./SERVED_HERE_SHARE.ts";
 
 /** Number of recent grants that shares are computed from: those of the last 2 s at five slots and 0.5 s of work. */
 const GRANT_WINDOW = 20;
 
 /** How fast a target serves its queue. */
 interface Pace {
-  readonly slots: number;
+  /** Mean time between two grants while requests are queued, ms. */
+  readonly msPerGrant: number;
   /** Mean time for which a request occupies a slot, ms. */
   readonly serviceMs: number;
 }
@@ -44,9 +43,8 @@
     waiting: QueuedRequest,
     queue: SlotRequestQueue,
     now: number,
-    { slots, serviceMs }: Pace,
+    { msPerGrant, serviceMs }: Pace,
   ): number {
-    const msPerGrant = serviceMs / Math.max(1, slots);
     const ahead = queue.ahead(waiting, now, serviceMs);
     const onTimeWaitMs = this.#grantsUntilServed(waiting, ahead) * msPerGrant;
     // A request that becomes late before it is served is ordered among the late ones.
--- a/src/sidecar/hop/GateLoad.ts
+++ b/src/sidecar/hop/GateLoad.ts
@@ -22,4 +22,8 @@
   readonly wantsWork: boolean;
   /** Time until the target's sidecar exits, ms; undefined unless the sidecar is being stopped. */
   readonly endsInMs?: number;
+  /** Limit that the target names on the rate of its requests, requests a second; undefined if it names none. */
+  readonly limitPerS?: number;
+  /** Time until that limit allows a further request, behind those that are queued, ms; undefined without a limit. */
+  readonly limitWaitMs?: number;
 }
--- a/src/sidecar/hop/RefusalReason.ts
+++ b/src/sidecar/hop/RefusalReason.ts
@@ -2,6 +2,8 @@
 export enum RefusalReason {
   /** The wait for a slot would exceed the request's deadline, or the admission queue is full. */
   Full = "full",
+  /** The wait for the rate limit that the target names would exceed the request's deadline, or is too long a queue. */
+  Limited = "limited",
   /** The target is suspect; it accepts the request only if there is no better target. */
   Suspect = "suspect",
   /** The target is shutting down, or its sidecar is being stopped. */
--- a/src/sidecar/hop/SlotRequest.ts
+++ b/src/sidecar/hop/SlotRequest.ts
@@ -35,4 +35,9 @@
    * target; 0 if there is one.
    */
   readonly acceptsRisk: number;
+  /**
+   * Limit that the target has named in a response which the sender has returned to a caller, requests a second. The
+   * target's sidecar may have started again since and not know of it.
+   */
+  readonly limitPerS?: number;
 }
--- a/src/sidecar/hop/gateCodec.ts
+++ b/src/sidecar/hop/gateCodec.ts
@@ -12,6 +12,9 @@
 
 const REASONS = Object.values(RefusalReason);
 
+/** Highest rate that is encoded, requests a second; no target takes more. */
+const MAX_RATE_PER_S = 1_000_000;
+
 /** Message with all fields unset. */
 const EMPTY_MESSAGE: GateMessage = {
   ask_id: 0,
@@ -46,6 +49,7 @@
       accepts_risk: Math.round(request.acceptsRisk * 1000),
       idempotent: request.isIdempotent,
       unserved: Math.round(request.unservedShare * 1000),
+      limit: encodeOptionalRate(request.limitPerS),
     },
   }),
 
@@ -108,6 +112,7 @@
           typicalMs: request.typical,
           bodyBytes: request.body,
           acceptsRisk: Math.min(1, request.accepts_risk / 1000),
+          limitPerS: decodeOptionalRate(request.limit),
         }
       : undefined,
 
@@ -147,6 +152,8 @@
     probe_in: encodeOptionalMs(load.probeInMs),
     ends_in: encodeOptionalMs(load.endsInMs),
     wants_work: load.wantsWork,
+    limit: encodeOptionalRate(load.limitPerS),
+    limit_wait: encodeOptionalMs(load.limitWaitMs),
   };
 }
 
@@ -164,9 +171,20 @@
     probeInMs: decodeOptionalMs(encoded.probe_in),
     endsInMs: decodeOptionalMs(encoded.ends_in),
     wantsWork: encoded.wants_work,
+    limitPerS: decodeOptionalRate(encoded.limit),
+    limitWaitMs: decodeOptionalMs(encoded.limit_wait),
   };
 }
 
+/** Encodes an optional rate a second: in thousandths, plus one, or 0 for undefined. */
+function encodeOptionalRate(perS: number | undefined): number {
+  return perS === undefined ? 0 : Math.round(Math.min(perS, MAX_RATE_PER_S) * 1000) + 1;
+}
+
+function decodeOptionalRate(encoded: number): number | undefined {
+  return encoded > 0 ? (encoded - 1) / 1000 : undefined;
+}
+
 /** Encodes an optional duration in ms: the duration plus one, or 0 for undefined. */
 function encodeOptionalMs(ms: number | undefined): number {
   return ms === undefined ? 0 : Math.max(0, Math.round(ms)) + 1;
--- a/src/sidecar/ingress/CallerServer.ts
+++ b/src/sidecar/ingress/CallerServer.ts
@@ -13,6 +13,7 @@
 import type { Dialect } from "../dialect/Dialect.ts";
 import { forwardableHeaders } from "../forwarding/forwardableHeaders.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
+import type { TargetResponse } from "../forwarding/TargetResponse.ts";
 import { openBody } from "../forwarding/openBody.ts";
 import { RETRY_AFTER_MS } from "../forwarding/RETRY_AFTER_MS.ts";
 import { withHeaders } from "../forwarding/withHeaders.ts";
@@ -64,6 +65,8 @@
   readonly admission: Pick<RequestAdmission, "admit">;
   readonly dispatcher: Pick<Dispatcher, "dispatch">;
   readonly dialect: Dialect;
+  /** Called with each target's response that is returned to a caller, whose request was received at `receivedAt` (ms). */
+  readonly onResponse?: (res: TargetResponse, receivedAt: number) => void;
   /** Returns the origin of a request, from the remote address of its connection. */
   readonly originOf: (address: string | undefined) => RequestOrigin;
   readonly metrics: SidecarMetrics;
@@ -314,6 +317,7 @@
       res.setHeader("connection", "close");
     }
     if ("body" in result) {
+      this.#deps.onResponse?.(result, ctx.startedAt);
       res.statusCode = result.verdict.status;
       this.#writeResponse(ctx, result);
       return;
--- a/src/sidecar/routing/AdaptivePolicy.ts
+++ b/src/sidecar/routing/AdaptivePolicy.ts
@@ -275,7 +275,8 @@
     if (!load) {
       return "unknown";
     }
-    return load.busy < load.slots ? "free" : "full";
+    const limitWaitMs = limitWaitAt(snapshot.now, candidate.view);
+    return load.busy < load.slots && limitWaitMs === 0 ? "free" : "full";
   }
 
   /** Targets of the route's service that accept requests, are not in `tried` and don't stop too soon for this one. */
@@ -398,9 +399,13 @@
 
   #waitMs(snapshot: PickSnapshot, { target, view }: Candidate): number {
     const load = this.#views.freshLoad(view, snapshot.now);
+    const limitMs = limitWaitAt(snapshot.now, view);
     return load
-      ? expectedWaitMs(load, load.serviceMs > 0 ? load.serviceMs : snapshot.typicalMs)
-      : this.#zoneWaits.expectedMs(target.service, target.zone);
+      ? Math.max(
+          limitMs,
+          expectedWaitMs(load, load.serviceMs > 0 ? load.serviceMs : snapshot.typicalMs),
+        )
+      : Math.max(limitMs, this.#zoneWaits.expectedMs(target.service, target.zone));
   }
 
   #rampWeight(route: RouteMatch, view: TargetView): number {
@@ -423,7 +428,12 @@
   }
 }
 
-/** Expected wait of a slot request at a target with this load where a request takes `serviceMs`, ms. */
+/** Wait for the limit that a target names, by its gate's last report, ms; 0 if there is none, or it has passed. */
+function limitWaitAt(now: number, { load, loadReceivedAt }: TargetView): number {
+  return Math.max(0, (load?.limitWaitMs ?? 0) - (now - loadReceivedAt));
+}
+
+/** Expected wait for a free slot at a target with this load where a request takes `serviceMs`, ms. */
 function expectedWaitMs({ busy, slots, queued }: GateLoad, serviceMs: number): number {
   return busy < slots ? 0 : ((queued / 2 + 1) * serviceMs) / Math.max(1, slots);
 }
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -6,6 +6,7 @@
 import { RequestGuard } from "../quarantine/RequestGuard.ts";
 import type { Quarantine } from "../quarantine/Quarantine.ts";
 import { SuspectTurns } from "../quarantine/SuspectTurns.ts";
+import type { TargetNotices } from "../signals/TargetNotices.ts";
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import type { HopLink } from "../hop/HopLink.ts";
@@ -50,6 +51,8 @@
   ) => Promise<ForwardResult>;
   /** Distinguishes nested calls from callers' own requests; without it, all requests count as callers' own. */
   readonly classifier?: Pick<TrafficClassifier, "begin">;
+  /** What targets have said about themselves in responses; by default nothing. */
+  readonly notices?: Pick<TargetNotices, "limitOf">;
   /** Called for each retry or hedge that is sent. */
   readonly onExtraRun?: (service: string, cause: ExtraRunCause) => void;
   /** Called for each retry or hedge that is not sent because the service's retry budget is used up. */
@@ -256,11 +259,16 @@
   }
 
   #findSlot(state: DispatchState): SlotFinder {
-    const { policy, hop, clock, log } = this.#deps;
+    const { policy, hop, notices, clock, log } = this.#deps;
     const requestSlot: HopLink["requestSlot"] = (...args) => hop.requestSlot(...args);
     const { route, req, tried, isNestedCall } = state;
     const request = { route, isNestedCall, isRetryable: this.#hasSpareAttempt(state) };
-    const finder = new SlotFinder({ policy, requestSlot, clock, log }, request, req, tried);
+    const finder = new SlotFinder(
+      { policy, requestSlot, notices, clock, log },
+      request,
+      req,
+      tried,
+    );
     this.#finders.set(finder, state.guard);
     void finder.result.then(() => this.#finders.delete(finder));
     if (this.#closed) {
--- a/src/sidecar/routing/SlotFinder.test.ts
+++ b/src/sidecar/routing/SlotFinder.test.ts
@@ -69,6 +69,29 @@
   t.true(hop.slotRequests[0]?.call.cancelled);
 });
 
+test("find slot: refusals for limits do not end the search while others may have room", async (t) => {
+  const { clock, hop, findSlot, requestedFrom } = rig();
+  const finder = findSlot();
+  for (const reason of [RefusalReason.Limited, RefusalReason.Full, RefusalReason.Limited]) {
+    hop.slotRequests.at(-1)?.call.answer(refused(reason));
+    await clock.advance(0);
+  }
+  hop.slotRequests.at(-1)?.call.answer(granted);
+  t.is((await finder.result).kind, "granted");
+  t.is(requestedFrom(), "abcd");
+});
+
+test("find slot: a request that three targets refuse for their limits is refused at once", async (t) => {
+  const { clock, hop, findSlot } = rig();
+  const finder = findSlot();
+  for (let n = 0; n < 3; n++) {
+    hop.slotRequests.at(-1)?.call.answer(refused(RefusalReason.Limited));
+    await clock.advance(0);
+  }
+  const result = await finder.result;
+  t.is(result.kind === "refused" && result.reason, "every target refused, the last one as limited");
+});
+
 test("find slot: while the request is queued at a target others are tried, at most three at a time", async (t) => {
   const { clock, hop, findSlot, requestedFrom } = rig();
   const finder = findSlot();
--- a/src/sidecar/routing/SlotFinder.ts
+++ b/src/sidecar/routing/SlotFinder.ts
@@ -11,6 +11,7 @@
 import type { HopLink } from "../hop/HopLink.ts";
 import type { PendingCall } from "../hop/PendingCall.ts";
 import { RefusalReason } from "../hop/RefusalReason.ts";
+import type { TargetNotices } from "../signals/TargetNotices.ts";
 import type { CallerRequest } from "./CallerRequest.ts";
 import type { PickedTarget, PickContext, RoutingPolicy, SuspectTarget } from "./RoutingPolicy.ts";
 
@@ -34,6 +35,8 @@
 interface SlotFinderDeps {
   readonly policy: RoutingPolicy;
   readonly requestSlot: HopLink["requestSlot"];
+  /** What targets have said about themselves in responses; by default nothing. */
+  readonly notices?: Pick<TargetNotices, "limitOf">;
   readonly clock: Clock;
   readonly log: bunyan;
 }
@@ -51,6 +54,12 @@
  */
 const MAX_FULL_REFUSALS = 3;
 
+/**
+ * Number of targets that may refuse for the limit that they name. Others of the service may name none, so these
+ * refusals are counted apart.
+ */
+const MAX_LIMITED_REFUSALS = 3;
+
 /**
  * Time without a reply after which another target is tried in parallel, ms. A reply
  * across zones takes 3 to 6 ms; over a path that is cut or loses packets it takes
@@ -127,8 +136,9 @@
   /** Targets that refused because they are suspect. */
   #suspects: SuspectTarget[] = [];
   #hasProbed = false;
-  /** Number of targets that refused as full. */
+  /** Number of targets that refused as full, and for the limit that they name. */
   #fullRefusals = 0;
+  #limitedRefusals = 0;
   #firstQueuedAt: number | undefined;
   readonly #settle: (result: SlotSearchResult) => void;
   readonly #timers = new Set<Timer>();
@@ -181,7 +191,7 @@
       return;
     }
     const next =
-      this.#inFlight < MAX_CONCURRENT_REQUESTS && this.#fullRefusals < MAX_FULL_REFUSALS
+      this.#inFlight < MAX_CONCURRENT_REQUESTS && this.#mayTryHealthy
         ? this.#pickNext()
         : undefined;
     const leastRisky = next ? undefined : this.#pickLeastRisky();
@@ -194,6 +204,10 @@
     }
   }
 
+  get #mayTryHealthy(): boolean {
+    return this.#fullRefusals < MAX_FULL_REFUSALS && this.#limitedRefusals < MAX_LIMITED_REFUSALS;
+  }
+
   #pickNext(): PickedTarget | undefined {
     return this.#deps.policy.pick(this.#context, this.#tried);
   }
@@ -203,7 +217,8 @@
    * healthy target or all tried are full, after `#grayDelayMs` when the request is queued at a healthy one.
    */
   #pickLeastRisky(): (SuspectTarget & { acceptsRisk: number }) | undefined {
-    const noHealthyTarget = !this.#isQueued && this.#fullRefusals === 0;
+    const noHealthyTarget =
+      !this.#isQueued && this.#fullRefusals === 0 && this.#limitedRefusals === 0;
     if (
       this.#inFlight >= (noHealthyTarget ? MAX_CONCURRENT_REQUESTS : MAX_CONCURRENT_REQUESTS + 1)
     ) {
@@ -329,6 +344,7 @@
       unservedShare: this.#deps.policy.unservedShare(route.service.name),
       bodyBytes: Buffer.isBuffer(body) ? body.length : bodyLength,
       acceptsRisk: 0,
+      limitPerS: this.#deps.notices?.limitOf(target),
     };
   }
 
@@ -370,6 +386,7 @@
       this.#suspects.push({ target, risk: reply.load.risk, isKeptByFloor: false });
     }
     this.#fullRefusals += reply.reason === RefusalReason.Full ? 1 : 0;
+    this.#limitedRefusals += reply.reason === RefusalReason.Limited ? 1 : 0;
     this.#isTargetUnknown &&= reply.reason === RefusalReason.NoTarget;
     this.#retryAfterMs = Math.min(this.#retryAfterMs, reply.retryAfterMs);
     this.#reason = `every target refused, the last one as ${reply.reason}`;
--- a/src/sidecar/routing/policies.test.ts
+++ b/src/sidecar/routing/policies.test.ts
@@ -535,3 +535,15 @@
     t.is(policy.pick(request, new Set())?.target.id === "near", isPicked);
   });
 }
+
+test("adaptive: a target that must wait for its limit is left to requests for which the others have no room", async (t) => {
+  const rig = new PolicyRig("adaptive");
+  await rig.run(500, () => healthy);
+  const target = rig.table.target(TargetId("t3"));
+  const picks = Array.from({ length: 200 }, () => {
+    rig.policy.recordLoad(TargetId("t3"), { ...idleLoad, limitPerS: 1, limitWaitMs: 900 });
+    return rig.policy.pick({ route: rig.route, isRetryable: true }, new Set())?.target.id;
+  });
+  t.truthy(target);
+  t.true(picks.filter((id) => id === "t3").length < 200 / 8 / 2);
+});
--- /dev/null
+++ b/src/sidecar/signals/TargetNotices.ts
@@ -0,0 +1,84 @@
+import type { TargetId } from "../../common/ids/TargetId.ts";
+import type { Clock } from "../../common/lifecycle/Clock.ts";
+import type { TargetInfo } from "../../membership/TargetInfo.ts";
+import { NamedLimit } from "./NamedLimit.ts";
+import type { TargetSignals } from "./TargetSignals.ts";
+
+/** Maximum number of targets remembered, some 100 bytes each; the oldest are forgotten first. */
+const MAX_ENTRIES = 4096;
+
+/** What identifies an incarnation of a target. */
+type TargetRef = Pick<TargetInfo, "id" | "born">;
+
+/** What is remembered of a target, in log lines. */
+interface NoticeChange {
+  /** Limit, requests a second; undefined if it names none. */
+  readonly limitPerS: number | undefined;
+}
+
+/** What one incarnation of a target has said. */
+interface Notice {
+  /** Start time of the incarnation; undefined if the target was not known at that time. */
+  readonly born: number | undefined;
+  readonly limit: NamedLimit;
+}
+
+/**
+ * What targets have said about themselves in the responses that this sidecar has returned to callers. It is remembered
+ * while a target is out of sight, since the sidecar beside the target may start again meanwhile and know nothing of it.
+ */
+export class TargetNotices {
+  readonly #clock: Clock;
+  readonly #notices = new Map<TargetId, Notice>();
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /**
+   * Records what a response says about the target `id`; returns what is remembered of it if that has changed.
+   *
+   * @param table the targets as known now; the target may not be among them
+   * @param sentAt when its request was received from the caller, ms
+   */
+  record(
+    id: TargetId,
+    table: { target(id: TargetId): TargetRef | undefined },
+    { limit }: TargetSignals,
+    sentAt: number,
+  ): NoticeChange | undefined {
+    const target = table.target(id);
+    const notice = this.#existing(id, target?.born) ?? {
+      born: target?.born,
+      limit: new NamedLimit(),
+    };
+    const before = notice.limit.perS;
+    notice.limit.record(limit, sentAt, this.#clock.now());
+    this.#notices.delete(id);
+    if (notice.limit.perS !== undefined) {
+      this.#notices.set(id, notice);
+      this.#dropOldest();
+    }
+    const limitPerS = notice.limit.perS;
+    return limitPerS === before ? undefined : { limitPerS };
+  }
+
+  /** The limit that the target has named, requests a second; undefined if there is none. */
+  limitOf({ id, born }: TargetRef): number | undefined {
+    return this.#existing(id, born)?.limit.perS;
+  }
+
+  /** The notice of the same incarnation; one whose incarnation is unknown counts for any. */
+  #existing(id: TargetId, born: number | undefined): Notice | undefined {
+    const notice = this.#notices.get(id);
+    const isSame = notice?.born === undefined || born === undefined || notice.born === born;
+    return isSame ? notice : undefined;
+  }
+
+  #dropOldest(): void {
+    const [oldest] = this.#notices.keys();
+    if (this.#notices.size > MAX_ENTRIES && oldest !== undefined) {
+      this.#notices.delete(oldest);
+    }
+  }
+}
