Send nothing new to a target that says in its responses that it is leaving

What callers saw: a target whose announcements still say ready, and whose responses say that it leaves, was sent requests until it ended, and those were lost with it.

Cause: nothing read that signal; only announcements and withdrawals took a target out of service.

Its sidecar now treats such a target as draining from the first response on, whatever it announces, and tells the fleet by gossip. Each sidecar that has returned such a response to a caller remembers it by itself, for the incarnation of the target, while the target is out of sight and when the sidecar beside it has started again and knows nothing of it.

--- a/experiment/SimSidecar.ts
+++ b/experiment/SimSidecar.ts
@@ -174,6 +174,7 @@
       state: "ready",
       health_path: "",
       born: this.#targetRestarts,
+      resumed: 0,
     };
     return {
       sidecar_id: vm.name,
--- a/src/cli/explain/explainRequest.ts
+++ b/src/cli/explain/explainRequest.ts
@@ -13,6 +13,8 @@
   "target wants work",
   "target limit",
   "target has said",
+  "target is leaving by its response",
+  "target is not leaving by its health check",
   "request suspected",
   "request quarantined",
   "suspicion lifted",
--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -96,6 +96,7 @@
     state: string;
     health_path: string;
     born: number;
+    resumed: number;
   };
   Member: {
     sidecar_id: string;
--- a/src/common/rpc/proto/BURDOCKPASS_SCHEMA.ts
+++ b/src/common/rpc/proto/BURDOCKPASS_SCHEMA.ts
@@ -181,6 +181,7 @@
       { name: "state", id: 5, type: "string" },
       { name: "health_path", id: 6, type: "string" },
       { name: "born", id: 7, type: "uint64" },
+      { name: "resumed", id: 8, type: "uint64" },
     ],
   },
   services: {
--- a/src/membership/LocalTargets.test.ts
+++ b/src/membership/LocalTargets.test.ts
@@ -1,9 +1,10 @@
 import test from "ava";
 import { TargetId } from "../common/ids/TargetId.ts";
 import type { ProtoTypes } from "../common/rpc/ProtoTypes.ts";
+import type { AnnouncedTarget } from "./AnnouncedTarget.ts";
 import { LocalTargets } from "./LocalTargets.ts";
 
-const target = (id: string, url = "http://127.0.0.1:1", born = 0): ProtoTypes["Target"] => ({
+const target = (id: string, url = "http://127.0.0.1:1", born = 0): AnnouncedTarget => ({
   target_id: id,
   service: "svc",
   url,
@@ -18,6 +19,8 @@
   | { withdraw: string; born?: number }
   | { replaced: string }
   | { ended: string }
+  | { leaving: string; born?: number }
+  | { resumed: string; born?: number }
   | { wait: number };
 
 const cases: readonly { name: string; steps: readonly Step[]; live: readonly string[] }[] = [
@@ -187,6 +190,31 @@
     ],
     live: ["b@200"],
   },
+  {
+    name: "target that has said that it is leaving is leaving, whatever it announces",
+    steps: [
+      { announce: "a", sequence: 1 },
+      { leaving: "a" },
+      { wait: 1600 },
+      { announce: "a", sequence: 2 },
+    ],
+    live: ["a leaving"],
+  },
+  {
+    name: "target that has said that it is leaving and is started again accepts requests",
+    steps: [
+      { announce: "a", sequence: 1, born: 100 },
+      { leaving: "a", born: 100 },
+      { announce: "a", sequence: 1, born: 200 },
+      { leaving: "a", born: 100 },
+    ],
+    live: ["a@200"],
+  },
+  {
+    name: "target that is not leaving after all accepts requests, until it says so again",
+    steps: [{ announce: "a", sequence: 1 }, { leaving: "a" }, { resumed: "a" }],
+    live: ["a"],
+  },
   {
     name: "restarted target is accepted after its clock was set back, once its seemingly later incarnation is silent",
     steps: [
@@ -199,6 +227,10 @@
   },
 ];
 
+function describe({ target_id: id, born, state }: ProtoTypes["Target"]): string {
+  return state === "draining" ? `${id} leaving` : born > 0 ? `${id}@${born}` : id;
+}
+
 for (const c of cases) {
   test(c.name, (t) => {
     let now = 0;
@@ -212,13 +244,14 @@
         targets.noteReplaced(TargetId(step.replaced));
       } else if ("ended" in step) {
         targets.noteEnded(TargetId(step.ended));
+      } else if ("leaving" in step) {
+        targets.noteLeaving({ id: TargetId(step.leaving), born: step.born ?? 0 });
+      } else if ("resumed" in step) {
+        targets.noteResumed({ id: TargetId(step.resumed), born: step.born ?? 0 }, 7);
       } else {
         now += step.wait;
       }
     }
-    t.deepEqual(
-      targets.live().map((x) => (x.born > 0 ? `${x.target_id}@${x.born}` : x.target_id)),
-      [...c.live],
-    );
+    t.deepEqual(targets.live().map(describe), [...c.live]);
   });
 }
--- a/src/membership/LocalTargets.ts
+++ b/src/membership/LocalTargets.ts
@@ -1,5 +1,8 @@
 import type { ProtoTypes } from "../common/rpc/ProtoTypes.ts";
 import type { TargetId } from "../common/ids/TargetId.ts";
+import type { AnnouncedTarget } from "./AnnouncedTarget.ts";
+import type { TargetInfo } from "./TargetInfo.ts";
+import { TargetState } from "./TargetState.ts";
 
 type Target = ProtoTypes["Target"];
 
@@ -9,7 +12,7 @@
 /** What is known of one current or former target on this VM. */
 interface TargetEntry {
   /** Its last announcement; undefined if only its withdrawal was received. */
-  target: Target | undefined;
+  target: AnnouncedTarget | undefined;
   /** Start time of the incarnation described here; see `Target.born`. */
   readonly born: number;
   /** Time of its last announcement, ms. */
@@ -23,8 +26,18 @@
   state: "here" | "replaced" | "left";
   /** Announcements received since it was replaced or withdrawn. */
   repeats: number;
+  /** When it last said in a response that it is leaving, ms; undefined if it did not. */
+  leavingAt: number | undefined;
+  /** See `Target.resumed`. */
+  resumed: number;
 }
 
+/** An incarnation that has not said that it is leaving. */
+const NEVER_LEFT = { leavingAt: undefined, resumed: 0 } as const;
+
+/** Identifies an incarnation of a target. */
+type TargetRef = Pick<TargetInfo, "id" | "born">;
+
 /** A replaced target is live again after this many new announcements, since a single one may have been delayed. */
 const RETURN_AFTER_REPEATS = 2;
 
@@ -56,7 +69,7 @@
   }
 
   /** Records an announcement; false if it is outdated or not yet to be trusted. */
-  announce(target: Target, sequence: number): boolean {
+  announce(target: AnnouncedTarget, sequence: number): boolean {
     const known = this.#known.get(target.target_id);
     const isSameIncarnation = known?.born === target.born;
     if (known && !isSameIncarnation && this.#isOlderIncarnation(target, known)) {
@@ -73,6 +86,7 @@
       return false;
     }
     this.#replaceOthersAt(target);
+    const { leavingAt, resumed } = isSameIncarnation ? known : NEVER_LEFT;
     this.#store(target.target_id, {
       target,
       born: target.born,
@@ -80,6 +94,8 @@
       sequence,
       state: "here",
       repeats: 0,
+      leavingAt,
+      resumed,
     });
     return true;
   }
@@ -103,6 +119,7 @@
       sequence: Infinity,
       state: "left",
       repeats: 0,
+      ...NEVER_LEFT,
     });
   }
 
@@ -127,11 +144,57 @@
     }
   }
 
+  /**
+   * Records that an incarnation of a target has said in a response that it is leaving. It gets no new requests from then
+   * on, whatever it announces; true if that is new.
+   */
+  noteLeaving({ id, born }: TargetRef): boolean {
+    const known = this.#incarnation(id, born);
+    const isNew = known !== undefined && known.leavingAt === undefined;
+    if (known) {
+      known.leavingAt = this.#now();
+    }
+    return isNew;
+  }
+
+  /**
+   * Records that an incarnation of a target has said in a health check that it is not leaving; true if that is new.
+   *
+   * @param resumed a value that has not been used for this target; see `Target.resumed`
+   */
+  noteResumed({ id, born }: TargetRef, resumed: number): boolean {
+    const known = this.#incarnation(id, born);
+    if (!known || (known.leavingAt === undefined && known.resumed !== 0)) {
+      return false;
+    }
+    known.leavingAt = undefined;
+    known.resumed = resumed;
+    return true;
+  }
+
+  /** When a target last said in a response that it is leaving, ms; undefined if it did not. */
+  leavingAt({ id, born }: TargetRef): number | undefined {
+    return this.#incarnation(id, born)?.leavingAt;
+  }
+
+  /** The state in a target's last announcement. */
+  announcedState({ id, born }: TargetRef): string | undefined {
+    return this.#incarnation(id, born)?.target?.state;
+  }
+
+  #incarnation(id: string, born: number): TargetEntry | undefined {
+    const known = this.#known.get(id);
+    return known?.born === born ? known : undefined;
+  }
+
   /** The live targets. */
   live(): Target[] {
     return [...this.#known.values()]
       .filter((k) => k.state === "here" && this.#isFresh(k))
-      .flatMap(({ target }) => target ?? []);
+      .flatMap(({ target, leavingAt, resumed }) => {
+        const state = leavingAt === undefined ? target?.state : TargetState.Draining;
+        return target ? [{ ...target, state: state ?? target.state, resumed }] : [];
+      });
   }
 
   /** Marks every target as left, because this sidecar is being stopped. */
@@ -150,7 +213,7 @@
    * from a clock that may be set back between two incarnations. So once the seemingly later one has
    * been silent for the timeout, the one that announces itself is accepted.
    */
-  #isOlderIncarnation(target: Target, known: TargetEntry): boolean {
+  #isOlderIncarnation(target: AnnouncedTarget, known: TargetEntry): boolean {
     if (target.born === 0) {
       return known.state === "left" || this.#isFresh(known);
     }
@@ -158,7 +221,7 @@
   }
 
   /** Whether to accept an announcement; if another target uses its address, it must be repeated first. */
-  #isConfirmed(target: Target, sequence: number, known: TargetEntry | undefined): boolean {
+  #isConfirmed(target: AnnouncedTarget, sequence: number, known: TargetEntry | undefined): boolean {
     if (known?.state === "replaced" && ++known.repeats < RETURN_AFTER_REPEATS) {
       known.sequence = sequence;
       return false;
@@ -171,6 +234,7 @@
         sequence,
         state: "replaced",
         repeats: 0,
+        ...NEVER_LEFT,
       });
       return false;
     }
@@ -178,7 +242,7 @@
   }
 
   /** Whether a target that started later is live at the same address, so that this one has likely ended. */
-  #isAddressUsedByNewer({ url, born, target_id: id }: Target): boolean {
+  #isAddressUsedByNewer({ url, born, target_id: id }: AnnouncedTarget): boolean {
     return [...this.#known.values()].some(
       ({ target: other, ...known }) =>
         known.state === "here" &&
@@ -190,7 +254,7 @@
     );
   }
 
-  #replaceOthersAt(target: Target): void {
+  #replaceOthersAt(target: AnnouncedTarget): void {
     for (const other of this.#known.values()) {
       const isSameAddress = other.target?.url === target.url;
       if (isSameAddress && other.target?.target_id !== target.target_id && other.state === "here") {
--- a/src/membership/TargetInfo.ts
+++ b/src/membership/TargetInfo.ts
@@ -24,4 +24,6 @@
    * that restarts under the same id knows nothing of the requests sent to its previous incarnation.
    */
   readonly born: number;
+  /** Set to a new value when the target, after it has said that it is leaving, says that it is not; 0 before. */
+  readonly resumed: number;
 }
--- a/src/membership/TargetTable.test.ts
+++ b/src/membership/TargetTable.test.ts
@@ -15,6 +15,7 @@
   state,
   health_path: "",
   born: 0,
+  resumed: 0,
 });
 
 const member = (
--- a/src/membership/TargetTable.ts
+++ b/src/membership/TargetTable.ts
@@ -3,6 +3,7 @@
 import type { SidecarId } from "../common/ids/SidecarId.ts";
 import { TargetId } from "../common/ids/TargetId.ts";
 import { ZoneName } from "../common/ids/ZoneName.ts";
+import type { AnnouncedTarget } from "./AnnouncedTarget.ts";
 import { entryDigest } from "./entryDigest.ts";
 import { memberAddress } from "./memberAddress.ts";
 import { hash32 } from "../common/hash32.ts";
@@ -59,6 +60,9 @@
   readonly aliveAt: number;
 }
 
+/** Factor that leaves room for the values of `Target.resumed` between two incarnations. */
+const RESUMED_PER_INCARNATION = 1000;
+
 /** Time for which a dead member's entry is kept, ms, so that outdated rumors do not bring it back. */
 const GONE_RETENTION_MS = 600_000;
 
@@ -75,6 +79,7 @@
   readonly #remote = new Map<string, KnownMember>();
   #ownContent = "[]";
   #leaving = false;
+  #resumedCount = 0;
   #checksum: number;
   readonly #index = new TargetIndex();
   /** Live members other than this one; rebuilt on first use after a change. */
@@ -140,7 +145,7 @@
    *
    * @param sequence rises with each of the target's announcements
    */
-  announce(target: ProtoTypes["Target"], sequence = 0): boolean {
+  announce(target: AnnouncedTarget, sequence = 0): boolean {
     if (this.#leaving || !this.#local.announce(target, sequence)) {
       return false;
     }
@@ -166,6 +171,33 @@
     this.#indexOwn();
   }
 
+  /** Records that a local target has said in a response that it is leaving; true if that is new. */
+  noteLeaving(target: TargetInfo): boolean {
+    const isNew = this.#local.noteLeaving(target);
+    this.#indexOwn();
+    return isNew;
+  }
+
+  /** Records that a local target has said in a health check that it is not leaving; true if that is new. */
+  noteResumed(target: TargetInfo): boolean {
+    const isNew = this.#local.noteResumed(target, this.#nextResumed());
+    this.#indexOwn();
+    return isNew;
+  }
+
+  /** Time since a local target last said in a response that it is leaving, ms; undefined if it did not. */
+  leavingForMs(target: TargetInfo): number | undefined {
+    const at = this.#local.leavingAt(target);
+    return at === undefined ? undefined : this.#now() - at;
+  }
+
+  /** The live local targets whose last announcement said that they are ready, whatever their responses say. */
+  announcedReady(): TargetInfo[] {
+    return this.localTargets().filter(
+      (t) => this.#local.announcedState(t) === (TargetState.Ready as string),
+    );
+  }
+
   /** Live local targets. */
   localTargets(): TargetInfo[] {
     return this.#local.live().map((t) => toTargetInfo(t, this.#self));
@@ -322,6 +354,12 @@
     return 1 + this.#remote.size;
   }
 
+  /** A value of `Target.resumed` that no incarnation of this process has used. */
+  #nextResumed(): number {
+    this.#resumedCount += 1;
+    return this.#self.incarnation * RESUMED_PER_INCARNATION + this.#resumedCount;
+  }
+
   #indexOwn(): void {
     this.#index.set(this.#self.sidecar_id, this.localTargets());
   }
@@ -396,6 +434,7 @@
     askAddress: member.peer_address,
     healthPath: t.health_path,
     born: t.born,
+    resumed: t.resumed,
   };
 }
 
--- a/src/sidecar/CallerSide.ts
+++ b/src/sidecar/CallerSide.ts
@@ -159,7 +159,7 @@
       return policy;
     }
     const zone = ZoneName(cfg().zone);
-    return new AdaptivePolicy({ table, zone, clock, random });
+    return new AdaptivePolicy({ table, zone, clock, notices: this.#notices, random });
   }
 
   /** Records what a response that is returned to a caller says about its target. */
--- a/src/sidecar/TargetAnnouncements.ts
+++ b/src/sidecar/TargetAnnouncements.ts
@@ -1,5 +1,5 @@
 import type { TargetId } from "../common/ids/TargetId.ts";
-import type { ProtoTypes } from "../common/rpc/ProtoTypes.ts";
+import type { AnnouncedTarget } from "../membership/AnnouncedTarget.ts";
 
 /** Receives the announcements and withdrawals of local targets, whichever API they use. */
 export interface TargetAnnouncements {
@@ -7,7 +7,7 @@
    * Records an announcement; `sequence` rises with each announcement of one incarnation of the
    * target. Returns undefined, or the reason why the target cannot be used.
    */
-  announce(target: ProtoTypes["Target"], sequence: number): string | undefined;
+  announce(target: AnnouncedTarget, sequence: number): string | undefined;
   /**
    * Records that a target has withdrawn: it gets no new requests from now on.
    *
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -24,7 +24,9 @@
 import type { Quarantine } from "./quarantine/Quarantine.ts";
 import { RunGuard } from "./quarantine/RunGuard.ts";
 import { EndedTargets } from "./liveness/EndedTargets.ts";
+import { fetchHealth } from "./liveness/fetchHealth.ts";
 import { isListening } from "./liveness/isListening.ts";
+import { ReturnCheck } from "./liveness/ReturnCheck.ts";
 import type { Dialect } from "./dialect/Dialect.ts";
 import type { ForwardResult } from "./forwarding/ForwardResult.ts";
 import type { TargetRequest } from "./forwarding/TargetRequest.ts";
@@ -62,6 +64,9 @@
 /** Interval at which idle targets are looked for, ms. */
 const IDLE_CHECK_INTERVAL_MS = 200;
 
+/** Interval at which unused targets are looked for, ms. */
+const RETURN_CHECK_INTERVAL_MS = 1000;
+
 /** Size of the random boot id of this process, bytes. Two incarnations of a sidecar must not have the same id. */
 const BOOT_ID_BYTES = 6;
 
@@ -189,6 +194,8 @@
         this.#gates.reportIdle();
       }),
     );
+    const returnCheck = this.#createReturnCheck();
+    this.register(every(RETURN_CHECK_INTERVAL_MS, () => void returnCheck.run()));
     this.#startHandover();
   }
 
@@ -306,8 +313,41 @@
   }
 
   /** Records what a response to a request that was sent at `sentAt` (ms) says about a local target. */
-  #recordSignals(target: TargetInfo, { limit }: TargetSignals, sentAt: number): void {
+  #recordSignals(target: TargetInfo, { limit, isLeaving }: TargetSignals, sentAt: number): void {
     this.#gates.recordLimit(target, limit, sentAt);
+    if (isLeaving && this.#deps.table.noteLeaving(target)) {
+      this.#deps.log.info({ target: target.id }, "target is leaving by its response");
+      this.#onTargetsChanged();
+    }
+  }
+
+  #createReturnCheck(): ReturnCheck {
+    const { table, dialect, clock, log } = this.#deps;
+    return new ReturnCheck({
+      targets: () => table.announcedReady(),
+      unusedMs: (target) => table.leavingForMs(target) ?? this.#gates.get(target.id)?.unusedMs ?? 0,
+      healthPath: (target) => this.#healthPathOf(target),
+      fetchHealth,
+      readSignals: (...args) => dialect.readSignals(...args),
+      onSignals: (...args) => {
+        this.#recordSignals(...args);
+      },
+      onReturn: (target) => {
+        if (table.noteResumed(target)) {
+          log.info({ target: target.id }, "target is not leaving by its health check");
+          this.#onTargetsChanged();
+        }
+      },
+      clock,
+      log,
+    });
+  }
+
+  /** Path of a target's health endpoint, its own or that of its service; undefined if it has none. */
+  #healthPathOf({ healthPath, service }: TargetInfo): string | undefined {
+    const { services } = this.#deps.document() ?? {};
+    const ofService = services?.find((s) => s.name === service)?.healthPath;
+    return healthPath === "" ? ofService : healthPath;
   }
 
   #createGuard(sender: TargetSender): RunGuard {
--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -289,6 +289,11 @@
     return isReady && !this.isBusy ? this.#activity.takeReport() : undefined;
   }
 
+  /** Time for which no slot was requested and no run was in progress, ms. */
+  get unusedMs(): number {
+    return this.isBusy ? 0 : this.#activity.unusedMs;
+  }
+
   /** Whether any slot is granted or in use. */
   get isBusy(): boolean {
     return this.#slots.size > 0;
--- a/src/sidecar/gate/GateActivity.ts
+++ b/src/sidecar/gate/GateActivity.ts
@@ -50,6 +50,11 @@
     return this.#clock.now() - this.#idleSince;
   }
 
+  /** The time since a run last began or ended, ms; 0 if a slot was requested since. */
+  get unusedMs(): number {
+    return this.#requests === 0 ? this.idleMs : 0;
+  }
+
   /** The current idle period if it is due for a report; undefined otherwise. */
   takeReport(): IdlePeriod | undefined {
     const { idleMs } = this;
--- a/src/sidecar/routing/AdaptivePolicy.ts
+++ b/src/sidecar/routing/AdaptivePolicy.ts
@@ -11,6 +11,7 @@
 import type { GateLoad } from "../hop/GateLoad.ts";
 import { UNSERVED_THRESHOLD } from "../hop/UNSERVED_THRESHOLD.ts";
 import { runAllowanceMs } from "../gate/runAllowanceMs.ts";
+import type { TargetNotices } from "../signals/TargetNotices.ts";
 import { chooseRotation } from "./chooseRotation.ts";
 import { pickByCost } from "./pickByCost.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
@@ -88,6 +89,8 @@
   readonly table: TargetTable;
   readonly zone: ZoneName;
   readonly clock: Clock;
+  /** What targets have said about themselves in responses; by default nothing. */
+  readonly notices?: Pick<TargetNotices, "isLeaving">;
   /** Returns a number in [0, 1); tests pass a seeded one. */
   readonly random: () => number;
 }
@@ -218,7 +221,7 @@
 
   survey(request: PickContext, tried: ReadonlySet<TargetId>): TargetSurvey {
     const snapshot = this.#snapshot(request);
-    const ready = this.#targetsOf(request.route).filter((t) => t.state === TargetState.Ready);
+    const ready = this.#targetsOf(request.route).filter((t) => this.#acceptsRequests(t));
     const untried = ready
       .filter((t) => !tried.has(t.id))
       .map((target) => ({ target, view: this.#views.of(target) }));
@@ -285,7 +288,7 @@
     this.#floors.set(route.service.name, route.service.floor);
     const candidates: Candidate[] = [];
     for (const target of this.#targetsOf(route)) {
-      if (target.state === TargetState.Ready && !tried.has(target.id)) {
+      if (this.#acceptsRequests(target) && !tried.has(target.id)) {
         const candidate = { target, view: this.#views.of(target) };
         if (!this.#stopsTooSoon(snapshot, candidate)) {
           candidates.push(candidate);
@@ -295,6 +298,11 @@
     return candidates;
   }
 
+  /** Whether the target is ready, and has not said in a response of which this sidecar knows that it is leaving. */
+  #acceptsRequests(target: TargetInfo): boolean {
+    return target.state === TargetState.Ready && !this.#deps.notices?.isLeaving(target);
+  }
+
   /**
    * Whether the co-located sidecar is being stopped and will exit before the request would end. After the
    * announced exit it may have restarted, so the target may be picked again.
--- a/src/sidecar/routing/policies.test.ts
+++ b/src/sidecar/routing/policies.test.ts
@@ -49,7 +49,11 @@
 
   constructor(
     kind: "adaptive" | "naive",
-    opts: { floor?: number; health?: (id: TargetId) => boolean } = {},
+    opts: {
+      floor?: number;
+      health?: (id: TargetId) => boolean;
+      leaving?: readonly string[];
+    } = {},
   ) {
     const { clock, random } = this;
     const recordEjection = (record: { msg: string; target: string }) => {
@@ -76,7 +80,12 @@
     this.#health = opts.health ?? (() => true);
     const table = this.table;
     if (kind === "adaptive") {
-      this.policy = new AdaptivePolicy({ table, zone: ZoneName("zone-a"), clock, random });
+      const notices = {
+        isLeaving: ({ id }: { id: string }) => opts.leaving?.includes(id) ?? false,
+      };
+      this.policy = new AdaptivePolicy({
+        ...{ table, zone: ZoneName("zone-a"), clock, notices, random },
+      });
     } else {
       const probe = (t: { id: TargetId }) => Promise.resolve(this.#health(t.id));
       this.#naive = new NaivePolicy({ table, probe, log });
@@ -377,6 +386,7 @@
         state: "ready",
         health_path: "",
         born: 0,
+        resumed: 0,
       })),
     },
   ]);
@@ -536,6 +546,15 @@
   });
 }
 
+test("adaptive: a target that has said that it is leaving is not picked, though it announces itself as ready", async (t) => {
+  const rig = new PolicyRig("adaptive", { leaving: ["t3"] });
+  const arrivals = await rig.run(1000, () => healthy);
+  t.deepEqual(
+    [...arrivals].filter(([, at]) => at.length === 0).map(([id]) => id as string),
+    ["t3"],
+  );
+});
+
 test("adaptive: a target that must wait for its limit is left to requests for which the others have no room", async (t) => {
   const rig = new PolicyRig("adaptive");
   await rig.run(500, () => healthy);
--- a/src/sidecar/signals/TargetNotices.ts
+++ b/src/sidecar/signals/TargetNotices.ts
@@ -7,13 +7,14 @@
 /** Maximum number of targets remembered, some 100 bytes each; the oldest are forgotten first. */
 const MAX_ENTRIES = 4096;
 
-/** What identifies an incarnation of a target. */
-type TargetRef = Pick<TargetInfo, "id" | "born">;
+/** What identifies an incarnation of a target, and its last return to service. */
+type TargetRef = Pick<TargetInfo, "id" | "born" | "resumed">;
 
 /** What is remembered of a target, in log lines. */
 interface NoticeChange {
   /** Limit, requests a second; undefined if it names none. */
   readonly limitPerS: number | undefined;
+  readonly isLeaving: boolean;
 }
 
 /** What one incarnation of a target has said. */
@@ -21,6 +22,8 @@
   /** Start time of the incarnation; undefined if the target was not known at that time. */
   readonly born: number | undefined;
   readonly limit: NamedLimit;
+  /** Value of `resumed` when the target last said that it was leaving; undefined if it did not. */
+  leftAfter: number | undefined;
 }
 
 /**
@@ -44,23 +47,28 @@
   record(
     id: TargetId,
     table: { target(id: TargetId): TargetRef | undefined },
-    { limit }: TargetSignals,
+    { limit, isLeaving }: TargetSignals,
     sentAt: number,
   ): NoticeChange | undefined {
     const target = table.target(id);
     const notice = this.#existing(id, target?.born) ?? {
       born: target?.born,
       limit: new NamedLimit(),
+      leftAfter: undefined,
     };
-    const before = notice.limit.perS;
+    const before = { limitPerS: notice.limit.perS, leftAfter: notice.leftAfter };
     notice.limit.record(limit, sentAt, this.#clock.now());
+    if (isLeaving) {
+      notice.leftAfter = target?.resumed ?? 0;
+    }
     this.#notices.delete(id);
-    if (notice.limit.perS !== undefined) {
+    if (notice.limit.perS !== undefined || notice.leftAfter !== undefined) {
       this.#notices.set(id, notice);
       this.#dropOldest();
     }
     const limitPerS = notice.limit.perS;
-    return limitPerS === before ? undefined : { limitPerS };
+    const isChanged = limitPerS !== before.limitPerS || notice.leftAfter !== before.leftAfter;
+    return isChanged ? { limitPerS, isLeaving: notice.leftAfter !== undefined } : undefined;
   }
 
   /** The limit that the target has named, requests a second; undefined if there is none. */
@@ -68,6 +76,12 @@
     return this.#existing(id, born)?.limit.perS;
   }
 
+  /** Whether the target has said that it is leaving, and has not returned to service since. */
+  isLeaving({ id, born, resumed }: TargetRef): boolean {
+    const leftAfter = this.#existing(id, born)?.leftAfter;
+    return leftAfter !== undefined && (resumed === 0 || resumed === leftAfter);
+  }
+
   /** The notice of the same incarnation; one whose incarnation is unknown counts for any. */
   #existing(id: TargetId, born: number | undefined): Notice | undefined {
     const notice = this.#notices.get(id);
