Model targets that name a limit, and compare two owners of it

The model's targets can name a limit for a period, and its sidecars read it as the product does.

The gate stays the owner.

The periods of gray targets and limits are set up in a module of their own; without limits the loads play as before.

--- a/experiment/Arrivals.ts
+++ b/experiment/Arrivals.ts
@@ -79,6 +79,21 @@
     return bursts.reduce((worst, b) => (b.count > worst.count ? b : worst), none);
   }
 
+  /** The largest number of requests that reach a target within `windowMs` from `fromMs` until before `untilMs`. */
+  busiestWindow(target: string, fromMs: number, untilMs: number, windowMs: number): number {
+    const times = this.#arrivals
+      .filter((a) => a.target === target && fromMs <= a.at && a.at < untilMs)
+      .map((a) => a.at);
+    const counts = times.map((from) => times.filter((at) => from <= at && at < from + windowMs));
+    return Math.max(0, ...counts.map((c) => c.length));
+  }
+
+  /** Number of requests that reach a target from `fromMs` until before `untilMs`. */
+  count(target: string, fromMs: number, untilMs: number): number {
+    return this.#arrivals.filter((a) => a.target === target && fromMs <= a.at && a.at < untilMs)
+      .length;
+  }
+
   /** The window in which the extra arrivals at `service` are the largest share of what the budget allows. */
   worstWindow(service: string, { ratio, windowMs, slack }: FleetBudget): BudgetUse {
     const extras = this.#arrivals.filter((a) => a.service === service && a.isExtra);
--- a/experiment/Scenario.ts
+++ b/experiment/Scenario.ts
@@ -29,6 +29,16 @@
   readonly slowdown?: number;
 }
 
+/** A period in which the first `count` targets of a service name a limit in their responses. */
+export interface LimitPeriod {
+  readonly service: string;
+  readonly count: number;
+  readonly fromMs: number;
+  readonly durationMs: number;
+  /** Requests a second. */
+  readonly perS: number;
+}
+
 /** A period with a higher request rate. */
 export interface Burst {
   readonly fromMs: number;
@@ -86,6 +96,7 @@
     readonly failureRate: number;
   };
   readonly grayPeriods?: readonly GrayPeriod[];
+  readonly limits?: readonly LimitPeriod[];
   /** Share of requests that healthy targets fail; by default as measured at the users' services. */
   readonly baseErrorRate?: number;
   readonly bursts?: readonly Burst[];
--- a/experiment/SimFleet.ts
+++ b/experiment/SimFleet.ts
@@ -10,7 +10,9 @@
 import { RequestOrigin } from "../src/sidecar/routing/RequestOrigin.ts";
 import type { RetryBudgetRule } from "../src/sidecar/routing/RetryBudget.ts";
 import type { RouteMatch } from "../src/sidecar/routing/RouteMatch.ts";
+import { addTargetFaults } from "./addTargetFaults.ts";
 import { Arrivals } from "./Arrivals.ts";
+import { exponential } from "./exponential.ts";
 import type { Crash, RequestKind, RollingStop, Scenario } from "./Scenario.ts";
 import type { SimClock } from "./SimClock.ts";
 import { SimSidecar, type SimVm } from "./SimSidecar.ts";
@@ -95,7 +97,7 @@
       this.#sidecars.set(vm.name, this.#createSidecar(vm));
     });
     this.#broadcast([...this.#sidecars.values()].map((s) => s.describeMember(false)));
-    this.#scheduleGrayPeriods();
+    addTargetFaults(scenario, this.#vms, this.#targets, random);
     scenario.stops?.forEach((stop) => {
       this.#scheduleStops(stop);
     });
@@ -133,6 +135,11 @@
     );
   }
 
+  /** The limit that a target names now, requests a second; undefined if it names none. */
+  limitOf(name: string): number | undefined {
+    return this.#targets.get(name)?.limitPerS;
+  }
+
   /** Names of the targets of `service` that are in no gray interval from `fromMs` to `untilMs`. */
   healthyTargets(service: string, fromMs: number, untilMs: number): string[] {
     const names = this.#vms.filter((vm) => vm.service === service).map((vm) => vm.name);
@@ -300,52 +307,9 @@
     });
   }
 
-  #scheduleGrayPeriods(): void {
-    const { randomGray, grayPeriods = [], lengthMs } = this.#scenario;
-    for (const {
-      service,
-      count,
-      fromMs,
-      durationMs,
-      failureRate,
-      shedRate = 0,
-      slowdown = 1,
-    } of grayPeriods) {
-      const affected = this.#vms.filter((vm) => vm.service === service).slice(0, count);
-      affected.forEach(({ name }) => {
-        const interval = {
-          from: fromMs,
-          until: fromMs + durationMs,
-          failureRate,
-          shedRate,
-          slowdown,
-        };
-        this.#targets.get(name)?.addGrayInterval(interval);
-      });
-    }
-    if (!randomGray) {
-      return;
-    }
-    const { share, meanMs: meanGrayMs, failureRate } = randomGray;
-    const meanHealthyMs = (meanGrayMs * (1 - share)) / share;
-    for (const target of this.#targets.values()) {
-      const isGray = this.#random() < share;
-      for (let at = isGray ? 0 : this.#exponential(meanHealthyMs); at < lengthMs;) {
-        const until = at + this.#exponential(meanGrayMs);
-        target.addGrayInterval({ from: at, until, failureRate, shedRate: 0, slowdown: 1 });
-        at = until + this.#exponential(meanHealthyMs);
-      }
-    }
-  }
-
-  /** A random time from an exponential distribution (memoryless) with a mean of `mean` ms. */
-  #exponential(mean: number): number {
-    return -Math.log(1 - this.#random()) * mean;
-  }
-
   #scheduleNextArrival(kind: RequestKind): void {
     const rateFactor = this.#rateFactorAt(this.#clock.now());
-    const wait = this.#exponential(1000 / (kind.perSecond * rateFactor));
+    const wait = exponential(1000 / (kind.perSecond * rateFactor), this.#random);
     this.#clock.after(wait, () => {
       if (this.#clock.now() < this.#scenario.lengthMs) {
         void this.#sendCallerRequest(kind);
@@ -436,9 +400,13 @@
         }
       });
     }
+    const sentAt = this.#clock.now();
+    const { limitPerS } = target;
     const outcome = await target.run(kind.workMs, () =>
       this.#makeNestedCalls(kind, caller, deadlineAt),
     );
+    // A response names the limit of the time at which its run began.
+    this.#sidecars.get(vm.name)?.recordLimit(limitPerS, sentAt);
     if (outcome === "shed") {
       const verdict = { kind: "not-run", reason: "refused", retryAfterMs: 1000 } as const;
       return { verdict, outcome: AttemptOutcome.Shed };
@@ -454,9 +422,9 @@
       return { verdict, outcome: AttemptOutcome.NoResponse };
     }
     if (this.#clock.now() > deadlineAt) {
-      return resultOf(vm, TIMED_OUT);
+      return resultOf(vm, TIMED_OUT, limitPerS);
     }
-    return resultOf(vm, outcome === "ok" ? OK : FAILED);
+    return resultOf(vm, outcome === "ok" ? OK : FAILED, limitPerS);
   }
 
   async #makeNestedCalls(
@@ -491,11 +459,15 @@
 const FAILED: RunEnding = [500, AttemptOutcome.Failed];
 const TIMED_OUT: RunEnding = [504, AttemptOutcome.TimedOut];
 
-function resultOf({ name }: SimVm, [status, outcome]: RunEnding): ForwardResult {
+function resultOf(
+  { name }: SimVm,
+  [status, outcome]: RunEnding,
+  limitPerS: number | undefined,
+): ForwardResult {
   return {
     verdict: { kind: "done", target: TargetId(name), status },
     outcome,
-    headers: {},
+    headers: limitPerS === undefined ? {} : { "x-burdockpass-limit": String(limitPerS) },
     body: Buffer.alloc(0),
   };
 }
--- a/experiment/SimHop.ts
+++ b/experiment/SimHop.ts
@@ -4,6 +4,7 @@
 import type { ForwardResult } from "../src/sidecar/forwarding/ForwardResult.ts";
 import type { TargetRequest } from "../src/sidecar/forwarding/TargetRequest.ts";
 import type { RunState } from "../src/sidecar/gate/RunTable.ts";
+import { RefusalReason } from "../src/sidecar/hop/RefusalReason.ts";
 import type { SlotRequest } from "../src/sidecar/hop/SlotRequest.ts";
 import type { SlotReply } from "../src/sidecar/hop/SlotReply.ts";
 import type { GateLoad } from "../src/sidecar/hop/GateLoad.ts";
@@ -11,6 +12,7 @@
 import type { HopRequest } from "../src/sidecar/hop/HopRequest.ts";
 import type { PendingCall } from "../src/sidecar/hop/PendingCall.ts";
 import type { RetryCost } from "../src/sidecar/routing/RetryCost.ts";
+import type { SenderShares } from "./SenderShares.ts";
 import type { SimSidecar } from "./SimSidecar.ts";
 
 /** Interval of the signals that a run is still in progress, ms; as between real sidecars. */
@@ -22,11 +24,24 @@
 /** Time to wait for the reply to a request for a retry token, ms; no reply counts as a refusal. */
 const BORROW_TIMEOUT_MS = 40;
 
+/** Reply to a slot request for which the sender's own share of the limit is used up. */
+const SHARE_USED_UP: SlotReply = {
+  kind: "refused",
+  reason: RefusalReason.Limited,
+  retryAfterMs: 1000,
+  load: {
+    ...{ slots: 1, busy: 0, queued: 0, serviceMs: 0, pace: 1, risk: 0 },
+    ...{ suspect: false, ejected: false, wantsWork: false },
+  },
+};
+
 interface SimHopDeps {
   /** The sidecars that are running now, by the names of their VMs. */
   readonly sidecars: ReadonlyMap<string, SimSidecar>;
   readonly zone: number;
   readonly zoneLatencyMs: number;
+  /** This sender's shares of the limits that targets name; undefined if their gates enforce them. */
+  readonly shares: SenderShares | undefined;
   readonly clock: Clock;
 }
 
@@ -45,6 +60,9 @@
     request: SlotRequest,
     onQueued: (load: GateLoad) => void,
   ): PendingCall<SlotReply> {
+    if (this.#deps.shares?.take(request.target) === false) {
+      return { result: Promise.resolve(SHARE_USED_UP), cancel: () => undefined };
+    }
     this.slotRequests += 1;
     let cancelled = false;
     let withdraw: () => void = () => undefined;
--- a/experiment/SimSidecar.ts
+++ b/experiment/SimSidecar.ts
@@ -19,6 +19,9 @@
 import { Gate } from "../src/sidecar/gate/Gate.ts";
 import { GrantIds } from "../src/sidecar/gate/GrantIds.ts";
 import { TargetRunner } from "../src/sidecar/gate/TargetRunner.ts";
+import { ownDialect } from "../src/sidecar/dialect/ownDialect.ts";
+import type { LimitSignal } from "../src/sidecar/signals/LimitSignal.ts";
+import { TargetNotices } from "../src/sidecar/signals/TargetNotices.ts";
 import type { GateLoad } from "../src/sidecar/hop/GateLoad.ts";
 import type { CallerRequest } from "../src/sidecar/routing/CallerRequest.ts";
 import { AdaptivePolicy } from "../src/sidecar/routing/AdaptivePolicy.ts";
@@ -29,6 +32,7 @@
 import { RetryBudgets } from "../src/sidecar/routing/RetryBudgets.ts";
 import type { RouteMatch } from "../src/sidecar/routing/RouteMatch.ts";
 import type { SimClock } from "./SimClock.ts";
+import { SenderShares } from "./SenderShares.ts";
 import { SimHop } from "./SimHop.ts";
 import type { Variant } from "./Variant.ts";
 
@@ -99,6 +103,7 @@
   readonly quarantine: Quarantine;
   readonly policy: AdaptivePolicy;
   readonly hop: SimHop;
+  readonly notices: TargetNotices;
 
   constructor(deps: SimSidecarDeps) {
     this.#deps = deps;
@@ -121,8 +126,13 @@
     this.budgets = this.#createBudgets();
     this.#gate = this.#createGate();
     this.runner = this.#createRunner();
-    this.policy = new AdaptivePolicy({ table: this.#table, zone, clock, random });
-    this.hop = new SimHop({ sidecars, zone: vm.zone, zoneLatencyMs, clock });
+    this.notices = new TargetNotices(clock);
+    const { notices } = this;
+    this.policy = new AdaptivePolicy({ table: this.#table, zone, clock, notices, random });
+    this.hop = new SimHop({
+      ...{ sidecars, zone: vm.zone, zoneLatencyMs, clock },
+      shares: deps.variant.sharesLimits ? this.#createShares() : undefined,
+    });
     this.#dispatcher = this.#createDispatcher();
     this.#checkDemand();
   }
@@ -194,12 +204,34 @@
   async dispatch(route: RouteMatch, req: CallerRequest): Promise<ForwardResult> {
     this.#inFlight += 1;
     try {
-      return await this.#dispatcher.dispatch(route, req);
+      const result = await this.#dispatcher.dispatch(route, req);
+      this.#recordSignals(result, req.startedAt);
+      return result;
     } finally {
       this.#inFlight -= 1;
     }
   }
 
+  /** Records the limit that a response of the local target names; its request was sent at `sentAt`, ms. */
+  recordLimit(perS: number | undefined, sentAt: number): void {
+    if (this.#deps.variant.sharesLimits) {
+      return;
+    }
+    const signal: LimitSignal = perS === undefined ? { kind: "none" } : { kind: "limit", perS };
+    this.#gate.recordLimit(signal, sentAt);
+  }
+
+  /** Records what a response that is returned to a caller says about its target. */
+  #recordSignals(result: ForwardResult, receivedAt: number): void {
+    if ("headers" in result) {
+      const { verdict, headers } = result;
+      const signals = ownDialect.readSignals(verdict.status, headers);
+      if (signals) {
+        this.notices.record(verdict.target, this.#table, signals, receivedAt);
+      }
+    }
+  }
+
   /** Stops the sidecar as planned; resolves when the process would exit. */
   async stop(): Promise<void> {
     const { clock, onLeaving } = this.#deps;
@@ -308,6 +340,7 @@
     return new Dispatcher({
       policy: this.policy,
       hop: this.hop,
+      notices: this.#deps.variant.sharesLimits ? undefined : this.notices,
       callerService: vm.service,
       budgets: this.budgets,
       quarantine: this.quarantine,
@@ -318,6 +351,18 @@
     });
   }
 
+  #createShares(): SenderShares {
+    const { sidecars, clock } = this.#deps;
+    return new SenderShares({
+      limitOf: (id) => {
+        const target = this.#table.target(id);
+        return target && this.notices.limitOf(target);
+      },
+      senders: () => sidecars.size,
+      clock,
+    });
+  }
+
   #createBudgets(): RetryBudgets {
     const { clock, budget, incarnationNumber, random } = this.#deps;
     return new RetryBudgets({
--- a/experiment/SimTarget.ts
+++ b/experiment/SimTarget.ts
@@ -25,12 +25,21 @@
   readonly slowdown: number;
 }
 
+/** A period in which the target names a limit; times in ms. */
+interface LimitInterval {
+  readonly from: number;
+  readonly until: number;
+  /** Requests a second. */
+  readonly perS: number;
+}
+
 /** A simulated target: runs take time, make nested calls, and may fail, more so in gray intervals. */
 export class SimTarget {
   readonly #clock: Clock;
   readonly #random: () => number;
   readonly #baseErrorRate: number;
   readonly #grayIntervals: GrayInterval[] = [];
+  readonly #limits: LimitInterval[] = [];
   /** Constant factor on this target's work times, which differs between targets. */
   readonly #workTimeFactor: number;
   /** Times at which the process was down, ms. */
@@ -52,6 +61,17 @@
     this.#grayIntervals.push(interval);
   }
 
+  /** Adds a period in which the target names a limit. */
+  addLimit(limit: LimitInterval): void {
+    this.#limits.push(limit);
+  }
+
+  /** The limit that it names now, requests a second; undefined if it names none. */
+  get limitPerS(): number | undefined {
+    const now = this.#clock.now();
+    return this.#limits.find((l) => l.from <= now && now < l.until)?.perS;
+  }
+
   /** Ends the process for `downMs`; the runs in progress are lost. */
   crash(downMs: number): void {
     const from = this.#clock.now();
--- a/experiment/scenarios.ts
+++ b/experiment/scenarios.ts
@@ -251,6 +251,22 @@
       { service: "hire-book", count: 5, fromMs: 20_000, durationMs: 6000, failureRate: 0.85 },
     ],
   },
+  {
+    // Three of eight booking targets name a limit far below what they get; the others have room for the rest.
+    ...GLENBRAE,
+    name: "limits",
+    kinds: glenbrae(0.8),
+    randomGray: undefined,
+    limits: [{ service: "hire-book", count: 3, fromMs: 8000, durationMs: 16_000, perS: 2 }],
+  },
+  {
+    // All booking targets name a limit: together they take a third of the bookings and nested calls.
+    ...GLENBRAE,
+    name: "limits everywhere",
+    kinds: glenbrae(0.8),
+    randomGray: undefined,
+    limits: [{ service: "hire-book", count: 8, fromMs: 8000, durationMs: 16_000, perS: 2 }],
+  },
   { ...HOLMGAARD, name: "listings quiet", kinds: holmgaard(0.65) },
   { ...HOLMGAARD, name: "listings busy", kinds: holmgaard(1.2) },
   {
--- a/experiment/variants.ts
+++ b/experiment/variants.ts
@@ -21,6 +21,7 @@
 /** The policies that the experiment compares. */
 export const variants: readonly Variant[] = [
   { name: "product" },
+  { name: "sender shares", sharesLimits: true },
   { name: "first come", gate: { order: byArrival } },
   { name: "strict priority", gate: { order: byPriority } },
 ];
