Add limits and leaving targets to the faults and guarantees of the soak

Targets name a limit for 8 to 16 s, or say in their responses that they leave while they announce themselves as ready. Two checks count what reached them from sidecars that had returned such a response to a caller, nested calls included: a limit from 3 s after it was first named, in any 4 s, at most 1.5 times the limit and 5 more; a leaving target nothing new after 2 s.

The player keeps the headers of each fault apart now.

--- a/soak/FaultPlayer.ts
+++ b/soak/FaultPlayer.ts
@@ -1,5 +1,5 @@
 import { FaultMode } from "../src/standin/FaultMode.ts";
-import type { Disturbance, StopRecord } from "./History.ts";
+import type { Disturbance, LimitRecord, StopRecord } from "./History.ts";
 import { LinkMode } from "./LinkProxy.ts";
 import { FATAL_REQUEST, type SoakFleet } from "./SoakFleet.ts";
 import type { SoakOperator } from "./SoakOperator.ts";
@@ -17,6 +17,11 @@
  */
 const RECOVERY_MS = 1000;
 
+/** The limit that targets name, requests a second: a small part of what they get otherwise. */
+const LIMIT_PER_S = 2.5;
+
+const LIMIT_HEADER = "x-burdockpass-limit";
+
 const TARGET_MODES: Readonly<Partial<Record<FaultKind, FaultMode>>> = {
   [FaultKind.TargetGray]: FaultMode.Gray,
   [FaultKind.TargetSheds]: FaultMode.Shedding,
@@ -42,14 +47,19 @@
   readonly stops: StopRecord[] = [];
   readonly disturbances: Disturbance[] = [];
   readonly drains: { target: string; at: number }[] = [];
+  readonly limits: LimitRecord[] = [];
+  readonly leavings: { target: string; at: number }[] = [];
   /** By process: its latest stop or restart. Other faults that hit it meanwhile are injected without waiting. */
   readonly #restarts = new Map<string, Promise<void>>();
   #fatalRequests = 0;
+  /** Headers that targets add to their responses. */
+  readonly #headers = new Map<string, Readonly<Record<string, string | undefined>>>();
 
   constructor(fleet: SoakFleet, operator: SoakOperator) {
     this.#fleet = fleet;
     this.#operator = operator;
     fleet.onTargetEnded = (vm, restarted) => {
+      this.#headers.delete(vm);
       void restarted.then(this.#beginDisturbance(vm, "target ended"));
     };
   }
@@ -87,6 +97,15 @@
       case FaultKind.TargetKill:
         this.#fleet.killTarget(on);
         return;
+      case FaultKind.TargetLimit:
+        await this.#limitTarget(on, forS);
+        return;
+      case FaultKind.TargetLeaving:
+        if (await this.#setHeaders(on, { "x-burdockpass-leaving": "1" })) {
+          this.leavings.push({ target: on, at: this.#fleet.now });
+          this.disturbances.push({ on, kind, from: this.#fleet.now, until: Infinity });
+        }
+        return;
       case FaultKind.FatalRequest:
         await this.#sendFatalRequests(on, forS);
         return;
@@ -136,6 +155,30 @@
     end();
   }
 
+  /** Makes a target name a limit; one that restarts meanwhile no longer does. */
+  async #limitTarget(on: string, forS: number): Promise<void> {
+    if (this.#headers.get(on)?.[LIMIT_HEADER] !== undefined) {
+      return;
+    }
+    const end = this.#beginDisturbance(on, FaultKind.TargetLimit);
+    const isNamed = await this.#setHeaders(on, { [LIMIT_HEADER]: String(LIMIT_PER_S) });
+    const limit = { target: on, perS: LIMIT_PER_S, from: this.#fleet.now, until: Infinity };
+    if (isNamed) {
+      this.limits.push(limit);
+    }
+    await sleep(forS * 1000);
+    limit.until = this.#fleet.now;
+    await this.#setHeaders(on, { [LIMIT_HEADER]: undefined });
+    end();
+  }
+
+  /** Adds headers to a target's responses, or removes undefined ones; resolves with whether it did. */
+  #setHeaders(on: string, change: Readonly<Record<string, string | undefined>>): Promise<boolean> {
+    const headers = { ...this.#headers.get(on), ...change };
+    this.#headers.set(on, headers);
+    return this.#fleet.setHeaders(on, headers);
+  }
+
   /** Sends a request that ends every target of the VM's service, through one sidecar after the other. */
   async #sendFatalRequests(on: string, forS: number): Promise<void> {
     const service = on.split("-")[0] ?? "";
--- a/soak/History.ts
+++ b/soak/History.ts
@@ -92,6 +92,15 @@
   readonly descriptors: number;
 }
 
+/** A period in which a target named a limit in its responses. */
+export interface LimitRecord {
+  readonly target: string;
+  /** Requests a second. */
+  readonly perS: number;
+  readonly from: number;
+  until: number;
+}
+
 /** Everything that was observed of a soak run, from outside the processes. */
 export interface History {
   readonly calls: readonly CallRecord[];
@@ -102,6 +111,9 @@
   readonly readyLooks: readonly ReadinessSample[];
   readonly disturbances: readonly Disturbance[];
   readonly drains: readonly { readonly target: string; readonly at: number }[];
+  readonly limits: readonly LimitRecord[];
+  /** Targets that said in their responses from `at` on that they were leaving. */
+  readonly leavings: readonly { readonly target: string; readonly at: number }[];
   readonly uses: readonly ResourceSample[];
   /** End of the last fault, ms. */
   readonly faultsEndAt: number;
--- a/soak/SoakFleet.ts
+++ b/soak/SoakFleet.ts
@@ -180,6 +180,11 @@
     await this.#postToStandIn(vm, "drain", {});
   }
 
+  /** Sets headers that a stand-in target adds to its responses; resolves with whether it did. */
+  setHeaders(vm: string, headers: Readonly<Record<string, string | undefined>>): Promise<boolean> {
+    return this.#postToStandIn(vm, "headers", headers);
+  }
+
   /** Reads the journals of all stand-in targets. */
   async targetRecords(): Promise<TargetRecord[]> {
     const records: TargetRecord[] = [];
@@ -270,10 +275,14 @@
     return id.startsWith("desk") ? [journal, fatal, ...calls] : [journal, fatal];
   }
 
-  async #postToStandIn(vm: string, path: string, body: object): Promise<void> {
+  /** Resolves with whether the stand-in has responded. */
+  async #postToStandIn(vm: string, path: string, body: object): Promise<boolean> {
     const port = this.#fleet.targets.get(vm)?.ports.http ?? 0;
     const init = { method: "POST", body: JSON.stringify(body) };
-    await fetch(`http://127.0.0.1:${port}/_standin/${path}`, init).catch(() => undefined);
+    return fetch(`http://127.0.0.1:${port}/_standin/${path}`, init).then(
+      (res) => res.ok,
+      () => false,
+    );
   }
 
   #process(name: string) {
--- a/soak/SoakPlan.ts
+++ b/soak/SoakPlan.ts
@@ -50,6 +50,10 @@
   TargetSilent = "target-silent",
   /** The target reports that it is draining, and still serves requests for a while. */
   TargetDrains = "target-drains",
+  /** The target names a limit on the rate of its requests in its responses. */
+  TargetLimit = "target-limit",
+  /** The target says in its responses that it is leaving, while it announces itself as ready. */
+  TargetLeaving = "target-leaving",
   /** The target's process is killed, and started again as a new incarnation. */
   TargetKill = "target-kill",
   /** Callers send a request that ends every target of the service that runs it, again and again. */
--- a/soak/checks/allChecks.ts
+++ b/soak/checks/allChecks.ts
@@ -1,5 +1,7 @@
 import type { Check } from "./Check.ts";
 import { documentIsApplied } from "./documentIsApplied.ts";
+import { leavingGetsNoWork } from "./leavingGetsNoWork.ts";
+import { limitsAreKept } from "./limitsAreKept.ts";
 import { fatalRequestsAreContained } from "./fatalRequestsAreContained.ts";
 import { healthyStayInUse } from "./healthyStayInUse.ts";
 import { drainingGetsNoWork } from "./drainingGetsNoWork.ts";
@@ -22,6 +24,8 @@
   healthyStayInUse,
   fatalRequestsAreContained,
   drainingGetsNoWork,
+  leavingGetsNoWork,
+  limitsAreKept,
   stopsAbortNothing,
   stopsEndInTime,
   documentIsApplied,
--- a/soak/checks/checks.test.ts
+++ b/soak/checks/checks.test.ts
@@ -41,6 +41,8 @@
   readyLooks: [],
   disturbances: [],
   drains: [],
+  limits: [],
+  leavings: [],
   uses: [],
   faultsEndAt: 20_000,
   endAt: 40_000,
@@ -86,6 +88,20 @@
   isThere,
 });
 
+/** A target that names 2 requests a second gets `count` requests over `ms`, by a sidecar that was told of it. */
+const limited = (count: number, ms: number): Partial<History> => {
+  const tags = many(count, (n) => `booking-${n + 2}`);
+  const at = (n: number) => 14_000 + (n * ms) / count;
+  return {
+    limits: [{ target: "bookings-0", perS: 2, from: 9000, until: 30_000 }],
+    calls: [call({}), ...tags.map((tag, n) => call({ tag, sentAt: at(n) }))],
+    targets: [
+      targetRecord({}),
+      ...tags.map((tag, n) => targetRecord({ tag, event: "arrived", at: at(n) })),
+    ],
+  };
+};
+
 const cases: readonly {
   guarantee: RegExp;
   /** A history close to the bound that does not violate the guarantee. */
@@ -181,6 +197,30 @@
       },
     ],
   },
+  {
+    guarantee: /target leaves/,
+    satisfying: {
+      leavings: [{ target: "bookings-0", at: 9000 }],
+      calls: [call({}), call({ tag: "b", sentAt: 12_000 }), call({ tag: "c", sentAt: 12_200 })],
+      targets: [
+        targetRecord({}),
+        targetRecord({ tag: "b", event: "arrived", at: 12_500 }),
+        targetRecord({ tag: "c", event: "arrived", at: 12_500, target: "bookings-1" }),
+      ],
+    },
+    violating: [
+      {
+        leavings: [{ target: "bookings-0", at: 9000 }],
+        calls: [call({}), call({ tag: "b", sentAt: 12_200 })],
+        targets: [targetRecord({}), targetRecord({ tag: "b", event: "arrived", at: 12_300 })],
+      },
+    ],
+  },
+  {
+    guarantee: /limit that it names/,
+    satisfying: limited(17, 3800),
+    violating: [limited(18, 3800), limited(18, 100)],
+  },
   {
     guarantee: /stop aborts/,
     satisfying: {
--- a/soak/planSoak.ts
+++ b/soak/planSoak.ts
@@ -20,6 +20,9 @@
 /** Range of a fault's duration, s: from about the time that the product takes to detect one to far beyond it. */
 const FAULT_DURATION_S: readonly [number, number] = [0.3, 5];
 
+/** Range of the time for which a target names a limit, s: it binds in windows of 4 s from 3 s on. */
+const LIMIT_DURATION_S: readonly [number, number] = [8, 16];
+
 /** Range of the interval between the faults of a series, which hits one VM after the other, s. */
 const SERIES_GAP_S: readonly [number, number] = [0.15, 0.8];
 
@@ -42,6 +45,8 @@
   [FaultKind.TargetTruncates, 1],
   [FaultKind.TargetSilent, 1],
   [FaultKind.TargetDrains, 1],
+  [FaultKind.TargetLimit, 3],
+  [FaultKind.TargetLeaving, 1],
   [FaultKind.TargetKill, 2],
   [FaultKind.FatalRequest, 2],
   [FaultKind.Config, 5],
@@ -130,16 +135,19 @@
     .sort((a, b) => a.atS - b.atS);
 }
 
-/** Keeps one drain for each service: a drained target does not return, and no service may run out of targets. */
+/** Kinds of faults after which a target does not return. */
+const LEAVING_KINDS = new Set([FaultKind.TargetDrains, FaultKind.TargetLeaving]);
+
+/** Keeps one target that leaves for each service: none may run out of targets. */
 function limitDrains(faults: readonly PlannedFault[]): PlannedFault[] {
-  const drained = new Set<string>();
+  const left = new Set<string>();
   return faults.filter(({ kind, on }) => {
     const service = on.split("-")[0] ?? "";
-    const isFurtherDrain = kind === FaultKind.TargetDrains && drained.has(service);
-    if (kind === FaultKind.TargetDrains) {
-      drained.add(service);
+    const isFurther = LEAVING_KINDS.has(kind) && left.has(service);
+    if (LEAVING_KINDS.has(kind)) {
+      left.add(service);
     }
-    return !isFurtherDrain;
+    return !isFurther;
   });
 }
 
@@ -169,7 +177,7 @@
   return Array.from({ length: count }, (_, n) => ({
     kind,
     atS: atS + n * gapS,
-    forS,
+    forS: kind === FaultKind.TargetLimit ? rng.between(...LIMIT_DURATION_S) : forS,
     on: vms[(first + n * 2) % vms.length] ?? "",
   }));
 }
--- a/soak/playSoak.ts
+++ b/soak/playSoak.ts
@@ -65,6 +65,8 @@
     readyLooks: monitor.readinessSamples,
     disturbances: faultPlayer.disturbances,
     drains: faultPlayer.drains,
+    limits: faultPlayer.limits,
+    leavings: faultPlayer.leavings,
     uses: monitor.resourceSamples,
     faultsEndAt,
     endAt: fleet.now,
--- a/src/sidecar/gate/RequestRateLimit.test.ts
+++ b/src/sidecar/gate/RequestRateLimit.test.ts
@@ -127,3 +127,18 @@
     t.is(limit.waitMs(0), 0);
   });
 }
+
+for (const perS of [1, 5, 20]) {
+  test(`rate limit: after a long time without requests, ${perS} a second allow no more than ${perS} at once`, async (t) => {
+    const clock = new FakeClock();
+    const limit = new RequestRateLimit(clock);
+    limit.recordResponse(named(perS), 0);
+    await clock.advance(60_000);
+    let sent = 0;
+    while (limit.waitMs(0) === 0 && sent < 1000) {
+      limit.recordStart();
+      sent += 1;
+    }
+    t.is(sent, perS);
+  });
+}
