Don't take headers between sidecars from a target's response

A target that sent a header of the hop, such as x-burdockpass-hop-timed-out, was believed by the sidecar of the caller where its own sidecar did not set the same one. Found while going through what targets can say and by which way it is read.

--- a/src/sidecar/gate/GateServer.test.ts
+++ b/src/sidecar/gate/GateServer.test.ts
@@ -13,6 +13,7 @@
 import { SystemClock } from "../../common/lifecycle/SystemClock.ts";
 import { openTracing } from "../../common/telemetry/openTracing.ts";
 import { AlwaysHealthyDetector } from "../detection/AlwaysHealthyDetector.ts";
+import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import type { TargetRequest } from "../forwarding/TargetRequest.ts";
 import { HOP } from "../hop/HOP.ts";
 import { Gate } from "./Gate.ts";
@@ -32,7 +33,7 @@
 const REMAINING_MS = 5000;
 
 /** A gate server for one target with one slot, whose runs end at once. */
-async function rig() {
+async function rig(result: ForwardResult = results.done) {
   const grants = new GrantIds("this incarnation");
   const gate = new Gate({
     target: () => ({ slots: 1, acceptsRequests: true }),
@@ -50,7 +51,7 @@
     target: () => makeTarget(TARGET),
     send: (_target, req) => {
       sent.push(req);
-      return Promise.resolve(results.done);
+      return Promise.resolve(result);
     },
     grants,
     log,
@@ -115,6 +116,18 @@
   close();
 });
 
+test("gate server: headers between sidecars are not taken from a target's response", async (t) => {
+  const result = { ...results.done, headers: { [HOP.timedOut]: "1", "x-own": "kept" } };
+  const { close, open, requestSlot } = await rig(result);
+  requestSlot();
+  const req = open();
+  req.end("complete");
+  const { headers } = await responseOf(req);
+  t.is(headers[HOP.timedOut], undefined);
+  t.is(headers["x-own"], "kept");
+  close();
+});
+
 test("gate server: an aborted upload releases its slot", async (t) => {
   const { gate, sent, close, open, requestSlot } = await rig();
   requestSlot();
--- a/src/sidecar/gate/GateServer.ts
+++ b/src/sidecar/gate/GateServer.ts
@@ -258,12 +258,12 @@
   }
 }
 
-/** The target's response headers without the hop-by-hop ones. */
+/** The target's response headers without the hop-by-hop ones, and without those that only sidecars may set. */
 function endToEndHeaders(
   headers: Readonly<Record<string, string | string[] | undefined>>,
 ): Record<string, string | string[] | undefined> {
   const list = Object.keys(headers).flatMap((name) => [name, ""]);
-  const kept = new Set(forwardableHeaders(list));
+  const kept = new Set(forwardableHeaders(list, (name) => HOP_HEADERS.has(name)));
   return Object.fromEntries(Object.entries(headers).filter(([name]) => kept.has(name)));
 }
 
