--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,7 +12,7 @@
 
 /** Names defined by the users' platform, as a selector pattern; only platform/ may use them. */
 const PLATFORM_NAMES =
-  "/^x-(attempt-id|deadline-ms|expect-instance|instance-id|caller-service|response-signature|not-executed)$|^\\u002fburdockpass\\u002f(config|instances|readyz)|^BURDOCKPASS_CONFIG$/";
+  "/^x-(attempt-id|deadline-ms|expect-instance|instance-id|caller-service|response-signature|not-executed)$|^server-(limit|leaving)$|^\\u002fburdockpass\\u002f(config|instances|readyz)|^BURDOCKPASS_CONFIG$/";
 
 const layerRules = LAYERS.flatMap((layer, n) => {
   const above = [...LAYERS.slice(n).flat(), "platform"];
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -24,9 +24,7 @@
 import type { Quarantine } from "./quarantine/Quarantine.ts";
 import { RunGuard } from "./quarantine/RunGuard.ts";
 import { EndedTargets } from "./liveness/EndedTargets.ts";
-import { fetchHealth } from "./liveness/fetchHealth.ts";
 import { isListening } from "./liveness/isListening.ts";
-import { ReturnCheck } from "./liveness/ReturnCheck.ts";
 import type { Dialect } from "./dialect/Dialect.ts";
 import type { ForwardResult } from "./forwarding/ForwardResult.ts";
 import type { TargetRequest } from "./forwarding/TargetRequest.ts";
@@ -50,7 +48,7 @@
 import { RemoteRecordPeer } from "./records/RemoteRecordPeer.ts";
 import { RunRecords } from "./records/RunRecords.ts";
 import { SyncedJournal } from "./records/SyncedJournal.ts";
-import type { TargetSignals } from "./signals/TargetSignals.ts";
+import { LocalTargetSignals } from "./signals/LocalTargetSignals.ts";
 import type { CallerRequest } from "./routing/CallerRequest.ts";
 import type { RouteMatch } from "./routing/RouteMatch.ts";
 import type { TargetAnnouncements } from "./TargetAnnouncements.ts";
@@ -65,7 +63,7 @@
 const IDLE_CHECK_INTERVAL_MS = 200;
 
 /** Interval at which unused targets are looked for, ms. */
-const RETURN_CHECK_INTERVAL_MS = 1000;
+const UNUSED_CHECK_INTERVAL_MS = 1000;
 
 /** Size of the random boot id of this process, bytes. Two incarnations of a sidecar must not have the same id. */
 const BOOT_ID_BYTES = 6;
@@ -133,6 +131,7 @@
         sender.retireConnections(target);
       },
     });
+    const signals = this.#createSignals();
     metrics.watchLimits(() => this.#gates.limits());
     this.#records = this.register(this.#createRecords());
     const sender = this.register(
@@ -140,8 +139,8 @@
         dialect,
         clock,
         via: cfg.via ? cfg.id : "",
-        onSignals: (target, signals, sentAt) => {
-          this.#recordSignals(target, signals, sentAt);
+        onSignals: (...args) => {
+          signals.record(...args);
         },
         onOtherTarget: (target, other) => {
           log.info({ target: target.id, other }, "another target answers at this address");
@@ -194,8 +193,7 @@
         this.#gates.reportIdle();
       }),
     );
-    const returnCheck = this.#createReturnCheck();
-    this.register(every(RETURN_CHECK_INTERVAL_MS, () => void returnCheck.run()));
+    this.register(every(UNUSED_CHECK_INTERVAL_MS, () => void signals.checkUnused()));
     this.#startHandover();
   }
 
@@ -312,44 +310,21 @@
     });
   }
 
-  /** Records what a response to a request that was sent at `sentAt` (ms) says about a local target. */
-  #recordSignals(target: TargetInfo, { limit, isLeaving }: TargetSignals, sentAt: number): void {
-    this.#gates.recordLimit(target, limit, sentAt);
-    if (isLeaving && this.#deps.table.noteLeaving(target)) {
-      this.#deps.log.info({ target: target.id }, "target is leaving by its response");
-      this.#onTargetsChanged();
-    }
-  }
-
-  #createReturnCheck(): ReturnCheck {
-    const { table, dialect, clock, log } = this.#deps;
-    return new ReturnCheck({
-      targets: () => table.announcedReady(),
-      unusedMs: (target) => table.leavingForMs(target) ?? this.#gates.get(target.id)?.unusedMs ?? 0,
-      healthPath: (target) => this.#healthPathOf(target),
-      fetchHealth,
-      readSignals: (...args) => dialect.readSignals(...args),
-      onSignals: (...args) => {
-        this.#recordSignals(...args);
-      },
-      onReturn: (target) => {
-        if (table.noteResumed(target)) {
-          log.info({ target: target.id }, "target is not leaving by its health check");
-          this.#onTargetsChanged();
-        }
+  #createSignals(): LocalTargetSignals {
+    const { table, dialect, document, clock, log } = this.#deps;
+    return new LocalTargetSignals({
+      table,
+      gates: this.#gates,
+      dialect,
+      document,
+      onTargetsChanged: () => {
+        this.#onTargetsChanged();
       },
       clock,
       log,
     });
   }
 
-  /** Path of a target's health endpoint, its own or that of its service; undefined if it has none. */
-  #healthPathOf({ healthPath, service }: TargetInfo): string | undefined {
-    const { services } = this.#deps.document() ?? {};
-    const ofService = services?.find((s) => s.name === service)?.healthPath;
-    return healthPath === "" ? ofService : healthPath;
-  }
-
   #createGuard(sender: TargetSender): RunGuard {
     const { quarantine, table, clock, log } = this.#deps;
     const endedTargets = new EndedTargets({
