--- a/src/cli/explain/explainRequest.test.ts
+++ b/src/cli/explain/explainRequest.test.ts
@@ -30,6 +30,17 @@
       "not run: every target refused, the last one as full (targets refused it: 2 as full, 1 as suspect)",
     missing: [],
   },
+  {
+    name: "request for which the limits of the targets left no room",
+    log: [
+      line("t1", "slot refused", { attempt: "r1", target: "a", reason: "limited" }),
+      line("t2", "slot refused", { attempt: "r1", target: "b", reason: "limited" }),
+      answered({ kind: "not-run", reason: "every target refused, the last one as limited" }),
+    ],
+    cause:
+      "not run: every target refused, the last one as limited (targets refused it: 2 as limited)",
+    missing: [],
+  },
   {
     name: "request that was refused because equal ones have ended their targets",
     log: [
