--- a/src/cli/explain/explainRequest.test.ts
+++ b/src/cli/explain/explainRequest.test.ts
@@ -30,6 +30,56 @@
       "not run: every target refused, the last one as full (targets refused it: 2 as full, 1 as suspect)",
     missing: [],
   },
+  {
+    name: "request beyond the quota of its workspace",
+    log: [
+      line("origin", "request not admitted", {
+        attempt: "r1",
+        status: 429,
+        reason: "quota of workspace depot used up",
+        workspace: "depot",
+        retryAfterMs: 900,
+        documentAgeMs: 40,
+        configVersion: 3,
+      }),
+      answered({ kind: "not-run", reason: "quota of workspace depot used up" }),
+    ],
+    cause:
+      "refused with 429: quota of workspace depot used up, by document version 3, known to be current 40 ms before; to be tried again after 900 ms",
+    missing: [],
+  },
+  {
+    name: "request with a key that a document no longer has, or not yet",
+    log: [
+      line("origin", "request not admitted", {
+        attempt: "r1",
+        status: 401,
+        reason: "unknown API key",
+        documentAgeMs: 40,
+        configVersion: 3,
+      }),
+      answered({ kind: "not-run", reason: "unknown API key" }),
+    ],
+    cause:
+      "refused with 401: unknown API key, by document version 3, known to be current 40 ms before",
+    missing: [],
+  },
+  {
+    name: "request by a document that may be outdated",
+    log: [
+      line("origin", "request not admitted", {
+        attempt: "r1",
+        status: 503,
+        reason: "the configuration may be outdated",
+        retryAfterMs: 1000,
+        configVersion: 3,
+      }),
+      answered({ kind: "not-run", reason: "the configuration may be outdated" }),
+    ],
+    cause:
+      "refused with 503: the configuration may be outdated, by document version 3, which was never confirmed to be current; to be tried again after 1000 ms",
+    missing: [],
+  },
   {
     name: "request for which the limits of the targets left no room",
     log: [
--- a/src/cli/explain/explainRequest.ts
+++ b/src/cli/explain/explainRequest.ts
@@ -57,7 +57,10 @@
     case "done":
       return doneCause(requestLines, verdict);
     case "not-run":
-      return `not run: ${text(verdict.reason)}${refusalsIn(requestLines)}`;
+      return (
+        admissionCause(requestLines) ??
+        `not run: ${text(verdict.reason)}${refusalsIn(requestLines)}`
+      );
     case "may-have-run":
       return `may have run${placeOf(verdict)}: ${text(verdict.reason)}${runOutcomeOf(requestLines)}`;
     case "in-progress":
@@ -67,6 +70,21 @@
   }
 }
 
+/** Why the request was refused before it was dispatched; undefined if it was not. */
+function admissionCause(requestLines: readonly LogLine[]): string | undefined {
+  const line = requestLines.find((l) => l.msg === "request not admitted");
+  if (!line) {
+    return undefined;
+  }
+  const { status, reason, configVersion, documentAgeMs, retryAfterMs } = line.fields;
+  const age =
+    documentAgeMs === undefined
+      ? "which was never confirmed to be current"
+      : `known to be current ${text(documentAgeMs)} ms before`;
+  const retry = Number(status) < 429 ? "" : `; to be tried again after ${text(retryAfterMs)} ms`;
+  return `refused with ${text(status)}: ${text(reason)}, by document version ${text(configVersion)}, ${age}${retry}`;
+}
+
 /** The target that may have run the request; empty if it was not sent to any. */
 function placeOf({ target }: Readonly<Record<string, unknown>>): string {
   return target === undefined || target === "" ? "" : ` at ${text(target)}`;
--- a/src/sidecar/ingress/CallerServer.test.ts
+++ b/src/sidecar/ingress/CallerServer.test.ts
@@ -358,7 +358,13 @@
 
 for (const { status, more, expected } of refusals) {
   test(`a refusal with ${status} ${more}leaves its connection usable while the body still arrives`, async (t) => {
-    const refusal = { kind: "refused", status, reason: "x", retryAfterMs: 2000 } as const;
+    const refusal = {
+      kind: "refused",
+      status,
+      reason: "x",
+      retryAfterMs: 2000,
+      documentAgeMs: 9,
+    } as const;
     const { socket, dispatched, received } = await openConnection(t, {}, true, ({ path }) =>
       Promise.resolve(path === "/refused" ? { ...refusal, route: undefined } : admitted),
     );
--- a/src/sidecar/ingress/CallerServer.ts
+++ b/src/sidecar/ingress/CallerServer.ts
@@ -272,15 +272,11 @@
     return bytes;
   }
 
-  #refuseAdmission(
-    ctx: RequestContext,
-    { status, reason, retryAfterMs }: Extract<Admission, { kind: "refused" }>,
-  ): void {
-    const { attempt, version } = ctx;
-    this.#deps.log.info(
-      { attempt, status, reason, configVersion: version },
-      "request not admitted",
-    );
+  #refuseAdmission(ctx: RequestContext, refusal: Extract<Admission, { kind: "refused" }>): void {
+    const { attempt, version: configVersion } = ctx;
+    const { status, reason, retryAfterMs, documentAgeMs, workspace } = refusal;
+    const decision = { status, reason, retryAfterMs, workspace, configVersion, documentAgeMs };
+    this.#deps.log.info({ attempt, ...decision }, "request not admitted");
     this.#deps.metrics.countNotAdmitted(status);
     if (status === UNAUTHORIZED) {
       ctx.res.setHeader("www-authenticate", "Bearer");
--- a/src/sidecar/workspaces/Admission.ts
+++ b/src/sidecar/workspaces/Admission.ts
@@ -20,4 +20,8 @@
       readonly reason: string;
       readonly retryAfterMs: number;
       readonly route: RouteMatch | undefined;
+      /** Time since the document that decided was known to be current, ms; undefined if it never was. */
+      readonly documentAgeMs: number | undefined;
+      /** The workspace whose quota decided. */
+      readonly workspace?: WorkspaceName;
     };
--- a/src/sidecar/workspaces/RequestAdmission.ts
+++ b/src/sidecar/workspaces/RequestAdmission.ts
@@ -74,14 +74,14 @@
       decision = this.#decide(req);
     }
     if (this.#isOutdated(decision)) {
-      return refused(503, "the configuration may be outdated", decision.route);
+      return this.#refuse(503, "the configuration may be outdated", decision.route);
     }
     const { access, route, hasWorkspaces } = decision;
     if (access.kind === "denied") {
-      return refused(401, access.reason, route);
+      return this.#refuse(401, access.reason, route);
     }
     if (!route) {
-      return refused(404, "no route", undefined);
+      return this.#refuse(404, "no route", undefined);
     }
     if (access.kind === "open") {
       const release = () => undefined;
@@ -133,18 +133,26 @@
           },
         };
       case "exhausted":
-        return refused(429, `quota of workspace ${name} used up`, route, result.retryAfterMs);
+        return {
+          ...this.#refuse(429, `quota of workspace ${name} used up`, route, result.retryAfterMs),
+          workspace,
+        };
       case "unreachable":
-        return refused(503, "quota cannot be checked", route, result.retryAfterMs);
+        return {
+          ...this.#refuse(503, "quota cannot be checked", route, result.retryAfterMs),
+          workspace,
+        };
     }
   }
-}
 
-function refused(
-  status: number,
-  reason: string,
-  route: RouteMatch | undefined,
-  retryAfterMs = RETRY_AFTER_MS,
-): Admission {
-  return { kind: "refused", status, reason, route, retryAfterMs };
+  #refuse(
+    status: number,
+    reason: string,
+    route: RouteMatch | undefined,
+    retryAfterMs = RETRY_AFTER_MS,
+  ): Extract<Admission, { kind: "refused" }> {
+    const { ageMs } = this.#deps.freshness;
+    const documentAgeMs = Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
+    return { kind: "refused", status, reason, route, retryAfterMs, documentAgeMs };
+  }
 }
