--- a/src/membership/LocalTargets.ts
+++ b/src/membership/LocalTargets.ts
@@ -192,8 +192,8 @@
     return [...this.#known.values()]
       .filter((k) => k.state === "here" && this.#isFresh(k))
       .flatMap(({ target, leavingAt, resumed }) => {
-        const state = leavingAt === undefined ? target?.state : TargetState.Draining;
-        return target ? [{ ...target, state: state ?? target.state, resumed }] : [];
+        const leaving = leavingAt === undefined ? {} : { state: TargetState.Draining };
+        return target ? [{ ...target, ...leaving, resumed }] : [];
       });
   }
 
--- a/src/membership/TargetTable.ts
+++ b/src/membership/TargetTable.ts
@@ -6,6 +6,7 @@
 import type { AnnouncedTarget } from "./AnnouncedTarget.ts";
 import { entryDigest } from "./entryDigest.ts";
 import { memberAddress } from "./memberAddress.ts";
+import { memberTargets } from "./memberTargets.ts";
 import { hash32 } from "../common/hash32.ts";
 import { LocalTargets } from "./LocalTargets.ts";
 import { TargetIndex } from "./TargetIndex.ts";
@@ -200,7 +201,7 @@
 
   /** Live local targets. */
   localTargets(): TargetInfo[] {
-    return this.#local.live().map((t) => toTargetInfo(t, this.#self));
+    return this.#local.live().map((t) => memberTargets.toInfo(t, this.#self));
   }
 
   /** Updates this member's own entry; true if it changed, so that peers must be informed. */
@@ -212,7 +213,10 @@
     }
     this.#ownContent = content;
     this.#indexOwn();
-    this.#reviseOwn({ targets: targets.map(toPublishedTarget), revision: this.#self.revision + 1 });
+    this.#reviseOwn({
+      targets: targets.map(memberTargets.publish),
+      revision: this.#self.revision + 1,
+    });
     return true;
   }
 
@@ -372,7 +376,7 @@
     const digest = entryDigest(member);
     this.#remote.set(member.sidecar_id, { member, digest, aliveAt: this.#now() });
     this.#live = undefined;
-    this.#index.set(member.sidecar_id, targetsOfMember(member));
+    this.#index.set(member.sidecar_id, memberTargets.of(member));
     this.#checksum = (this.#checksum ^ (known?.digest ?? 0) ^ digest) >>> 0;
     return true;
   }
@@ -411,41 +415,3 @@
   }
   return a.gone && !b.gone;
 }
-
-/** The form of a target published to other members. Only those that check its health themselves need its URL. */
-function toPublishedTarget(target: ProtoTypes["Target"]): ProtoTypes["Target"] {
-  return target.health_path === "" ? { ...target, url: "" } : target;
-}
-
-/** The targets in a member's entry; none if the member is gone. */
-function targetsOfMember(member: Member): TargetInfo[] {
-  return member.gone ? [] : member.targets.map((t) => toTargetInfo(t, member));
-}
-
-function toTargetInfo(t: ProtoTypes["Target"], member: Member): TargetInfo {
-  return {
-    id: TargetId(t.target_id),
-    service: ServiceName(t.service),
-    url: t.url,
-    slots: t.slots,
-    state: toTargetState(t.state),
-    zone: ZoneName(member.zone),
-    hopAddress: memberAddress.expand(member.hop_address, member.peer_address),
-    askAddress: member.peer_address,
-    healthPath: t.health_path,
-    born: t.born,
-    resumed: t.resumed,
-  };
-}
-
-/** Parses a state name from the wire; an unknown one (from a newer peer) counts as cold, so that it gets no requests. */
-function toTargetState(raw: string): TargetState {
-  switch (raw) {
-    case "ready":
-      return TargetState.Ready;
-    case "draining":
-      return TargetState.Draining;
-    default:
-      return TargetState.Cold;
-  }
-}
--- a/src/sidecar/gate/GrantPacer.ts
+++ b/src/sidecar/gate/GrantPacer.ts
@@ -15,6 +15,7 @@
   readonly #backoff: RefusalBackoff;
   /** The wait for the next grant that is in progress, and its end by the clock, ms. */
   #wait: { readonly until: number; readonly timer: Timer } | undefined;
+  /** The limit that the target names. */
   readonly limit: RequestRateLimit;
 
   constructor(deps: GrantPacerDeps) {
--- a/src/sidecar/routing/AdaptivePolicy.ts
+++ b/src/sidecar/routing/AdaptivePolicy.ts
@@ -10,11 +10,14 @@
 import type { SlotReply } from "../hop/SlotReply.ts";
 import type { GateLoad } from "../hop/GateLoad.ts";
 import { UNSERVED_THRESHOLD } from "../hop/UNSERVED_THRESHOLD.ts";
-import { runAllowanceMs } from "../gate/runAllowanceMs.ts";
 import type { TargetNotices } from "../signals/TargetNotices.ts";
+import type { Candidate } from "./Candidate.ts";
 import { chooseRotation } from "./chooseRotation.ts";
+import { expectedWaitMs } from "./expectedWaitMs.ts";
 import { pickByCost } from "./pickByCost.ts";
+import type { PickSnapshot } from "./PickSnapshot.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
+import { TargetAssessor, type TargetBelief } from "./TargetAssessor.ts";
 import type { TargetSurvey } from "./TargetSurvey.ts";
 import { TargetViews, type TargetView } from "./TargetViews.ts";
 import { UnservedShares } from "./UnservedShares.ts";
@@ -69,22 +72,6 @@
 /** Initial weight of a new target, relative to its weight after the ramp-up. */
 const RAMP_START = 0.2;
 
-/** A target that may be picked, with this sidecar's view of it. */
-interface Candidate {
-  readonly target: TargetInfo;
-  readonly view: TargetView;
-}
-
-/** What this sidecar believes about a target that is known as ready; the first that applies. */
-type TargetBelief = "leaving" | "suspect" | "unreachable" | "unknown" | "free" | "full";
-
-/** A request with the time and the typical duration that all targets are evaluated by in one pick. */
-interface PickSnapshot extends PickContext {
-  readonly now: number;
-  /** Typical time that a request of the route takes, ms. */
-  readonly typicalMs: number;
-}
-
 interface AdaptivePolicyDeps {
   readonly table: TargetTable;
   readonly zone: ZoneName;
@@ -108,6 +95,7 @@
   /** Moving averages of the wait for a slot, by service name, ms. */
   readonly #averageWaits = new Map<string, number>();
   readonly #zoneWaits: ZoneWaitEstimator;
+  readonly #assessor: TargetAssessor;
   readonly #unservedShares: UnservedShares;
   /** Floors by service name, as of the service's last request. */
   readonly #floors = new Map<string, number>();
@@ -116,6 +104,11 @@
     this.#deps = deps;
     this.#views = new TargetViews(deps);
     this.#zoneWaits = new ZoneWaitEstimator(deps.clock);
+    this.#assessor = new TargetAssessor({
+      views: this.#views,
+      zoneWaits: this.#zoneWaits,
+      typicalMs: (...args) => this.typicalMs(...args),
+    });
     this.#unservedShares = new UnservedShares(deps.clock);
   }
 
@@ -129,7 +122,7 @@
     if (probe) {
       return { target: probe.target, isProbe: true };
     }
-    const unsuspected = candidates.filter((c) => !this.#isSuspected(snapshot, c));
+    const unsuspected = candidates.filter((c) => !this.#assessor.isSuspected(snapshot, c));
     const reachable = unsuspected.filter((c) => !c.view.link.isSuspect);
     const preferred = reachable.length > 0 ? reachable : unsuspected;
     const local = this.#localCandidates(snapshot, preferred);
@@ -141,7 +134,7 @@
   suspects(request: PickContext, tried: ReadonlySet<TargetId>): SuspectTarget[] {
     const snapshot = this.#snapshot(request);
     const suspects = this.#candidates(snapshot, tried).filter(
-      (c) => this.#isSuspected(snapshot, c) && !c.view.link.isSuspect,
+      (c) => this.#assessor.isSuspected(snapshot, c) && !c.view.link.isSuspect,
     );
     if (suspects.length === 0) {
       return [];
@@ -151,8 +144,8 @@
     return suspects
       .map((c) => ({
         target: c.target,
-        risk: this.#riskOf(snapshot, c),
-        isKeptByFloor: this.#isGray(snapshot, c) && rotation.has(c.target.id),
+        risk: this.#assessor.riskOf(snapshot, c),
+        isKeptByFloor: this.#assessor.isGray(snapshot, c) && rotation.has(c.target.id),
       }))
       .sort((a, b) => a.risk - b.risk);
   }
@@ -225,7 +218,7 @@
     const untried = ready
       .filter((t) => !tried.has(t.id))
       .map((target) => ({ target, view: this.#views.of(target) }));
-    const beliefs = untried.map((c) => this.#beliefAbout(snapshot, c));
+    const beliefs = untried.map((c) => this.#assessor.beliefAbout(snapshot, c));
     const count = (belief: TargetBelief) => beliefs.filter((b) => b === belief).length;
     const ages = untried
       .filter(({ view }) => view.load !== undefined)
@@ -264,24 +257,6 @@
     this.#zoneWaits.record(service, zone, expectedWaitMs(load, load.serviceMs));
   }
 
-  #beliefAbout(snapshot: PickSnapshot, candidate: Candidate): TargetBelief {
-    if (this.#stopsTooSoon(snapshot, candidate)) {
-      return "leaving";
-    }
-    if (this.#isSuspected(snapshot, candidate)) {
-      return "suspect";
-    }
-    if (candidate.view.link.isSuspect) {
-      return "unreachable";
-    }
-    const load = this.#views.freshLoad(candidate.view, snapshot.now);
-    if (!load) {
-      return "unknown";
-    }
-    const limitWaitMs = limitWaitAt(snapshot.now, candidate.view);
-    return load.busy < load.slots && limitWaitMs === 0 ? "free" : "full";
-  }
-
   /** Targets of the route's service that accept requests, are not in `tried` and don't stop too soon for this one. */
   #candidates(snapshot: PickSnapshot, tried: ReadonlySet<TargetId>): Candidate[] {
     const { route } = snapshot;
@@ -290,7 +265,7 @@
     for (const target of this.#targetsOf(route)) {
       if (this.#acceptsRequests(target) && !tried.has(target.id)) {
         const candidate = { target, view: this.#views.of(target) };
-        if (!this.#stopsTooSoon(snapshot, candidate)) {
+        if (!this.#assessor.stopsTooSoon(snapshot, candidate)) {
           candidates.push(candidate);
         }
       }
@@ -303,39 +278,11 @@
     return target.state === TargetState.Ready && !this.#deps.notices?.isLeaving(target);
   }
 
-  /**
-   * Whether the co-located sidecar is being stopped and will exit before the request would end. After the
-   * announced exit it may have restarted, so the target may be picked again.
-   */
-  #stopsTooSoon({ now, route, isRetryable }: PickSnapshot, { target, view }: Candidate): boolean {
-    const { load, loadReceivedAt } = view;
-    if (load?.endsInMs === undefined) {
-      return false;
-    }
-    const remainingMs = load.endsInMs - (now - loadReceivedAt);
-    const typicalMs = this.typicalMs(route, target);
-    return remainingMs > 0 && remainingMs < runAllowanceMs(typicalMs, isRetryable);
-  }
-
   #snapshot(request: PickContext): PickSnapshot {
     const typicalMs = this.typicalMs(request.route);
     return { ...request, now: this.#deps.clock.now(), typicalMs };
   }
 
-  /** Whether to avoid the target: it is ejected or, for a request that can't be retried, suspect. */
-  #isSuspected({ now, isRetryable }: PickSnapshot, { view }: Candidate): boolean {
-    const health = this.#views.freshHealth(view, now);
-    return health !== undefined && (health.ejected || (health.suspect && !isRetryable));
-  }
-
-  #isGray({ now }: Pick<PickSnapshot, "now">, { view }: Candidate): boolean {
-    return this.#views.freshHealth(view, now)?.ejected ?? false;
-  }
-
-  #riskOf({ now }: Pick<PickSnapshot, "now">, { view }: Candidate): number {
-    return this.#views.freshHealth(view, now)?.risk ?? 0;
-  }
-
   /** Targets that are due for a probe and reachable. */
   #probeCandidates({ now, route }: PickSnapshot, candidates: readonly Candidate[]): Candidate[] {
     const share = this.isCongested(route) ? CONGESTED_PROBE_SHARE : 1;
@@ -365,8 +312,8 @@
         id: target.id,
         slots: target.slots,
         ready: target.state === TargetState.Ready,
-        isGray: this.#isGray({ now }, candidate),
-        risk: this.#riskOf({ now }, candidate),
+        isGray: this.#assessor.isGray({ now }, candidate),
+        risk: this.#assessor.riskOf({ now }, candidate),
       };
     });
     return chooseRotation(candidates, floor);
@@ -387,7 +334,7 @@
       const maxWaitMs = this.#views.freshLoad(c.view, snapshot.now)
         ? knownLoadWaitMs
         : unknownLoadWaitMs;
-      return c.target.zone === zone && this.#waitMs(snapshot, c) <= maxWaitMs;
+      return c.target.zone === zone && this.#assessor.waitMs(snapshot, c) <= maxWaitMs;
     });
   }
 
@@ -400,22 +347,13 @@
     const load = this.#views.freshLoad(view, snapshot.now);
     const utilization = ((load?.busy ?? 0) + view.inFlight) / Math.max(1, target.slots);
     const workMs = snapshot.typicalMs * (load?.pace ?? 1) * (1 + utilization);
-    const riskMs = snapshot.isRetryable ? 0 : this.#riskOf(snapshot, candidate) * RISK_COST_MS;
-    const total = this.#waitMs(snapshot, candidate) + workMs + view.link.replyMs + riskMs;
+    const riskMs = snapshot.isRetryable
+      ? 0
+      : this.#assessor.riskOf(snapshot, candidate) * RISK_COST_MS;
+    const total = this.#assessor.waitMs(snapshot, candidate) + workMs + view.link.replyMs + riskMs;
     return total / this.#rampWeight(snapshot.route, view);
   }
 
-  #waitMs(snapshot: PickSnapshot, { target, view }: Candidate): number {
-    const load = this.#views.freshLoad(view, snapshot.now);
-    const limitMs = limitWaitAt(snapshot.now, view);
-    return load
-      ? Math.max(
-          limitMs,
-          expectedWaitMs(load, load.serviceMs > 0 ? load.serviceMs : snapshot.typicalMs),
-        )
-      : Math.max(limitMs, this.#zoneWaits.expectedMs(target.service, target.zone));
-  }
-
   #rampWeight(route: RouteMatch, view: TargetView): number {
     const share = (this.#deps.clock.now() - view.firstSeenAt) / route.service.detection.rampMs;
     return Math.min(1, RAMP_START + (1 - RAMP_START) * share);
@@ -435,13 +373,3 @@
     return baseline;
   }
 }
-
-/** Wait for the limit that a target names, by its gate's last report, ms; 0 if there is none, or it has passed. */
-function limitWaitAt(now: number, { load, loadReceivedAt }: TargetView): number {
-  return Math.max(0, (load?.limitWaitMs ?? 0) - (now - loadReceivedAt));
-}
-
-/** Expected wait for a free slot at a target with this load where a request takes `serviceMs`, ms. */
-function expectedWaitMs({ busy, slots, queued }: GateLoad, serviceMs: number): number {
-  return busy < slots ? 0 : ((queued / 2 + 1) * serviceMs) / Math.max(1, slots);
-}
--- a/src/sidecar/routing/SlotFinder.ts
+++ b/src/sidecar/routing/SlotFinder.ts
@@ -4,7 +4,6 @@
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { Timer } from "../../common/lifecycle/Timer.ts";
 import type { TargetInfo } from "../../membership/TargetInfo.ts";
-import { RETRY_AFTER_MS } from "../forwarding/RETRY_AFTER_MS.ts";
 import type { SlotRequest } from "../hop/SlotRequest.ts";
 import type { SlotReply } from "../hop/SlotReply.ts";
 import type { GateLoad } from "../hop/GateLoad.ts";
@@ -13,6 +12,7 @@
 import { RefusalReason } from "../hop/RefusalReason.ts";
 import type { TargetNotices } from "../signals/TargetNotices.ts";
 import type { CallerRequest } from "./CallerRequest.ts";
+import { SearchRefusals } from "./SearchRefusals.ts";
 import type { PickedTarget, PickContext, RoutingPolicy, SuspectTarget } from "./RoutingPolicy.ts";
 
 /** A lease on a slot at `target`, valid until it is used or expires. */
@@ -48,18 +48,6 @@
  */
 const MAX_CONCURRENT_REQUESTS = 3;
 
-/**
- * Number of healthy targets that may refuse as full before no further healthy one is tried. Loads are similar across
- * targets, and without this limit every request would try every target during an overload.
- */
-const MAX_FULL_REFUSALS = 3;
-
-/**
- * Number of targets that may refuse for the limit that they name. Others of the service may name none, so these
- * refusals are counted apart.
- */
-const MAX_LIMITED_REFUSALS = 3;
-
 /**
  * Time without a reply after which another target is tried in parallel, ms. A reply
  * across zones takes 3 to 6 ms; over a path that is cut or loses packets it takes
@@ -136,15 +124,10 @@
   /** Targets that refused because they are suspect. */
   #suspects: SuspectTarget[] = [];
   #hasProbed = false;
-  /** Number of targets that refused as full, and for the limit that they name. */
-  #fullRefusals = 0;
-  #limitedRefusals = 0;
+  readonly #refusals = new SearchRefusals();
   #firstQueuedAt: number | undefined;
   readonly #settle: (result: SlotSearchResult) => void;
   readonly #timers = new Set<Timer>();
-  #retryAfterMs = Infinity;
-  #reason = "no target of the service is known to take work";
-  #isTargetUnknown = true;
   #done = false;
 
   /** Resolves once a slot is granted, no target is left to try, the deadline passes or the search is cancelled. */
@@ -191,7 +174,7 @@
       return;
     }
     const next =
-      this.#inFlight < MAX_CONCURRENT_REQUESTS && this.#mayTryHealthy
+      this.#inFlight < MAX_CONCURRENT_REQUESTS && this.#refusals.mayTryHealthy
         ? this.#pickNext()
         : undefined;
     const leastRisky = next ? undefined : this.#pickLeastRisky();
@@ -204,10 +187,6 @@
     }
   }
 
-  get #mayTryHealthy(): boolean {
-    return this.#fullRefusals < MAX_FULL_REFUSALS && this.#limitedRefusals < MAX_LIMITED_REFUSALS;
-  }
-
   #pickNext(): PickedTarget | undefined {
     return this.#deps.policy.pick(this.#context, this.#tried);
   }
@@ -217,8 +196,7 @@
    * healthy target or all tried are full, after `#grayDelayMs` when the request is queued at a healthy one.
    */
   #pickLeastRisky(): (SuspectTarget & { acceptsRisk: number }) | undefined {
-    const noHealthyTarget =
-      !this.#isQueued && this.#fullRefusals === 0 && this.#limitedRefusals === 0;
+    const noHealthyTarget = !this.#isQueued && !this.#refusals.hasNoRoom;
     if (
       this.#inFlight >= (noHealthyTarget ? MAX_CONCURRENT_REQUESTS : MAX_CONCURRENT_REQUESTS + 1)
     ) {
@@ -260,7 +238,7 @@
       this.#hasProbed = true;
       this.#sendRequest(probe, { isRetryable: true });
     } else {
-      this.#refuse(this.#reason);
+      this.#refuse(this.#refusals.reason);
     }
   }
 
@@ -320,7 +298,7 @@
       this.#ifUnanswered(target, (open) => {
         this.#openRequests.delete(target.id);
         open.pending.cancel();
-        this.#reason = "no sidecar beside a target could be reached";
+        this.#refusals.reason = "no sidecar beside a target could be reached";
         this.#requestNext();
       });
     });
@@ -385,11 +363,7 @@
     if (reply.reason === RefusalReason.Suspect) {
       this.#suspects.push({ target, risk: reply.load.risk, isKeptByFloor: false });
     }
-    this.#fullRefusals += reply.reason === RefusalReason.Full ? 1 : 0;
-    this.#limitedRefusals += reply.reason === RefusalReason.Limited ? 1 : 0;
-    this.#isTargetUnknown &&= reply.reason === RefusalReason.NoTarget;
-    this.#retryAfterMs = Math.min(this.#retryAfterMs, reply.retryAfterMs);
-    this.#reason = `every target refused, the last one as ${reply.reason}`;
+    this.#refusals.record(reply);
     this.#requestNext();
   }
 
@@ -405,8 +379,8 @@
       return;
     }
     this.#logRefusal(reason);
-    const retryAfterMs = Number.isFinite(this.#retryAfterMs) ? this.#retryAfterMs : RETRY_AFTER_MS;
-    this.#finish({ kind: "refused", reason, retryAfterMs, isTargetUnknown: this.#isTargetUnknown });
+    const { retryAfterMs, isTargetUnknown } = this.#refusals;
+    this.#finish({ kind: "refused", reason, retryAfterMs, isTargetUnknown });
   }
 
   /** Logs why there is no slot, with what this sidecar believes about the service's targets. */
