Add workspaces to the soak: keys that change with each document, and a workspace beyond its quota

Callers use the key of the newest document and, one request in three, one that was taken away; a fault sends 40 requests a second for a workspace with a quota of 4. Three checks: no admission of a key 5 s after a document without it was accepted, no denial of a key that every document in force has, no more than the quota in any 5 s.

A quota granted twice after a takeover was not tried.

--- a/soak/FaultPlayer.ts
+++ b/soak/FaultPlayer.ts
@@ -2,6 +2,7 @@
 import type { Disturbance, LimitRecord, StopRecord } from "./History.ts";
 import { LinkMode } from "./LinkProxy.ts";
 import { FATAL_REQUEST, type SoakFleet } from "./SoakFleet.ts";
+import type { SoakAccounts } from "./SoakAccounts.ts";
 import type { SoakOperator } from "./SoakOperator.ts";
 import { FaultKind, type PlannedFault, type SoakPlan } from "./SoakPlan.ts";
 
@@ -44,6 +45,7 @@
 export class FaultPlayer {
   readonly #fleet: SoakFleet;
   readonly #operator: SoakOperator;
+  readonly #accounts: SoakAccounts;
   readonly stops: StopRecord[] = [];
   readonly disturbances: Disturbance[] = [];
   readonly drains: { target: string; at: number }[] = [];
@@ -55,9 +57,10 @@
   /** Headers that targets add to their responses. */
   readonly #headers = new Map<string, Readonly<Record<string, string | undefined>>>();
 
-  constructor(fleet: SoakFleet, operator: SoakOperator) {
+  constructor(fleet: SoakFleet, operator: SoakOperator, accounts: SoakAccounts) {
     this.#fleet = fleet;
     this.#operator = operator;
+    this.#accounts = accounts;
     fleet.onTargetEnded = (vm, restarted) => {
       this.#headers.delete(vm);
       void restarted.then(this.#beginDisturbance(vm, "target ended"));
@@ -109,6 +112,9 @@
       case FaultKind.FatalRequest:
         await this.#sendFatalRequests(on, forS);
         return;
+      case FaultKind.HotWorkspace:
+        await this.#accounts.exceedQuota(forS * 1000);
+        return;
       case FaultKind.Config:
         this.#operator.applyNext();
         return;
--- a/soak/History.ts
+++ b/soak/History.ts
@@ -92,6 +92,18 @@
   readonly descriptors: number;
 }
 
+/** A request of a workspace, as its caller observed it. */
+export interface AccountRecord {
+  readonly tag: string;
+  /** Number of the change whose document alone has its key; 0 for the workspace that exceeds its quota. */
+  readonly change: number;
+  readonly via: string;
+  readonly sentAt: number;
+  readonly endedAt: number;
+  /** HTTP status; 0 without a complete response. */
+  readonly status: number;
+}
+
 /** A period in which a target named a limit in its responses. */
 export interface LimitRecord {
   readonly target: string;
@@ -111,6 +123,7 @@
   readonly readyLooks: readonly ReadinessSample[];
   readonly disturbances: readonly Disturbance[];
   readonly drains: readonly { readonly target: string; readonly at: number }[];
+  readonly accounts: readonly AccountRecord[];
   readonly limits: readonly LimitRecord[];
   /** Targets that said in their responses from `at` on that they were leaving. */
   readonly leavings: readonly { readonly target: string; readonly at: number }[];
--- a/soak/SoakMonitor.ts
+++ b/soak/SoakMonitor.ts
@@ -1,6 +1,7 @@
 import type { ConfigSample, ReadinessSample, ResourceSample } from "./History.ts";
 import type { SoakFleet } from "./SoakFleet.ts";
 import type { SoakOperator } from "./SoakOperator.ts";
+import { SOAK_WORKSPACES } from "./SOAK_WORKSPACES.ts";
 import { changePath } from "./soakDocument.ts";
 
 /** Interval between probes of one sidecar, ms. */
@@ -93,7 +94,10 @@
 async function getStatus(port: number, path: string): Promise<number | undefined> {
   try {
     const res = await fetch(`http://127.0.0.1:${port}${path}`, {
-      headers: { connection: "close" },
+      headers: {
+        connection: "close",
+        authorization: `Bearer ${SOAK_WORKSPACES.monitorKey}`,
+      },
       signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
     });
     await res.arrayBuffer();
--- a/soak/SoakPlan.ts
+++ b/soak/SoakPlan.ts
@@ -58,6 +58,8 @@
   TargetKill = "target-kill",
   /** Callers send a request that ends every target of the service that runs it, again and again. */
   FatalRequest = "fatal-request",
+  /** Callers of a workspace send far more requests than its quota allows. */
+  HotWorkspace = "hot-workspace",
   /** Operators apply another document; several such faults at the same time apply several at once. */
   Config = "config",
 }
--- a/soak/checks/allChecks.ts
+++ b/soak/checks/allChecks.ts
@@ -5,6 +5,9 @@
 import { fatalRequestsAreContained } from "./fatalRequestsAreContained.ts";
 import { healthyStayInUse } from "./healthyStayInUse.ts";
 import { drainingGetsNoWork } from "./drainingGetsNoWork.ts";
+import { keysAreRevoked } from "./keysAreRevoked.ts";
+import { quotaIsKept } from "./quotaIsKept.ts";
+import { validKeysAreAdmitted } from "./validKeysAreAdmitted.ts";
 import { notRunNeverRan } from "./notRunNeverRan.ts";
 import { resourceUseIsBounded } from "./resourceUseIsBounded.ts";
 import { responsesMatchRequests } from "./responsesMatchRequests.ts";
@@ -26,6 +29,9 @@
   drainingGetsNoWork,
   leavingGetsNoWork,
   limitsAreKept,
+  keysAreRevoked,
+  validKeysAreAdmitted,
+  quotaIsKept,
   stopsAbortNothing,
   stopsEndInTime,
   documentIsApplied,
--- a/soak/checks/checks.test.ts
+++ b/soak/checks/checks.test.ts
@@ -41,6 +41,7 @@
   readyLooks: [],
   disturbances: [],
   drains: [],
+  accounts: [],
   limits: [],
   leavings: [],
   uses: [],
@@ -80,6 +81,23 @@
   outcome: "accepted" as const,
 });
 
+/** A request of a workspace with the key of a change. */
+const account = (change: number, sentAt: number, status: number) => ({
+  tag: `account-${sentAt}`,
+  change,
+  via: "desk-0",
+  sentAt,
+  endedAt: sentAt + 100,
+  status,
+});
+
+/** Requests of the workspace with a quota, all of which run within 5 s. */
+const hotRuns = (count: number): Partial<History> => {
+  const accounts = many(count, (n) => ({ ...account(0, 10_000 + n, 200), tag: `hot-${n}` }));
+  const targets = accounts.map(({ tag, sentAt }) => targetRecord({ tag, at: sentAt + 50 }));
+  return { accounts, targets };
+};
+
 const configSample = (at: number, version: number, isThere: boolean, life = 1) => ({
   at,
   via: "desk-0",
@@ -221,6 +239,34 @@
     satisfying: limited(17, 3800),
     violating: [limited(18, 3800), limited(18, 100)],
   },
+  {
+    guarantee: /taken away/,
+    satisfying: {
+      configs: [accepted(1, 1, 1000), accepted(2, 2, 5000)],
+      accounts: [account(1, 9900, 200), account(1, 10_100, 401)],
+      targets: [targetRecord({ tag: "account-9900" })],
+    },
+    violating: [
+      {
+        configs: [accepted(1, 1, 1000), accepted(2, 2, 5000)],
+        accounts: [account(1, 10_100, 200)],
+        targets: [targetRecord({ tag: "account-10100" })],
+      },
+    ],
+  },
+  {
+    guarantee: /not denied/,
+    satisfying: {
+      configs: [accepted(1, 1, 1000), accepted(2, 2, 9000)],
+      accounts: [account(1, 2900, 401), account(1, 9000, 401), account(2, 11_100, 200)],
+    },
+    violating: [{ configs: [accepted(1, 1, 1000)], accounts: [account(1, 3100, 401)] }],
+  },
+  {
+    guarantee: /its quota/,
+    satisfying: hotRuns(108),
+    violating: [hotRuns(109)],
+  },
   {
     guarantee: /stop aborts/,
     satisfying: {
--- a/soak/checks/retryBudget.ts
+++ b/soak/checks/retryBudget.ts
@@ -1,3 +1,4 @@
+import { SOAK_WORKSPACES } from "../SOAK_WORKSPACES.ts";
 import type { Check, Violation } from "./Check.ts";
 import { NESTED_CALL_SEPARATOR } from "../NESTED_CALL_SEPARATOR.ts";
 import type { CallRecord, TargetRecord } from "../History.ts";
@@ -20,11 +21,13 @@
   return {
     guarantee: "extra arrivals at targets stay within the retry budget",
     isTimed: false,
-    run: ({ calls, targets }) => {
+    run: ({ calls, accounts, targets }) => {
       const services = [...new Set(targets.map((t) => t.service))];
       const extras = extraArrivals(targets);
       const violations = services.flatMap((service) => {
-        const requests = calls.filter((c) => c.service === service).map((c) => c.sentAt);
+        const sent = calls.filter((c) => c.service === service);
+        const ofAccounts = service === SOAK_WORKSPACES.service ? accounts : [];
+        const requests = [...sent, ...ofAccounts].map((c) => c.sentAt);
         const worst = worstWindow(extras.get(service) ?? [], requests, budget);
         return worst && worst.count > worst.allowed ? [toViolation(service, worst)] : [];
       });
--- a/soak/planSoak.ts
+++ b/soak/planSoak.ts
@@ -49,6 +49,7 @@
   [FaultKind.TargetLeaving, 1],
   [FaultKind.TargetKill, 2],
   [FaultKind.FatalRequest, 2],
+  [FaultKind.HotWorkspace, 2],
   [FaultKind.Config, 5],
 ];
 
--- a/soak/playSoak.ts
+++ b/soak/playSoak.ts
@@ -2,6 +2,7 @@
 import type { Check, CheckResult } from "./checks/Check.ts";
 import { FaultPlayer } from "./FaultPlayer.ts";
 import type { History } from "./History.ts";
+import { SoakAccounts } from "./SoakAccounts.ts";
 import { SoakCallers } from "./SoakCallers.ts";
 import { SOAK_BUDGET, SoakFleet } from "./SoakFleet.ts";
 import { SoakOperator } from "./SoakOperator.ts";
@@ -48,14 +49,17 @@
   await fleet.startLoad(await operator.applyFirst());
   const monitor = new SoakMonitor(fleet, operator);
   const callers = new SoakCallers(fleet, plan, (vm) => monitor.isReady(vm));
-  const faultPlayer = new FaultPlayer(fleet, operator);
+  const accounts = new SoakAccounts(fleet, operator, plan);
+  const faultPlayer = new FaultPlayer(fleet, operator, accounts);
   monitor.start();
+  accounts.start();
   let faultsEndAt = 0;
   const played = faultPlayer.play(plan).then(() => {
     faultsEndAt = fleet.now;
   });
   await Promise.all([callers.run(), played]);
   monitor.stop();
+  await accounts.stop();
   return {
     calls: callers.records,
     targets: await fleet.targetRecords(),
@@ -65,6 +69,7 @@
     readyLooks: monitor.readinessSamples,
     disturbances: faultPlayer.disturbances,
     drains: faultPlayer.drains,
+    accounts: accounts.records,
     limits: faultPlayer.limits,
     leavings: faultPlayer.leavings,
     uses: monitor.resourceSamples,
--- a/soak/soakDocument.ts
+++ b/soak/soakDocument.ts
@@ -1,4 +1,5 @@
 import { stringify } from "yaml";
+import { SOAK_WORKSPACES } from "./SOAK_WORKSPACES.ts";
 import type { SoakPlan } from "./SoakPlan.ts";
 
 /** The routes' timeout for a request, ms. */
@@ -27,6 +28,7 @@
       name,
       customer: "soak",
       routes: routes[name as keyof typeof routes],
+      public: true,
       requests: kinds[name as keyof typeof kinds],
       floor: 0.5,
       timeoutMs: TIMEOUT_MS,
@@ -34,5 +36,20 @@
       detection: { threshold: 6, ejectMs: 3000, maxEjectMs: 6000 },
       echoHeader: "x-burdockpass-request",
     })),
+    routes: [
+      {
+        name: "account",
+        prefix: SOAK_WORKSPACES.path,
+        service: SOAK_WORKSPACES.service,
+        idempotent: true,
+        timeoutMs: TIMEOUT_MS,
+        attempts: 3,
+      },
+    ],
+    workspaces: [
+      { name: "rotating", apiKeys: [SOAK_WORKSPACES.rotatingKey(change)] },
+      { name: "monitor", apiKeys: [SOAK_WORKSPACES.monitorKey] },
+      { name: "hot", apiKeys: [SOAK_WORKSPACES.hotKey], quota: SOAK_WORKSPACES.hotQuota },
+    ],
   });
 }
