Split the local fleet's processes from its settings, and start sidecars without disks

Processes (compile, spawn, wait, kill, stop) are now in FleetProcesses. New options: sidecars without a data folder, and sidecars that join through the control replicas, as on the users' platform. No change of behaviour of the existing fleets.

--- a/scripts/LocalFleet.ts
+++ b/scripts/LocalFleet.ts
@@ -1,25 +1,10 @@
-import { spawn, type ChildProcess } from "node:child_process";
-import { createWriteStream, mkdtempSync, readFileSync, writeFileSync } from "node:fs";
-import { tmpdir } from "node:os";
+import { readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
-import { fileURLToPath } from "node:url";
 import { parse, stringify } from "yaml";
-import { bundle } from "./bundle.ts";
+import type { FleetProcess } from "./FleetProcess.ts";
+import { FleetProcesses } from "./FleetProcesses.ts";
 import { freePort } from "./freePort.ts";
 
-const ROOT = fileURLToPath(new URL("..", import.meta.url));
-
-/** The programs of a fleet, by name, with their sources. */
-const PROGRAMS = {
-  burdockpassd: "src/daemon/main.ts",
-  burdockpass: "src/cli/main.ts",
-  standin: "src/standin/main.ts",
-} as const;
-
-/** Programs are compiled once for all fleets of this process: a start from the sources costs 2 s of CPU time. */
-const BIN_DIR = mkdtempSync(join(tmpdir(), "burdockpass-bin-"));
-let compilation: Promise<void> | undefined;
-
 /** A stand-in target and its local sidecar. */
 export interface FleetTarget {
   readonly id: string;
@@ -31,13 +16,6 @@
   readonly standInArgs?: readonly string[];
 }
 
-/** A process of the fleet, and its ports by their use. */
-interface FleetProcess {
-  readonly name: string;
-  readonly proc: ChildProcess;
-  readonly ports: Record<string, number>;
-}
-
 /** Options of a fleet. */
 interface FleetOptions {
   /** Routing policy of all sidecars; `naive` is the baseline of the detection benchmark. */
@@ -48,6 +26,10 @@
   readonly advertise?: (id: string, addresses: SidecarAddresses) => Promise<SidecarAddresses>;
   /** Whether the sidecars write trace spans. */
   readonly traces: boolean;
+  /** Whether sidecars have a data folder. */
+  readonly sidecarDisks: boolean;
+  /** Whether sidecars join the fleet through the control replicas instead of the first two sidecars. */
+  readonly joinsThroughControl: boolean;
   /** Additional settings of every sidecar; see SidecarSettings. */
   readonly sidecarSettings?: object;
   /** Additional arguments for a stand-in that depend on its sidecar's ports. */
@@ -68,25 +50,30 @@
   readonly version: number;
 }
 
-/** How long a process may take to stop after SIGTERM before it is killed, ms. */
-const STOP_GRACE_MS = 5000;
-
-/** How long a process may take to report that it is ready, ms. */
-const READY_TIMEOUT_MS = 20_000;
-
 /**
  * A small fleet on loopback for the demo, the end-to-end tests and the benchmarks: one or more control replicas, and for
  * each target a stand-in and a sidecar, each in a separate process. Only this tool starts processes; the daemon never
  * does.
  */
 export class LocalFleet {
-  readonly dir = mkdtempSync(join(tmpdir(), "burdockpass-fleet-"));
-  readonly #processes: FleetProcess[] = [];
+  readonly #processes = new FleetProcesses();
   readonly #opts: FleetOptions;
   #controlPorts: number[] = [];
 
   constructor(opts: Partial<FleetOptions> = {}) {
-    this.#opts = { policy: "adaptive", controls: 1, traces: true, ...opts };
+    this.#opts = {
+      policy: "adaptive",
+      controls: 1,
+      traces: true,
+      sidecarDisks: true,
+      joinsThroughControl: false,
+      ...opts,
+    };
+  }
+
+  /** Folder with the settings, logs and data folders of the processes. */
+  get dir(): string {
+    return this.#processes.dir;
   }
 
   /** Control replicas by id, `control-1` and so on. */
@@ -118,7 +105,7 @@
 
   /** Kills the sidecar of target `id` (SIGKILL), like a crash. */
   async killSidecar(id: string): Promise<void> {
-    await kill(this.#sidecarById(id));
+    await this.#processes.kill(this.#sidecarById(id));
   }
 
   /** Stops the sidecar of target `id` as in a planned stop (SIGTERM); resolves with its exit code. */
@@ -133,12 +120,12 @@
   async restartSidecar(id: string): Promise<void> {
     const { name, ports } = this.#sidecarById(id);
     this.#endBootstrap(name);
-    this.sidecars.set(id, await this.#launchDaemon(name, ports));
+    this.sidecars.set(id, await this.#processes.startDaemon(name, ports));
   }
 
   /** Kills stand-in target `id` (SIGKILL), like a crash. */
   async killTarget(id: string): Promise<void> {
-    await kill(this.#targetById(id));
+    await this.#processes.kill(this.#targetById(id));
   }
 
   /**
@@ -147,23 +134,22 @@
    * @param announcedId the id that it announces; by default the same as before
    */
   async restartTarget(id: string, announcedId = id): Promise<void> {
-    const { proc, ports } = this.#targetById(id);
-    const args = proc.spawnargs
-      .slice(1)
-      .map((arg) => (arg.startsWith("--id=") ? `--id=${announcedId}` : arg));
-    this.targets.set(id, await this.#launchStandIn(id, args, ports));
+    const restarted = await this.#processes.restartStandIn(this.#targetById(id), (arg) =>
+      arg.startsWith("--id=") ? `--id=${announcedId}` : arg,
+    );
+    this.targets.set(id, restarted);
   }
 
   /** Kills control replica `id` (SIGKILL). */
   async killControl(id: string): Promise<void> {
-    await kill(this.#controlById(id));
+    await this.#processes.kill(this.#controlById(id));
   }
 
   /** Starts control replica `id` again, with `bootstrap: false`, as its group already exists. */
   async restartControl(id: string): Promise<void> {
     const { name, ports } = this.#controlById(id);
     this.#endBootstrap(name);
-    this.controls.set(id, await this.#launchDaemon(name, ports));
+    this.controls.set(id, await this.#processes.startDaemon(name, ports));
   }
 
   /** Sets `bootstrap: false` in a process's settings file: its fleet has been started before. */
@@ -205,20 +191,14 @@
     return join(this.dir, `sidecar-${id}`);
   }
 
+  /** The data directory of control replica `id`. */
+  controlDataDir(id: string): string {
+    return join(this.dir, id);
+  }
+
   /** Runs the CLI with `args`; resolves with its exit code and output. */
-  async cli(args: readonly string[]): Promise<{ code: number; out: string; err: string }> {
-    const proc = spawn(process.execPath, [await this.#compiledProgram("burdockpass"), ...args], {
-      cwd: ROOT,
-    });
-    let out = "";
-    let err = "";
-    proc.stdout.on("data", (d: Buffer) => (out += d.toString()));
-    proc.stderr.on("data", (d: Buffer) => (err += d.toString()));
-    return new Promise((resolve) =>
-      proc.on("exit", (code) => {
-        resolve({ code: code ?? -1, out, err });
-      }),
-    );
+  cli(args: readonly string[]): Promise<{ code: number; out: string; err: string }> {
+    return this.#processes.runCli(args);
   }
 
   /** Applies the operators' document `file` through the CLI, at this fleet's control replicas. */
@@ -274,25 +254,8 @@
   }
 
   /** Sends SIGTERM to every process and waits for each to exit. */
-  async stop(): Promise<void> {
-    await Promise.all(
-      this.#processes.reverse().map(
-        (m) =>
-          new Promise<void>((resolve) => {
-            if (m.proc.exitCode !== null || m.proc.signalCode !== null) {
-              resolve();
-              return;
-            }
-            // Not unref'd: otherwise this process could exit first and orphan a child that ignores SIGTERM.
-            const killTimer = setTimeout(() => m.proc.kill("SIGKILL"), STOP_GRACE_MS);
-            m.proc.once("exit", () => {
-              clearTimeout(killTimer);
-              resolve();
-            });
-            m.proc.kill("SIGTERM");
-          }),
-      ),
-    );
+  stop(): Promise<void> {
+    return this.#processes.stop();
   }
 
   /** Every control replica's address. */
@@ -305,13 +268,6 @@
     return this.controlAddresses[Number(id.replace("control-", "")) - 1] ?? "";
   }
 
-  /** Path of a program, compiled from the current sources. */
-  async #compiledProgram(name: keyof typeof PROGRAMS): Promise<string> {
-    compilation ??= bundle(BIN_DIR, PROGRAMS);
-    await compilation;
-    return join(BIN_DIR, `${name}.cjs`);
-  }
-
   async #startControl(): Promise<void> {
     const { controls } = this.#opts;
     const ids = Array.from({ length: controls }, (_, n) => `control-${n + 1}`);
@@ -326,7 +282,7 @@
           zone: `zone-${"abcde"[n] ?? "a"}`,
           listen: address,
           admin: `127.0.0.1:${admin}`,
-          dataDir: join(this.dir, id),
+          dataDir: this.controlDataDir(id),
           seeds: this.controlAddresses,
           bootstrap: true,
         };
@@ -348,10 +304,11 @@
       peer: peerPorts[i] ?? 0,
       hop: await freePort(),
     };
-    const seeds = peerPorts
+    const sidecarSeeds = peerPorts
       .slice(0, 2)
       .filter((p) => p !== ports.peer)
       .map((p) => `127.0.0.1:${p}`);
+    const seeds = this.#opts.joinsThroughControl ? this.controlAddresses : sidecarSeeds;
     const addresses = { peer: `127.0.0.1:${ports.peer}`, hop: `127.0.0.1:${ports.hop}` };
     const settings = {
       ...this.#opts.sidecarSettings,
@@ -365,8 +322,8 @@
       seeds,
       policy: this.#opts.policy,
       control: this.controlAddresses,
-      dataDir: join(this.dir, `sidecar-${id}`),
       bootstrap: true,
+      ...(this.#opts.sidecarDisks ? { dataDir: this.sidecarDataDir(id) } : {}),
       ...(this.#opts.traces ? { traceFile: join(this.dir, `trace-${id}.jsonl`) } : {}),
     };
     const sidecar = await this.#startDaemon(`sidecar-${id}`, settings, ports);
@@ -381,7 +338,7 @@
     ports: Record<string, number>,
   ): Promise<FleetProcess> {
     writeFileSync(join(this.dir, `${name}.yaml`), stringify(settings));
-    return this.#launchDaemon(name, ports);
+    return this.#processes.startDaemon(name, ports);
   }
 
   #controlById(id: string): FleetProcess {
@@ -408,28 +365,9 @@
     return sidecar;
   }
 
-  /** Starts the daemon on the settings file `NAME.yaml`, and waits until it has started. */
-  async #launchDaemon(name: string, ports: Record<string, number>): Promise<FleetProcess> {
-    const file = join(this.dir, `${name}.yaml`);
-    const proc = spawn(process.execPath, [await this.#compiledProgram("burdockpassd"), file], {
-      cwd: ROOT,
-      env: { ...process.env, BURDOCKPASS_LOG: process.env.BURDOCKPASS_LOG ?? "info" },
-      stdio: ["ignore", "pipe", "inherit"],
-    });
-    const started = this.#track({ name, proc, ports });
-    await waitForLine(
-      proc,
-      /"msg":"(control|sidecar) started"/,
-      name,
-      join(this.dir, `${name}.log`),
-    );
-    return started;
-  }
-
   async #startStandIn(t: FleetTarget, sidecarPorts: Record<string, number>): Promise<FleetProcess> {
     const port = await freePort();
     const args = [
-      await this.#compiledProgram("standin"),
       `--id=${t.id}`,
       `--service=${t.service}`,
       `--port=${port}`,
@@ -439,61 +377,6 @@
       ...(t.standInArgs ?? []),
       ...(this.#opts.standInArgs?.(t.id, sidecarPorts) ?? []),
     ];
-    return this.#launchStandIn(t.id, args, { http: port });
-  }
-
-  async #launchStandIn(
-    id: string,
-    args: readonly string[],
-    ports: Record<string, number>,
-  ): Promise<FleetProcess> {
-    const proc = spawn(process.execPath, args, { cwd: ROOT, stdio: ["ignore", "pipe", "inherit"] });
-    const started = this.#track({ name: id, proc, ports });
-    await waitForLine(proc, /standin ready/, id, join(this.dir, `${id}.log`));
-    return started;
+    return this.#processes.startStandIn(t.id, args, { http: port });
   }
-
-  /** Registers a process as soon as it is spawned, so that `stop` ends it even if the fleet fails to start. */
-  #track(started: FleetProcess): FleetProcess {
-    this.#processes.push(started);
-    return started;
-  }
-}
-
-async function kill(fleetProcess: FleetProcess): Promise<void> {
-  const exited = new Promise((resolve) => fleetProcess.proc.once("exit", resolve));
-  fleetProcess.proc.kill("SIGKILL");
-  await exited;
-}
-
-/**
- * Copies the stdout of `proc` to `logFile`, and resolves once the output matches `pattern`; rejects if the process exits
- * first, or after {@link READY_TIMEOUT_MS}.
- */
-function waitForLine(
-  proc: ChildProcess,
-  pattern: RegExp,
-  name: string,
-  logFile: string,
-): Promise<void> {
-  const log = createWriteStream(logFile, { flags: "a" });
-  proc.stdout?.pipe(log);
-  return new Promise((resolve, reject) => {
-    let output = "";
-    const timer = setTimeout(() => {
-      reject(new Error(`${name} not ready in ${READY_TIMEOUT_MS} ms`));
-    }, READY_TIMEOUT_MS);
-    const onData = (d: Buffer) => {
-      output += d.toString();
-      if (pattern.test(output)) {
-        clearTimeout(timer);
-        proc.stdout?.off("data", onData);
-        resolve();
-      }
-    };
-    proc.stdout?.on("data", onData);
-    proc.once("exit", (code) => {
-      reject(new Error(`${name} exited with ${code}`));
-    });
-  });
 }
