Log who sent a document that comes into force

Versions that come from a follower's watch, from members that were asked, and from the disk could not be told apart: `configuration in force` now has `from`, the address of the sender, or `disk`.

--- a/src/membership/ConfigSource.ts
+++ b/src/membership/ConfigSource.ts
@@ -6,6 +6,6 @@
   readonly version: number;
   /** The updates that bring a member with `version` up to date. */
   since(version: number): readonly DocumentUpdate[];
-  /** Applies an update received from a peer if it is newer. */
-  offer(update: DocumentUpdate): unknown;
+  /** Applies an update received from the member at `from` if it is newer. */
+  offer(update: DocumentUpdate, from: string): unknown;
 }
--- a/src/membership/DocumentCatchUp.ts
+++ b/src/membership/DocumentCatchUp.ts
@@ -122,7 +122,7 @@
     try {
       const updates = await peers.config(address, config.version);
       updates.forEach((u) => {
-        config.offer(u);
+        config.offer(u, address);
       });
       log.info(
         { from: address, reported, version: config.version },
--- a/src/sidecar/config/ConfigFollower.test.ts
+++ b/src/sidecar/config/ConfigFollower.test.ts
@@ -37,7 +37,7 @@
   test(`offer: ${c.name}`, (t) => {
     const f = follower(undefined);
     for (const version of c.versions) {
-      f.offer(whole(version));
+      f.offer(whole(version), "a");
     }
     t.is(f.version, c.expected);
   });
@@ -47,9 +47,9 @@
   // A sidecar with version 7 is restarted while control is unreachable. It must serve
   // version 7 at once, and must still refuse version 6 from a lagging replica afterwards.
   const dir = mkdtempSync(join(tmpdir(), "bp-follower-"));
-  follower(dir).offer(whole(7));
+  follower(dir).offer(whole(7), "a");
   const restarted = follower(dir);
   t.is(restarted.version, 7);
   t.truthy(restarted.document);
-  t.is(restarted.offer(whole(6)), "stale");
+  t.is(restarted.offer(whole(6), "a"), "stale");
 });
--- a/src/sidecar/config/ConfigFollower.ts
+++ b/src/sidecar/config/ConfigFollower.ts
@@ -101,8 +101,12 @@
     });
   }
 
-  /** Applies `update` if it is newer. All documents, from control, disk or members, pass through here. */
-  offer(update: DocumentUpdate): "taken" | "stale" | "gap" {
+  /**
+   * Applies `update` if it is newer. All documents, from control, disk or members, pass through here.
+   *
+   * @param from address of the control replica or member that sent it, or "disk"
+   */
+  offer(update: DocumentUpdate, from: string): "taken" | "stale" | "gap" {
     const { workspaces: before } = this.#history.document;
     const result = this.#history.apply(update);
     if (result === "taken") {
@@ -113,7 +117,10 @@
       }
       this.#inForceSince = this.#deps.clock.now();
       this.#persist();
-      this.#deps.log.info({ version: update.version, by: update.kind }, "configuration in force");
+      this.#deps.log.info(
+        { version: update.version, by: update.kind, from },
+        "configuration in force",
+      );
       this.#deps.onChange?.();
     }
     return result;
@@ -125,7 +132,7 @@
       choose: (avoid) => this.#chooseReplica(avoid),
       open: (address, events) =>
         new ControlWatch({ sidecarId, onMessageSize, ...events }, address, this.version),
-      apply: (update) => this.offer(update),
+      apply: (update, from) => this.offer(update, from),
       clock,
       log,
     });
@@ -151,7 +158,7 @@
     }
     try {
       const text = readFileSync(join(dataDir, DOCUMENT_FILE), "utf8");
-      this.offer(JSON.parse(text) as DocumentUpdate);
+      this.offer(JSON.parse(text) as DocumentUpdate, "disk");
     } catch (err) {
       // There is no file yet, or the disk was lost; the current version comes from control instead.
       log.info(
--- a/src/sidecar/config/WatchSupervisor.ts
+++ b/src/sidecar/config/WatchSupervisor.ts
@@ -30,8 +30,8 @@
   readonly choose: (avoid: ReadonlySet<string>) => string | undefined;
   /** Opens a watch at a replica. */
   readonly open: (address: string, events: WatchEvents) => Pick<ControlWatch, "dispose">;
-  /** Applies an update; `gap` if it is not based on the version in force. */
-  readonly apply: (update: DocumentUpdate) => "taken" | "stale" | "gap";
+  /** Applies an update from the replica at `address`; `gap` if it is not based on the version in force. */
+  readonly apply: (update: DocumentUpdate, address: string) => "taken" | "stale" | "gap";
   readonly clock: Clock;
   readonly log: bunyan;
 }
@@ -118,7 +118,7 @@
   }
 
   #onUpdate(handle: WatchHandle, update: DocumentUpdate): void {
-    if (this.#deps.apply(update) === "gap") {
+    if (this.#deps.apply(update, handle.address) === "gap") {
       // The watch opened next begins with the missing updates.
       handle.watch?.dispose();
     }
