Load the stored document once the sidecar's components are connected

A restarted sidecar with a data folder logged "no configuration document loaded from disk" although it had loaded one: the document came into force in ConfigFollower's constructor, its listener used components that were not constructed yet, and the ReferenceError was taken for a missing file. The document is loaded in start() now.

--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -239,9 +239,6 @@
     configFollower.start();
 
     callerSide.start();
-    if (configFollower.document) {
-      callerSide.onDocumentChange(configFollower.document.limits);
-    }
     const admin = new AdminServer({
       announcements: targetSide,
       metrics,
--- a/src/sidecar/config/ConfigFollower.test.ts
+++ b/src/sidecar/config/ConfigFollower.test.ts
@@ -49,6 +49,10 @@
   const dir = mkdtempSync(join(tmpdir(), "bp-follower-"));
   follower(dir).offer(whole(7), "a");
   const restarted = follower(dir);
+  restarted.start();
+  t.teardown(() => {
+    restarted.dispose();
+  });
   t.is(restarted.version, 7);
   t.truthy(restarted.document);
   t.is(restarted.offer(whole(6), "a"), "stale");
--- a/src/sidecar/config/ConfigFollower.ts
+++ b/src/sidecar/config/ConfigFollower.ts
@@ -54,7 +54,6 @@
 
   constructor(deps: ConfigFollowerDeps) {
     this.#deps = deps;
-    this.#loadFromDisk();
   }
 
   /** Version in force at this sidecar; 0 before any. */
@@ -86,8 +85,9 @@
     return this.#history.updatesSince(version);
   }
 
-  /** Starts following control, until disposed. */
+  /** Loads the last document from the data folder, then follows control until disposed. */
   start(): void {
+    this.#loadFromDisk();
     for (let n = 0; n < WATCH_COUNT; n++) {
       const watch = this.#createWatch();
       this.#watches.push(watch);
