Act on a document only once it is known to have been current at the sidecar's start

Cause: the first document that reached a sidecar came into force at once and ended the wait of the requests held so far, whatever its age. A sidecar without a document is sent the kept edits one version after the other, or the version of a member that is cut off; nothing tells it that a newer one exists.

Change: a replica's first message on a watch states its version, and an upper bound of its age (new field of the heartbeat). Counted from the request, that bounds which changes may be missing. DocumentActivation puts documents in force once the one received includes all that had been acknowledged 2 s before the sidecar's start (setting documentAge.refuseMs); until then requests are held or refused as not run, the sidecar isn't ready, and nothing is passed on to members. Documents from the disk wait as well; the comment of their test that said at once is corrected.

--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -22,6 +22,7 @@
     base: number;
     edit: string;
     more: boolean;
+    age: number;
   };
   ConfigVersions: { versions: ProtoTypes["ConfigVersion"][] };
   Datagram: {
--- a/src/common/rpc/documentCodec.ts
+++ b/src/common/rpc/documentCodec.ts
@@ -9,6 +9,7 @@
   base: 0,
   edit: "",
   more: false,
+  age: 0,
 };
 
 /**
@@ -27,8 +28,19 @@
           edit: JSON.stringify(update.edit),
         },
 
-  /** The message that shows a follower that its watch is alive. */
-  heartbeat: (version: number): ProtoTypes["ConfigVersion"] => ({ ...EMPTY, version }),
+  /**
+   * The message that shows a follower that its watch is alive, with the replica's version and an upper bound of its age,
+   * ms.
+   */
+  heartbeat: (version: number, ageMs: number | undefined): ProtoTypes["ConfigVersion"] => ({
+    ...EMPTY,
+    version,
+    age: ageMs === undefined ? 0 : Math.ceil(ageMs) + 1,
+  }),
+
+  /** Upper bound of the age that a heartbeat states, ms; undefined if it states none. */
+  heartbeatAgeMs: ({ age }: ProtoTypes["ConfigVersion"]): number | undefined =>
+    age > 0 ? age - 1 : undefined,
 
   isHeartbeat: ({ document, edit }: ProtoTypes["ConfigVersion"]): boolean =>
     document === "" && edit === "",
--- a/src/common/rpc/proto/BURDOCKPASS_SCHEMA.ts
+++ b/src/common/rpc/proto/BURDOCKPASS_SCHEMA.ts
@@ -27,6 +27,7 @@
       { name: "base", id: 3, type: "uint64" },
       { name: "edit", id: 4, type: "string" },
       { name: "more", id: 5, type: "bool" },
+      { name: "age", id: 6, type: "uint32" },
     ],
     Datagram: [
       { name: "id", id: 1, type: "uint32" },
--- a/src/common/rpc/splitVersion.test.ts
+++ b/src/common/rpc/splitVersion.test.ts
@@ -17,7 +17,7 @@
 for (const { name, text, parts } of texts) {
   for (const field of ["document", "edit"] as const) {
     test(`version parts: a ${field} that is ${name} is joined without change`, (t) => {
-      const whole = { ...documentCodec.heartbeat(7), base: 3, [field]: text };
+      const whole = { ...documentCodec.heartbeat(7, undefined), base: 3, [field]: text };
       // As on the wire, each part is encoded as UTF-8 separately.
       const sent = splitVersion(whole).map((part) => ({
         ...part,
--- a/src/control/service/DocumentWatchers.ts
+++ b/src/control/service/DocumentWatchers.ts
@@ -11,8 +11,11 @@
 /** Connection to one watcher. */
 interface WatcherLink {
   readonly send: (update: DocumentUpdate) => void;
-  /** Sends a heartbeat with the committed version; undefined if the watcher has not requested heartbeats. */
-  readonly sendHeartbeat?: (version: number) => void;
+  /**
+   * Sends a heartbeat with the committed version and an upper bound of its age, ms; undefined if the watcher has not
+   * requested heartbeats.
+   */
+  readonly sendHeartbeat?: (version: number, ageMs: number | undefined) => void;
   readonly end: () => void;
 }
 
@@ -66,7 +69,7 @@
     }
     const watcher = { version, link };
     this.#watchers.add(watcher);
-    link.sendHeartbeat?.(state.version);
+    link.sendHeartbeat?.(state.version, this.#replica.stateAgeMs);
     this.#sendUpdates(watcher, state);
     return () => this.#watchers.delete(watcher);
   }
@@ -96,7 +99,7 @@
       return;
     }
     for (const { link } of this.#watchers) {
-      link.sendHeartbeat?.(state.version);
+      link.sendHeartbeat?.(state.version, this.#replica.stateAgeMs);
     }
   }
 
--- a/src/control/service/controlHandlers.ts
+++ b/src/control/service/controlHandlers.ts
@@ -33,8 +33,8 @@
     // Confirms the watch at once, before there is an update to send.
     call.sendMetadata(new grpc.Metadata());
     const { have_version: version, heartbeats } = call.request;
-    const sendHeartbeat = (committed: number) => {
-      call.write(documentCodec.heartbeat(committed));
+    const sendHeartbeat = (committed: number, ageMs: number | undefined) => {
+      call.write(documentCodec.heartbeat(committed, ageMs));
     };
     const removeWatcher = watchers.add(version, {
       send: (update) => {
--- a/src/membership/DocumentCatchUp.test.ts
+++ b/src/membership/DocumentCatchUp.test.ts
@@ -33,6 +33,9 @@
       get version() {
         return config.version;
       },
+      get receivedVersion() {
+        return config.version;
+      },
       since: () => [],
       offer: (u) => {
         config.version = Math.max(config.version, u.version);
--- a/src/membership/DocumentCatchUp.ts
+++ b/src/membership/DocumentCatchUp.ts
@@ -29,7 +29,7 @@
  */
 export class DocumentCatchUp implements IDisposable {
   readonly #deps: DocumentCatchUpDeps;
-  /** Versions reported by members that are newer than the one in force at this sidecar, by member address. */
+  /** Versions reported by members that are newer than the one received last, by member address. */
   readonly #reported = new Map<string, number>();
   readonly #fetching = new Set<string>();
   /** The first version found missing, and when that was; it may have arrived meanwhile. */
@@ -49,7 +49,7 @@
 
   /** Records that the member at `address` has `version`. */
   noteVersion(address: string, version: number): void {
-    if (version <= this.version) {
+    if (version <= this.#received) {
       return;
     }
     this.#reported.set(address, version);
@@ -57,6 +57,10 @@
     this.#timer ??= this.#scheduleCatchUp(this.#graceLeftMs);
   }
 
+  get #received(): number {
+    return this.#deps.config.receivedVersion;
+  }
+
   dispose(): void {
     this.#stopped = true;
     this.#timer?.cancel();
@@ -91,7 +95,7 @@
 
   /** Starts a new grace period with the newest reported version, if the previously missing version has arrived. */
   #updateMissing(): void {
-    if (this.#missing.version <= this.version) {
+    if (this.#missing.version <= this.#received) {
       const version = Math.max(...this.#reported.values());
       this.#missing = { version, since: this.#deps.clock.now() };
     }
@@ -100,7 +104,7 @@
   /** Drops reports of versions that have arrived. */
   #dropObsoleteReports(): void {
     for (const [address, version] of this.#reported) {
-      if (version <= this.version) {
+      if (version <= this.#received) {
         this.#reported.delete(address);
       }
     }
@@ -120,12 +124,12 @@
     this.#reported.delete(address);
     this.#fetching.add(address);
     try {
-      const updates = await peers.config(address, config.version);
+      const updates = await peers.config(address, config.receivedVersion);
       updates.forEach((u) => {
         config.offer(u, address);
       });
       log.info(
-        { from: address, reported, version: config.version },
+        { from: address, reported, version: config.receivedVersion },
         "fetched configuration document from a member",
       );
     } catch (err) {
--- a/src/sidecar/CallerSide.ts
+++ b/src/sidecar/CallerSide.ts
@@ -11,10 +11,9 @@
 import { sampleOf } from "../membership/sampleOf.ts";
 import type { TargetTable } from "../membership/TargetTable.ts";
 import type { SidecarMetrics } from "./admin/SidecarMetrics.ts";
-import type { ConfigFollower } from "./config/ConfigFollower.ts";
 import { DocumentConfirmer } from "./config/DocumentConfirmer.ts";
-import type { DocumentFreshness } from "./config/DocumentFreshness.ts";
 import { DocumentWait } from "./config/DocumentWait.ts";
+import type { SidecarDocument } from "./config/SidecarDocument.ts";
 import { probeHealth } from "./detection/probeHealth.ts";
 import type { Dialect } from "./dialect/Dialect.ts";
 import { GateMessageDispatcher } from "./hop/GateMessageDispatcher.ts";
@@ -51,9 +50,8 @@
   readonly cfg: () => SidecarSettings;
   readonly table: TargetTable;
   readonly link: Pick<DatagramLink, "askAdmission" | "returnCredit">;
-  readonly configFollower: ConfigFollower;
+  readonly document: SidecarDocument;
   readonly documents: Pick<DocumentCatchUp, "noteVersion">;
-  readonly freshness: DocumentFreshness;
   readonly targetSide: TargetSide;
   readonly quarantine: Quarantine;
   readonly dialect: Dialect;
@@ -139,7 +137,7 @@
   }
 
   get #config() {
-    const { routes, document, workspaces, version } = this.#deps.configFollower;
+    const { routes, document, workspaces, version } = this.#deps.document.follower;
     return routes && document && { version, routes, workspaces, limits: document.limits };
   }
 
@@ -219,10 +217,10 @@
   }
 
   #createAsker(): AdmissionAsker {
-    const { link, freshness, documents, elapsed } = this.#deps;
+    const { link, document, documents, elapsed } = this.#deps;
     return new AdmissionAsker({
       send: (address, workspace) => link.askAdmission(address, workspace),
-      freshness,
+      freshness: document.freshness,
       noteVersion: (address, version) => {
         documents.noteVersion(address, version);
       },
@@ -231,27 +229,27 @@
   }
 
   #createConfirmer(asker: AdmissionAsker): DocumentConfirmer {
-    const { freshness, configFollower, table, random, clock } = this.#deps;
+    const { document, table, random, clock } = this.#deps;
     const peers = () => table.liveMembers().filter((m) => !m.control);
     return new DocumentConfirmer({
-      freshness,
+      freshness: document.freshness,
       ask: (address) => asker.ask(address),
       members: () => [
         ...this.#controlReplicas(),
         ...sampleOf(peers(), CONFIRMING_PEERS, random).map((m) => m.peer_address),
       ],
-      isNeeded: () => configFollower.workspaces !== undefined,
+      isNeeded: () => !document.isActive || document.follower.workspaces !== undefined,
       clock,
     });
   }
 
   #createAdmission(asker: AdmissionAsker): RequestAdmission {
-    const { cfg, freshness, link, random, clock } = this.#deps;
+    const { cfg, document, link, random, clock } = this.#deps;
     const splitSampler = new SplitSampler(random);
     return new RequestAdmission({
       config: () => this.#config,
       draw: (route) => splitSampler.next(route),
-      freshness,
+      freshness: document.freshness,
       confirmer: this.#confirmer,
       credits: new CreditClient({
         ask: (address, workspace) => asker.ask(address, workspace),
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -29,8 +29,8 @@
 import { SidecarMetrics } from "./admin/SidecarMetrics.ts";
 import type { TrafficKind } from "./admin/TrafficKind.ts";
 import { CallerSide } from "./CallerSide.ts";
-import { ConfigFollower } from "./config/ConfigFollower.ts";
-import { DocumentFreshness } from "./config/DocumentFreshness.ts";
+import type { ConfigFollower } from "./config/ConfigFollower.ts";
+import { SidecarDocument } from "./config/SidecarDocument.ts";
 import type { Dialect } from "./dialect/Dialect.ts";
 import { ownDialect } from "./dialect/ownDialect.ts";
 import { drainSidecar, type DrainedParts } from "./drainSidecar.ts";
@@ -128,17 +128,13 @@
     const table = this.#createTable();
     const elapsed = new ElapsedClock();
     const caller: { side?: CallerSide } = {};
-    const configFollower = this.#createConfigFollower(table, onMessageSize, () => {
-      freshness.onVersionChange();
-      const { document } = configFollower;
-      if (document) {
-        caller.side?.onDocumentChange(document.limits);
+    const document = this.#createDocument(table, elapsed, onMessageSize, () => {
+      const { limits } = document.follower.document ?? {};
+      if (limits) {
+        caller.side?.onDocumentChange(limits);
       }
     });
-    const freshness = new DocumentFreshness({
-      version: () => configFollower.version,
-      elapsed: () => elapsed.now(),
-    });
+    const { follower: configFollower } = document;
     const { service } = loadProto().Peer;
     const peerService = meterService(service, onMessageSize);
     const clients = this.register(new PeerClients(peerService));
@@ -195,9 +191,8 @@
         cfg: () => this.#cfg,
         table,
         link,
-        configFollower,
+        document,
         documents,
-        freshness,
         targetSide,
         quarantine,
         dialect: this.#dialect,
@@ -231,7 +226,7 @@
       onGate: (message, from) => {
         callerSide.gateMessages.dispatch(message, from);
       },
-      onAdmissionAsk: () => admissionCodec.encode(confirmationOf(configFollower, freshness)),
+      onAdmissionAsk: () => admissionCodec.encode(document.confirmation),
     });
     const hopPort = this.register(await startHttpServer(targetSide.gateServer.server, cfg.hop));
     this.#ports.hop = hopPort.port;
@@ -312,18 +307,21 @@
     return new TargetTable(self, now, announceTimeoutMs, () => stalls.totalMs);
   }
 
-  #createConfigFollower(
+  #createDocument(
     table: TargetTable,
+    elapsed: ElapsedClock,
     onMessageSize: MessageSizeListener,
     onChange: () => void,
-  ): ConfigFollower {
+  ): SidecarDocument {
     const { control, dataDir, id } = this.#cfg;
     return this.register(
-      new ConfigFollower({
+      new SidecarDocument({
         controls: () => [...new Set([...control, ...table.controlAddresses()])],
+        maxAgeMs: () => this.#cfg.documentAge.refuseMs,
         dataDir,
         sidecarId: id,
         clock: SystemClock,
+        elapsed: () => elapsed.now(),
         random: Math.random,
         log: this.#log,
         onMessageSize,
@@ -351,11 +349,6 @@
   }
 }
 
-/** What this sidecar can tell others about the age of the document in force. */
-function confirmationOf({ version }: ConfigFollower, { ageMs }: DocumentFreshness) {
-  return { version, ageMs: Number.isFinite(ageMs) ? ageMs : undefined, credit: undefined };
-}
-
 function sleep(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, Math.max(0, ms)));
 }
--- a/src/sidecar/config/ConfigFollower.test.ts
+++ b/src/sidecar/config/ConfigFollower.test.ts
@@ -17,12 +17,14 @@
 const whole = (version: number) => ({ kind: "whole" as const, version, document: doc });
 const log = bunyan.createLogger({ name: "test", level: "fatal" });
 
-const follower = (dataDir: string | undefined) =>
+const follower = (dataDir: string | undefined, isActive = true) =>
   new ConfigFollower({
     controls: () => ["127.0.0.1:1"],
     dataDir,
     sidecarId: "s",
+    isActive: () => isActive,
     clock: SystemClock,
+    elapsed: () => SystemClock.now(),
     random: Math.random,
     log,
   });
@@ -45,7 +47,7 @@
 
 test("restarted sidecar loads its last accepted version from disk, and keeps refusing older ones", (t) => {
   // A sidecar with version 7 is restarted while control is unreachable. It must serve
-  // version 7 at once, and must still refuse version 6 from a lagging replica afterwards.
+  // version 7, and must still refuse version 6 from a lagging replica afterwards.
   const dir = mkdtempSync(join(tmpdir(), "bp-follower-"));
   follower(dir).offer(whole(7), "a");
   const restarted = follower(dir);
@@ -57,3 +59,12 @@
   t.truthy(restarted.document);
   t.is(restarted.offer(whole(6), "a"), "stale");
 });
+
+test("a document received before the activation is in force and passed on only after it", (t) => {
+  const f = follower(undefined, false);
+  f.offer(whole(3), "a");
+  f.offer(whole(5), "b");
+  t.deepEqual([f.version, f.receivedVersion, f.document, f.since(0)], [0, 5, undefined, []]);
+  f.activate("confirmed");
+  t.deepEqual([f.version, f.document, f.since(0).length], [5, doc, 1]);
+});
--- a/src/sidecar/config/ConfigFollower.ts
+++ b/src/sidecar/config/ConfigFollower.ts
@@ -22,6 +22,13 @@
  */
 const WATCH_COUNT = 2;
 
+/** How the document received last has arrived. */
+interface DocumentSource {
+  readonly by: DocumentUpdate["kind"];
+  /** Address of the control replica or member that sent it, or "disk". */
+  readonly from: string;
+}
+
 interface ConfigFollowerDeps {
   /** Addresses of the currently known control replicas, host:port. */
   readonly controls: () => readonly string[];
@@ -34,6 +41,14 @@
   readonly log: bunyan;
   /** Called with the method and size of every message to and from control. */
   readonly onMessageSize?: MessageSizeListener;
+  /** Whether documents come into force as soon as they are received; see DocumentActivation. */
+  readonly isActive: () => boolean;
+  /** Clock by which confirmations age, ms; see ElapsedClock. */
+  readonly elapsed: () => number;
+  /** Called when control states that no change after `version` had been acknowledged at `at`, by `elapsed`. */
+  readonly onConfirmed?: (version: number, at: number) => void;
+  /** Called after another version was received, before it comes into force. */
+  readonly onReceived?: () => void;
   /** Called after another version has come into force. */
   readonly onChange?: () => void;
 }
@@ -41,15 +56,20 @@
 /**
  * Follows the configuration documents that control accepts. Versions only rise: an older or
  * equal one (from a lagging replica or a repeated message) is dropped, so the document in force
- * never reverts. The last accepted document is saved in the data folder, if there is one, and
- * synced to disk, so that a restarted sidecar has it at once.
+ * never reverts. After a start, documents are received, but none comes into force before {@link activate}.
+ * The last accepted document is saved in the data folder, if there is one, and synced to disk, so that a restarted
+ * sidecar has it even if it reaches nobody.
  */
 export class ConfigFollower implements ConfigSource, IDisposable {
   readonly #deps: ConfigFollowerDeps;
   readonly #history = new DocumentHistory();
   readonly #watches: WatchSupervisor[] = [];
+  #version = 0;
+  #source: DocumentSource | undefined;
   #routes: RouteIndex | undefined;
   #workspaces: WorkspaceIndex | undefined;
+  /** The workspaces from which the index was made. */
+  #indexedWorkspaces: OperatorDocument["workspaces"];
   #inForceSince: number | undefined;
 
   constructor(deps: ConfigFollowerDeps) {
@@ -58,6 +78,10 @@
 
   /** Version in force at this sidecar; 0 before any. */
   get version(): number {
+    return this.#version;
+  }
+
+  get receivedVersion(): number {
     return this.#history.version;
   }
 
@@ -82,7 +106,7 @@
   }
 
   since(version: number): readonly DocumentUpdate[] {
-    return this.#history.updatesSince(version);
+    return this.#version > 0 ? this.#history.updatesSince(version) : [];
   }
 
   /** Loads the last document from the data folder, then follows control until disposed. */
@@ -107,31 +131,59 @@
    * @param from address of the control replica or member that sent it, or "disk"
    */
   offer(update: DocumentUpdate, from: string): "taken" | "stale" | "gap" {
-    const { workspaces: before } = this.#history.document;
     const result = this.#history.apply(update);
     if (result === "taken") {
-      const { workspaces } = this.#history.document;
-      this.#routes = new RouteIndex(this.#history.document);
-      if (workspaces !== before) {
-        this.#workspaces = workspaces && new WorkspaceIndex(workspaces);
-      }
-      this.#inForceSince = this.#deps.clock.now();
+      this.#source = { by: update.kind, from };
       this.#persist();
-      this.#deps.log.info(
-        { version: update.version, by: update.kind, from },
-        "configuration in force",
-      );
-      this.#deps.onChange?.();
+      this.#deps.onReceived?.();
+      if (this.#deps.isActive()) {
+        this.#putInForce();
+      } else {
+        const { version } = update;
+        this.#deps.log.info({ version, ...this.#source }, "configuration received, not confirmed");
+      }
     }
     return result;
   }
 
+  /** Puts the document in force that was received before documents could come into force. */
+  activate(reason: string): void {
+    this.#deps.log.info({ version: this.receivedVersion, reason }, "configuration activated");
+    this.#putInForce();
+  }
+
+  #putInForce(): void {
+    const { version, document } = this.#history;
+    if (version === this.#version) {
+      return;
+    }
+    this.#version = version;
+    this.#routes = new RouteIndex(document);
+    if (document.workspaces !== this.#indexedWorkspaces) {
+      this.#indexedWorkspaces = document.workspaces;
+      this.#workspaces = document.workspaces && new WorkspaceIndex(document.workspaces);
+    }
+    this.#inForceSince = this.#deps.clock.now();
+    this.#deps.log.info({ version, ...this.#source }, "configuration in force");
+    this.#deps.onChange?.();
+  }
+
   #createWatch(): WatchSupervisor {
-    const { sidecarId, onMessageSize, clock, log } = this.#deps;
+    const { sidecarId, onMessageSize, elapsed, onConfirmed, clock, log } = this.#deps;
     return new WatchSupervisor({
       choose: (avoid) => this.#chooseReplica(avoid),
       open: (address, events) =>
-        new ControlWatch({ sidecarId, onMessageSize, ...events }, address, this.version),
+        new ControlWatch(
+          {
+            sidecarId,
+            onMessageSize,
+            elapsed,
+            onConfirmed: (version, at) => onConfirmed?.(version, at),
+            ...events,
+          },
+          address,
+          this.receivedVersion,
+        ),
       apply: (update, from) => this.offer(update, from),
       clock,
       log,
--- a/src/sidecar/config/ControlWatch.ts
+++ b/src/sidecar/config/ControlWatch.ts
@@ -11,7 +11,11 @@
   readonly sidecarId: string;
   /** Called with the method and size of every message to and from control. */
   readonly onMessageSize: MessageSizeListener | undefined;
+  /** Clock by which confirmations age, ms; see ElapsedClock. */
+  readonly elapsed: () => number;
   readonly onUpdate: (update: DocumentUpdate) => void;
+  /** Called when the replica states that no change after `version` had been acknowledged at `at`, by `elapsed`. */
+  readonly onConfirmed: (version: number, at: number) => void;
   /** Called for each message from the replica: a heartbeat about once a second, and each part of an update. */
   readonly onHeartbeat: () => void;
   /** Called once, when the watch has ended for any reason. */
@@ -26,6 +30,7 @@
   readonly #client: ControlClient;
   readonly #call: grpc.ClientReadableStream<ProtoTypes["ConfigVersion"]>;
   readonly #parts = new VersionJoiner();
+  readonly #requestedAt: number;
   #ended = false;
 
   /** @param haveVersion the version in force at this sidecar; the replica sends the updates after it */
@@ -33,6 +38,7 @@
     this.#deps = deps;
     this.#client = ControlClient(address, deps.onMessageSize);
     const req = { sidecar_id: deps.sidecarId, have_version: haveVersion, heartbeats: true };
+    this.#requestedAt = deps.elapsed();
     this.#call = this.#client.Watch(req);
     this.#call.on("metadata", () => {
       if (!this.#ended) {
@@ -59,6 +65,7 @@
   #onData(raw: ProtoTypes["ConfigVersion"]): void {
     this.#deps.onHeartbeat();
     if (documentCodec.isHeartbeat(raw)) {
+      this.#onStatedAge(raw.version, documentCodec.heartbeatAgeMs(raw));
       return;
     }
     const whole = this.#parts.add(raw);
@@ -67,6 +74,13 @@
     }
   }
 
+  /** The age counts from the request, so that a delay on the way does not make the document look newer. */
+  #onStatedAge(version: number, ageMs: number | undefined): void {
+    if (ageMs !== undefined) {
+      this.#deps.onConfirmed(version, this.#requestedAt - ageMs);
+    }
+  }
+
   #end(reason: string): void {
     if (this.#ended) {
       return;
--- a/src/sidecar/config/DocumentFreshness.ts
+++ b/src/sidecar/config/DocumentFreshness.ts
@@ -1,17 +1,17 @@
 interface DocumentFreshnessDeps {
-  /** Version in force at this sidecar. */
+  /** The latest version that this sidecar has received. */
   readonly version: () => number;
   /** Clock by which confirmations age, ms; see ElapsedClock. */
   readonly elapsed: () => number;
 }
 
-/** A confirmation of a version that is not in force here yet. */
+/** A confirmation of a version that was not received yet. */
 interface PendingConfirmation {
   readonly version: number;
   readonly at: number;
 }
 
-/** Knows until when the document in force is certain to have been the current one. */
+/** Knows until when the document received last is certain to have been the current one. */
 export class DocumentFreshness {
   readonly #deps: DocumentFreshnessDeps;
   #confirmedAt = -Infinity;
@@ -22,11 +22,16 @@
     this.#deps = deps;
   }
 
-  /** Upper bound of the age of the document in force, ms: it includes every change that was acknowledged longer ago. */
+  /** Upper bound of the age of the document received last, ms: it includes every change that was acknowledged longer ago. */
   get ageMs(): number {
     return this.#deps.elapsed() - this.#confirmedAt;
   }
 
+  /** Whether a version is known to exist that is newer than the one received last. */
+  get isOutdated(): boolean {
+    return this.#pending !== undefined;
+  }
+
   /** Records that no change after `version` had been acknowledged at `at`, by the clock of confirmations, ms. */
   confirm(version: number, at: number): void {
     if (version > this.#deps.version()) {
@@ -41,7 +46,7 @@
     }
   }
 
-  /** Applies a pending confirmation, as another version has come into force. */
+  /** Applies a pending confirmation, as another version was received. */
   onVersionChange(): void {
     const pending = this.#pending;
     if (pending && pending.version <= this.#deps.version()) {
@@ -50,7 +55,7 @@
     }
   }
 
-  /** Calls `listener` after each confirmation of the version in force; returns the function that stops that. */
+  /** Calls `listener` after each confirmation of the version received last; returns the function that stops that. */
   onConfirmed(listener: () => void): () => void {
     this.#listeners.add(listener);
     return () => this.#listeners.delete(listener);
--- a/test/slowLink.test.ts
+++ b/test/slowLink.test.ts
@@ -15,7 +15,8 @@
 import { PeerClients } from "../src/membership/PeerClients.ts";
 import { NetworkPeers } from "../src/membership/NetworkPeers.ts";
 import type { DatagramLink } from "../src/membership/DatagramLink.ts";
-import { ConfigFollower } from "../src/sidecar/config/ConfigFollower.ts";
+import type { ConfigFollower } from "../src/sidecar/config/ConfigFollower.ts";
+import { SidecarDocument } from "../src/sidecar/config/SidecarDocument.ts";
 import { eventually } from "./fixtures/eventually.ts";
 import { SlowLink } from "./fixtures/SlowLink.ts";
 
@@ -33,6 +34,9 @@
 /** Limit for a change to arrive, ms: it crosses the link once. */
 const CHANGE_ARRIVAL_MS = 2000;
 
+/** Age of the document up to which a starting sidecar acts on it, ms. */
+const MAX_AGE_MS = 2000;
+
 /** Builds a document of about `bytes` bytes. */
 function documentOf(bytes: number): OperatorDocument {
   const [limits, text] = [EMPTY_DOCUMENT.limits, "x".repeat(bytes)];
@@ -65,16 +69,19 @@
   const started = await startGrpcServer(server, "127.0.0.1:0", 0);
   const links = [new SlowLink(started.port), new SlowLink(started.port)];
   const controls = await Promise.all(links.map((l) => l.start()));
-  const follower = new ConfigFollower({
+  const document = new SidecarDocument({
     controls: () => controls,
+    maxAgeMs: () => MAX_AGE_MS,
     dataDir: undefined,
     sidecarId: "s",
     clock: SystemClock,
+    elapsed: () => SystemClock.now(),
     random: Math.random,
     log,
   });
+  const { follower } = document;
   t.teardown(async () => {
-    follower.dispose();
+    await document.dispose();
     watchers.dispose();
     links.forEach((l) => {
       l.stop();
