Add blackouts to the soak, and sidecars without disks

Every process is killed right after a change was accepted, planned stops and restarts in progress included; a minority of the control replicas loses its disk, and all start again one by one. A new check judges by what requests get: a route that was added, dropped, or moved to another service by an earlier version than the accepted one, in contact or not. In half of the runs sidecars keep nothing on disk, as on the users' platform.

Found by it, not fixed: after a blackout of sidecars without disks, a resend of a keyed booking runs again. Found too: the stand-in ended with an unhandled rejection when a sidecar was killed during an upload, which counted as a crash of the target.

--- a/soak/FaultPlayer.ts
+++ b/soak/FaultPlayer.ts
@@ -1,5 +1,6 @@
 import { FaultMode } from "../src/standin/FaultMode.ts";
-import type { Disturbance, LimitRecord, StopRecord } from "./History.ts";
+import type { BlackoutRecord, Disturbance, LimitRecord, StopRecord } from "./History.ts";
+import type { Rng } from "./createRng.ts";
 import { LinkMode } from "./LinkProxy.ts";
 import { FATAL_REQUEST, type SoakFleet } from "./SoakFleet.ts";
 import type { SoakAccounts } from "./SoakAccounts.ts";
@@ -18,6 +19,9 @@
  */
 const RECOVERY_MS = 1000;
 
+/** Time after a disturbance of a control replica until its disk counts as filled again, ms: the users' bound. */
+const DISK_RECOVERY_MS = 6000;
+
 /** The limit that targets name, requests a second: a small part of what they get otherwise. */
 const LIMIT_PER_S = 2.5;
 
@@ -46,10 +50,12 @@
   readonly #fleet: SoakFleet;
   readonly #operator: SoakOperator;
   readonly #accounts: SoakAccounts;
+  readonly #rng: Rng;
   readonly stops: StopRecord[] = [];
   readonly disturbances: Disturbance[] = [];
   readonly drains: { target: string; at: number }[] = [];
   readonly limits: LimitRecord[] = [];
+  readonly blackouts: BlackoutRecord[] = [];
   readonly leavings: { target: string; at: number }[] = [];
   /** By process: its latest stop or restart. Other faults that hit it meanwhile are injected without waiting. */
   readonly #restarts = new Map<string, Promise<void>>();
@@ -57,7 +63,8 @@
   /** Headers that targets add to their responses. */
   readonly #headers = new Map<string, Readonly<Record<string, string | undefined>>>();
 
-  constructor(fleet: SoakFleet, operator: SoakOperator, accounts: SoakAccounts) {
+  constructor(fleet: SoakFleet, operator: SoakOperator, accounts: SoakAccounts, rng: Rng) {
+    this.#rng = rng;
     this.#fleet = fleet;
     this.#operator = operator;
     this.#accounts = accounts;
@@ -116,7 +123,10 @@
         await this.#accounts.exceedQuota(forS * 1000);
         return;
       case FaultKind.Config:
-        this.#operator.applyNext();
+        void this.#operator.applyNext();
+        return;
+      case FaultKind.Blackout:
+        await this.#blackOut(on, forS);
         return;
       case FaultKind.TargetDrains:
         await this.#fleet.drain(on);
@@ -239,6 +249,43 @@
     end();
   }
 
+  /** Kills all processes right after a change was accepted; those that are being stopped or restarted, too. */
+  async #blackOut(emptied: string, forS: number): Promise<void> {
+    const applied = await this.#operator.applyNext();
+    if (applied?.outcome !== "accepted") {
+      return;
+    }
+    this.blackouts.push({ at: this.#fleet.now, version: applied.version });
+    const wiped = this.#mayLoseDisks ? this.#minorityWith(emptied) : [];
+    await Promise.all(
+      this.#fleet.daemons.map(async (on) => {
+        const end = this.#beginDisturbance(on, FaultKind.Blackout);
+        this.#fleet.signal(on, "SIGKILL");
+        await this.#runExclusive(on, async () => {
+          // A stop or restart that was in progress has started it again, before the power is back.
+          this.#fleet.signal(on, "SIGKILL");
+          await this.#fleet.waitForExit(on);
+          await sleep(this.#rng.between(0, forS) * 1000);
+          await this.#fleet.restart(on, wiped.includes(on));
+        });
+        end();
+      }),
+    );
+  }
+
+  /** Whether no control replica was disturbed recently, so that a minority of them may lose their disks. */
+  get #mayLoseDisks(): boolean {
+    const from = this.#fleet.now - DISK_RECOVERY_MS;
+    return !this.disturbances.some((d) => this.#fleet.isControl(d.on) && d.until > from);
+  }
+
+  /** As many control replicas as may lose their disks at once, `first` among them; none if that is empty. */
+  #minorityWith(first: string): string[] {
+    const controls = this.#fleet.daemons.filter((name) => this.#fleet.isControl(name));
+    const others = controls.filter((name) => name !== first);
+    return first === "" ? [] : [first, ...others].slice(0, Math.floor((controls.length - 1) / 2));
+  }
+
   async #stop(on: string, kind: FaultKind): Promise<void> {
     const at = this.#fleet.now;
     const exited = this.#fleet.waitForExit(on);
@@ -250,7 +297,9 @@
       }
     }
     const code = await exited;
-    this.stops.push({ on, at, endedAt: this.#fleet.now, code });
+    if (!this.blackouts.some((b) => b.at >= at)) {
+      this.stops.push({ on, at, endedAt: this.#fleet.now, code });
+    }
     const end = this.#beginDisturbance(on, "down");
     await this.#fleet.restart(on, false);
     end();
--- a/soak/History.ts
+++ b/soak/History.ts
@@ -55,6 +55,20 @@
   readonly acceptedAt: number;
 }
 
+/** A moment at which all control replicas and sidecars were killed. */
+export interface BlackoutRecord {
+  readonly at: number;
+  /** The document version that had been accepted right before. */
+  readonly version: number;
+}
+
+/** The service that ran a request on the route that moves with each change. */
+export interface MovedSample {
+  readonly at: number;
+  readonly via: string;
+  readonly service: string;
+}
+
 /** Whether the route that only one document version has existed at one sidecar. */
 export interface ConfigSample {
   readonly at: number;
@@ -120,6 +134,8 @@
   readonly stops: readonly StopRecord[];
   readonly configs: readonly ConfigRecord[];
   readonly configLooks: readonly ConfigSample[];
+  readonly movedLooks: readonly MovedSample[];
+  readonly blackouts: readonly BlackoutRecord[];
   readonly readyLooks: readonly ReadinessSample[];
   readonly disturbances: readonly Disturbance[];
   readonly drains: readonly { readonly target: string; readonly at: number }[];
--- a/soak/SoakFleet.ts
+++ b/soak/SoakFleet.ts
@@ -52,6 +52,7 @@
     const { ratio, windowMs, slack } = SOAK_BUDGET;
     this.#fleet = new LocalFleet({
       controls: plan.controls,
+      sidecarDisks: plan.sidecarDisks ?? true,
       advertise: (id, addresses) => this.#openLinks(id, addresses),
       sidecarSettings: {
         retryBudget: { ratio, windowMs, slack },
@@ -125,6 +126,11 @@
     this.#process(name)?.kill(signal);
   }
 
+  /** Names of all control replicas and sidecars. */
+  get daemons(): string[] {
+    return [...this.#fleet.controls.keys(), ...this.vms];
+  }
+
   /** Whether the process has not exited. A frozen process counts as running. */
   isRunning(name: string): boolean {
     const proc = this.#process(name);
--- a/soak/SoakMonitor.ts
+++ b/soak/SoakMonitor.ts
@@ -1,12 +1,15 @@
-import type { ConfigSample, ReadinessSample, ResourceSample } from "./History.ts";
+import type { ConfigSample, MovedSample, ReadinessSample, ResourceSample } from "./History.ts";
 import type { SoakFleet } from "./SoakFleet.ts";
 import type { SoakOperator } from "./SoakOperator.ts";
 import { SOAK_WORKSPACES } from "./SOAK_WORKSPACES.ts";
-import { changePath } from "./soakDocument.ts";
+import { changePath, MOVED_PATH } from "./soakDocument.ts";
 
 /** Interval between probes of one sidecar, ms. */
 const PROBE_INTERVAL_MS = 500;
 
+/** Interval between requests on the moved route at a sidecar that isn't ready, ms: it is starting, and holds requests. */
+const STARTING_INTERVAL_MS = 100;
+
 /** Failed readiness probes in a row after which callers are sent elsewhere. */
 const MAX_MISSES = 2;
 
@@ -27,6 +30,7 @@
   readonly #timers: NodeJS.Timeout[] = [];
   readonly readinessSamples: ReadinessSample[] = [];
   readonly configSamples: ConfigSample[] = [];
+  readonly movedSamples: MovedSample[] = [];
   readonly resourceSamples: ResourceSample[] = [];
 
   constructor(fleet: SoakFleet, operator: SoakOperator) {
@@ -42,6 +46,11 @@
   start(): void {
     for (const vm of this.#fleet.vms) {
       this.#every(PROBE_INTERVAL_MS, () => this.#probe(vm));
+      this.#every(STARTING_INTERVAL_MS, async () => {
+        if (this.#misses.get(vm)) {
+          await this.#probeMoved(vm);
+        }
+      });
     }
     this.#every(RESOURCE_INTERVAL_MS, () => {
       this.resourceSamples.push(...this.#fleet.sampleResources());
@@ -62,16 +71,15 @@
   /** Samples whether a sidecar is ready and responds, and which of the two newest documents it has in force. */
   async #probe(vm: string): Promise<void> {
     const at = this.#fleet.now;
-    const isReady = (await getStatus(this.#fleet.adminPort(vm), "/ready")) === 200;
+    const isReady = (await get(this.#fleet.adminPort(vm), "/ready"))?.status === 200;
     this.#misses.set(vm, isReady ? 0 : (this.#misses.get(vm) ?? 0) + 1);
     const incarnation = this.#fleet.incarnation(vm);
     // The version before the newest is probed too: a process that has had the newest must not go back to it.
     const probes = this.#operator.accepted.slice(0, 2).map(async ({ change, version }) => {
       const sentAt = this.#fleet.now;
-      const status = await getStatus(
-        this.#fleet.callerPort(vm),
-        `${changePath(change)}look?bytes=0`,
-      );
+      const port = this.#fleet.callerPort(vm);
+      const path = `${changePath(change)}look?bytes=0`;
+      const status = (await get(port, path, SOAK_WORKSPACES.monitorKey))?.status;
       // A restart in between would attribute the response to the wrong incarnation.
       const isSame = incarnation === this.#fleet.incarnation(vm);
       if (status !== undefined && status !== 503 && isSame) {
@@ -86,22 +94,40 @@
       return status !== undefined;
     });
     const answered = await Promise.all(probes);
+    await this.#probeMoved(vm);
     this.readinessSamples.push({ at, via: vm, isReady, isAnswered: answered.some((a) => a) });
   }
+
+  /** Samples which service runs requests on the route that moves; they have no key, since that is checked separately. */
+  async #probeMoved(vm: string): Promise<void> {
+    const at = this.#fleet.now;
+    const res = await get(this.#fleet.callerPort(vm), `${MOVED_PATH}look?bytes=0`);
+    if (res?.status === 200) {
+      const { service } = JSON.parse(res.body) as { service: string };
+      this.movedSamples.push({ at, via: vm, service });
+    }
+  }
 }
 
-/** Returns the status of a response over a new connection; undefined if there is no response. */
-async function getStatus(port: number, path: string): Promise<number | undefined> {
+let probeCount = 0;
+
+/** Returns a response over a new connection; undefined if there is none. */
+async function get(
+  port: number,
+  path: string,
+  key?: string,
+): Promise<{ status: number; body: string } | undefined> {
   try {
     const res = await fetch(`http://127.0.0.1:${port}${path}`, {
       headers: {
         connection: "close",
-        authorization: `Bearer ${SOAK_WORKSPACES.monitorKey}`,
+        // Each has a tag of its own, so that it does not count as a repeat of another.
+        "x-caller-tag": `probe-${++probeCount}`,
+        ...(key === undefined ? {} : { authorization: `Bearer ${key}` }),
       },
       signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
     });
-    await res.arrayBuffer();
-    return res.status;
+    return { status: res.status, body: await res.text() };
   } catch {
     return undefined;
   }
--- a/soak/SoakOperator.ts
+++ b/soak/SoakOperator.ts
@@ -40,11 +40,13 @@
     return accepted.version;
   }
 
-  /** Starts to apply a further change without waiting for the pending ones. */
-  applyNext(): void {
+  /** Starts to apply a further change without waiting for the pending ones; resolves with its outcome. */
+  async applyNext(): Promise<ConfigRecord | undefined> {
+    const change = this.#changes + 1;
     const done = this.#apply();
     this.#pending.add(done);
-    void done.finally(() => this.#pending.delete(done));
+    await done.finally(() => this.#pending.delete(done));
+    return this.#records.get(change);
   }
 
   /** Resolves once no change is pending. */
--- a/soak/SoakPlan.ts
+++ b/soak/SoakPlan.ts
@@ -60,6 +60,11 @@
   FatalRequest = "fatal-request",
   /** Callers of a workspace send far more requests than its quota allows. */
   HotWorkspace = "hot-workspace",
+  /**
+   * Right after a document was accepted, all control replicas and sidecars are killed; a minority of the replicas lose
+   * their disks, that of `on` among them, and all start again, one by one, within the fault's duration.
+   */
+  Blackout = "blackout",
   /** Operators apply another document; several such faults at the same time apply several at once. */
   Config = "config",
 }
@@ -94,4 +99,6 @@
   /** Requests per second, by kind. */
   readonly rates: Readonly<Record<CallKind, number>>;
   readonly faults: readonly PlannedFault[];
+  /** Whether sidecars keep their document on disk; by default they do. */
+  readonly sidecarDisks?: boolean;
 }
--- a/soak/checks/allChecks.ts
+++ b/soak/checks/allChecks.ts
@@ -1,5 +1,6 @@
 import type { Check } from "./Check.ts";
 import { documentIsApplied } from "./documentIsApplied.ts";
+import { nothingOlderAfterBlackouts } from "./nothingOlderAfterBlackouts.ts";
 import { leavingGetsNoWork } from "./leavingGetsNoWork.ts";
 import { limitsAreKept } from "./limitsAreKept.ts";
 import { fatalRequestsAreContained } from "./fatalRequestsAreContained.ts";
@@ -35,6 +36,7 @@
   stopsAbortNothing,
   stopsEndInTime,
   documentIsApplied,
+  nothingOlderAfterBlackouts,
   readyAcceptsConnections,
   recoversAfterFaults,
   resourceUseIsBounded,
--- a/soak/checks/checks.test.ts
+++ b/soak/checks/checks.test.ts
@@ -38,6 +38,8 @@
   stops: [],
   configs: [],
   configLooks: [],
+  movedLooks: [],
+  blackouts: [],
   readyLooks: [],
   disturbances: [],
   drains: [],
@@ -106,6 +108,13 @@
   isThere,
 });
 
+/** A history with a blackout right after version 2 was accepted. */
+const afterBlackout = (over: Partial<History>): Partial<History> => ({
+  configs: [accepted(1, 1, 1000), accepted(2, 2, 10_000)],
+  blackouts: [{ at: 10_100, version: 2 }],
+  ...over,
+});
+
 /** A target that names 2 requests a second gets `count` requests over `ms`, by a sidecar that was told of it. */
 const limited = (count: number, ms: number): Partial<History> => {
   const tags = many(count, (n) => `booking-${n + 2}`);
@@ -308,6 +317,28 @@
       },
     ],
   },
+  {
+    guarantee: /after a blackout/,
+    satisfying: {
+      configs: [accepted(1, 1, 1000), accepted(2, 2, 10_000), accepted(3, 3, 14_000)],
+      blackouts: [{ at: 10_100, version: 2 }],
+      configLooks: [
+        configSample(9900, 2, false),
+        configSample(12_000, 2, true),
+        configSample(14_000, 2, false),
+      ],
+      movedLooks: [
+        { at: 9900, via: "desk-0", service: "desk" },
+        { at: 12_000, via: "desk-0", service: "ledger" },
+        { at: 14_000, via: "desk-0", service: "bookings" },
+      ],
+    },
+    violating: [
+      afterBlackout({ configLooks: [configSample(10_200, 2, false)] }),
+      afterBlackout({ configLooks: [configSample(10_200, 1, true)] }),
+      afterBlackout({ movedLooks: [{ at: 10_200, via: "desk-0", service: "bookings" }] }),
+    ],
+  },
   {
     guarantee: /accepts new connections/,
     satisfying: {
--- a/soak/planSoak.ts
+++ b/soak/planSoak.ts
@@ -26,6 +26,9 @@
 /** Range of the interval between the faults of a series, which hits one VM after the other, s. */
 const SERIES_GAP_S: readonly [number, number] = [0.15, 0.8];
 
+/** Range of the time within which all processes start again after a blackout, s. */
+const BLACKOUT_DURATION_S: readonly [number, number] = [0, 3];
+
 /** Kinds of faults that are not injected into control replicas, with their relative frequencies. */
 const KIND_WEIGHTS: readonly (readonly [kind: FaultKind, weight: number])[] = [
   [FaultKind.PlannedStop, 4],
@@ -75,6 +78,8 @@
   const zones = rng.int(2, 4);
   const vms = services.flatMap((s) => vmNames(s));
   const controlIds = Array.from({ length: controls }, (_, n) => `control-${n + 1}`);
+  // Drawn separately, so that the rest of a seed's plan does not depend on it.
+  const blackoutRng = createRng(seed + 3);
   return {
     seed,
     seconds,
@@ -82,7 +87,11 @@
     controls,
     services,
     rates: planRates(rng, services),
-    faults: planFaults(rng, seconds, vms, controlIds),
+    faults: [
+      ...planFaults(rng, seconds, vms, controlIds),
+      ...planBlackouts(blackoutRng, seconds, controlIds),
+    ].sort((a, b) => a.atS - b.atS),
+    sidecarDisks: blackoutRng.int(1, 2) === 1,
   };
 }
 
@@ -136,6 +145,16 @@
     .sort((a, b) => a.atS - b.atS);
 }
 
+/** Plans up to two blackouts. */
+function planBlackouts(rng: Rng, seconds: number, controls: readonly string[]): PlannedFault[] {
+  const end = seconds - QUIET_AFTER_S;
+  return Array.from({ length: rng.int(0, 2) }, () => {
+    const atS = rng.between(QUIET_BEFORE_S, end);
+    const forS = Math.min(rng.between(...BLACKOUT_DURATION_S), end - atS);
+    return { kind: FaultKind.Blackout, atS, forS, on: rng.pick(["", ...controls]) };
+  });
+}
+
 /** Kinds of faults after which a target does not return. */
 const LEAVING_KINDS = new Set([FaultKind.TargetDrains, FaultKind.TargetLeaving]);
 
--- a/soak/playSoak.ts
+++ b/soak/playSoak.ts
@@ -1,5 +1,6 @@
 import { allChecks } from "./checks/allChecks.ts";
 import type { Check, CheckResult } from "./checks/Check.ts";
+import { createRng } from "./createRng.ts";
 import { FaultPlayer } from "./FaultPlayer.ts";
 import type { History } from "./History.ts";
 import { SoakAccounts } from "./SoakAccounts.ts";
@@ -50,7 +51,7 @@
   const monitor = new SoakMonitor(fleet, operator);
   const callers = new SoakCallers(fleet, plan, (vm) => monitor.isReady(vm));
   const accounts = new SoakAccounts(fleet, operator, plan);
-  const faultPlayer = new FaultPlayer(fleet, operator, accounts);
+  const faultPlayer = new FaultPlayer(fleet, operator, accounts, createRng(plan.seed + 4));
   monitor.start();
   accounts.start();
   let faultsEndAt = 0;
@@ -66,6 +67,8 @@
     stops: faultPlayer.stops,
     configs: operator.records,
     configLooks: monitor.configSamples,
+    movedLooks: monitor.movedSamples,
+    blackouts: faultPlayer.blackouts,
     readyLooks: monitor.readinessSamples,
     disturbances: faultPlayer.disturbances,
     drains: faultPlayer.drains,
--- a/soak/soakDocument.ts
+++ b/soak/soakDocument.ts
@@ -8,6 +8,16 @@
 /** Path prefix of the route that only the document of change number `change` has. */
 export const changePath = (change: number): string => `/v${change}-ledger/`;
 
+/** Path prefix of a route that each change moves to another service. */
+export const MOVED_PATH = "/moved/";
+
+/**
+ * The service that the moved route belongs to in the document of change number `change`: another than in the previous
+ * one, and than in the first.
+ */
+export const movedService = (change: number): string =>
+  change === 1 ? "desk" : (["ledger", "bookings"][change % 2] ?? "");
+
 /** The document that change number `change` applies to a soak run's fleet. */
 export function soakDocument({ services }: SoakPlan, change: number): string {
   const kinds = {
@@ -45,6 +55,15 @@
         timeoutMs: TIMEOUT_MS,
         attempts: 3,
       },
+      {
+        name: "moved",
+        prefix: MOVED_PATH,
+        service: movedService(change),
+        public: true,
+        idempotent: true,
+        timeoutMs: TIMEOUT_MS,
+        attempts: 3,
+      },
     ],
     workspaces: [
       { name: "rotating", apiKeys: [SOAK_WORKSPACES.rotatingKey(change)] },
--- a/src/standin/StandInTarget.ts
+++ b/src/standin/StandInTarget.ts
@@ -87,7 +87,10 @@
     this.#alwaysReportsHealthy = opts.alwaysReportsHealthy;
     this.#coldUntil = Date.now() + opts.coldMs;
     this.#server = createServer((req, res) => {
-      void this.#route(req, res);
+      this.#route(req, res).catch(() => {
+        // The sidecar has disconnected before the whole body has arrived: nothing is run.
+        res.destroy();
+      });
     });
     this.#server.on("connection", (socket: Socket) => {
       this.#connectedAt.set(socket, Date.now());
--- a/test/blackout.test.ts
+++ b/test/blackout.test.ts
@@ -6,6 +6,7 @@
 import { ConfigState } from "../src/control/log/ConfigState.ts";
 import { FileReplicaStore } from "../src/control/log/FileReplicaStore.ts";
 import { eventually } from "./fixtures/eventually.ts";
+import { standIn } from "./fixtures/standIn.ts";
 
 const TARGETS = [
   { id: "old", service: "old-home", zone: "zone-a", slots: 8 },
@@ -41,7 +42,11 @@
   const added = { name: "added", prefix: "/added/", service: "new-home" };
   const filler = { name: "filler", prefix: `/filler-${version}/`, service: "old-home" };
   const routes = [moved, filler, ...(isLast ? [added] : [])].map((r) => ({ ...r, ...common }));
-  return stringify({ services, routes });
+  const bookings = { name: "bookings", prefix: "/bookings/", service: "new-home" };
+  return stringify({
+    services,
+    routes: [...routes, { ...bookings, ...common, idempotent: false }],
+  });
 }
 
 async function apply(fleet: LocalFleet, version: number, isLast: boolean): Promise<void> {
@@ -187,3 +192,27 @@
     });
   },
 );
+
+test.serial("a booking isn't run again after all sidecars without disks were killed", async (t) => {
+  await withVersions(async (fleet) => {
+    const book = async () => {
+      const port = fleet.sidecars.get("old")?.ports.caller ?? 0;
+      const init = { method: "POST", headers: { "idempotency-key": "b-1" }, body: "{}" };
+      const res = await fetch(`http://127.0.0.1:${port}/bookings/x`, init).catch(() => undefined);
+      await res?.arrayBuffer();
+      return res?.status;
+    };
+    await eventually(async () => (await book()) === 200);
+    t.is(await standIn.countRuns(fleet, "b-1"), 1);
+    await blackOut(fleet);
+    await Promise.all([
+      ...[...fleet.controls.keys()].map((id) => fleet.restartControl(id)),
+      ...[...fleet.sidecars.keys()].map((id) => fleet.restartSidecar(id)),
+    ]);
+    const lookups = startLookups(t, fleet);
+    await eventually(() => servedOn(lookups.answered, "/added/x") > 3);
+    await lookups.stop();
+    await book();
+    t.is(await standIn.countRuns(fleet, "b-1"), 1);
+  });
+});
