--- a/src/cli/explain/explainRequest.ts
+++ b/src/cli/explain/explainRequest.ts
@@ -19,6 +19,8 @@
   "request quarantined",
   "suspicion lifted",
   "configuration in force",
+  "configuration received, not confirmed",
+  "configuration activated",
   "member updates",
   "following control",
   "no longer following control",
