--- a/src/control/replica/Replica.ts
+++ b/src/control/replica/Replica.ts
@@ -1,15 +1,18 @@
 import type bunyan from "bunyan";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import { Disposable } from "../../common/lifecycle/Disposable.ts";
-import type { Timer } from "../../common/lifecycle/Timer.ts";
 import type { ReplicaId } from "../../common/ids/ReplicaId.ts";
-import { StorageError } from "../../common/storage/StorageError.ts";
-import type { AcceptedChange } from "../log/AcceptedChange.ts";
-import { ConfigState } from "../log/ConfigState.ts";
+import type { ConfigState } from "../log/ConfigState.ts";
+import { CommittedState } from "./CommittedState.ts";
+import { DiskWriter } from "./DiskWriter.ts";
 import { Election } from "./Election.ts";
+import { JoinRequests } from "./JoinRequests.ts";
+import { LeaderContact } from "./LeaderContact.ts";
 import { LeaderTerm } from "./LeaderTerm.ts";
-import type { LogEntry } from "../log/LogEntry.ts";
 import { membersOf } from "../log/membersOf.ts";
+import type { ProposalDecision } from "./ProposalDecision.ts";
+import type { ProposalOutcome } from "./ProposalOutcome.ts";
+import { ProposalQueue } from "./ProposalQueue.ts";
 import type { ReplicaLink } from "./ReplicaLink.ts";
 import type {
   AppendRequest,
@@ -24,13 +27,6 @@
 import { StateConfirmation } from "./StateConfirmation.ts";
 import type { Voter } from "../log/Voter.ts";
 
-/** Outcome of a proposal. */
-type ProposalOutcome =
-  | { readonly kind: "committed"; readonly version: number }
-  | { readonly kind: "not-leader" }
-  /** Not acknowledged by a quorum in time, or not stored; it may still be committed. */
-  | { readonly kind: "unknown" };
-
 interface ReplicaDeps {
   /** Addresses of this replica, for other replicas and for operators, and its zone. */
   readonly self: { readonly address: string; readonly zone: string; readonly api: string };
@@ -53,18 +49,6 @@
   readonly onWrite?: (ms: number) => void;
 }
 
-/** The leader, as known to a follower. */
-interface KnownLeader {
-  readonly replica: Voter;
-  readonly api: string;
-}
-
-/**
- * A write that takes longer than this indicates a failing disk, ms: a sync takes 2 on a healthy
- * disk and 70 on a slow one. A leader then hands over, since every change waits for its disk.
- */
-const SLOW_WRITE_MS = 400;
-
 /** How long a replica starts no election after its disk failed or stalled, ms. */
 const DISK_FAULT_ABSTAIN_MS = 5000;
 
@@ -80,29 +64,53 @@
   readonly #log: ReplicatedLog;
   readonly #election: Election;
   readonly #confirmation: StateConfirmation;
+  readonly #writer: DiskWriter;
+  readonly #committed: CommittedState;
+  readonly #proposals: ProposalQueue;
+  readonly #joinRequests: JoinRequests;
+  readonly #contact: LeaderContact;
   readonly #listeners = new Set<() => void>();
-  #state: ConfigState;
-  /** Index up to which entries are committed and applied to the state. */
-  #commitIndex: number;
   #term: LeaderTerm | undefined;
-  #leader: KnownLeader | undefined;
-  #lastHeartbeatAt = -Infinity;
-  #lastProposal: Promise<unknown> = Promise.resolve();
-  #joinTimer: Timer | undefined;
 
   constructor(deps: ReplicaDeps) {
     super();
     this.#deps = deps;
     this.#log = deps.log;
-    const { snapshot } = deps.log;
-    this.#state = new ConfigState(snapshot.config);
-    this.#commitIndex = snapshot.index;
+    const { log, link, timing, clock, logger } = deps;
+    this.#writer = new DiskWriter({
+      clock,
+      logger,
+      onWrite: deps.onWrite,
+      onFault: (reason) => {
+        this.#abstain(reason);
+      },
+    });
+    const tryWrite = this.#tryWrite.bind(this);
+    const onChange = this.#notifyListeners.bind(this);
+    this.#committed = new CommittedState({ log, tryWrite, onChange, logger });
+    this.#proposals = new ProposalQueue({
+      leasedTerm: () => (this.holdsLease ? this.#term : undefined),
+      lastIndex: () => log.lastIndex,
+      state: () => this.state,
+    });
+    this.#joinRequests = this.register(
+      new JoinRequests({
+        self: () => this.#self,
+        contacts: deps.contacts,
+        voters: () => this.voters,
+        isNeeded: () => this.#term === undefined && (!this.#isVoter || !this.#hasRecentHeartbeat),
+        intervalMs: timing.joinIntervalMs,
+        link,
+        clock,
+      }),
+    );
+    this.#contact = new LeaderContact(clock, logger);
     this.#confirmation = new StateConfirmation(deps.elapsed, deps.firstReply);
     this.#election = new Election({
-      log: deps.log,
-      link: deps.link,
-      timing: deps.timing,
-      clock: deps.clock,
+      log,
+      link,
+      timing,
+      clock,
       random: deps.random,
       noteTerm: (term) => {
         this.#noteTerm(term);
@@ -125,12 +133,9 @@
   /** Starts elections and join requests; they run until the replica is disposed. */
   start(): void {
     this.#election.start();
-    this.#joinTimer = this.#deps.clock.after(0, () => {
-      this.#joinPeriodically();
-    });
+    this.#joinRequests.start();
     this.register({
       dispose: () => {
-        this.#joinTimer?.cancel();
         this.#term?.dispose();
       },
     });
@@ -151,7 +156,8 @@
     if (this.#term) {
       return { id: this.#log.id, api: this.#deps.self.api };
     }
-    return this.#leader && { id: this.#leader.replica.id, api: this.#leader.api };
+    const { leader } = this.#contact;
+    return leader && { id: leader.replica.id, api: leader.api };
   }
 
   /**
@@ -179,17 +185,17 @@
    * a restart the state of its last snapshot, until a leader has told what is committed. See {@link currentState}.
    */
   get state(): ConfigState {
-    return this.#state;
+    return this.#committed.state;
   }
 
   /** The committed state while it is known to be current; only this may be handed out to other processes. */
   get currentState(): ConfigState | undefined {
-    return this.inTouch ? this.#state : undefined;
+    return this.inTouch ? this.state : undefined;
   }
 
   /** True while this replica holds the leader lease, so that its committed document is the current one. */
   get holdsLease(): boolean {
-    return this.#term?.holdsLease(this.#commitIndex) ?? false;
+    return this.#term?.holdsLease(this.#committed.index) ?? false;
   }
 
   /**
@@ -207,7 +213,7 @@
    */
   get stateAgeMs(): number | undefined {
     if (this.#term) {
-      return this.#term.stateAgeMs(this.#commitIndex);
+      return this.#term.stateAgeMs(this.#committed.index);
     }
     const { ageMs } = this.#confirmation;
     return Number.isFinite(ageMs) ? ageMs : undefined;
@@ -232,41 +238,15 @@
     if (!term || !this.holdsLease || !(await term.confirmLeadership())) {
       return undefined;
     }
-    return this.#state;
+    return this.state;
   }
 
   /**
    * Proposes the change that `decide` returns for the current state. Proposals run one at a
    * time. `decide` may also return an answer, with which the call ends without a proposal.
    */
-  propose<T>(
-    decide: (current: ConfigState) => { propose: AcceptedChange } | { answer: T },
-  ): Promise<ProposalOutcome | { readonly kind: "answered"; readonly answer: T }> {
-    const proposal = this.#lastProposal.then(async () => {
-      const term = this.#term;
-      if (!term || !this.holdsLease) {
-        return { kind: "not-leader" } as const;
-      }
-      // An earlier proposal that timed out may still be pending; its outcome must be known first.
-      if (!(await term.waitForCommit(this.#log.lastIndex))) {
-        return { kind: "unknown" } as const;
-      }
-      const decision = decide(this.#state);
-      if ("answer" in decision) {
-        // A replica that lost its leadership while suspended may have decided on an outdated state.
-        return (await term.confirmLeadership())
-          ? ({ kind: "answered", answer: decision.answer } as const)
-          : ({ kind: "unknown" } as const);
-      }
-      const { propose: change } = decision;
-      const index = term.append({ kind: "change", change });
-      const isCommitted = index !== undefined && (await term.waitForCommit(index));
-      return isCommitted
-        ? ({ kind: "committed", version: change.version } as const)
-        : ({ kind: "unknown" } as const);
-    });
-    this.#lastProposal = proposal.catch(() => undefined);
-    return proposal;
+  propose<T>(decide: (current: ConfigState) => ProposalDecision<T>): Promise<ProposalOutcome<T>> {
+    return this.#proposals.propose(decide);
   }
 
   /**
@@ -278,7 +258,7 @@
     return (
       group.next === undefined &&
       group.voters.length >= this.#deps.wantedVoters &&
-      this.#commitIndex >= groupIndex
+      this.#committed.index >= groupIndex
     );
   }
 
@@ -315,7 +295,7 @@
   }
 
   get #hasRecentHeartbeat(): boolean {
-    return this.#deps.clock.now() - this.#lastHeartbeatAt < this.#deps.timing.electionMinMs;
+    return this.#contact.isRecent(this.#deps.timing.electionMinMs);
   }
 
   #onVote(req: VoteRequest): ReplicaReply {
@@ -351,23 +331,23 @@
 
   #onAppend(req: AppendRequest): ReplicaReply {
     if (req.term < this.#log.term || !this.#acceptLeader(req)) {
-      return this.#appendReply(false, this.#commitIndex);
+      return this.#appendReply(false, this.#committed.index);
     }
     const { snapshot } = req;
-    if (snapshot && snapshot.index > this.#commitIndex && !this.#install(snapshot)) {
-      return this.#appendReply(false, this.#commitIndex);
+    if (snapshot && snapshot.index > this.#committed.index && !this.#committed.install(snapshot)) {
+      return this.#appendReply(false, this.#committed.index);
     }
     const matchesPrev =
-      req.prevIndex <= this.#commitIndex || this.#log.termAt(req.prevIndex) === req.prevTerm;
-    if (this.#commitIndex < 0 || !matchesPrev || !this.#appendMissing(req)) {
-      return this.#appendReply(false, this.#commitIndex);
+      req.prevIndex <= this.#committed.index || this.#log.termAt(req.prevIndex) === req.prevTerm;
+    if (this.#committed.index < 0 || !matchesPrev || !this.#committed.appendMissing(req.entries)) {
+      return this.#appendReply(false, this.#committed.index);
     }
     const matched = req.prevIndex + req.entries.length;
-    this.#commit(Math.min(req.committed, Math.max(matched, this.#commitIndex)));
-    if (req.stateAgeMs !== undefined && this.#commitIndex >= req.committed) {
+    this.#committed.commit(Math.min(req.committed, Math.max(matched, this.#committed.index)));
+    if (req.stateAgeMs !== undefined && this.#committed.index >= req.committed) {
       this.#confirmation.confirm(req.echo, req.stateAgeMs);
     }
-    return this.#appendReply(true, Math.max(matched, this.#commitIndex));
+    return this.#appendReply(true, Math.max(matched, this.#committed.index));
   }
 
   #appendReply(ok: boolean, matched: number): ReplicaReply {
@@ -386,47 +366,11 @@
       return false;
     }
     this.#stepDown("another replica leads this term");
-    if (this.#leader?.replica.id !== req.leader.id) {
-      this.#deps.logger.info({ leader: req.leader, term: req.term }, "following a new leader");
-    }
-    this.#leader = { replica: req.leader, api: req.leaderApi };
-    this.#lastHeartbeatAt = this.#deps.clock.now();
+    this.#contact.note(req);
     this.#election.noteLeader();
     return true;
   }
 
-  #install(snapshot: NonNullable<AppendRequest["snapshot"]>): boolean {
-    if (
-      !this.#tryWrite(() => {
-        this.#log.install(snapshot);
-      })
-    ) {
-      return false;
-    }
-    this.#state = new ConfigState(snapshot.config);
-    this.#commitIndex = snapshot.index;
-    this.#deps.logger.info(
-      { index: snapshot.index, version: snapshot.config.version },
-      "installed the leader's snapshot",
-    );
-    this.#notifyListeners();
-    return true;
-  }
-
-  /** Appends the entries that are missing; committed entries and matching entries stay unchanged. */
-  #appendMissing(req: AppendRequest): boolean {
-    const uncommitted = req.entries.filter((e) => e.index > this.#commitIndex);
-    const firstMissing = uncommitted.findIndex((e) => this.#log.termAt(e.index) !== e.term);
-    if (firstMissing < 0) {
-      return true;
-    }
-    const entries = uncommitted.slice(firstMissing);
-    const after = (entries[0]?.index ?? 0) - 1;
-    return this.#tryWrite(() => {
-      this.#log.append(after, entries);
-    });
-  }
-
   #onHandover(req: HandoverRequest): ReplicaReply {
     if (req.term === this.#log.term && this.#isVoter) {
       this.#election.campaign(true);
@@ -436,54 +380,28 @@
 
   #onJoin(req: JoinRequest): ReplicaReply {
     this.#term?.noteLearner(req.replica);
-    const leader = this.#term ? this.#deps.self.address : (this.#leader?.replica.address ?? "");
+    const leader = this.#term
+      ? this.#deps.self.address
+      : (this.#contact.leader?.replica.address ?? "");
     return { kind: "join", leader };
   }
 
-  /**
-   * Sends join requests while this replica is outside the group or hears no leader: a voter
-   * that was cut off may have been removed from the group without knowing it.
-   */
-  #joinPeriodically(): void {
-    const { clock, timing } = this.#deps;
-    if (this.#term === undefined && (!this.#isVoter || !this.#hasRecentHeartbeat)) {
-      this.#sendJoinRequests();
-    }
-    this.#joinTimer = clock.after(timing.joinIntervalMs, () => {
-      this.#joinPeriodically();
-    });
-  }
-
-  #sendJoinRequests(): void {
-    const { self, contacts, link } = this.#deps;
-    const req = { kind: "join", replica: { id: this.#log.id, ...this.#selfAddress() } } as const;
-    const known = [...contacts(), ...this.voters.map((v) => v.address)];
-    const others = new Set(known.filter((address) => address !== self.address));
-    for (const address of others) {
-      link.send(address, req, (reply) => {
-        if (reply.kind === "join" && reply.leader !== "" && !others.has(reply.leader)) {
-          link.send(reply.leader, req, () => undefined);
-        }
-      });
-    }
-  }
-
-  #selfAddress(): { address: string; zone: string } {
+  get #self(): Voter {
     const { address, zone } = this.#deps.self;
-    return { address, zone };
+    return { id: this.#log.id, address, zone };
   }
 
   #startLeading(): void {
     const { self, logger } = this.#deps;
     logger.info({ term: this.#log.term, voters: this.voters.length }, "became the leader");
-    this.#leader = undefined;
+    this.#contact.forget();
     this.#term = new LeaderTerm({
       ...this.#deps,
-      self: { id: this.#log.id, ...this.#selfAddress() },
+      self: this.#self,
       api: self.api,
-      commitIndex: () => this.#commitIndex,
+      commitIndex: () => this.#committed.index,
       commit: (index) => {
-        this.#commit(index);
+        this.#committed.commit(index);
       },
       noteTerm: (term) => {
         this.#noteTerm(term);
@@ -527,60 +445,14 @@
     }
   }
 
-  /** Commits the entries up to `index` and applies them to the state. */
-  #commit(index: number): void {
-    if (index <= this.#commitIndex) {
-      return;
-    }
-    const newlyCommitted = this.#log
-      .entriesAfter(this.#commitIndex)
-      .filter((e) => e.index <= index);
-    this.#commitIndex = index;
-    newlyCommitted.forEach((e) => {
-      this.#apply(e);
-    });
-    this.#tryWrite(() => {
-      this.#log.compact(index, () => this.#state.snapshot());
-    });
-    this.#notifyListeners();
-  }
-
-  #apply({ body }: LogEntry): void {
-    if (body.kind === "change") {
-      this.#state.apply(body.change);
-    } else if (body.kind === "group") {
-      const { voters, next } = body.group;
-      const ids = { voters: voters.map((v) => v.id), next: next?.map((v) => v.id) };
-      this.#deps.logger.info(ids, "control group changed");
-    }
+  #tryWrite(write: () => void): boolean {
+    return this.#writer.tryWrite(write);
   }
 
   /**
-   * Runs a disk write; returns false if it failed, in which case it had no effect. A replica
-   * whose disk fails or stalls is unfit to lead: it hands leadership over and starts no
+   * A replica whose disk fails or stalls is unfit to lead: it hands leadership over and starts no
    * election for {@link DISK_FAULT_ABSTAIN_MS}.
    */
-  #tryWrite(write: () => void): boolean {
-    const startedAt = this.#deps.clock.now();
-    try {
-      write();
-    } catch (err) {
-      if (!(err instanceof StorageError)) {
-        throw err;
-      }
-      this.#deps.logger.error({ err: err.message }, "disk write failed");
-      this.#abstain("disk write failed");
-      return false;
-    }
-    const ms = this.#deps.clock.now() - startedAt;
-    this.#deps.onWrite?.(ms);
-    if (ms > SLOW_WRITE_MS) {
-      this.#deps.logger.warn({ ms: Math.round(ms) }, "slow disk write");
-      this.#abstain("slow disk");
-    }
-    return true;
-  }
-
   #abstain(reason: string): void {
     this.handOver();
     this.#election.abstain(DISK_FAULT_ABSTAIN_MS);
