--- a/src/control/replica/Election.ts
+++ b/src/control/replica/Election.ts
@@ -22,6 +22,8 @@
   readonly canCampaign: () => boolean;
   /** Called when no leader has been heard for an election timeout. */
   readonly onElectionTimeout: () => void;
+  /** Usual duration of a disk write, ms. */
+  readonly writeMs: () => number;
   /** Enters a term with a vote for this replica; false if the disk write failed. */
   readonly enterTerm: (term: number) => boolean;
 }
@@ -39,6 +41,12 @@
  */
 const GROUP_START_TIMEOUT_MS = { min: 40, spread: 160 };
 
+/** Disk writes that an election waits for: the candidate's term, then the votes of the others. */
+const WRITES_PER_ELECTION = 2;
+
+/** Random part of the election timeout in disk writes, so that seldom two replicas stand at the same time on slow disks. */
+const SPREAD_WRITES = 8;
+
 /**
  * Starts and runs a replica's elections. After a random time without a leader, the replica
  * asks the others in a pre-vote whether it would be elected, and enters a new term only if
@@ -123,11 +131,16 @@
   }
 
   get #timeout(): { min: number; spread: number } {
-    const { timing, clock } = this.#deps;
+    const { timing, clock, writeMs } = this.#deps;
     const { electionMinMs, electionMaxMs } = timing;
-    return clock.now() < this.#groupStartUntil
-      ? GROUP_START_TIMEOUT_MS
-      : { min: electionMinMs, spread: electionMaxMs - electionMinMs };
+    const { min, spread } =
+      clock.now() < this.#groupStartUntil
+        ? GROUP_START_TIMEOUT_MS
+        : { min: electionMinMs, spread: electionMaxMs - electionMinMs };
+    return {
+      min: min + WRITES_PER_ELECTION * writeMs(),
+      spread: Math.max(spread, SPREAD_WRITES * writeMs()),
+    };
   }
 
   #startElection(term: number, handover: boolean): void {
--- a/src/control/replica/Replica.test.ts
+++ b/src/control/replica/Replica.test.ts
@@ -384,3 +384,48 @@
   await m.run(12_000);
   t.is(await m.apply(), "committed");
 });
+
+test("a leader whose disk alone has become slow hands over, and keeps no change waiting", async (t) => {
+  const m = new ControlModel(5, 3);
+  await m.run(4000);
+  t.is(await m.apply(), "committed");
+  const slow = m.leader ?? "";
+  m.machine(slow).writeMs = 1500;
+  await m.apply();
+  await m.run(4000);
+  t.not(m.leader, slow);
+  t.is(await m.apply(), "committed");
+  t.not(m.leader, slow);
+});
+
+const slowDisks: readonly { writeMs: number; lost: number; boundMs: number }[] = [
+  { writeMs: 70, lost: 2, boundMs: 6000 },
+  { writeMs: 300, lost: 0, boundMs: 6000 },
+  { writeMs: 300, lost: 2, boundMs: 6000 },
+  { writeMs: 450, lost: 0, boundMs: 15_000 },
+  { writeMs: 450, lost: 2, boundMs: 15_000 },
+];
+
+for (const { writeMs, lost, boundMs } of slowDisks) {
+  test(`a group whose disks all take ${writeMs} ms, ${lost} of them lost, isn't left without a leader after a restart`, async (t) => {
+    t.timeout(120_000);
+    for (let seed = 1; seed <= 8; seed++) {
+      const m = new ControlModel(5, seed);
+      await m.run(4000);
+      t.is(await m.apply(), "committed");
+      for (const [n, address] of m.addresses.entries()) {
+        m.machine(address).writeMs = writeMs;
+        m.kill(address);
+        if (n < lost) {
+          m.wipe(address);
+        }
+      }
+      m.addresses.forEach((a) => {
+        m.boot(a);
+      });
+      await m.run(boundMs);
+      t.is(await m.apply(), "committed", `seed ${seed}`);
+      t.is(m.replica(m.leader ?? "").state.version, 2, `seed ${seed}`);
+    }
+  });
+}
--- a/src/control/replica/Replica.ts
+++ b/src/control/replica/Replica.ts
@@ -112,6 +112,7 @@
       timing,
       clock,
       random: deps.random,
+      writeMs: () => this.#writer.usualMs,
       noteTerm: (term) => {
         this.#noteTerm(term);
       },
--- a/test/blockedEventLoop.test.ts
+++ b/test/blockedEventLoop.test.ts
@@ -225,6 +225,7 @@
         onElected: () => undefined,
         canCampaign: () => true,
         onElectionTimeout: () => (elections += 1),
+        writeMs: () => 0,
         enterTerm: () => true,
       });
       election.start();
