--- a/test/storedDocument.test.ts
+++ b/test/storedDocument.test.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from "node:fs";
 import { join } from "node:path";
 import test from "ava";
+import { eventually } from "./fixtures/eventually.ts";
 import { withFleet } from "./fixtures/withFleet.ts";
 
 test("a restarted sidecar doesn't report the document on its disk as missing", async (t) => {
@@ -10,9 +11,9 @@
     const before = readFileSync(logFile, "utf8").length;
     await fleet.killSidecar("desk");
     await fleet.restartSidecar("desk");
-    await fleet.waitForVersion(1);
-    const log = readFileSync(logFile, "utf8").slice(before);
-    t.regex(log, /"from":"disk","msg":"configuration in force"/);
-    t.notRegex(log, /no configuration document loaded/);
+    const log = () => readFileSync(logFile, "utf8").slice(before);
+    await eventually(() => log().includes('"msg":"configuration in force"'));
+    t.regex(log(), /"from":"disk","msg":"configuration in force"/);
+    t.notRegex(log(), /no configuration document loaded/);
   });
 });
