--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -14,14 +14,17 @@
 import type { RetryTokenBorrower } from "./RetryTokenBorrower.ts";
 import type { TrafficClassifier } from "./TrafficClassifier.ts";
 import type { CallerRequest } from "./CallerRequest.ts";
+import type { DispatchState } from "./DispatchState.ts";
+import type { ExtraRunCause } from "./ExtraRunCause.ts";
+import { isSuccess } from "./isSuccess.ts";
+import { moreInformative } from "./moreInformative.ts";
+import { RetryRule } from "./RetryRule.ts";
 import { SlotFinder, type Grant, type SlotSearchResult } from "./SlotFinder.ts";
 import type { RetryBudgets } from "./RetryBudgets.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
 import type { RoutingPolicy } from "./RoutingPolicy.ts";
 import { RemoteRun } from "./RemoteRun.ts";
-
-/** Why a request is sent again: as a retry after a failure, or as a hedge in parallel to a stuck run. */
-type ExtraRunCause = "retry" | "hedge";
+import { StuckRunHedge } from "./StuckRunHedge.ts";
 
 /** Dependencies of the dispatcher; injected so that tests can fake each. */
 interface DispatcherDeps {
@@ -74,15 +77,6 @@
  */
 const MAX_EXPIRED_BEFORE_SWITCH = 3;
 
-/**
- * Grants of one request that may expire before the request is refused. The path to the targets is too slow by then, and
- * sending the request again would only slow it further for other requests.
- */
-const MAX_EXPIRED_TOTAL = 6;
-
-/** Maximum number of times that one request is sent to a target which then refuses to run it. */
-const MAX_REFUSED_SENDS = 4;
-
 /**
  * Interval, and limit since the arrival of the request, of retries while this sidecar starts and a request finds no
  * target, ms. Targets announce themselves within 0.6 s of their sidecars' restart, so a request refused
@@ -97,25 +91,6 @@
  */
 const NESTED_CALL_BACKOFF_MS = 50;
 
-/** Progress of one request through the dispatcher. */
-interface DispatchState {
-  readonly route: RouteMatch;
-  readonly req: CallerRequest;
-  /** It is made by a target during a run. */
-  readonly isNestedCall: boolean;
-  readonly guard: RequestGuard;
-  /** Targets that are not to be tried again. */
-  readonly tried: Set<TargetId>;
-  /** Number of targets that it was sent to and that may have run it. */
-  sends: number;
-  /** Number of sends that a target refused to run. */
-  refusedSends: number;
-  /** Number of searches in which every target refused it, counted for nested calls. */
-  refusals: number;
-  /** Number of grants that expired before the request reached the target. */
-  expired: number;
-}
-
 /**
  * Serves callers' requests: finds a target with a free slot, runs the request there
  * and retries according to the verdict. An idempotent request may be retried on
@@ -129,10 +104,12 @@
   /** The searches in progress, with the guards of their requests. */
   readonly #finders = new Map<SlotFinder, RequestGuard>();
   readonly #turns = new SuspectTurns();
+  readonly #rule: RetryRule;
   #closed = false;
 
   constructor(deps: DispatcherDeps) {
     this.#deps = deps;
+    this.#rule = new RetryRule(deps);
     deps.quarantine.onBlocked((fingerprint) => {
       const blocked = [...this.#finders].filter(([, guard]) => guard.matches(fingerprint));
       blocked.forEach(([finder]) => {
@@ -213,7 +190,7 @@
       if (isExpired(latest) && state.expired <= MAX_EXPIRED_BEFORE_SWITCH) {
         tried.delete(search.grant.target.id);
       }
-      if (!(await this.#mayRetry(state, latest))) {
+      if (!(await this.#rule.mayRetry(state, latest))) {
         return last;
       }
       const { attempt } = req;
@@ -262,7 +239,7 @@
     const { policy, hop, notices, clock, log } = this.#deps;
     const requestSlot: HopLink["requestSlot"] = (...args) => hop.requestSlot(...args);
     const { route, req, tried, isNestedCall } = state;
-    const request = { route, isNestedCall, isRetryable: this.#hasSpareAttempt(state) };
+    const request = { route, isNestedCall, isRetryable: this.#rule.hasSpareAttempt(state) };
     const finder = new SlotFinder(
       { policy, requestSlot, notices, clock, log },
       request,
@@ -279,61 +256,43 @@
 
   /** Runs the request at the granted target, and also at a second one when the first run is stuck. */
   async #runHedged(state: DispatchState, grant: Grant): Promise<ForwardResult> {
+    const { clock, policy } = this.#deps;
     const first = this.#startRun(state, grant);
-    if (!this.#mayRepeat(state) || state.guard.isSuspect) {
+    if (!this.#rule.mayRepeat(state) || state.guard.isSuspect) {
       return first.result;
     }
-    const hedge = this.#scheduleHedge(state);
+    const hedge = new StuckRunHedge({
+      delayMs: policy.typicalMs(state.route) * HEDGE_FACTOR,
+      takeToken: () => this.#takeHedgeToken(state),
+      findSlot: () => this.#findSlot(state),
+      startRun: (grant) => this.#startHedge(state, grant),
+      clock,
+    });
     const winner = await Promise.race([first.result, hedge.result]);
     hedge.cancel();
-    if (winner === undefined) {
-      return first.result;
-    }
     if (isSuccess(winner)) {
       first.cancel();
       hedge.giveUp();
       return winner;
     }
     // The first result is a failure; the other run, if there is one, may still succeed.
-    const [a, b] = await Promise.all([first.result, hedge.started ? hedge.result : undefined]);
+    const [a, b] = await Promise.all([first.result, hedge.hasStarted ? hedge.result : undefined]);
     return b && isSuccess(b) ? b : moreInformative(b, a);
   }
 
-  /** Schedules a second run for when the first is stuck; its result stays pending while it hasn't started. */
-  #scheduleHedge(state: DispatchState) {
-    const { clock, policy, log, onExtraRun } = this.#deps;
-    let run: RemoteRun | undefined;
-    let finder: SlotFinder | undefined;
-    let settle: (result: ForwardResult | undefined) => void = () => undefined;
-    const result = new Promise<ForwardResult | undefined>((resolve) => (settle = resolve));
-    const hedge = {
-      result,
-      started: false,
-      cancel: () => {
-        timer.cancel();
-        if (!hedge.started) {
-          finder?.cancel();
-        }
-      },
-      giveUp: () => run?.cancel(),
-    };
-    const timer = clock.timeout(policy.typicalMs(state.route) * HEDGE_FACTOR, () => {
-      if (!this.#deps.budgets.tryRetry(state.route)) {
-        this.#reportDenied(state, "hedge");
-        return;
-      }
-      finder = this.#findSlot(state);
-      void finder.result.then((search) => {
-        if (search.kind === "granted") {
-          onExtraRun?.(state.route.service.name, "hedge");
-          log.info({ attempt: state.req.attempt, target: search.grant.target.id }, "hedging");
-          hedge.started = true;
-          run = this.#startRun(state, search.grant);
-          void run.result.then(settle);
-        }
-      });
-    });
-    return hedge;
+  #takeHedgeToken(state: DispatchState): boolean {
+    const isAllowed = this.#deps.budgets.tryRetry(state.route);
+    if (!isAllowed) {
+      this.#rule.reportDenied(state, "hedge");
+    }
+    return isAllowed;
+  }
+
+  #startHedge(state: DispatchState, grant: Grant): RemoteRun {
+    const { onExtraRun, log } = this.#deps;
+    onExtraRun?.(state.route.service.name, "hedge");
+    log.info({ attempt: state.req.attempt, target: grant.target.id }, "hedging");
+    return this.#startRun(state, grant);
   }
 
   #startRun(state: DispatchState, grant: Grant): RemoteRun {
@@ -360,100 +319,6 @@
     });
     return run;
   }
-
-  async #mayRetry(state: DispatchState, last: ForwardResult): Promise<boolean> {
-    const { req } = state;
-    if (req.disconnected.aborted || this.#deps.clock.now() >= req.deadlineAt) {
-      return false;
-    }
-    if (!state.guard.mayRetry) {
-      return false;
-    }
-    switch (last.verdict.kind) {
-      case "not-run":
-        return last.verdict.status === undefined && this.#mayResend(state, last);
-      case "in-progress":
-        return false;
-      case "may-have-run":
-        return this.#mayRepeat(state) && this.#takeRetryToken(state);
-      case "done":
-        return (
-          last.outcome === AttemptOutcome.Failed &&
-          this.#mayRepeat(state) &&
-          this.#takeRetryToken(state)
-        );
-    }
-  }
-
-  /**
-   * Whether the request can be retried if its next run fails. Borrowed retry tokens are not counted: they are too
-   * uncertain to justify sending the request to a gray target.
-   */
-  #hasSpareAttempt({ route, req, sends }: DispatchState): boolean {
-    const isRepeatable = route.idempotent && !isStream(req.body);
-    return isRepeatable && sends + 1 < route.attempts && this.#deps.budgets.canRetry(route);
-  }
-
-  #mayRepeat({ route, req, sends }: DispatchState): boolean {
-    // A streamed body was not buffered and can't be sent again.
-    return route.idempotent && sends < route.attempts && !isStream(req.body);
-  }
-
-  /**
-   * Whether to send the request again after a not-run. If the target itself refused it, the request reached
-   * the target, so this takes a retry token.
-   */
-  async #mayResend(state: DispatchState, last: ForwardResult): Promise<boolean> {
-    if (isStream(state.req.body)) {
-      return false;
-    }
-    if (last.outcome !== AttemptOutcome.Shed) {
-      return state.expired <= MAX_EXPIRED_TOTAL;
-    }
-    state.refusedSends += 1;
-    return state.refusedSends <= MAX_REFUSED_SENDS && this.#takeRetryToken(state);
-  }
-
-  /**
-   * Takes a retry token for the service from this sidecar's budget, or borrows from another sidecar; false
-   * and reported if there is none.
-   */
-  async #takeRetryToken(state: DispatchState): Promise<boolean> {
-    const { budgets, borrower, log } = this.#deps;
-    const { route, req } = state;
-    if (budgets.tryRetry(route)) {
-      return true;
-    }
-    const costs = budgets.costs(route);
-    if (await borrower?.borrow(costs)) {
-      log.info({ attempt: req.attempt, costs }, "retry tokens borrowed");
-      return !req.disconnected.aborted;
-    }
-    this.#reportDenied(state, "retry");
-    return false;
-  }
-
-  #reportDenied({ route, req }: DispatchState, cause: ExtraRunCause): void {
-    const { budgets } = this.#deps;
-    const service = route.service.name;
-    this.#deps.onRetryDenied?.(service);
-    const { attempt } = req;
-    this.#deps.log.info({ attempt, service, cause, budgets: budgets.usage }, "no retry left");
-  }
-}
-
-function isSuccess(result: ForwardResult): boolean {
-  return result.verdict.kind === "done" && result.outcome === AttemptOutcome.Ok;
-}
-
-/**
- * Returns the result that describes the request's outcome: a later not-run doesn't replace a result after which
- * the request ran or may have run. Without this rule, callers received "not run" for lookups that a gray target had
- * worked on.
- */
-function moreInformative(earlier: ForwardResult | undefined, latest: ForwardResult): ForwardResult {
-  const hides = latest.verdict.kind === "not-run" && earlier?.verdict.kind !== "not-run";
-  return earlier && hides ? earlier : latest;
 }
 
 /** Gives an id to a request whose attempts are recorded under its idempotency key. */
@@ -467,10 +332,6 @@
   return verdict.kind === "not-run" && outcome === AttemptOutcome.Cancelled;
 }
 
-function isStream(body: CallerRequest["body"]): boolean {
-  return body !== undefined && !Buffer.isBuffer(body);
-}
-
 function notRun(search: Extract<SlotSearchResult, { kind: "refused" }>): ForwardResult {
   const { reason, retryAfterMs } = search;
   return { verdict: { kind: "not-run", reason, retryAfterMs }, outcome: AttemptOutcome.Shed };
