Classify requests by their API key where callers need one

Where a document has workspaces, a request with a key comes from a caller, and one without that is admitted on a route that is not public is a nested call. The classifier only used the source address and the times of arrival, which say nothing where callers and the target share the VM's address. Requests with keys were classified as nested calls at some sidecars: they earned no retry budget there, and went first in admission queues.

--- a/src/sidecar/ingress/CallerServer.ts
+++ b/src/sidecar/ingress/CallerServer.ts
@@ -27,6 +27,7 @@
 import { CallerConnections } from "./CallerConnections.ts";
 import type { Admission } from "../workspaces/Admission.ts";
 import type { RequestAdmission } from "../workspaces/RequestAdmission.ts";
+import { provenOrigin } from "./provenOrigin.ts";
 import { refuseMalformed } from "./refuseMalformed.ts";
 
 /** Names of headers that sidecars exchange; removed from callers' requests. */
@@ -195,7 +196,12 @@
       return;
     }
     const timeoutMs = Math.min(admission.route.timeoutMs, metadata.remainingMs ?? Infinity);
-    const timing = { startedAt, deadlineAt: startedAt + timeoutMs, disconnected, origin };
+    const timing = {
+      startedAt,
+      deadlineAt: startedAt + timeoutMs,
+      disconnected,
+      origin: provenOrigin(admission) ?? origin,
+    };
     const bufferBytes = this.#reserveBuffer(req);
     try {
       const bounds = { maxBytes: config.limits.maxBodyBytes, maxBufferedBytes: bufferBytes };
--- a/src/sidecar/routing/TrafficClassifier.test.ts
+++ b/src/sidecar/routing/TrafficClassifier.test.ts
@@ -109,6 +109,8 @@
   { origin: RequestOrigin.Elsewhere, arrivals: 1, isFromCaller: true, isNestedCall: false },
   { origin: RequestOrigin.Elsewhere, arrivals: 60, isFromCaller: true, isNestedCall: false },
   { origin: RequestOrigin.Unknown, arrivals: 1, isFromCaller: false, isNestedCall: false },
+  { origin: RequestOrigin.Keyed, arrivals: 1, isFromCaller: true, isNestedCall: false },
+  { origin: RequestOrigin.TargetWithoutKey, arrivals: 1, isFromCaller: false, isNestedCall: true },
 ];
 
 for (const { origin, arrivals, isFromCaller, isNestedCall } of origins) {
--- a/src/sidecar/routing/TrafficClassifier.ts
+++ b/src/sidecar/routing/TrafficClassifier.ts
@@ -21,8 +21,14 @@
 /** Evidence from which requests are classified as nested calls or as caller requests, nats: odds of 9 to 1. */
 const DECISION_NATS = Math.log(9);
 
+/** Weight as a nested call of requests whose origin proves what they are; see {@link callWeight}. */
+const PROVEN_WEIGHTS: Readonly<Partial<Record<RequestOrigin, number>>> = {
+  [RequestOrigin.Keyed]: 0,
+  [RequestOrigin.TargetWithoutKey]: 1,
+};
+
 /** Prior evidence from a request's origin that it is a nested call, nats; later observations may outweigh it. */
-const ORIGIN_PRIOR_NATS: Readonly<Record<RequestOrigin, number>> = {
+const ORIGIN_PRIOR_NATS: Readonly<Partial<Record<RequestOrigin, number>>> = {
   [RequestOrigin.TargetVm]: 5,
   [RequestOrigin.Elsewhere]: -5,
   [RequestOrigin.Unknown]: 0,
@@ -48,7 +54,7 @@
  * the target, and nothing in them says which is which. But a nested call comes from the target's address, and only
  * while a run is active there. Requests that arrive while no run is active add evidence (log-likelihood ratios) that
  * their route is used by callers. The busier the target, the slower the evidence grows: where the address does not
- * distinguish the two, classification may take a minute.
+ * distinguish the two, classification may take a minute. Where callers need API keys, the key tells at once.
  */
 export class TrafficClassifier {
   readonly #deps: TrafficClassifierDeps;
@@ -72,12 +78,7 @@
     origin = RequestOrigin.Unknown,
   ): ClassifiedRequest {
     const { runs } = this.#deps;
-    this.#sawOtherAddress ||= origin === RequestOrigin.Elsewhere;
-    const usedOrigin = this.#sawOtherAddress ? origin : RequestOrigin.Unknown;
-    const key = `${route} from ${usedOrigin}`;
-    const nats = this.#updateEvidence(key, ORIGIN_PRIOR_NATS[usedOrigin]);
-    const weight = callWeight(nats);
-    this.#logChange(key, weight, nats);
+    const weight = PROVEN_WEIGHTS[origin] ?? this.#estimateWeight(route, origin);
     const isFromCaller = weight === 0;
     return {
       isFromCaller,
@@ -88,6 +89,17 @@
     };
   }
 
+  /** Estimates a request's weight as a nested call by the evidence so far. */
+  #estimateWeight(route: string, origin: RequestOrigin): number {
+    this.#sawOtherAddress ||= origin === RequestOrigin.Elsewhere;
+    const usedOrigin = this.#sawOtherAddress ? origin : RequestOrigin.Unknown;
+    const key = `${route} from ${usedOrigin}`;
+    const nats = this.#updateEvidence(key, ORIGIN_PRIOR_NATS[usedOrigin] ?? 0);
+    const weight = callWeight(nats);
+    this.#logChange(key, weight, nats);
+    return weight;
+  }
+
   #updateEvidence(key: string, priorNats: number): number {
     const nats = (this.#evidenceNats.get(key) ?? priorNats) + this.#arrivalEvidence();
     const bounded = Math.min(MAX_EVIDENCE_NATS, Math.max(-MAX_EVIDENCE_NATS, nats));
