Tell callers that targets refuse to return in time, and keep retries for nested calls

Load: every target of a service refuses more than half of what it is sent, at random, and the retry budget is used up within a second.

- A caller whose request targets refused while others were not tried is told to return within its objective, spread by the attempt's id (returnAfterMs).
- A part of the retry budget may be reserved for nested calls at services that receive them, own and borrowed (LoanAsk.call).

--- a/experiment/SimSidecar.ts
+++ b/experiment/SimSidecar.ts
@@ -383,7 +383,7 @@
         .map((s) => s.vm.name);
     return new RetryTokenBorrower({
       lenders,
-      requestToken: (...args) => this.hop.borrow(...args),
+      requestToken: (address, costs) => this.hop.borrow(address, costs),
       random,
     });
   }
--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -49,7 +49,7 @@
     loan_ask: ProtoTypes["LoanAsk"] | null;
     loan: ProtoTypes["Loan"] | null;
   };
-  LoanAsk: { costs: { service: string; hundredths: number }[] };
+  LoanAsk: { costs: { service: string; hundredths: number }[]; call: boolean };
   Loan: { given: boolean };
   SlotAsk: {
     attempt: string;
--- a/src/common/rpc/proto/BURDOCKPASS_SCHEMA.ts
+++ b/src/common/rpc/proto/BURDOCKPASS_SCHEMA.ts
@@ -61,7 +61,10 @@
       { name: "loan_ask", id: 8, type: "LoanAsk" },
       { name: "loan", id: 9, type: "Loan" },
     ],
-    LoanAsk: [{ name: "costs", id: 1, type: "RetryCost", repeated: true }],
+    LoanAsk: [
+      { name: "costs", id: 1, type: "RetryCost", repeated: true },
+      { name: "call", id: 2, type: "bool" },
+    ],
     RetryCost: [
       { name: "service", id: 1, type: "string" },
       { name: "hundredths", id: 2, type: "uint32" },
--- a/src/common/settings/SidecarSettings.ts
+++ b/src/common/settings/SidecarSettings.ts
@@ -11,6 +11,11 @@
   windowMs: Millis.default(10_000),
   /** Extra requests allowed in a window in addition to that fraction. */
   slack: z.number().min(0).default(60),
+  /**
+   * Fraction of the allowance that only nested calls may use, at services that receive them: the run that makes a call
+   * fails with it, while a caller whose request is refused may return.
+   */
+  reservedForCalls: z.number().min(0).max(1).default(0),
 });
 
 /** Addresses at which others reach this sidecar, where they differ from those it listens on: behind NAT or a proxy. */
@@ -32,6 +37,12 @@
   refuseMs: Millis.default(2000),
 });
 
+/** What refused callers are told. */
+const Refusals = z.strictObject({
+  /** Whether the caller of a request that targets refused for no lack of room is told to return within its objective. */
+  returnWithinObjective: z.boolean().default(false),
+});
+
 /** Durations of the phases of a planned stop. */
 const Stop = z.strictObject({
   /** Callers are served for this long after the stop begins, so that whatever routes them here can notice it first. */
@@ -80,6 +91,7 @@
    * one window, as its previous incarnation may have used it.
    */
   bootstrap: z.boolean().default(false),
+  refusals: Refusals.prefault({}),
   stop: Stop.prefault({}),
 });
 
--- a/src/sidecar/CallerSide.ts
+++ b/src/sidecar/CallerSide.ts
@@ -188,7 +188,7 @@
     retryTokenClient: RetryTokenClient,
     budgets: RetryBudgets,
   ): Dispatcher {
-    const { table, random, targetSide, quarantine, metrics, clock, log } = this.#deps;
+    const { cfg, table, random, targetSide, quarantine, metrics, clock, log } = this.#deps;
     const borrower = new RetryTokenBorrower({
       lenders: () => chooseLenders(table),
       requestToken: (...args) => retryTokenClient.requestToken(...args),
@@ -203,8 +203,9 @@
       quarantine,
       confirmRefusal: (...args) => targetSide.confirmRefusal(...args),
       notices: this.#notices,
-      callerService: this.#deps.cfg().callerService,
+      callerService: cfg().callerService,
       isStarting: this.#deps.isStarting,
+      returnsWithinObjective: () => cfg().refusals.returnWithinObjective,
       onExtraRun: (service, cause) => {
         metrics.countExtraRun(service, cause);
       },
--- a/src/sidecar/hop/GateMessageDispatcher.ts
+++ b/src/sidecar/hop/GateMessageDispatcher.ts
@@ -19,7 +19,7 @@
   /** Borrows retry tokens from other sidecars. */
   readonly retryTokenClient: Pick<RetryTokenClient, "receive">;
   /** Lends retry tokens to other sidecars. */
-  readonly budgets: { lend(costs: readonly RetryCost[]): boolean };
+  readonly budgets: { lend(costs: readonly RetryCost[], isNestedCall: boolean): boolean };
   /** Sends a datagram, which may be lost. */
   readonly sendGateMessage: (address: string, message: GateMessage) => void;
 }
@@ -40,7 +40,8 @@
     const update = gateCodec.readLoadUpdate(message);
     const costs = gateCodec.readRetryTokenRequest(message);
     if (costs) {
-      sendGateMessage(from, gateCodec.retryTokenReply(message.ask_id, budgets.lend(costs)));
+      const isLent = budgets.lend(costs, message.loan_ask?.call === true);
+      sendGateMessage(from, gateCodec.retryTokenReply(message.ask_id, isLent));
     } else if (message.loan) {
       retryTokenClient.receive(message);
     } else if (update) {
--- a/src/sidecar/hop/RetryTokenClient.ts
+++ b/src/sidecar/hop/RetryTokenClient.ts
@@ -39,7 +39,11 @@
    * Requests retry tokens from the sidecar at `address`. Resolves to false if its retry budget does not cover the
    * costs, or if it does not reply in time.
    */
-  requestToken(address: string, costs: readonly RetryCost[]): Promise<boolean> {
+  requestToken(
+    address: string,
+    costs: readonly RetryCost[],
+    isNestedCall = false,
+  ): Promise<boolean> {
     const id = this.#ids.next();
     return new Promise((resolve) => {
       const settle = (isGranted: boolean) => {
@@ -51,7 +55,7 @@
         settle(false);
       });
       this.#pending.set(id, { settle, timer });
-      this.#deps.sendGateMessage(address, gateCodec.retryTokenRequest(id, costs));
+      this.#deps.sendGateMessage(address, gateCodec.retryTokenRequest(id, costs, isNestedCall));
     });
   }
 
--- a/src/sidecar/hop/gateCodec.ts
+++ b/src/sidecar/hop/gateCodec.ts
@@ -77,11 +77,16 @@
     news: { target, load: encodeLoad(load) },
   }),
 
-  retryTokenRequest: (id: number, costs: readonly RetryCost[]): GateMessage => ({
+  retryTokenRequest: (
+    id: number,
+    costs: readonly RetryCost[],
+    isNestedCall: boolean,
+  ): GateMessage => ({
     ...EMPTY_MESSAGE,
     ask_id: id,
     loan_ask: {
       costs: costs.map(({ service, n }) => ({ service, hundredths: Math.ceil(n * 100) })),
+      call: isNestedCall,
     },
   }),
 
--- a/src/sidecar/routing/Dispatcher.test.ts
+++ b/src/sidecar/routing/Dispatcher.test.ts
@@ -28,6 +28,7 @@
   knownTargets = targets,
   isStarting = () => false,
   borrow = () => Promise.resolve(false),
+  returnsWithinObjective = false,
 ) {
   const clock = new FakeClock();
   const hop = new FakeHop();
@@ -48,6 +49,7 @@
     }),
     isStarting,
     borrower: { borrow },
+    returnsWithinObjective: () => returnsWithinObjective,
     classifier: new TrafficClassifier({ runs, log }),
     clock,
     log,
@@ -447,3 +449,31 @@
     t.is(hop.runs.length, sends);
   });
 }
+
+const returns = [
+  { name: "returns within its objective", isOn: true, known: targets, isSoon: true },
+  {
+    name: "keeps the target's time where the feature is off",
+    isOn: false,
+    known: targets,
+    isSoon: false,
+  },
+  {
+    name: "keeps the time of the only target",
+    isOn: true,
+    known: targets.slice(0, 1),
+    isSoon: false,
+  },
+];
+
+for (const { name, isOn, known, isSoon } of returns) {
+  test(`dispatch: the caller of a request that a target refused, with no retry left, ${name}`, async (t) => {
+    // Guards against callers that are sent away for longer than their objective by targets that refuse at random.
+    const { hop, dispatcher } = rig(0, known, undefined, undefined, isOn);
+    hop.onRun = () => shed;
+    const route = makeRoute({ objectiveMs: 900 });
+    const { verdict } = await dispatcher.dispatch(route, makeCallerRequest());
+    const told = verdict.kind === "not-run" ? verdict.retryAfterMs : undefined;
+    t.is(told !== shed.verdict.retryAfterMs, isSoon);
+  });
+}
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from "node:crypto";
 import type bunyan from "bunyan";
+import { hash32 } from "../../common/hash32.ts";
 import { DispatchId } from "../../common/ids/DispatchId.ts";
 import type { TargetId } from "../../common/ids/TargetId.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
@@ -18,6 +19,7 @@
 import type { ExtraRunCause } from "./ExtraRunCause.ts";
 import { isSuccess } from "./isSuccess.ts";
 import { moreInformative } from "./moreInformative.ts";
+import { returnAfterMs } from "./returnAfterMs.ts";
 import { RetryRule } from "./RetryRule.ts";
 import { SlotFinder, type Grant, type SlotSearchResult } from "./SlotFinder.ts";
 import type { RetryBudgets } from "./RetryBudgets.ts";
@@ -56,6 +58,11 @@
   readonly classifier?: Pick<TrafficClassifier, "begin">;
   /** What targets have said about themselves in responses; by default nothing. */
   readonly notices?: Pick<TargetNotices, "limitOf">;
+  /**
+   * Whether the caller of a request that targets refused for no lack of room is told to return within its latency
+   * objective; false if left out.
+   */
+  readonly returnsWithinObjective?: () => boolean;
   /** Called for each retry or hedge that is sent. */
   readonly onExtraRun?: (service: string, cause: ExtraRunCause) => void;
   /** Called for each retry or hedge that is not sent because the service's retry budget is used up. */
@@ -144,7 +151,28 @@
     if (!req.disconnected.aborted && !guard.isBlocked) {
       this.#deps.policy.recordResult(route, isSuccess(result));
     }
-    return this.#confirmRefusal(route, req, result);
+    return this.#confirmRefusal(route, req, this.#adviseReturn(state, result));
+  }
+
+  /** Chooses when the caller of a request that targets have refused, although others may accept it, is to return. */
+  #adviseReturn({ route, req, refusedSends, tried }: DispatchState, result: ForwardResult) {
+    const { policy, clock, returnsWithinObjective } = this.#deps;
+    const { verdict, outcome } = result;
+    const isRefusedByTarget = outcome === AttemptOutcome.Shed && refusedSends > 0;
+    if (verdict.kind !== "not-run" || !isRefusedByTarget || !returnsWithinObjective?.()) {
+      return result;
+    }
+    const { ready } = policy.survey({ route, isRetryable: false }, tried);
+    if (ready <= tried.size) {
+      return result;
+    }
+    const retryAfterMs = returnAfterMs({
+      suggestedMs: verdict.retryAfterMs,
+      objectiveLeftMs: req.startedAt + route.objectiveMs - clock.now(),
+      typicalMs: policy.typicalMs(route),
+      sample: hash32(req.attempt) / 2 ** 32,
+    });
+    return { ...result, verdict: { ...verdict, retryAfterMs } };
   }
 
   /** Replaces a refusal by the outcome of an earlier attempt at the same request, if there is one. */
--- a/src/sidecar/routing/RetryBudget.ts
+++ b/src/sidecar/routing/RetryBudget.ts
@@ -8,6 +8,8 @@
   readonly windowMs: number;
   /** Extra requests allowed per window regardless of traffic, shared by all sidecars. */
   readonly slack: number;
+  /** Fraction of the allowance that only nested calls may use; 0 if left out. */
+  readonly reservedForCalls?: number;
 }
 
 /**
@@ -62,16 +64,16 @@
    * Whether `n` extra requests may be sent now; `n` is fractional where it is a mean. A sidecar's share is a few
    * requests and a fraction; if the fraction were always rounded down, a fleet of 24 would use only two thirds of its
    * budget. Each process rounds at its own random threshold instead, which evens out over the fleet.
+   *
+   * @param keepsReserve leave the part that is reserved for nested calls
    */
-  canSpend(n: number): boolean {
-    const { extras, allowed } = this.usage;
-    return extras + n * this.#deps.roundingThreshold <= allowed;
+  canSpend(n: number, keepsReserve = false): boolean {
+    return this.#usedWith(n * this.#deps.roundingThreshold) <= this.#usable(keepsReserve);
   }
 
   /** Whether `n` extra requests may be lent to another sidecar now; a fractional remainder is not rounded up here. */
-  canLend(n: number): boolean {
-    const { extras, allowed } = this.usage;
-    return extras + n <= allowed;
+  canLend(n: number, keepsReserve = false): boolean {
+    return this.#usedWith(n) <= this.#usable(keepsReserve);
   }
 
   /** Records `n` extra requests. */
@@ -87,6 +89,15 @@
     return { firstTries, extras: this.#extras.valueAt(now), allowed };
   }
 
+  #usedWith(n: number): number {
+    return this.usage.extras + n;
+  }
+
+  #usable(keepsReserve: boolean): number {
+    const { reservedForCalls = 0 } = this.#deps.rule();
+    return this.usage.allowed * (keepsReserve ? 1 - reservedForCalls : 1);
+  }
+
   /**
    * This sidecar's share of the slack: 0 during the first window of its process. Its previous incarnation may have
    * used its share in the same window: 96 extra requests for a slack of 58 when a fleet of 24 restarts in a storm.
--- a/src/sidecar/routing/RetryBudgets.test.ts
+++ b/src/sidecar/routing/RetryBudgets.test.ts
@@ -13,9 +13,9 @@
 const bookings = route("bookings");
 
 /** Budgets of a sidecar that has recorded the given numbers of first tries for the desk and for bookings. */
-function rig(checkTries: number, bookingTries: number) {
+function rig(checkTries: number, bookingTries: number, reservedForCalls = 0) {
   const budgets = new RetryBudgets({
-    rule: () => RULE,
+    rule: () => ({ ...RULE, reservedForCalls }),
     members: () => 8,
     clock: new FakeClock(),
     startedAt: 0,
@@ -81,6 +81,21 @@
   });
 }
 
+test("budgets: callers' retries leave the reserved part to the nested calls of runs", (t) => {
+  // Targets of the called service refuse most of what they are sent. Guards against runs that fail with their nested
+  // call, because callers, who can return, have used up the retries.
+  const budgets = rig(0, 100, 0.5);
+  budgets.recordNestedCalls(checks, new Map([["bookings", 1]]));
+  t.is(spendAll(budgets, bookings), 8);
+  t.false(budgets.lend([{ service: "bookings", n: 1 }]));
+  t.true(budgets.lend([{ service: "bookings", n: 1 }], true));
+  let calls = 0;
+  while (budgets.tryRetry(bookings, true)) {
+    calls += 1;
+  }
+  t.is(calls, 8);
+});
+
 test("budgets: a service's configured ratio also limits nested calls to it", (t) => {
   const budgets = rig(100, 0);
   budgets.recordNestedCalls(checks, new Map([["ledger", 1]]));
--- a/src/sidecar/routing/RetryBudgets.ts
+++ b/src/sidecar/routing/RetryBudgets.ts
@@ -64,14 +64,24 @@
     }
   }
 
-  /** Whether a request on the route may be retried or hedged now. */
-  canRetry(route: RouteMatch): boolean {
-    return this.costs(route).every(({ service, n }) => this.#budget(service).canSpend(n));
+  /**
+   * Whether a request on the route may be retried or hedged now.
+   *
+   * @param isNestedCall it may use the reserved part of the budgets
+   */
+  canRetry(route: RouteMatch, isNestedCall = false): boolean {
+    return this.costs(route).every(({ service, n }) =>
+      this.#budget(service).canSpend(n, this.#keepsReserve(service, isNestedCall)),
+    );
   }
 
-  /** Charges the budgets for one retry or hedge of a request on the route; false if they do not allow it. */
-  tryRetry(route: RouteMatch): boolean {
-    if (!this.canRetry(route)) {
+  /**
+   * Charges the budgets for one retry or hedge of a request on the route; false if they do not allow it.
+   *
+   * @param isNestedCall it may use the reserved part of the budgets
+   */
+  tryRetry(route: RouteMatch, isNestedCall = false): boolean {
+    if (!this.canRetry(route, isNestedCall)) {
       return false;
     }
     this.#spend(this.costs(route));
@@ -80,9 +90,13 @@
 
   /**
    * Lends retry tokens to another sidecar by charging its extra requests here; false if the budgets do not allow it.
+   *
+   * @param isNestedCall the tokens are for a nested call, which may use the reserved part of the budgets
    */
-  lend(costs: readonly RetryCost[]): boolean {
-    const canLend = costs.every(({ service, n }) => this.#budget(service).canLend(n));
+  lend(costs: readonly RetryCost[], isNestedCall = false): boolean {
+    const canLend = costs.every(({ service, n }) =>
+      this.#budget(service).canLend(n, this.#keepsReserve(service, isNestedCall)),
+    );
     if (canLend) {
       this.#spend(costs);
     }
@@ -100,6 +114,11 @@
     return [[service.name, 1] as const, ...calls].map(([name, n]) => ({ service: name, n }));
   }
 
+  /** Whether to leave the reserved part of a service's budget: runs of some service call it. */
+  #keepsReserve(service: string, isNestedCall: boolean): boolean {
+    return !isNestedCall && [...this.#meanCalls.values()].some((means) => means.has(service));
+  }
+
   #spend(costs: readonly RetryCost[]): void {
     for (const { service, n } of costs) {
       this.#budget(service).spend(n);
--- a/src/sidecar/routing/RetryRule.ts
+++ b/src/sidecar/routing/RetryRule.ts
@@ -68,9 +68,11 @@
    * Whether the request can be retried if its next run fails. Borrowed retry tokens are not counted: they are too
    * uncertain to justify sending the request to a gray target.
    */
-  hasSpareAttempt({ route, req, sends }: DispatchState): boolean {
+  hasSpareAttempt({ route, req, sends, isNestedCall }: DispatchState): boolean {
     const isRepeatable = route.idempotent && !isStream(req.body);
-    return isRepeatable && sends + 1 < route.attempts && this.#deps.budgets.canRetry(route);
+    return (
+      isRepeatable && sends + 1 < route.attempts && this.#deps.budgets.canRetry(route, isNestedCall)
+    );
   }
 
   /** Whether the request may be sent to a further target although it may have run. */
@@ -99,12 +101,12 @@
    */
   async #takeRetryToken(state: DispatchState): Promise<boolean> {
     const { budgets, borrower, log } = this.#deps;
-    const { route, req } = state;
-    if (budgets.tryRetry(route)) {
+    const { route, req, isNestedCall } = state;
+    if (budgets.tryRetry(route, isNestedCall)) {
       return true;
     }
     const costs = budgets.costs(route);
-    if (await borrower?.borrow(costs)) {
+    if (await borrower?.borrow(costs, isNestedCall)) {
       log.info({ attempt: req.attempt, costs }, "retry tokens borrowed");
       return !req.disconnected.aborted;
     }
--- a/src/sidecar/routing/RetryTokenBorrower.ts
+++ b/src/sidecar/routing/RetryTokenBorrower.ts
@@ -8,7 +8,11 @@
   /** Addresses of sidecars that may lend retry tokens. */
   readonly lenders: () => readonly string[];
   /** Requests a retry token from one sidecar; false if its budget does not allow it, or it does not reply in time. */
-  readonly requestToken: (address: string, costs: readonly RetryCost[]) => Promise<boolean>;
+  readonly requestToken: (
+    address: string,
+    costs: readonly RetryCost[],
+    isNestedCall: boolean,
+  ) => Promise<boolean>;
   /** Returns a number in [0, 1); tests pass a seeded generator. */
   readonly random: () => number;
 }
@@ -27,10 +31,10 @@
   }
 
   /** Tries to borrow retry tokens for the given costs, to be used at once; false if no sidecar lends them. */
-  async borrow(costs: readonly RetryCost[]): Promise<boolean> {
+  async borrow(costs: readonly RetryCost[], isNestedCall = false): Promise<boolean> {
     const { lenders, requestToken, random } = this.#deps;
     for (const address of sampleOf(lenders(), MAX_LENDERS, random)) {
-      if (await requestToken(address, costs)) {
+      if (await requestToken(address, costs, isNestedCall)) {
         return true;
       }
     }
