Reserve retries only at the service that a request is for

A retry of a caller's request was also denied when the services that its run calls were down to their reserve, although calls of a repeated run are nested calls.

--- a/src/sidecar/routing/RetryBudgets.ts
+++ b/src/sidecar/routing/RetryBudgets.ts
@@ -70,8 +70,8 @@
    * @param isNestedCall it may use the reserved part of the budgets
    */
   canRetry(route: RouteMatch, isNestedCall = false): boolean {
-    return this.costs(route).every(({ service, n }) =>
-      this.#budget(service).canSpend(n, this.#keepsReserve(service, isNestedCall)),
+    return this.costs(route).every(({ service, n }, index) =>
+      this.#budget(service).canSpend(n, index === 0 && this.#keepsReserve(service, isNestedCall)),
     );
   }
 
@@ -94,8 +94,8 @@
    * @param isNestedCall the tokens are for a nested call, which may use the reserved part of the budgets
    */
   lend(costs: readonly RetryCost[], isNestedCall = false): boolean {
-    const canLend = costs.every(({ service, n }) =>
-      this.#budget(service).canLend(n, this.#keepsReserve(service, isNestedCall)),
+    const canLend = costs.every(({ service, n }, index) =>
+      this.#budget(service).canLend(n, index === 0 && this.#keepsReserve(service, isNestedCall)),
     );
     if (canLend) {
       this.#spend(costs);
@@ -108,13 +108,16 @@
     return [...this.#budgets].map(([service, budget]) => ({ service, figures: budget.usage }));
   }
 
-  /** What a retry or hedge of a request on the route costs, by service. */
+  /** What a retry or hedge of a request on the route costs, by service: that of the route first, then those its runs call. */
   costs({ service }: RouteMatch): RetryCost[] {
     const calls = [...(this.#meanCalls.get(service.name) ?? [])];
     return [[service.name, 1] as const, ...calls].map(([name, n]) => ({ service: name, n }));
   }
 
-  /** Whether to leave the reserved part of a service's budget: runs of some service call it. */
+  /**
+   * Whether a request for the service leaves the reserved part of its budget, as runs of some service call it. What its
+   * own runs call is charged without the reserve: those are nested calls.
+   */
   #keepsReserve(service: string, isNestedCall: boolean): boolean {
     return !isNestedCall && [...this.#meanCalls.values()].some((means) => means.has(service));
   }
