Send the workspace with slot requests of services that share slots fairly

An operator could not say that workspaces share a target, and a gate did not know whose request waits. New document fields Service.fairShares and Workspace.weight, which edits and the published form keep, and SlotAsk.workspace (id 16), which is empty unless the service has fairShares. The weight is not sent: every sidecar has the document, so the gate looks it up there, one value counts for all senders, and senders of an older version of the document cannot disagree about it.

Tests of the document, the codec and the slot finder: all pass.

--- a/src/common/document/Service.ts
+++ b/src/common/document/Service.ts
@@ -64,6 +64,8 @@
   healthPath: z.string().startsWith("/").optional(),
   /** Maximum number of connections that one target accepts from all callers together. */
   maxConnections: z.number().int().positive().optional(),
+  /** Whether the slot time of each target is shared among workspaces by their weights. */
+  fairShares: z.boolean().optional(),
   annotations: Annotations,
 });
 
--- a/src/common/document/Workspace.ts
+++ b/src/common/document/Workspace.ts
@@ -29,6 +29,8 @@
   quota: Quota.optional(),
   /** Priority of its requests in place of their routes'; 0 is the highest. */
   priority: z.number().int().min(0).optional(),
+  /** Part of the slot time of targets, relative to other workspaces; by default the quota's rate, or 1 without one. */
+  weight: z.number().positive().optional(),
   annotations: Annotations,
 });
 
--- a/src/common/document/checkCrossFieldRules.test.ts
+++ b/src/common/document/checkCrossFieldRules.test.ts
@@ -109,7 +109,7 @@
   {
     name: "a workspace with invalid values",
     text: workspaces(
-      '{ name: a b, apiKeys: ["k 1"], quota: { ratePerS: -1, burst: -1 }, priority: -1 }',
+      '{ name: a b, apiKeys: ["k 1"], quota: { ratePerS: -1, burst: -1 }, priority: -1, weight: 0 }',
     ),
     problems: [
       "4 workspaces.0.name: visible ASCII characters only",
@@ -117,6 +117,7 @@
       "4 workspaces.0.quota.ratePerS: Too small: expected number to be >0",
       "4 workspaces.0.quota.burst: Too small: expected number to be >=0",
       "4 workspaces.0.priority: Too small: expected number to be >=0",
+      "4 workspaces.0.weight: Too small: expected number to be >0",
     ],
   },
 ];
--- a/src/common/document/editDocument.test.ts
+++ b/src/common/document/editDocument.test.ts
@@ -9,12 +9,19 @@
 import { Workspace } from "./Workspace.ts";
 
 const name = fc.constantFrom("a", "b", "c", "d", "e");
-const service = fc.record({ name, floor: fc.constantFrom(0, 0.5, 1) }).map((s) => Service.parse(s));
+const maybe = <T>(value: fc.Arbitrary<T>) => fc.option(value, { nil: undefined });
+const service = fc
+  .record({ name, floor: fc.constantFrom(0, 0.5, 1), fairShares: maybe(fc.boolean()) })
+  .map((s) => Service.parse(s));
 const route = fc
   .record({ name, prefix: fc.constantFrom("/x/", "/y/"), timeoutMs: fc.constantFrom(1, 2) })
   .map((r) => Route.parse({ ...r, idempotent: true, attempts: 1, service: "a" }));
 const workspace = fc
-  .record({ name, apiKeys: fc.uniqueArray(fc.constantFrom("k1", "k2"), { maxLength: 2 }) })
+  .record({
+    name,
+    apiKeys: fc.uniqueArray(fc.constantFrom("k1", "k2"), { maxLength: 2 }),
+    weight: maybe(fc.constantFrom(1, 2.5)),
+  })
   .map((w) => Workspace.parse(w));
 const table = <T extends { name: string }>(item: fc.Arbitrary<T>) =>
   fc.uniqueArray(item, { selector: (i) => i.name, maxLength: 5 });
--- a/src/common/document/publishDocument.test.ts
+++ b/src/common/document/publishDocument.test.ts
@@ -4,8 +4,8 @@
 import { publishDocument } from "./publishDocument.ts";
 
 const DIGEST = "sha256:arnx6499M4j0-dWG9m6Z_VQIDfLERvDlhmiwnAihbdA";
-const workspace = { name: "a", apiKeys: ["k1"], annotations: { note: "k1" } };
-const published = { name: "a", apiKeys: [DIGEST] };
+const workspace = { name: "a", apiKeys: ["k1"], weight: 3, annotations: { note: "k1" } };
+const published = { name: "a", apiKeys: [DIGEST], weight: 3 };
 const noTables = { services: { set: [], drop: [] }, routes: { set: [], drop: [] } };
 
 const cases: readonly { name: string; update: DocumentUpdate; expected: DocumentUpdate }[] = [
--- a/src/common/document/publishDocument.ts
+++ b/src/common/document/publishDocument.ts
@@ -41,11 +41,12 @@
     : update;
 }
 
-function publishWorkspace({ name, apiKeys, quota, priority }: Workspace): Workspace {
+function publishWorkspace({ name, apiKeys, quota, priority, weight }: Workspace): Workspace {
   return {
     name,
     apiKeys: apiKeys.map(apiKeyDigest),
     ...(quota && { quota }),
     ...(priority !== undefined && { priority }),
+    ...(weight !== undefined && { weight }),
   };
 }
--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -66,6 +66,7 @@
     idempotent: boolean;
     unserved: number;
     limit: number;
+    workspace: string;
   };
   SlotReply: {
     grant: string;
--- a/src/common/rpc/proto/BURDOCKPASS_SCHEMA.ts
+++ b/src/common/rpc/proto/BURDOCKPASS_SCHEMA.ts
@@ -82,6 +82,7 @@
       { name: "idempotent", id: 13, type: "bool" },
       { name: "unserved", id: 14, type: "uint32" },
       { name: "limit", id: 15, type: "uint64" },
+      { name: "workspace", id: 16, type: "string" },
     ],
     SlotReply: [
       { name: "grant", id: 1, type: "string" },
--- a/src/sidecar/hop/SlotRequest.ts
+++ b/src/sidecar/hop/SlotRequest.ts
@@ -1,5 +1,6 @@
 import type { AttemptId } from "../../common/ids/AttemptId.ts";
 import type { TargetId } from "../../common/ids/TargetId.ts";
+import type { WorkspaceName } from "../../common/ids/WorkspaceName.ts";
 
 /**
  * Request for a slot at a target, sent by a sidecar that has a caller's request to the target's sidecar. It has no side
@@ -40,4 +41,6 @@
    * target's sidecar may have started again since and not know of it.
    */
   readonly limitPerS?: number;
+  /** The workspace that the request belongs to; undefined for none, and if its service does not share slots fairly. */
+  readonly workspace?: WorkspaceName;
 }
--- a/src/sidecar/hop/gateCodec.test.ts
+++ b/src/sidecar/hop/gateCodec.test.ts
@@ -2,6 +2,7 @@
 import { idleLoad } from "../../../test/fixtures/FakeHop.ts";
 import { makeSlotRequest } from "../../../test/fixtures/makeSlotRequest.ts";
 import { TargetId } from "../../common/ids/TargetId.ts";
+import { WorkspaceName } from "../../common/ids/WorkspaceName.ts";
 import { gateCodec } from "./gateCodec.ts";
 
 const rates = [
@@ -21,3 +22,10 @@
     t.is(update?.load.limitWaitMs, perS && 300);
   });
 }
+
+for (const workspace of [undefined, WorkspaceName("lab")]) {
+  test(`gate codec: the workspace ${String(workspace)} is read as it was sent`, (t) => {
+    const request = gateCodec.slotRequest(1, makeSlotRequest({ workspace }));
+    t.is(gateCodec.readSlotRequest(request)?.workspace, workspace);
+  });
+}
--- a/src/sidecar/hop/gateCodec.ts
+++ b/src/sidecar/hop/gateCodec.ts
@@ -1,6 +1,7 @@
 import { AttemptId } from "../../common/ids/AttemptId.ts";
 import { GrantId } from "../../common/ids/GrantId.ts";
 import { TargetId } from "../../common/ids/TargetId.ts";
+import { WorkspaceName } from "../../common/ids/WorkspaceName.ts";
 import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
 import type { RetryCost } from "../routing/RetryCost.ts";
 import type { SlotRequest } from "./SlotRequest.ts";
@@ -50,6 +51,7 @@
       idempotent: request.isIdempotent,
       unserved: Math.round(request.unservedShare * 1000),
       limit: encodeOptionalRate(request.limitPerS),
+      workspace: request.workspace ?? "",
     },
   }),
 
@@ -113,6 +115,7 @@
           bodyBytes: request.body,
           acceptsRisk: Math.min(1, request.accepts_risk / 1000),
           limitPerS: decodeOptionalRate(request.limit),
+          workspace: request.workspace === "" ? undefined : WorkspaceName(request.workspace),
         }
       : undefined,
 
--- a/src/sidecar/routing/SlotFinder.test.ts
+++ b/src/sidecar/routing/SlotFinder.test.ts
@@ -5,7 +5,9 @@
 import { FixedPolicy } from "../../../test/fixtures/FixedPolicy.ts";
 import { makeCallerRequest } from "../../../test/fixtures/makeCallerRequest.ts";
 import { makeRoute } from "../../../test/fixtures/makeRoute.ts";
+import { makeService } from "../../../test/fixtures/makeService.ts";
 import { makeTarget } from "../../../test/fixtures/makeTarget.ts";
+import { WorkspaceName } from "../../common/ids/WorkspaceName.ts";
 import { RefusalReason } from "../hop/RefusalReason.ts";
 import { SlotFinder } from "./SlotFinder.ts";
 
@@ -259,3 +261,17 @@
   const { ready, tried, suspect } = lines.find((l) => l.msg === "no slot found")?.targets ?? {};
   t.deepEqual({ ready, tried, suspect }, { ready: 2, tried: 1, suspect: 1 });
 });
+
+for (const fairShares of [undefined, false, true]) {
+  test(`find slot: the workspace is sent to the gate only with fair sharing: ${String(fairShares)}`, (t) => {
+    const { hop, clock, policy } = rig(["a"]);
+    const workspace = WorkspaceName("lab");
+    new SlotFinder(
+      { policy, requestSlot: (...args) => hop.requestSlot(...args), clock, log },
+      { route: makeRoute({ service: makeService({ fairShares }) }), isRetryable: true },
+      makeCallerRequest({ workspace }),
+      new Set(),
+    );
+    t.is(hop.slotRequests[0]?.request.workspace, fairShares ? workspace : undefined);
+  });
+}
--- a/src/sidecar/routing/SlotFinder.ts
+++ b/src/sidecar/routing/SlotFinder.ts
@@ -307,7 +307,7 @@
   #buildRequest(target: TargetInfo, now: number): SlotRequest {
     const { route, isRetryable, isNestedCall = false } = this.#context;
     const { priority, objectiveMs } = route;
-    const { attempt, startedAt, deadlineAt, body, bodyLength = 0 } = this.#req;
+    const { attempt, startedAt, deadlineAt, body, bodyLength = 0, workspace } = this.#req;
     return {
       attempt,
       target: target.id,
@@ -323,6 +323,7 @@
       bodyBytes: Buffer.isBuffer(body) ? body.length : bodyLength,
       acceptsRisk: 0,
       limitPerS: this.#deps.notices?.limitOf(target),
+      workspace: route.service.fairShares ? workspace : undefined,
     };
   }
 
