Share the slot time of a target among workspaces by weight

The queue order of a gate did not know workspaces: one that sent many times its usual rate made all others wait behind it. Start-time fair queueing now orders the callers' requests of equal rank, and a full queue refuses a request of the workspace furthest over its share. The estimate of the wait follows the same order, so a small workspace is not refused for the backlog of a large one.

Off unless the document switches it on.

--- a/src/sidecar/gate/AdmissionQueue.ts
+++ b/src/sidecar/gate/AdmissionQueue.ts
@@ -1,5 +1,7 @@
 import type { SlotReply } from "../hop/SlotReply.ts";
 import type { RefusalReason } from "../hop/RefusalReason.ts";
+import type { FairShares } from "../fairness/FairShares.ts";
+import { workspaceOf } from "../fairness/workspaceOf.ts";
 import { SlotRequestQueue } from "./SlotRequestQueue.ts";
 import { isLate } from "./isLate.ts";
 import { WaitEstimator } from "./WaitEstimator.ts";
@@ -16,17 +18,28 @@
 /** The slot requests queued at a gate, with their reply callbacks and an estimate of their waits. */
 export class AdmissionQueue {
   readonly #queue: SlotRequestQueue;
+  readonly #fairShares: Pick<FairShares, "arrange" | "isOn"> | undefined;
   readonly #estimator = new WaitEstimator();
   readonly #replies = new Map<QueuedRequest, ReplyCallback>();
 
-  constructor(order?: ConstructorParameters<typeof SlotRequestQueue>[0]) {
-    this.#queue = new SlotRequestQueue(order);
+  /** @param fairShares puts the requests in order while fair sharing is on; if absent, it is always off */
+  constructor(
+    order?: ConstructorParameters<typeof SlotRequestQueue>[0],
+    fairShares?: Pick<FairShares, "arrange" | "isOn">,
+  ) {
+    this.#fairShares = fairShares;
+    this.#queue = new SlotRequestQueue(order, (...args) => fairShares?.arrange(...args));
   }
 
   get length(): number {
     return this.#queue.length;
   }
 
+  /** The queued requests, in the order in which they were received. */
+  get requests(): readonly QueuedRequest[] {
+    return this.#queue.requests;
+  }
+
   add(waiting: QueuedRequest, reply: ReplyCallback): void {
     this.#queue.add(waiting);
     this.#replies.set(waiting, reply);
@@ -68,10 +81,22 @@
     }
   }
 
+  /** Removes a queued request and replies with its refusal, which is made while it is still queued. */
+  refuse(waiting: QueuedRequest, makeReply: () => SlotReply): void {
+    const reply = makeReply();
+    const callback = this.#replies.get(waiting);
+    this.remove(waiting);
+    callback?.(reply);
+  }
+
   /** Records that a slot was granted to a request, queued or newly received. */
   recordGrant(waiting: QueuedRequest, now: number, serviceMs: number): void {
     const { isNestedCall } = waiting.request;
-    this.#estimator.recordGrant({ isNestedCall, isLate: isLate(waiting, now, serviceMs) });
+    this.#estimator.recordGrant({
+      isNestedCall,
+      isLate: isLate(waiting, now, serviceMs),
+      workspace: workspaceOf(waiting.request),
+    });
   }
 
   /** Estimated remaining wait of `waiting`, queued or about to be, ms. */
@@ -80,6 +105,7 @@
     now: number,
     pace: { msPerGrant: number; serviceMs: number },
   ): number {
-    return this.#estimator.waitMs(waiting, this.#queue, now, pace);
+    const isFair = this.#fairShares?.isOn ?? false;
+    return this.#estimator.waitMs(waiting, this.#queue, now, { ...pace, isFair });
   }
 }
--- a/src/sidecar/gate/Gate.test.ts
+++ b/src/sidecar/gate/Gate.test.ts
@@ -3,11 +3,13 @@
 import { FakeClock } from "../../../test/fixtures/FakeClock.ts";
 import { makeSlotRequest } from "../../../test/fixtures/makeSlotRequest.ts";
 import { Service } from "../../common/document/Service.ts";
+import { WorkspaceName } from "../../common/ids/WorkspaceName.ts";
 import { GrantId } from "../../common/ids/GrantId.ts";
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import { GrayFailureDetector } from "../detection/GrayFailureDetector.ts";
 import { AlwaysHealthyDetector } from "../detection/AlwaysHealthyDetector.ts";
 import type { HealthDetector } from "../detection/HealthDetector.ts";
+import type { FairRefusal } from "../fairness/FairShares.ts";
 import type { SlotReply } from "../hop/SlotReply.ts";
 import type { LimitSignal } from "../signals/LimitSignal.ts";
 import { Gate } from "./Gate.ts";
@@ -467,3 +469,81 @@
   t.is(reply?.kind === "refused" && reply.retryAfterMs, 500);
   t.like(reply?.load, { limitPerS: 2, limitWaitMs: 500 });
 });
+
+/** A gate with one slot, in use, that shares slot time fairly while `state.isFair`; names as "a1" give the workspace. */
+function fairRig() {
+  const clock = new FakeClock();
+  const state = { isFair: true };
+  const refusals: FairRefusal[] = [];
+  const gate = new Gate({
+    target: () => ({ slots: 1, acceptsRequests: true }),
+    detector: AlwaysHealthyDetector,
+    clock,
+    grants: new GrantIds("b"),
+    fairShareRule: () => (state.isFair ? { weightOf: () => 1 } : undefined),
+    onFairRefusal: (refusal) => refusals.push(refusal),
+  });
+  const replies = new Map<string, SlotReply>();
+  const requestSlot = (attempt: string, over: Parameters<typeof makeSlotRequest>[0] = {}) => {
+    const workspace = WorkspaceName(attempt.slice(0, 1));
+    const defaults = { attempt, workspace, remainingMs: 60_000, objectiveMs: 20_000 };
+    gate.requestSlot(makeSlotRequest({ ...defaults, ...over }), (reply) =>
+      replies.set(attempt, reply),
+    );
+  };
+  const replyTo = (attempt: string) => {
+    const reply = replies.get(attempt);
+    return reply?.kind === "refused" ? reply.reason : (reply?.kind ?? "waits");
+  };
+  for (let n = 0; n < 9; n++) {
+    requestSlot(`a${n}`);
+  }
+  return { clock, state, gate, refusals, replies, requestSlot, replyTo };
+}
+
+test("gate, fair shares: a full queue refuses a request of the workspace over its share for one under it", (t) => {
+  const { refusals, replies, requestSlot, replyTo } = fairRig();
+  requestSlot("b1");
+  t.deepEqual(["a0", "a1", "a7", "a8", "b1"].map(replyTo), [
+    "granted",
+    "waits",
+    "waits",
+    "full",
+    "waits",
+  ]);
+  const reply = replies.get("a8");
+  // Seven of its workspace and the newcomer are served before, half of them here, at 300 ms each.
+  t.is(reply?.kind === "refused" && reply.retryAfterMs, 1350);
+  t.like(refusals, [{ workspace: "a", share: 0.9, fairShare: 0.5, weight: 1 }]);
+  requestSlot("a9");
+  t.is(replyTo("a9"), "full");
+  t.is(refusals.length, 2, "a newcomer over its share is reported as well");
+});
+
+test("gate, fair shares: a request under its share is not refused for the backlog of another workspace", (t) => {
+  // The wait behind all queued requests would be 1.5 s. In the order of fair sharing it is first.
+  const { state, requestSlot, replyTo } = fairRig();
+  requestSlot("b1", { remainingMs: 1000, typicalMs: 300 });
+  t.is(replyTo("b1"), "waits");
+  state.isFair = false;
+  requestSlot("b2", { remainingMs: 1000, typicalMs: 300 });
+  t.is(replyTo("b2"), "full");
+});
+
+test("gate, fair shares: when switched on, queued requests are served in the fair order at once", async (t) => {
+  const { clock, state, gate, replies, requestSlot, replyTo } = fairRig();
+  const end = (attempt: string) => {
+    const reply = replies.get(attempt);
+    const grant = reply?.kind === "granted" ? reply.grant : GrantId("none");
+    gate.redeem(grant);
+    gate.end(grant, AttemptOutcome.Ok);
+  };
+  requestSlot("b1");
+  state.isFair = false;
+  end("a0");
+  t.deepEqual(["a1", "b1"].map(replyTo), ["granted", "waits"]);
+  state.isFair = true;
+  await clock.advance(10);
+  end("a1");
+  t.deepEqual(["a2", "b1"].map(replyTo), ["waits", "granted"]);
+});
--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -3,9 +3,12 @@
 import type { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { HealthDetector } from "../detection/HealthDetector.ts";
 import type { SlotRequest } from "../hop/SlotRequest.ts";
+import type { RefusalReason } from "../hop/RefusalReason.ts";
 import type { SlotReply } from "../hop/SlotReply.ts";
 import type { GateLoad } from "../hop/GateLoad.ts";
 import type { LimitSignal } from "../signals/LimitSignal.ts";
+import { FairShares, type FairRefusal } from "../fairness/FairShares.ts";
+import type { FairShareRule } from "../fairness/FairShareRule.ts";
 import { AdmissionQueue } from "./AdmissionQueue.ts";
 import { AdmissionRule } from "./AdmissionRule.ts";
 import { DemandPublisher } from "./DemandPublisher.ts";
@@ -15,6 +18,7 @@
 import type { GrantIds } from "./GrantIds.ts";
 import { GrantPacer } from "./GrantPacer.ts";
 import type { LimitChange } from "./LimitChange.ts";
+import type { QueuedRequest } from "./QueuedRequest.ts";
 import { QueueForecast } from "./QueueForecast.ts";
 import { QueueProcessor } from "./QueueProcessor.ts";
 import type { RequestRateLimit } from "./RequestRateLimit.ts";
@@ -41,6 +45,10 @@
   readonly onDemand?: (unservedShare: number) => void;
   /** Called when the limit that the target names has changed. */
   readonly onLimitChange?: (change: LimitChange) => void;
+  /** How slot time is shared among workspaces; undefined, or absent, while that is off. */
+  readonly fairShareRule?: () => FairShareRule | undefined;
+  /** Called when a full queue refuses a request for fairness: a new one, or a queued one in favour of a new one. */
+  readonly onFairRefusal?: (refusal: FairRefusal) => void;
   /** Order in which queued requests are served; by default that of `goesBefore`. */
   readonly order?: ConstructorParameters<typeof AdmissionQueue>[0];
 }
@@ -66,6 +74,7 @@
   readonly #demand: DemandPublisher;
   readonly #pacer: GrantPacer;
   readonly #serviceTime = new ServiceTime();
+  readonly #fairShares: FairShares;
   readonly #rule: AdmissionRule;
   readonly #forecast: QueueForecast;
   readonly #admission: GateAdmission;
@@ -76,7 +85,14 @@
   constructor(deps: GateDeps) {
     this.#deps = deps;
     const { target, detector, clock } = deps;
-    this.#queue = new AdmissionQueue(deps.order);
+    const slotCount = () => target()?.slots ?? 1;
+    this.#fairShares = new FairShares({
+      rule: () => deps.fairShareRule?.(),
+      slots: slotCount,
+      serviceTime: this.#serviceTime,
+      clock,
+    });
+    this.#queue = new AdmissionQueue(deps.order, this.#fairShares);
     this.#slots = new SlotTable(clock);
     this.#activity = new GateActivity(clock);
     this.#pacer = new GrantPacer({ clock, pending: () => this.#slots.pending });
@@ -103,7 +119,7 @@
       queue,
       pacer,
       serviceTime,
-      slots: () => target()?.slots ?? 1,
+      slots: slotCount,
       clock,
     });
     this.#admission = new GateAdmission({
@@ -113,6 +129,7 @@
     this.#grants = new SlotGrants({
       ...{ slots, detector, pacer, activity, demand, serviceTime, load, clock },
       grants: deps.grants,
+      fairShares: this.#fairShares,
       health: this.#createHealth(),
       mayAwaitNestedCall: deps.mayAwaitNestedCall,
       onRevoked: () => {
@@ -150,7 +167,11 @@
    * later.
    */
   requestSlot(request: SlotRequest, reply: (reply: SlotReply) => void): SlotRequestHandle {
-    const waiting = { request, receivedAt: this.#deps.clock.now() };
+    const waiting = {
+      request,
+      receivedAt: this.#deps.clock.now(),
+      virtualArrivalMs: this.#fairShares.virtualMs,
+    };
     this.#recordRequest(request);
     let grant: GrantId | undefined;
     const onReply = (slotReply: SlotReply) => {
@@ -163,14 +184,14 @@
       }
     };
     const admission = this.#admission;
-    const refusal = admission.refusalReason(waiting) ?? admission.refusalReasonOnArrival(waiting);
+    const refusal = admission.refusalReasonOnArrival(waiting) ?? this.#refusalForRoom(waiting);
     if (refusal !== undefined) {
       onReply(admission.refuse(refusal, waiting));
       return { isQueued: false, withdraw: () => undefined };
     }
     if (admission.hasIdleSlot) {
       this.#queue.recordGrant(waiting, waiting.receivedAt, this.#serviceTime.meanMs);
-      this.#grants.grant(request, onReply);
+      this.#grants.grant(waiting, onReply);
       return { isQueued: false, withdraw: revoke };
     }
     this.#queue.add(waiting, onReply);
@@ -185,6 +206,29 @@
     };
   }
 
+  /**
+   * Why there is no room for a new request; undefined if there is. In a full queue, room may be made by refusing a
+   * request of the workspace that is furthest over its fair share.
+   */
+  #refusalForRoom(waiting: QueuedRequest): RefusalReason | undefined {
+    const reason = this.#admission.refusalReasonOfQueue(waiting);
+    const unfair = reason && this.#fairShares.chooseRefused(waiting, this.#queue.requests);
+    if (!unfair) {
+      return reason;
+    }
+    this.#deps.onFairRefusal?.(unfair);
+    if (unfair.waiting === waiting) {
+      return reason;
+    }
+    this.#queue.refuse(unfair.waiting, () => this.#admission.refuse(reason, unfair.waiting));
+    return undefined;
+  }
+
+  /** Recent shares of the target's slot time by workspace, while fair sharing is on; see FairShares. */
+  get slotTimeShares(): FairShares["shares"] {
+    return this.#fairShares.shares;
+  }
+
   /** Records what a slot request tells about its sender's knowledge of the service and the target. */
   #recordRequest({ unservedShare, limitPerS }: SlotRequest): void {
     this.#activity.recordRequest();
--- a/src/sidecar/gate/GateAdmission.ts
+++ b/src/sidecar/gate/GateAdmission.ts
@@ -62,12 +62,15 @@
     return this.#deps.rule.refusalReason(this.current(waiting), this.#wait(waiting));
   }
 
-  /** Why a new request cannot be queued; undefined if it can. */
+  /** Why a new request cannot get a slot at all; undefined if it can. */
   refusalReasonOnArrival(waiting: QueuedRequest): RefusalReason | undefined {
-    const { slots, forecast, rule, queue } = this.#deps;
-    if (slots.has(waiting.request.attempt)) {
-      return RefusalReason.Duplicate;
-    }
+    const isDuplicate = this.#deps.slots.has(waiting.request.attempt);
+    return this.refusalReason(waiting) ?? (isDuplicate ? RefusalReason.Duplicate : undefined);
+  }
+
+  /** Why there is no room in the queue for a new request; undefined if there is, or it needs none. */
+  refusalReasonOfQueue(waiting: QueuedRequest): RefusalReason | undefined {
+    const { forecast, rule, queue } = this.#deps;
     const { msPerGrant } = forecast;
     return this.hasIdleSlot
       ? undefined
--- a/src/sidecar/gate/QueueProcessor.ts
+++ b/src/sidecar/gate/QueueProcessor.ts
@@ -102,7 +102,7 @@
       reply(admission.refuse(refusal, waiting));
     } else {
       queue.recordGrant(waiting, clock.now(), serviceTime.meanMs);
-      grants.grant(current, reply);
+      grants.grant({ ...waiting, request: current }, reply);
     }
   }
 }
--- a/src/sidecar/gate/QueuedRequest.ts
+++ b/src/sidecar/gate/QueuedRequest.ts
@@ -5,4 +5,6 @@
   readonly request: SlotRequest;
   /** When it was received, by the gate's clock, ms. */
   readonly receivedAt: number;
+  /** When it was received, by the virtual time of fair sharing, ms; see FairTags. */
+  readonly virtualArrivalMs?: number;
 }
--- a/src/sidecar/gate/SlotGrants.ts
+++ b/src/sidecar/gate/SlotGrants.ts
@@ -8,8 +8,10 @@
 import type { SlotRequest } from "../hop/SlotRequest.ts";
 import type { DemandPublisher } from "./DemandPublisher.ts";
 import type { GateActivity } from "./GateActivity.ts";
+import type { FairShares } from "../fairness/FairShares.ts";
 import type { GrantIds } from "./GrantIds.ts";
 import type { GrantPacer } from "./GrantPacer.ts";
+import type { QueuedRequest } from "./QueuedRequest.ts";
 import type { ServiceTime } from "./ServiceTime.ts";
 import type { SlotTable } from "./SlotTable.ts";
 import type { TargetHealth } from "./TargetHealth.ts";
@@ -45,6 +47,7 @@
   readonly activity: GateActivity;
   readonly demand: DemandPublisher;
   readonly serviceTime: ServiceTime;
+  readonly fairShares: Pick<FairShares, "recordGrant" | "recordRevoked" | "recordEnd">;
   /** Whether a run that began at `since` (ms) may be waiting for a nested call; if absent, runs make no nested calls. */
   readonly mayAwaitNestedCall?: (since: number) => boolean;
   readonly load: () => GateLoad;
@@ -61,10 +64,12 @@
     this.#deps = deps;
   }
 
-  /** Grants a slot to a request. */
-  grant(request: SlotRequest, reply: (reply: SlotReply) => void): void {
-    const { grants, detector, pacer, slots, load } = this.#deps;
+  /** Grants a slot to a request, which states the time that remains for it now. */
+  grant(waiting: QueuedRequest, reply: (reply: SlotReply) => void): void {
+    const { grants, detector, pacer, slots, fairShares, load } = this.#deps;
+    const { request } = waiting;
     const grant = grants.next();
+    fairShares.recordGrant(grant, waiting);
     const isProbe = detector.isSuspect && detector.risk > request.acceptsRisk;
     pacer.recordGrant();
     const grantMs = grantTtlMs(request.bodyBytes);
@@ -85,6 +90,7 @@
   revoke(grant: GrantId): boolean {
     const wasGranted = this.#deps.slots.revoke(grant);
     if (wasGranted) {
+      this.#deps.fairShares.recordRevoked(grant);
       this.#deps.onRevoked();
     }
     return wasGranted;
@@ -108,12 +114,13 @@
 
   /** Ends a run and records its outcome; false if none is in progress. */
   end(grant: GrantId, outcome: AttemptOutcome): boolean {
-    const { slots, pacer, activity, demand, health, serviceTime } = this.#deps;
+    const { slots, pacer, activity, demand, health, serviceTime, fairShares } = this.#deps;
     const ended = slots.end(grant);
     if (!ended) {
       return false;
     }
     const { request, ms, wasOverdue } = ended;
+    fairShares.recordEnd(grant, ms);
     if (outcome === AttemptOutcome.Shed) {
       pacer.recordRefusal();
     } else if (ACCEPTED.has(outcome)) {
--- a/src/sidecar/gate/TargetGates.ts
+++ b/src/sidecar/gate/TargetGates.ts
@@ -5,6 +5,8 @@
 import type { TargetInfo } from "../../membership/TargetInfo.ts";
 import { TargetState } from "../../membership/TargetState.ts";
 import type { HealthDetector } from "../detection/HealthDetector.ts";
+import type { FairRefusal } from "../fairness/FairShares.ts";
+import type { FairShareRule } from "../fairness/FairShareRule.ts";
 import type { GateLoad } from "../hop/GateLoad.ts";
 import type { LimitSignal } from "../signals/LimitSignal.ts";
 import { Gate } from "./Gate.ts";
@@ -25,6 +27,10 @@
   readonly onDemandChange?: (target: TargetId, load: GateLoad) => void;
   /** Called when a target of a service is idle while the service fails requests. */
   readonly onDemand?: (service: ServiceName) => void;
+  /** How slot time is shared among workspaces at targets of a service; undefined, or absent, while that is off. */
+  readonly fairShareRule?: (service: ServiceName) => FairShareRule | undefined;
+  /** Called when a full queue of a target of a service refuses a request for fairness. */
+  readonly onFairRefusal?: (service: ServiceName) => void;
   /** Called when a target has restarted under its id, after the gate of its previous incarnation was retired. */
   readonly onTargetRestart?: (target: TargetInfo) => void;
 }
@@ -131,6 +137,14 @@
     });
   }
 
+  /** Recent shares of slot time at local targets whose service shares it among workspaces; see FairShares. */
+  slotTimeShares(): { target: TargetId; service: ServiceName; user: string; share: number }[] {
+    return this.#deps.targets().flatMap(({ id: target, service }) => {
+      const shares = this.#gates.get(target)?.gate.slotTimeShares ?? [];
+      return shares.map((share) => ({ target, service, ...share }));
+    });
+  }
+
   /** Whether any slot of any target is granted or in use. */
   get isBusy(): boolean {
     return [...this.#gates.values()].some(({ gate }) => gate.isBusy);
@@ -163,6 +177,10 @@
       },
       detector: detectorOf(target),
       mayAwaitNestedCall,
+      fairShareRule: () => this.#deps.fairShareRule?.(target.service),
+      onFairRefusal: (refusal) => {
+        this.#reportFairRefusal(target, refusal);
+      },
       onHealthChange: (load) => {
         this.#deps.onHealthChange?.(id, load);
       },
@@ -189,4 +207,17 @@
     log.info({ target: id, service: target.service, slots: target.slots }, "target here");
     return gate;
   }
+
+  #reportFairRefusal({ id, service }: TargetInfo, refusal: FairRefusal): void {
+    const { workspace, weight, waiting } = refusal;
+    const { attempt } = waiting.request;
+    const [share, fairShare] = [rounded(refusal.share), rounded(refusal.fairShare)];
+    const details = { attempt, target: id, workspace, share, fairShare, weight };
+    this.#deps.log.info(details, "slot refused for fair shares");
+    this.#deps.onFairRefusal?.(service);
+  }
+}
+
+function rounded(share: number): number {
+  return Math.round(share * 1000) / 1000;
 }
--- a/src/sidecar/gate/WaitEstimator.test.ts
+++ b/src/sidecar/gate/WaitEstimator.test.ts
@@ -1,5 +1,7 @@
 import test from "ava";
 import { makeSlotRequest } from "../../../test/fixtures/makeSlotRequest.ts";
+import { WorkspaceName } from "../../common/ids/WorkspaceName.ts";
+import type { QueuedRequest } from "./QueuedRequest.ts";
 import { SlotRequestQueue } from "./SlotRequestQueue.ts";
 import { WaitEstimator } from "./WaitEstimator.ts";
 
@@ -137,3 +139,65 @@
     t.true(ms >= waitMs[0] && ms <= waitMs[1], `${ms} ms`);
   });
 }
+
+const fairCases: readonly {
+  name: string;
+  /** Workspaces of the queued requests, in order. */
+  queued: string;
+  /** Workspaces of the last 20 grants, repeated. */
+  grants: string;
+  waiting: string;
+  waitMs: number;
+}[] = [
+  {
+    name: "a request behind none of its workspace does not wait for later ones of others",
+    queued: "aaaaaa",
+    grants: "c",
+    waiting: "b",
+    waitMs: 100,
+  },
+  {
+    // The wait that is told to the sender would otherwise be that of a workspace that gets all slots.
+    name: "a request behind its own workspace's waits for others that take three slots in four",
+    queued: "aaaa",
+    grants: "accc",
+    waiting: "a",
+    waitMs: 1050,
+  },
+  {
+    name: "grants to workspaces that are queued already are counted by their queued requests alone",
+    queued: "aaaacc",
+    grants: "accc",
+    waiting: "a",
+    waitMs: 400,
+  },
+];
+
+for (const { name, queued, grants, waiting, waitMs } of fairCases) {
+  test(`wait estimator, fair sharing: ${name}`, (t) => {
+    const request = (workspace: string, n: number) => ({
+      request: makeSlotRequest({
+        attempt: `${workspace}${n}`,
+        workspace: WorkspaceName(workspace),
+        objectiveMs: 10 * OBJECTIVE_MS,
+        typicalMs: WORK_MS,
+      }),
+      receivedAt: n,
+    });
+    const estimator = new WaitEstimator();
+    for (let n = 0; n < 20; n++) {
+      const workspace = grants.charAt(n % grants.length);
+      estimator.recordGrant({ isNestedCall: false, isLate: false, workspace });
+    }
+    const newcomer = request(waiting, queued.length);
+    // All but the newcomer's own are served after it, unless its own are queued.
+    const arrange = (all: readonly QueuedRequest[]) =>
+      queued.includes(waiting) ? [...all] : [newcomer, ...all.filter((w) => w !== newcomer)];
+    const queue = new SlotRequestQueue(undefined, arrange);
+    for (let n = 0; n < queued.length; n++) {
+      queue.add(request(queued.charAt(n), n));
+    }
+    const ms = estimator.waitMs(newcomer, queue, 0, { ...PACE, isFair: true });
+    t.is(Math.round(ms), waitMs);
+  });
+}
--- a/src/sidecar/gate/goesBefore.ts
+++ b/src/sidecar/gate/goesBefore.ts
@@ -1,12 +1,7 @@
 import { isLate } from "./isLate.ts";
+import { priorityStepMs } from "./priorityStepMs.ts";
 import type { QueuedRequest } from "./QueuedRequest.ts";
 
-/** Head start of each priority level over the next lower one, ms. Under load strict priority starves lower levels. */
-const PRIORITY_STEP_MS = 100;
-
-/** The same among late requests. */
-const LATE_PRIORITY_STEP_MS = 500;
-
 /**
  * Whether `a` gets the next free slot before `b`. Nested calls go first: the run that makes one holds a slot at
  * another target, and if the call is refused, that run's work is lost and its caller gets a failure instead of a
@@ -36,9 +31,9 @@
 }
 
 function onTimeRank({ request, receivedAt }: QueuedRequest): number {
-  return receivedAt + request.objectiveMs + request.priority * PRIORITY_STEP_MS;
+  return receivedAt + request.objectiveMs + request.priority * priorityStepMs(false);
 }
 
 function lateRank({ request, receivedAt }: QueuedRequest): number {
-  return receivedAt + request.priority * LATE_PRIORITY_STEP_MS;
+  return receivedAt + request.priority * priorityStepMs(true);
 }
