Report shares of slot time in metrics, status and log

Operators could not see which workspace uses a target. A gauge with at most eleven label values for each local target, a counter and a log line of refusals for fairness, and slotTime in /status. Over real processes (test/fairShares.test.ts) the document switches it on, and the workspace's name reaches the gate.

--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -29,6 +29,7 @@
 import type { ForwardResult } from "./forwarding/ForwardResult.ts";
 import type { TargetRequest } from "./forwarding/TargetRequest.ts";
 import { TargetSender } from "./forwarding/TargetSender.ts";
+import { WorkspaceWeights } from "./fairness/WorkspaceWeights.ts";
 import { SlotServer } from "./gate/SlotServer.ts";
 import { GateServer } from "./gate/GateServer.ts";
 import { GrantIds } from "./gate/GrantIds.ts";
@@ -110,6 +111,7 @@
     this.#deps = deps;
     const { table, clock, log, dialect, cfg, tracing, metrics, sendGateMessage } = deps;
     const grants = new GrantIds(randomBytes(BOOT_ID_BYTES).toString("hex"));
+    const weights = new WorkspaceWeights(() => deps.document()?.workspaces);
     this.runs = new ActiveRuns(clock);
     this.#gates = new TargetGates({
       targets: () => table.localTargets(),
@@ -130,7 +132,12 @@
       onTargetRestart: (target) => {
         sender.retireConnections(target);
       },
+      fairShareRule: (service) => (this.#sharesFairly(service) ? weights : undefined),
+      onFairRefusal: (service) => {
+        metrics.countFairRefusal(service);
+      },
     });
+    metrics.watchSlotTimeShares(() => this.#gates.slotTimeShares());
     const signals = this.#createSignals();
     metrics.watchLimits(() => this.#gates.limits());
     this.#records = this.register(this.#createRecords());
@@ -268,9 +275,16 @@
 
   /** Returns the load of each local target, for `/status`. */
   describe(): Record<string, unknown>[] {
-    return this.#deps.table
-      .localTargets()
-      .map((t) => ({ id: t.id, ...this.#gates.get(t.id)?.load }));
+    return this.#deps.table.localTargets().map(({ id, service }) => {
+      const gate = this.#gates.get(id);
+      const fairShares = this.#sharesFairly(service) ? { slotTime: gate?.slotTimeShares } : {};
+      return { id, ...gate?.load, ...fairShares };
+    });
+  }
+
+  /** Whether the document says to share the slot time of targets of a service among workspaces. */
+  #sharesFairly(service: string): boolean {
+    return this.#deps.document()?.services.find((s) => s.name === service)?.fairShares === true;
   }
 
   /**
--- a/src/sidecar/admin/SidecarMetrics.test.ts
+++ b/src/sidecar/admin/SidecarMetrics.test.ts
@@ -14,6 +14,9 @@
   metrics.countDeniedRetry("results");
   const figures = { firstTries: 20, extras: 3, allowed: 5.5 };
   metrics.watchBudgets(() => [{ service: "results", figures }]);
+  metrics.countFairRefusal("results");
+  const slotTime = { service: "results", target: "t1", user: "lab", share: 0.25 };
+  metrics.watchSlotTimeShares(() => [slotTime]);
   metrics.observeRequest("results", "done", 20);
   const text = await metrics.registry.metrics();
   for (const line of [
@@ -26,6 +29,8 @@
     'burdockpass_extra_tries_total{service="results",cause="hedge"} 1',
     'burdockpass_retries_denied_total{service="results"} 1',
     'burdockpass_retry_budget{service="results",what="allowed"} 5.5',
+    'burdockpass_fair_share_refusals_total{service="results"} 1',
+    'burdockpass_slot_time_share{service="results",target="t1",workspace="lab"} 0.25',
     'burdockpass_requests_total{service="results",verdict="done"} 1',
   ]) {
     t.true(text.includes(`${line}\n`), line);
--- a/src/sidecar/admin/SidecarMetrics.ts
+++ b/src/sidecar/admin/SidecarMetrics.ts
@@ -32,6 +32,16 @@
   readonly perS: number;
 }
 
+/** A share of a local target's slot time. */
+interface TargetSlotTimeShare {
+  readonly service: string;
+  readonly target: string;
+  /** A workspace, or "no workspace", "nested calls" or "all others". */
+  readonly user: string;
+  /** 0 to 1. */
+  readonly share: number;
+}
+
 /** The document in force, as far as the metrics report it. */
 interface ConfigInForce {
   readonly version: number;
@@ -55,6 +65,7 @@
   readonly #extraRuns: Counter;
   readonly #retriesDenied: Counter;
   readonly #notAdmitted: Counter;
+  readonly #fairRefusals: Counter;
 
   constructor() {
     // prom-client's default metrics are not collected. Their event loop monitor wakes the process
@@ -131,6 +142,12 @@
       labelNames: ["status"],
       registers: [this.registry],
     });
+    this.#fairRefusals = new Counter({
+      name: "burdockpass_fair_share_refusals_total",
+      help: "Slot requests refused by a full queue as their workspace was over its fair share, by service.",
+      labelNames: ["service"],
+      registers: [this.registry],
+    });
   }
 
   /** Counts a request that was refused by its API key, route, quota or the age of the document. */
@@ -185,6 +202,27 @@
     });
   }
 
+  /** Adds a gauge of the recent shares of slot time at local targets; `read` bounds the number of users of each. */
+  watchSlotTimeShares(read: () => readonly TargetSlotTimeShare[]): void {
+    new Gauge({
+      name: "burdockpass_slot_time_share",
+      help: "Recent share of the slot time of a target beside this sidecar, by workspace: the ten largest, and all others.",
+      labelNames: ["service", "target", "workspace"],
+      registers: [this.registry],
+      collect() {
+        this.reset();
+        for (const { service, target, user, share } of read()) {
+          this.set({ service, target, workspace: user }, share);
+        }
+      },
+    });
+  }
+
+  /** Counts a slot request that a full queue refused as its workspace was over its fair share. */
+  countFairRefusal(service: string): void {
+    this.#fairRefusals.inc({ service });
+  }
+
   /** Records how long a granted slot request waited in the admission queue, ms. */
   observeQueueWait(ms: number): void {
     this.#queueWait.observe(ms / 1000);
