--- a/bench/processorTime.ts
+++ b/bench/processorTime.ts
@@ -2,11 +2,13 @@
  * Measures the processor time of sidecars by the size of the fleet: of a start, of a second without requests, and of a
  * caller's request at all sidecars together. Half of the requests are bookings whose runs make a nested lookup. Not a
  * test: `npm run bench:cpu`. BENCH_SIZES sets the numbers of sidecars (default 8,30), BENCH_RATE the requests a second
- * to each sidecar (default 2.5).
+ * to each sidecar (default 2.5). With BENCH_PROFILE set to a folder, a sidecar and a control replica write CPU profiles
+ * there, which `bench/profileTable.ts` summarizes.
  */
 import { readFileSync } from "node:fs";
 import { fileURLToPath } from "node:url";
 import { LocalFleet, type FleetTarget } from "../scripts/LocalFleet.ts";
+import { profileArgs } from "./profileArgs.ts";
 
 const SIZES = (process.env.BENCH_SIZES ?? "8,30").split(",").map(Number);
 const RATE_PER_S = Number(process.env.BENCH_RATE ?? 2.5);
@@ -75,6 +77,7 @@
   const fleet = new LocalFleet({
     controls: 3,
     traces: false,
+    nodeArgs: profileArgs(["sidecar-t-1", "control-1"]),
     sidecarSettings: { gossipIntervalMs: 1000 },
     standInArgs: (id, ports) =>
       Number(id.slice(2)) % 3 === 0
--- a/scripts/FleetProcesses.ts
+++ b/scripts/FleetProcesses.ts
@@ -22,19 +22,26 @@
 /** How long a process may take to stop after SIGTERM before it is killed, ms. */
 const STOP_GRACE_MS = 5000;
 
-/** How long a process may take to report that it is ready, ms. */
-const READY_TIMEOUT_MS = 20_000;
+/** How long a process may take to report that it is ready, ms: one of 70 took over 20 s on a machine with a load of 65. */
+const READY_TIMEOUT_MS = 60_000;
 
 /** Starts, kills and stops the processes of a local fleet, and saves their output. */
 export class FleetProcesses {
   /** Folder with the settings and logs of the processes. */
   readonly dir = mkdtempSync(join(tmpdir(), "burdockpass-fleet-"));
   readonly #processes: FleetProcess[] = [];
+  readonly #nodeArgs: (name: string) => readonly string[];
+
+  /** @param nodeArgs additional arguments of Node for the daemon with a name */
+  constructor(nodeArgs: (name: string) => readonly string[] = () => []) {
+    this.#nodeArgs = nodeArgs;
+  }
 
   /** Starts the daemon on the settings file `NAME.yaml` of {@link dir}; resolves once it has started. */
   async startDaemon(name: string, ports: Record<string, number>): Promise<FleetProcess> {
     const file = join(this.dir, `${name}.yaml`);
-    const proc = spawn(process.execPath, [await compiledProgram("burdockpassd"), file], {
+    const args = [...this.#nodeArgs(name), await compiledProgram("burdockpassd"), file];
+    const proc = spawn(process.execPath, args, {
       cwd: ROOT,
       env: { ...process.env, BURDOCKPASS_LOG: process.env.BURDOCKPASS_LOG ?? "info" },
       stdio: ["ignore", "pipe", "inherit"],
@@ -108,7 +115,7 @@
 
 /** Path of a program, compiled from the current sources. */
 async function compiledProgram(name: keyof typeof PROGRAMS): Promise<string> {
-  compilation ??= bundle(BIN_DIR, PROGRAMS);
+  compilation ??= bundle(BIN_DIR, PROGRAMS, { minify: process.env.BENCH_PROFILE === undefined });
   await compilation;
   return join(BIN_DIR, `${name}.cjs`);
 }
--- a/scripts/LocalFleet.ts
+++ b/scripts/LocalFleet.ts
@@ -30,6 +30,8 @@
   readonly sidecarDisks: boolean;
   /** Whether sidecars join the fleet through the control replicas instead of the first two sidecars. */
   readonly joinsThroughControl: boolean;
+  /** Additional arguments of Node for a daemon, such as `--cpu-prof`. */
+  readonly nodeArgs?: (name: string) => readonly string[];
   /** Additional settings of every sidecar; see SidecarSettings. */
   readonly sidecarSettings?: object;
   /** Additional arguments for a stand-in that depend on its sidecar's ports. */
@@ -56,7 +58,7 @@
  * does.
  */
 export class LocalFleet {
-  readonly #processes = new FleetProcesses();
+  readonly #processes: FleetProcesses;
   readonly #opts: FleetOptions;
   #controlPorts: number[] = [];
 
@@ -69,6 +71,7 @@
       joinsThroughControl: false,
       ...opts,
     };
+    this.#processes = new FleetProcesses(opts.nodeArgs);
   }
 
   /** Folder with the settings, logs and data folders of the processes. */
--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -37,18 +37,20 @@
 /**
  * Compiles each program into one file, `NAME.program.js`, with a launcher, `NAME.cjs`, that runs it, in the directory
  * `outDir`, whose previous contents are removed. A process then reads one file at its start instead of a thousand, and
- * needs no compiler. The output is CommonJS, since Node has no way to use a code cache for an ES module.
+ * needs no compiler. The output is CommonJS, since Node has no way to use a code cache for an ES module. `options`
+ * replace some of esbuild's: code that is not minified makes CPU profiles readable.
  */
 export async function bundle(
   outDir: string,
   programs: Readonly<Record<string, string>> = PROGRAMS,
+  options: Pick<BuildOptions, "minify"> = {},
 ): Promise<void> {
   rmSync(outDir, { recursive: true, force: true });
   const names = Object.keys(programs);
   const code = Object.fromEntries(names.map((n) => [`${n}.program`, programs[n] ?? ""]));
   const launchers = Object.fromEntries(names.map((n) => [n, LAUNCHER]));
   await Promise.all([
-    build({ ...OPTIONS, entryPoints: code, outdir: outDir }),
+    build({ ...OPTIONS, ...options, entryPoints: code, outdir: outDir }),
     build({
       ...OPTIONS,
       entryPoints: launchers,
