Derive what message coding needs from the schema once, and write into one buffer

Cause: in a restart of 40 sidecars, 17% of a sidecar's processor time went into the coding of messages: each field was looked up in lists, a 64-bit integer was converted through its decimal digits, and the library's writer made an object for each value. Change: a plan of each message type, made on first use; a writer of our own; 64-bit integers are read without Long. The bytes are the same: the tests compare them with the library's.

--- a/src/common/rpc/proto/MessageCodec.ts
+++ b/src/common/rpc/proto/MessageCodec.ts
@@ -1,80 +1,24 @@
 import protobuf from "protobufjs/minimal.js";
+import { ByteWriter } from "./ByteWriter.ts";
+import { MessagePlan } from "./MessagePlan.ts";
 import type { FieldSchema, ProtoSchema } from "./ProtoSchema.ts";
 
 type Reader = protobuf.Reader;
-type Writer = protobuf.Writer;
 type Message = Record<string, unknown>;
+type FieldPlan = MessagePlan["fields"][number];
 
 /** Number of the low bits of a field's key, which hold its wire type. */
 const WIRE_TYPE_BITS = 3;
 
-/** Wire types of protobuf. */
-const VARINT = 0;
+/** Wire type of strings, bytes, messages, maps and packed lists. */
 const LENGTH_DELIMITED = 2;
-const FIXED_32 = 5;
 
 /** Ids of the key and the value in an entry of a map. */
 const MAP_KEY_ID = 1;
 const MAP_VALUE_ID = 2;
 
-/** How values of one scalar type are written and read. */
-interface ScalarCodec {
-  readonly wireType: number;
-  readonly default: () => unknown;
-  readonly write: (writer: Writer, value: never) => void;
-  readonly read: (reader: Reader) => unknown;
-}
-
-const SCALARS: Readonly<Record<string, ScalarCodec>> = {
-  string: {
-    wireType: LENGTH_DELIMITED,
-    default: () => "",
-    write: (w, value: string) => w.string(value),
-    read: (r) => r.string(),
-  },
-  bytes: {
-    wireType: LENGTH_DELIMITED,
-    default: () => Buffer.alloc(0),
-    write: (w, value: Uint8Array) => w.bytes(value),
-    read: (r) => r.bytes(),
-  },
-  bool: {
-    wireType: VARINT,
-    default: () => false,
-    write: (w, value: boolean) => w.bool(value),
-    read: (r) => r.bool(),
-  },
-  uint32: {
-    wireType: VARINT,
-    default: () => 0,
-    write: (w, value: number) => w.uint32(value),
-    read: (r) => r.uint32(),
-  },
-  sint32: {
-    wireType: VARINT,
-    default: () => 0,
-    write: (w, value: number) => w.sint32(value),
-    read: (r) => r.sint32(),
-  },
-  uint64: {
-    wireType: VARINT,
-    default: () => 0,
-    write: (w, value: number) => w.uint64(value),
-    read: (r) => Number(r.uint64()),
-  },
-  int64: {
-    wireType: VARINT,
-    default: () => 0,
-    write: (w, value: number) => w.int64(value),
-    read: (r) => Number(r.int64()),
-  },
-  fixed32: {
-    wireType: FIXED_32,
-    default: () => 0,
-    write: (w, value: number) => w.fixed32(value),
-    read: (r) => r.fixed32(),
-  },
-};
+/** Shared by all codecs: a message is written without interruption. */
+const writer = new ByteWriter();
 
 /**
  * Encodes and decodes the messages of one schema in the format of protobuf, driven by tables: unlike code that is
@@ -84,95 +28,121 @@
  */
 export class MessageCodec {
   readonly #schema: ProtoSchema;
+  /** Made on first use, by type. */
+  readonly #plans = new Map<string, MessagePlan>();
+  /** The entries of maps as messages, by the field of the map. */
+  readonly #entryPlans = new Map<FieldPlan, MessagePlan>();
 
   constructor(schema: ProtoSchema) {
     this.#schema = schema;
   }
 
   encode(type: string, message: object): Buffer {
-    const writer = protobuf.Writer.create();
-    this.#write(writer, type, message as Message);
-    return writer.finish() as Buffer;
+    writer.reset(); // An error may have ended the last message midway.
+    this.#write(this.#plan(type), message as Message);
+    return writer.finish();
   }
 
   /** Throws an error if the bytes are not a message. Fields that the schema does not have are skipped. */
   decode(type: string, bytes: Uint8Array): Message {
     const reader = protobuf.Reader.create(bytes);
-    return this.#read(reader, type, reader.len);
+    return this.#read(reader, this.#plan(type), reader.len);
   }
 
-  #fields(type: string): readonly FieldSchema[] {
-    const fields = this.#schema.messages[type];
-    if (!fields) {
-      throw new Error(`no message ${type} in the schema`);
+  #plan(type: string): MessagePlan {
+    let plan = this.#plans.get(type);
+    if (!plan) {
+      const fields = this.#schema.messages[type];
+      if (!fields) {
+        throw new Error(`no message ${type} in the schema`);
+      }
+      plan = new MessagePlan(type, fields);
+      this.#plans.set(type, plan);
     }
-    return fields;
+    return plan;
   }
 
-  #write(writer: Writer, type: string, message: Message): void {
-    for (const field of this.#fields(type)) {
+  #nestedPlan(field: FieldPlan): MessagePlan {
+    field.nested ??= this.#plan(field.type);
+    return field.nested;
+  }
+
+  #entryPlan(map: FieldPlan, keyType: string): MessagePlan {
+    let plan = this.#entryPlans.get(map);
+    if (!plan) {
+      const fields: FieldSchema[] = [
+        { name: "key", id: MAP_KEY_ID, type: keyType },
+        { name: "value", id: MAP_VALUE_ID, type: map.type },
+      ];
+      plan = new MessagePlan("map entry", fields);
+      this.#entryPlans.set(map, plan);
+    }
+    return plan;
+  }
+
+  #write(plan: MessagePlan, message: Message): void {
+    for (const field of plan.fields) {
       const value = message[field.name];
       if (value === undefined || value === null) {
         continue;
       }
       if (field.keyType !== undefined) {
-        this.#writeMap(writer, field, field.keyType, value as Message);
+        this.#writeMap(field, field.keyType, value as Message);
       } else if (field.repeated) {
-        this.#writeList(writer, field, value as readonly unknown[]);
+        this.#writeList(field, value as readonly unknown[]);
       } else if (!isDefault(value)) {
-        this.#writeValue(writer, field.id, field.type, value);
+        this.#writeValue(field, value);
       }
     }
   }
 
-  #writeList(writer: Writer, { id, type }: FieldSchema, values: readonly unknown[]): void {
-    const scalar = SCALARS[type];
+  #writeList(field: FieldPlan, values: readonly unknown[]): void {
     if (values.length === 0) {
       return;
     }
-    if (!scalar || scalar.wireType === LENGTH_DELIMITED) {
+    if (!field.scalar || !field.isPackable) {
       for (const value of values) {
-        this.#writeValue(writer, id, type, value);
+        this.#writeValue(field, value);
       }
       return;
     }
     // Numbers are packed: one key and length for all of them.
-    writer.uint32(keyOf(id, LENGTH_DELIMITED)).fork();
+    writer.uint32(keyOf(field.id, LENGTH_DELIMITED));
+    const start = writer.begin();
     for (const value of values) {
-      scalar.write(writer, value as never);
+      field.scalar.write(writer, value as never);
     }
-    writer.ldelim();
+    writer.end(start);
   }
 
-  #writeMap(writer: Writer, { id, type }: FieldSchema, keyType: string, map: Message): void {
+  #writeMap(field: FieldPlan, keyType: string, map: Message): void {
+    const [keyField, valueField] = this.#entryPlan(field, keyType).fields as [FieldPlan, FieldPlan];
     for (const [key, value] of Object.entries(map)) {
-      writer.uint32(keyOf(id, LENGTH_DELIMITED)).fork();
-      this.#writeValue(writer, MAP_KEY_ID, keyType, key);
-      this.#writeValue(writer, MAP_VALUE_ID, type, value);
-      writer.ldelim();
+      writer.uint32(keyOf(field.id, LENGTH_DELIMITED));
+      const start = writer.begin();
+      this.#writeValue(keyField, key);
+      this.#writeValue(valueField, value);
+      writer.end(start);
     }
   }
 
-  #writeValue(writer: Writer, id: number, type: string, value: unknown): void {
-    const scalar = SCALARS[type];
-    if (scalar) {
-      writer.uint32(keyOf(id, scalar.wireType));
-      scalar.write(writer, value as never);
+  #writeValue(field: FieldPlan, value: unknown): void {
+    writer.uint32(keyOf(field.id, field.wireType));
+    if (field.scalar) {
+      field.scalar.write(writer, value as never);
       return;
     }
-    writer.uint32(keyOf(id, LENGTH_DELIMITED)).fork();
-    this.#write(writer, type, value as Message);
-    writer.ldelim();
+    const start = writer.begin();
+    this.#write(this.#nestedPlan(field), value as Message);
+    writer.end(start);
   }
 
-  #read(reader: Reader, type: string, end: number): Message {
-    const fields = this.#fields(type);
-    const message = emptyMessage(fields);
+  #read(reader: Reader, plan: MessagePlan, end: number): Message {
+    const message = plan.createEmpty();
     while (reader.pos < end) {
       const key = reader.uint32();
       const wireType = key & ((1 << WIRE_TYPE_BITS) - 1);
-      const id = key >>> WIRE_TYPE_BITS;
-      const field = fields.find((f) => f.id === id);
+      const field = plan.field(key >>> WIRE_TYPE_BITS);
       if (field && isReadable(field, wireType)) {
         this.#readField(reader, message, field, wireType);
       } else {
@@ -180,54 +150,49 @@
       }
     }
     if (reader.pos !== end) {
-      throw new RangeError(`message ${type} exceeds its length`);
+      throw new RangeError(`message ${plan.type} exceeds its length`);
     }
     return message;
   }
 
-  #readField(reader: Reader, message: Message, field: FieldSchema, wireType: number): void {
-    const { name, type, repeated, keyType } = field;
+  #readField(reader: Reader, message: Message, field: FieldPlan, wireType: number): void {
+    const { name, repeated, keyType } = field;
     if (keyType !== undefined) {
-      const [key, value] = this.#readEntry(reader, keyType, type);
-      Object.defineProperty(message[name], key, { value, ...OWN_FIELD });
+      const { key, value } = this.#readEntry(reader, this.#entryPlan(field, keyType));
+      Object.defineProperty(message[name], String(key), { value, ...OWN_FIELD });
     } else if (!repeated) {
-      message[name] = this.#readValue(reader, type);
-    } else if (isPacked(type, wireType)) {
+      message[name] = this.#readValue(reader, field);
+    } else if (field.isPackable && wireType === LENGTH_DELIMITED) {
       const end = reader.uint32() + reader.pos;
       while (reader.pos < end) {
-        (message[name] as unknown[]).push(this.#readValue(reader, type));
+        (message[name] as unknown[]).push(this.#readValue(reader, field));
       }
     } else {
-      (message[name] as unknown[]).push(this.#readValue(reader, type));
+      (message[name] as unknown[]).push(this.#readValue(reader, field));
     }
   }
 
-  #readEntry(reader: Reader, keyType: string, type: string): [key: string, value: unknown] {
-    const fields = [
-      { name: "key", id: MAP_KEY_ID, type: keyType },
-      { name: "value", id: MAP_VALUE_ID, type },
-    ];
-    const entry = emptyMessage(fields);
+  #readEntry(reader: Reader, plan: MessagePlan): Message {
+    const entry = plan.createEmpty();
     const end = reader.uint32() + reader.pos;
     while (reader.pos < end) {
       const key = reader.uint32();
-      const field = fields.find((f) => f.id === key >>> WIRE_TYPE_BITS);
+      const field = plan.field(key >>> WIRE_TYPE_BITS);
       if (field) {
-        entry[field.name] = this.#readValue(reader, field.type);
+        entry[field.name] = this.#readValue(reader, field);
       } else {
         reader.skipType(key & ((1 << WIRE_TYPE_BITS) - 1));
       }
     }
-    return [String(entry.key), entry.value];
+    return entry;
   }
 
-  #readValue(reader: Reader, type: string): unknown {
-    const scalar = SCALARS[type];
-    if (scalar) {
-      return scalar.read(reader);
+  #readValue(reader: Reader, field: FieldPlan): unknown {
+    if (field.scalar) {
+      return field.scalar.read(reader);
     }
     const length = reader.uint32();
-    return this.#read(reader, type, reader.pos + length);
+    return this.#read(reader, this.#nestedPlan(field), reader.pos + length);
   }
 }
 
@@ -246,20 +211,6 @@
 }
 
 /** Whether the wire type fits the field; a field of a newer schema may have changed its type. */
-function isReadable({ type, repeated }: FieldSchema, wireType: number): boolean {
-  const expected = SCALARS[type]?.wireType ?? LENGTH_DELIMITED;
-  return wireType === expected || (repeated === true && isPacked(type, wireType));
-}
-
-function isPacked(type: string, wireType: number): boolean {
-  const expected = SCALARS[type]?.wireType ?? LENGTH_DELIMITED;
-  return expected !== LENGTH_DELIMITED && wireType === LENGTH_DELIMITED;
-}
-
-function emptyMessage(fields: readonly FieldSchema[]): Message {
-  const message: Message = {};
-  for (const { name, type, repeated, keyType } of fields) {
-    message[name] = keyType ? {} : repeated ? [] : (SCALARS[type]?.default() ?? null);
-  }
-  return message;
+function isReadable(field: FieldPlan, wireType: number): boolean {
+  return wireType === field.wireType || (field.isPackable && wireType === LENGTH_DELIMITED);
 }
