Run the fleet of bench:phases with Node's flags of production

Cause: V8's heap limit changes what garbage collection costs. Change: the daemons of bench:phases get NODE_FLAGS, as on the platform. Result: no figure; later runs of the bench are comparable with production.

--- a/bench/fleetPhases.ts
+++ b/bench/fleetPhases.ts
@@ -1,7 +1,7 @@
 /**
  * Measures the processor time of each sidecar, and of all control replicas, in the phases of a fleet's life: its start,
  * the application of a document with {@link ROUTES} routes, a document change of one route, seconds without requests,
- * and a restart of all sidecars at once. Programs are compiled and run with V8's code cache, as in production; the bench
+ * and a restart of all sidecars at once. Programs are compiled and run with V8's code cache and Node's flags, as in production; the bench
  * announces the targets, so the processes are the sidecars and the control replicas alone. Not a test:
  * `npm run bench:phases`. BENCH_SIZES sets the numbers of sidecars (default 70). With BENCH_PROFILE set
  * to a folder, the processes write CPU profiles there, which `bench/profileTable.ts` summarizes.
@@ -10,6 +10,7 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { parse } from "yaml";
+import { NODE_FLAGS } from "../platform/NODE_FLAGS.ts";
 import type { FleetProcess } from "../scripts/FleetProcess.ts";
 import { LocalFleet } from "../scripts/LocalFleet.ts";
 import { callUnary } from "../src/common/rpc/callUnary.ts";
@@ -113,7 +114,7 @@
     traces: false,
     sidecarDisks: false,
     joinsThroughControl: true,
-    nodeArgs: (name) => (isWarmingUp ? [] : nodeArgs(name)),
+    nodeArgs: (name) => [...NODE_FLAGS, ...(isWarmingUp ? [] : nodeArgs(name))],
     sidecarSettings: { gossipIntervalMs: 1000, announceTimeoutMs: 4 * ANNOUNCE_MS },
   });
   const ids = Array.from({ length: count }, (_, n) => ({
