Sort a host's prefix lengths only when a new one is added

Cause: RouteIndex rebuilt and sorted the list of prefix lengths for each of its routes; it is made anew for each version of the document. Change: the list is left alone if it has the length already.

--- a/src/sidecar/routing/RouteIndex.ts
+++ b/src/sidecar/routing/RouteIndex.ts
@@ -27,8 +27,9 @@
   add(prefix: string, matcher: Matcher): void {
     if (!this.#matchers.has(prefix)) {
       this.#matchers.set(prefix, matcher);
-      const lengths = new Set([...this.#lengths, prefix.length]);
-      this.#lengths = [...lengths].sort((a, b) => b - a);
+      if (!this.#lengths.includes(prefix.length)) {
+        this.#lengths = [...this.#lengths, prefix.length].sort((a, b) => b - a);
+      }
     }
   }
 
