Limit the bytes of targets' responses, and account for the memory held

A target that sent interim responses without end kept 20 of 200 callers waiting for over 9 s: parsing them left the event loop no time for its timers. An endless body was passed on for as long as the caller read it.

Limits on what comes before a response (interim responses, empty lines, the time of a head that has begun) are always on; limits on bodies are set by limits.responses in the document. A limit that is exceeded closes the connection, is logged by name, and counts against the target. The setting memory.maxHeldBytes makes a sidecar refuse new requests before it loses anything that has run; the metric burdockpass_held_bytes shows what holds the bytes.

--- a/src/common/document/Limits.ts
+++ b/src/common/document/Limits.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
 import { Annotations } from "./Annotations.ts";
 import { Millis } from "./Millis.ts";
+import { ResponseLimits } from "./ResponseLimits.ts";
 
 /** Size and time limits on callers' connections. */
 export const Limits = z.strictObject({
@@ -12,6 +13,8 @@
   headerTimeoutMs: Millis.default(10_000),
   /** A keep-alive connection is closed after this long without a request. */
   idleTimeoutMs: Millis.default(30_000),
+  /** Limits on the bodies of responses; none by default. */
+  responses: ResponseLimits.prefault({}),
   annotations: Annotations,
 });
 
--- a/src/common/settings/SidecarSettings.ts
+++ b/src/common/settings/SidecarSettings.ts
@@ -40,6 +40,12 @@
   graceMs: Millis.default(10_000),
 });
 
+/** Limit on the memory that a sidecar holds for callers, targets and other sidecars. */
+const Memory = z.strictObject({
+  /** Bytes of requests and responses held; near it, new requests are refused as not run. No limit if omitted. */
+  maxHeldBytes: z.number().int().positive().optional(),
+});
+
 /** Settings of a sidecar: its addresses, the members through which it joins the fleet, and its policies. */
 export const SidecarSettings = z.strictObject({
   role: z.literal("sidecar"),
@@ -81,6 +87,7 @@
    */
   bootstrap: z.boolean().default(false),
   stop: Stop.prefault({}),
+  memory: Memory.prefault({}),
 });
 
 /** Parsed settings of a sidecar. */
--- a/src/sidecar/CallerSide.ts
+++ b/src/sidecar/CallerSide.ts
@@ -22,6 +22,7 @@
 import { SlotClient } from "./hop/SlotClient.ts";
 import { CallerServer } from "./ingress/CallerServer.ts";
 import { originOf } from "./ingress/originOf.ts";
+import type { MemoryAccount } from "./memory/MemoryAccount.ts";
 import type { Quarantine } from "./quarantine/Quarantine.ts";
 import { AdaptivePolicy } from "./routing/AdaptivePolicy.ts";
 import { chooseLenders } from "./routing/chooseLenders.ts";
@@ -57,6 +58,8 @@
   readonly dialect: Dialect;
   readonly tracing: Tracing;
   readonly metrics: SidecarMetrics;
+  /** Counts the bytes of requests and responses held here. */
+  readonly memory: MemoryAccount;
   /** Sends a datagram, which may be lost. */
   readonly sendGateMessage: (address: string, message: ProtoTypes["GateMessage"]) => void;
   /** Whether this sidecar has started recently, and may not know all members yet. */
@@ -113,6 +116,7 @@
         this.#recordSignals(...args);
       },
       originOf: (address) => originOf(address, this.#targetUrls),
+      memory: deps.memory,
       metrics,
       tracing,
       clock,
@@ -196,7 +200,13 @@
     });
     return new Dispatcher({
       policy: this.policy,
-      hop: this.register(new HopClient(slotClient)),
+      hop: this.register(
+        new HopClient(slotClient, {
+          responseLimits: () => this.#config?.limits.responses ?? {},
+          memory: this.#deps.memory,
+          clock,
+        }),
+      ),
       classifier: new TrafficClassifier({ runs: targetSide.runs, log }),
       budgets,
       borrower,
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -26,6 +26,7 @@
 import { EvidenceStore } from "../membership/evidence/EvidenceStore.ts";
 import { Quarantine } from "./quarantine/Quarantine.ts";
 import { AdminServer } from "./admin/AdminServer.ts";
+import { MemoryAccount } from "./memory/MemoryAccount.ts";
 import { SidecarMetrics } from "./admin/SidecarMetrics.ts";
 import type { TrafficKind } from "./admin/TrafficKind.ts";
 import { CallerSide } from "./CallerSide.ts";
@@ -124,6 +125,13 @@
     const onMessageSize: MessageSizeListener = (method, bytes) => {
       metrics.countControlBytes(TRAFFIC_KINDS[method] ?? "other", bytes);
     };
+    const memory = new MemoryAccount({
+      maxHeldBytes: () => this.#cfg.memory.maxHeldBytes,
+      onChange: (isRefusing, heldBytes) => {
+        this.#log.warn({ isRefusing, heldBytes }, "memory limit");
+      },
+    });
+    metrics.watchHeldBytes(() => memory.heldBytes);
     const tracing = await openTracing("burdockpass-sidecar", cfg.traceFile);
     const table = this.#createTable();
     const elapsed = new ElapsedClock();
@@ -181,6 +189,7 @@
         dialect: this.#dialect,
         tracing,
         metrics,
+        memory,
         sendGateMessage,
         clock: SystemClock,
         log: this.#log,
@@ -198,6 +207,7 @@
         dialect: this.#dialect,
         tracing,
         metrics,
+        memory,
         sendGateMessage,
         isStarting: () => this.#isStarting,
         startedAt: this.#startedAt,
@@ -265,9 +275,9 @@
     this.#log.info({ ports: this.#ports, version: configFollower.version }, "sidecar started");
   }
 
-  /** Applies the settings that can change at run time: seeds, retry budget and stop. */
-  reload({ seeds, retryBudget, stop }: SidecarSettings): void {
-    this.#cfg = { ...this.#cfg, seeds, retryBudget, stop };
+  /** Applies the settings that can change at run time: seeds, retry budget, stop and memory. */
+  reload({ seeds, retryBudget, stop, memory }: SidecarSettings): void {
+    this.#cfg = { ...this.#cfg, seeds, retryBudget, stop, memory };
   }
 
   /** Stops in an orderly way, with the durations of the setting `stop`. */
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -29,6 +29,7 @@
 import type { ForwardResult } from "./forwarding/ForwardResult.ts";
 import type { TargetRequest } from "./forwarding/TargetRequest.ts";
 import { TargetSender } from "./forwarding/TargetSender.ts";
+import type { MemoryAccount } from "./memory/MemoryAccount.ts";
 import { SlotServer } from "./gate/SlotServer.ts";
 import { GateServer } from "./gate/GateServer.ts";
 import { GrantIds } from "./gate/GrantIds.ts";
@@ -80,6 +81,8 @@
   readonly dialect: Dialect;
   readonly tracing: Tracing;
   readonly metrics: SidecarMetrics;
+  /** Counts the bytes of requests and responses held here. */
+  readonly memory: MemoryAccount;
   /** Knows the requests that crash the targets that run them. */
   readonly quarantine: Quarantine;
   /** Whether this sidecar has started recently, and may not know all members yet. */
@@ -108,7 +111,7 @@
   constructor(deps: TargetSideDeps) {
     super();
     this.#deps = deps;
-    const { table, clock, log, dialect, cfg, tracing, metrics, sendGateMessage } = deps;
+    const { table, clock, log, dialect, cfg, tracing, metrics, memory, sendGateMessage } = deps;
     const grants = new GrantIds(randomBytes(BOOT_ID_BYTES).toString("hex"));
     this.runs = new ActiveRuns(clock);
     this.#gates = new TargetGates({
@@ -142,6 +145,12 @@
         onSignals: (...args) => {
           signals.record(...args);
         },
+        responseLimits: () => deps.document()?.limits.responses ?? {},
+        memory,
+        onLimitExceeded: ({ id, service }, { metadata: { attempt } }, limit) => {
+          log.warn({ attempt, target: id, limit }, "response exceeded a limit");
+          metrics.countLimitExceeded(service);
+        },
         onOtherTarget: (target, other) => {
           log.info({ target: target.id, other }, "another target answers at this address");
           table.noteReplaced(target.id);
@@ -165,7 +174,7 @@
     });
     const runner = new TargetRunner({
       gates: this.#gates,
-      runs: new RunTable(clock),
+      runs: new RunTable(clock, memory),
       activeRuns: this.runs,
       target: (id) => table.localTargets().find((t) => t.id === id),
       send: (target, req) => sendAtMostOnce(sender, atMostOnceRunner, target, req),
@@ -174,10 +183,11 @@
       grants,
       log,
     });
-    this.gateServer = new GateServer({ runner, tracing, clock, log });
+    this.gateServer = new GateServer({ runner, tracing, memory, clock, log });
     this.slotServer = new SlotServer({
       gates: this.#gates,
       metrics,
+      memory,
       sendGateMessage,
       clock,
       log,
--- a/src/sidecar/admin/SidecarMetrics.ts
+++ b/src/sidecar/admin/SidecarMetrics.ts
@@ -55,6 +55,8 @@
   readonly #extraRuns: Counter;
   readonly #retriesDenied: Counter;
   readonly #notAdmitted: Counter;
+  readonly #limitsExceeded: Counter;
+  readonly #memoryRefusals: Counter;
 
   constructor() {
     // prom-client's default metrics are not collected. Their event loop monitor wakes the process
@@ -125,6 +127,17 @@
       labelNames: ["service"],
       registers: [this.registry],
     });
+    this.#limitsExceeded = new Counter({
+      name: "burdockpass_response_limits_exceeded_total",
+      help: "Responses of targets beside this sidecar that exceeded a limit and were cut off, by service.",
+      labelNames: ["service"],
+      registers: [this.registry],
+    });
+    this.#memoryRefusals = new Counter({
+      name: "burdockpass_memory_refusals_total",
+      help: "Callers' requests refused as this sidecar holds too many bytes.",
+      registers: [this.registry],
+    });
     this.#notAdmitted = new Counter({
       name: "burdockpass_requests_not_admitted_total",
       help: "Callers' requests refused by API key (401), route (404), quota (429) or an outdated document (503).",
@@ -133,6 +146,31 @@
     });
   }
 
+  /** Counts a response of a local target that exceeded a limit, and was cut off. */
+  countLimitExceeded(service: string): void {
+    this.#limitsExceeded.inc({ service });
+  }
+
+  /** Counts a caller's request that was refused as this sidecar holds too many bytes. */
+  countMemoryRefusal(): void {
+    this.#memoryRefusals.inc();
+  }
+
+  /** Adds a gauge of the bytes that this sidecar holds, by holder. */
+  watchHeldBytes(read: () => Readonly<Record<string, number>>): void {
+    new Gauge({
+      name: "burdockpass_held_bytes",
+      help: "Bytes of requests and responses held here, by what holds them.",
+      labelNames: ["holder"],
+      registers: [this.registry],
+      collect() {
+        for (const [holder, bytes] of Object.entries(read())) {
+          this.set({ holder }, bytes);
+        }
+      },
+    });
+  }
+
   /** Counts a request that was refused by its API key, route, quota or the age of the document. */
   countNotAdmitted(status: number): void {
     this.#notAdmitted.inc({ status });
--- a/src/sidecar/forwarding/TargetExchange.ts
+++ b/src/sidecar/forwarding/TargetExchange.ts
@@ -1,10 +1,12 @@
 import { request, type ClientRequest, type IncomingMessage } from "node:http";
 import { pipeline } from "node:stream";
+import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { HeaderList } from "./HeaderList.ts";
+import { HeadWatch } from "./HeadWatch.ts";
 import type { TargetAgent } from "./TargetAgent.ts";
 import type { TargetRequest } from "./TargetRequest.ts";
 
-/** Maximum size of the response headers, bytes. */
+/** Maximum size of the status line and the headers, and of the trailers, bytes; targets send a few KB. */
 const MAX_HEADER_BYTES = 64 * 1024;
 
 /** Methods whose requests have no body by default. */
@@ -16,6 +18,7 @@
   readonly url: string;
   readonly agent: TargetAgent;
   readonly headers: HeaderList;
+  readonly clock: Clock;
 }
 
 /**
@@ -31,7 +34,7 @@
   /** Resolves with the head of the response, before its body is read. */
   readonly response: Promise<IncomingMessage>;
 
-  constructor({ url, agent, headers }: Destination, req: TargetRequest) {
+  constructor({ url, agent, headers, clock }: Destination, req: TargetRequest) {
     const { hostname, port } = new URL(url);
     this.#agent = agent;
     this.#req = request({
@@ -43,6 +46,13 @@
       agent,
       maxHeaderSize: MAX_HEADER_BYTES,
     });
+    new HeadWatch(this.#req, {
+      clock,
+      isRepeatable: req.idempotent && (req.body === undefined || Buffer.isBuffer(req.body)),
+      onExceeded: (err) => {
+        this.#req.destroy(err);
+      },
+    });
     this.response = new Promise((resolve, reject) => {
       this.#req.once("response", (res) => {
         this.#watchResponse(res);
--- a/src/sidecar/forwarding/TargetSender.ts
+++ b/src/sidecar/forwarding/TargetSender.ts
@@ -1,11 +1,15 @@
 import type { IncomingMessage } from "node:http";
 import { isConnectError } from "../../common/http/isConnectError.ts";
+import type { ResponseLimits } from "../../common/document/ResponseLimits.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
 import type { TargetInfo } from "../../membership/TargetInfo.ts";
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { Dialect, TargetMetadata } from "../dialect/Dialect.ts";
+import { MemoryAccount } from "../memory/MemoryAccount.ts";
 import type { ForwardResult } from "./ForwardResult.ts";
+import { drainResponse } from "./drainResponse.ts";
+import { LimitExceededError } from "./LimitExceededError.ts";
 import type { TargetSignals } from "../signals/TargetSignals.ts";
 import { readResponse } from "./readResponse.ts";
 import { RETRY_AFTER_MS } from "./RETRY_AFTER_MS.ts";
@@ -33,6 +37,12 @@
  */
 const DEADLINE_TOLERANCE = 0.1;
 
+/** The limits that Node's HTTP parser enforces, by the code of its error. */
+const PARSER_LIMITS: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: "64 KB of status line and headers, or of trailers",
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: "16 KB of chunk extensions",
+};
+
 interface TargetSenderDeps {
   readonly dialect: Dialect;
   readonly clock: Clock;
@@ -42,6 +52,12 @@
   readonly onOtherTarget?: (target: TargetInfo, other: string) => void;
   /** Called with what a response to a request that was sent at `sentAt` (ms) says about its target. */
   readonly onSignals?: (target: TargetInfo, signals: TargetSignals, sentAt: number) => void;
+  /** Called when a target's response to a request exceeds a limit, which `limit` names. */
+  readonly onLimitExceeded?: (target: TargetInfo, req: TargetRequest, limit: string) => void;
+  /** Limits on the bodies of responses; by default none. */
+  readonly responseLimits?: () => ResponseLimits;
+  /** Counts the responses that are being received; by default they are not counted. */
+  readonly memory?: MemoryAccount;
 }
 
 /** Why this sender aborted a request. */
@@ -61,6 +77,7 @@
  */
 export class TargetSender implements IDisposable {
   readonly #deps: TargetSenderDeps;
+  readonly #memory: MemoryAccount;
   /** Agents that hold the persistent connections, by target URL. */
   readonly #agents = new Map<string, TargetAgent>();
   /** Until when non-idempotent requests use separate connections, by the clock, ms. */
@@ -68,6 +85,7 @@
 
   constructor(deps: TargetSenderDeps) {
     this.#deps = deps;
+    this.#memory = deps.memory ?? new MemoryAccount();
   }
 
   /** Sends `req` to `target` and waits for the complete response (or the start of a large one) or the deadline. */
@@ -86,7 +104,10 @@
     const metadata = { ...req.metadata, remainingMs };
     const headers = this.#headersFor(req, metadata);
     const connection = this.#agentFor(target, req);
-    const exchange = new TargetExchange({ url: target.url, agent: connection.agent, headers }, req);
+    const exchange = new TargetExchange(
+      { url: target.url, agent: connection.agent, headers, clock },
+      req,
+    );
     const progress: Progress = { isResponding: false, abortedFor: undefined };
     // Closing the connection ends the run at the target, and ensures that a late response cannot be mistaken for that
     // of the next request.
@@ -97,21 +118,25 @@
     const timer = clock.timeout(remainingMs, abortFor("timed-out"));
     const onCancelled = abortFor("caller-left");
     const onRestarted = abortFor("target-restarted");
+    let streamed: Promise<unknown> | undefined;
     req.cancelled?.addEventListener("abort", onCancelled);
     req.targetRestarted?.addEventListener("abort", onRestarted);
     try {
       const res = await exchange.response;
       progress.isResponding = true;
-      return await this.#toResult(target, req, metadata, res, exchange);
+      const result = await this.#toResult(target, req, metadata, res, exchange);
+      streamed = "ended" in result ? result.ended : undefined;
+      return result;
     } catch (err) {
-      return this.#toFailure(target, progress, err);
+      return this.#toFailure(target, req, progress, err);
     } finally {
       // The deadline applies to the response, or to the start of a large one. How fast a slow client then reads the
       // rest does not depend on the target.
       timer.cancel();
       req.cancelled?.removeEventListener("abort", onCancelled);
       req.targetRestarted?.removeEventListener("abort", onRestarted);
-      connection.release();
+      // The rest of a streamed response is still to arrive on the connection.
+      void Promise.resolve(streamed).then(connection.release);
     }
   }
 
@@ -168,7 +193,7 @@
     }
     switch (head.kind) {
       case "not-run":
-        res.resume();
+        drainResponse(res, this.#deps.clock);
         if (head.otherTarget !== undefined) {
           this.#deps.onOtherTarget?.(target, head.otherTarget);
         }
@@ -181,9 +206,22 @@
         exchange.abort();
         return mayHaveRun(target, head.reason, AttemptOutcome.InvalidResponse);
       case "own": {
-        const body = await readResponse(res, req.bufferResponse ?? false, () =>
-          exchange.checkEnd(res),
-        );
+        const limits = this.#deps.responseLimits?.() ?? {};
+        if (req.method !== "HEAD") {
+          checkDeclaredLength(res, limits);
+        }
+        const body = await readResponse(res, {
+          bufferAll: req.bufferResponse ?? false,
+          checkEnd: () => exchange.checkEnd(res),
+          limits,
+          memory: this.#memory,
+          clock: this.#deps.clock,
+        });
+        if ("ended" in body) {
+          body.body.once("error", (err) => {
+            this.#reportLimit(target, req, err);
+          });
+        }
         const verdict = { kind: "done", target: target.id, status } as const;
         const outcome = this.#outcomeOf(status, metadata.remainingMs, req.deadlineAt);
         return { verdict, outcome, headers: res.headers, ...body };
@@ -202,7 +240,12 @@
     return isAtDeadline ? AttemptOutcome.TimedOut : AttemptOutcome.Failed;
   }
 
-  #toFailure(target: TargetInfo, progress: Progress, err: unknown): ForwardResult {
+  #toFailure(
+    target: TargetInfo,
+    req: TargetRequest,
+    progress: Progress,
+    err: unknown,
+  ): ForwardResult {
     const code = (err as { code?: string }).code ?? "";
     switch (progress.abortedFor) {
       case "timed-out":
@@ -219,7 +262,8 @@
       const result = notRun(`connect failed: ${code}`, RETRY_AFTER_MS);
       return { ...result, outcome: AttemptOutcome.NoResponse };
     }
-    const isParseError = code.startsWith("HPE_");
+    const isExceeded = this.#reportLimit(target, req, err);
+    const isParseError = code.startsWith("HPE_") || isExceeded;
     if (isParseError) {
       this.#isolateRequests(target.url);
     }
@@ -232,6 +276,18 @@
     );
   }
 
+  /** Reports a limit that a response has exceeded; false if `err` is another error. */
+  #reportLimit(target: TargetInfo, req: TargetRequest, err: unknown): boolean {
+    const limit =
+      err instanceof LimitExceededError
+        ? err.limit
+        : PARSER_LIMITS[(err as { code?: string }).code ?? ""];
+    if (limit !== undefined) {
+      this.#deps.onLimitExceeded?.(target, req, limit);
+    }
+    return limit !== undefined;
+  }
+
   /** Makes non-idempotent requests use separate connections for a while, after a target sent unexpected bytes. */
   #isolateRequests(url: string): void {
     this.#isolatedUntil = this.#deps.clock.now() + ISOLATION_MS;
@@ -264,6 +320,15 @@
   }
 }
 
+/** Rejects a response that declares a longer body than is allowed, before any of it is passed on. */
+function checkDeclaredLength(res: IncomingMessage, { maxBytes = Infinity }: ResponseLimits): void {
+  if (Number(res.headers["content-length"] ?? 0) > maxBytes) {
+    const err = new LimitExceededError(`${maxBytes} bytes of a response`);
+    res.destroy(err);
+    throw err;
+  }
+}
+
 function notRun(reason: string, retryAfterMs: number): ForwardResult {
   return { verdict: { kind: "not-run", reason, retryAfterMs }, outcome: AttemptOutcome.Shed };
 }
--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -273,6 +273,16 @@
     this.#refuseUnservable();
   }
 
+  /**
+   * Records the end of a streamed response, whose run has ended with its start. It counts against the target only if
+   * the response exceeded a limit: any other may have failed for its reader's sake.
+   */
+  recordStreamEnd(outcome: AttemptOutcome): void {
+    if (outcome === AttemptOutcome.InvalidResponse) {
+      this.#health.recordEnd({ outcome, ms: 0, typicalMs: 0, wasOverdue: false });
+    }
+  }
+
   /** Whether a grant is neither used nor expired. */
   isPending(grant: GrantId): boolean {
     return this.#slots.isPending(grant);
--- a/src/sidecar/gate/GateServer.ts
+++ b/src/sidecar/gate/GateServer.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { pipeline } from "node:stream";
+import { pipeline, type Readable } from "node:stream";
 import type bunyan from "bunyan";
 import { AttemptId } from "../../common/ids/AttemptId.ts";
 import { DispatchId } from "../../common/ids/DispatchId.ts";
@@ -20,6 +20,9 @@
 import type { TargetRequest } from "../forwarding/TargetRequest.ts";
 import { HOP } from "../hop/HOP.ts";
 import { hopResponse } from "../hop/hopResponse.ts";
+import { MemoryAccount } from "../memory/MemoryAccount.ts";
+import { holdUntilSent } from "../memory/holdUntilSent.ts";
+import { MemoryHolder } from "../memory/MemoryHolder.ts";
 import type { GrantRef, TargetRunner } from "./TargetRunner.ts";
 import { unknownOutcome } from "./unknownOutcome.ts";
 
@@ -45,6 +48,8 @@
 interface GateServerDeps {
   readonly runner: Pick<TargetRunner, "hold" | "release" | "run" | "outcomeOf" | "state">;
   readonly tracing: Tracing;
+  /** Counts the requests and responses held here; by default they are not counted. */
+  readonly memory?: MemoryAccount;
   readonly clock: Clock;
   readonly log: bunyan;
 }
@@ -56,10 +61,12 @@
  */
 export class GateServer {
   readonly #deps: GateServerDeps;
+  readonly #memory: MemoryAccount;
   readonly server: Server;
 
   constructor(deps: GateServerDeps) {
     this.#deps = deps;
+    this.#memory = deps.memory ?? new MemoryAccount();
     this.server = createServer(
       { keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: 0 },
       (req, res) => {
@@ -114,12 +121,17 @@
     const body = "body" in opened ? opened.body : undefined;
     const startedAt = clock.now();
     const span = this.#deps.tracing.startSpan("sidecar.run", req.headers);
-    const result = await runner.run(grant, () => ({
-      ...this.#request(req, grant, { arrivedAt, callerGone: callerGone.signal }),
-      headers: withHeaders(withoutHopHeaders(req.rawHeaders), span.headers),
-      body,
-      bodyLength: opened.kind === "stream" ? opened.length : undefined,
-    }));
+    const hold = this.#memory.hold(MemoryHolder.SlowTargets, heldBytes(body));
+    const result = await runner
+      .run(grant, () => ({
+        ...this.#request(req, grant, { arrivedAt, callerGone: callerGone.signal }),
+        headers: withHeaders(withoutHopHeaders(req.rawHeaders), span.headers),
+        body,
+        bodyLength: opened.kind === "stream" ? opened.length : undefined,
+      }))
+      .finally(() => {
+        hold.release();
+      });
     aliveSignal.stop();
     const ms = Math.round(clock.now() - startedAt);
     const ended = { ...grant, verdict: result.verdict, outcome: result.outcome, ms };
@@ -203,6 +215,7 @@
     res.statusCode = result.verdict.status;
     if (Buffer.isBuffer(body)) {
       res.setHeader("content-length", contentLength(res, headers, body));
+      holdUntilSent(this.#memory, MemoryHolder.SlowSidecars, res, body.length);
       res.end(body);
     } else {
       // If the target cuts its body short, pipeline destroys this connection too, so that the other sidecar sees an
@@ -217,6 +230,11 @@
   }
 }
 
+/** Bytes of a request's body that are held during its run: a stream holds little. */
+function heldBytes(body: Buffer | Readable | undefined): number {
+  return Buffer.isBuffer(body) ? body.length : 0;
+}
+
 function readGrant(req: IncomingMessage): GrantRef {
   const header = (name: string) => String(req.headers[name] ?? "");
   return {
--- a/src/sidecar/gate/RunTable.ts
+++ b/src/sidecar/gate/RunTable.ts
@@ -2,6 +2,9 @@
 import type { GrantId } from "../../common/ids/GrantId.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
+import { MemoryAccount } from "../memory/MemoryAccount.ts";
+import type { MemoryHold } from "../memory/MemoryHold.ts";
+import { MemoryHolder } from "../memory/MemoryHolder.ts";
 
 /** State of a run, as reported to a sender that reattaches to it. */
 export type RunState =
@@ -46,11 +49,19 @@
 export class RunTable {
   readonly #clock: Clock;
   readonly #entries = new Map<GrantId, Entry>();
+  readonly #memory: MemoryAccount;
+  readonly #hold: MemoryHold;
   #retainedBytes = 0;
   #sweptAt = 0;
 
-  constructor(clock: Clock) {
+  /** @param memory counts the retained responses, and has them dropped when it is full; by default it does neither */
+  constructor(clock: Clock, memory = new MemoryAccount()) {
     this.#clock = clock;
+    this.#memory = memory;
+    this.#hold = memory.hold(MemoryHolder.Retained);
+    memory.onFull(() => {
+      this.#dropOldest();
+    });
   }
 
   /**
@@ -93,8 +104,14 @@
     }
     entry.result = result;
     this.#retainedBytes += bytes;
+    this.#hold.add(bytes);
+    this.#dropOldest();
+  }
+
+  /** Drops the oldest results while there are too many. */
+  #dropOldest(): void {
     for (const old of this.#entries.values()) {
-      if (this.#retainedBytes <= MAX_RETAINED_BYTES) {
+      if (this.#retainedBytes <= MAX_RETAINED_BYTES && !this.#memory.mustDropRetained) {
         return;
       }
       this.#dropResult(old);
@@ -103,7 +120,9 @@
 
   #dropResult(entry: Entry): void {
     if (entry.result) {
-      this.#retainedBytes -= replayableBytes(entry.result) ?? 0;
+      const bytes = replayableBytes(entry.result) ?? 0;
+      this.#retainedBytes -= bytes;
+      this.#hold.add(-bytes);
       entry.result = undefined;
     }
   }
--- a/src/sidecar/gate/SlotServer.ts
+++ b/src/sidecar/gate/SlotServer.ts
@@ -10,6 +10,7 @@
 import type { GateLoad } from "../hop/GateLoad.ts";
 import { gateCodec } from "../hop/gateCodec.ts";
 import { RefusalReason } from "../hop/RefusalReason.ts";
+import type { MemoryAccount } from "../memory/MemoryAccount.ts";
 import type { TargetGates } from "./TargetGates.ts";
 
 type GateMessage = ProtoTypes["GateMessage"];
@@ -57,6 +58,8 @@
   readonly metrics: Pick<SidecarMetrics, "countRefusal" | "countLimitWait" | "observeQueueWait">;
   /** Sends a datagram, which may be lost. */
   readonly sendGateMessage: (address: string, message: GateMessage) => void;
+  /** Says whether this sidecar has memory for further runs; by default it always has. */
+  readonly memory?: Pick<MemoryAccount, "refuses">;
   readonly clock: Clock;
   readonly log: bunyan;
 }
@@ -179,6 +182,13 @@
       onReply(NO_TARGET_REPLY);
       return;
     }
+    if (this.#deps.memory?.refuses(request)) {
+      const { load } = gate;
+      // Sidecars of earlier releases ignore a refusal with a reason that they do not know.
+      const reason = RefusalReason.Full;
+      onReply({ kind: "refused", reason, retryAfterMs: RETRY_AFTER_MS, load });
+      return;
+    }
     const handle = gate.requestSlot(request, onReply);
     entry.withdraw = () => {
       handle.withdraw();
--- a/src/sidecar/gate/TargetRunner.ts
+++ b/src/sidecar/gate/TargetRunner.ts
@@ -127,6 +127,11 @@
       const run = { target, req, startedAt };
       const result = await guard.examine(run, sent, gate.retired.aborted);
       outcome = this.#detectorOutcome(result, activeRun, { attempt, target: target.id });
+      if ("ended" in result) {
+        void result.ended?.then((streamOutcome) => {
+          gate.recordStreamEnd(streamOutcome);
+        });
+      }
       return { ...result, calls: activeRuns.callMeans };
     } catch (err) {
       this.#deps.log.error({ err, attempt, target: target.id }, "run ended with an error");
--- a/src/sidecar/hop/HopClient.ts
+++ b/src/sidecar/hop/HopClient.ts
@@ -1,9 +1,13 @@
-import type { Readable } from "node:stream";
 import { Pool, type Dispatcher } from "undici";
 import { isConnectError } from "../../common/http/isConnectError.ts";
+import type { ResponseLimits } from "../../common/document/ResponseLimits.ts";
+import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
+import { SystemClock } from "../../common/lifecycle/SystemClock.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
+import { InterimLimit } from "../forwarding/InterimLimit.ts";
 import { readResponse } from "../forwarding/readResponse.ts";
+import { MemoryAccount } from "../memory/MemoryAccount.ts";
 import type { SlotClient } from "./SlotClient.ts";
 import type { SlotReply } from "./SlotReply.ts";
 import { checkBeforeSending, type CheckedDispatchOptions } from "./checkBeforeSending.ts";
@@ -24,6 +28,20 @@
 /** Called when the other sidecar signals (by status 102) that it is still processing the request. */
 type OnHeartbeat = () => void;
 
+/**
+ * Factor on the limit on silence within a response: the sidecar beside the target enforces that limit, and its report,
+ * a closed connection, should arrive before this sidecar assumes that the path to it is lost.
+ */
+const SILENCE_FACTOR = 2;
+
+interface HopClientOptions {
+  /** Limits on the bodies of responses; by default none. */
+  readonly responseLimits?: () => ResponseLimits;
+  /** Counts the responses that are being received; by default they are not counted. */
+  readonly memory?: MemoryAccount;
+  readonly clock?: Clock;
+}
+
 /** The connections to one sidecar, and the same with checks before a request is sent. */
 interface HopPools {
   readonly pool: Pool;
@@ -35,9 +53,16 @@
   readonly #slotClient: Pick<SlotClient, "requestSlot">;
   readonly #pools = new Map<string, HopPools>();
 
+  readonly #options: HopClientOptions;
+  readonly #memory: MemoryAccount;
+  readonly #clock: Clock;
+
   /** @param slotClient sends the slot requests */
-  constructor(slotClient: Pick<SlotClient, "requestSlot">) {
+  constructor(slotClient: Pick<SlotClient, "requestSlot">, options: HopClientOptions = {}) {
     this.#slotClient = slotClient;
+    this.#options = options;
+    this.#memory = options.memory ?? new MemoryAccount();
+    this.#clock = options.clock ?? SystemClock;
   }
 
   requestSlot(...args: Parameters<HopLink["requestSlot"]>): PendingCall<SlotReply> {
@@ -58,7 +83,7 @@
         ...NO_TIMEOUTS,
         ...checkGrant(req),
       });
-      return readResult(res.statusCode, res.headers, res.body);
+      return this.#readResult(res);
     });
   }
 
@@ -74,7 +99,7 @@
         onInfo,
         ...NO_TIMEOUTS,
       });
-      return readResult(res.statusCode, res.headers, res.body);
+      return this.#readResult(res);
     });
   }
 
@@ -100,7 +125,16 @@
     send: (signal: AbortSignal, onInfo: () => void) => Promise<T>,
   ): PendingCall<T> {
     const controller = new AbortController();
-    const result = send(controller.signal, onHeartbeat).catch((err: unknown) => {
+    const interim = new InterimLimit(this.#clock);
+    const onInfo = () => {
+      const exceeded = interim.count();
+      if (exceeded) {
+        controller.abort(exceeded);
+      } else {
+        onHeartbeat();
+      }
+    };
+    const result = send(controller.signal, onInfo).catch((err: unknown) => {
       throw isConnectError(err) ? new NotSentError(err) : err;
     });
     // A cancelled call may have no handler left for the rejection.
@@ -113,6 +147,28 @@
     };
   }
 
+  async #readResult({
+    statusCode,
+    headers,
+    body,
+  }: Dispatcher.ResponseData): Promise<ForwardResult> {
+    const { silenceMs, maxBytes } = this.#options.responseLimits?.() ?? {};
+    const response = await readResponse(body, {
+      bufferAll: false,
+      limits: { maxBytes, silenceMs: silenceMs && silenceMs * SILENCE_FACTOR },
+      memory: this.#memory,
+      clock: this.#clock,
+    });
+    const result = hopResponse.read(statusCode, headers, response);
+    if ("ended" in response && !(result && "body" in result)) {
+      response.body.destroy();
+    }
+    if (!result) {
+      throw new Error(`no sidecar's answer, status ${statusCode}`);
+    }
+    return result;
+  }
+
   #poolsTo(address: string): HopPools {
     let pools = this.#pools.get(address);
     if (!pools) {
@@ -168,16 +224,3 @@
     ...length,
   ];
 }
-
-async function readResult(
-  status: number,
-  headers: Record<string, string | string[] | undefined>,
-  body: Readable,
-): Promise<ForwardResult> {
-  const responseBody = await readResponse(body, false);
-  const result = hopResponse.read(status, headers, responseBody);
-  if (!result) {
-    throw new Error(`no sidecar's answer, status ${status}`);
-  }
-  return result;
-}
--- a/src/sidecar/ingress/CallerServer.ts
+++ b/src/sidecar/ingress/CallerServer.ts
@@ -6,6 +6,7 @@
 import { AttemptId } from "../../common/ids/AttemptId.ts";
 import { afterPendingInput } from "../../common/lifecycle/afterPendingInput.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
+import type { Timer } from "../../common/lifecycle/Timer.ts";
 import type { Tracing } from "../../common/telemetry/Tracing.ts";
 import type { Verdict } from "../../common/Verdict.ts";
 import type { SidecarMetrics } from "../admin/SidecarMetrics.ts";
@@ -20,6 +21,9 @@
 import { HOP } from "../hop/HOP.ts";
 import { idempotencyKeyOf } from "../records/idempotencyKeyOf.ts";
 import { unknownEarlierAttempt } from "../records/unknownEarlierAttempt.ts";
+import { holdUntilSent } from "../memory/holdUntilSent.ts";
+import { MemoryAccount } from "../memory/MemoryAccount.ts";
+import { MemoryHolder } from "../memory/MemoryHolder.ts";
 import type { CallerRequest } from "../routing/CallerRequest.ts";
 import type { Dispatcher } from "../routing/Dispatcher.ts";
 import { RequestOrigin } from "../routing/RequestOrigin.ts";
@@ -69,6 +73,8 @@
   readonly onResponse?: (res: TargetResponse, receivedAt: number) => void;
   /** Returns the origin of a request, from the remote address of its connection. */
   readonly originOf: (address: string | undefined) => RequestOrigin;
+  /** Counts the requests and responses held here, and says whether new ones are accepted; by default all are. */
+  readonly memory?: MemoryAccount;
   readonly metrics: SidecarMetrics;
   readonly tracing: Tracing;
   readonly clock: Clock;
@@ -93,6 +99,7 @@
  */
 export class CallerServer {
   readonly #deps: CallerServerDeps;
+  readonly #memory: MemoryAccount;
   readonly server: Server;
   readonly #connections = new CallerConnections();
   #isStopping = false;
@@ -101,6 +108,7 @@
 
   constructor(deps: CallerServerDeps) {
     this.#deps = deps;
+    this.#memory = deps.memory ?? new MemoryAccount();
     this.server = createServer(
       {
         maxHeaderSize: NODE_MAX_HEADER_BYTES,
@@ -187,6 +195,11 @@
       return;
     }
     const origin = this.#deps.originOf(req.socket.remoteAddress);
+    if (this.#memory.refuses({ isNestedCall: origin === RequestOrigin.TargetVm })) {
+      this.#deps.metrics.countMemoryRefusal();
+      this.#refuse(ctx, "this sidecar holds too many bytes", 503);
+      return;
+    }
     const admission = await this.#admit(req, origin);
     const { route } = admission;
     const admitted = { ...ctx, route, version: this.#deps.config()?.version ?? version };
@@ -197,17 +210,40 @@
     const timeoutMs = Math.min(admission.route.timeoutMs, metadata.remainingMs ?? Infinity);
     const timing = { startedAt, deadlineAt: startedAt + timeoutMs, disconnected, origin };
     const bufferBytes = this.#reserveBuffer(req);
+    const hold = this.#memory.hold(MemoryHolder.Requests, bufferBytes);
+    const timer = this.#limitUpload(admitted, timing.deadlineAt);
     try {
       const bounds = { maxBytes: config.limits.maxBodyBytes, maxBufferedBytes: bufferBytes };
-      await this.#forward(admitted, admission, await openBody(req, bounds), timing);
+      const opened = await openBody(req, bounds);
+      timer.cancel();
+      await this.#forward(admitted, admission, opened, timing);
     } catch (err) {
       admission.release();
       throw err;
     } finally {
+      timer.cancel();
+      hold.release();
       this.#bufferedBytes -= bufferBytes;
     }
   }
 
+  /**
+   * Limits the time in which a body that is buffered must arrive to the request's own: after its deadline it could not
+   * be served. The caller gets a refusal, and its connection is closed, as the rest of the body may never come.
+   */
+  #limitUpload(ctx: RequestContext, deadlineAt: number): Timer {
+    const { clock, log } = this.#deps;
+    return clock.timeout(deadlineAt - clock.now(), () => {
+      const { res, attempt } = ctx;
+      log.info({ attempt, limit: "the route's timeout for a request's body" }, "limit exceeded");
+      if (!res.destroyed && !res.headersSent) {
+        res.setHeader("connection", "close");
+        res.once("finish", () => res.req.destroy());
+        this.#refuse(ctx, "the request's body did not arrive in time", 408);
+      }
+    });
+  }
+
   #admit(req: IncomingMessage, origin: RequestOrigin): Promise<Admission> {
     return this.#deps.admission.admit({
       method: req.method ?? "GET",
@@ -342,6 +378,7 @@
     if (Buffer.isBuffer(body)) {
       const isHead = res.req.method === "HEAD" && declared !== undefined;
       res.setHeader("content-length", isHead ? declared : body.length);
+      holdUntilSent(this.#memory, MemoryHolder.SlowCallers, res, body.length);
       res.end(body);
       return;
     }
--- a/src/standin/FaultMode.ts
+++ b/src/standin/FaultMode.ts
@@ -25,4 +25,18 @@
   Truncate = "truncate",
   /** Never responds on connections opened before the fault was set; new connections work. */
   SilentOld = "silent-old",
+  /** Responses have a body without end. */
+  EndlessBody = "endless-body",
+  /** Responses have headers without end. */
+  EndlessHeaders = "endless-headers",
+  /** Responses have a status line without end. */
+  EndlessStatusLine = "endless-status-line",
+  /** Sends interim responses (status 103) without end instead of a response. */
+  EndlessInterim = "endless-interim",
+  /** Sends empty lines without end instead of a response. */
+  EndlessEmptyLines = "endless-empty-lines",
+  /** Responses have a chunk extension without end. */
+  EndlessChunkExtension = "endless-chunk-extension",
+  /** Responses have trailers without end. */
+  EndlessTrailers = "endless-trailers",
 }
--- a/src/standin/StandInTarget.ts
+++ b/src/standin/StandInTarget.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import { EndlessResponse } from "./EndlessResponse.ts";
 import { FaultMode } from "./FaultMode.ts";
 import { makeNestedCall } from "./makeNestedCall.ts";
 import type { StandInOptions } from "./StandInOptions.ts";
@@ -60,6 +61,8 @@
   readonly #arrivals: { at: number; via: string }[] = [];
   readonly #connectedAt = new WeakMap<Socket, number>();
   #mode = FaultMode.None;
+  /** Whether endless responses are sent one byte at a time. */
+  #trickles = false;
   #faultSetAt = 0;
   #alwaysReportsHealthy: boolean;
   #coldUntil: number;
@@ -191,8 +194,10 @@
         mode: FaultMode;
         via?: string;
         lies?: boolean;
+        trickles?: boolean;
       };
       this.#mode = body.mode;
+      this.#trickles = body.trickles ?? false;
       this.#faultSetAt = Date.now();
       this.#alwaysReportsHealthy = body.lies ?? this.#opts.alwaysReportsHealthy;
       this.#partitionedVia = body.via ?? "";
@@ -354,6 +359,12 @@
       res.destroy();
       return;
     }
+    if (EndlessResponse.isMode(this.#mode)) {
+      const echo = req.headers[this.#opts.echoHeader];
+      const line = typeof echo === "string" ? `${this.#opts.echoHeader}: ${echo}\r\n` : "";
+      EndlessResponse.send(req.socket, this.#mode, line, this.#trickles);
+      return;
+    }
     const filler = Number(new URL(req.url ?? "/", "http://standin").searchParams.get("bytes") ?? 0);
     const responseBody = JSON.stringify({
       target: this.#opts.id,
