Limit callers' uploads and control's documents, and what a target holds

A caller could hold a buffer for as long as it sent a byte now and then, and a control replica could send parts of a document without end. Service.maxRequestBytes in the document makes the gate refuse requests whose bodies its target could not hold together with those that it has.

--- a/src/common/document/Service.ts
+++ b/src/common/document/Service.ts
@@ -64,6 +64,8 @@
   healthPath: z.string().startsWith("/").optional(),
   /** Maximum number of connections that one target accepts from all callers together. */
   maxConnections: z.number().int().positive().optional(),
+  /** Total size of the request bodies that one target can hold at once, bytes; unlimited if omitted. */
+  maxRequestBytes: z.number().int().positive().optional(),
   annotations: Annotations,
 });
 
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -117,6 +117,7 @@
     this.#gates = new TargetGates({
       targets: () => table.localTargets(),
       detectorOf: (target) => this.#createDetector(target),
+      maxRequestBytes: ({ service }) => this.#serviceOf(service)?.maxRequestBytes,
       mayAwaitNestedCall: (since) => this.runs.hasOpenNestedCall(since),
       clock,
       grants,
@@ -293,6 +294,10 @@
     return !services || name === cfg.callerService || services.some((s) => s.name === name);
   }
 
+  #serviceOf(name: string): Service | undefined {
+    return this.#deps.document()?.services.find((s) => s.name === name);
+  }
+
   #stateOf(id: string): TargetState | undefined {
     return this.#deps.table.localTargets().find((t) => t.id === id)?.state;
   }
@@ -303,14 +308,13 @@
   }
 
   #createDetector(target: TargetInfo): HealthDetector {
-    const { cfg, document, clock, log, metrics } = this.#deps;
+    const { cfg, clock, log, metrics } = this.#deps;
     if (cfg.policy === "naive") {
       return AlwaysHealthyDetector;
     }
     return new GrayFailureDetector({
       rule: () => {
-        const service = document()?.services.find((s) => s.name === target.service);
-        return (service ?? DEFAULT_SERVICE).detection;
+        return (this.#serviceOf(target.service) ?? DEFAULT_SERVICE).detection;
       },
       clock,
       log: log.child({ target: target.id, service: target.service }),
--- a/src/sidecar/config/ControlWatch.ts
+++ b/src/sidecar/config/ControlWatch.ts
@@ -68,12 +68,22 @@
       this.#onStatedAge(raw.version, documentCodec.heartbeatAgeMs(raw));
       return;
     }
-    const whole = this.#parts.add(raw);
+    const whole = this.#join(raw);
     if (whole) {
       this.#deps.onUpdate(documentCodec.decode(whole));
     }
   }
 
+  /** Joins the parts of a version; ends the watch if there is no end of them. */
+  #join(part: ProtoTypes["ConfigVersion"]): ProtoTypes["ConfigVersion"] | undefined {
+    try {
+      return this.#parts.add(part);
+    } catch (err) {
+      this.#end(err instanceof Error ? err.message : String(err));
+      return undefined;
+    }
+  }
+
   /** The age counts from the request, so that a delay on the way does not make the document look newer. */
   #onStatedAge(version: number, ageMs: number | undefined): void {
     if (ageMs !== undefined) {
--- a/src/sidecar/gate/AdmissionRule.ts
+++ b/src/sidecar/gate/AdmissionRule.ts
@@ -19,7 +19,7 @@
   /** The target as last announced; undefined if it is gone. */
   readonly target: () => GatedTarget | undefined;
   readonly detector: Pick<HealthDetector, "admits">;
-  readonly slots: Pick<SlotTable, "probes">;
+  readonly slots: Pick<SlotTable, "probes" | "requestBytes">;
   readonly demand: Pick<DemandPublisher, "accepts">;
   readonly serviceTime: ServiceTime;
   readonly clock: Clock;
@@ -83,6 +83,9 @@
     if (!this.#admits(request)) {
       return RefusalReason.Suspect;
     }
+    if (!this.#fits(request, wait)) {
+      return RefusalReason.Full;
+    }
     const isTooLate = wait.ms > 0 && wait.ms + serviceTime.meanMs > request.remainingMs;
     return isTooLate ? fullReason(wait) : undefined;
   }
@@ -99,6 +102,16 @@
     return length >= most ? fullReason(wait) : undefined;
   }
 
+  /**
+   * Whether the target can hold the request's body: together with those that it holds if the request would be granted
+   * now, otherwise alone. One that does not fit is not queued until it does, as another target may have room.
+   */
+  #fits({ bodyBytes }: SlotRequest, wait: ExpectedWait): boolean {
+    const { maxRequestBytes = Infinity } = this.#deps.target() ?? {};
+    const heldBytes = wait.ms === 0 && bodyBytes > 0 ? this.#deps.slots.requestBytes : 0;
+    return heldBytes + bodyBytes <= maxRequestBytes;
+  }
+
   /** Whether the target's health admits the request, or it has been idle for so long that any request may test it. */
   #admits(request: SlotRequest): boolean {
     const { slots, demand, detector } = this.#deps;
--- a/src/sidecar/gate/Gate.test.ts
+++ b/src/sidecar/gate/Gate.test.ts
@@ -19,8 +19,13 @@
 const GRANT_TTL_MS = 250;
 
 /** A gate to a target with `slots`; replies are recorded by attempt. */
-function rig(slots = 2, detector: HealthDetector = AlwaysHealthyDetector, clock = new FakeClock()) {
-  const target = { slots, acceptsRequests: true, isPresent: true };
+function rig(
+  slots = 2,
+  detector: HealthDetector = AlwaysHealthyDetector,
+  clock = new FakeClock(),
+  maxRequestBytes?: number,
+) {
+  const target = { slots, acceptsRequests: true, isPresent: true, maxRequestBytes };
   const gate = new Gate({
     target: () => (target.isPresent ? target : undefined),
     detector,
@@ -62,6 +67,23 @@
   t.is(gate.load.busy, 2);
 });
 
+test("gate: the bodies of the requests at a target stay within what it can hold", async (t) => {
+  // Guards against a target that crashes as the requests that it holds exceed its memory.
+  const { clock, requestSlot, run, replyTo } = rig(2, undefined, undefined, 100);
+  requestSlot("too large", { bodyBytes: 101 });
+  requestSlot("a", { bodyBytes: 60 });
+  requestSlot("beside a", { bodyBytes: 60 });
+  requestSlot("b", { bodyBytes: 40 });
+  requestSlot("queued", { bodyBytes: 60 });
+  requestSlot("without a body");
+  const before = ["too large", "a", "beside a", "b", "queued", "without a body"].map(replyTo);
+  t.deepEqual(before, ["full", "granted", "full", "granted", "waits", "waits"]);
+  run("b", 10);
+  run("a", 20);
+  await clock.advance(10);
+  t.deepEqual(["queued", "without a body"].map(replyTo), ["full", "granted"]);
+});
+
 test("gate: an unused grant expires and its slot goes to the next request", async (t) => {
   // The sidecar that was granted the slot is killed before it uses it. The slot must not stay idle.
   const { clock, gate, requestSlot, replyTo, grantOf } = rig(1);
--- a/src/sidecar/gate/GateServer.ts
+++ b/src/sidecar/gate/GateServer.ts
@@ -113,11 +113,20 @@
       this.#respond(res, result);
       return;
     }
-    const opened = await openBody(req, BODY_LIMITS).catch((err: unknown) => {
-      aliveSignal.stop();
-      runner.release(grant);
-      throw err;
+    // After its deadline the request could not run, so the rest of its body is of no use.
+    const uploadTimer = clock.timeout(Number(req.headers[HOP.remaining]), () => {
+      log.info({ ...grant, limit: "the time remaining for a request's body" }, "limit exceeded");
+      req.destroy();
     });
+    const opened = await openBody(req, BODY_LIMITS)
+      .catch((err: unknown) => {
+        aliveSignal.stop();
+        runner.release(grant);
+        throw err;
+      })
+      .finally(() => {
+        uploadTimer.cancel();
+      });
     const body = "body" in opened ? opened.body : undefined;
     const startedAt = clock.now();
     const span = this.#deps.tracing.startSpan("sidecar.run", req.headers);
--- a/src/sidecar/gate/SlotTable.ts
+++ b/src/sidecar/gate/SlotTable.ts
@@ -32,6 +32,11 @@
     return this.#holders.size;
   }
 
+  /** Total size of the bodies of the requests that have a slot, bytes. */
+  get requestBytes(): number {
+    return [...this.#holders.values()].reduce((sum, { request }) => sum + request.bodyBytes, 0);
+  }
+
   /** Number of granted slots whose requests have not arrived. */
   get pending(): number {
     return [...this.#holders.values()].filter((h) => h.state === "granted").length;
--- a/src/sidecar/gate/TargetGates.ts
+++ b/src/sidecar/gate/TargetGates.ts
@@ -17,6 +17,8 @@
   readonly clock: Clock;
   readonly log: bunyan;
   readonly grants: GrantIds;
+  /** Total size of the request bodies that a target can hold at once, bytes; by default it is not known. */
+  readonly maxRequestBytes?: (target: TargetInfo) => number | undefined;
   /** Whether a run that began at `since` (ms) may be waiting for a nested call. */
   readonly mayAwaitNestedCall?: (since: number) => boolean;
   /** Called when the health state of a target changes. */
@@ -159,7 +161,13 @@
     const gate = new Gate({
       target: () => {
         const now = targets().find((t) => t.id === id && t.born === born);
-        return now && { slots: now.slots, acceptsRequests: now.state === TargetState.Ready };
+        return (
+          now && {
+            slots: now.slots,
+            maxRequestBytes: this.#deps.maxRequestBytes?.(now),
+            acceptsRequests: now.state === TargetState.Ready,
+          }
+        );
       },
       detector: detectorOf(target),
       mayAwaitNestedCall,
--- a/src/sidecar/ingress/CallerServer.test.ts
+++ b/src/sidecar/ingress/CallerServer.test.ts
@@ -6,6 +6,7 @@
 import bunyan from "bunyan";
 import { eventually } from "../../../test/fixtures/eventually.ts";
 import { makeRoute } from "../../../test/fixtures/makeRoute.ts";
+import { makeService } from "../../../test/fixtures/makeService.ts";
 import { Limits } from "../../common/document/Limits.ts";
 import { TargetId } from "../../common/ids/TargetId.ts";
 import { WorkspaceName } from "../../common/ids/WorkspaceName.ts";
@@ -15,6 +16,8 @@
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import { ownDialect } from "../dialect/ownDialect.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
+import { MemoryAccount } from "../memory/MemoryAccount.ts";
+import { MemoryHolder } from "../memory/MemoryHolder.ts";
 import type { CallerRequest } from "../routing/CallerRequest.ts";
 import { RequestOrigin } from "../routing/RequestOrigin.ts";
 import type { Admission } from "../workspaces/Admission.ts";
@@ -49,6 +52,7 @@
   limits: Partial<Limits> = {},
   hasConfig = true,
   admit: RequestAdmission["admit"] = () => Promise.resolve(admitted),
+  memory = new MemoryAccount(),
 ) {
   const dispatched = new Map<
     string,
@@ -72,6 +76,7 @@
         }),
     },
     dialect: ownDialect,
+    memory,
     metrics: new SidecarMetrics(),
     tracing: noTracing,
     clock: SystemClock,
@@ -432,3 +437,55 @@
     t.is(releases, released);
   });
 }
+
+const sized = (maxRequestBytes: number): Admission => ({
+  ...admitted,
+  route: makeRoute({ service: makeService({ maxRequestBytes }), timeoutMs: 300 }),
+});
+
+/** Requests that are refused before they are dispatched, each with the head and body that its caller has sent so far. */
+const earlyRefusals: readonly { name: string; sent: string; heldBytes?: number; status: string }[] =
+  [
+    // Otherwise a caller could hold a buffer for as long as it sends one byte now and then.
+    {
+      name: "a body that has not arrived by the deadline",
+      sent: "content-length: 9\r\n\r\nx",
+      status: "408",
+    },
+    {
+      name: "a body that no target can hold",
+      sent: "content-length: 11\r\n\r\n01234567890",
+      status: "413",
+    },
+    { name: "near the memory limit", sent: "\r\n", heldBytes: 76, status: "503" },
+  ];
+
+for (const { name, sent, heldBytes = 0, status } of earlyRefusals) {
+  test(`caller server: refused as not run: ${name}`, async (t) => {
+    const memory = new MemoryAccount({ maxHeldBytes: () => 100 });
+    const held = memory.hold(MemoryHolder.SlowCallers, heldBytes);
+    const admit = () => Promise.resolve(sized(10));
+    const { socket, dispatched, received } = await openConnection(t, {}, true, admit, memory);
+    socket.write(`POST /a HTTP/1.1\r\nhost: a\r\n${sent}`);
+    await eventually(() => responsesIn(received()).length > 0);
+    t.deepEqual(responsesIn(received()), [status]);
+    t.true(received().includes('"not-run"'));
+    t.is(dispatched.size, 0);
+    held.release();
+    await eventually(() => Object.values(memory.heldBytes).every((bytes) => bytes === 0));
+    t.true(Object.values(memory.heldBytes).every((bytes) => bytes === 0));
+  });
+}
+
+test("caller server: a ready response is delivered over the memory limit, and counted until it is sent", async (t) => {
+  const memory = new MemoryAccount({ maxHeldBytes: () => 100 });
+  const { socket, dispatched, received } = await openConnection(t, {}, true, undefined, memory);
+  await pipeline(socket, dispatched, ["/a"]);
+  const others = memory.hold(MemoryHolder.SlowSidecars, 200);
+  dispatched.get("/a")?.settle(done("ready"));
+  await eventually(() => responsesIn(received()).length > 0);
+  t.deepEqual(responsesIn(received()), ["ready"]);
+  others.release();
+  await eventually(() => memory.heldBytes[MemoryHolder.SlowCallers] === 0);
+  t.is(memory.heldBytes[MemoryHolder.SlowCallers], 0);
+});
--- a/src/sidecar/ingress/CallerServer.ts
+++ b/src/sidecar/ingress/CallerServer.ts
@@ -266,6 +266,12 @@
       this.#refuse(ctx, "request body too large", 413);
       return;
     }
+    const sizeRefusal = refuseForTarget(opened, route.service.maxRequestBytes);
+    if (sizeRefusal) {
+      release();
+      this.#refuse(ctx, sizeRefusal.reason, sizeRefusal.status);
+      return;
+    }
     const { req } = ctx.res;
     const span = this.#deps.tracing.startSpan("sidecar.ingress", req.headers);
     const forwardSpan = span.startChild("sidecar.forward");
@@ -411,6 +417,20 @@
 /** Statuses of refusals that the same request would get again, so that they carry no `Retry-After`. */
 const FINAL_REFUSALS = new Set([400, UNAUTHORIZED, 404, 413, 422, 431]);
 
+/** Refuses a body that no target of the service can hold, or one whose size gates cannot take into account. */
+function refuseForTarget(
+  opened: Exclude<Awaited<ReturnType<typeof openBody>>, { kind: "too-large" }>,
+  maxBytes = Infinity,
+): { reason: string; status: number } | undefined {
+  const length = opened.kind === "stream" ? opened.length : (opened.body?.length ?? 0);
+  if (length === undefined && maxBytes < Infinity) {
+    return { reason: "the service needs a content-length", status: 411 };
+  }
+  return (length ?? 0) > maxBytes
+    ? { reason: "request body too large for the service's targets", status: 413 }
+    : undefined;
+}
+
 function statusFor(verdict: Verdict): number {
   switch (verdict.kind) {
     case "done":
