--- a/soak/FaultPlayer.ts
+++ b/soak/FaultPlayer.ts
@@ -1,6 +1,7 @@
 import { FaultMode } from "../src/standin/FaultMode.ts";
-import type { BlackoutRecord, Disturbance, LimitRecord, StopRecord } from "./History.ts";
+import type { BlackoutRecord, Disturbance, LimitRecord, SlowRead, StopRecord } from "./History.ts";
 import type { Rng } from "./createRng.ts";
+import { readSlowly } from "./readSlowly.ts";
 import { LinkMode } from "./LinkProxy.ts";
 import { FATAL_REQUEST, type SoakFleet } from "./SoakFleet.ts";
 import type { SoakAccounts } from "./SoakAccounts.ts";
@@ -36,6 +37,20 @@
   [FaultKind.TargetSilent]: FaultMode.Silent,
 };
 
+/** The bytes that targets send without end. A body is left out: its start is passed on before it turns out to be endless. */
+const ENDLESS_MODES = [
+  FaultMode.EndlessInterim,
+  FaultMode.EndlessHeaders,
+  FaultMode.EndlessEmptyLines,
+  FaultMode.EndlessStatusLine,
+  FaultMode.EndlessTrailers,
+  FaultMode.EndlessChunkExtension,
+];
+
+/** Number of slow readers that one fault adds, and the bytes that each requests: more than the kernel buffers. */
+const SLOW_READERS = 4;
+const SLOW_READER_BYTES = 8_000_000;
+
 const LINK_MODES: Readonly<Partial<Record<FaultKind, LinkMode>>> = {
   [FaultKind.LinkDelay]: LinkMode.Delay,
   [FaultKind.LinkCut]: LinkMode.Cut,
@@ -47,6 +62,7 @@
 
 /** Injects a schedule of faults into a fleet, from outside, and records which process was affected and when. */
 export class FaultPlayer {
+  readonly slowReads: SlowRead[] = [];
   readonly #fleet: SoakFleet;
   readonly #operator: SoakOperator;
   readonly #accounts: SoakAccounts;
@@ -107,6 +123,12 @@
       case FaultKind.TargetKill:
         this.#fleet.killTarget(on);
         return;
+      case FaultKind.TargetEndless:
+        await this.#faultTarget(on, kind, this.#rng.pick(ENDLESS_MODES), forS);
+        return;
+      case FaultKind.SlowReaders:
+        await Promise.all(Array.from({ length: SLOW_READERS }, () => this.#readSlowly(on, forS)));
+        return;
       case FaultKind.TargetLimit:
         await this.#limitTarget(on, forS);
         return;
@@ -214,6 +236,14 @@
     }
   }
 
+  async #readSlowly(on: string, forS: number): Promise<void> {
+    const from = this.#fleet.now;
+    const port = this.#fleet.callerPort(on);
+    const path = `/ledger/slow-reader?bytes=${SLOW_READER_BYTES}`;
+    const read = await readSlowly(port, path, forS * 1000);
+    this.slowReads.push({ via: on, from, until: this.#fleet.now, ...read });
+  }
+
   async #faultLink(on: string, kind: string, mode: LinkMode, forS: number): Promise<void> {
     const end = this.#beginDisturbance(on, kind);
     const links = this.#fleet.links(on);
--- a/soak/History.ts
+++ b/soak/History.ts
@@ -127,6 +127,17 @@
   until: number;
 }
 
+/** A large response that a caller did not read for some time after it had begun. */
+export interface SlowRead {
+  /** The VM to whose sidecar the request was sent. */
+  readonly via: string;
+  readonly from: number;
+  readonly until: number;
+  /** HTTP status; 0 without a response. */
+  readonly status: number;
+  readonly isWhole: boolean;
+}
+
 /** Everything that was observed of a soak run, from outside the processes. */
 export interface History {
   readonly calls: readonly CallRecord[];
@@ -143,6 +154,7 @@
   readonly limits: readonly LimitRecord[];
   /** Targets that said in their responses from `at` on that they were leaving. */
   readonly leavings: readonly { readonly target: string; readonly at: number }[];
+  readonly slowReads: readonly SlowRead[];
   readonly uses: readonly ResourceSample[];
   /** End of the last fault, ms. */
   readonly faultsEndAt: number;
--- a/soak/SoakFleet.ts
+++ b/soak/SoakFleet.ts
@@ -58,6 +58,7 @@
         retryBudget: { ratio, windowMs, slack },
         stop: { callersMs: CALLERS_DRAIN_MS, graceMs: STOP_GRACE_MS },
         gossipIntervalMs: 500,
+        memory: { maxHeldBytes: 64 << 20 },
       },
       standInArgs: (id, ports) => this.#standInArgs(id, ports),
     });
--- a/soak/SoakPlan.ts
+++ b/soak/SoakPlan.ts
@@ -48,6 +48,10 @@
   TargetTruncates = "target-truncates",
   /** The target accepts requests and never responds. */
   TargetSilent = "target-silent",
+  /** The target sends bytes without end before, or instead of, its responses: a different kind of bytes each time. */
+  TargetEndless = "target-endless",
+  /** Callers request large responses through the VM's sidecar, and do not read them for the fault's duration. */
+  SlowReaders = "slow-readers",
   /** The target reports that it is draining, and still serves requests for a while. */
   TargetDrains = "target-drains",
   /** The target names a limit on the rate of its requests in its responses. */
--- a/soak/checks/allChecks.ts
+++ b/soak/checks/allChecks.ts
@@ -1,4 +1,6 @@
 import type { Check } from "./Check.ts";
+import { endlessBytesAreContained } from "./endlessBytesAreContained.ts";
+import { slowReadersAreServed } from "./slowReadersAreServed.ts";
 import { documentIsApplied } from "./documentIsApplied.ts";
 import { nothingOlderAfterBlackouts } from "./nothingOlderAfterBlackouts.ts";
 import { leavingGetsNoWork } from "./leavingGetsNoWork.ts";
@@ -39,5 +41,7 @@
   nothingOlderAfterBlackouts,
   readyAcceptsConnections,
   recoversAfterFaults,
+  endlessBytesAreContained,
+  slowReadersAreServed,
   resourceUseIsBounded,
 ];
--- a/soak/checks/checks.test.ts
+++ b/soak/checks/checks.test.ts
@@ -46,6 +46,7 @@
   accounts: [],
   limits: [],
   leavings: [],
+  slowReads: [],
   uses: [],
   faultsEndAt: 20_000,
   endAt: 40_000,
@@ -145,6 +146,37 @@
       { calls: [call({ bodyTag: undefined })] },
     ],
   },
+  {
+    guarantee: /without end/,
+    satisfying: {
+      calls: [
+        call({}),
+        call({ service: "desk", status: 0, verdict: "left" }),
+        call({ sentAt: 30_000, endedAt: 34_000, status: 0, verdict: "left" }),
+      ],
+      disturbances: [{ on: "bookings-0", kind: "target-endless", from: 9000, until: 20_000 }],
+    },
+    violating: [
+      {
+        calls: [call({ status: 0, verdict: "left" })],
+        disturbances: [{ on: "bookings-0", kind: "target-endless", from: 9000, until: 20_000 }],
+      },
+    ],
+  },
+  {
+    guarantee: /reads slowly/,
+    satisfying: {
+      slowReads: [
+        { via: "desk-0", from: 0, until: 9000, status: 200, isWhole: true },
+        { via: "desk-0", from: 0, until: 9000, status: 503, isWhole: false },
+        { via: "desk-0", from: 0, until: 9000, status: 200, isWhole: false },
+      ],
+      disturbances: [{ on: "ledger-1", kind: "kill", from: 8000, until: 10_000 }],
+    },
+    violating: [
+      { slowReads: [{ via: "desk-0", from: 0, until: 9000, status: 200, isWhole: false }] },
+    ],
+  },
   {
     guarantee: /ends its targets/,
     satisfying: { targets: crashed([1000, 1500, 2000, 4900, 5100, 9000, 12_000]) },
--- a/soak/planSoak.ts
+++ b/soak/planSoak.ts
@@ -90,6 +90,7 @@
     faults: [
       ...planFaults(rng, seconds, vms, controlIds),
       ...planBlackouts(blackoutRng, seconds, controlIds),
+      ...planByteFaults(createRng(seed + 5), seconds, vms),
     ].sort((a, b) => a.atS - b.atS),
     sidecarDisks: blackoutRng.int(1, 2) === 1,
   };
@@ -155,6 +156,16 @@
   });
 }
 
+/** Plans slow readers and targets that send bytes without end; drawn separately, as the blackouts are. */
+function planByteFaults(rng: Rng, seconds: number, vms: readonly string[]): PlannedFault[] {
+  const end = seconds - QUIET_AFTER_S;
+  return [FaultKind.TargetEndless, FaultKind.TargetEndless, FaultKind.SlowReaders].map((kind) => {
+    const atS = rng.between(QUIET_BEFORE_S, end);
+    const forS = Math.min(rng.between(...FAULT_DURATION_S), end - atS);
+    return { kind, atS, forS, on: rng.pick(vms) };
+  });
+}
+
 /** Kinds of faults after which a target does not return. */
 const LEAVING_KINDS = new Set([FaultKind.TargetDrains, FaultKind.TargetLeaving]);
 
--- a/soak/playSoak.ts
+++ b/soak/playSoak.ts
@@ -75,6 +75,7 @@
     accounts: accounts.records,
     limits: faultPlayer.limits,
     leavings: faultPlayer.leavings,
+    slowReads: faultPlayer.slowReads,
     uses: monitor.resourceSamples,
     faultsEndAt,
     endAt: fleet.now,
--- a/soak/soakDocument.ts
+++ b/soak/soakDocument.ts
@@ -34,6 +34,7 @@
     ledger: ["/ledger", changePath(change)],
   } as const;
   return stringify({
+    limits: { responses: { maxBytes: 50_000_000, silenceMs: 1000 } },
     services: services.map(({ name }) => ({
       name,
       customer: "soak",
