--- a/src/common/document/Service.ts
+++ b/src/common/document/Service.ts
@@ -66,6 +66,8 @@
   maxConnections: z.number().int().positive().optional(),
   /** Whether the slot time of each target is shared among workspaces by their weights. */
   fairShares: z.boolean().optional(),
+  /** Total size of the request bodies that one target can hold at once, bytes; unlimited if omitted. */
+  maxRequestBytes: z.number().int().positive().optional(),
   annotations: Annotations,
 });
 
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -30,6 +30,7 @@
 import type { TargetRequest } from "./forwarding/TargetRequest.ts";
 import { TargetSender } from "./forwarding/TargetSender.ts";
 import { WorkspaceWeights } from "./fairness/WorkspaceWeights.ts";
+import type { MemoryAccount } from "./memory/MemoryAccount.ts";
 import { SlotServer } from "./gate/SlotServer.ts";
 import { GateServer } from "./gate/GateServer.ts";
 import { GrantIds } from "./gate/GrantIds.ts";
@@ -81,6 +82,8 @@
   readonly dialect: Dialect;
   readonly tracing: Tracing;
   readonly metrics: SidecarMetrics;
+  /** Counts the bytes of requests and responses held here. */
+  readonly memory: MemoryAccount;
   /** Knows the requests that crash the targets that run them. */
   readonly quarantine: Quarantine;
   /** Whether this sidecar has started recently, and may not know all members yet. */
@@ -109,13 +112,14 @@
   constructor(deps: TargetSideDeps) {
     super();
     this.#deps = deps;
-    const { table, clock, log, dialect, cfg, tracing, metrics, sendGateMessage } = deps;
+    const { table, clock, log, dialect, cfg, tracing, metrics, memory, sendGateMessage } = deps;
     const grants = new GrantIds(randomBytes(BOOT_ID_BYTES).toString("hex"));
     const weights = new WorkspaceWeights(() => deps.document()?.workspaces);
     this.runs = new ActiveRuns(clock);
     this.#gates = new TargetGates({
       targets: () => table.localTargets(),
       detectorOf: (target) => this.#createDetector(target),
+      maxRequestBytes: ({ service }) => this.#serviceOf(service)?.maxRequestBytes,
       mayAwaitNestedCall: (since) => this.runs.hasOpenNestedCall(since),
       clock,
       grants,
@@ -149,6 +153,12 @@
         onSignals: (...args) => {
           signals.record(...args);
         },
+        responseLimits: () => deps.document()?.limits.responses ?? {},
+        memory,
+        onLimitExceeded: ({ id, service }, { metadata: { attempt } }, limit) => {
+          log.warn({ attempt, target: id, limit }, "response exceeded a limit");
+          metrics.countLimitExceeded(service);
+        },
         onOtherTarget: (target, other) => {
           log.info({ target: target.id, other }, "another target answers at this address");
           table.noteReplaced(target.id);
@@ -172,7 +182,7 @@
     });
     const runner = new TargetRunner({
       gates: this.#gates,
-      runs: new RunTable(clock),
+      runs: new RunTable(clock, memory),
       activeRuns: this.runs,
       target: (id) => table.localTargets().find((t) => t.id === id),
       send: (target, req) => sendAtMostOnce(sender, atMostOnceRunner, target, req),
@@ -181,10 +191,11 @@
       grants,
       log,
     });
-    this.gateServer = new GateServer({ runner, tracing, clock, log });
+    this.gateServer = new GateServer({ runner, tracing, memory, clock, log });
     this.slotServer = new SlotServer({
       gates: this.#gates,
       metrics,
+      memory,
       sendGateMessage,
       clock,
       log,
@@ -297,6 +308,10 @@
     return !services || name === cfg.callerService || services.some((s) => s.name === name);
   }
 
+  #serviceOf(name: string): Service | undefined {
+    return this.#deps.document()?.services.find((s) => s.name === name);
+  }
+
   #stateOf(id: string): TargetState | undefined {
     return this.#deps.table.localTargets().find((t) => t.id === id)?.state;
   }
@@ -307,14 +322,13 @@
   }
 
   #createDetector(target: TargetInfo): HealthDetector {
-    const { cfg, document, clock, log, metrics } = this.#deps;
+    const { cfg, clock, log, metrics } = this.#deps;
     if (cfg.policy === "naive") {
       return AlwaysHealthyDetector;
     }
     return new GrayFailureDetector({
       rule: () => {
-        const service = document()?.services.find((s) => s.name === target.service);
-        return (service ?? DEFAULT_SERVICE).detection;
+        return (this.#serviceOf(target.service) ?? DEFAULT_SERVICE).detection;
       },
       clock,
       log: log.child({ target: target.id, service: target.service }),
