--- a/bench/workspaces.ts
+++ b/bench/workspaces.ts
@@ -72,7 +72,13 @@
   const document = { ...EMPTY_DOCUMENT, workspaces };
   const quotas = new WorkspaceQuotas({
     document: () => document,
-    holders: () => ({ self: ReplicaId("a"), ids: [ReplicaId("a")], parts: 1 }),
+    holders: () => ({
+      self: ReplicaId("a"),
+      ids: [ReplicaId("a")],
+      parts: 1,
+      since: -Infinity,
+      settledSince: -Infinity,
+    }),
     tolerance: () => QuotaTolerance.parse({}),
     clock: SystemClock,
   });
--- a/src/common/rates/TokenBucket.ts
+++ b/src/common/rates/TokenBucket.ts
@@ -30,12 +30,24 @@
     this.#level -= 1;
   }
 
-  /** Puts a token back that was taken and not used. */
-  putBack(limits: BucketLimits, now: number): void {
-    this.#level += 1;
+  /** Puts a token back that was taken and not used, or `tokens` of it. */
+  putBack(limits: BucketLimits, now: number, tokens = 1): void {
+    this.#level += tokens;
     this.#fill(limits, now);
   }
 
+  /** Takes `tokens`, which must not exceed the level, and may be a part of one. */
+  takePart(tokens: number, limits: BucketLimits, now: number): void {
+    this.#fill(limits, now);
+    this.#level -= tokens;
+  }
+
+  /** Tokens in the bucket. */
+  levelAt(limits: BucketLimits, now: number): number {
+    this.#fill(limits, now);
+    return this.#level;
+  }
+
   /** Time until `tokens` can be taken, ms. */
   waitMs(limits: BucketLimits, now: number, tokens = 1): number {
     this.#fill(limits, now);
--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -35,8 +35,37 @@
     compare: ProtoTypes["Digests"] | null;
     admission_ask: ProtoTypes["AdmissionAsk"] | null;
     admission: ProtoTypes["AdmissionReply"] | null;
+    lease_ask: ProtoTypes["LeaseAsk"] | null;
+    lease: ProtoTypes["Lease"] | null;
+    credit_ask: ProtoTypes["CreditAsk"] | null;
+    credit: ProtoTypes["Credit"] | null;
   };
-  AdmissionAsk: { workspace: string; returned: boolean };
+  AdmissionAsk: { workspace: string; returned: boolean; can_lease: boolean };
+  LeaseAsk: {
+    workspace: string;
+    holder: string;
+    process: number;
+    lease: number;
+    in_force: boolean;
+    unconfirmed: boolean;
+    granted: number;
+    refused: number;
+    released: boolean;
+    level: number;
+  };
+  Lease: {
+    refusal: string;
+    lease: number;
+    term: number;
+    rate: number;
+    capacity: number;
+    level: number;
+    holder: string;
+    left: number;
+    wanted_by: string;
+  };
+  CreditAsk: { workspace: string; returned: string };
+  Credit: { kind: string; retry_after: number; holder: string; grant: string };
   AdmissionReply: { version: number; age: number; credit: string; retry_after: number };
   Digests: { digests: number[] };
   GateMessage: {
--- a/src/control/quota/ShareHolders.ts
+++ b/src/control/quota/ShareHolders.ts
@@ -6,4 +6,8 @@
   readonly ids: readonly string[];
   /** Number of parts that quotas are divided into: at least the number of voters. */
   readonly parts: number;
+  /** Time since which this replica may grant its part, ms; -Infinity if since its start. */
+  readonly since: number;
+  /** Time since which the parts of replicas that left the group are no longer used, ms. */
+  readonly settledSince: number;
 }
--- a/src/control/quota/VoterShares.ts
+++ b/src/control/quota/VoterShares.ts
@@ -11,10 +11,15 @@
  */
 const GROUP_CHANGE_MS = 3000;
 
+/** Terms for which a lease of a removed voter may still be in force: it may be renewed once without a recent state. */
+const LEASE_TERMS = 2;
+
 interface VoterSharesDeps {
   readonly replica: Pick<Replica, "id" | "voters" | "role" | "stateAgeMs">;
   /** Number of voters that the group should have. */
   readonly wantedVoters: number;
+  /** Term of the leases that voters grant, ms; 0 if they grant none. */
+  readonly leaseTermMs?: number;
   readonly clock: Clock;
 }
 
@@ -25,13 +30,18 @@
  */
 export class VoterShares {
   readonly #deps: VoterSharesDeps;
+  /** Time for which the share of a removed voter may still be in use, ms. */
+  readonly #groupChangeMs: number;
   #voterSince: number;
   #wasVoter: boolean;
+  /** The ids of the voters, and since when they have been these, ms. */
+  #group = { ids: "", since: -Infinity };
   /** Largest number of parts in use, and until when it stays so, ms. */
   #held = { parts: 0, until: -Infinity };
 
   constructor(deps: VoterSharesDeps) {
     this.#deps = deps;
+    this.#groupChangeMs = GROUP_CHANGE_MS + LEASE_TERMS * (deps.leaseTermMs ?? 0);
     this.#wasVoter = this.#isVoter;
     this.#voterSince = -Infinity;
     this.update();
@@ -44,11 +54,15 @@
       this.#voterSince = now;
     }
     this.#wasVoter = this.#isVoter;
+    const ids = this.#deps.replica.voters.map((v) => v.id).join();
+    if (ids !== this.#group.ids) {
+      this.#group = { ids, since: this.#group.ids === "" ? -Infinity : now };
+    }
     const parts = Math.max(this.#deps.wantedVoters, this.#deps.replica.voters.length);
     if (parts >= this.#held.parts) {
       this.#held = { parts, until: Infinity };
     } else if (this.#held.until === Infinity) {
-      this.#held = { ...this.#held, until: now + GROUP_CHANGE_MS };
+      this.#held = { ...this.#held, until: now + this.#groupChangeMs };
     } else if (now >= this.#held.until) {
       this.#held = { parts, until: Infinity };
     }
@@ -59,11 +73,22 @@
     this.update();
     const { replica, clock } = this.#deps;
     const { stateAgeMs } = replica;
-    const isNew = clock.now() < this.#voterSince + GROUP_CHANGE_MS;
-    if (!this.#isVoter || isNew || stateAgeMs === undefined || stateAgeMs > MAX_STATE_AGE_MS) {
+    const since = this.#voterSince + this.#groupChangeMs;
+    if (
+      !this.#isVoter ||
+      clock.now() < since ||
+      stateAgeMs === undefined ||
+      stateAgeMs > MAX_STATE_AGE_MS
+    ) {
       return undefined;
     }
-    return { self: replica.id, ids: replica.voters.map((v) => v.id), parts: this.#held.parts };
+    return {
+      self: replica.id,
+      ids: replica.voters.map((v) => v.id),
+      parts: this.#held.parts,
+      since,
+      settledSince: this.#group.since + this.#groupChangeMs,
+    };
   }
 
   get #isVoter(): boolean {
--- a/src/control/quota/WorkspaceQuotas.ts
+++ b/src/control/quota/WorkspaceQuotas.ts
@@ -5,7 +5,7 @@
 import type { BucketLimits } from "../../common/rates/BucketLimits.ts";
 import type { CreditOutcome } from "../../common/rpc/CreditOutcome.ts";
 import { RecentCount } from "./RecentCount.ts";
-import { quotaShare } from "./quotaShare.ts";
+import { quotaShare, type QuotaShare } from "./quotaShare.ts";
 import type { ShareHolders } from "./ShareHolders.ts";
 import { TokenBucket } from "../../common/rates/TokenBucket.ts";
 
@@ -19,12 +19,18 @@
   readonly tolerance: () => QuotaTolerance;
   /** Whether the whole system starts for the first time, so that no earlier incarnation has granted anything. */
   readonly isFirstStart?: boolean;
+  /** Term of the leases that voters grant, ms; 0 if they grant none. */
+  readonly leaseTermMs?: number;
   readonly clock: Clock;
 }
 
 /** Usage of one workspace's quota at this replica. */
 interface WorkspaceUsage {
-  readonly bucket: TokenBucket;
+  bucket: TokenBucket;
+  /** Since when this replica has been entitled to its part, ms. */
+  readonly since: number;
+  /** Whether a quota holder has a lease of this part, so that no credit is granted here. */
+  isLeased: boolean;
   /** The limits by which the bucket was last used. */
   limits: BucketLimits;
   readonly granted: RecentCount;
@@ -40,6 +46,8 @@
   readonly #deps: WorkspaceQuotasDeps;
   readonly #startedAt: number;
   readonly #usage = new Map<string, WorkspaceUsage>();
+  /** When parts were taken back of which nothing else is known here, ms. */
+  readonly #takenBackAt = new Map<string, number>();
   #sweptAt: number;
   #index: { document: OperatorDocument; workspaces: ReadonlyMap<string, Workspace> } | undefined;
 
@@ -53,7 +61,7 @@
   /** Takes a credit for one request of `workspace`. */
   take(workspace: string): CreditOutcome {
     const usage = this.#find(workspace);
-    if (!usage) {
+    if (!usage || usage.isLeased) {
       return { kind: "unavailable" };
     }
     const { limits } = usage;
@@ -70,13 +78,52 @@
   /** Takes back a credit whose request has not run. */
   putBack(workspace: string): void {
     const usage = this.#usage.get(workspace);
-    if (usage) {
+    if (usage && !usage.isLeased) {
       const now = this.#deps.clock.now();
       usage.granted.add(-1, now);
       usage.bucket.putBack(usage.limits, now);
     }
   }
 
+  /** Whether this replica is a voter with a recent state, and may grant its parts of the quotas. */
+  get isEntitled(): boolean {
+    return this.#deps.holders() !== undefined;
+  }
+
+  /** Limits of this replica's part of a quota; undefined if it must not grant any. */
+  limitsOf(workspace: string): BucketLimits | undefined {
+    return this.#find(workspace)?.limits;
+  }
+
+  /** Leaves this part to a quota holder; returns the tokens in its bucket, or undefined if there is no part. */
+  lend(workspace: string): number | undefined {
+    const usage = this.#find(workspace);
+    if (!usage) {
+      return undefined;
+    }
+    usage.isLeased = true;
+    return Math.max(0, usage.bucket.levelAt(usage.limits, this.#deps.clock.now()));
+  }
+
+  /** Takes this part back from a quota holder, with a bucket that had `level` tokens at time `at`, ms. */
+  takeBack(workspace: string, level: number, at: number): void {
+    const usage = this.#usage.get(workspace);
+    if (usage) {
+      usage.isLeased = false;
+      usage.bucket = new TokenBucket(level, at);
+    } else {
+      this.#takenBackAt.set(workspace, at);
+    }
+  }
+
+  /** Adds the credits that a quota holder has granted and refused to those that are reported here. */
+  noteUsage(workspace: string, granted: number, refused: number): void {
+    const usage = this.#usage.get(workspace);
+    const now = this.#deps.clock.now();
+    usage?.granted.add(granted, now);
+    usage?.refused.add(refused, now);
+  }
+
   /** Credits of the last minute granted and refused by this replica, for the workspaces that were used recently. */
   describe(): { workspace: string; granted: number; refused: number }[] {
     const now = this.#deps.clock.now();
@@ -96,16 +143,41 @@
     if (!limits) {
       return undefined;
     }
+    const since = limits.isRanked ? Math.max(holders.since, holders.settledSince) : holders.since;
+    if (this.#hasLeases && this.#deps.clock.now() < since) {
+      return undefined;
+    }
     let usage = this.#usage.get(workspace);
-    if (!usage) {
-      const bucket = new TokenBucket(limits.initial, this.#startedAt);
-      usage = { bucket, limits, granted: new RecentCount(), refused: new RecentCount() };
+    if (!usage || (this.#hasLeases && usage.since !== since)) {
+      usage = {
+        bucket: this.#firstBucket(workspace, limits, since),
+        since,
+        isLeased: usage?.isLeased ?? false,
+        limits,
+        granted: new RecentCount(),
+        refused: new RecentCount(),
+      };
       this.#usage.set(workspace, usage);
     }
     usage.limits = limits;
     return usage;
   }
 
+  get #hasLeases(): boolean {
+    return (this.#deps.leaseTermMs ?? 0) > 0;
+  }
+
+  /** With leases, a predecessor's part may be used until a term after the start, or until this replica is entitled. */
+  #firstBucket(workspace: string, { initial }: QuotaShare, since: number): TokenBucket {
+    if (!this.#hasLeases) {
+      return new TokenBucket(initial, this.#startedAt);
+    }
+    const takenBackAt = this.#takenBackAt.get(workspace) ?? -Infinity;
+    this.#takenBackAt.delete(workspace);
+    const ownAfter = this.#startedAt + (this.#deps.leaseTermMs ?? 0);
+    return new TokenBucket(0, Math.max(ownAfter, since, takenBackAt));
+  }
+
   get #workspaces(): ReadonlyMap<string, Workspace> {
     const document = this.#deps.document();
     if (this.#index?.document !== document) {
@@ -120,8 +192,8 @@
       return;
     }
     this.#sweptAt = now;
-    for (const [workspace, { bucket, limits }] of this.#usage) {
-      if (bucket.isFull(limits, now)) {
+    for (const [workspace, { bucket, limits, isLeased }] of this.#usage) {
+      if (!isLeased && bucket.isFull(limits, now)) {
         this.#usage.delete(workspace);
       }
     }
--- a/src/control/quota/quotaShare.ts
+++ b/src/control/quota/quotaShare.ts
@@ -13,6 +13,8 @@
 export interface QuotaShare extends BucketLimits {
   /** Tokens that the bucket holds when the replica starts. */
   readonly initial: number;
+  /** Whether the replicas that have a part depend on who else is in the group. */
+  readonly isRanked: boolean;
 }
 
 /** Used part of the tolerated ratio. The rest covers replicas that have been removed while they were suspended. */
@@ -43,13 +45,15 @@
   const initial = Math.min(1, bonus / parts);
   const capacity = burst / parts + initial;
   if (capacity >= 1) {
-    return { capacity, ratePerS: ratePerS / parts, initial };
+    return { capacity, ratePerS: ratePerS / parts, initial, isRanked: false };
   }
   const holders = Math.max(1, Math.floor(burst + bonus));
   const ranked = ids.toSorted((a, b) => rankOf(workspace, a) - rankOf(workspace, b));
-  return ranked.slice(0, holders).includes(self)
-    ? { capacity: Math.max(1, burst / holders), ratePerS: ratePerS / holders, initial: 0 }
-    : undefined;
+  if (!ranked.slice(0, holders).includes(self)) {
+    return undefined;
+  }
+  const limits = { capacity: Math.max(1, burst / holders), ratePerS: ratePerS / holders };
+  return { ...limits, initial: 0, isRanked: true };
 }
 
 /** The quota, raised by the parts of the tolerance that are used. */
--- a/src/membership/DatagramLink.ts
+++ b/src/membership/DatagramLink.ts
@@ -13,6 +13,10 @@
 type GateMessage = ProtoTypes["GateMessage"];
 type AdmissionAsk = ProtoTypes["AdmissionAsk"];
 type AdmissionReply = ProtoTypes["AdmissionReply"];
+type LeaseAsk = ProtoTypes["LeaseAsk"];
+type Lease = ProtoTypes["Lease"];
+type CreditAsk = ProtoTypes["CreditAsk"];
+type Credit = ProtoTypes["Credit"];
 
 /** A request without a reply is resent once after this long, ms, since datagrams get lost. */
 const RESEND_AFTER_MS = 120;
@@ -40,6 +44,14 @@
   onAdmissionAsk?(ask: AdmissionAsk): AdmissionReply;
   /** Takes back a credit that was not used. */
   onCreditReturned?(workspace: string): void;
+  /** Replies to a request for a lease of a quota's share. */
+  onLeaseAsk?(ask: LeaseAsk): Lease;
+  /** Takes back a share whose lease was released. */
+  onLeaseReleased?(ask: LeaseAsk): void;
+  /** Replies to a request for a credit from a quota holder. */
+  onCreditAsk?(ask: CreditAsk): Promise<Credit>;
+  /** Takes back a credit of a quota holder that was not used. */
+  onLeasedCreditReturned?(ask: CreditAsk): void;
 }
 
 /** A request that waits for its reply. */
@@ -58,6 +70,10 @@
   gate: null,
   admission_ask: null,
   admission: null,
+  lease_ask: null,
+  lease: null,
+  credit_ask: null,
+  credit: null,
 };
 
 /**
@@ -130,8 +146,12 @@
   }
 
   /** Asks the member at `address` for a confirmation of the document or a credit; rejects when it does not reply in time. */
-  async askAdmission(address: string, workspace: string): Promise<AdmissionReply> {
-    const admission_ask = { workspace, returned: false };
+  async askAdmission(
+    address: string,
+    workspace: string,
+    canLease = false,
+  ): Promise<AdmissionReply> {
+    const admission_ask = { workspace, returned: false, can_lease: canLease };
     const message = { ...EMPTY_DATAGRAM, admission_ask };
     const { admission } = await this.#request(address, message, ADMISSION_TIMEOUT_MS);
     if (!admission) {
@@ -142,10 +162,41 @@
 
   /** Returns a credit of `workspace` that was not used; the message may get lost without notice. */
   returnCredit(address: string, workspace: string): void {
-    const admission_ask = { workspace, returned: true };
+    const admission_ask = { workspace, returned: true, can_lease: false };
     this.#send(datagramCodec.encode({ ...EMPTY_DATAGRAM, id: 0, admission_ask }), address);
   }
 
+  /** Asks the control voter at `address` for a lease of its share; rejects when it does not reply in time. */
+  async askLease(address: string, lease_ask: LeaseAsk): Promise<Lease> {
+    const message = { ...EMPTY_DATAGRAM, lease_ask };
+    const { lease } = await this.#request(address, message, ADMISSION_TIMEOUT_MS);
+    if (!lease) {
+      throw new Error("reply without a lease");
+    }
+    return lease;
+  }
+
+  /** Releases a lease; the message may get lost without notice. */
+  releaseLease(address: string, lease_ask: LeaseAsk): void {
+    this.#send(datagramCodec.encode({ ...EMPTY_DATAGRAM, id: 0, lease_ask }), address);
+  }
+
+  /** Asks the quota holder at `address` for a credit; rejects when it does not reply in time. */
+  async askCredit(address: string, workspace: string): Promise<Credit> {
+    const message = { ...EMPTY_DATAGRAM, credit_ask: { workspace, returned: "" } };
+    const { credit } = await this.#request(address, message, ADMISSION_TIMEOUT_MS);
+    if (!credit) {
+      throw new Error("reply without a credit");
+    }
+    return credit;
+  }
+
+  /** Returns a credit of the quota holder at `address`; the message may get lost without notice. */
+  returnLeasedCredit(address: string, workspace: string, returned: string): void {
+    const credit_ask = { workspace, returned };
+    this.#send(datagramCodec.encode({ ...EMPTY_DATAGRAM, id: 0, credit_ask }), address);
+  }
+
   /** Closes the socket; pending and later requests are rejected. */
   dispose(): void {
     if (this.#closed) {
@@ -196,12 +247,17 @@
     if (!message) {
       return; // Not a datagram of this protocol.
     }
-    const { id, answer, reached, gate, admission, admission_ask: ask } = message;
+    const { id, answer, reached, gate, admission, lease, credit } = message;
+    const { admission_ask: ask, lease_ask: leaseAsk, credit_ask: creditAsk } = message;
     if (gate) {
       this.#handlers?.onGate?.(gate, from);
     } else if (ask?.returned) {
       this.#handlers?.onCreditReturned?.(ask.workspace);
-    } else if (answer || reached || admission) {
+    } else if (leaseAsk?.released) {
+      this.#handlers?.onLeaseReleased?.(leaseAsk);
+    } else if (creditAsk && creditAsk.returned !== "") {
+      this.#handlers?.onLeasedCreditReturned?.(creditAsk);
+    } else if (answer || reached || admission || lease || credit) {
       this.#pending.get(id)?.complete(message);
     } else {
       this.#receiveRequest(message, from);
@@ -230,6 +286,8 @@
       if (admission) {
         this.#reply(from, { id, admission });
       }
+    } else if (request.lease_ask ?? request.credit_ask) {
+      this.#handleQuota(request, from);
     } else if (target !== "") {
       this.#handlers?.onProbeFor(target).then(
         () => {
@@ -240,6 +298,20 @@
     }
   }
 
+  #handleQuota({ id, lease_ask: leaseAsk, credit_ask: creditAsk }: Datagram, from: string): void {
+    const lease = leaseAsk && this.#handlers?.onLeaseAsk?.(leaseAsk);
+    if (lease) {
+      this.#reply(from, { id, lease });
+    }
+    const credit = creditAsk && this.#handlers?.onCreditAsk?.(creditAsk);
+    credit?.then(
+      (reply) => {
+        this.#reply(from, { id, credit: reply });
+      },
+      () => undefined, // No reply is sent, so the requester asks the next sidecar.
+    );
+  }
+
   #reply(to: string, reply: Pick<Datagram, "id"> & Partial<Datagram>): void {
     const bytes = datagramCodec.encode({ ...EMPTY_DATAGRAM, ...reply });
     this.#recentReplies.complete(to, reply.id, bytes);
--- a/src/sidecar/workspaces/CreditClient.ts
+++ b/src/sidecar/workspaces/CreditClient.ts
@@ -1,6 +1,8 @@
 import type { WorkspaceName } from "../../common/ids/WorkspaceName.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { AdmissionReply } from "../../common/rpc/AdmissionReply.ts";
+import type { Credit } from "./Credit.ts";
+import type { CreditResult } from "./CreditResult.ts";
 
 /** Time without a reply after which the next replica is asked, ms; a round trip between zones takes 3. */
 const SILENCE_MS = 60;
@@ -21,20 +23,6 @@
   readonly clock: Clock;
 }
 
-/** A credit for the run of one request. */
-export interface Credit {
-  /** Returns it, as the request has not run. */
-  release(): void;
-}
-
-/** Result of {@link CreditClient.take}. */
-type CreditResult =
-  | { readonly kind: "granted"; readonly credit: Credit }
-  /** The workspace has used up its quota. */
-  | { readonly kind: "exhausted"; readonly retryAfterMs: number }
-  /** No control replica that grants credits could be reached. */
-  | { readonly kind: "unreachable"; readonly retryAfterMs: number };
-
 /**
  * Takes credits for requests of workspaces with a quota. Each control replica grants a part of every quota, so that the
  * nearest one usually has a credit; when its part is used up, the others are asked in turn.
