Wire leases of quotas into both roles, with metrics, logs and the list of workspaces

Switch: quotaLeases: { termMs } in the settings of control replicas and sidecars; off if absent. A sidecar without it replies to requests for credits that it has no leases, a voter without it that they are disabled.

The list of workspaces names the quota holders, and counts what they have granted; /status of a sidecar lists the quotas that it holds. A replica counts as starting for the first time only if its disk is empty, so that a setting bootstrap that was left in place does not make a restarted voter lease at once.

--- a/scripts/LocalFleet.ts
+++ b/scripts/LocalFleet.ts
@@ -32,6 +32,8 @@
   readonly joinsThroughControl: boolean;
   /** Additional settings of every sidecar; see SidecarSettings. */
   readonly sidecarSettings?: object;
+  /** Additional settings of every control replica; see ControlSettings. */
+  readonly controlSettings?: object;
   /** Additional arguments for a stand-in that depend on its sidecar's ports. */
   readonly standInArgs?: (id: string, sidecarPorts: Record<string, number>) => readonly string[];
 }
@@ -277,6 +279,7 @@
         const address = this.controlAddress(id);
         const admin = await freePort();
         const settings = {
+          ...this.#opts.controlSettings,
           role: "control",
           id,
           zone: `zone-${"abcde"[n] ?? "a"}`,
--- a/src/common/settings/ControlSettings.ts
+++ b/src/common/settings/ControlSettings.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import { HostPort } from "./HostPort.ts";
+import { QuotaLeases } from "./QuotaLeases.ts";
 import { QuotaTolerance } from "./QuotaTolerance.ts";
 
 /** Settings of a control replica. */
@@ -24,6 +25,8 @@
    */
   bootstrap: z.boolean().default(false),
   quotaTolerance: QuotaTolerance.prefault({}),
+  /** Leases shares of quotas to sidecars; without it, only single credits are granted. */
+  quotaLeases: QuotaLeases.optional(),
   gossipIntervalMs: z.number().int().positive().default(200),
 });
 
--- a/src/common/settings/SidecarSettings.ts
+++ b/src/common/settings/SidecarSettings.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import { HostPort } from "./HostPort.ts";
+import { QuotaLeases } from "./QuotaLeases.ts";
 
 /** A positive integer number of milliseconds. */
 const Millis = z.number().int().positive();
@@ -75,6 +76,8 @@
   announceTimeoutMs: Millis.default(1500),
   retryBudget: RetryBudget.prefault({}),
   documentAge: DocumentAge.prefault({}),
+  /** Uses leases of quotas where control grants them; without it, each request takes a single credit from control. */
+  quotaLeases: QuotaLeases.optional(),
   /**
    * The whole fleet starts for the first time. A sidecar that is started again has no share of the retry budget's slack for
    * one window, as its previous incarnation may have used it.
--- a/src/control/ControlMetrics.ts
+++ b/src/control/ControlMetrics.ts
@@ -23,6 +23,23 @@
     registers: [this.registry],
   });
 
+  readonly #leaseEvents = new Counter({
+    name: "burdockpass_quota_lease_requests_total",
+    help: "Quota holders' requests for leases here, by result: granted, renewed, adopted, released, or why refused.",
+    labelNames: ["result"],
+    registers: [this.registry],
+  });
+
+  /** Counts what was done on a quota holder's request for a lease. */
+  countLeaseEvent(result: string): void {
+    this.#leaseEvents.inc({ result });
+  }
+
+  /** Adds a gauge of the leases in force here. */
+  watchLeases(count: () => number): void {
+    this.#addGauge("burdockpass_quota_leases", "Leases of quotas in force here.", count);
+  }
+
   /** Records the duration of a synced write, ms. */
   observeWrite(ms: number): void {
     this.#writeSeconds.observe(ms / 1000);
--- a/src/control/ControlRole.ts
+++ b/src/control/ControlRole.ts
@@ -2,6 +2,8 @@
 import * as grpc from "@grpc/grpc-js";
 import type bunyan from "bunyan";
 import { admissionCodec } from "../common/rpc/admissionCodec.ts";
+import type { CreditOutcome } from "../common/rpc/CreditOutcome.ts";
+import { leaseCodec } from "../common/rpc/leaseCodec.ts";
 import { startHttpServer } from "../common/http/startHttpServer.ts";
 import { sendJson } from "../common/http/sendJson.ts";
 import { publishDocument } from "../common/document/publishDocument.ts";
@@ -12,6 +14,7 @@
 import { ElapsedClock } from "../common/lifecycle/ElapsedClock.ts";
 import { LateTimeoutReport } from "../common/lifecycle/LateTimeoutReport.ts";
 import { SystemClock } from "../common/lifecycle/SystemClock.ts";
+import type { LeaseReply } from "../common/rpc/LeaseReply.ts";
 import { loadProto } from "../common/rpc/loadProto.ts";
 import { startGrpcServer } from "../common/rpc/startGrpcServer.ts";
 import type { ControlSettings } from "../common/settings/ControlSettings.ts";
@@ -27,6 +30,7 @@
 import { ControlMetrics } from "./ControlMetrics.ts";
 import { FileReplicaStore } from "./log/FileReplicaStore.ts";
 import { GrpcReplicaLink } from "./link/GrpcReplicaLink.ts";
+import { QuotaLeases } from "./quota/QuotaLeases.ts";
 import { describeWorkspaces } from "./quota/describeWorkspaces.ts";
 import { VoterShares } from "./quota/VoterShares.ts";
 import { WorkspaceQuotas } from "./quota/WorkspaceQuotas.ts";
@@ -56,6 +60,14 @@
 /** Limit for the random number of the first reply to a leader; the numbers are sent as 32 bits. */
 const MAX_FIRST_REPLY = 2 ** 30;
 
+/** Reply to a request for a lease where leases are not enabled. */
+const LEASES_DISABLED: LeaseReply = {
+  kind: "refused",
+  reason: "disabled",
+  holder: "",
+  leftMs: 1000,
+};
+
 /** Maximum time that a stop waits for open calls, such as document watches, to end, ms. */
 const STOP_GRACE_MS = 500;
 
@@ -70,6 +82,8 @@
   #service: ControlService | undefined;
   readonly #metrics = new ControlMetrics();
   readonly #elapsed = new ElapsedClock();
+  /** Whether the disk was empty at the start. */
+  #isDiskEmpty = false;
 
   constructor(cfg: ControlSettings, log: bunyan) {
     super();
@@ -98,6 +112,7 @@
     this.#service = service;
     const watchers = new DocumentWatchers(replica, this.#log);
     const quotas = this.#createQuotas(replica);
+    const leases = this.#createLeases(quotas);
     const proto = loadProto();
     const peerService = proto.Peer.service;
     const link = new DatagramLink(SystemClock, () => undefined);
@@ -114,16 +129,23 @@
       }),
     );
     const { port } = this.register(await startGrpcServer(server, listen, STOP_GRACE_MS));
+    const takeCredit = (workspace: string, canLease: boolean): CreditOutcome =>
+      leases ? leases.takeCredit(workspace, canLease) : quotas.take(workspace);
     await link.listen(listen, {
       onProbe: (updates) => membership.onExchange(updates),
       onCompare: (digests) => membership.onCompare(digests),
       onProbeFor: (address) => membership.onProbe(address),
-      onAdmissionAsk: ({ workspace }) =>
+      onAdmissionAsk: ({ workspace, can_lease }) =>
         admissionCodec.encode({
           version: replica.currentState?.version ?? 0,
           ageMs: replica.inTouch ? replica.stateAgeMs : undefined,
-          credit: workspace === "" ? undefined : quotas.take(workspace),
+          credit: workspace === "" ? undefined : takeCredit(workspace, can_lease),
         }),
+      onLeaseAsk: (ask) =>
+        leaseCodec.encodeReply(leases?.ask(leaseCodec.decodeAsk(ask)) ?? LEASES_DISABLED),
+      onLeaseReleased: (ask) => {
+        leases?.release(leaseCodec.decodeRelease(ask));
+      },
       onCreditReturned: (workspace) => {
         quotas.putBack(workspace);
       },
@@ -139,7 +161,10 @@
     replica.start();
     membership.start(this.#cfg.gossipIntervalMs);
     this.register(
-      await startHttpServer(this.#createAdminServer(replica, watchers, quotas), this.#cfg.admin),
+      await startHttpServer(
+        this.#createAdminServer(replica, watchers, { quotas, leases }),
+        this.#cfg.admin,
+      ),
     );
     const { version } = replica.state;
     this.#log.info({ grpcPort: port, version, replica: replica.id }, "control started");
@@ -166,14 +191,15 @@
     const link = this.register(new GrpcReplicaLink());
     // A single replica cannot receive state from another one, so an empty disk means a first start.
     const isFirstStart = bootstrap || (initialGroup.length === 1 && initialGroup[0] === listen);
-    const log = new ReplicatedLog(new FileReplicaStore(dataDir), () =>
-      isFirstStart
+    const log = new ReplicatedLog(new FileReplicaStore(dataDir), () => {
+      this.#isDiskEmpty = true;
+      return isFirstStart
         ? {
             id: ReplicaId(listen),
             voters: initialGroup.map((address) => ({ id: ReplicaId(address), address, zone: "" })),
           }
-        : { id: ReplicaId(`${listen}~${randomSuffix()}`), voters: [] },
-    );
+        : { id: ReplicaId(`${listen}~${randomSuffix()}`), voters: [] };
+    });
     return this.register(
       new Replica({
         self: { address: listen, zone, api: api ?? listen },
@@ -195,9 +221,12 @@
   }
 
   #createQuotas(replica: Replica): WorkspaceQuotas {
+    const { bootstrap, quotaLeases } = this.#cfg;
+    const leaseTermMs = quotaLeases?.termMs ?? 0;
     const shares = new VoterShares({
       replica,
       wantedVoters: this.#wantedVoters,
+      leaseTermMs,
       clock: SystemClock,
     });
     const stopListening = replica.onChange(() => {
@@ -208,11 +237,37 @@
       document: () => replica.state.document,
       holders: () => shares.holders,
       tolerance: () => this.#cfg.quotaTolerance,
-      isFirstStart: this.#cfg.bootstrap,
+      isFirstStart: quotaLeases ? this.#isFirstStart : bootstrap,
+      leaseTermMs,
       clock: SystemClock,
     });
   }
 
+  /** Undefined if leases are not enabled. */
+  #createLeases(quotas: WorkspaceQuotas): QuotaLeases | undefined {
+    const { quotaLeases } = this.#cfg;
+    if (!quotaLeases) {
+      return undefined;
+    }
+    const leases = new QuotaLeases({
+      quotas,
+      termMs: quotaLeases.termMs,
+      isFirstStart: this.#isFirstStart,
+      clock: SystemClock,
+      random: Math.random,
+      onEvent: (event) => {
+        this.#metrics.countLeaseEvent(event);
+      },
+    });
+    this.#metrics.watchLeases(() => leases.count);
+    return leases;
+  }
+
+  /** Whether no earlier incarnation of any replica can have leased anything, also if `bootstrap` was left in the settings. */
+  get #isFirstStart(): boolean {
+    return this.#cfg.bootstrap && this.#isDiskEmpty;
+  }
+
   /** Control replicas are members too, so that sidecars discover them, and each other, through any of them. */
   #createMembership(replica: Replica, peers: NetworkPeers): Membership {
     const { id, zone, listen } = this.#cfg;
@@ -238,12 +293,16 @@
     );
   }
 
-  #createAdminServer(replica: Replica, watchers: DocumentWatchers, quotas: WorkspaceQuotas) {
+  #createAdminServer(
+    replica: Replica,
+    watchers: DocumentWatchers,
+    { quotas, leases }: { quotas: WorkspaceQuotas; leases: QuotaLeases | undefined },
+  ) {
     const { registry } = this.#metrics;
     this.#metrics.observe(replica, watchers);
     return createServer((req, res) => {
       if (req.url === "/workspaces") {
-        sendJson(res, 200, describeWorkspaces(replica.state.document, quotas));
+        sendJson(res, 200, describeWorkspaces(replica.state.document, quotas, leases));
         return;
       }
       if (req.url !== "/metrics") {
--- a/src/sidecar/CallerSide.ts
+++ b/src/sidecar/CallerSide.ts
@@ -37,6 +37,7 @@
 import type { TargetSide } from "./TargetSide.ts";
 import { AdmissionAsker } from "./workspaces/AdmissionAsker.ts";
 import { CreditClient } from "./workspaces/CreditClient.ts";
+import { LeaseSide } from "./workspaces/leases/LeaseSide.ts";
 import { RequestAdmission } from "./workspaces/RequestAdmission.ts";
 
 /** Number of other sidecars that are asked for a confirmation of the document when no control replica gives one. */
@@ -49,7 +50,15 @@
   /** The settings in force; some change while the process runs. */
   readonly cfg: () => SidecarSettings;
   readonly table: TargetTable;
-  readonly link: Pick<DatagramLink, "askAdmission" | "returnCredit">;
+  readonly link: Pick<
+    DatagramLink,
+    | "askAdmission"
+    | "returnCredit"
+    | "askLease"
+    | "releaseLease"
+    | "askCredit"
+    | "returnLeasedCredit"
+  >;
   readonly document: SidecarDocument;
   readonly documents: Pick<DocumentCatchUp, "noteVersion">;
   readonly targetSide: TargetSide;
@@ -77,6 +86,8 @@
   readonly #notices: TargetNotices;
   readonly #dispatcher: Dispatcher;
   readonly #confirmer: DocumentConfirmer;
+  /** Undefined if leases of quotas are not enabled. */
+  readonly leases: LeaseSide | undefined;
   readonly policy: RoutingPolicy;
   readonly server: CallerServer;
   /** Dispatches the messages of gates and of sidecars that borrow retry tokens. */
@@ -103,10 +114,12 @@
     const asker = this.#createAsker();
     this.#confirmer = this.register(this.#createConfirmer(asker));
     this.#dispatcher = this.#createDispatcher(slotClient, retryTokenClient, budgets);
+    const singles = this.#createCreditClient(asker);
+    this.leases = this.#createLeaseSide(singles);
     this.server = new CallerServer({
       config: () => this.#config,
       waitForConfig: () => this.#documentWait.wait(),
-      admission: this.#createAdmission(asker),
+      admission: this.#createAdmission(this.leases?.credits ?? singles),
       dispatcher: this.#dispatcher,
       dialect,
       onResponse: (...args) => {
@@ -217,9 +230,10 @@
   }
 
   #createAsker(): AdmissionAsker {
-    const { link, document, documents, elapsed } = this.#deps;
+    const { cfg, link, document, documents, elapsed } = this.#deps;
+    const canLease = cfg().quotaLeases !== undefined;
     return new AdmissionAsker({
-      send: (address, workspace) => link.askAdmission(address, workspace),
+      send: (address, workspace) => link.askAdmission(address, workspace, canLease),
       freshness: document.freshness,
       noteVersion: (address, version) => {
         documents.noteVersion(address, version);
@@ -243,22 +257,49 @@
     });
   }
 
-  #createAdmission(asker: AdmissionAsker): RequestAdmission {
-    const { cfg, document, link, random, clock } = this.#deps;
+  #createCreditClient(asker: AdmissionAsker): CreditClient {
+    const { link, clock } = this.#deps;
+    return new CreditClient({
+      ask: (address, workspace) => asker.ask(address, workspace),
+      giveBack: (address, workspace) => {
+        link.returnCredit(address, workspace);
+      },
+      replicas: () => this.#controlReplicas(),
+      clock,
+    });
+  }
+
+  #createLeaseSide(singles: CreditClient): LeaseSide | undefined {
+    const { cfg, document, metrics } = this.#deps;
+    const { quotaLeases } = cfg();
+    if (!quotaLeases) {
+      return undefined;
+    }
+    const side = this.register(
+      new LeaseSide({
+        ...this.#deps,
+        document: () => document.follower.document,
+        replicas: () => this.#controlReplicas(),
+        singles,
+        termMs: quotaLeases.termMs,
+        onEvent: (event) => {
+          metrics.countLeaseEvent(event);
+        },
+      }),
+    );
+    metrics.watchLeases(() => side.leases);
+    return side;
+  }
+
+  #createAdmission(credits: Pick<CreditClient, "take">): RequestAdmission {
+    const { cfg, document, random } = this.#deps;
     const splitSampler = new SplitSampler(random);
     return new RequestAdmission({
       config: () => this.#config,
       draw: (route) => splitSampler.next(route),
       freshness: document.freshness,
       confirmer: this.#confirmer,
-      credits: new CreditClient({
-        ask: (address, workspace) => asker.ask(address, workspace),
-        giveBack: (address, workspace) => {
-          link.returnCredit(address, workspace);
-        },
-        replicas: () => this.#controlReplicas(),
-        clock,
-      }),
+      credits,
       limits: () => {
         const { admitMs, refuseMs } = cfg().documentAge;
         return {
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -9,6 +9,7 @@
 import { LateTimeoutReport } from "../common/lifecycle/LateTimeoutReport.ts";
 import { StallClock } from "../common/lifecycle/StallClock.ts";
 import { SystemClock } from "../common/lifecycle/SystemClock.ts";
+import { holderReplyCodec } from "../common/rpc/holderReplyCodec.ts";
 import { loadProto } from "../common/rpc/loadProto.ts";
 import { meterService } from "../common/rpc/meterService.ts";
 import type { MessageSizeListener } from "../common/rpc/MessageSizeListener.ts";
@@ -227,6 +228,12 @@
         callerSide.gateMessages.dispatch(message, from);
       },
       onAdmissionAsk: () => admissionCodec.encode(document.confirmation),
+      onCreditAsk: (ask) =>
+        callerSide.leases?.onCreditAsk(ask) ??
+        Promise.resolve(holderReplyCodec.encode({ kind: "disabled" })),
+      onLeasedCreditReturned: (ask) => {
+        callerSide.leases?.onCreditReturned(ask);
+      },
     });
     const hopPort = this.register(await startHttpServer(targetSide.gateServer.server, cfg.hop));
     this.#ports.hop = hopPort.port;
@@ -253,6 +260,7 @@
       beginStop: () => {
         callerSide.server.beginStop();
         membership.beginStop();
+        callerSide.leases?.stop();
       },
       closeCallers: () => Promise.resolve(callerPort.dispose()),
       refuseQueued: () => {
@@ -333,7 +341,7 @@
   #status(
     table: TargetTable,
     configFollower: ConfigFollower,
-    { policy }: CallerSide,
+    { policy, leases }: CallerSide,
     targetSide: TargetSide,
   ): Record<string, unknown> {
     const rotation = new Map(policy.describe().map((d) => [d.id, d.rotation]));
@@ -345,6 +353,7 @@
       members: table.memberCount,
       targets: table.allTargets().map((t) => ({ ...t, rotation: rotation.get(t.id) ?? "in" })),
       beside: targetSide.describe(),
+      ...(leases ? { heldQuotas: leases.describe() } : {}),
     };
   }
 }
--- a/src/sidecar/admin/SidecarMetrics.ts
+++ b/src/sidecar/admin/SidecarMetrics.ts
@@ -1,6 +1,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { lateTimeoutCounter } from "../../common/telemetry/lateTimeoutCounter.ts";
 import type { QuarantineEvent } from "../quarantine/QuarantineEvent.ts";
+import type { LeaseEvent } from "../workspaces/leases/LeaseEvent.ts";
 import type { TrafficKind } from "./TrafficKind.ts";
 
 /** Buckets for added latency, seconds. They are fine below 2 ms, the users' limit for the latency that a sidecar adds. */
@@ -55,6 +56,9 @@
   readonly #extraRuns: Counter;
   readonly #retriesDenied: Counter;
   readonly #notAdmitted: Counter;
+  readonly #leaseEvents: Counter;
+  readonly #leaseRefusals: Counter;
+  readonly #leasedCredits: Counter;
 
   constructor() {
     // prom-client's default metrics are not collected. Their event loop monitor wakes the process
@@ -131,6 +135,47 @@
       labelNames: ["status"],
       registers: [this.registry],
     });
+    this.#leaseEvents = new Counter({
+      name: "burdockpass_quota_lease_events_total",
+      help: "Leases of quotas that this sidecar acquired, renewed, lost by expiry, or released.",
+      labelNames: ["event"],
+      registers: [this.registry],
+    });
+    this.#leaseRefusals = new Counter({
+      name: "burdockpass_quota_lease_refusals_total",
+      help: "Requests of this sidecar for leases of quotas that a control voter refused, by reason.",
+      labelNames: ["reason"],
+      registers: [this.registry],
+    });
+    this.#leasedCredits = new Counter({
+      name: "burdockpass_quota_credits_total",
+      help: "Credits granted here from leases of quotas, for this sidecar's own requests or others'.",
+      labelNames: ["for"],
+      registers: [this.registry],
+    });
+  }
+
+  /** Counts what happens to the leases of quotas, and the credits granted from them. */
+  countLeaseEvent(event: LeaseEvent): void {
+    if (event.kind === "credit") {
+      this.#leasedCredits.inc({ for: event.isOwn ? "own" : "other" });
+    } else if (event.kind === "refused") {
+      this.#leaseRefusals.inc({ reason: event.reason });
+    } else {
+      this.#leaseEvents.inc({ event: event.kind });
+    }
+  }
+
+  /** Adds a gauge of the leases of quotas in force here. */
+  watchLeases(count: () => number): void {
+    new Gauge({
+      name: "burdockpass_quota_leases",
+      help: "Leases of control voters' shares of quotas that are in force here.",
+      registers: [this.registry],
+      collect() {
+        this.set(count());
+      },
+    });
   }
 
   /** Counts a request that was refused by its API key, route, quota or the age of the document. */
--- a/test/workspaces.test.ts
+++ b/test/workspaces.test.ts
@@ -97,3 +97,45 @@
     { sidecarSettings: settings, moreDocument },
   );
 });
+
+test("workspaces: requests within a quota are served while control is away, and no more than it after its return", async (t) => {
+  const quotaLeases = { termMs: 15_000 };
+  const moreDocument = `
+workspaces:
+  - { name: busy, apiKeys: [busy-key], quota: { ratePerS: 50, burst: 50 } }
+  - { name: depot, apiKeys: [depot-key], quota: { ratePerS: 0.01, burst: 3 } }
+`;
+  await withFleet(
+    targets,
+    async (fleet) => {
+      const vias = ["results-0", "results-1"];
+      const statuses = async (key: string, times: number) => {
+        const all = Array.from({ length: times }, (_, i) => lookUp(fleet, key, vias[i % 2]));
+        return (await Promise.all(all)).map((r) => r.status).sort();
+      };
+      t.deepEqual(await statuses("busy-key", 4), [200, 200, 200, 200]);
+      t.deepEqual(await statuses("depot-key", 4), [200, 200, 200, 429], "one bucket for both");
+      const admin = [...fleet.controls.values()].map((c) => `127.0.0.1:${c.ports.admin}`).join();
+      const { out } = await fleet.cli(["workspaces", "--admin", admin]);
+      t.regex(out, /holder$/m);
+      t.regex(out, /^busy .* 127\.0\.0\.1:\d+$/m);
+
+      await fleet.killControl("control-1");
+      for (let i = 0; i < 8; i++) {
+        t.deepEqual(await statuses("busy-key", 2), [200, 200], "control is away");
+        await new Promise((resolve) => setTimeout(resolve, 200));
+      }
+      await fleet.restartControl("control-1");
+      for (let i = 0; i < 10; i++) {
+        t.deepEqual(await statuses("busy-key", 2), [200, 200], "control has restarted");
+        t.deepEqual(await statuses("depot-key", 2), [429, 429], "what was granted stays granted");
+        await new Promise((resolve) => setTimeout(resolve, 300));
+      }
+    },
+    {
+      sidecarSettings: { quotaLeases, documentAge: { admitMs: null } },
+      controlSettings: { quotaLeases },
+      moreDocument,
+    },
+  );
+});
