--- a/scripts/LocalFleet.ts
+++ b/scripts/LocalFleet.ts
@@ -34,6 +34,8 @@
   readonly nodeArgs?: (name: string) => readonly string[];
   /** Additional settings of every sidecar; see SidecarSettings. */
   readonly sidecarSettings?: object;
+  /** Additional settings of every control replica; see ControlSettings. */
+  readonly controlSettings?: object;
   /** Additional arguments for a stand-in that depend on its sidecar's ports. */
   readonly standInArgs?: (id: string, sidecarPorts: Record<string, number>) => readonly string[];
 }
@@ -280,6 +282,7 @@
         const address = this.controlAddress(id);
         const admin = await freePort();
         const settings = {
+          ...this.#opts.controlSettings,
           role: "control",
           id,
           zone: `zone-${"abcde"[n] ?? "a"}`,
--- a/src/sidecar/gate/SlotGrants.ts
+++ b/src/sidecar/gate/SlotGrants.ts
@@ -135,6 +135,16 @@
     return true;
   }
 
+  /**
+   * Records the end of a streamed response, whose run has ended with its start. It counts against the target only if
+   * the response exceeded a limit: any other may have failed for its reader's sake.
+   */
+  recordStreamEnd(outcome: AttemptOutcome): void {
+    if (outcome === AttemptOutcome.InvalidResponse) {
+      this.#deps.health.recordEnd({ outcome, ms: 0, typicalMs: 0, wasOverdue: false });
+    }
+  }
+
   /**
    * Reports an overdue run to the detector; false if the run may be waiting for a nested call, which is not held
    * against it.
