--- a/scripts/LocalFleet.ts
+++ b/scripts/LocalFleet.ts
@@ -22,6 +22,8 @@
   readonly policy: "adaptive" | "naive";
   /** Number of control replicas: 1, 3 or 5. */
   readonly controls: number;
+  /** Number of zones among which the control replicas are divided; by default one for each. */
+  readonly controlZones?: number;
   /** Addresses that a sidecar which listens at `addresses` advertises to other members; by default `addresses`. */
   readonly advertise?: (id: string, addresses: SidecarAddresses) => Promise<SidecarAddresses>;
   /** Whether the sidecars write trace spans. */
@@ -269,7 +271,7 @@
   }
 
   async #startControl(): Promise<void> {
-    const { controls } = this.#opts;
+    const { controls, controlZones = controls } = this.#opts;
     const ids = Array.from({ length: controls }, (_, n) => `control-${n + 1}`);
     this.#controlPorts = await Promise.all(ids.map(() => freePort()));
     await Promise.all(
@@ -279,7 +281,7 @@
         const settings = {
           role: "control",
           id,
-          zone: `zone-${"abcde"[n] ?? "a"}`,
+          zone: `zone-${"abcde"[n % controlZones] ?? "a"}`,
           listen: address,
           admin: `127.0.0.1:${admin}`,
           dataDir: this.controlDataDir(id),
