--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -15,7 +15,13 @@
     version: number;
     message: string;
   };
-  WatchRequest: { sidecar_id: string; have_version: number; heartbeats: boolean };
+  WatchRequest: {
+    sidecar_id: string;
+    have_version: number;
+    heartbeats: boolean;
+    accepts_packed: boolean;
+    versions_only: boolean;
+  };
   ConfigVersion: {
     version: number;
     document: string;
@@ -23,6 +29,7 @@
     edit: string;
     more: boolean;
     age: number;
+    packed: Buffer;
   };
   ConfigVersions: { versions: ProtoTypes["ConfigVersion"][] };
   Datagram: {
--- a/src/common/rpc/VersionJoiner.ts
+++ b/src/common/rpc/VersionJoiner.ts
@@ -4,19 +4,21 @@
 
 /** Joins the parts of a document version, made by {@link splitVersion}, as they arrive. */
 export class VersionJoiner {
-  #documents: string[] = [];
-  #edits: string[] = [];
+  #parts: ConfigVersion[] = [];
 
   /** Adds the next part; returns the whole version once its last part was added. */
   add(part: ConfigVersion): ConfigVersion | undefined {
-    this.#documents.push(part.document);
-    this.#edits.push(part.edit);
+    this.#parts.push(part);
     if (part.more) {
       return undefined;
     }
-    const whole = { ...part, document: this.#documents.join(""), edit: this.#edits.join("") };
-    this.#documents = [];
-    this.#edits = [];
-    return whole;
+    const parts = this.#parts;
+    this.#parts = [];
+    return {
+      ...part,
+      document: parts.map((p) => p.document).join(""),
+      edit: parts.map((p) => p.edit).join(""),
+      packed: Buffer.concat(parts.map((p) => p.packed)),
+    };
   }
 }
--- a/src/common/rpc/proto/BURDOCKPASS_SCHEMA.ts
+++ b/src/common/rpc/proto/BURDOCKPASS_SCHEMA.ts
@@ -19,6 +19,8 @@
       { name: "sidecar_id", id: 1, type: "string" },
       { name: "have_version", id: 2, type: "uint64" },
       { name: "heartbeats", id: 3, type: "bool" },
+      { name: "accepts_packed", id: 4, type: "bool" },
+      { name: "versions_only", id: 5, type: "bool" },
     ],
     CurrentRequest: [],
     ConfigVersion: [
@@ -28,6 +30,7 @@
       { name: "edit", id: 4, type: "string" },
       { name: "more", id: 5, type: "bool" },
       { name: "age", id: 6, type: "uint32" },
+      { name: "packed", id: 7, type: "bytes" },
     ],
     Datagram: [
       { name: "id", id: 1, type: "uint32" },
--- a/src/common/rpc/splitVersion.test.ts
+++ b/src/common/rpc/splitVersion.test.ts
@@ -14,6 +14,18 @@
   },
 ];
 
+test("version parts: a long compressed version is joined without change", (t) => {
+  const packed = Buffer.from(Array.from({ length: 70_000 }, (_, n) => n % 251));
+  const whole = { ...documentCodec.heartbeat(7, undefined), base: 3, packed };
+  const sent = splitVersion(whole);
+  t.deepEqual(
+    sent.map((part) => part.more),
+    [true, true, false],
+  );
+  const joiner = new VersionJoiner();
+  t.deepEqual(sent.map((part) => joiner.add(part)).at(-1), whole);
+});
+
 for (const { name, text, parts } of texts) {
   for (const field of ["document", "edit"] as const) {
     test(`version parts: a ${field} that is ${name} is joined without change`, (t) => {
--- a/src/common/rpc/splitVersion.ts
+++ b/src/common/rpc/splitVersion.ts
@@ -2,7 +2,7 @@
 
 type ConfigVersion = ProtoTypes["ConfigVersion"];
 
-/** Maximum length of a part, characters: a congested link transfers one in well under a second. */
+/** Maximum length of a part, characters or compressed bytes: a congested link transfers one in well under a second. */
 const MAX_PART_LENGTH = 32 * 1024;
 
 /**
@@ -10,12 +10,31 @@
  * long version is being transferred. {@link VersionJoiner} joins them.
  */
 export function splitVersion(whole: ConfigVersion): ConfigVersion[] {
-  const field = whole.document === "" ? "edit" : "document";
-  const texts = split(whole[field]);
-  return texts.map((text, index) => ({ ...whole, [field]: text, more: index < texts.length - 1 }));
+  const contents = splitContent(whole);
+  return contents.map((content, index) => ({
+    ...whole,
+    ...content,
+    more: index < contents.length - 1,
+  }));
 }
 
-function split(text: string): string[] {
+function splitContent({ document, edit, packed }: ConfigVersion): Partial<ConfigVersion>[] {
+  if (packed.length > 0) {
+    return splitBytes(packed).map((part) => ({ packed: part }));
+  }
+  return document === ""
+    ? splitText(edit).map((part) => ({ edit: part }))
+    : splitText(document).map((part) => ({ document: part }));
+}
+
+function splitBytes(bytes: Buffer): Buffer[] {
+  const count = Math.ceil(bytes.length / MAX_PART_LENGTH);
+  return Array.from({ length: count }, (_, n) =>
+    bytes.subarray(n * MAX_PART_LENGTH, (n + 1) * MAX_PART_LENGTH),
+  );
+}
+
+function splitText(text: string): string[] {
   const parts: string[] = [];
   let from = 0;
   do {
--- a/src/control/service/DocumentWatchers.test.ts
+++ b/src/control/service/DocumentWatchers.test.ts
@@ -48,6 +48,20 @@
   });
 }
 
+test("watchers: one that has requested versions only is told each version at once, and sent no update", (t) => {
+  const { replica, watchers, events, notify } = setUp();
+  watchers.add(0, {
+    send: undefined,
+    sendHeartbeat: (committed) => events.push(`heartbeat ${committed}`),
+    end: () => events.push("end"),
+  });
+  replica.currentState = new ConfigState({ version: 4, document: EMPTY_DOCUMENT, accepted: [] });
+  notify();
+  notify();
+  t.deepEqual(events, ["heartbeat 3", "heartbeat 4"]);
+  watchers.dispose();
+});
+
 test("watchers: none is added while the replica's state may be outdated", (t) => {
   const { replica, watchers, events, watch } = setUp();
   replica.currentState = undefined;
--- a/src/control/service/DocumentWatchers.ts
+++ b/src/control/service/DocumentWatchers.ts
@@ -10,7 +10,8 @@
 
 /** Connection to one watcher. */
 interface WatcherLink {
-  readonly send: (update: DocumentUpdate) => void;
+  /** Sends an update; undefined if the watcher has requested versions only. */
+  readonly send: ((update: DocumentUpdate) => void) | undefined;
   /**
    * Sends a heartbeat with the committed version and an upper bound of its age, ms; undefined if the watcher has not
    * requested heartbeats.
@@ -31,7 +32,7 @@
 
 /**
  * The watchers of the document at this replica. Each is sent the updates that it lacks when
- * it is added and after every commit. A replica whose state is not known to be current ends all
+ * it is added and after every commit, or a heartbeat if it has requested versions only. A replica whose state is not known to be current ends all
  * watches, so that the watchers reconnect to another replica: its document may be hours old.
  */
 export class DocumentWatchers implements IDisposable {
@@ -67,7 +68,8 @@
     if (!state) {
       return undefined;
     }
-    const watcher = { version, link };
+    // The heartbeat below tells a watcher of versions only what it may lack.
+    const watcher = { version: link.send ? version : state.version, link };
     this.#watchers.add(watcher);
     link.sendHeartbeat?.(state.version, this.#replica.stateAgeMs);
     this.#sendUpdates(watcher, state);
@@ -117,9 +119,22 @@
   }
 
   #sendUpdates(watcher: Watcher, { history }: ConfigState): void {
+    const { send } = watcher.link;
+    if (!send) {
+      this.#announce(watcher, history.version);
+      return;
+    }
     for (const update of history.updatesSince(watcher.version)) {
       watcher.version = update.version;
-      watcher.link.send(update);
+      send(update);
+    }
+  }
+
+  /** Tells a watcher that has requested versions only of another one, without waiting for the next heartbeat. */
+  #announce(watcher: Watcher, version: number): void {
+    if (version > watcher.version) {
+      watcher.version = version;
+      watcher.link.sendHeartbeat?.(version, this.#replica.stateAgeMs);
     }
   }
 
--- a/src/control/service/controlHandlers.ts
+++ b/src/control/service/controlHandlers.ts
@@ -1,4 +1,5 @@
 import * as grpc from "@grpc/grpc-js";
+import type { DocumentUpdate } from "../../common/document/DocumentUpdate.ts";
 import { publishDocument } from "../../common/document/publishDocument.ts";
 import { parseOperatorDocument } from "../../common/document/parseOperatorDocument.ts";
 import { documentCodec } from "../../common/rpc/documentCodec.ts";
@@ -32,17 +33,18 @@
   const watch = (call: WatchCall): void => {
     // Confirms the watch at once, before there is an update to send.
     call.sendMetadata(new grpc.Metadata());
-    const { have_version: version, heartbeats } = call.request;
+    const { have_version: version, heartbeats, accepts_packed, versions_only } = call.request;
     const sendHeartbeat = (committed: number, ageMs: number | undefined) => {
       call.write(documentCodec.heartbeat(committed, ageMs));
     };
+    const send = (update: DocumentUpdate) => {
+      const message = documentCodec.encode(publishDocument(update), accepts_packed);
+      const parts = heartbeats ? splitVersion(message) : [message];
+      parts.forEach((part) => call.write(part));
+    };
     const removeWatcher = watchers.add(version, {
-      send: (update) => {
-        const message = documentCodec.encode(publishDocument(update));
-        const parts = heartbeats ? splitVersion(message) : [message];
-        parts.forEach((part) => call.write(part));
-      },
-      sendHeartbeat: heartbeats ? sendHeartbeat : undefined,
+      send: versions_only ? undefined : send,
+      sendHeartbeat: heartbeats || versions_only ? sendHeartbeat : undefined,
       end: () => {
         call.end();
       },
--- a/src/membership/NetworkPeers.ts
+++ b/src/membership/NetworkPeers.ts
@@ -48,7 +48,13 @@
   }
 
   async config(address: string, version: number): Promise<readonly DocumentUpdate[]> {
-    const req = { sidecar_id: "", have_version: version, heartbeats: false };
+    const req = {
+      sidecar_id: "",
+      have_version: version,
+      heartbeats: false,
+      accepts_packed: true,
+      versions_only: false,
+    };
     const reply = await this.#clients
       .get(address)
       .call((client) => callUnary(client.Config.bind(client), req, CONFIG_TIMEOUT_MS));
--- a/src/membership/peerHandlers.ts
+++ b/src/membership/peerHandlers.ts
@@ -16,8 +16,9 @@
     call,
     cb,
   ) => {
-    const updates = source.since(call.request.have_version);
-    cb(null, { versions: updates.map((u) => documentCodec.encode(u)) });
+    const { have_version: version, accepts_packed: acceptsPacked } = call.request;
+    const updates = source.since(version);
+    cb(null, { versions: updates.map((u) => documentCodec.encode(u, acceptsPacked)) });
   };
   return { Sync: sync, Config: config };
 }
--- a/src/sidecar/config/ControlWatch.ts
+++ b/src/sidecar/config/ControlWatch.ts
@@ -37,7 +37,13 @@
   constructor(deps: ControlWatchDeps, address: string, haveVersion: number) {
     this.#deps = deps;
     this.#client = ControlClient(address, deps.onMessageSize);
-    const req = { sidecar_id: deps.sidecarId, have_version: haveVersion, heartbeats: true };
+    const req = {
+      sidecar_id: deps.sidecarId,
+      have_version: haveVersion,
+      heartbeats: true,
+      accepts_packed: true,
+      versions_only: false,
+    };
     this.#requestedAt = deps.elapsed();
     this.#call = this.#client.Watch(req);
     this.#call.on("metadata", () => {
@@ -69,8 +75,19 @@
       return;
     }
     const whole = this.#parts.add(raw);
-    if (whole) {
-      this.#deps.onUpdate(documentCodec.decode(whole));
+    const update = whole && this.#decode(whole);
+    if (update) {
+      this.#deps.onUpdate(update);
+    }
+  }
+
+  /** The update; undefined if it cannot be decoded, which ends the watch. */
+  #decode(whole: ProtoTypes["ConfigVersion"]): DocumentUpdate | undefined {
+    try {
+      return documentCodec.decode(whole);
+    } catch (err) {
+      this.#end(`version ${whole.version} could not be decoded: ${String(err)}`);
+      return undefined;
     }
   }
 
