--- a/src/common/rpc/proto/ByteWriter.ts
+++ b/src/common/rpc/proto/ByteWriter.ts
@@ -131,7 +131,7 @@
     this.#bytes[this.#pos++] = Number(rest);
   }
 
-  /** Writes a string of ASCII characters; false if it has others, after which the position is undefined. */
+  /** Writes a string of ASCII characters; false if it has others, in which case the position stays. */
   #writeAscii(value: string): boolean {
     let pos = this.#pos;
     const bytes = this.#bytes;
