Treat no request with a workspace as a nested call where slots are shared

Targets get no key, so a request with a workspace is a caller's: where the service shares slots, it is now sent as such.

The classification itself is not changed, and is as before where slots are not shared.

--- a/experiment/Scenario.ts
+++ b/experiment/Scenario.ts
@@ -11,6 +11,8 @@
   readonly deadlineMs: number;
   /** Credit for a response within `objectiveMs`, and for a later one. */
   readonly credit: readonly [inTime: number, late: number];
+  /** Workspaces that callers' requests belong to, each to a random one; by default to none. */
+  readonly workspaces?: readonly string[];
   /** Kind and number of the nested calls that a run makes, one after another, and the share of runs that make them. */
   readonly nestedCalls?: { readonly kind: string; readonly count: number; readonly share: number };
 }
--- a/experiment/SimFleet.ts
+++ b/experiment/SimFleet.ts
@@ -1,6 +1,7 @@
 import { GRAY_DETECTION } from "../platform/GRAY_DETECTION.ts";
 import { AttemptId } from "../src/common/ids/AttemptId.ts";
 import { TargetId } from "../src/common/ids/TargetId.ts";
+import { WorkspaceName } from "../src/common/ids/WorkspaceName.ts";
 import { Service } from "../src/common/document/Service.ts";
 import type { ProtoTypes } from "../src/common/rpc/ProtoTypes.ts";
 import { AttemptOutcome } from "../src/sidecar/detection/AttemptOutcome.ts";
@@ -357,12 +358,15 @@
     path?: string,
   ): Promise<"served" | "refused" | "failed"> {
     const id = `${kind.name}/${++this.#attemptCount}${isRepeatedRun ? REPEAT_MARK : ""}`;
-    const result = await this.#sidecars.get(from)?.dispatch(routeOf(kind), {
+    const workspace = isNestedCall ? undefined : this.#pickWorkspace(kind);
+    const route = routeOf(kind, this.#variant.sharesSlotTime);
+    const result = await this.#sidecars.get(from)?.dispatch(route, {
       attempt: AttemptId(id),
       method: "GET",
       path: path ?? `/${this.#attemptCount}`,
       headers: [],
       body: undefined,
+      workspace,
       origin: isNestedCall ? RequestOrigin.TargetVm : RequestOrigin.Elsewhere,
       startedAt: this.#clock.now(),
       deadlineAt,
@@ -374,6 +378,11 @@
     return result?.verdict.kind === "done" && result.verdict.status < 500 ? "served" : "failed";
   }
 
+  #pickWorkspace({ workspaces }: RequestKind): WorkspaceName | undefined {
+    const name = workspaces?.[Math.floor(this.#random() * workspaces.length)];
+    return name === undefined ? undefined : WorkspaceName(name);
+  }
+
   /** Runs a request at the target of `vm`, with the nested calls of its kind. */
   async #runAtTarget(
     vm: SimVm,
@@ -472,10 +481,15 @@
   };
 }
 
-function routeOf(kind: RequestKind): RouteMatch {
+function routeOf(kind: RequestKind, fairShares = false): RouteMatch {
   return {
     name: kind.name,
-    service: Service.parse({ name: kind.service, floor: FLOOR, detection: GRAY_DETECTION }),
+    service: Service.parse({
+      name: kind.service,
+      floor: FLOOR,
+      detection: GRAY_DETECTION,
+      fairShares,
+    }),
     idempotent: kind.idempotent,
     bulk: false,
     isPublic: false,
--- a/experiment/SimSidecar.ts
+++ b/experiment/SimSidecar.ts
@@ -45,6 +45,9 @@
 /** Interval at which a planned stop checks whether all callers' requests have got responses, ms. */
 const IN_FLIGHT_CHECK_MS = 20;
 
+/** All workspaces have the same weight. */
+const EQUAL_WEIGHTS = { weightOf: () => 1 };
+
 const log = bunyan.createLogger({ name: "experiment", level: "fatal" });
 
 /** A simulated VM with a target and its sidecar. */
@@ -298,6 +301,7 @@
       grants: this.#grants,
       onHealthChange,
       onDemandChange: onHealthChange,
+      fairShareRule: () => (variant.sharesSlotTime ? EQUAL_WEIGHTS : undefined),
       ...variant.gate,
     });
   }
--- a/experiment/scenarios.ts
+++ b/experiment/scenarios.ts
@@ -117,6 +117,59 @@
   lengthMs: 32_000,
 };
 
+/** Part of the usual load that comes from the large workspace. */
+const LARGE_SHARE = 0.2;
+
+/** The other workspaces of the deployment in which workspaces compete. */
+const SMALL_WORKSPACES = Array.from({ length: 73 }, (_, n) => `small-${n}`);
+
+/**
+ * Kinds of request of a third of the deployment in which workspaces compete, each apart for the large workspace, which
+ * sends `factor` times its usual rate.
+ */
+function competingKinds(factor: number): RequestKind[] {
+  const kinds: RequestKind[] = [
+    {
+      ...{ name: "lookup", service: "desk", idempotent: true, priority: 2, credit: [1, 0.3] },
+      ...{ perSecond: 20.7, workMs: 450, objectiveMs: 1600, deadlineMs: 8000 },
+      nestedCalls: { kind: "price-call", count: 1, share: 0.7 },
+    },
+    {
+      ...{ name: "order", service: "orders", idempotent: false, priority: 1, credit: [2, 0.6] },
+      ...{ perSecond: 42.7, workMs: 589, objectiveMs: 1600, deadlineMs: 10_000 },
+    },
+    {
+      ...{ name: "read", service: "desk", idempotent: true, priority: 2, credit: [1, 0.3] },
+      ...{ perSecond: 17.3, workMs: 1071, objectiveMs: 6200, deadlineMs: 20_000 },
+    },
+  ];
+  const split = kinds.flatMap((kind) => [
+    {
+      ...kind,
+      perSecond: kind.perSecond * (1 - LARGE_SHARE),
+      workspaces: SMALL_WORKSPACES,
+    },
+    {
+      ...kind,
+      name: `${kind.name}-large`,
+      perSecond: kind.perSecond * LARGE_SHARE * factor,
+      workspaces: ["large"],
+    },
+  ]);
+  return [...split, call("price-call", "orders", 107)];
+}
+
+const COMPETING = {
+  services: [
+    { name: "desk", targets: 15, slots: 6 },
+    { name: "orders", targets: 10, slots: 6 },
+  ],
+  zones: 3,
+  zoneLatencyMs: 0.5,
+  randomGray: { share: 0.3, meanMs: 9000, failureRate: 0.9 },
+  lengthMs: 32_000,
+};
+
 /** What differs between the two sizes of the lab: requests a second, and work times, objectives and deadlines in ms. */
 interface LabSize {
   readonly perSecond: readonly [lookups: number, signoffs: number, reports: number];
@@ -311,4 +364,7 @@
     ],
     kinds: holmgaard(1.1),
   },
+  { name: "competing usual", ...COMPETING, kinds: competingKinds(1) },
+  { name: "competing", ...COMPETING, kinds: competingKinds(4) },
+  { name: "competing large", ...COMPETING, kinds: competingKinds(7.5) },
 ];
--- a/experiment/variants.ts
+++ b/experiment/variants.ts
@@ -22,6 +22,7 @@
 export const variants: readonly Variant[] = [
   { name: "product" },
   { name: "sender shares", sharesLimits: true },
+  { name: "fair shares", sharesSlotTime: true },
   { name: "first come", gate: { order: byArrival } },
   { name: "strict priority", gate: { order: byPriority } },
 ];
--- a/src/sidecar/routing/SlotFinder.test.ts
+++ b/src/sidecar/routing/SlotFinder.test.ts
@@ -263,15 +263,20 @@
 });
 
 for (const fairShares of [undefined, false, true]) {
-  test(`find slot: the workspace is sent to the gate only with fair sharing: ${String(fairShares)}`, (t) => {
+  test(`find slot: a request with a workspace, classified as a nested call, with fair shares ${String(fairShares)}`, (t) => {
+    // At the start of a burst, callers' requests were classified as nested calls, which go before all others: the
+    // workspace that sent the burst kept the slots.
     const { hop, clock, policy } = rig(["a"]);
     const workspace = WorkspaceName("lab");
+    const service = makeService({ fairShares });
     new SlotFinder(
       { policy, requestSlot: (...args) => hop.requestSlot(...args), clock, log },
-      { route: makeRoute({ service: makeService({ fairShares }) }), isRetryable: true },
+      { route: makeRoute({ service }), isRetryable: true, isNestedCall: true },
       makeCallerRequest({ workspace }),
       new Set(),
     );
-    t.is(hop.slotRequests[0]?.request.workspace, fairShares ? workspace : undefined);
+    const sent = hop.slotRequests[0]?.request;
+    t.is(sent?.workspace, fairShares ? workspace : undefined);
+    t.is(sent?.isNestedCall, !fairShares);
   });
 }
--- a/src/sidecar/routing/SlotFinder.ts
+++ b/src/sidecar/routing/SlotFinder.ts
@@ -307,7 +307,8 @@
   #buildRequest(target: TargetInfo, now: number): SlotRequest {
     const { route, isRetryable, isNestedCall = false } = this.#context;
     const { priority, objectiveMs } = route;
-    const { attempt, startedAt, deadlineAt, body, bodyLength = 0, workspace } = this.#req;
+    const { attempt, startedAt, deadlineAt, body, bodyLength = 0 } = this.#req;
+    const workspace = route.service.fairShares ? this.#req.workspace : undefined;
     return {
       attempt,
       target: target.id,
@@ -317,13 +318,15 @@
       typicalMs: this.#deps.policy.typicalMs(route, target),
       isRetryable,
       isIdempotent: route.idempotent,
-      isNestedCall,
+      // A request with a key is a caller's: targets never get one. At the start of a burst, callers' requests may be
+      // classified as nested calls, and a workspace would get round its share by them.
+      isNestedCall: isNestedCall && workspace === undefined,
       isCongested: this.#deps.policy.isCongested(route),
       unservedShare: this.#deps.policy.unservedShare(route.service.name),
       bodyBytes: Buffer.isBuffer(body) ? body.length : bodyLength,
       acceptsRisk: 0,
       limitPerS: this.#deps.notices?.limitOf(target),
-      workspace: route.service.fairShares ? workspace : undefined,
+      workspace,
     };
   }
 
