--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -295,7 +295,9 @@
 
   /** Whether the document says to share the slot time of targets of a service among workspaces. */
   #sharesFairly(service: string): boolean {
-    return this.#deps.document()?.services.find((s) => s.name === service)?.fairShares === true;
+    const { workspaces, services = [] } = this.#deps.document() ?? {};
+    const isAsked = services.find((s) => s.name === service)?.fairShares === true;
+    return isAsked && workspaces !== undefined;
   }
 
   /**
