Judge slow readers in the soak by the sidecars and targets that they use

The check excused a response that was cut off while any process of the fleet was disturbed, and the kernel's buffers held the 8 MB that a reader left unread, so that a deliberate fault passed. Readers now request 20 MB, and only their own sidecar and the targets of their service excuse them.

--- a/soak/FaultPlayer.ts
+++ b/soak/FaultPlayer.ts
@@ -48,8 +48,8 @@
 ];
 
 /** Number of slow readers that one fault adds, and the bytes that each requests: more than the kernel buffers. */
-const SLOW_READERS = 4;
-const SLOW_READER_BYTES = 8_000_000;
+const SLOW_READERS = 2;
+const SLOW_READER_BYTES = 20_000_000;
 
 const LINK_MODES: Readonly<Partial<Record<FaultKind, LinkMode>>> = {
   [FaultKind.LinkDelay]: LinkMode.Delay,
--- a/soak/checks/checks.test.ts
+++ b/soak/checks/checks.test.ts
@@ -174,7 +174,13 @@
       disturbances: [{ on: "ledger-1", kind: "kill", from: 8000, until: 10_000 }],
     },
     violating: [
-      { slowReads: [{ via: "desk-0", from: 0, until: 9000, status: 200, isWhole: false }] },
+      {
+        slowReads: [{ via: "desk-0", from: 0, until: 9000, status: 200, isWhole: false }],
+        disturbances: [
+          { on: "bookings-0", kind: "kill", from: 8000, until: 10_000 },
+          { on: "desk-0", kind: "target-gray", from: 8000, until: 10_000 },
+        ],
+      },
     ],
   },
   {
