Take updates from a replica in the own zone, and versions only from another zone

Each sidecar received every update twice, from two replicas of any zone. The first watch now goes to a control replica in the sidecar's zone, the second to one in another zone, which states versions and ages only; a version that the first has not delivered within 400 ms is fetched from the replica that announced it. A watch moves to a better replica once that watch has opened.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -44,10 +44,10 @@
 /** Bytes of gossip and configuration traffic that a sidecar has counted, from its metrics. */
 async function controlBytes(adminPort: number): Promise<{ gossip: number; config: number }> {
   const text = await (await fetch(`http://127.0.0.1:${adminPort}/metrics`)).text();
-  const read = (kind: string) =>
-    Number(
-      new RegExp(`burdockpass_control_bytes_total\\{kind="${kind}"\\} (\\S+)`).exec(text)?.[1] ?? 0,
-    );
+  const read = (kind: string) => {
+    const sample = new RegExp(`burdockpass_control_bytes_total\\{kind="${kind}",.*\\} (\\S+)`, "g");
+    return [...text.matchAll(sample)].reduce((sum, [, bytes]) => sum + Number(bytes), 0);
+  };
   return { gossip: read("gossip"), config: read("config") };
 }
 
--- a/bench/documentTraffic.ts
+++ b/bench/documentTraffic.ts
@@ -57,44 +57,20 @@
   readonly crossZone: number;
 }
 
-/** The control replicas that a sidecar follows, from its log. */
-function followed(fleet: LocalFleet, name: string): string[] {
-  const open: string[] = [];
-  const pattern = /"replica":"([^"]+)".*"msg":"(following control|no longer following control)"/;
-  for (const line of readFileSync(join(fleet.dir, `${name}.log`), "utf8").split("\n")) {
-    const [, replica = "", message] = pattern.exec(line) ?? [];
-    if (message === "following control") {
-      open.push(replica);
-    } else if (message && open.includes(replica)) {
-      open.splice(open.indexOf(replica), 1);
-    }
-  }
-  return open.slice(-2);
-}
-
 /** Bytes for the document since a sidecar's start, from its metrics. */
-async function documentBytes(s: FleetProcess): Promise<number> {
+async function documentBytes(s: FleetProcess): Promise<Traffic> {
   const text = await (await fetch(`http://127.0.0.1:${s.ports.admin ?? 0}/metrics`)).text();
-  return Number(/burdockpass_control_bytes_total\{kind="config"\} (\S+)/.exec(text)?.[1] ?? 0);
-}
-
-/** The bytes of each sidecar. */
-function allBytes(fleet: LocalFleet): Promise<number[]> {
-  return Promise.all([...fleet.sidecars.values()].map(documentBytes));
+  const read = (zone: string) => {
+    const sample = `burdockpass_control_bytes_total\\{kind="config",zone="${zone}"\\} (\\S+)`;
+    return Number(new RegExp(sample).exec(text)?.[1] ?? 0);
+  };
+  return { total: read("same") + read("other"), crossZone: read("other") };
 }
 
-/**
- * Mean traffic of the sidecars since they had counted `before`. All watches carry the same, so the zones of the replicas
- * that are followed tell what crossed.
- */
-async function trafficSince(fleet: LocalFleet, before: readonly number[]): Promise<Traffic> {
-  const totals = (await allBytes(fleet)).map((bytes, n) => bytes - (before[n] ?? 0));
-  const shares = [...fleet.sidecars.values()].map(({ name }, n) => {
-    const zones = followed(fleet, name).map((a) => zoneOf(fleet.controlAddresses.indexOf(a)));
-    return zones.filter((z) => z !== zoneOf(n)).length / Math.max(1, zones.length);
-  });
-  const crossing = totals.map((bytes, n) => bytes * (shares[n] ?? 0));
-  return { total: mean(totals), crossZone: mean(crossing) };
+/** Mean traffic of the sidecars since their starts. */
+async function meanTraffic(fleet: LocalFleet): Promise<Traffic> {
+  const all = await Promise.all([...fleet.sidecars.values()].map(documentBytes));
+  return { total: mean(all.map((t) => t.total)), crossZone: mean(all.map((t) => t.crossZone)) };
 }
 
 /** Processor time of the control replicas since their starts, s. */
@@ -152,7 +128,7 @@
   first: number,
 ): Promise<void> {
   await sleep(SETTLE_MS);
-  const before = await allBytes(fleet);
+  const before = await meanTraffic(fleet);
   const cpuBefore = controlSeconds(fleet);
   const delays: number[] = [];
   for (const [n, document] of documents.entries()) {
@@ -162,8 +138,9 @@
     delays.push(Math.max(0, lastInForce(fleet, first + n) - acceptedAt));
   }
   await sleep(LATE_MS);
-  const { total, crossZone } = await trafficSince(fleet, before);
-  const traffic = { total: total / documents.length, crossZone: crossZone / documents.length };
+  const after = await meanTraffic(fleet);
+  const perChange = (of: (t: Traffic) => number) => (of(after) - of(before)) / documents.length;
+  const traffic = { total: perChange((t) => t.total), crossZone: perChange((t) => t.crossZone) };
   const cpuS = (controlSeconds(fleet) - cpuBefore) / documents.length;
   printRow(fleet, what, traffic, mean(delays), cpuS);
 }
@@ -184,7 +161,7 @@
   await fleet.waitForVersion(version, 30_000);
   const ms = lastInForce(fleet, version) - startedAt;
   await sleep(LATE_MS);
-  printRow(fleet, "loss of power", await trafficSince(fleet, []), ms, controlSeconds(fleet));
+  printRow(fleet, "loss of power", await meanTraffic(fleet), ms, controlSeconds(fleet));
 }
 
 console.log(`document with ${ROUTES} more routes: ${withRoutes(ROUTES).length} B of YAML`);
@@ -194,6 +171,7 @@
   const fleet = new LocalFleet({
     controls: CONTROLS,
     controlZones: ZONES,
+    joinsThroughControl: true,
     sidecarDisks: false,
     traces: false,
   });
--- a/src/common/rpc/ControlClient.ts
+++ b/src/common/rpc/ControlClient.ts
@@ -20,7 +20,7 @@
 /** Creates a client of the control replica at `address` (host:port, no TLS); `onMessage` is called for every message. */
 export const ControlClient = (address: string, onMessage?: MessageSizeListener): ControlClient => {
   const { service } = loadProto().Control;
-  const meteredService = onMessage ? meterService(service, onMessage) : service;
+  const meteredService = onMessage ? meterService(service, address, onMessage) : service;
   const ctor = grpc.makeGenericClientConstructor(meteredService, "Control");
   return new ctor(address, grpc.credentials.createInsecure(), {
     ...CHANNEL_OPTIONS,
--- a/src/membership/DatagramLink.ts
+++ b/src/membership/DatagramLink.ts
@@ -76,7 +76,7 @@
   readonly #ids = new RequestIds();
   #closed = false;
 
-  /** @param noteBytes called with the kind and size of every datagram, sent or received */
+  /** @param noteBytes called with the kind, size and other end of every datagram, sent or received */
   constructor(clock: Clock, noteBytes: MessageSizeListener) {
     this.#clock = clock;
     this.#noteBytes = noteBytes;
@@ -192,7 +192,7 @@
 
   #receive(bytes: Buffer, from: string): void {
     const message = datagramCodec.decode(bytes);
-    this.#noteBytes(message?.gate ? "GateDatagram" : "Datagram", bytes.length);
+    this.#noteBytes(message?.gate ? "GateDatagram" : "Datagram", bytes.length, from);
     if (!message) {
       return; // Not a datagram of this protocol.
     }
@@ -250,7 +250,7 @@
     if (this.#closed) {
       return; // Sending on a closed socket throws; a message lost at shutdown does no harm.
     }
-    this.#noteBytes(kind, bytes.length);
+    this.#noteBytes(kind, bytes.length, address);
     const [host, port] = splitHostPort(address);
     this.#socket.send(bytes, port, host, () => undefined);
   }
--- a/src/membership/DocumentCatchUp.test.ts
+++ b/src/membership/DocumentCatchUp.test.ts
@@ -61,6 +61,15 @@
   t.deepEqual(fetchedFrom(), ["newest"], "no other member is asked");
 });
 
+test("catch-up fetches from the control replica that announced the version, within the grace period", async (t) => {
+  const { clock, catchUp, fetchedFrom } = setUp();
+  catchUp.noteVersion("member", 5);
+  catchUp.noteAnnounced("replica", 5);
+  catchUp.noteVersion("replica", 5);
+  await clock.advance(CONTROL_GRACE_MS);
+  t.deepEqual(fetchedFrom(), ["replica"]);
+});
+
 test("catch-up races a slow member with at most three others, and still takes its response", async (t) => {
   const { clock, config, fetches, catchUp, fetchedFrom } = setUp();
   for (const address of ["a", "b", "c", "d", "e", "f"]) {
--- a/src/membership/DocumentCatchUp.ts
+++ b/src/membership/DocumentCatchUp.ts
@@ -14,6 +14,13 @@
 /** Most concurrent fetches; there are several because some of the members may be unreachable. */
 const MAX_CONCURRENT_FETCHES = 4;
 
+/** A newer version that a member or a control replica has. */
+interface VersionReport {
+  readonly version: number;
+  /** Whether a control replica has announced it on a watch. */
+  readonly isByControl: boolean;
+}
+
 interface DocumentCatchUpDeps {
   readonly peers: Pick<MembershipPeers, "config">;
   readonly config: ConfigSource;
@@ -22,15 +29,15 @@
 }
 
 /**
- * Fetches a newer configuration document from members that report one, if control has not delivered it within
- * {@link CONTROL_GRACE_MS}. This brings accepted changes to sidecars that cannot reach control, or that follow only
- * replicas cut off by a network partition. Without the delay, most of the fleet would open connections to fetch each
+ * Fetches a newer configuration document from members or control replicas that report one, if the watch of updates has not
+ * delivered it within {@link CONTROL_GRACE_MS}. This brings accepted changes to sidecars that have lost that watch, that
+ * cannot reach control, or that follow only replicas cut off by a network partition. Without the delay, most of the fleet would open connections to fetch each
  * change moments before control delivers it.
  */
 export class DocumentCatchUp implements IDisposable {
   readonly #deps: DocumentCatchUpDeps;
-  /** Versions reported by members that are newer than the one received last, by member address. */
-  readonly #reported = new Map<string, number>();
+  /** Reports of versions that are newer than the one received last, by the address of the member or control replica. */
+  readonly #reported = new Map<string, VersionReport>();
   readonly #fetching = new Set<string>();
   /** The first version found missing, and when that was; it may have arrived meanwhile. */
   #missing = { version: 0, since: 0 };
@@ -49,10 +56,22 @@
 
   /** Records that the member at `address` has `version`. */
   noteVersion(address: string, version: number): void {
-    if (version <= this.#received) {
+    this.#note(address, {
+      version,
+      isByControl: this.#reported.get(address)?.isByControl ?? false,
+    });
+  }
+
+  /** Records that the control replica at `address`, from which no updates are received, has announced `version`. */
+  noteAnnounced(address: string, version: number): void {
+    this.#note(address, { version, isByControl: true });
+  }
+
+  #note(address: string, report: VersionReport): void {
+    if (report.version <= this.#received) {
       return;
     }
-    this.#reported.set(address, version);
+    this.#reported.set(address, report);
     this.#updateMissing();
     this.#timer ??= this.#scheduleCatchUp(this.#graceLeftMs);
   }
@@ -96,26 +115,32 @@
   /** Starts a new grace period with the newest reported version, if the previously missing version has arrived. */
   #updateMissing(): void {
     if (this.#missing.version <= this.#received) {
-      const version = Math.max(...this.#reported.values());
+      const version = Math.max(...[...this.#reported.values()].map((r) => r.version));
       this.#missing = { version, since: this.#deps.clock.now() };
     }
   }
 
   /** Drops reports of versions that have arrived. */
   #dropObsoleteReports(): void {
-    for (const [address, version] of this.#reported) {
+    for (const [address, { version }] of this.#reported) {
       if (version <= this.#received) {
         this.#reported.delete(address);
       }
     }
   }
 
-  /** Fetches from one of the members that reported the newest version, unless too many fetches are running. */
+  /**
+   * Fetches from one of those that reported the newest version, preferably a control replica that announced it, unless too
+   * many fetches are running.
+   */
   #fetchNewest(): void {
     const candidates = [...this.#reported].filter(([address]) => !this.#fetching.has(address));
-    const [newest] = candidates.sort(([, a], [, b]) => b - a);
+    const [newest] = candidates.sort(
+      ([, a], [, b]) => b.version - a.version || Number(b.isByControl) - Number(a.isByControl),
+    );
     if (newest && this.#fetching.size < MAX_CONCURRENT_FETCHES) {
-      void this.#fetch(...newest);
+      const [address, { version }] = newest;
+      void this.#fetch(address, version);
     }
   }
 
--- a/src/membership/PeerClients.ts
+++ b/src/membership/PeerClients.ts
@@ -1,5 +1,7 @@
 import * as grpc from "@grpc/grpc-js";
 import type { IDisposable } from "../common/lifecycle/IDisposable.ts";
+import type { MessageSizeListener } from "../common/rpc/MessageSizeListener.ts";
+import { meterService } from "../common/rpc/meterService.ts";
 import { ReconnectingClient } from "../common/rpc/ReconnectingClient.ts";
 import type { PeerClient } from "./PeerClient.ts";
 
@@ -16,24 +18,36 @@
 
 /** One gRPC client per peer address, shared by all callers in this process. */
 export class PeerClients implements IDisposable {
-  readonly #ctor: grpc.ServiceClientConstructor;
+  readonly #service: grpc.ServiceDefinition;
+  readonly #onMessage: MessageSizeListener | undefined;
   readonly #clients = new Map<string, ReconnectingClient<PeerClient>>();
 
-  /** @param service definition of the Peer service, with or without metering of its calls */
-  constructor(service: grpc.ServiceDefinition) {
-    this.#ctor = grpc.makeGenericClientConstructor(service, "Peer");
+  /**
+   * @param service definition of the Peer service
+   * @param onMessage called for every message sent or received
+   */
+  constructor(service: grpc.ServiceDefinition, onMessage?: MessageSizeListener) {
+    this.#service = service;
+    this.#onMessage = onMessage;
   }
 
   /** The client of the member at `address` (host:port), opened on first use. */
   get(address: string): ReconnectingClient<PeerClient> {
     let client = this.#clients.get(address);
     if (!client) {
-      client = new ReconnectingClient<PeerClient>(this.#ctor, address, OPTIONS);
+      client = new ReconnectingClient<PeerClient>(this.#createCtor(address), address, OPTIONS);
       this.#clients.set(address, client);
     }
     return client;
   }
 
+  #createCtor(address: string): grpc.ServiceClientConstructor {
+    const service = this.#onMessage
+      ? meterService(this.#service, address, this.#onMessage)
+      : this.#service;
+    return grpc.makeGenericClientConstructor(service, "Peer");
+  }
+
   dispose(): void {
     for (const client of this.#clients.values()) {
       client.dispose();
--- a/src/membership/TargetTable.ts
+++ b/src/membership/TargetTable.ts
@@ -308,11 +308,11 @@
     return [...this.#remote.values()].map((k) => k.member).filter((m) => m.gone);
   }
 
-  /** Peer addresses of the live control replicas. */
-  controlAddresses(): string[] {
+  /** Peer addresses and zones of the live control replicas. */
+  controlReplicas(): { address: string; zone: string }[] {
     return this.liveMembers()
       .filter((m) => m.control)
-      .map((m) => m.peer_address);
+      .map((m) => ({ address: m.peer_address, zone: m.zone }));
   }
 
   /** Sidecars eligible as record holders, this one included; without those that are being stopped. */
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -9,14 +9,15 @@
 import { LateTimeoutReport } from "../common/lifecycle/LateTimeoutReport.ts";
 import { StallClock } from "../common/lifecycle/StallClock.ts";
 import { SystemClock } from "../common/lifecycle/SystemClock.ts";
+import { addMeteredService } from "../common/rpc/addMeteredService.ts";
 import { loadProto } from "../common/rpc/loadProto.ts";
-import { meterService } from "../common/rpc/meterService.ts";
 import type { MessageSizeListener } from "../common/rpc/MessageSizeListener.ts";
 import { startGrpcServer } from "../common/rpc/startGrpcServer.ts";
 import type { SidecarSettings } from "../common/settings/SidecarSettings.ts";
 import { openTracing } from "../common/telemetry/openTracing.ts";
 import { DatagramLink } from "../membership/DatagramLink.ts";
 import { DocumentCatchUp } from "../membership/DocumentCatchUp.ts";
+import { MemberZones } from "../membership/MemberZones.ts";
 import { logMemberUpdates } from "../membership/logMemberUpdates.ts";
 import { Membership } from "../membership/Membership.ts";
 import { NetworkPeers } from "../membership/NetworkPeers.ts";
@@ -29,6 +30,7 @@
 import { SidecarMetrics } from "./admin/SidecarMetrics.ts";
 import type { TrafficKind } from "./admin/TrafficKind.ts";
 import { CallerSide } from "./CallerSide.ts";
+import type { ControlReplica } from "./config/ControlReplica.ts";
 import type { ConfigFollower } from "./config/ConfigFollower.ts";
 import { SidecarDocument } from "./config/SidecarDocument.ts";
 import type { Dialect } from "./dialect/Dialect.ts";
@@ -121,23 +123,30 @@
         metrics.lateTimeouts.inc({ input: isAnswered ? "arrived" : "missing" });
       }),
     );
-    const onMessageSize: MessageSizeListener = (method, bytes) => {
-      metrics.countControlBytes(TRAFFIC_KINDS[method] ?? "other", bytes);
-    };
     const tracing = await openTracing("burdockpass-sidecar", cfg.traceFile);
     const table = this.#createTable();
+    const zones = new MemberZones(() => table.liveMembers());
+    const onMessageSize: MessageSizeListener = (method, bytes, peer) => {
+      const zone = zones.of(peer) === cfg.zone ? "same" : "other";
+      metrics.countControlBytes(TRAFFIC_KINDS[method] ?? "other", zone, bytes);
+    };
     const elapsed = new ElapsedClock();
     const caller: { side?: CallerSide } = {};
-    const document = this.#createDocument(table, elapsed, onMessageSize, () => {
-      const { limits } = document.follower.document ?? {};
-      if (limits) {
-        caller.side?.onDocumentChange(limits);
-      }
+    const document = this.#createDocument(table, elapsed, {
+      onMessageSize,
+      onAnnounced: (address, version) => {
+        documents.noteAnnounced(address, version);
+      },
+      onChange: () => {
+        const { limits } = document.follower.document ?? {};
+        if (limits) {
+          caller.side?.onDocumentChange(limits);
+        }
+      },
     });
     const { follower: configFollower } = document;
-    const { service } = loadProto().Peer;
-    const peerService = meterService(service, onMessageSize);
-    const clients = this.register(new PeerClients(peerService));
+    const { service: peerService } = loadProto().Peer;
+    const clients = this.register(new PeerClients(peerService, onMessageSize));
     const link = this.register(new DatagramLink(SystemClock, onMessageSize));
     const sendGateMessage: DatagramLink["sendGateMessage"] = (address, message) => {
       link.sendGateMessage(address, message);
@@ -213,10 +222,11 @@
       () => SystemClock.now(),
     );
     const peerServer = new grpc.Server();
-    peerServer.addService(peerService, {
+    const peerCalls = {
       ...peerHandlers(membership, configFollower),
       ...targetSide.recordHandlers(),
-    });
+    };
+    addMeteredService(peerServer, peerService, peerCalls, onMessageSize);
     const peerPort = await startGrpcServer(peerServer, cfg.peer, PEER_GRACE_MS);
     this.#ports.peer = this.register(peerPort).port;
     await link.listen(cfg.peer, {
@@ -310,13 +320,16 @@
   #createDocument(
     table: TargetTable,
     elapsed: ElapsedClock,
-    onMessageSize: MessageSizeListener,
-    onChange: () => void,
+    listeners: Pick<
+      ConstructorParameters<typeof SidecarDocument>[0],
+      "onMessageSize" | "onAnnounced" | "onChange"
+    >,
   ): SidecarDocument {
-    const { control, dataDir, id } = this.#cfg;
+    const { dataDir, id, zone } = this.#cfg;
     return this.register(
       new SidecarDocument({
-        controls: () => [...new Set([...control, ...table.controlAddresses()])],
+        controls: () => this.#controlReplicas(table),
+        zone,
         maxAgeMs: () => this.#cfg.documentAge.refuseMs,
         dataDir,
         sidecarId: id,
@@ -324,12 +337,19 @@
         elapsed: () => elapsed.now(),
         random: Math.random,
         log: this.#log,
-        onMessageSize,
-        onChange,
+        ...listeners,
       }),
     );
   }
 
+  /** The control replicas among the live members, and those of the settings, whose zones are not known. */
+  #controlReplicas(table: TargetTable): ControlReplica[] {
+    const members = table.controlReplicas();
+    const known = new Set(members.map((m) => m.address));
+    const others = this.#cfg.control.filter((address) => !known.has(address));
+    return [...members, ...others.map((address) => ({ address, zone: undefined }))];
+  }
+
   #status(
     table: TargetTable,
     configFollower: ConfigFollower,
--- a/src/sidecar/admin/SidecarMetrics.test.ts
+++ b/src/sidecar/admin/SidecarMetrics.test.ts
@@ -12,6 +12,7 @@
   metrics.countHealthChange("results", true);
   metrics.countExtraRun("results", "hedge");
   metrics.countDeniedRetry("results");
+  metrics.countControlBytes("config", "same", 700);
   const figures = { firstTries: 20, extras: 3, allowed: 5.5 };
   metrics.watchBudgets(() => [{ service: "results", figures }]);
   metrics.observeRequest("results", "done", 20);
@@ -25,6 +26,7 @@
     'burdockpass_target_ejections_total{service="results",change="ejected"} 1',
     'burdockpass_extra_tries_total{service="results",cause="hedge"} 1',
     'burdockpass_retries_denied_total{service="results"} 1',
+    'burdockpass_control_bytes_total{kind="config",zone="same"} 700',
     'burdockpass_retry_budget{service="results",what="allowed"} 5.5',
     'burdockpass_requests_total{service="results",verdict="done"} 1',
   ]) {
--- a/src/sidecar/admin/SidecarMetrics.ts
+++ b/src/sidecar/admin/SidecarMetrics.ts
@@ -1,6 +1,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { lateTimeoutCounter } from "../../common/telemetry/lateTimeoutCounter.ts";
 import type { QuarantineEvent } from "../quarantine/QuarantineEvent.ts";
+import type { PeerZone } from "./PeerZone.ts";
 import type { TrafficKind } from "./TrafficKind.ts";
 
 /** Buckets for added latency, seconds. They are fine below 2 ms, the users' limit for the latency that a sidecar adds. */
@@ -74,8 +75,8 @@
     });
     this.#controlBytes = new Counter({
       name: "burdockpass_control_bytes_total",
-      help: "Bytes of burdockpass's own messages , sent and received, protobuf-encoded, by what they are for.",
-      labelNames: ["kind"],
+      help: "Bytes of burdockpass's own messages, sent and received, protobuf-encoded, by purpose and zone of the other end.",
+      labelNames: ["kind", "zone"],
       registers: [this.registry],
     });
     this.#refusals = new Counter({
@@ -232,9 +233,9 @@
     this.#retriesDenied.inc({ service });
   }
 
-  /** Counts bytes of messages between burdockpass processes, sent or received. */
-  countControlBytes(kind: TrafficKind, bytes: number): void {
-    this.#controlBytes.inc({ kind }, bytes);
+  /** Counts bytes of messages between burdockpass processes, sent or received; `zone` is that of the other end. */
+  countControlBytes(kind: TrafficKind, zone: PeerZone, bytes: number): void {
+    this.#controlBytes.inc({ kind, zone }, bytes);
   }
 
   /** Counts a caller's request that has its verdict; `ms` is the time from its arrival until then. */
--- a/src/sidecar/config/ConfigFollower.test.ts
+++ b/src/sidecar/config/ConfigFollower.test.ts
@@ -19,7 +19,8 @@
 
 const follower = (dataDir: string | undefined, isActive = true) =>
   new ConfigFollower({
-    controls: () => ["127.0.0.1:1"],
+    controls: () => [{ address: "127.0.0.1:1", zone: undefined }],
+    zone: "a",
     dataDir,
     sidecarId: "s",
     isActive: () => isActive,
--- a/src/sidecar/config/ConfigFollower.ts
+++ b/src/sidecar/config/ConfigFollower.ts
@@ -1,27 +1,17 @@
 import { readFileSync } from "node:fs";
 import { join } from "node:path";
-import type bunyan from "bunyan";
 import { DocumentHistory } from "../../common/document/DocumentHistory.ts";
 import type { DocumentUpdate } from "../../common/document/DocumentUpdate.ts";
 import type { OperatorDocument } from "../../common/document/OperatorDocument.ts";
-import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
-import type { MessageSizeListener } from "../../common/rpc/MessageSizeListener.ts";
 import { writeFileSynced } from "../../common/storage/writeFileSynced.ts";
 import type { ConfigSource } from "../../membership/ConfigSource.ts";
 import { RouteIndex } from "../routing/RouteIndex.ts";
 import { WorkspaceIndex } from "../workspaces/WorkspaceIndex.ts";
-import { ControlWatch } from "./ControlWatch.ts";
-import { WatchSupervisor } from "./WatchSupervisor.ts";
+import { DocumentWatches } from "./DocumentWatches.ts";
 
 const DOCUMENT_FILE = "accepted-config.json";
 
-/**
- * Number of replicas followed at the same time. With a single one, a change arrives late
- * when that replica is slow, its disk stalls, or the network path to it has just failed.
- */
-const WATCH_COUNT = 2;
-
 /** How the document received last has arrived. */
 interface DocumentSource {
   readonly by: DocumentUpdate["kind"];
@@ -29,24 +19,20 @@
   readonly from: string;
 }
 
-interface ConfigFollowerDeps {
-  /** Addresses of the currently known control replicas, host:port. */
-  readonly controls: () => readonly string[];
+type DocumentWatchesDeps = ConstructorParameters<typeof DocumentWatches>[0];
+
+interface ConfigFollowerDeps extends Omit<
+  DocumentWatchesDeps,
+  "receivedVersion" | "apply" | "onConfirmed" | "onAnnounced"
+> {
   /** Folder for the last accepted document; undefined to keep none. */
   readonly dataDir: string | undefined;
-  readonly sidecarId: string;
-  readonly clock: Clock;
-  /** Returns a number in [0, 1). */
-  readonly random: () => number;
-  readonly log: bunyan;
-  /** Called with the method and size of every message to and from control. */
-  readonly onMessageSize?: MessageSizeListener;
   /** Whether documents come into force as soon as they are received; see DocumentActivation. */
   readonly isActive: () => boolean;
-  /** Clock by which confirmations age, ms; see ElapsedClock. */
-  readonly elapsed: () => number;
   /** Called when control states that no change after `version` had been acknowledged at `at`, by `elapsed`. */
   readonly onConfirmed?: (version: number, at: number) => void;
+  /** Called when the control replica at `address`, from which no updates are received, states its version. */
+  readonly onAnnounced?: (address: string, version: number) => void;
   /** Called after another version was received, before it comes into force. */
   readonly onReceived?: () => void;
   /** Called after another version has come into force. */
@@ -63,7 +49,7 @@
 export class ConfigFollower implements ConfigSource, IDisposable {
   readonly #deps: ConfigFollowerDeps;
   readonly #history = new DocumentHistory();
-  readonly #watches: WatchSupervisor[] = [];
+  readonly #watches: DocumentWatches;
   #version = 0;
   #source: DocumentSource | undefined;
   #routes: RouteIndex | undefined;
@@ -74,6 +60,13 @@
 
   constructor(deps: ConfigFollowerDeps) {
     this.#deps = deps;
+    this.#watches = new DocumentWatches({
+      ...deps,
+      receivedVersion: () => this.receivedVersion,
+      apply: (update, from) => this.offer(update, from),
+      onConfirmed: (version, at) => deps.onConfirmed?.(version, at),
+      onAnnounced: (address, version) => deps.onAnnounced?.(address, version),
+    });
   }
 
   /** Version in force at this sidecar; 0 before any. */
@@ -112,17 +105,11 @@
   /** Loads the last document from the data folder, then follows control until disposed. */
   start(): void {
     this.#loadFromDisk();
-    for (let n = 0; n < WATCH_COUNT; n++) {
-      const watch = this.#createWatch();
-      this.#watches.push(watch);
-      watch.start();
-    }
+    this.#watches.start();
   }
 
   dispose(): void {
-    this.#watches.forEach((w) => {
-      w.dispose();
-    });
+    this.#watches.dispose();
   }
 
   /**
@@ -168,41 +155,6 @@
     this.#deps.onChange?.();
   }
 
-  #createWatch(): WatchSupervisor {
-    const { sidecarId, onMessageSize, elapsed, onConfirmed, clock, log } = this.#deps;
-    return new WatchSupervisor({
-      choose: (avoid) => this.#chooseReplica(avoid),
-      open: (address, events) =>
-        new ControlWatch(
-          {
-            sidecarId,
-            onMessageSize,
-            elapsed,
-            onConfirmed: (version, at) => onConfirmed?.(version, at),
-            ...events,
-          },
-          address,
-          this.receivedVersion,
-        ),
-      apply: (update, from) => this.offer(update, from),
-      clock,
-      log,
-    });
-  }
-
-  /** A random replica, if possible one that is not followed yet and not in `avoid`. */
-  #chooseReplica(avoid: ReadonlySet<string>): string | undefined {
-    const { controls, random } = this.#deps;
-    const followed = new Set(this.#watches.flatMap((w) => w.addresses));
-    const known = controls();
-    const pool = [
-      known.filter((a) => !followed.has(a) && !avoid.has(a)),
-      known.filter((a) => !avoid.has(a)),
-      known,
-    ].find((candidates) => candidates.length > 0);
-    return pool?.[Math.floor(random() * pool.length)];
-  }
-
   #loadFromDisk(): void {
     const { dataDir, log } = this.#deps;
     if (!dataDir) {
--- a/src/sidecar/config/ControlWatch.ts
+++ b/src/sidecar/config/ControlWatch.ts
@@ -6,9 +6,12 @@
 import type { MessageSizeListener } from "../../common/rpc/MessageSizeListener.ts";
 import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
 import { VersionJoiner } from "../../common/rpc/VersionJoiner.ts";
+import type { WatchContent } from "./WatchContent.ts";
 
 interface ControlWatchDeps {
   readonly sidecarId: string;
+  /** What the replica is to send; one of an earlier release always sends updates. */
+  readonly content: WatchContent;
   /** Called with the method and size of every message to and from control. */
   readonly onMessageSize: MessageSizeListener | undefined;
   /** Clock by which confirmations age, ms; see ElapsedClock. */
@@ -16,6 +19,8 @@
   readonly onUpdate: (update: DocumentUpdate) => void;
   /** Called when the replica states that no change after `version` had been acknowledged at `at`, by `elapsed`. */
   readonly onConfirmed: (version: number, at: number) => void;
+  /** Called when the replica states its version. */
+  readonly onVersion: (version: number) => void;
   /** Called for each message from the replica: a heartbeat about once a second, and each part of an update. */
   readonly onHeartbeat: () => void;
   /** Called once, when the watch has ended for any reason. */
@@ -42,7 +47,7 @@
       have_version: haveVersion,
       heartbeats: true,
       accepts_packed: true,
-      versions_only: false,
+      versions_only: deps.content === "versions",
     };
     this.#requestedAt = deps.elapsed();
     this.#call = this.#client.Watch(req);
@@ -72,6 +77,7 @@
     this.#deps.onHeartbeat();
     if (documentCodec.isHeartbeat(raw)) {
       this.#onStatedAge(raw.version, documentCodec.heartbeatAgeMs(raw));
+      this.#deps.onVersion(raw.version);
       return;
     }
     const whole = this.#parts.add(raw);
--- a/src/sidecar/config/WatchSupervisor.test.ts
+++ b/src/sidecar/config/WatchSupervisor.test.ts
@@ -20,6 +20,8 @@
 function setUp(replicas: readonly string[], apply = () => "taken" as "taken" | "gap") {
   const clock = new FakeClock();
   const watches: FakeWatch[] = [];
+  const failed: string[] = [];
+  const better: { is: (address: string) => boolean } = { is: () => false };
   const supervisor = new WatchSupervisor({
     choose: (avoid) => replicas.find((r) => !avoid.has(r)) ?? replicas[0],
     open: (address, events) => {
@@ -32,12 +34,16 @@
         },
       };
     },
+    hasBetter: (address) => better.is(address),
+    onFailure: (address) => {
+      failed.push(address);
+    },
     apply,
     clock,
     log,
   });
   const open = () => watches.filter((w) => !w.isClosed).map((w) => w.address);
-  return { clock, supervisor, watches, open };
+  return { clock, supervisor, watches, open, failed, better };
 }
 
 test("watch that is slow to open is raced by others, and kept until one opens", async (t) => {
@@ -63,7 +69,7 @@
 });
 
 test("silent watch is kept until another has opened", async (t) => {
-  const { clock, supervisor, watches, open } = setUp(["a", "b"]);
+  const { clock, supervisor, watches, open, failed } = setUp(["a", "b"]);
   supervisor.start();
   watches[0]?.events.onOpen();
   watches[0]?.events.onHeartbeat();
@@ -71,6 +77,22 @@
   t.deepEqual(open(), ["a", "b"]);
   watches[1]?.events.onOpen();
   t.deepEqual(open(), ["b"]);
+  t.deepEqual(failed, ["a"]);
+});
+
+test("watch of a replica is replaced by one of a better replica, and kept until that has opened", async (t) => {
+  const { clock, supervisor, watches, open, failed, better } = setUp(["a", "b"]);
+  supervisor.start();
+  watches[0]?.events.onOpen();
+  await clock.advance(10_000);
+  t.deepEqual(open(), ["a"], "there is no better one yet");
+  better.is = (address) => address === "a";
+  await clock.advance(10_000);
+  t.deepEqual(open(), ["a", "b"]);
+  watches[1]?.events.onOpen();
+  await clock.advance(30_000);
+  t.deepEqual(open(), ["b"]);
+  t.deepEqual(failed, [], "neither has failed");
 });
 
 test("silent watch that receives a heartbeat again is kept, and the race ends", async (t) => {
@@ -92,24 +114,26 @@
   t.deepEqual(open(), ["a"]);
 });
 
-const ends: readonly { name: string; end: (events: Events) => void }[] = [
+const ends: readonly { name: string; isFailure: boolean; end: (events: Events) => void }[] = [
   {
     name: "that ended",
+    isFailure: true,
     end: (events) => {
       events.onEnd("reset");
     },
   },
   {
     name: "that missed an edit",
+    isFailure: false,
     end: (events) => {
       events.onUpdate(update);
     },
   },
 ];
 
-for (const { name, end } of ends) {
+for (const { name, isFailure, end } of ends) {
   test(`watch ${name} is replaced within 200 ms`, async (t) => {
-    const { clock, supervisor, watches } = setUp(["a"], () => "gap");
+    const { clock, supervisor, watches, failed } = setUp(["a"], () => "gap");
     supervisor.start();
     watches[0]?.events.onOpen();
     if (watches[0]) {
@@ -117,6 +141,7 @@
     }
     await clock.advance(200);
     t.is(watches.length, 2);
+    t.deepEqual(failed, isFailure ? ["a"] : []);
   });
 }
 
--- a/test/blockedEventLoop.test.ts
+++ b/test/blockedEventLoop.test.ts
@@ -198,6 +198,8 @@
           Object.assign(events, watchEvents);
           return { dispose: () => undefined };
         },
+        hasBetter: () => false,
+        onFailure: () => undefined,
         apply: () => "taken",
         clock,
         log,
--- a/test/slowLink.test.ts
+++ b/test/slowLink.test.ts
@@ -70,7 +70,8 @@
   const links = [new SlowLink(started.port), new SlowLink(started.port)];
   const controls = await Promise.all(links.map((l) => l.start()));
   const document = new SidecarDocument({
-    controls: () => controls,
+    controls: () => controls.map((address) => ({ address, zone: undefined })),
+    zone: "a",
     maxAgeMs: () => MAX_AGE_MS,
     dataDir: undefined,
     sidecarId: "s",
