Take a busy holder's late reply where no other sidecar can grant a credit

Cause: while control is away, only the holder can grant. A holder that took more than 60 ms to reply was passed over, the others had no leases, and its late credit was returned: 503. Change: a search for a credit that ends without one waits for the late replies, for 300 ms in all.

Amounts in messages are in millionths: in thousandths, a share of less than 0.001/s was rounded to no rate at all.

--- a/src/common/rpc/leaseCodec.ts
+++ b/src/common/rpc/leaseCodec.ts
@@ -5,7 +5,7 @@
 import type { ProtoTypes } from "./ProtoTypes.ts";
 
 /** Parts of a token or of a rate in the messages. */
-const UNITS = 1000;
+const UNITS = 1_000_000;
 
 const REFUSALS: readonly string[] = [
   "held",
--- a/src/sidecar/workspaces/leases/HolderTask.ts
+++ b/src/sidecar/workspaces/leases/HolderTask.ts
@@ -31,6 +31,9 @@
 /** Time after which a caller may return while leases are handed over, ms. */
 const RETRY_MS = 500;
 
+/** Longest time after which a caller may return when its quota is used up, ms. */
+const WAIT_MAX_MS = 3_600_000;
+
 /** Longest time after which a caller may return, ms: longer than that, a voter may be replaced. */
 const RETRY_MAX_MS = 5000;
 
@@ -249,7 +252,7 @@
     const waitMs = this.#held.waitMs();
     if (waitMs !== undefined) {
       this.#usage.refused += 1;
-      return { kind: "exhausted", retryAfterMs: waitMs };
+      return { kind: "exhausted", retryAfterMs: Math.min(waitMs, WAIT_MAX_MS) };
     }
     const refusals = [...this.#refusals.values()];
     const isSingle = this.#now < this.#singleUntil;
--- a/src/sidecar/workspaces/leases/LeasedCredits.test.ts
+++ b/src/sidecar/workspaces/leases/LeasedCredits.test.ts
@@ -5,7 +5,13 @@
 import { HolderRanking } from "./HolderRanking.ts";
 import { LeasedCredits } from "./LeasedCredits.ts";
 
-type Behaviour = HolderReply | "silent";
+/** Time after which a request without a reply is rejected, ms; see DatagramLink. */
+const REQUEST_TIMEOUT_MS = 300;
+
+/** Delay of a late reply, ms: the next sidecar has been asked by then. */
+const LATE_MS = 150;
+
+type Behaviour = HolderReply | "silent" | "late";
 
 const granted: HolderReply = { kind: "granted", grant: "1/2" };
 const exhausted: HolderReply = { kind: "exhausted", retryAfterMs: 700 };
@@ -33,7 +39,18 @@
       const behaviour = replies[n]?.[asked.filter((x) => x === n + 1).length] ?? "silent";
       asked.push(n + 1);
       if (behaviour === "silent") {
-        return new Promise<never>(() => undefined);
+        return new Promise<never>((_, reject) => {
+          clock.after(REQUEST_TIMEOUT_MS, () => {
+            reject(new Error("no reply in time"));
+          });
+        });
+      }
+      if (behaviour === "late") {
+        return new Promise((resolve) => {
+          clock.after(LATE_MS, () => {
+            resolve(granted);
+          });
+        });
       }
       const reply =
         behaviour.kind === "unavailable"
@@ -82,6 +99,12 @@
     expected: { kind: "unreachable", retryAfterMs: 900 },
     asked: [1, 2, 1, 3],
   },
+  {
+    name: "a busy holder replies late, while the others reach no voter",
+    replies: [["late"], [heldBy("")], [heldBy("")], [heldBy("")]],
+    expected: { kind: "granted" },
+    asked: [1, 2, 3, 4],
+  },
   {
     name: "a sidecar that was refused by the voters is asked alone, so that the leases are not divided",
     replies: [[heldBy("1")], [granted]],
@@ -116,6 +139,12 @@
   });
 }
 
+test("leased credits: one that is granted too late is returned", async (t) => {
+  const { returned, take } = open([["late"], [granted]]);
+  t.is((await take()).kind, "granted");
+  t.is(returned.length, 1);
+});
+
 test("leased credits: the sidecar that granted the last one is asked first, and its credit returned to it once", async (t) => {
   const { asked, returned, take } = open([[heldBy("2")], [granted, granted]]);
   const result = await take();
--- a/src/sidecar/workspaces/leases/LeasedCredits.ts
+++ b/src/sidecar/workspaces/leases/LeasedCredits.ts
@@ -36,6 +36,18 @@
   readonly clock: Clock;
 }
 
+/** A reply that has not arrived in time; it becomes undefined if it never does. */
+interface LateReply {
+  readonly address: string;
+  readonly reply: Promise<HolderReply | undefined>;
+}
+
+/** The search for a credit of one request. */
+interface Search {
+  readonly asked: Set<string>;
+  readonly late: LateReply[];
+}
+
 /** Takes credits of workspaces with a quota from their quota holders; see {@link QuotaHolder}. */
 export class LeasedCredits {
   readonly #deps: LeasedCreditsDeps;
@@ -59,9 +71,14 @@
       return this.#deps.singles.take(workspace);
     }
     const waitMs = (this.#exhaustedUntil.get(workspace) ?? 0) - now;
-    return waitMs > 0
-      ? { kind: "exhausted", retryAfterMs: waitMs }
-      : this.#takeFrom(workspace, new Set(), undefined);
+    return waitMs > 0 ? { kind: "exhausted", retryAfterMs: waitMs } : this.#search(workspace);
+  }
+
+  async #search(workspace: WorkspaceName): Promise<CreditResult> {
+    const search: Search = { asked: new Set(), late: [] };
+    const result = await this.#takeFrom(workspace, search, undefined);
+    this.#giveBackLate(workspace, search.late);
+    return result;
   }
 
   /**
@@ -70,16 +87,17 @@
    */
   async #takeFrom(
     workspace: WorkspaceName,
-    asked: Set<string>,
+    search: Search,
     named: string | undefined,
     retryAfterMs = RETRY_MS,
   ): Promise<CreditResult> {
+    const { asked } = search;
     const address = this.#next(workspace, asked, named);
     if (address === undefined) {
-      return { kind: "unreachable", retryAfterMs };
+      return this.#takeLate(workspace, search, retryAfterMs);
     }
     asked.add(address);
-    const reply = await this.#ask(address, workspace);
+    const reply = await this.#ask(address, workspace, search);
     switch (reply?.kind) {
       case "granted":
         this.#holders.set(workspace, address);
@@ -93,11 +111,11 @@
       case "unavailable":
         this.#forget(workspace, address);
         return reply.holder !== "" && !this.#mayAskNamed(reply.holder, asked)
-          ? { kind: "unreachable", retryAfterMs: reply.retryAfterMs }
-          : this.#takeFrom(workspace, asked, reply.holder, reply.retryAfterMs);
+          ? this.#takeLate(workspace, search, reply.retryAfterMs)
+          : this.#takeFrom(workspace, search, reply.holder, reply.retryAfterMs);
       default:
         this.#forget(workspace, address);
-        return this.#takeFrom(workspace, asked, undefined, retryAfterMs);
+        return this.#takeFrom(workspace, search, undefined, retryAfterMs);
     }
   }
 
@@ -125,34 +143,59 @@
     return this.#mayAsk(address, asked) || this.#silent.get(address)?.times === 1;
   }
 
-  /** Undefined if there is no reply in time; a credit that is granted later is returned. */
-  #ask(address: string, workspace: string): Promise<HolderReply | undefined> {
-    const { holder, ask, giveBack, clock } = this.#deps;
+  /** Waits for the replies that have not arrived in time: a busy holder replies late, and no other can grant a credit. */
+  async #takeLate(
+    workspace: WorkspaceName,
+    search: Search,
+    retryAfterMs: number,
+  ): Promise<CreditResult> {
+    const late = search.late.splice(0);
+    for (const { address, reply } of late) {
+      const granted = await reply;
+      if (granted?.kind === "granted") {
+        this.#giveBackLate(workspace, late.slice(late.findIndex((l) => l.reply === reply) + 1));
+        this.#holders.set(workspace, address);
+        return { kind: "granted", credit: this.#creditOf(address, workspace, granted.grant) };
+      }
+    }
+    return { kind: "unreachable", retryAfterMs };
+  }
+
+  /** Returns the credits that are granted too late. */
+  #giveBackLate(workspace: string, late: readonly LateReply[]): void {
+    for (const { address, reply } of late) {
+      void reply.then((granted) => {
+        if (granted?.kind === "granted") {
+          this.#deps.giveBack(address, workspace, granted.grant);
+        }
+      });
+    }
+  }
+
+  /** Undefined if there is no reply in time. */
+  #ask(address: string, workspace: string, search: Search): Promise<HolderReply | undefined> {
+    const { holder, ask, clock } = this.#deps;
     if (address === this.#deps.address) {
       return holder.take(workspace, true);
     }
+    const reply = ask(address, workspace).then(
+      (received) => {
+        this.#silent.delete(address);
+        return received;
+      },
+      () => undefined,
+    );
     return new Promise((resolve) => {
-      let isLate = false;
       const timer = clock.timeout(SILENCE_MS, () => {
-        isLate = true;
         const times = (this.#silent.get(address)?.times ?? 0) + 1;
         this.#silent.set(address, { times, until: clock.now() + SILENT_MS });
+        search.late.push({ address, reply });
         resolve(undefined);
       });
-      ask(address, workspace).then(
-        (reply) => {
-          timer.cancel();
-          this.#silent.delete(address);
-          if (isLate && reply.kind === "granted") {
-            giveBack(address, workspace, reply.grant);
-          }
-          resolve(reply);
-        },
-        () => {
-          timer.cancel();
-          resolve(undefined);
-        },
-      );
+      void reply.then((received) => {
+        timer.cancel();
+        resolve(received);
+      });
     });
   }
 
