--- a/experiment/quota/ModelSidecar.ts
+++ b/experiment/quota/ModelSidecar.ts
@@ -9,6 +9,7 @@
 import type { RankedSidecar } from "../../src/sidecar/workspaces/leases/RankedSidecar.ts";
 import { NodeClock } from "./NodeClock.ts";
 import type { QuotaModel } from "./QuotaModel.ts";
+import type { QuotaModelOptions } from "./QuotaModelOptions.ts";
 
 const WORKSPACE = WorkspaceName("w");
 
@@ -24,11 +25,14 @@
   #credits: Pick<CreditClient, "take"> | undefined;
   /** The sidecars that this one believes to be live; another array after each change. */
   view: readonly RankedSidecar[];
+  /** The quota in the document as this sidecar knows it. */
+  quota: QuotaModelOptions["quota"];
   readonly #model: QuotaModel;
 
   constructor(model: QuotaModel, n: number) {
     this.#model = model;
     this.id = `s${n}`;
+    this.quota = model.quota;
     this.canLease = n >= model.opts.singles;
     this.view = Array.from({ length: model.opts.sidecars }, (_, i) => ({
       id: `s${i}`,
@@ -108,7 +112,7 @@
       },
       replicas: () => model.voters.map((v) => v.id),
       ranking,
-      quotaOf: () => opts.quota,
+      quotaOf: () => this.quota,
       address: this.id,
       process: Math.floor(random() * 2 ** 48),
       termMs: opts.fault === "from-reply" ? Infinity : opts.termMs,
