--- a/src/sidecar/fairness/FairShares.ts
+++ b/src/sidecar/fairness/FairShares.ts
@@ -95,6 +95,9 @@
     if (!rule) {
       return;
     }
+    if (this.#charges.size === 0) {
+      this.#tags.endBusyPeriod();
+    }
     const { request, virtualArrivalMs = 0 } = waiting;
     const costMs = this.#costMs(waiting);
     if (request.isNestedCall) {
@@ -129,8 +132,8 @@
   /**
    * Chooses the request that a full queue refuses for fairness, so that `newcomer` can be queued: the last one of the
    * workspace furthest over its share, with the newcomer counted. If that is the newcomer's own workspace, the newcomer
-   * is refused. Undefined if no workspace is over its share. The room in the queue is thus shared max-min fairly: only
-   * the workspaces with the largest claims by weight lose requests, however small another one's weight is.
+   * is refused. The only request of a workspace is never refused for fairness: one that is costly, or whose workspace has
+   * a small weight, would never be served. Undefined if there is none to refuse.
    */
   chooseRefused(
     newcomer: QueuedRequest,
@@ -142,10 +145,17 @@
     }
     const shares = claimShares(this.#claims([...queued, newcomer]), rule);
     const { isNestedCall } = newcomer.request;
-    const own = isNestedCall ? undefined : shares.get(workspaceOf(newcomer.request));
-    const furthest = this.#furthestOver(queued, shares);
-    if (own && isOver(own) && (!furthest || excess(own) >= excess(furthest))) {
-      return { waiting: newcomer, workspace: workspaceOf(newcomer.request), ...own };
+    if (isNestedCall) {
+      return this.#furthest(queued, shares, () => true);
+    }
+    const counts = this.#counts([...queued, newcomer]);
+    const mayLose = (workspace: string, share: ClaimShare) =>
+      isOver(share) && (counts.get(workspace) ?? 0) > 1;
+    const workspace = workspaceOf(newcomer.request);
+    const own = shares.get(workspace);
+    const furthest = this.#furthest(queued, shares, mayLose);
+    if (own && mayLose(workspace, own) && (!furthest || excess(own) >= excess(furthest))) {
+      return { waiting: newcomer, workspace, ...own };
     }
     return furthest;
   }
@@ -155,10 +165,11 @@
     return this.isOn ? this.#use.shares : [];
   }
 
-  /** The last request in order of the workspace furthest over its share, among those with queued requests. */
-  #furthestOver(
+  /** The last request in order of the workspace with the largest claim by weight, among those that may lose one. */
+  #furthest(
     queued: readonly QueuedRequest[],
     shares: ReadonlyMap<string, ClaimShare>,
+    mayLose: (workspace: string, share: ClaimShare) => boolean,
   ): FairRefusal | undefined {
     const callers = queued.filter(({ request }) => !request.isNestedCall);
     const arranged = this.arrange(callers, this.#deps.clock.now()) ?? [];
@@ -166,7 +177,11 @@
     for (const waiting of arranged) {
       const workspace = workspaceOf(waiting.request);
       const share = shares.get(workspace);
-      if (share && isOver(share) && excess(share) >= (furthest ? excess(furthest) : 0)) {
+      if (
+        share &&
+        mayLose(workspace, share) &&
+        excess(share) >= (furthest ? excess(furthest) : 0)
+      ) {
         furthest = { waiting, workspace, ...share };
       }
     }
@@ -191,6 +206,19 @@
     return claims;
   }
 
+  /** Number of running and the given queued requests of each workspace, nested calls left out. */
+  #counts(queued: readonly QueuedRequest[]): Map<string, number> {
+    const running = [...this.#charges.values()].map(({ workspace }) => workspace);
+    const waiting = queued
+      .filter(({ request }) => !request.isNestedCall)
+      .map(({ request }) => workspaceOf(request));
+    const counts = new Map<string, number>();
+    for (const workspace of [...running, ...waiting].filter((w) => w !== undefined)) {
+      counts.set(workspace, (counts.get(workspace) ?? 0) + 1);
+    }
+    return counts;
+  }
+
   #costMs({ request }: QueuedRequest): number {
     return this.#deps.serviceTime.typicalMs(request);
   }
--- a/src/sidecar/fairness/FairTags.ts
+++ b/src/sidecar/fairness/FairTags.ts
@@ -31,6 +31,12 @@
     }
   }
 
+  /** Ends a busy period: no slot is held, so no workspace is ahead of another any more. */
+  endBusyPeriod(): void {
+    this.#virtualMs = Math.max(this.#virtualMs, ...this.#finishTags.values());
+    this.#finishTags.clear();
+  }
+
   /** Returns the charge for a request that has not run. */
   refund(workspace: string, costMs: number): void {
     const finish = this.#finishTags.get(workspace);
--- a/src/sidecar/ingress/CallerServer.ts
+++ b/src/sidecar/ingress/CallerServer.ts
@@ -213,7 +213,8 @@
       startedAt,
       deadlineAt: startedAt + timeoutMs,
       disconnected,
-      origin: provenOrigin(admission) ?? origin,
+      origin,
+      provenOrigin: provenOrigin(admission),
     };
     const bufferBytes = this.#reserveBuffer(req);
     const hold = this.#memory.hold(MemoryHolder.Requests, bufferBytes);
@@ -265,7 +266,10 @@
     ctx: RequestContext,
     { route, workspace, hasWorkspaces, release }: Extract<Admission, { kind: "admitted" }>,
     opened: Awaited<ReturnType<typeof openBody>>,
-    timing: Pick<CallerRequest, "startedAt" | "deadlineAt" | "disconnected" | "origin">,
+    timing: Pick<
+      CallerRequest,
+      "startedAt" | "deadlineAt" | "disconnected" | "origin" | "provenOrigin"
+    >,
   ): Promise<void> {
     if (opened.kind === "too-large") {
       release();
--- a/src/sidecar/routing/CallerRequest.ts
+++ b/src/sidecar/routing/CallerRequest.ts
@@ -14,7 +14,10 @@
   readonly headers: HeaderList;
   readonly body: Buffer | Readable | undefined;
   readonly bodyLength?: number;
+  /** By the source address of its connection. */
   readonly origin: RequestOrigin;
+  /** By its API key, or the lack of one, where that proves it. */
+  readonly provenOrigin?: RequestOrigin;
   /** The workspace whose API key the request carried; undefined if it belongs to none. */
   readonly workspace?: WorkspaceName;
   /** Set by the dispatcher for a request with an idempotency key that must not be repeated. */
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -129,7 +129,7 @@
   async dispatch(route: RouteMatch, callerReq: CallerRequest): Promise<ForwardResult> {
     const req = withDispatchId(route, callerReq);
     const { classifier, budgets } = this.#deps;
-    const classified = classifier?.begin(route, req.origin);
+    const classified = classifier?.begin(route, req.origin, req.provenOrigin);
     const isNestedCall = classified?.isNestedCall ?? false;
     if (classified?.isFromCaller ?? true) {
       budgets.onFirstTry(route);
@@ -162,8 +162,8 @@
     if (verdict.kind !== "not-run" || !isRefusedByTarget || !returnsWithinObjective?.()) {
       return result;
     }
-    const { ready } = policy.survey({ route, isRetryable: false }, tried);
-    if (ready <= tried.size) {
+    const { free, full, unknown } = policy.survey({ route, isRetryable: false }, tried);
+    if (free + full + unknown === 0) {
       return result;
     }
     const retryAfterMs = returnAfterMs({
@@ -309,7 +309,7 @@
   }
 
   #takeHedgeToken(state: DispatchState): boolean {
-    const isAllowed = this.#deps.budgets.tryRetry(state.route);
+    const isAllowed = this.#deps.budgets.tryRetry(state.route, state.isNestedCall);
     if (!isAllowed) {
       this.#rule.reportDenied(state, "hedge");
     }
--- a/src/sidecar/routing/RetryBudgets.ts
+++ b/src/sidecar/routing/RetryBudgets.ts
@@ -90,6 +90,7 @@
 
   /**
    * Lends retry tokens to another sidecar by charging its extra requests here; false if the budgets do not allow it.
+   * The first of `costs` is that of the service the request is for.
    *
    * @param isNestedCall the tokens are for a nested call, which may use the reserved part of the budgets
    */
--- a/src/sidecar/routing/StuckRunHedge.ts
+++ b/src/sidecar/routing/StuckRunHedge.ts
@@ -20,6 +20,7 @@
   readonly #timer: Timer;
   readonly #settle: (result: ForwardResult) => void;
   #finder: Pick<SlotFinder, "result" | "cancel"> | undefined;
+  #isCancelled = false;
   #run: Pick<RemoteRun, "result" | "cancel"> | undefined;
 
   /** Result of the second run; stays pending while it has not started. */
@@ -41,6 +42,7 @@
 
   /** Starts no second run any more; one that has started continues. */
   cancel(): void {
+    this.#isCancelled = true;
     this.#timer.cancel();
     if (!this.hasStarted) {
       this.#finder?.cancel();
@@ -58,7 +60,7 @@
     }
     this.#finder = this.#deps.findSlot();
     void this.#finder.result.then((search) => {
-      if (search.kind === "granted") {
+      if (search.kind === "granted" && !this.#isCancelled) {
         this.#run = this.#deps.startRun(search.grant);
         void this.#run.result.then(this.#settle);
       }
--- a/src/sidecar/routing/TrafficClassifier.ts
+++ b/src/sidecar/routing/TrafficClassifier.ts
@@ -72,13 +72,21 @@
     this.#deps = deps;
   }
 
-  /** Records the arrival of a request of `route`, and classifies it. */
+  /**
+   * Records the arrival of a request of `route`, and classifies it.
+   *
+   * @param origin by the source address
+   * @param provenOrigin by the API key or the lack of one; undefined where that proves nothing
+   */
   begin(
     { name: route, service }: Pick<RouteMatch, "name" | "service">,
     origin = RequestOrigin.Unknown,
+    provenOrigin?: RequestOrigin,
   ): ClassifiedRequest {
     const { runs } = this.#deps;
-    const weight = PROVEN_WEIGHTS[origin] ?? this.#estimateWeight(route, origin);
+    this.#sawOtherAddress ||= origin === RequestOrigin.Elsewhere;
+    const proven = provenOrigin && PROVEN_WEIGHTS[provenOrigin];
+    const weight = proven ?? this.#estimateWeight(route, origin);
     const isFromCaller = weight === 0;
     return {
       isFromCaller,
@@ -91,7 +99,6 @@
 
   /** Estimates a request's weight as a nested call by the evidence so far. */
   #estimateWeight(route: string, origin: RequestOrigin): number {
-    this.#sawOtherAddress ||= origin === RequestOrigin.Elsewhere;
     const usedOrigin = this.#sawOtherAddress ? origin : RequestOrigin.Unknown;
     const key = `${route} from ${usedOrigin}`;
     const nats = this.#updateEvidence(key, ORIGIN_PRIOR_NATS[usedOrigin] ?? 0);
--- a/src/sidecar/routing/returnAfterMs.ts
+++ b/src/sidecar/routing/returnAfterMs.ts
@@ -28,7 +28,7 @@
 export function returnAfterMs(refused: RefusedRequest): number {
   const { suggestedMs, objectiveLeftMs, typicalMs, sample } = refused;
   const spareMs = objectiveLeftMs - typicalMs;
-  if (spareMs <= 0) {
+  if (spareMs <= MIN_RETURN_MS) {
     return suggestedMs;
   }
   const spread = 1 + SPREAD * (sample - 0.5);
