Hedge idempotent requests after a learned delay, within an operators' limit

Cause: a run that takes longer than usual is hedged only after 2.5 times the typical time, and nothing limits what hedges add except the retry budget.

Where a service's document sets `hedging`, a run that has lasted longer than the quantile of its route's response times is also sent to another target, in another zone if possible. Hedges stay within a share of the service's work in target time, kept by each sidecar for itself, leave half of the retry budget to retries, and are not sent while the service is congested, to suspect targets, from a stopping sidecar or too late.

--- a/src/common/document/Service.ts
+++ b/src/common/document/Service.ts
@@ -34,6 +34,14 @@
   rampMs: Millis.default(3_000),
 });
 
+/** Limits on the second requests that are sent while the first run of an idempotent request takes unusually long. */
+const Hedging = z.strictObject({
+  /** The delay before a hedge, as a quantile of the response times of the request's route. */
+  quantile: z.number().min(0.5).max(0.999).default(0.95),
+  /** Target time that hedges may add, as a share of the target time of the service's other runs; 0 is off. */
+  maxWorkShare: z.number().min(0).max(0.5).default(0),
+});
+
 /**
  * One service of the document. Requests reach it through the document's routes, or
  * through its simple routes: path prefixes on any host. Simple routes also need the
@@ -52,6 +60,8 @@
   timeoutMs: Millis.optional(),
   retry: RetryPolicy.optional(),
   detection: Detection.prefault({}),
+  /** Hedged requests; without it, only runs that are stuck are hedged, see StuckRunHedge. */
+  hedging: Hedging.optional(),
   /**
    * A header in which targets echo the id that the sidecar sent in it. A response
    * with a different id belongs to another request and is not forwarded.
--- a/src/sidecar/CallerSide.ts
+++ b/src/sidecar/CallerSide.ts
@@ -17,6 +17,7 @@
 import { probeHealth } from "./detection/probeHealth.ts";
 import type { Dialect } from "./dialect/Dialect.ts";
 import { GateMessageDispatcher } from "./hop/GateMessageDispatcher.ts";
+import { HedgeRule } from "./hedging/HedgeRule.ts";
 import { HopClient } from "./hop/HopClient.ts";
 import { RetryTokenClient } from "./hop/RetryTokenClient.ts";
 import { SlotClient } from "./hop/SlotClient.ts";
@@ -77,6 +78,7 @@
   readonly #notices: TargetNotices;
   readonly #dispatcher: Dispatcher;
   readonly #confirmer: DocumentConfirmer;
+  #isStopping = false;
   readonly policy: RoutingPolicy;
   readonly server: CallerServer;
   /** Dispatches the messages of gates and of sidecars that borrow retry tokens. */
@@ -131,6 +133,12 @@
     this.#documentWait.release();
   }
 
+  /** Closes callers' connections with their next responses, and sends no hedges any more: the sidecar is being stopped. */
+  beginStop(): void {
+    this.#isStopping = true;
+    this.server.beginStop();
+  }
+
   /** Refuses the requests that wait for a slot, and all later ones: see {@link Dispatcher.close}. */
   refuseQueued(): void {
     this.#dispatcher.close();
@@ -212,11 +220,29 @@
       onRetryDenied: (service) => {
         metrics.countDeniedRetry(service);
       },
+      hedging: this.#createHedgeRule(budgets),
+      onHedgeRefused: (service, reason) => {
+        metrics.countHedgeRefusal(service, reason);
+      },
+      onHedgeEnd: (service, report) => {
+        metrics.observeHedge(service, report);
+      },
       clock,
       log,
     });
   }
 
+  #createHedgeRule(budgets: RetryBudgets): HedgeRule {
+    const { document, clock } = this.#deps;
+    return new HedgeRule({
+      policy: this.policy,
+      budgets,
+      limits: (name) => document.follower.document?.services.find((s) => s.name === name)?.hedging,
+      isStopping: () => this.#isStopping,
+      clock,
+    });
+  }
+
   #createAsker(): AdmissionAsker {
     const { link, document, documents, elapsed } = this.#deps;
     return new AdmissionAsker({
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -251,7 +251,7 @@
     this.#parts = {
       announcements: targetSide,
       beginStop: () => {
-        callerSide.server.beginStop();
+        callerSide.beginStop();
         membership.beginStop();
       },
       closeCallers: () => Promise.resolve(callerPort.dispose()),
--- a/src/sidecar/admin/SidecarMetrics.test.ts
+++ b/src/sidecar/admin/SidecarMetrics.test.ts
@@ -15,6 +15,9 @@
   const figures = { firstTries: 20, extras: 3, allowed: 5.5 };
   metrics.watchBudgets(() => [{ service: "results", figures }]);
   metrics.observeRequest("results", "done", 20);
+  metrics.countHedgeRefusal("results", "work-share");
+  metrics.observeHedge("results", { won: "second", workMs: 500, savedMs: 300 });
+  metrics.observeHedge("results", { won: "first", workMs: 250, savedMs: 0 });
   const text = await metrics.registry.metrics();
   for (const line of [
     "burdockpass_config_version 7",
@@ -26,6 +29,10 @@
     'burdockpass_extra_tries_total{service="results",cause="hedge"} 1',
     'burdockpass_retries_denied_total{service="results"} 1',
     'burdockpass_retry_budget{service="results",what="allowed"} 5.5',
+    'burdockpass_hedges_total{service="results",won="second"} 1',
+    'burdockpass_hedges_not_sent_total{service="results",reason="work-share"} 1',
+    'burdockpass_hedge_work_seconds_total{service="results"} 0.75',
+    'burdockpass_hedge_saved_seconds_count{service="results"} 1',
     'burdockpass_requests_total{service="results",verdict="done"} 1',
   ]) {
     t.true(text.includes(`${line}\n`), line);
--- a/src/sidecar/admin/SidecarMetrics.ts
+++ b/src/sidecar/admin/SidecarMetrics.ts
@@ -11,6 +11,16 @@
 /** Buckets for the wait in an admission queue, seconds: from almost none to the longest deadline. */
 const QUEUE_WAIT_BUCKETS = [0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10];
 
+/** Buckets for the time that a hedge has saved, seconds: from hardly any to the longest objective. */
+const SAVED_BUCKETS = [0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8];
+
+/** How a hedge ended; times in ms. */
+interface EndedHedge {
+  readonly won: string;
+  readonly workMs: number;
+  readonly savedMs: number;
+}
+
 /** Why a dispatcher sends a request to a further target. */
 type ExtraRunCause = "retry" | "hedge";
 
@@ -55,6 +65,10 @@
   readonly #extraRuns: Counter;
   readonly #retriesDenied: Counter;
   readonly #notAdmitted: Counter;
+  readonly #hedges: Counter;
+  readonly #hedgeRefusals: Counter;
+  readonly #hedgeWork: Counter;
+  readonly #hedgeSaved: Histogram;
 
   constructor() {
     // prom-client's default metrics are not collected. Their event loop monitor wakes the process
@@ -125,6 +139,31 @@
       labelNames: ["service"],
       registers: [this.registry],
     });
+    this.#hedges = new Counter({
+      name: "burdockpass_hedges_total",
+      help: "Hedges sent for services with hedging that have ended, by service and which run's response was used.",
+      labelNames: ["service", "won"],
+      registers: [this.registry],
+    });
+    this.#hedgeRefusals = new Counter({
+      name: "burdockpass_hedges_not_sent_total",
+      help: "Runs of services with hedging that lasted longer than the delay and were not hedged, by reason.",
+      labelNames: ["service", "reason"],
+      registers: [this.registry],
+    });
+    this.#hedgeWork = new Counter({
+      name: "burdockpass_hedge_work_seconds_total",
+      help: "Target time that hedges are charged with, by service.",
+      labelNames: ["service"],
+      registers: [this.registry],
+    });
+    this.#hedgeSaved = new Histogram({
+      name: "burdockpass_hedge_saved_seconds",
+      help: "Time that hedges which won have saved, estimated from the route's response times, by service.",
+      labelNames: ["service"],
+      buckets: SAVED_BUCKETS,
+      registers: [this.registry],
+    });
     this.#notAdmitted = new Counter({
       name: "burdockpass_requests_not_admitted_total",
       help: "Callers' requests refused by API key (401), route (404), quota (429) or an outdated document (503).",
@@ -232,6 +271,20 @@
     this.#retriesDenied.inc({ service });
   }
 
+  /** Counts a run that lasted longer than the delay and was not hedged. */
+  countHedgeRefusal(service: string, reason: string): void {
+    this.#hedgeRefusals.inc({ service, reason });
+  }
+
+  /** Counts a hedge that has ended. */
+  observeHedge(service: string, { won, workMs, savedMs }: EndedHedge): void {
+    this.#hedges.inc({ service, won });
+    this.#hedgeWork.inc({ service }, workMs / 1000);
+    if (won === "second") {
+      this.#hedgeSaved.observe({ service }, savedMs / 1000);
+    }
+  }
+
   /** Counts bytes of messages between burdockpass processes, sent or received. */
   countControlBytes(kind: TrafficKind, bytes: number): void {
     this.#controlBytes.inc({ kind }, bytes);
--- a/src/sidecar/routing/AdaptivePolicy.ts
+++ b/src/sidecar/routing/AdaptivePolicy.ts
@@ -117,7 +117,8 @@
     const candidates = this.#candidates(snapshot, tried);
     const { random } = this.#deps;
     const probeCandidates = request.isRetryable ? this.#probeCandidates(snapshot, candidates) : [];
-    const inNeed = [...probeCandidates, ...this.#idleCandidates(snapshot, candidates)];
+    const idleCandidates = request.hedgeOf ? [] : this.#idleCandidates(snapshot, candidates);
+    const inNeed = [...probeCandidates, ...idleCandidates];
     const probe = inNeed[Math.floor(random() * inNeed.length)];
     if (probe) {
       return { target: probe.target, isProbe: true };
@@ -125,12 +126,27 @@
     const unsuspected = candidates.filter((c) => !this.#assessor.isSuspected(snapshot, c));
     const reachable = unsuspected.filter((c) => !c.view.link.isSuspect);
     const preferred = reachable.length > 0 ? reachable : unsuspected;
+    if (request.hedgeOf) {
+      return this.#pickForHedge(snapshot, reachable, request.hedgeOf.zone);
+    }
     const local = this.#localCandidates(snapshot, preferred);
     const tier = local.length > 0 ? local : preferred;
     const picked = pickByCost(tier, (c) => this.#cost(snapshot, c), random);
     return picked && { target: picked.target };
   }
 
+  /** Picks among targets outside the zone of the hedged run, if there are any: that zone may be what is slow. */
+  #pickForHedge(
+    snapshot: PickSnapshot,
+    healthy: Candidate[],
+    zone: ZoneName,
+  ): PickedTarget | undefined {
+    const elsewhere = healthy.filter((c) => c.target.zone !== zone);
+    const tier = elsewhere.length > 0 ? elsewhere : healthy;
+    const picked = pickByCost(tier, (c) => this.#cost(snapshot, c), this.#deps.random);
+    return picked && { target: picked.target };
+  }
+
   suspects(request: PickContext, tried: ReadonlySet<TargetId>): SuspectTarget[] {
     const snapshot = this.#snapshot(request);
     const suspects = this.#candidates(snapshot, tried).filter(
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -4,12 +4,18 @@
 import { DispatchId } from "../../common/ids/DispatchId.ts";
 import type { TargetId } from "../../common/ids/TargetId.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
+import type { TargetInfo } from "../../membership/TargetInfo.ts";
 import { RequestGuard } from "../quarantine/RequestGuard.ts";
 import type { Quarantine } from "../quarantine/Quarantine.ts";
 import { SuspectTurns } from "../quarantine/SuspectTurns.ts";
 import type { TargetNotices } from "../signals/TargetNotices.ts";
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
+import { HedgedRun } from "../hedging/HedgedRun.ts";
+import type { HedgePlan } from "../hedging/HedgePlan.ts";
+import type { HedgeRefusal } from "../hedging/HedgeRefusal.ts";
+import type { HedgeReport } from "../hedging/HedgeReport.ts";
+import type { HedgeRule } from "../hedging/HedgeRule.ts";
 import type { HopLink } from "../hop/HopLink.ts";
 import { idempotencyKeyOf } from "../records/idempotencyKeyOf.ts";
 import type { RetryTokenBorrower } from "./RetryTokenBorrower.ts";
@@ -67,6 +73,12 @@
   readonly onExtraRun?: (service: string, cause: ExtraRunCause) => void;
   /** Called for each retry or hedge that is not sent because the service's retry budget is used up. */
   readonly onRetryDenied?: (service: string) => void;
+  /** Decides on hedges of services for which the document turns hedging on; without it, only stuck runs are hedged. */
+  readonly hedging?: HedgeRule;
+  /** Called for each run of such a service that lasts long and is not hedged. */
+  readonly onHedgeRefused?: (service: string, reason: HedgeRefusal) => void;
+  /** Called when a hedge of such a service has ended. */
+  readonly onHedgeEnd?: (service: string, report: HedgeReport) => void;
   readonly clock: Clock;
   readonly log: bunyan;
 }
@@ -263,11 +275,13 @@
     return new Promise((resolve) => this.#deps.clock.after(ms, resolve));
   }
 
-  #findSlot(state: DispatchState): SlotFinder {
+  /** @param hedgeOf the target of the run that is to be hedged; undefined if it is not for a hedge */
+  #findSlot(state: DispatchState, hedgeOf?: TargetInfo): SlotFinder {
     const { policy, hop, notices, clock, log } = this.#deps;
     const requestSlot: HopLink["requestSlot"] = (...args) => hop.requestSlot(...args);
     const { route, req, tried, isNestedCall } = state;
-    const request = { route, isNestedCall, isRetryable: this.#rule.hasSpareAttempt(state) };
+    const isRetryable = hedgeOf === undefined && this.#rule.hasSpareAttempt(state);
+    const request = { route, isNestedCall, isRetryable, hedgeOf };
     const finder = new SlotFinder(
       { policy, requestSlot, notices, clock, log },
       request,
@@ -289,6 +303,10 @@
     if (!this.#rule.mayRepeat(state) || state.guard.isSuspect) {
       return first.result;
     }
+    const plan = this.#deps.hedging?.plan(state.route);
+    if (plan && this.#deps.hedging) {
+      return this.#hedge(state, grant.target, first, plan, this.#deps.hedging).result;
+    }
     const hedge = new StuckRunHedge({
       delayMs: policy.typicalMs(state.route) * HEDGE_FACTOR,
       takeToken: () => this.#takeHedgeToken(state),
@@ -308,6 +326,41 @@
     return b && isSuccess(b) ? b : moreInformative(b, a);
   }
 
+  /** Hedges `first` as the operators' document asks. */
+  #hedge(
+    state: DispatchState,
+    target: TargetInfo,
+    first: RemoteRun,
+    plan: HedgePlan,
+    hedging: HedgeRule,
+  ): HedgedRun {
+    const { clock, log, onHedgeRefused, onHedgeEnd } = this.#deps;
+    const { route, req, guard } = state;
+    const service = route.service.name;
+    const mayHedge = () => (guard.isSuspect ? "quarantine" : hedging.check(route, req.deadlineAt));
+    return new HedgedRun(
+      {
+        plan,
+        firstTarget: target.id,
+        charge: () => mayHedge() ?? hedging.charge(route, req.deadlineAt),
+        check: mayHedge,
+        findSlot: () => this.#findSlot(state, target),
+        startHedge: (grant) => this.#startHedge(state, grant),
+        recordResponse: (ms) => {
+          hedging.recordResponse(route, ms);
+        },
+        remainingMs: (ms) => hedging.remainingMs(route, ms),
+        onRefused: (reason) => onHedgeRefused?.(service, reason),
+        onEnd: (report) => {
+          log.info({ attempt: req.attempt, service, route: route.name, ...report }, "hedge ended");
+          onHedgeEnd?.(service, report);
+        },
+        clock,
+      },
+      first,
+    );
+  }
+
   #takeHedgeToken(state: DispatchState): boolean {
     const isAllowed = this.#deps.budgets.tryRetry(state.route);
     if (!isAllowed) {
@@ -320,10 +373,10 @@
     const { onExtraRun, log } = this.#deps;
     onExtraRun?.(state.route.service.name, "hedge");
     log.info({ attempt: state.req.attempt, target: grant.target.id }, "hedging");
-    return this.#startRun(state, grant);
+    return this.#startRun(state, grant, true);
   }
 
-  #startRun(state: DispatchState, grant: Grant): RemoteRun {
+  #startRun(state: DispatchState, grant: Grant, isHedge = false): RemoteRun {
     const { hop, callerService, clock, log, policy } = this.#deps;
     const { route, req } = state;
     state.tried.add(grant.target.id);
@@ -338,6 +391,9 @@
     void run.result.then((result) => {
       end(result.outcome);
       state.guard.recordEnd(result, grant.target, startedAt);
+      if (!isHedge && result.verdict.kind !== "not-run") {
+        this.#deps.hedging?.recordWork(route, clock.now() - startedAt);
+      }
       if (result.calls) {
         this.#deps.budgets.recordNestedCalls(route, result.calls);
       }
--- a/src/sidecar/routing/RetryBudget.ts
+++ b/src/sidecar/routing/RetryBudget.ts
@@ -18,6 +18,12 @@
  */
 const SAFETY_FACTOR = 0.85;
 
+/**
+ * Fraction of the usable allowance that hedges leave to retries: a retry replaces a response that failed, a hedge only
+ * one that is late.
+ */
+const RESERVED_FOR_RETRIES = 0.5;
+
 /** Minimum number of members by which the slack is divided: a sidecar that has just started knows few of them. */
 const MIN_MEMBERS = 8;
 
@@ -71,6 +77,16 @@
     return this.#usedWith(n * this.#deps.roundingThreshold) <= this.#usable(keepsReserve);
   }
 
+  /**
+   * Whether `n` extra requests may be sent as hedges now: they leave a part of the allowance to retries.
+   *
+   * @param keepsReserve leave also the part that is reserved for nested calls
+   */
+  canHedge(n: number, keepsReserve = false): boolean {
+    const usable = this.#usable(keepsReserve) * (1 - RESERVED_FOR_RETRIES);
+    return this.#usedWith(n * this.#deps.roundingThreshold) <= usable;
+  }
+
   /** Whether `n` extra requests may be lent to another sidecar now; a fractional remainder is not rounded up here. */
   canLend(n: number, keepsReserve = false): boolean {
     return this.#usedWith(n) <= this.#usable(keepsReserve);
--- a/src/sidecar/routing/RetryBudgets.ts
+++ b/src/sidecar/routing/RetryBudgets.ts
@@ -88,6 +88,17 @@
     return true;
   }
 
+  /** Charges the budgets for one hedge on the route; false if that would use the part left to retries. */
+  tryHedge(route: RouteMatch): boolean {
+    const isAllowed = this.costs(route).every(({ service, n }) =>
+      this.#budget(service).canHedge(n, this.#keepsReserve(service, false)),
+    );
+    if (isAllowed) {
+      this.#spend(this.costs(route));
+    }
+    return isAllowed;
+  }
+
   /**
    * Lends retry tokens to another sidecar by charging its extra requests here; false if the budgets do not allow it.
    *
--- a/src/sidecar/routing/RoutingPolicy.ts
+++ b/src/sidecar/routing/RoutingPolicy.ts
@@ -36,6 +36,11 @@
   readonly isRetryable: boolean;
   /** It is a nested call: the run that makes it fails without a response. */
   readonly isNestedCall?: boolean;
+  /**
+   * The request is a hedge of a run at this target: it is not sent to suspect targets nor as a probe, and to another
+   * zone if possible.
+   */
+  readonly hedgeOf?: TargetInfo;
 }
 
 /** Chooses targets, using the replies, load reports and outcomes that it is notified of. */
--- a/src/sidecar/routing/SlotFinder.ts
+++ b/src/sidecar/routing/SlotFinder.ts
@@ -177,7 +177,8 @@
       this.#inFlight < MAX_CONCURRENT_REQUESTS && this.#refusals.mayTryHealthy
         ? this.#pickNext()
         : undefined;
-    const leastRisky = next ? undefined : this.#pickLeastRisky();
+    const isHedge = this.#context.hedgeOf !== undefined;
+    const leastRisky = next || isHedge ? undefined : this.#pickLeastRisky();
     if (next) {
       this.#sendRequest(next);
     } else if (leastRisky) {
@@ -231,7 +232,8 @@
    * would be refused otherwise, so it loses nothing, which makes it the cheapest probe available.
    */
   #requestAsProbe(): void {
-    const probe = this.#hasProbed
+    const mayProbe = !this.#hasProbed && this.#context.hedgeOf === undefined;
+    const probe = !mayProbe
       ? undefined
       : this.#deps.policy.pick({ ...this.#context, isRetryable: true }, this.#tried);
     if (probe?.isProbe) {
