--- a/src/common/document/editDocument.test.ts
+++ b/src/common/document/editDocument.test.ts
@@ -9,7 +9,12 @@
 import { Workspace } from "./Workspace.ts";
 
 const name = fc.constantFrom("a", "b", "c", "d", "e");
-const service = fc.record({ name, floor: fc.constantFrom(0, 0.5, 1) }).map((s) => Service.parse(s));
+const hedging = fc.option(fc.record({ maxWorkShare: fc.constantFrom(0, 0.05) }), {
+  nil: undefined,
+});
+const service = fc
+  .record({ name, floor: fc.constantFrom(0, 0.5, 1), hedging })
+  .map((s) => Service.parse(s));
 const route = fc
   .record({ name, prefix: fc.constantFrom("/x/", "/y/"), timeoutMs: fc.constantFrom(1, 2) })
   .map((r) => Route.parse({ ...r, idempotent: true, attempts: 1, service: "a" }));
--- a/src/common/document/parseOperatorDocument.test.ts
+++ b/src/common/document/parseOperatorDocument.test.ts
@@ -16,6 +16,12 @@
     line: 8,
     field: "services.0.floor",
   },
+  {
+    name: "a hedging limit that would allow more hedges than first runs",
+    text: demo.replace("floor: 0.5", "hedging: { maxWorkShare: 5 }"),
+    line: 8,
+    field: "services.0.hedging.maxWorkShare",
+  },
   {
     name: "unknown method",
     text: demo.replace(
--- a/src/sidecar/hedging/HedgedRun.ts
+++ b/src/sidecar/hedging/HedgedRun.ts
@@ -138,12 +138,12 @@
       discardBody(result);
     } else if (isSuccess(result)) {
       this.#won = "second";
+      this.#finish(result);
       if (!this.#firstResult) {
         this.#deps.recordResponse(this.#deps.plan.delayMs);
         this.#savedMs = this.#deps.remainingMs(this.#elapsedMs);
+        this.#first.cancel();
       }
-      this.#finish(result);
-      this.#first.cancel();
     } else if (this.#firstResult) {
       this.#finish(moreInformative(result, this.#firstResult));
     }
--- a/src/sidecar/routing/Dispatcher.test.ts
+++ b/src/sidecar/routing/Dispatcher.test.ts
@@ -7,9 +7,13 @@
 import { makeQuarantine } from "../../../test/fixtures/makeQuarantine.ts";
 import { makeRoute } from "../../../test/fixtures/makeRoute.ts";
 import { makeTarget } from "../../../test/fixtures/makeTarget.ts";
+import { makeService } from "../../../test/fixtures/makeService.ts";
 import { results } from "../../../test/fixtures/results.ts";
+import { TargetId } from "../../common/ids/TargetId.ts";
 import { RequestFingerprint } from "../../common/ids/RequestFingerprint.ts";
 import { fingerprintOf } from "../quarantine/fingerprintOf.ts";
+import { HedgeRule } from "../hedging/HedgeRule.ts";
+import type { HedgeReport } from "../hedging/HedgeReport.ts";
 import { NotSentError } from "../hop/NotSentError.ts";
 import { ActiveRuns } from "../gate/ActiveRuns.ts";
 import { RefusalReason } from "../hop/RefusalReason.ts";
@@ -29,10 +33,12 @@
   isStarting = () => false,
   borrow = () => Promise.resolve(false),
   returnsWithinObjective = false,
+  extra: Partial<ConstructorParameters<typeof Dispatcher>[0]> = {},
+  gray: readonly string[] = [],
 ) {
-  const clock = new FakeClock();
+  const clock = extra.clock instanceof FakeClock ? extra.clock : new FakeClock();
   const hop = new FakeHop();
-  const policy = new FixedPolicy(knownTargets);
+  const policy = new FixedPolicy(knownTargets, gray);
   const runs = new ActiveRuns(clock);
   const { quarantine, ...evidence } = makeQuarantine(clock);
   const dispatcher = new Dispatcher({
@@ -53,6 +59,7 @@
     classifier: new TrafficClassifier({ runs, log }),
     clock,
     log,
+    ...extra,
   });
   return { clock, hop, policy, runs, dispatcher, quarantine, ...evidence };
 }
@@ -477,3 +484,116 @@
     t.is(told !== shed.verdict.retryAfterMs, isSoon);
   });
 }
+
+/** A dispatcher with hedging after 250 ms, and an allowance for one hedge. */
+function hedgingRig(gray: readonly string[] = []) {
+  const clock = new FakeClock();
+  const ended: HedgeReport[] = [];
+  const refused: string[] = [];
+  let isStopping = false;
+  const hedging = new HedgeRule({
+    policy: { typicalMs: () => 100, isCongested: () => false },
+    budgets: { tryHedge: () => true },
+    limits: () => hedgedRoute.service.hedging,
+    isStopping: () => isStopping,
+    clock,
+  });
+  hedging.recordWork(hedgedRoute, 2000);
+  const onHedgeEnd = (_: string, report: HedgeReport) => void ended.push(report);
+  const onHedgeRefused = (_: string, reason: string) => void refused.push(reason);
+  const extra = { hedging, onHedgeEnd, onHedgeRefused, clock };
+  const parts = rig(100, targets, undefined, undefined, false, extra, gray);
+  return { ...parts, clock, ended, refused, stop: () => (isStopping = true) };
+}
+
+const hedgedRoute = makeRoute({
+  service: makeService({ hedging: { quantile: 0.95, maxWorkShare: 0.05 } }),
+});
+
+/** Advances by `ms` while the sidecars of all running requests send heartbeats. */
+async function runFor(clock: FakeClock, hop: FakeHop, ms: number): Promise<void> {
+  await clock.advance(0);
+  for (let at = 0; at < ms; at += 50) {
+    await clock.advance(50);
+    hop.runs.forEach((r) => {
+      r.call.onHeartbeat();
+    });
+  }
+}
+
+test("dispatch: with hedging, a slow lookup is also sent to a second target, and the first run is cancelled", async (t) => {
+  const { clock, hop, dispatcher, ended } = hedgingRig();
+  hop.onRun = (address) => (address === "a" ? undefined : done);
+  const out = dispatcher.dispatch(hedgedRoute, makeCallerRequest());
+  await runFor(clock, hop, 200);
+  t.is(hop.runs.length, 1);
+  await runFor(clock, hop, 100);
+  t.is((await out).verdict.kind, "done");
+  t.true(hop.runs[0]?.call.cancelled);
+  const isRetryable = hop.slotRequests.map((s) => s.request.isRetryable);
+  t.deepEqual(isRetryable, [true, false], "a gate that holds its target suspect refuses a hedge");
+  t.like(ended, [{ first: TargetId("a"), second: TargetId("b"), won: "second" }]);
+});
+
+test("dispatch: with hedging, the hedge is cancelled when the first run responds, also if its gate never learns that", async (t) => {
+  // The cancellation is lost: the hedge's own late response must not reach the caller or count as a second result.
+  const { clock, hop, dispatcher, ended } = hedgingRig();
+  const out = dispatcher.dispatch(hedgedRoute, makeCallerRequest());
+  await runFor(clock, hop, 300);
+  hop.runs[0]?.call.answer(done);
+  const result = await out;
+  t.is(result, done);
+  t.true(hop.runs[1]?.call.cancelled);
+  hop.runs[1]?.call.answer(failed);
+  await clock.advance(100);
+  t.is(ended.length, 1);
+  t.like(ended, [{ won: "first", workMs: 100 }]);
+});
+
+test("dispatch: with hedging, a queued hedge is withdrawn at its gate when the first run responds", async (t) => {
+  const { clock, hop, dispatcher, ended } = hedgingRig();
+  hop.onSlotRequest = (address) => (address === "a" ? granted : undefined);
+  const out = dispatcher.dispatch(hedgedRoute, makeCallerRequest());
+  await runFor(clock, hop, 300);
+  hop.slotRequests[1]?.call.onHeartbeat();
+  hop.runs[0]?.call.answer(done);
+  await out;
+  t.true(hop.slotRequests.slice(1).every((s) => s.call.cancelled));
+  t.deepEqual([hop.runs.length, ended.length], [1, 0]);
+});
+
+const notHedged: readonly {
+  name: string;
+  idempotent?: boolean;
+  gray?: readonly string[];
+  isStopping?: boolean;
+  refusal?: RefusalReason;
+  refused: readonly string[];
+}[] = [
+  { name: "a booking", idempotent: false, refused: [] },
+  { name: "a lookup while all other targets are gray", gray: ["b", "c"], refused: ["no-slot"] },
+  {
+    name: "a lookup whose other targets' gates hold them suspect",
+    refusal: RefusalReason.Suspect,
+    refused: ["no-slot"],
+  },
+  { name: "a lookup of a stopping sidecar", isStopping: true, refused: ["stopping"] },
+];
+
+for (const c of notHedged) {
+  test(`dispatch: with hedging, ${c.name} is not hedged`, async (t) => {
+    const { clock, hop, dispatcher, refused: seen, stop } = hedgingRig(c.gray);
+    hop.onSlotRequest = (address) => (address === "a" || !c.refusal ? granted : refused(c.refusal));
+    if (c.isStopping) {
+      stop();
+    }
+    const route = { ...hedgedRoute, idempotent: c.idempotent ?? true };
+    const out = dispatcher.dispatch(route, makeCallerRequest());
+    await runFor(clock, hop, 600);
+    hop.runs[0]?.call.answer(done);
+    t.is((await out).verdict.kind, "done");
+    t.is(hop.runs.length, 1);
+    t.deepEqual(seen, c.refused);
+    t.true(hop.slotRequests.every((s) => s.request.acceptsRisk === 0));
+  });
+}
--- a/src/sidecar/routing/RetryBudgets.test.ts
+++ b/src/sidecar/routing/RetryBudgets.test.ts
@@ -135,3 +135,22 @@
   }
   t.is(spendAll(budgets, checks), 17);
 });
+
+// Lookups are slow because targets fail: hedges must not use the retries that the failures need.
+for (const { reserved, calls, hedges, retries } of [
+  { reserved: 0, calls: 0, hedges: 8, retries: 9 },
+  { reserved: 0.5, calls: 0.5, hedges: 8, retries: 9 },
+  { reserved: 0.5, calls: 2, hedges: 2, retries: 2 },
+]) {
+  test(`retry budgets: hedges leave half to retries, with ${calls} nested calls and ${reserved} reserved for them`, (t) => {
+    const budgets = rig(100, 100, reserved);
+    if (calls > 0) {
+      budgets.recordNestedCalls(checks, new Map([["bookings", calls]]));
+    }
+    let sent = 0;
+    while (budgets.tryHedge(checks)) {
+      sent += 1;
+    }
+    t.deepEqual([sent, spendAll(budgets, checks)], [hedges, retries]);
+  });
+}
--- a/src/sidecar/routing/policies.test.ts
+++ b/src/sidecar/routing/policies.test.ts
@@ -4,6 +4,7 @@
 import { idleLoad } from "../../../test/fixtures/FakeHop.ts";
 import { makeRoute } from "../../../test/fixtures/makeRoute.ts";
 import { makeService } from "../../../test/fixtures/makeService.ts";
+import { makeTarget } from "../../../test/fixtures/makeTarget.ts";
 import { seededRandom } from "../../../test/fixtures/seededRandom.ts";
 import { AttemptId } from "../../common/ids/AttemptId.ts";
 import { GrantId } from "../../common/ids/GrantId.ts";
@@ -440,6 +441,35 @@
   });
 }
 
+const hedgeZones: readonly { of: string; hedge: string; loads: Partial<GateLoad> }[] = [
+  { of: "near", hedge: "another zone", loads: {} },
+  { of: "far", hedge: "the zone of its sidecar", loads: {} },
+  {
+    of: "far",
+    hedge: "not a suspect target that is due for a probe",
+    loads: { suspect: true, probeInMs: 0 },
+  },
+  {
+    of: "far",
+    hedge: "not a suspect target that wants work",
+    loads: { suspect: true, wantsWork: true },
+  },
+];
+
+for (const { of, hedge, loads } of hedgeZones) {
+  test(`hedge of a run at the ${of} target: ${hedge}`, (t) => {
+    const rig = zonesRig(loads);
+    const tried = of === "near" ? [TargetId("near")] : [];
+    const zone = ZoneName(of === "near" ? "zone-a" : "zone-b");
+    const hedgeOf = { ...makeTarget("first"), zone };
+    const request = { route: rig.route, isRetryable: false, hedgeOf };
+    const picks = Array.from({ length: 50 }, () => rig.policy.pick(request, new Set(tried)));
+    const near = picks.filter((p) => p?.target.id === TargetId("near")).length;
+    t.is(near, of === "far" && !loads.suspect ? 50 : 0);
+    t.true(picks.every((p) => p?.isProbe !== true));
+  });
+}
+
 test("local zone: targets without a fresh load report are not assumed free after others there were full", async (t) => {
   // One zone of a fleet with hundreds of targets has more callers than the others. A sidecar got a report of each
   // target so rarely that it assumed all to be free and preferred its local zone: requests queued
