Teach the model hedges, cancelled runs, slot requests at two gates and the cheapest target

Two loads of the second deployment are added (`uneven`, `uneven slow`), and columns for response times as shares of the objective, target time and hedges. In the product, SlotFinder may send several first slot requests and AdaptivePolicy takes the choice among costs as a dependency; both default to what they did.

--- a/experiment/SimFleet.ts
+++ b/experiment/SimFleet.ts
@@ -7,6 +7,7 @@
 import type { ForwardResult } from "../src/sidecar/forwarding/ForwardResult.ts";
 import type { TargetRequest } from "../src/sidecar/forwarding/TargetRequest.ts";
 import type { GateLoad } from "../src/sidecar/hop/GateLoad.ts";
+import type { HedgeReport } from "../src/sidecar/hedging/HedgeReport.ts";
 import { RequestOrigin } from "../src/sidecar/routing/RequestOrigin.ts";
 import type { RetryBudgetRule } from "../src/sidecar/routing/RetryBudget.ts";
 import type { RouteMatch } from "../src/sidecar/routing/RouteMatch.ts";
@@ -74,6 +75,7 @@
   readonly #incarnations = new Map<string, number>();
   #attemptCount = 0;
   #slotRequests = 0;
+  #targetMs = 0;
   readonly tally = new Tally();
 
   constructor(scenario: Scenario, variant: Variant, clock: SimClock, random: () => number) {
@@ -135,6 +137,16 @@
     );
   }
 
+  /** Target time of all runs so far, ms. */
+  get targetMs(): number {
+    return this.#targetMs;
+  }
+
+  /** Hedges that have ended at the sidecars which are running now. */
+  get hedges(): readonly HedgeReport[] {
+    return [...this.#sidecars.values()].flatMap((s) => s.hedges);
+  }
+
   /** The limit that a target names now, requests a second; undefined if it names none. */
   limitOf(name: string): number | undefined {
     return this.#targets.get(name)?.limitPerS;
@@ -357,7 +369,7 @@
     path?: string,
   ): Promise<"served" | "refused" | "failed"> {
     const id = `${kind.name}/${++this.#attemptCount}${isRepeatedRun ? REPEAT_MARK : ""}`;
-    const result = await this.#sidecars.get(from)?.dispatch(routeOf(kind), {
+    const result = await this.#sidecars.get(from)?.dispatch(routeOf(kind, this.#variant), {
       attempt: AttemptId(id),
       method: "GET",
       path: path ?? `/${this.#attemptCount}`,
@@ -377,7 +389,7 @@
   /** Runs a request at the target of `vm`, with the nested calls of its kind. */
   async #runAtTarget(
     vm: SimVm,
-    { metadata, path, deadlineAt }: TargetRequest,
+    { metadata, path, deadlineAt, cancelled }: TargetRequest,
   ): Promise<ForwardResult> {
     const { attempt } = metadata;
     const kind = this.#kinds.get(attempt.split("/")[0] ?? "");
@@ -402,9 +414,9 @@
     }
     const sentAt = this.#clock.now();
     const { limitPerS } = target;
-    const outcome = await target.run(kind.workMs, () =>
-      this.#makeNestedCalls(kind, caller, deadlineAt),
-    );
+    const makeNestedCalls = () => this.#makeNestedCalls(kind, caller, deadlineAt);
+    const outcome = await target.run(kind.workMs, makeNestedCalls, cancelled);
+    this.#targetMs += this.#clock.now() - sentAt;
     // A response names the limit of the time at which its run began.
     this.#sidecars.get(vm.name)?.recordLimit(limitPerS, sentAt);
     if (outcome === "shed") {
@@ -421,6 +433,11 @@
       const verdict = { kind: "may-have-run", target: TargetId(vm.name), ...details } as const;
       return { verdict, outcome: AttemptOutcome.NoResponse };
     }
+    if (outcome === "cancelled") {
+      const details = { reason: "given up", timedOut: false, retryAfterMs: 1000 };
+      const verdict = { kind: "may-have-run", target: TargetId(vm.name), ...details } as const;
+      return { verdict, outcome: AttemptOutcome.Cancelled };
+    }
     if (this.#clock.now() > deadlineAt) {
       return resultOf(vm, TIMED_OUT, limitPerS);
     }
@@ -472,10 +489,13 @@
   };
 }
 
-function routeOf(kind: RequestKind): RouteMatch {
+function routeOf(kind: RequestKind, { hedging }: Variant): RouteMatch {
   return {
     name: kind.name,
-    service: Service.parse({ name: kind.service, floor: FLOOR, detection: GRAY_DETECTION }),
+    service: {
+      ...Service.parse({ name: kind.service, floor: FLOOR, detection: GRAY_DETECTION }),
+      hedging,
+    },
     idempotent: kind.idempotent,
     bulk: false,
     isPublic: false,
--- a/experiment/SimHop.ts
+++ b/experiment/SimHop.ts
@@ -42,6 +42,8 @@
   readonly zoneLatencyMs: number;
   /** This sender's shares of the limits that targets name; undefined if their gates enforce them. */
   readonly shares: SenderShares | undefined;
+  /** Whether a run that is given up ends at its target. */
+  readonly cancelsRuns: boolean;
   readonly clock: Clock;
 }
 
@@ -114,6 +116,7 @@
   }
 
   run(address: string, req: HopRequest, onHeartbeat: () => void): PendingCall<ForwardResult> {
+    const abort = new AbortController();
     const result = new Promise<ForwardResult>((resolve, reject) => {
       const onUnreachable = () => {
         reject(new Error("ECONNREFUSED"));
@@ -121,13 +124,18 @@
       this.#deliver(
         address,
         ({ runner }, reply) => {
-          const run = runner.run(req, () => this.#targetRequest(req));
+          const run = runner.run(req, () => this.#targetRequest(req, abort.signal));
           this.#replyWithResult(run, reply, onHeartbeat, resolve);
         },
         onUnreachable,
       );
     });
-    return { result, cancel: () => undefined };
+    const cancel = () => {
+      this.#deliver(address, () => {
+        abort.abort();
+      });
+    };
+    return { result, cancel: this.#deps.cancelsRuns ? cancel : () => undefined };
   }
 
   reattach(address: string, grant: GrantRef, onHeartbeat: () => void): PendingCall<ForwardResult> {
@@ -162,7 +170,7 @@
     });
   }
 
-  #targetRequest(req: HopRequest): TargetRequest {
+  #targetRequest(req: HopRequest, givenUp: AbortSignal): TargetRequest {
     const { attempt, target, method, path, headers, body, idempotent } = req;
     const callerService = ServiceName(req.callerService);
     return {
@@ -173,6 +181,7 @@
       metadata: { attempt, target, callerService, echoHeader: undefined },
       deadlineAt: this.#deps.clock.now() + req.remainingMs,
       idempotent,
+      cancelled: idempotent ? givenUp : undefined,
     };
   }
 
--- a/experiment/SimSidecar.ts
+++ b/experiment/SimSidecar.ts
@@ -22,6 +22,8 @@
 import { ownDialect } from "../src/sidecar/dialect/ownDialect.ts";
 import type { LimitSignal } from "../src/sidecar/signals/LimitSignal.ts";
 import { TargetNotices } from "../src/sidecar/signals/TargetNotices.ts";
+import { HedgeRule } from "../src/sidecar/hedging/HedgeRule.ts";
+import type { HedgeReport } from "../src/sidecar/hedging/HedgeReport.ts";
 import type { GateLoad } from "../src/sidecar/hop/GateLoad.ts";
 import type { CallerRequest } from "../src/sidecar/routing/CallerRequest.ts";
 import { AdaptivePolicy } from "../src/sidecar/routing/AdaptivePolicy.ts";
@@ -104,6 +106,8 @@
   readonly policy: AdaptivePolicy;
   readonly hop: SimHop;
   readonly notices: TargetNotices;
+  /** Hedges that have ended. */
+  readonly hedges: HedgeReport[] = [];
 
   constructor(deps: SimSidecarDeps) {
     this.#deps = deps;
@@ -128,9 +132,12 @@
     this.runner = this.#createRunner();
     this.notices = new TargetNotices(clock);
     const { notices } = this;
-    this.policy = new AdaptivePolicy({ table: this.#table, zone, clock, notices, random });
+    const choose = deps.variant.picksCheapest ? cheapest : undefined;
+    const table = this.#table;
+    this.policy = new AdaptivePolicy({ table, zone, clock, choose, notices, random });
     this.hop = new SimHop({
       ...{ sidecars, zone: vm.zone, zoneLatencyMs, clock },
+      cancelsRuns: deps.variant.cancelsRuns ?? false,
       shares: deps.variant.sharesLimits ? this.#createShares() : undefined,
     });
     this.#dispatcher = this.#createDispatcher();
@@ -336,8 +343,20 @@
   }
 
   #createDispatcher(): Dispatcher {
-    const { vm, clock } = this.#deps;
+    const { vm, clock, variant } = this.#deps;
+    const hedging = new HedgeRule({
+      policy: this.policy,
+      budgets: this.budgets,
+      limits: () => variant.hedging,
+      isStopping: () => !this.#isReady,
+      clock,
+    });
     return new Dispatcher({
+      firstRequests: variant.firstRequests,
+      hedging,
+      onHedgeEnd: (_service, report) => {
+        this.hedges.push(report);
+      },
       policy: this.policy,
       hop: this.hop,
       notices: this.#deps.variant.sharesLimits ? undefined : this.notices,
@@ -392,3 +411,9 @@
 function zoneOf({ zone }: SimVm): string {
   return `zone-${zone}`;
 }
+
+/** The candidate with the lowest cost. */
+function cheapest<T>(candidates: readonly T[], costOf: (candidate: T) => number): T | undefined {
+  const costs = candidates.map(costOf);
+  return candidates[costs.indexOf(Math.min(...costs))];
+}
--- a/experiment/SimTarget.ts
+++ b/experiment/SimTarget.ts
@@ -2,9 +2,10 @@
 
 /**
  * How a run at a simulated target ends: `call-failed` if one of its nested calls was not served, `unreachable` if the
- * target's process is down, `lost` if the process ends during the run.
+ * target's process is down, `lost` if the process ends during the run,
+ * `cancelled` if its sender has given it up.
  */
-type RunOutcome = "ok" | "failed" | "call-failed" | "shed" | "unreachable" | "lost";
+type RunOutcome = "ok" | "failed" | "call-failed" | "shed" | "unreachable" | "lost" | "cancelled";
 
 /** Default share of requests that a healthy target fails; the users' services measure 12 in 1,000. */
 const BASE_ERROR_RATE = 0.012;
@@ -101,8 +102,13 @@
    * Runs one request.
    *
    * @param makeNestedCalls called halfway through the work; resolves to whether all calls were served
+   * @param cancelled aborted when the sender gives the run up
    */
-  async run(workMs: number, makeNestedCalls: () => Promise<boolean>): Promise<RunOutcome> {
+  async run(
+    workMs: number,
+    makeNestedCalls: () => Promise<boolean>,
+    cancelled?: AbortSignal,
+  ): Promise<RunOutcome> {
     if (this.isDown) {
       return "unreachable";
     }
@@ -118,6 +124,9 @@
         end("lost");
       };
       this.#activeRuns.add(lose);
+      cancelled?.addEventListener("abort", () => {
+        end("cancelled");
+      });
       void this.#work(workMs, makeNestedCalls).then(end);
     });
   }
--- a/experiment/Tally.ts
+++ b/experiment/Tally.ts
@@ -29,6 +29,9 @@
   readonly worst: number;
   readonly refused: number;
   readonly failed: number;
+  /** The 95th and 99th percentile of the response times of served idempotent requests, as shares of their objectives. */
+  readonly p95: number;
+  readonly p99: number;
   /** Mean time until a refused caller gets its response, ms. */
   readonly refusedAfterMs: number;
   /** Credit share by kind of request. */
@@ -86,6 +89,7 @@
       served: share(all, "served"),
       worth: creditShare(all),
       worst: worstWindows,
+      ...latePercentiles(all),
       refused: share(all, "refused"),
       failed: share(all, "failed"),
       refusedAfterMs: refusedMs / Math.max(1, refused.length),
@@ -110,3 +114,12 @@
   }
   return endedAt - startedAt <= kind.objectiveMs ? kind.credit[0] : kind.credit[1];
 }
+
+function latePercentiles(list: readonly EndedRequest[]): { p95: number; p99: number } {
+  const shares = list
+    .filter(({ kind, outcome }) => kind.idempotent && outcome === "served")
+    .map(({ kind, startedAt, endedAt }) => (endedAt - startedAt) / kind.objectiveMs)
+    .sort((a, b) => a - b);
+  const at = (q: number) => shares[Math.floor(shares.length * q)] ?? 0;
+  return { p95: at(0.95), p99: at(0.99) };
+}
--- a/experiment/scenarios.ts
+++ b/experiment/scenarios.ts
@@ -224,6 +224,39 @@
   lengthMs: 16_000,
 };
 
+/** Kinds of request of the second deployment of docs/design/hard-load.md. */
+const uneven: readonly RequestKind[] = [
+  unevenKind("views", "views", true, 21, [895, 4000, 20_000]),
+  unevenKind("commands", "commands", false, 54, [676, 4000, 30_000]),
+  unevenKind("summaries", "summaries", true, 23, [1714, 6000, 40_000]),
+  unevenKind("exports", "summaries", true, 11, [2762, 8000, 60_000]),
+];
+
+function unevenKind(
+  name: string,
+  service: string,
+  idempotent: boolean,
+  perSecond: number,
+  [workMs, objectiveMs, deadlineMs]: readonly [number, number, number],
+): RequestKind {
+  const times = { workMs, objectiveMs, deadlineMs };
+  return { name, service, idempotent, priority: 1, perSecond, ...times, credit: [1, 0.3] };
+}
+
+/** That deployment, for long enough that its sidecars learn the distribution of the response times. */
+const UNEVEN = {
+  retrySlack: 58,
+  services: [
+    { name: "views", targets: 16, slots: 6 },
+    { name: "commands", targets: 22, slots: 6 },
+    { name: "summaries", targets: 36, slots: 6 },
+  ],
+  zones: 3,
+  zoneLatencyMs: 4.4,
+  kinds: uneven,
+  lengthMs: 240_000,
+};
+
 /** The loads of the experiment: a light load for each fleet, and those under which most requests are lost. */
 export const scenarios: readonly Scenario[] = [
   { ...GLENBRAE, name: "quiet", kinds: glenbrae(0.6) },
@@ -301,6 +334,22 @@
     zoneShares: [1.4, 0.7, 1, 1.3, 1.2, 0.6],
     kinds: labLarge(1),
   },
+  { ...UNEVEN, name: "uneven" },
+  {
+    // A quarter of the targets of two services become slow, again and again, for a few seconds.
+    ...UNEVEN,
+    name: "uneven slow",
+    grayPeriods: [180, 200, 220].flatMap((s) =>
+      ["views", "summaries"].map((service) => ({
+        service,
+        count: service === "views" ? 4 : 9,
+        fromMs: s * 1000,
+        durationMs: 6000,
+        failureRate: 0,
+        slowdown: 6,
+      })),
+    ),
+  },
   {
     // A third of the targets is removed, so that the healthy ones have fewer slots than the load needs.
     ...HOLMGAARD,
--- a/experiment/variants.ts
+++ b/experiment/variants.ts
@@ -24,4 +24,12 @@
   { name: "sender shares", sharesLimits: true },
   { name: "first come", gate: { order: byArrival } },
   { name: "strict priority", gate: { order: byPriority } },
+  // The share is too small for any hedge.
+  { name: "no hedge", cancelsRuns: true, hedging: { quantile: 0.95, maxWorkShare: 1e-9 } },
+  { name: "stuck runs hedged", cancelsRuns: true },
+  { name: "hedge 2%", cancelsRuns: true, hedging: { quantile: 0.95, maxWorkShare: 0.02 } },
+  { name: "hedge 5%", cancelsRuns: true, hedging: { quantile: 0.95, maxWorkShare: 0.05 } },
+  { name: "hedge 10%", cancelsRuns: true, hedging: { quantile: 0.9, maxWorkShare: 0.1 } },
+  { name: "two slots", cancelsRuns: true, firstRequests: 2 },
+  { name: "cheapest target", cancelsRuns: true, picksCheapest: true },
 ];
--- a/src/sidecar/routing/AdaptivePolicy.ts
+++ b/src/sidecar/routing/AdaptivePolicy.ts
@@ -76,6 +76,8 @@
   readonly table: TargetTable;
   readonly zone: ZoneName;
   readonly clock: Clock;
+  /** Picks a candidate by its cost; by default the cheaper of two random ones. */
+  readonly choose?: typeof pickByCost;
   /** What targets have said about themselves in responses; by default nothing. */
   readonly notices?: Pick<TargetNotices, "isLeaving">;
   /** Returns a number in [0, 1); tests pass a seeded one. */
@@ -97,11 +99,13 @@
   readonly #zoneWaits: ZoneWaitEstimator;
   readonly #assessor: TargetAssessor;
   readonly #unservedShares: UnservedShares;
+  readonly #choose: typeof pickByCost;
   /** Floors by service name, as of the service's last request. */
   readonly #floors = new Map<string, number>();
 
   constructor(deps: AdaptivePolicyDeps) {
     this.#deps = deps;
+    this.#choose = deps.choose ?? pickByCost;
     this.#views = new TargetViews(deps);
     this.#zoneWaits = new ZoneWaitEstimator(deps.clock);
     this.#assessor = new TargetAssessor({
@@ -131,7 +135,7 @@
     }
     const local = this.#localCandidates(snapshot, preferred);
     const tier = local.length > 0 ? local : preferred;
-    const picked = pickByCost(tier, (c) => this.#cost(snapshot, c), random);
+    const picked = this.#choose(tier, (c) => this.#cost(snapshot, c), random);
     return picked && { target: picked.target };
   }
 
@@ -143,7 +147,7 @@
   ): PickedTarget | undefined {
     const elsewhere = healthy.filter((c) => c.target.zone !== zone);
     const tier = elsewhere.length > 0 ? elsewhere : healthy;
-    const picked = pickByCost(tier, (c) => this.#cost(snapshot, c), this.#deps.random);
+    const picked = this.#choose(tier, (c) => this.#cost(snapshot, c), this.#deps.random);
     return picked && { target: picked.target };
   }
 
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -73,6 +73,8 @@
   readonly onExtraRun?: (service: string, cause: ExtraRunCause) => void;
   /** Called for each retry or hedge that is not sent because the service's retry budget is used up. */
   readonly onRetryDenied?: (service: string) => void;
+  /** Number of slot requests that a search sends at once; by default 1. */
+  readonly firstRequests?: number;
   /** Decides on hedges of services for which the document turns hedging on; without it, only stuck runs are hedged. */
   readonly hedging?: HedgeRule;
   /** Called for each run of such a service that lasts long and is not hedged. */
@@ -277,13 +279,13 @@
 
   /** @param hedgeOf the target of the run that is to be hedged; undefined if it is not for a hedge */
   #findSlot(state: DispatchState, hedgeOf?: TargetInfo): SlotFinder {
-    const { policy, hop, notices, clock, log } = this.#deps;
+    const { policy, hop, notices, firstRequests, clock, log } = this.#deps;
     const requestSlot: HopLink["requestSlot"] = (...args) => hop.requestSlot(...args);
     const { route, req, tried, isNestedCall } = state;
     const isRetryable = hedgeOf === undefined && this.#rule.hasSpareAttempt(state);
     const request = { route, isNestedCall, isRetryable, hedgeOf };
     const finder = new SlotFinder(
-      { policy, requestSlot, notices, clock, log },
+      { policy, requestSlot, firstRequests, notices, clock, log },
       request,
       req,
       tried,
--- a/src/sidecar/routing/SlotFinder.ts
+++ b/src/sidecar/routing/SlotFinder.ts
@@ -35,6 +35,8 @@
 interface SlotFinderDeps {
   readonly policy: RoutingPolicy;
   readonly requestSlot: HopLink["requestSlot"];
+  /** Number of slot requests that are sent at once; by default 1, and the next ones while that is not granted. */
+  readonly firstRequests?: number;
   /** What targets have said about themselves in responses; by default nothing. */
   readonly notices?: Pick<TargetNotices, "limitOf">;
   readonly clock: Clock;
@@ -151,7 +153,9 @@
       this.#refuse("no slot came free in time");
     });
     req.disconnected.addEventListener("abort", this.#onCallerDisconnected);
-    this.#requestNext();
+    for (let n = 0; n < (deps.firstRequests ?? 1); n++) {
+      this.#requestNext();
+    }
   }
 
   /** Ends the search as refused and withdraws the open slot requests. */
