--- a/src/common/document/editDocument.test.ts
+++ b/src/common/document/editDocument.test.ts
@@ -10,8 +10,14 @@
 
 const name = fc.constantFrom("a", "b", "c", "d", "e");
 const maybe = <T>(value: fc.Arbitrary<T>) => fc.option(value, { nil: undefined });
+const hedging = maybe(fc.record({ maxWorkShare: fc.constantFrom(0, 0.05) }));
 const service = fc
-  .record({ name, floor: fc.constantFrom(0, 0.5, 1), fairShares: maybe(fc.boolean()) })
+  .record({
+    name,
+    floor: fc.constantFrom(0, 0.5, 1),
+    fairShares: maybe(fc.boolean()),
+    hedging,
+  })
   .map((s) => Service.parse(s));
 const route = fc
   .record({ name, prefix: fc.constantFrom("/x/", "/y/"), timeoutMs: fc.constantFrom(1, 2) })
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -278,7 +278,7 @@
     this.#parts = {
       announcements: targetSide,
       beginStop: () => {
-        callerSide.server.beginStop();
+        callerSide.beginStop();
         membership.beginStop();
         callerSide.leases?.stop();
       },
--- a/src/sidecar/routing/AdaptivePolicy.ts
+++ b/src/sidecar/routing/AdaptivePolicy.ts
@@ -76,6 +76,8 @@
   readonly table: TargetTable;
   readonly zone: ZoneName;
   readonly clock: Clock;
+  /** Picks a candidate by its cost; by default the cheaper of two random ones. */
+  readonly choose?: typeof pickByCost;
   /** What targets have said about themselves in responses; by default nothing. */
   readonly notices?: Pick<TargetNotices, "isLeaving">;
   /** Returns a number in [0, 1); tests pass a seeded one. */
@@ -97,11 +99,13 @@
   readonly #zoneWaits: ZoneWaitEstimator;
   readonly #assessor: TargetAssessor;
   readonly #unservedShares: UnservedShares;
+  readonly #choose: typeof pickByCost;
   /** Floors by service name, as of the service's last request. */
   readonly #floors = new Map<string, number>();
 
   constructor(deps: AdaptivePolicyDeps) {
     this.#deps = deps;
+    this.#choose = deps.choose ?? pickByCost;
     this.#views = new TargetViews(deps);
     this.#zoneWaits = new ZoneWaitEstimator(deps.clock);
     this.#assessor = new TargetAssessor({
@@ -117,7 +121,8 @@
     const candidates = this.#candidates(snapshot, tried);
     const { random } = this.#deps;
     const probeCandidates = request.isRetryable ? this.#probeCandidates(snapshot, candidates) : [];
-    const inNeed = [...probeCandidates, ...this.#idleCandidates(snapshot, candidates)];
+    const idleCandidates = request.hedgeOf ? [] : this.#idleCandidates(snapshot, candidates);
+    const inNeed = [...probeCandidates, ...idleCandidates];
     const probe = inNeed[Math.floor(random() * inNeed.length)];
     if (probe) {
       return { target: probe.target, isProbe: true };
@@ -125,9 +130,24 @@
     const unsuspected = candidates.filter((c) => !this.#assessor.isSuspected(snapshot, c));
     const reachable = unsuspected.filter((c) => !c.view.link.isSuspect);
     const preferred = reachable.length > 0 ? reachable : unsuspected;
+    if (request.hedgeOf) {
+      return this.#pickForHedge(snapshot, reachable, request.hedgeOf.zone);
+    }
     const local = this.#localCandidates(snapshot, preferred);
     const tier = local.length > 0 ? local : preferred;
-    const picked = pickByCost(tier, (c) => this.#cost(snapshot, c), random);
+    const picked = this.#choose(tier, (c) => this.#cost(snapshot, c), random);
+    return picked && { target: picked.target };
+  }
+
+  /** Picks among targets outside the zone of the hedged run, if there are any: that zone may be what is slow. */
+  #pickForHedge(
+    snapshot: PickSnapshot,
+    healthy: Candidate[],
+    zone: ZoneName,
+  ): PickedTarget | undefined {
+    const elsewhere = healthy.filter((c) => c.target.zone !== zone);
+    const tier = elsewhere.length > 0 ? elsewhere : healthy;
+    const picked = this.#choose(tier, (c) => this.#cost(snapshot, c), this.#deps.random);
     return picked && { target: picked.target };
   }
 
