--- a/src/common/settings/SidecarSettings.ts
+++ b/src/common/settings/SidecarSettings.ts
@@ -38,9 +38,9 @@
   refuseMs: Millis.default(2000),
 });
 
-/** What refused callers are told. */
+/** Responses to refused callers. */
 const Refusals = z.strictObject({
-  /** Whether the caller of a request that targets refused for no lack of room is told to return within its objective. */
+  /** Whether `Retry-After` lets a caller return within its objective when targets refused the request for no lack of room. */
   returnWithinObjective: z.boolean().default(false),
 });
 
--- a/src/sidecar/gate/WaitEstimator.test.ts
+++ b/src/sidecar/gate/WaitEstimator.test.ts
@@ -157,7 +157,7 @@
     waitMs: 100,
   },
   {
-    // The wait that is told to the sender would otherwise be that of a workspace that gets all slots.
+    // The wait that is reported to the sender would otherwise be that of a workspace that gets all slots.
     name: "a request behind its own workspace's waits for others that take three slots in four",
     queued: "aaaa",
     grants: "accc",
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -65,8 +65,8 @@
   /** What targets have said about themselves in responses; by default nothing. */
   readonly notices?: Pick<TargetNotices, "limitOf">;
   /**
-   * Whether the caller of a request that targets refused for no lack of room is told to return within its latency
-   * objective; false if left out.
+   * Whether `Retry-After` lets a caller return within its latency objective when targets refused the request for no lack
+   * of room; false if left out.
    */
   readonly returnsWithinObjective?: () => boolean;
   /** Called for each retry or hedge that is sent. */
--- a/src/sidecar/routing/returnAfterMs.test.ts
+++ b/src/sidecar/routing/returnAfterMs.test.ts
@@ -52,7 +52,7 @@
 }
 
 test("callers that random refusals send away are served within their objective", (t) => {
-  // Guards against refused callers that are told to return when it is too late to be served in time.
+  // Guards against a Retry-After past the time at which the caller could still be served within its objective.
   const before = shareServedInTime(0.55, 4, ({ suggestedMs }) => suggestedMs);
   const after = shareServedInTime(0.55, 4, returnAfterMs);
   t.log({ before, after });
--- a/src/sidecar/routing/returnAfterMs.ts
+++ b/src/sidecar/routing/returnAfterMs.ts
@@ -1,7 +1,7 @@
 /** Number of returns, within the objective, that a refused caller is given time for. */
 const RETURNS_WITHIN_OBJECTIVE = 3;
 
-/** Shortest time after which a caller is told to return, ms: several round trips, so that callers do not spin. */
+/** Shortest `Retry-After`, ms: several round trips, so that callers do not spin. */
 const MIN_RETURN_MS = 100;
 
 /** Spread of the times, as a share of the mean, so that callers refused together do not return together. */
@@ -20,7 +20,7 @@
 }
 
 /**
- * Time after which the caller of a refused request is told to return, ms. It answers a load under which targets refuse
+ * `Retry-After` of a refused request, ms. It answers a load under which targets refuse
  * a share of what they are sent although they have room, and the retry budget is used up: another try is likely to be
  * accepted, and is worth most while the objective can still be met. A request that cannot meet it any more keeps the
  * suggested time, as nothing is gained by its haste.
