Log the open requests that a stop cuts off, and connections closed before the response

The logs of a stopped sidecar did not say which requests of callers, and which runs for other sidecars, were still open when it exited, nor that a connection was closed before its response. The hypotheses of the incident differ in exactly that.

--- a/experiment/SimSidecar.ts
+++ b/experiment/SimSidecar.ts
@@ -41,6 +41,9 @@
 /** Times of a planned stop, as on the users' platform, ms. */
 const STOP_TIMES = { callersMs: 2700, endsInMs: 5300 };
 
+/** Open requests in the log of a stop; the model has no log. */
+const NO_REQUESTS = { count: 0, oldest: [] };
+
 /** Interval at which the gate checks whether its target wants work, ms; as in the product. */
 const DEMAND_CHECK_MS = 200;
 
@@ -257,6 +260,7 @@
         onLeaving();
         return Promise.resolve();
       },
+      openRequests: () => ({ callers: NO_REQUESTS, runs: NO_REQUESTS }),
     };
     await drainSidecar(parts, STOP_TIMES, clock, log);
     this.#hasEnded = true;
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -288,6 +288,10 @@
       },
       gates: targetSide,
       leave: () => membership.leave(),
+      openRequests: () => ({
+        callers: callerSide.server.openRequests.describe(),
+        runs: targetSide.gateServer.openRequests.describe(),
+      }),
     };
     this.#checkReady = () => configFollower.version > 0 && table.memberCount > 1;
     this.#log.info({ ports: this.#ports, version: configFollower.version }, "sidecar started");
--- a/src/sidecar/drainSidecar.ts
+++ b/src/sidecar/drainSidecar.ts
@@ -1,4 +1,5 @@
 import type bunyan from "bunyan";
+import type { OpenRequests } from "../common/http/OpenRequests.ts";
 import type { Clock } from "../common/lifecycle/Clock.ts";
 
 /**
@@ -16,6 +17,9 @@
 /** Interval at which a stop checks whether the last run has ended, ms. */
 const IDLE_CHECK_INTERVAL_MS = 50;
 
+/** Open requests, for a log line. */
+type OpenSummary = ReturnType<OpenRequests["describe"]>;
+
 /** The parts of a sidecar that are stopped one after another. */
 export interface DrainedParts {
   /** Makes responses close callers' connections from now on, and notifies the other members of the stop. */
@@ -28,6 +32,8 @@
   readonly gates: { closeBy(endAt: number): void; close(): void; readonly isBusy: boolean };
   /** Notifies the other members that this one has left. */
   readonly leave: () => Promise<void>;
+  /** The requests of callers, and those of other sidecars at the local targets, that have no whole response yet. */
+  readonly openRequests: () => { readonly callers: OpenSummary; readonly runs: OpenSummary };
 }
 
 /** Durations of a stop. */
@@ -67,4 +73,8 @@
   }
   await Promise.race([parts.leave(), sleep(LEAVE_TIMEOUT_MS)]);
   log.info({ busy: parts.gates.isBusy, leftMs: endAt - clock.now() }, "drain finished");
+  const open = parts.openRequests();
+  if (open.callers.count + open.runs.count > 0) {
+    log.warn({ ...open }, "drain: open requests are cut off");
+  }
 }
--- a/src/sidecar/gate/GateServer.ts
+++ b/src/sidecar/gate/GateServer.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { pipeline, type Readable } from "node:stream";
 import type bunyan from "bunyan";
+import { OpenRequests } from "../../common/http/OpenRequests.ts";
 import { AttemptId } from "../../common/ids/AttemptId.ts";
 import { DispatchId } from "../../common/ids/DispatchId.ts";
 import { ServiceName } from "../../common/ids/ServiceName.ts";
@@ -63,6 +64,8 @@
   readonly #deps: GateServerDeps;
   readonly #memory: MemoryAccount;
   readonly server: Server;
+  /** Requests of sidecars, this one included, without a whole response. */
+  readonly openRequests = new OpenRequests();
 
   constructor(deps: GateServerDeps) {
     this.#deps = deps;
@@ -92,13 +95,17 @@
   async #run(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const grant = readGrant(req);
     const callerGone = new AbortController();
+    const { runner, clock, log } = this.#deps;
+    const arrivedAt = clock.now();
+    const ageMs = () => Math.round(clock.now() - arrivedAt);
+    this.openRequests.track(res, () => ({ ...grant, ms: ageMs() }));
     res.once("close", () => {
       if (!res.writableFinished) {
         callerGone.abort();
+        const { headersSent: hasStarted } = res;
+        log.info({ ...grant, ms: ageMs(), hasStarted }, "sender left before the response");
       }
     });
-    const { runner, clock, log } = this.#deps;
-    const arrivedAt = clock.now();
     const aliveSignal = new AliveSignal(res, clock);
     // Signalling starts with the head: during a long upload the sender would otherwise assume a lost connection.
     aliveSignal.start();
@@ -184,6 +191,7 @@
   async #reattach(req: IncomingMessage, res: ServerResponse): Promise<void> {
     req.resume();
     const grant = readGrant(req);
+    this.openRequests.track(res, () => ({ ...grant }));
     const state = this.#deps.runner.state(grant);
     const { target } = grant;
     this.#deps.log.info({ ...grant, state: state.kind }, "sender reattached to run");
--- a/src/sidecar/ingress/CallerServer.ts
+++ b/src/sidecar/ingress/CallerServer.ts
@@ -3,6 +3,7 @@
 import { pipeline, type Readable } from "node:stream";
 import type bunyan from "bunyan";
 import type { Limits } from "../../common/document/Limits.ts";
+import { OpenRequests } from "../../common/http/OpenRequests.ts";
 import { AttemptId } from "../../common/ids/AttemptId.ts";
 import { afterPendingInput } from "../../common/lifecycle/afterPendingInput.ts";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
@@ -103,6 +104,8 @@
   readonly #memory: MemoryAccount;
   readonly server: Server;
   readonly #connections = new CallerConnections();
+  /** Requests without a whole response. */
+  readonly openRequests = new OpenRequests();
   #isStopping = false;
   /** Bytes reserved for buffered bodies. */
   #bufferedBytes = 0;
@@ -183,6 +186,7 @@
     const attempt = typeof metadata === "string" ? AttemptId("") : metadata.attempt;
     const version = config?.version ?? 0;
     const ctx: RequestContext = { res, attempt, startedAt, version, route: undefined, isLast };
+    this.#trackResponse(ctx);
     if (typeof metadata === "string") {
       this.#refuse(ctx, metadata, 400);
       return;
@@ -234,6 +238,25 @@
     }
   }
 
+  /** Logs a response whose connection is closed before the response has been handed over whole. */
+  #trackResponse({ res, attempt, startedAt }: RequestContext): void {
+    const { clock, log } = this.#deps;
+    const { url } = res.req;
+    const ageMs = () => Math.round(clock.now() - startedAt);
+    this.openRequests.track(res, () => ({ attempt, url, ms: ageMs() }));
+    res.once("close", () => {
+      if (!res.writableFinished) {
+        const { headersSent: hasStarted, socket } = res;
+        const err = socket?.errored?.message;
+        const isStopping = this.#isStopping;
+        log.info(
+          { attempt, ms: ageMs(), hasStarted, err, isStopping },
+          "connection closed before the response",
+        );
+      }
+    });
+  }
+
   /**
    * Limits the time in which a body that is buffered must arrive to the request's own: after its deadline it could not
    * be served. The caller gets a refusal, and its connection is closed, as the rest of the body may never come.
