Tell the dispatcher the end of a planned stop instead of the moment to refuse

Behaviour is unchanged: the dispatcher now holds the timer by which requests without a slot are refused 800 ms before the end. It is given the times of the stop, as the gates are, so that it can decide by each request's own time.

--- a/experiment/SimSidecar.ts
+++ b/experiment/SimSidecar.ts
@@ -252,9 +252,7 @@
     const parts = {
       beginStop: () => undefined,
       closeCallers: () => this.#waitForCallers(),
-      refuseQueued: () => {
-        this.#dispatcher.close();
-      },
+      callers: this.#dispatcher,
       gates: this.#gates(),
       leave: () => {
         onLeaving();
--- a/src/sidecar/CallerSide.ts
+++ b/src/sidecar/CallerSide.ts
@@ -33,6 +33,7 @@
 import { RetryBudgets } from "./routing/RetryBudgets.ts";
 import { RetryTokenBorrower } from "./routing/RetryTokenBorrower.ts";
 import type { RoutingPolicy } from "./routing/RoutingPolicy.ts";
+import type { StopSchedule } from "./routing/StopSchedule.ts";
 import { SplitSampler } from "./routing/SplitSampler.ts";
 import { TrafficClassifier } from "./routing/TrafficClassifier.ts";
 import { TargetNotices } from "./signals/TargetNotices.ts";
@@ -156,9 +157,9 @@
     this.server.beginStop();
   }
 
-  /** Refuses the requests that wait for a slot, and all later ones: see {@link Dispatcher.close}. */
-  refuseQueued(): void {
-    this.#dispatcher.close();
+  /** Announces the end of this sidecar's stop: see {@link Dispatcher.closeBy}. */
+  closeBy(stop: StopSchedule): void {
+    this.#dispatcher.closeBy(stop);
   }
 
   get #config() {
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -283,9 +283,7 @@
         callerSide.leases?.stop();
       },
       closeCallers: () => Promise.resolve(callerPort.dispose()),
-      refuseQueued: () => {
-        callerSide.refuseQueued();
-      },
+      callers: callerSide,
       gates: targetSide,
       leave: () => membership.leave(),
       openRequests: () => ({
--- a/src/sidecar/drainSidecar.ts
+++ b/src/sidecar/drainSidecar.ts
@@ -1,12 +1,7 @@
 import type bunyan from "bunyan";
 import type { OpenRequests } from "../common/http/OpenRequests.ts";
 import type { Clock } from "../common/lifecycle/Clock.ts";
-
-/**
- * Time before the end of a stop's grace period at which requests without a slot are refused, ms. A slot that
- * becomes free later would leave them no time to run, and the refusal needs time to reach the caller.
- */
-const QUEUE_REFUSAL_MS = 800;
+import type { StopSchedule } from "./routing/StopSchedule.ts";
 
 /**
  * Time at the end of a stop for notifying the other members, ms. They choose other targets once they know that
@@ -26,8 +21,8 @@
   readonly beginStop: () => void;
   /** Stops accepting callers' connections; resolves once all pending requests have a response. */
   readonly closeCallers: () => Promise<void>;
-  /** Refuses the callers' requests that have no slot yet. */
-  readonly refuseQueued: () => void;
+  /** Announces the end of the stop to the part that sends callers' requests to targets. */
+  readonly callers: { closeBy(stop: StopSchedule): void };
   /** The gates of the local targets. */
   readonly gates: { closeBy(endAt: number): void; close(): void; readonly isBusy: boolean };
   /** Notifies the other members that this one has left. */
@@ -56,17 +51,17 @@
 ): Promise<void> {
   const sleep = (ms: number) =>
     new Promise<void>((resolve) => clock.after(Math.max(0, ms), resolve));
-  const endAt = clock.now() + endsInMs - LEAVE_TIMEOUT_MS;
+  const beganAt = clock.now();
+  const endAt = beganAt + endsInMs - LEAVE_TIMEOUT_MS;
   parts.beginStop();
   parts.gates.closeBy(endAt);
+  parts.callers.closeBy({ callersUntil: beganAt + callersMs, endAt });
   await sleep(callersMs);
   log.info(
     { busy: parts.gates.isBusy, leftMs: endAt - clock.now() },
     "drain: no longer accepting callers",
   );
-  const refusalTimer = clock.after(endAt - QUEUE_REFUSAL_MS - clock.now(), parts.refuseQueued);
   await Promise.race([parts.closeCallers(), sleep(endAt - clock.now())]);
-  refusalTimer.cancel();
   parts.gates.close();
   while (parts.gates.isBusy && clock.now() < endAt) {
     await sleep(IDLE_CHECK_INTERVAL_MS);
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -32,6 +32,7 @@
 import type { RouteMatch } from "./RouteMatch.ts";
 import type { RoutingPolicy } from "./RoutingPolicy.ts";
 import { RemoteRun } from "./RemoteRun.ts";
+import type { StopSchedule } from "./StopSchedule.ts";
 import { StuckRunHedge } from "./StuckRunHedge.ts";
 
 /** Dependencies of the dispatcher; injected so that tests can fake each. */
@@ -112,6 +113,12 @@
  */
 const NESTED_CALL_BACKOFF_MS = 50;
 
+/**
+ * Time before the end of a stop's grace period at which requests without a slot are refused, ms. A slot that
+ * becomes free later would leave them no time to run, and the refusal needs time to reach the caller.
+ */
+const QUEUE_REFUSAL_MS = 800;
+
 /**
  * Serves callers' requests: finds a target with a free slot, runs the request there
  * and retries according to the verdict. An idempotent request may be retried on
@@ -241,6 +248,14 @@
     }
   }
 
+  /** Announces that this sidecar is being stopped: near the end of the stop it refuses requests without a slot. */
+  closeBy({ endAt }: StopSchedule): void {
+    const { clock } = this.#deps;
+    clock.after(endAt - QUEUE_REFUSAL_MS - clock.now(), () => {
+      this.close();
+    });
+  }
+
   /**
    * Refuses every request without a slot, and any later one, as not run. This sidecar exits
    * soon, and a caller whose connection is closed without a response can't know that the
