Refuse requests that a stopping sidecar would cut off at work

Callers saw: a request on a kept connection that came some seconds after the SIGTERM of its sidecar was passed on, and its connection was closed at 5.1 s, while the target was at work on it. A booking then had an unknown outcome.

Cause: only gates knew the end of the stop. The caller's side sent any request until 800 ms before the end, whatever the time its run takes, and also one whose slot was granted late.

Fix: the dispatcher asks before it looks for a slot and again when it has one whether the run is expected to end before the stop, by the allowance that gates use. If not, the request is refused at once as not run, or keeps the outcome of its earlier send. A request that arrived while new connections were accepted is sent with a smaller reserve of 1.5 times its typical time: with that of the gates, bookings of 1 s would be refused from the SIGTERM on, although nearly all of them can still be served.

--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -32,6 +32,7 @@
 import type { RouteMatch } from "./RouteMatch.ts";
 import type { RoutingPolicy } from "./RoutingPolicy.ts";
 import { RemoteRun } from "./RemoteRun.ts";
+import { StopLimit } from "./StopLimit.ts";
 import type { StopSchedule } from "./StopSchedule.ts";
 import { StuckRunHedge } from "./StuckRunHedge.ts";
 
@@ -133,11 +134,13 @@
   readonly #finders = new Map<SlotFinder, RequestGuard>();
   readonly #turns = new SuspectTurns();
   readonly #rule: RetryRule;
+  readonly #stopLimit: StopLimit;
   #closed = false;
 
   constructor(deps: DispatcherDeps) {
     this.#deps = deps;
     this.#rule = new RetryRule(deps);
+    this.#stopLimit = new StopLimit(deps);
     deps.quarantine.onBlocked((fingerprint) => {
       const blocked = [...this.#finders].filter(([, guard]) => guard.matches(fingerprint));
       blocked.forEach(([finder]) => {
@@ -210,17 +213,17 @@
   }
 
   async #dispatchWithRetries(state: DispatchState): Promise<ForwardResult> {
-    const { route, req, tried, guard } = state;
+    const { route, req, tried } = state;
     let last: ForwardResult | undefined;
     for (;;) {
-      const search = guard.refuse() ?? (await this.#findSlot(state).result);
+      const search = this.#refuse(state) ?? (await this.#findSlot(state).result);
       if ("verdict" in search) {
-        return last ?? search;
+        return moreInformative(last, search);
       }
-      // The request may have been blocked while it waited for its slot, which then expires unused.
-      const refusal = guard.refuse();
+      // The request may have been blocked, or too late to send, while it waited for its slot, which then expires unused.
+      const refusal = this.#refuse(state);
       if (refusal) {
-        return last ?? refusal;
+        return moreInformative(last, refusal);
       }
       if (search.kind === "refused") {
         if (search.isTargetUnknown && this.#mayAwaitTarget(req)) {
@@ -248,9 +251,19 @@
     }
   }
 
-  /** Announces that this sidecar is being stopped: near the end of the stop it refuses requests without a slot. */
-  closeBy({ endAt }: StopSchedule): void {
+  /** The refusal of a request that must not be sent now; undefined if it may be. */
+  #refuse({ guard, route, req }: DispatchState): ForwardResult | undefined {
+    return guard.refuse() ?? this.#stopLimit.refuse(route, req);
+  }
+
+  /**
+   * Announces that this sidecar is being stopped: from now on a request is sent only if it is expected to end before.
+   * Requests that are running at a target continue.
+   */
+  closeBy(stop: StopSchedule): void {
     const { clock } = this.#deps;
+    const { endAt } = stop;
+    this.#stopLimit.closeBy(stop);
     clock.after(endAt - QUEUE_REFUSAL_MS - clock.now(), () => {
       this.close();
     });
--- /dev/null
+++ b/src/sidecar/routing/StopLimit.ts
@@ -0,0 +1,73 @@
+import type { Clock } from "../../common/lifecycle/Clock.ts";
+import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
+import type { ForwardResult } from "../forwarding/ForwardResult.ts";
+import { runAllowanceMs } from "../gate/runAllowanceMs.ts";
+import type { CallerRequest } from "./CallerRequest.ts";
+import type { RouteMatch } from "./RouteMatch.ts";
+import type { RoutingPolicy } from "./RoutingPolicy.ts";
+import type { StopSchedule } from "./StopSchedule.ts";
+
+/**
+ * Multiple of its typical time that is reserved for the run of a request that arrived while new connections were
+ * accepted. Its caller may not know of the stop yet and have no other sidecar to go to, so most requests that would be
+ * refused with a larger reserve are better served here.
+ */
+const EARLY_ALLOWANCE_FACTOR = 1.5;
+
+/**
+ * Time before the end of the stop that a refusal needs to reach the caller, ms: the refusal of a request with an
+ * idempotency key waits for its record holders, each of which has 400 ms to reply.
+ */
+const REFUSAL_MS = 500;
+
+/** `Retry-After` of refused requests, ms: another sidecar can serve the request now, and this one cannot later. */
+const RETURN_MS = 100;
+
+interface StopLimitDeps {
+  readonly policy: Pick<RoutingPolicy, "typicalMs">;
+  readonly clock: Clock;
+}
+
+/**
+ * Decides until when a sidecar that is being stopped sends callers' requests to targets. A request that is sent too
+ * late is cut off with the process while it runs, and its caller cannot know whether it may be repeated; one that is
+ * refused can go to another sidecar.
+ */
+export class StopLimit {
+  readonly #deps: StopLimitDeps;
+  #stop: StopSchedule = { callersUntil: Infinity, endAt: Infinity };
+
+  constructor(deps: StopLimitDeps) {
+    this.#deps = deps;
+  }
+
+  /** Announces the stop; before, requests are sent at any time. */
+  closeBy(stop: StopSchedule): void {
+    this.#stop = stop;
+  }
+
+  /** The refusal of a request that is not expected to end before the stop; undefined if it may be sent now. */
+  refuse(route: RouteMatch, req: CallerRequest): ForwardResult | undefined {
+    if (this.#deps.clock.now() < this.lastSendAt(route, req)) {
+      return undefined;
+    }
+    const reason = "this sidecar is being stopped before the request is expected to end";
+    const verdict = { kind: "not-run", reason, retryAfterMs: RETURN_MS } as const;
+    return { verdict, outcome: AttemptOutcome.Cancelled };
+  }
+
+  /** Time, by the clock, from which a request is refused instead of sent, ms; Infinity unless a stop is announced. */
+  lastSendAt(route: RouteMatch, { startedAt, deadlineAt }: CallerRequest): number {
+    const { callersUntil, endAt } = this.#stop;
+    // A run ends at its deadline at the latest.
+    const endsInTime = deadlineAt <= endAt;
+    const allowanceMs = endsInTime ? 0 : this.#allowanceMs(route, startedAt <= callersUntil);
+    return endAt - Math.max(REFUSAL_MS, allowanceMs);
+  }
+
+  #allowanceMs(route: RouteMatch, isEarly: boolean): number {
+    const typicalMs = this.#deps.policy.typicalMs(route);
+    // With the process, the chance of another attempt ends too, so none is taken into account.
+    return isEarly ? typicalMs * EARLY_ALLOWANCE_FACTOR : runAllowanceMs(typicalMs, false);
+  }
+}
