Hold queued requests at the end of a planned stop as long as their own runs still fit

Callers saw: requests without a slot were all refused 800 ms before the end of the stop, and so was each request that came later. Lookups of 20 to 100 ms that could still have been served were refused, with a Retry-After of 1 s, and bookings of 1 s were held for a slot that would have come too late for them. A hedge was sent although it could not end.

Cause: one moment for all requests, whatever their runs take.

Fix: each wait for a slot, also that of a hedge, ends when its request becomes too late to send, by the typical time of its route. Callers are told to return after 100 ms, since another sidecar can serve them now.

The test of Dispatcher.close becomes one of closeBy with an end that has come; its assertions are unchanged.

--- a/src/sidecar/drainSidecar.test.ts
+++ b/src/sidecar/drainSidecar.test.ts
@@ -276,6 +276,18 @@
   });
 }
 
+for (const { sentAt, typicalMs, refusedAt } of [
+  { sentAt: 0, typicalMs: 20, refusedAt: END_MS - 500 },
+  { sentAt: 2600, typicalMs: 1000, refusedAt: END_MS - 1500 },
+  { sentAt: 3100, typicalMs: 200, refusedAt: END_MS - 1100 },
+]) {
+  test(`planned stop: a booking of ${typicalMs} ms that gets no slot is held no longer than a run still fits`, async (t) => {
+    const kind = { ...booking, onSlotRequest: grantAfter(10_000) };
+    const { end, at, verdict } = await play(kind, { sentAt, typicalMs, factor: 1 });
+    t.like({ end, at, ...verdict }, { end: "refused", at: refusedAt, retryAfterMs: 100 });
+  });
+}
+
 test("planned stop: a lookup that may have run is not reported as not run when there is no time to repeat it", async (t) => {
   const sentAt = 3500;
   const failSlowly: Kind["onSend"] = ({ clock }, { call }, work) => {
--- a/src/sidecar/routing/Dispatcher.test.ts
+++ b/src/sidecar/routing/Dispatcher.test.ts
@@ -272,7 +272,7 @@
   t.true(hop.slotRequests.every((a) => a.call.cancelled));
 });
 
-test("dispatch: close refuses queued requests as not-run, and running ones continue", async (t) => {
+test("dispatch: the end of a planned stop refuses queued requests as not-run, and running ones continue", async (t) => {
   // A sidecar is stopped while its callers' bookings are queued at busy targets. Their connections
   // were closed without a response at the end of the grace period, and no caller could know that
   // nothing had run.
@@ -282,7 +282,7 @@
   hop.onSlotRequest = () => undefined;
   const queued = dispatcher.dispatch(makeRoute(), makeCallerRequest());
   await settled();
-  dispatcher.close();
+  dispatcher.closeBy({ callersUntil: 0, endAt: 0 });
   t.is((await queued).verdict.kind, "not-run");
   t.is((await dispatcher.dispatch(makeRoute(), makeCallerRequest())).verdict.kind, "not-run");
   hop.runs[0]?.call.answer(done);
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -114,12 +114,6 @@
  */
 const NESTED_CALL_BACKOFF_MS = 50;
 
-/**
- * Time before the end of a stop's grace period at which requests without a slot are refused, ms. A slot that
- * becomes free later would leave them no time to run, and the refusal needs time to reach the caller.
- */
-const QUEUE_REFUSAL_MS = 800;
-
 /**
  * Serves callers' requests: finds a target with a free slot, runs the request there
  * and retries according to the verdict. An idempotent request may be retried on
@@ -135,7 +129,6 @@
   readonly #turns = new SuspectTurns();
   readonly #rule: RetryRule;
   readonly #stopLimit: StopLimit;
-  #closed = false;
 
   constructor(deps: DispatcherDeps) {
     this.#deps = deps;
@@ -258,27 +251,12 @@
 
   /**
    * Announces that this sidecar is being stopped: from now on a request is sent only if it is expected to end before.
-   * Requests that are running at a target continue.
+   * One that waits for a slot is refused as not run once that can no longer be expected. A caller whose connection is
+   * closed without a response can't know that the request is safe to repeat. Requests that are running at a target
+   * continue.
    */
   closeBy(stop: StopSchedule): void {
-    const { clock } = this.#deps;
-    const { endAt } = stop;
     this.#stopLimit.closeBy(stop);
-    clock.after(endAt - QUEUE_REFUSAL_MS - clock.now(), () => {
-      this.close();
-    });
-  }
-
-  /**
-   * Refuses every request without a slot, and any later one, as not run. This sidecar exits
-   * soon, and a caller whose connection is closed without a response can't know that the
-   * request is safe to repeat. Requests that are running at a target continue.
-   */
-  close(): void {
-    this.#closed = true;
-    for (const finder of this.#finders.keys()) {
-      finder.cancel();
-    }
   }
 
   /**
@@ -288,9 +266,7 @@
   #mayAwaitTarget({ startedAt, deadlineAt, disconnected }: CallerRequest): boolean {
     const { clock, isStarting } = this.#deps;
     const holdUntil = Math.min(startedAt + STARTUP_HOLD_MS, deadlineAt);
-    return (
-      isStarting?.() === true && clock.now() < holdUntil && !disconnected.aborted && !this.#closed
-    );
+    return isStarting?.() === true && clock.now() < holdUntil && !disconnected.aborted;
   }
 
   /** Whether to retry the search for a nested call that was refused: it can still be served before its deadline. */
@@ -298,7 +274,7 @@
     const { clock, policy } = this.#deps;
     const retryAt = clock.now() + NESTED_CALL_BACKOFF_MS * 2 ** refusals;
     const isInTime = retryAt + policy.typicalMs(route) < req.deadlineAt;
-    return isNestedCall && isInTime && !req.disconnected.aborted && !this.#closed;
+    return isNestedCall && isInTime && !req.disconnected.aborted;
   }
 
   #delay(ms: number): Promise<void> {
@@ -319,10 +295,13 @@
       tried,
     );
     this.#finders.set(finder, state.guard);
-    void finder.result.then(() => this.#finders.delete(finder));
-    if (this.#closed) {
+    const endWatch = this.#stopLimit.watch(route, req, () => {
       finder.cancel();
-    }
+    });
+    void finder.result.then(() => {
+      this.#finders.delete(finder);
+      endWatch();
+    });
     return finder;
   }
 
--- a/src/sidecar/routing/StopLimit.ts
+++ b/src/sidecar/routing/StopLimit.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../../common/lifecycle/Clock.ts";
+import type { Timer } from "../../common/lifecycle/Timer.ts";
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
 import { runAllowanceMs } from "../gate/runAllowanceMs.ts";
@@ -28,6 +29,14 @@
   readonly clock: Clock;
 }
 
+/** A request that waits to be sent. */
+interface WaitingRequest {
+  readonly route: RouteMatch;
+  readonly req: CallerRequest;
+  readonly onLate: () => void;
+  timer: Timer | undefined;
+}
+
 /**
  * Decides until when a sidecar that is being stopped sends callers' requests to targets. A request that is sent too
  * late is cut off with the process while it runs, and its caller cannot know whether it may be repeated; one that is
@@ -35,6 +44,7 @@
  */
 export class StopLimit {
   readonly #deps: StopLimitDeps;
+  readonly #waiting = new Set<WaitingRequest>();
   #stop: StopSchedule = { callersUntil: Infinity, endAt: Infinity };
 
   constructor(deps: StopLimitDeps) {
@@ -44,6 +54,36 @@
   /** Announces the stop; before, requests are sent at any time. */
   closeBy(stop: StopSchedule): void {
     this.#stop = stop;
+    for (const waiting of this.#waiting) {
+      this.#startTimer(waiting);
+    }
+  }
+
+  /**
+   * Calls `onLate` when a request that waits becomes too late to send, by the time that its own route takes.
+   *
+   * @returns ends the wait
+   */
+  watch(route: RouteMatch, req: CallerRequest, onLate: () => void): () => void {
+    const waiting: WaitingRequest = { route, req, onLate, timer: undefined };
+    this.#waiting.add(waiting);
+    this.#startTimer(waiting);
+    return () => {
+      waiting.timer?.cancel();
+      this.#waiting.delete(waiting);
+    };
+  }
+
+  #startTimer(waiting: WaitingRequest): void {
+    const { route, req, onLate, timer } = waiting;
+    const { clock } = this.#deps;
+    const leftMs = this.lastSendAt(route, req) - clock.now();
+    timer?.cancel();
+    if (leftMs <= 0) {
+      onLate();
+    } else if (leftMs < Infinity) {
+      waiting.timer = clock.after(Math.ceil(leftMs), onLate);
+    }
   }
 
   /** The refusal of a request that is not expected to end before the stop; undefined if it may be sent now. */
