Do not send a request for which the end of a planned stop is too near once its connection is open

Callers saw: a request was passed on just in time by the clock, but was sent only when the connection to the target's sidecar had opened, up to 500 ms later, and was cut off at work.

Cause: the time was checked when the slot was granted, not when the request is written.

Evidence: on the fake clock, a booking whose connection opens in 200 ms and a lookup whose connection opens in 400 ms, sent 10 ms before the last moment for their route, were cut off at 5.1 s.

Fix: during a stop, the check that is made when the request is written to its connection also asks whether it is too late. A request that is not written has not run, and is refused.

--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -386,8 +386,9 @@
   }
 
   #startRun(state: DispatchState, grant: Grant, isHedge = false): RemoteRun {
-    const { hop, callerService, clock, log, policy } = this.#deps;
+    const { callerService, clock, log, policy } = this.#deps;
     const { route, req } = state;
+    const hop = this.#stopLimit.limit(this.#deps.hop, route, req);
     state.tried.add(grant.target.id);
     state.sends += 1;
     const end = policy.recordStart(route, grant.target);
--- a/src/sidecar/routing/StopLimit.ts
+++ b/src/sidecar/routing/StopLimit.ts
@@ -2,6 +2,7 @@
 import type { Timer } from "../../common/lifecycle/Timer.ts";
 import { AttemptOutcome } from "../detection/AttemptOutcome.ts";
 import type { ForwardResult } from "../forwarding/ForwardResult.ts";
+import type { HopLink } from "../hop/HopLink.ts";
 import { runAllowanceMs } from "../gate/runAllowanceMs.ts";
 import type { CallerRequest } from "./CallerRequest.ts";
 import type { RouteMatch } from "./RouteMatch.ts";
@@ -24,6 +25,9 @@
 /** `Retry-After` of refused requests, ms: another sidecar can serve the request now, and this one cannot later. */
 const RETURN_MS = 100;
 
+/** The part of the connection to targets' sidecars that sends requests. */
+type RunLink = Pick<HopLink, "run" | "reattach">;
+
 interface StopLimitDeps {
   readonly policy: Pick<RoutingPolicy, "typicalMs">;
   readonly clock: Clock;
@@ -96,6 +100,24 @@
     return { verdict, outcome: AttemptOutcome.Cancelled };
   }
 
+  /**
+   * Wraps `hop` so that `req` is not sent once it is too late: during a stop, a connection that takes long to open may
+   * use up the time for its run.
+   */
+  limit(hop: RunLink, route: RouteMatch, req: CallerRequest): RunLink {
+    if (this.#stop.endAt === Infinity) {
+      return hop;
+    }
+    const isLate = () => this.#deps.clock.now() >= this.lastSendAt(route, req);
+    return {
+      run: (address, hopReq, onHeartbeat) => {
+        const isGrantExpired = () => isLate() || hopReq.isGrantExpired?.() === true;
+        return hop.run(address, { ...hopReq, isGrantExpired }, onHeartbeat);
+      },
+      reattach: (...args) => hop.reattach(...args),
+    };
+  }
+
   /** Time, by the clock, from which a request is refused instead of sent, ms; Infinity unless a stop is announced. */
   lastSendAt(route: RouteMatch, { startedAt, deadlineAt }: CallerRequest): number {
     const { callersUntil, endAt } = this.#stop;
