End the pauses of requests that become too late to send in a planned stop

Callers saw: a nested call that every target refused, and a lookup that waited for the turn of an equal suspect one, got a closed connection at the end of a stop instead of a refusal.

Cause: only waits for a slot were ended. A nested call pauses for up to 3.2 s between two searches, and the wait for a turn lasts up to 1 s; a request in such a pause was not told of the end.

Evidence: on the fake clock, all 204 nested calls without a slot were cut off at 5.1 s, one sent at the SIGTERM in its pause from 3.15 to 6.35 s; lookups that began to wait for a turn in the last second were cut off in it.

Fix: these pauses end as soon as the request is too late to send, and a nested call is refused at once if its next search would come after that.

--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -157,7 +157,7 @@
     const tried = new Set<TargetId>();
     const counts = { sends: 0, refusedSends: 0, refusals: 0, expired: 0 };
     if (guard.isSuspect) {
-      await guard.awaitTurn();
+      await this.#stopLimit.waitFor(route, req, guard.awaitTurn());
     }
     const state = { route, req, isNestedCall, guard, tried, ...counts };
     const result = await this.#dispatchWithRetries(state).finally(() => {
@@ -220,11 +220,11 @@
       }
       if (search.kind === "refused") {
         if (search.isTargetUnknown && this.#mayAwaitTarget(req)) {
-          await this.#delay(STARTUP_RETRY_MS);
+          await this.#delay(state, STARTUP_RETRY_MS);
           continue;
         }
         if (this.#mayAwaitRoom(state)) {
-          await this.#delay(NESTED_CALL_BACKOFF_MS * 2 ** state.refusals++);
+          await this.#delay(state, NESTED_CALL_BACKOFF_MS * 2 ** state.refusals++);
           continue;
         }
         return last ?? notRun(search);
@@ -273,12 +273,15 @@
   #mayAwaitRoom({ route, req, isNestedCall, refusals }: DispatchState): boolean {
     const { clock, policy } = this.#deps;
     const retryAt = clock.now() + NESTED_CALL_BACKOFF_MS * 2 ** refusals;
-    const isInTime = retryAt + policy.typicalMs(route) < req.deadlineAt;
+    const isInTime =
+      retryAt + policy.typicalMs(route) < req.deadlineAt &&
+      retryAt < this.#stopLimit.lastSendAt(route, req);
     return isNestedCall && isInTime && !req.disconnected.aborted;
   }
 
-  #delay(ms: number): Promise<void> {
-    return new Promise((resolve) => this.#deps.clock.after(ms, resolve));
+  #delay({ route, req }: DispatchState, ms: number): Promise<void> {
+    const delay = new Promise<void>((resolve) => this.#deps.clock.after(ms, resolve));
+    return this.#stopLimit.waitFor(route, req, delay);
   }
 
   /** @param hedgeOf the target of the run that is to be hedged; undefined if it is not for a hedge */
--- a/src/sidecar/routing/StopLimit.ts
+++ b/src/sidecar/routing/StopLimit.ts
@@ -78,6 +78,15 @@
     };
   }
 
+  /** Resolves with `wait`, or as soon as `req` is too late to send. */
+  async waitFor(route: RouteMatch, req: CallerRequest, wait: Promise<void>): Promise<void> {
+    let endWatch: () => void = () => undefined;
+    const late = new Promise<void>((resolve) => {
+      endWatch = this.watch(route, req, resolve);
+    });
+    await Promise.race([wait, late]).finally(endWatch);
+  }
+
   #startTimer(waiting: WaitingRequest): void {
     const { route, req, onLate, timer } = waiting;
     const { clock } = this.#deps;
