Count the time of streamed bodies when a stopping sidecar passes on downloads

Callers saw: a download that was sent late in a planned stop could be passed on and cut off in its body.

Cause: the typical time of a route ends with the start of a response, while the body of a download is passed on for seconds after it. The time reserved before the end of the stop covered only the start.

It was not reproduced with processes.

Fix: the dispatcher measures streamed bodies of each route until they have been passed on whole, and reserves that time on routes that are marked as bulk.

--- a/src/sidecar/routing/Dispatcher.test.ts
+++ b/src/sidecar/routing/Dispatcher.test.ts
@@ -1,3 +1,4 @@
+import { PassThrough } from "node:stream";
 import test from "ava";
 import bunyan from "bunyan";
 import { FakeClock } from "../../../test/fixtures/FakeClock.ts";
@@ -289,6 +290,28 @@
   t.is((await running).verdict.kind, "done");
 });
 
+test("dispatch: a download whose body takes longer than the time left in a planned stop is not passed on and cut off", async (t) => {
+  // Guards against a reserve that covers only the start of a response, while its body is streamed for seconds.
+  const { clock, hop, dispatcher } = rig();
+  const bodies: PassThrough[] = [];
+  hop.onRun = () => {
+    const body = new PassThrough();
+    bodies.push(body);
+    return { ...done, body };
+  };
+  const download = () =>
+    dispatcher.dispatch(makeRoute({ bulk: true }), makeCallerRequest({ deadlineAt: 60_000 }));
+  for (let n = 0; n < 3; n++) {
+    await download();
+    await clock.advance(1500);
+    bodies.at(-1)?.resume().end();
+    await settled();
+  }
+  dispatcher.closeBy({ callersUntil: 0, endAt: clock.now() + 2000 });
+  t.is((await download()).verdict.kind, "not-run");
+  t.is(hop.runs.length, 3);
+});
+
 const settled = () => new Promise((resolve) => setImmediate(resolve));
 
 const startupCases: readonly {
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -407,6 +407,9 @@
       if (!isHedge && result.verdict.kind !== "not-run") {
         this.#deps.hedging?.recordWork(route, clock.now() - startedAt);
       }
+      if ("body" in result && !Buffer.isBuffer(result.body)) {
+        this.#stopLimit.streams.record(route, result.body, startedAt);
+      }
       if (result.calls) {
         this.#deps.budgets.recordNestedCalls(route, result.calls);
       }
--- a/src/sidecar/routing/StopLimit.ts
+++ b/src/sidecar/routing/StopLimit.ts
@@ -8,6 +8,7 @@
 import type { RouteMatch } from "./RouteMatch.ts";
 import type { RoutingPolicy } from "./RoutingPolicy.ts";
 import type { StopSchedule } from "./StopSchedule.ts";
+import { StreamTimes } from "./StreamTimes.ts";
 
 /**
  * Multiple of its typical time that is reserved for the run of a request that arrived while new connections were
@@ -49,10 +50,13 @@
 export class StopLimit {
   readonly #deps: StopLimitDeps;
   readonly #waiting = new Set<WaitingRequest>();
+  /** Times of streamed responses, which are cut off with the process too. */
+  readonly streams: StreamTimes;
   #stop: StopSchedule = { callersUntil: Infinity, endAt: Infinity };
 
   constructor(deps: StopLimitDeps) {
     this.#deps = deps;
+    this.streams = new StreamTimes(deps.clock);
   }
 
   /** Announces the stop; before, requests are sent at any time. */
@@ -137,7 +141,9 @@
   }
 
   #allowanceMs(route: RouteMatch, isEarly: boolean): number {
-    const typicalMs = this.#deps.policy.typicalMs(route);
+    // On other routes, a streamed response is an exception that says nothing about the next request.
+    const streamMs = route.bulk ? this.streams.typicalMs(route) : 0;
+    const typicalMs = Math.max(this.#deps.policy.typicalMs(route), streamMs);
     // With the process, the chance of another attempt ends too, so none is taken into account.
     return isEarly ? typicalMs * EARLY_ALLOWANCE_FACTOR : runAllowanceMs(typicalMs, false);
   }
