Add a failing test of nested calls of runs at the target of a stopping sidecar

Callers of other sidecars got 502 with an unknown outcome for bookings that were sent 2.55 to 2.65 s after the SIGTERM of the sidecar beside their target.

--- a/test/plannedStop.test.ts
+++ b/test/plannedStop.test.ts
@@ -143,3 +143,41 @@
     },
   );
 }
+
+test.serial(
+  "planned stop: a run at the stopped sidecar's target can still make its nested call",
+  async (t) => {
+    // Guards against runs that fail because their sidecar no longer accepts the connection of their nested call.
+    const targets: FleetTarget[] = [
+      { id: "door-0", service: "glenbrae-availability", zone: "zone-a", slots: 4 },
+      { id: "vans-0", service: "glenbrae-bookings", zone: "zone-b", slots: 16, workMs: 200 },
+    ];
+    const standInArgs = (id: string, ports: Record<string, number>) =>
+      id === "vans-0"
+        ? ["--call-path=/glenbrae/availability/depot", `--call-port=${ports.caller ?? 0}`]
+        : [];
+    await withFleet(
+      targets,
+      async (fleet) => {
+        const port = fleet.sidecars.get("door-0")?.ports.caller ?? 0;
+        const callers = Array.from({ length: 16 }, () => new Caller(port));
+        await warmUp(callers);
+        const stopAt = performance.now();
+        fleet.sidecars.get("vans-0")?.proc.kill("SIGTERM");
+        const bookings = await Promise.all(
+          [1000, 2000, 2300, 2550, 2600, 2650].map((sentAt, n) =>
+            bookLate(callers[n] ?? new Caller(0), `late-${sentAt}`, sentAt, stopAt),
+          ),
+        );
+        callers.forEach((c) => {
+          c.close();
+        });
+        const failed = bookings.filter(
+          ({ response }) => response !== "200 done" && response !== "503 not-run",
+        );
+        t.deepEqual(failed, [], `logs in ${fleet.dir}`);
+      },
+      { timeoutMs: TIMEOUT_MS, sidecarSettings, standInArgs },
+    );
+  },
+);
