Accept connections in a planned stop while a run at the local target may make nested calls

Callers saw: bookings at the target of a stopping sidecar ended with 502 and an unknown outcome, although the target was healthy.

Cause: the port for callers was closed 2.7 s after the SIGTERM, while runs at the target went on until the end of the stop. A run that opened a connection for a nested call after that was refused it, and failed.

Fix: the port is closed when the gates have no run any more, or 500 ms before the end, from when on requests would only be refused. The gates are closed when no caller waits, as before, so that the runs end.

--- a/experiment/SimSidecar.ts
+++ b/experiment/SimSidecar.ts
@@ -258,7 +258,10 @@
         onLeaving();
         return Promise.resolve();
       },
-      openRequests: () => ({ callers: NO_REQUESTS, runs: NO_REQUESTS }),
+      openRequests: () => ({
+        callers: { ...NO_REQUESTS, count: this.#inFlight },
+        runs: NO_REQUESTS,
+      }),
     };
     await drainSidecar(parts, STOP_TIMES, clock, log);
     this.#hasEnded = true;
--- a/src/sidecar/drainSidecar.test.ts
+++ b/src/sidecar/drainSidecar.test.ts
@@ -300,3 +300,69 @@
   const { verdict } = await play(kind, { sentAt, typicalMs: 250, factor: 8 });
   t.is(verdict?.kind, "may-have-run");
 });
+
+const drains: readonly {
+  name: string;
+  callersUntil: number;
+  runsUntil: number;
+  gatesClosedAt: number;
+  callersClosedAt: number;
+}[] = [
+  {
+    name: "an idle sidecar",
+    callersUntil: 0,
+    runsUntil: 0,
+    gatesClosedAt: CALLERS_MS,
+    callersClosedAt: CALLERS_MS,
+  },
+  {
+    name: "a run in progress",
+    callersUntil: 0,
+    runsUntil: 4000,
+    gatesClosedAt: CALLERS_MS,
+    callersClosedAt: 4000,
+  },
+  {
+    name: "a run and a caller that waits",
+    callersUntil: 3500,
+    runsUntil: 4000,
+    gatesClosedAt: 3500,
+    callersClosedAt: 4000,
+  },
+  {
+    name: "a run that does not end",
+    callersUntil: 0,
+    runsUntil: 9000,
+    gatesClosedAt: CALLERS_MS,
+    callersClosedAt: END_MS - 500,
+  },
+];
+
+for (const { name, callersUntil, runsUntil, ...expected } of drains) {
+  test(`planned stop: with ${name}, connections are accepted while a run may make nested calls`, async (t) => {
+    const clock = new FakeClock();
+    const closed: Record<string, number> = {};
+    const closeAt = (key: string) => (closed[key] ??= clock.now());
+    const none = { count: 0, oldest: [] };
+    const isWaiting = () => clock.now() < callersUntil;
+    const parts = {
+      beginStop: () => undefined,
+      closeCallers: () => Promise.resolve(void closeAt("callersClosedAt")),
+      callers: { closeBy: () => undefined },
+      gates: {
+        closeBy: () => undefined,
+        close: () => void closeAt("gatesClosedAt"),
+        get isBusy() {
+          return clock.now() < runsUntil;
+        },
+      },
+      leave: () => Promise.resolve(),
+      openRequests: () => ({ callers: { ...none, count: isWaiting() ? 1 : 0 }, runs: none }),
+    };
+    const times = { callersMs: CALLERS_MS, endsInMs: END_MS + LEAVE_MS };
+    const drained = drainSidecar(parts, times, clock, log);
+    await clock.advance(END_MS + LEAVE_MS);
+    await drained;
+    t.deepEqual(closed, expected);
+  });
+}
--- a/src/sidecar/drainSidecar.ts
+++ b/src/sidecar/drainSidecar.ts
@@ -12,6 +12,12 @@
 /** Interval at which a stop checks whether the last run has ended, ms. */
 const IDLE_CHECK_INTERVAL_MS = 50;
 
+/**
+ * Time before the end of a stop at which callers' connections are closed at the latest, ms. Their requests would only be
+ * refused by then, and a connection that is accepted at the end would be reset.
+ */
+const CLOSE_CALLERS_MS = 500;
+
 /** Open requests, for a log line. */
 type OpenSummary = ReturnType<OpenRequests["describe"]>;
 
@@ -41,7 +47,8 @@
 
 /**
  * Stops a sidecar in an orderly way, until no caller and no other sidecar waits for it any more. The gates are
- * closed last: while the process still serves its callers, its target can continue to run requests.
+ * closed only when no caller waits: while the process still serves its callers, its target can continue to run
+ * requests.
  */
 export async function drainSidecar(
   parts: DrainedParts,
@@ -57,6 +64,13 @@
   parts.gates.closeBy(endAt);
   parts.callers.closeBy({ callersUntil: beganAt + callersMs, endAt });
   await sleep(callersMs);
+  // The runs at the local target make nested calls, for which they open connections.
+  while (parts.gates.isBusy && clock.now() < endAt - CLOSE_CALLERS_MS) {
+    if (parts.openRequests().callers.count === 0) {
+      parts.gates.close();
+    }
+    await sleep(IDLE_CHECK_INTERVAL_MS);
+  }
   log.info(
     { busy: parts.gates.isBusy, leftMs: endAt - clock.now() },
     "drain: no longer accepting callers",
