--- a/experiment/SimSidecar.ts
+++ b/experiment/SimSidecar.ts
@@ -252,15 +252,16 @@
     const parts = {
       beginStop: () => undefined,
       closeCallers: () => this.#waitForCallers(),
-      refuseQueued: () => {
-        this.#dispatcher.close();
-      },
+      callers: this.#dispatcher,
       gates: this.#gates(),
       leave: () => {
         onLeaving();
         return Promise.resolve();
       },
-      openRequests: () => ({ callers: NO_REQUESTS, runs: NO_REQUESTS }),
+      openRequests: () => ({
+        callers: { ...NO_REQUESTS, count: this.#inFlight },
+        runs: NO_REQUESTS,
+      }),
     };
     await drainSidecar(parts, STOP_TIMES, clock, log);
     this.#hasEnded = true;
--- a/src/sidecar/drainSidecar.ts
+++ b/src/sidecar/drainSidecar.ts
@@ -1,12 +1,7 @@
 import type bunyan from "bunyan";
 import type { OpenRequests } from "../common/http/OpenRequests.ts";
 import type { Clock } from "../common/lifecycle/Clock.ts";
-
-/**
- * Time before the end of a stop's grace period at which requests without a slot are refused, ms. A slot that
- * becomes free later would leave them no time to run, and the refusal needs time to reach the caller.
- */
-const QUEUE_REFUSAL_MS = 800;
+import type { StopSchedule } from "./routing/StopSchedule.ts";
 
 /**
  * Time at the end of a stop for notifying the other members, ms. They choose other targets once they know that
@@ -17,6 +12,12 @@
 /** Interval at which a stop checks whether the last run has ended, ms. */
 const IDLE_CHECK_INTERVAL_MS = 50;
 
+/**
+ * Time before the end of a stop at which callers' connections are closed at the latest, ms. Their requests would only be
+ * refused by then, and a connection that is accepted at the end would be reset.
+ */
+const CLOSE_CALLERS_MS = 500;
+
 /** Open requests, for a log line. */
 type OpenSummary = ReturnType<OpenRequests["describe"]>;
 
@@ -26,8 +27,8 @@
   readonly beginStop: () => void;
   /** Stops accepting callers' connections; resolves once all pending requests have a response. */
   readonly closeCallers: () => Promise<void>;
-  /** Refuses the callers' requests that have no slot yet. */
-  readonly refuseQueued: () => void;
+  /** Announces the end of the stop to the part that sends callers' requests to targets. */
+  readonly callers: { closeBy(stop: StopSchedule): void };
   /** The gates of the local targets. */
   readonly gates: { closeBy(endAt: number): void; close(): void; readonly isBusy: boolean };
   /** Notifies the other members that this one has left. */
@@ -46,7 +47,8 @@
 
 /**
  * Stops a sidecar in an orderly way, until no caller and no other sidecar waits for it any more. The gates are
- * closed last: while the process still serves its callers, its target can continue to run requests.
+ * closed only when no caller waits: while the process still serves its callers, its target can continue to run
+ * requests.
  */
 export async function drainSidecar(
   parts: DrainedParts,
@@ -56,17 +58,24 @@
 ): Promise<void> {
   const sleep = (ms: number) =>
     new Promise<void>((resolve) => clock.after(Math.max(0, ms), resolve));
-  const endAt = clock.now() + endsInMs - LEAVE_TIMEOUT_MS;
+  const beganAt = clock.now();
+  const endAt = beganAt + endsInMs - LEAVE_TIMEOUT_MS;
   parts.beginStop();
   parts.gates.closeBy(endAt);
+  parts.callers.closeBy({ callersUntil: beganAt + callersMs, endAt });
   await sleep(callersMs);
+  // The runs at the local target make nested calls, for which they open connections.
+  while (parts.gates.isBusy && clock.now() < endAt - CLOSE_CALLERS_MS) {
+    if (parts.openRequests().callers.count === 0) {
+      parts.gates.close();
+    }
+    await sleep(IDLE_CHECK_INTERVAL_MS);
+  }
   log.info(
     { busy: parts.gates.isBusy, leftMs: endAt - clock.now() },
     "drain: no longer accepting callers",
   );
-  const refusalTimer = clock.after(endAt - QUEUE_REFUSAL_MS - clock.now(), parts.refuseQueued);
   await Promise.race([parts.closeCallers(), sleep(endAt - clock.now())]);
-  refusalTimer.cancel();
   parts.gates.close();
   while (parts.gates.isBusy && clock.now() < endAt) {
     await sleep(IDLE_CHECK_INTERVAL_MS);
--- a/src/sidecar/routing/Dispatcher.ts
+++ b/src/sidecar/routing/Dispatcher.ts
@@ -32,6 +32,8 @@
 import type { RouteMatch } from "./RouteMatch.ts";
 import type { RoutingPolicy } from "./RoutingPolicy.ts";
 import { RemoteRun } from "./RemoteRun.ts";
+import { StopLimit } from "./StopLimit.ts";
+import type { StopSchedule } from "./StopSchedule.ts";
 import { StuckRunHedge } from "./StuckRunHedge.ts";
 
 /** Dependencies of the dispatcher; injected so that tests can fake each. */
@@ -126,11 +128,12 @@
   readonly #finders = new Map<SlotFinder, RequestGuard>();
   readonly #turns = new SuspectTurns();
   readonly #rule: RetryRule;
-  #closed = false;
+  readonly #stopLimit: StopLimit;
 
   constructor(deps: DispatcherDeps) {
     this.#deps = deps;
     this.#rule = new RetryRule(deps);
+    this.#stopLimit = new StopLimit(deps);
     deps.quarantine.onBlocked((fingerprint) => {
       const blocked = [...this.#finders].filter(([, guard]) => guard.matches(fingerprint));
       blocked.forEach(([finder]) => {
@@ -154,7 +157,7 @@
     const tried = new Set<TargetId>();
     const counts = { sends: 0, refusedSends: 0, refusals: 0, expired: 0 };
     if (guard.isSuspect) {
-      await guard.awaitTurn();
+      await this.#stopLimit.waitFor(route, req, guard.awaitTurn());
     }
     const state = { route, req, isNestedCall, guard, tried, ...counts };
     const result = await this.#dispatchWithRetries(state).finally(() => {
@@ -203,25 +206,25 @@
   }
 
   async #dispatchWithRetries(state: DispatchState): Promise<ForwardResult> {
-    const { route, req, tried, guard } = state;
+    const { route, req, tried } = state;
     let last: ForwardResult | undefined;
     for (;;) {
-      const search = guard.refuse() ?? (await this.#findSlot(state).result);
+      const search = this.#refuse(state) ?? (await this.#findSlot(state).result);
       if ("verdict" in search) {
-        return last ?? search;
+        return moreInformative(last, search);
       }
-      // The request may have been blocked while it waited for its slot, which then expires unused.
-      const refusal = guard.refuse();
+      // The request may have been blocked, or too late to send, while it waited for its slot, which then expires unused.
+      const refusal = this.#refuse(state);
       if (refusal) {
-        return last ?? refusal;
+        return moreInformative(last, refusal);
       }
       if (search.kind === "refused") {
         if (search.isTargetUnknown && this.#mayAwaitTarget(req)) {
-          await this.#delay(STARTUP_RETRY_MS);
+          await this.#delay(state, STARTUP_RETRY_MS);
           continue;
         }
         if (this.#mayAwaitRoom(state)) {
-          await this.#delay(NESTED_CALL_BACKOFF_MS * 2 ** state.refusals++);
+          await this.#delay(state, NESTED_CALL_BACKOFF_MS * 2 ** state.refusals++);
           continue;
         }
         return last ?? notRun(search);
@@ -241,16 +244,19 @@
     }
   }
 
+  /** The refusal of a request that must not be sent now; undefined if it may be. */
+  #refuse({ guard, route, req }: DispatchState): ForwardResult | undefined {
+    return guard.refuse() ?? this.#stopLimit.refuse(route, req);
+  }
+
   /**
-   * Refuses every request without a slot, and any later one, as not run. This sidecar exits
-   * soon, and a caller whose connection is closed without a response can't know that the
-   * request is safe to repeat. Requests that are running at a target continue.
+   * Announces that this sidecar is being stopped: from now on a request is sent only if it is expected to end before.
+   * One that waits for a slot is refused as not run once that can no longer be expected. A caller whose connection is
+   * closed without a response can't know that the request is safe to repeat. Requests that are running at a target
+   * continue.
    */
-  close(): void {
-    this.#closed = true;
-    for (const finder of this.#finders.keys()) {
-      finder.cancel();
-    }
+  closeBy(stop: StopSchedule): void {
+    this.#stopLimit.closeBy(stop);
   }
 
   /**
@@ -260,21 +266,22 @@
   #mayAwaitTarget({ startedAt, deadlineAt, disconnected }: CallerRequest): boolean {
     const { clock, isStarting } = this.#deps;
     const holdUntil = Math.min(startedAt + STARTUP_HOLD_MS, deadlineAt);
-    return (
-      isStarting?.() === true && clock.now() < holdUntil && !disconnected.aborted && !this.#closed
-    );
+    return isStarting?.() === true && clock.now() < holdUntil && !disconnected.aborted;
   }
 
   /** Whether to retry the search for a nested call that was refused: it can still be served before its deadline. */
   #mayAwaitRoom({ route, req, isNestedCall, refusals }: DispatchState): boolean {
     const { clock, policy } = this.#deps;
     const retryAt = clock.now() + NESTED_CALL_BACKOFF_MS * 2 ** refusals;
-    const isInTime = retryAt + policy.typicalMs(route) < req.deadlineAt;
-    return isNestedCall && isInTime && !req.disconnected.aborted && !this.#closed;
+    const isInTime =
+      retryAt + policy.typicalMs(route) < req.deadlineAt &&
+      retryAt < this.#stopLimit.lastSendAt(route, req);
+    return isNestedCall && isInTime && !req.disconnected.aborted;
   }
 
-  #delay(ms: number): Promise<void> {
-    return new Promise((resolve) => this.#deps.clock.after(ms, resolve));
+  #delay({ route, req }: DispatchState, ms: number): Promise<void> {
+    const delay = new Promise<void>((resolve) => this.#deps.clock.after(ms, resolve));
+    return this.#stopLimit.waitFor(route, req, delay);
   }
 
   /** @param hedgeOf the target of the run that is to be hedged; undefined if it is not for a hedge */
@@ -291,10 +298,13 @@
       tried,
     );
     this.#finders.set(finder, state.guard);
-    void finder.result.then(() => this.#finders.delete(finder));
-    if (this.#closed) {
+    const endWatch = this.#stopLimit.watch(route, req, () => {
       finder.cancel();
-    }
+    });
+    void finder.result.then(() => {
+      this.#finders.delete(finder);
+      endWatch();
+    });
     return finder;
   }
 
@@ -379,8 +389,9 @@
   }
 
   #startRun(state: DispatchState, grant: Grant, isHedge = false): RemoteRun {
-    const { hop, callerService, clock, log, policy } = this.#deps;
+    const { callerService, clock, log, policy } = this.#deps;
     const { route, req } = state;
+    const hop = this.#stopLimit.limit(this.#deps.hop, route, req);
     state.tried.add(grant.target.id);
     state.sends += 1;
     const end = policy.recordStart(route, grant.target);
@@ -396,6 +407,9 @@
       if (!isHedge && result.verdict.kind !== "not-run") {
         this.#deps.hedging?.recordWork(route, clock.now() - startedAt);
       }
+      if ("body" in result && !Buffer.isBuffer(result.body)) {
+        this.#stopLimit.streams.record(route, result.body, startedAt);
+      }
       if (result.calls) {
         this.#deps.budgets.recordNestedCalls(route, result.calls);
       }
