--- a/src/standin/StandInTarget.ts
+++ b/src/standin/StandInTarget.ts
@@ -3,6 +3,7 @@
 import { EndlessResponse } from "./EndlessResponse.ts";
 import { FaultMode } from "./FaultMode.ts";
 import { makeNestedCall } from "./makeNestedCall.ts";
+import { sendInParts } from "./sendInParts.ts";
 import type { StandInOptions } from "./StandInOptions.ts";
 import { WorkJournal } from "./WorkJournal.ts";
 
@@ -365,7 +366,8 @@
       EndlessResponse.send(req.socket, this.#mode, line, this.#trickles);
       return;
     }
-    const filler = Number(new URL(req.url ?? "/", "http://standin").searchParams.get("bytes") ?? 0);
+    const { searchParams } = new URL(req.url ?? "/", "http://standin");
+    const filler = Number(searchParams.get("bytes") ?? 0);
     const responseBody = JSON.stringify({
       target: this.#opts.id,
       service: this.#opts.service,
@@ -399,7 +401,7 @@
       res.write(response.body.slice(0, response.body.length / 2), () => res.destroy());
       return;
     }
-    res.end(response.body);
+    await sendInParts(res, response.body, Number(searchParams.get("send-ms") ?? 0));
   }
 
   #workMs(): number {
