Let a stopping sidecar stay until it has passed on its target's responses

Callers of other sidecars saw their downloads end with a closed connection 0.3 s after the SIGTERM of the sidecar beside the target, or after `callersMs`, however much of the grace period was left.

Cause: a stop waits for the sidecar's own callers and for the slots of its targets. The run of a response of over 1 MB ends for the gate when the start of the response has been read, and that of a booking when its response has been read whole; from then on the sidecar took itself for idle and exited, with the rest of the response on its way to another sidecar.

The gate server knows its requests without a whole response, and the stop now waits for these too. The end of the grace period still bounds it.

--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -279,9 +279,9 @@
     this.#gates.close();
   }
 
-  /** Whether any slot of a local target is granted or in use. */
+  /** Whether a slot of a local target is granted or in use, or a sidecar waits for the rest of a response. */
   get isBusy(): boolean {
-    return this.#gates.isBusy;
+    return this.#gates.isBusy || this.gateServer.openRequests.count > 0;
   }
 
   /** Returns the load of each local target, for `/status`. */
