Let a stopping sidecar stay while a sender may reattach to a run

The caller of a booking got 504 at the deadline although the booking had been made, when the connection between its sidecar and the one beside the target was lost and the latter got a SIGTERM.

Cause: a sender that has lost its connection asks for the result over a new one, at once and then every 500 ms. If the run ends meanwhile, only the run table has its result. A stop waited for neither, so the sidecar exited when the run had ended, and the sender tried to reach it until the deadline.

Evidence: in test/stoppedDeliveries.test.ts the connection is reset during the run, new ones are reset for a second, and the SIGTERM comes at the reset. With this change it gets its response; the log then shows "sender reattached to run" with the state `ended`.

The gate server now remembers the requests that must not be repeated and whose connection closed before their response.

--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -279,9 +279,9 @@
     this.#gates.close();
   }
 
-  /** Whether a slot of a local target is granted or in use, or a sidecar waits for the rest of a response. */
+  /** Whether a slot of a local target is granted or in use, or a sidecar still needs the result of a run. */
   get isBusy(): boolean {
-    return this.#gates.isBusy || this.gateServer.openRequests.count > 0;
+    return this.#gates.isBusy || this.gateServer.isBusy;
   }
 
   /** Returns the load of each local target, for `/status`. */
--- a/src/sidecar/gate/GateServer.test.ts
+++ b/src/sidecar/gate/GateServer.test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import test from "ava";
 import bunyan from "bunyan";
+import { eventually } from "../../../test/fixtures/eventually.ts";
 import { makeSlotRequest } from "../../../test/fixtures/makeSlotRequest.ts";
 import { openGuard } from "../../../test/fixtures/openGuard.ts";
 import { makeTarget } from "../../../test/fixtures/makeTarget.ts";
@@ -57,10 +58,11 @@
     log,
   });
   const tracing = await openTracing("test", undefined);
-  const { server } = new GateServer({ runner, tracing, clock: SystemClock, log });
+  const gateServer = new GateServer({ runner, tracing, clock: SystemClock, log });
+  const { server } = gateServer;
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   const { port } = server.address() as AddressInfo;
-  const open = (): ClientRequest =>
+  const open = (moreHeaders: Record<string, string> = {}): ClientRequest =>
     request({
       port,
       host: "127.0.0.1",
@@ -72,6 +74,7 @@
         [HOP.grant]: grantId,
         [HOP.remaining]: String(REMAINING_MS),
         "content-length": 8,
+        ...moreHeaders,
       },
     });
   let grantId = GrantId("none");
@@ -83,7 +86,7 @@
     server.closeAllConnections();
     server.close();
   };
-  return { gate, sent, close, open, requestSlot };
+  return { gate, gateServer, sent, close, open, requestSlot };
 }
 
 const responseOf = (req: ClientRequest): Promise<IncomingMessage> =>
@@ -155,3 +158,33 @@
   req.destroy();
   close();
 });
+
+const lostSenders: readonly {
+  name: string;
+  headers: Record<string, string>;
+  isBusy: boolean;
+}[] = [
+  { name: "of a booking, which may reattach", headers: {}, isBusy: true },
+  {
+    name: "of a lookup, which does not reattach",
+    headers: { [HOP.idempotent]: "1" },
+    isBusy: false,
+  },
+];
+
+for (const { name, headers, isBusy } of lostSenders) {
+  test(`gate server: is ${isBusy ? "" : "not "}busy after it lost its connection to the sender ${name}`, async (t) => {
+    // Guards against a stop that ends before a sender has got a result, or that waits for a result nobody asks for.
+    const { gateServer, close, open, requestSlot } = await rig();
+    requestSlot();
+    const req = open(headers);
+    req.on("error", () => undefined);
+    req.write("half");
+    await eventually(() => gateServer.openRequests.count > 0);
+    t.true(gateServer.isBusy);
+    req.destroy();
+    await eventually(() => gateServer.openRequests.count === 0);
+    t.is(gateServer.isBusy, isBusy);
+    close();
+  });
+}
--- a/src/sidecar/gate/GateServer.ts
+++ b/src/sidecar/gate/GateServer.ts
@@ -26,6 +26,7 @@
 import { MemoryHolder } from "../memory/MemoryHolder.ts";
 import type { GrantRef, TargetRunner } from "./TargetRunner.ts";
 import { unknownOutcome } from "./unknownOutcome.ts";
+import { UnsentResults } from "./UnsentResults.ts";
 
 /**
  * Interval at which a waiting sidecar is signalled that its request is alive, ms; it suspects a lost connection after
@@ -66,9 +67,11 @@
   readonly server: Server;
   /** Requests of sidecars, this one included, without a whole response. */
   readonly openRequests = new OpenRequests();
+  readonly #unsent: UnsentResults;
 
   constructor(deps: GateServerDeps) {
     this.#deps = deps;
+    this.#unsent = new UnsentResults(deps.clock);
     this.#memory = deps.memory ?? new MemoryAccount();
     this.server = createServer(
       { keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: 0 },
@@ -82,6 +85,11 @@
     );
   }
 
+  /** Whether a sidecar waits for the rest of a response, or may reattach for one that could not be sent. */
+  get isBusy(): boolean {
+    return this.openRequests.count > 0 || this.#unsent.isAwaited;
+  }
+
   async #route(req: IncomingMessage, res: ServerResponse): Promise<void> {
     if (req.url === HOP.reattachPath && req.headers[HOP.grant] !== undefined) {
       await this.#reattach(req, res);
@@ -98,14 +106,12 @@
     const { runner, clock, log } = this.#deps;
     const arrivedAt = clock.now();
     const ageMs = () => Math.round(clock.now() - arrivedAt);
-    this.openRequests.track(res, () => ({ ...grant, ms: ageMs() }));
-    res.once("close", () => {
-      if (!res.writableFinished) {
-        callerGone.abort();
-        const { headersSent: hasStarted } = res;
-        log.info({ ...grant, ms: ageMs(), hasStarted }, "sender left before the response");
-      }
-    });
+    const onSenderLost = () => {
+      callerGone.abort();
+      const { headersSent: hasStarted } = res;
+      log.info({ ...grant, ms: ageMs(), hasStarted }, "sender left before the response");
+    };
+    this.#track(res, () => ({ ...grant, ms: ageMs() }), onSenderLost);
     const aliveSignal = new AliveSignal(res, clock);
     // Signalling starts with the head: during a long upload the sender would otherwise assume a lost connection.
     aliveSignal.start();
@@ -156,13 +162,33 @@
     this.#respond(res, result);
   }
 
+  /** Tracks a request until its response has been sent or its sender may no longer reattach. */
+  #track(res: ServerResponse, describe: () => object, onSenderLost?: () => void): void {
+    this.openRequests.track(res, describe);
+    res.once("close", () => {
+      if (res.writableFinished) {
+        this.#unsent.remove(readGrant(res.req).grant);
+      } else {
+        this.#noteUnsent(res.req);
+        onSenderLost?.();
+      }
+    });
+  }
+
+  /** The sender of an idempotent request does not reattach, since it can send the request to another target. */
+  #noteUnsent(req: IncomingMessage): void {
+    if (!isIdempotent(req)) {
+      this.#unsent.add(readGrant(req).grant);
+    }
+  }
+
   #request(
     req: IncomingMessage,
     { attempt, target }: GrantRef,
     { arrivedAt, callerGone }: { arrivedAt: number; callerGone: AbortSignal },
   ): Omit<TargetRequest, "body" | "headers"> {
     const { headers } = req;
-    const idempotent = headers[HOP.idempotent] === "1";
+    const idempotent = isIdempotent(req);
     const echo = headers[HOP.echo];
     const dispatch = headers[HOP.dispatch];
     const workspace = headers[HOP.workspace];
@@ -191,7 +217,7 @@
   async #reattach(req: IncomingMessage, res: ServerResponse): Promise<void> {
     req.resume();
     const grant = readGrant(req);
-    this.openRequests.track(res, () => ({ ...grant }));
+    this.#track(res, () => ({ ...grant }));
     const state = this.#deps.runner.state(grant);
     const { target } = grant;
     this.#deps.log.info({ ...grant, state: state.kind }, "sender reattached to run");
@@ -215,6 +241,7 @@
 
   #respond(res: ServerResponse, result: ForwardResult): void {
     if (res.destroyed) {
+      this.#noteUnsent(res.req);
       return;
     }
     const hopHeaders = hopResponse.headersOf(result);
@@ -252,6 +279,10 @@
   return Buffer.isBuffer(body) ? body.length : 0;
 }
 
+function isIdempotent({ headers }: IncomingMessage): boolean {
+  return headers[HOP.idempotent] === "1";
+}
+
 function readGrant(req: IncomingMessage): GrantRef {
   const header = (name: string) => String(req.headers[name] ?? "");
   return {
