Test that a response which arrives slowly is not taken for a lost connection

A lookup whose response of 600 KB crosses a link of 300 KB/s between two sidecars gets 502 after 0.8 s, "the connection fell silent", while the response arrives; with and without a stop of the sidecar beside the target. A booking is fetched again every 500 ms over the same link, and its first response is delivered.

--- a/src/sidecar/hop/HopClient.test.ts
+++ b/src/sidecar/hop/HopClient.test.ts
@@ -4,6 +4,7 @@
 import { GrantId } from "../../common/ids/GrantId.ts";
 import { TargetId } from "../../common/ids/TargetId.ts";
 import { GrantExpiredError } from "./GrantExpiredError.ts";
+import { HOP } from "./HOP.ts";
 import { HopClient } from "./HopClient.ts";
 import type { HopRequest } from "./HopRequest.ts";
 import { NotSentError } from "./NotSentError.ts";
@@ -96,3 +97,29 @@
     server.close();
   });
 }
+
+test("hop client: signals that a response is alive while its body arrives", async (t) => {
+  // Guards against lookups that are abandoned, and bookings that are fetched again, as their responses take long to arrive.
+  const parts = 5;
+  const [address, server] = await listen((socket) => {
+    socket.on("error", () => undefined);
+    socket.once("data", () => {
+      const verdict = `${HOP.verdict}: done\r\n${HOP.outcome}: ok\r\n`;
+      socket.write(`HTTP/1.1 200 OK\r\n${verdict}content-length: ${parts}\r\n\r\n`);
+      for (let n = 1; n <= parts; n++) {
+        setTimeout(() => socket.write("x"), 50 * n);
+      }
+    });
+  });
+  const client = new HopClient({
+    requestSlot: () => ({ result: new Promise(() => undefined), cancel: () => undefined }),
+  });
+  t.teardown(async () => {
+    await client.dispose();
+    server.close();
+  });
+  let signals = 0;
+  const { verdict } = await client.run(address, req, () => (signals += 1)).result;
+  t.is(verdict.kind, "done");
+  t.true(signals >= parts, `${signals} signals`);
+});
--- a/test/stoppedDeliveries.test.ts
+++ b/test/stoppedDeliveries.test.ts
@@ -94,18 +94,18 @@
       return readAll(res);
     },
   },
-  {
-    name: "the response of a booking over a slow link",
+  ...["POST", "GET"].map((method) => ({
+    name: `the response to a ${method} over a slow link`,
     hasLink: true,
     minBytes: 600_000,
-    exchange: async ({ fleet, link, open, stop }) => {
+    exchange: async ({ fleet, link, open, stop }: Exchange) => {
       link.bytesPerS = 300_000;
-      const res = responseTo(open("POST", `${PATH}?bytes=600000`).end());
+      const res = responseTo(open(method, `${PATH}?bytes=600000`).end());
       await standIn.waitForReceived(fleet, 1);
       stop();
       return readAll(await res);
     },
-  },
+  })),
   {
     name: "a booking whose body is still arriving",
     minBytes: 0,
