Count the bytes of a response as a sign that the connection works

The caller of a lookup got 502, "the connection fell silent", when its response took more than 750 ms to cross the link between two sidecars. The response of a booking was sent several times over the same link.

Cause: the sidecar beside the target signals every 300 ms that a request is alive, until the run ends. Then it sends the response, and no signal comes any more; the other sidecar took 750 ms without one for a lost connection, although the response was arriving. It gave a lookup up, and asked for the result of a booking again every 500 ms.

Evidence: with 600 KB over a link of 300 KB/s, the lookup got 502 in each of three runs; the log of one says "run ended" after 54 ms, "lost contact with running attempt" after 777 ms and "request answered" after 833 ms. A booking was reattached to three times until its first response was whole. The hop client gave no signal in 250 ms in which parts arrived. A connection that falls silent within a response is still noticed after 750 ms, and the deadline still applies.

--- a/src/sidecar/forwarding/readResponse.ts
+++ b/src/sidecar/forwarding/readResponse.ts
@@ -26,6 +26,8 @@
   readonly bufferAll: boolean;
   /** Checks a body that has ended; rejects if it was truncated. */
   readonly checkEnd?: () => Promise<void>;
+  /** Called when a part of the body has arrived, until the result is returned. */
+  readonly onPart?: () => void;
   readonly limits: ResponseLimits;
   readonly memory: MemoryAccount;
   readonly clock: Clock;
@@ -51,6 +53,7 @@
         hold.release();
         return { body: Buffer.concat(chunks) };
       }
+      options.onPart?.();
       chunks.push(next);
       size += next.length;
       hold.add(next.length);
--- a/src/sidecar/hop/HopClient.ts
+++ b/src/sidecar/hop/HopClient.ts
@@ -25,7 +25,10 @@
 /** Idle connections are closed after this time, ms, which is before the other side closes them. */
 const IDLE_TIMEOUT_MS = 20_000;
 
-/** Called when the other sidecar signals (by status 102) that it is still processing the request. */
+/**
+ * Called when the other sidecar signals (by status 102) that it is still processing the request, and when a part of the
+ * response has arrived: on a slow link, a response of some 100 KB takes longer than a connection may be silent.
+ */
 type OnHeartbeat = () => void;
 
 /**
@@ -83,7 +86,7 @@
         ...NO_TIMEOUTS,
         ...checkGrant(req),
       });
-      return this.#readResult(res);
+      return this.#readResult(res, onHeartbeat);
     });
   }
 
@@ -99,7 +102,7 @@
         onInfo,
         ...NO_TIMEOUTS,
       });
-      return this.#readResult(res);
+      return this.#readResult(res, onHeartbeat);
     });
   }
 
@@ -147,14 +150,14 @@
     };
   }
 
-  async #readResult({
-    statusCode,
-    headers,
-    body,
-  }: Dispatcher.ResponseData): Promise<ForwardResult> {
+  async #readResult(
+    { statusCode, headers, body }: Dispatcher.ResponseData,
+    onPart: OnHeartbeat,
+  ): Promise<ForwardResult> {
     const { silenceMs, maxBytes } = this.#options.responseLimits?.() ?? {};
     const response = await readResponse(body, {
       bufferAll: false,
+      onPart,
       limits: { maxBytes, silenceMs: silenceMs && silenceMs * SILENCE_FACTOR },
       memory: this.#memory,
       clock: this.#clock,
--- a/src/sidecar/hop/HopLink.ts
+++ b/src/sidecar/hop/HopLink.ts
@@ -19,7 +19,7 @@
   requestSlot(address: string, request: SlotRequest, onQueued: OnQueued): PendingCall<SlotReply>;
   /**
    * Sends a request for which a slot was granted to a target's hop address. `onHeartbeat` is called when the other
-   * sidecar signals (by status 102) that it is still processing the request.
+   * sidecar signals (by status 102) that it is still processing the request, and when a part of its response arrives.
    */
   run(address: string, req: HopRequest, onHeartbeat: () => void): PendingCall<ForwardResult>;
   /** Reattaches to a run whose connection was lost: asks for its result over a new connection. */
