Test that a target can make nested calls while its sidecar is being stopped

A booking of another sidecar is at work for 1 s at the target when the sidecar beside it gets a SIGTERM, and then makes a nested call through that sidecar. The caller gets 502; without the stop it gets 200. The sidecar waits for the run, but stops listening for callers as soon as it has none, so the target's connection is refused and the target fails the run.

--- a/test/stoppedDeliveries.test.ts
+++ b/test/stoppedDeliveries.test.ts
@@ -19,6 +19,9 @@
 /** Time for which a caller does not read, or a link is slow, after the stop began, ms. */
 const PAUSE_MS = 2000;
 
+/** Work before a nested call: longer than a stopping sidecar that has no callers accepts new connections, ms. */
+const NESTED_WORK_MS = 1000;
+
 /** More than the buffers of all connections between target and caller hold, bytes. */
 const UNBUFFERED_BYTES = 40_000_000;
 
@@ -59,6 +62,8 @@
   readonly name: string;
   /** Whether other sidecars reach the one of `van` through the link. */
   readonly hasLink?: boolean;
+  /** Whether `van` makes a nested call through its sidecar at the end of its work. */
+  readonly hasNestedCall?: boolean;
   /** Least size of the body that the caller must get, bytes. */
   readonly minBytes: number;
   readonly exchange: (exchange: Exchange) => Promise<Received>;
@@ -135,9 +140,20 @@
       return readAll(await res);
     },
   },
+  {
+    name: "a booking that makes a nested call",
+    hasNestedCall: true,
+    minBytes: 0,
+    exchange: async ({ fleet, open, stop }) => {
+      const res = responseTo(open("POST", PATH).end());
+      await standIn.waitForReceived(fleet, 1);
+      stop();
+      return readAll(await res);
+    },
+  },
 ];
 
-for (const { name, hasLink = false, minBytes, exchange } of cases) {
+for (const { name, hasLink = false, hasNestedCall = false, minBytes, exchange } of cases) {
   test.serial(
     `a planned stop of the sidecar beside a target does not cut off ${name}`,
     async (t) => {
@@ -173,7 +189,14 @@
         t.true(received.bytes >= minBytes, seen);
         t.is(await exit, 0);
       };
-      await withFleet(TARGETS, runExchange, { ...NO_DEADLINE, advertise });
+      const standInArgs = (id: string, ports: Record<string, number>) =>
+        id === "van" && hasNestedCall
+          ? [`--call-path=/glenbrae/availability/depot`, `--call-port=${ports.caller ?? 0}`]
+          : [];
+      const targets = hasNestedCall
+        ? TARGETS.map((x) => ({ ...x, workMs: NESTED_WORK_MS }))
+        : TARGETS;
+      await withFleet(targets, runExchange, { ...NO_DEADLINE, advertise, standInArgs });
     },
   );
 }
