Reserve the time of a long run for a booking that a stopping sidecar grants

Callers got a 502 for a booking that its target was working on when the sidecar beside the target exited in a planned stop. The gate of a stopping sidecar granted a slot if 5.5 times the typical time was left. That is an estimate of its sender, which restarts in the same series of stops, and knows nothing of a target that is slower than others.

The gate now learns from the runs at its target: work that cannot be retried is granted if the longest of the last 256 runs of its sort (may be repeated, or not) would end before the exit, with a margin that grows as fewer have been seen. Before any has ended, work that must not be repeated needs its whole deadline. What can be retried is granted as before.

--- /dev/null
+++ b/src/sidecar/gate/LongestDuration.ts
@@ -0,0 +1,26 @@
+/** Number of most recent durations that the longest is taken from. */
+const WINDOW = 256;
+
+/**
+ * Of `n` durations, the longest is exceeded by this many `n`-ths of it: the fewer have been seen, the further the longest
+ * possible one may lie above them.
+ */
+const MARGIN = 64;
+
+/** Estimates the upper end of a duration from its recent values. */
+export class LongestDuration {
+  readonly #recent: number[] = [];
+  #next = 0;
+
+  /** Adds a duration, ms. */
+  add(ms: number): void {
+    this.#recent[this.#next] = ms;
+    this.#next = (this.#next + 1) % WINDOW;
+  }
+
+  /** Duration that further ones are not expected to exceed, ms; undefined until one has been added. */
+  get upperMs(): number | undefined {
+    const { length } = this.#recent;
+    return length > 0 ? Math.max(...this.#recent) * (1 + MARGIN / length) : undefined;
+  }
+}
--- a/src/sidecar/gate/ServiceTime.ts
+++ b/src/sidecar/gate/ServiceTime.ts
@@ -1,4 +1,5 @@
 import type { SlotRequest } from "../hop/SlotRequest.ts";
+import { LongestDuration } from "./LongestDuration.ts";
 import { runAllowanceMs } from "./runAllowanceMs.ts";
 
 /** Smoothing factor of the mean service time, an exponential moving average over about the last ten runs. */
@@ -10,15 +11,18 @@
 /** Estimates how long runs at a gate's target take, from the runs that have ended. */
 export class ServiceTime {
   #meanMs = INITIAL_MS;
+  readonly #repeatable = new LongestDuration();
+  readonly #unrepeatable = new LongestDuration();
 
   /** Mean time for which a run uses its slot, ms. */
   get meanMs(): number {
     return this.#meanMs;
   }
 
-  /** Records that a run has used its slot for `ms`. */
-  record(ms: number): void {
+  /** Records that a run of the request has used its slot for `ms`. */
+  record(ms: number, { isIdempotent }: Pick<SlotRequest, "isIdempotent">): void {
     this.#meanMs += SMOOTHING * (ms - this.#meanMs);
+    this.#longestOf(isIdempotent).add(ms);
   }
 
   /** Typical time of a run of the request, or the mean service time if that is unknown, ms. */
@@ -26,11 +30,25 @@
     return typicalMs > 0 ? typicalMs : this.#meanMs;
   }
 
-  /** Time to reserve for a run before this sidecar exits, ms; at most until its deadline, when it ends anyway. */
+  /**
+   * Time to reserve for a run before this sidecar exits, ms; at most until its deadline, when it ends anyway. A run that
+   * cannot be retried needs the time of a long one, since the exit would leave its outcome unknown.
+   */
   allowanceMs(request: SlotRequest): number {
+    const { remainingMs, isRetryable } = request;
+    const typicalMs = runAllowanceMs(this.typicalMs(request), isRetryable);
     return Math.min(
-      request.remainingMs,
-      runAllowanceMs(this.typicalMs(request), request.isRetryable),
+      remainingMs,
+      isRetryable ? typicalMs : Math.max(typicalMs, this.#longMs(request)),
     );
   }
+
+  /** Duration of a long run, ms; before any has ended, infinite for work that must not be repeated. */
+  #longMs({ isIdempotent }: SlotRequest): number {
+    return this.#longestOf(isIdempotent).upperMs ?? (isIdempotent ? 0 : Infinity);
+  }
+
+  #longestOf(isIdempotent: boolean): LongestDuration {
+    return isIdempotent ? this.#repeatable : this.#unrepeatable;
+  }
 }
--- a/src/sidecar/gate/SlotGrants.ts
+++ b/src/sidecar/gate/SlotGrants.ts
@@ -131,7 +131,7 @@
       demand.recordFailure();
     }
     health.recordEnd({ outcome, ms, typicalMs: request.typicalMs, wasOverdue });
-    serviceTime.record(ms);
+    serviceTime.record(ms, request);
     return true;
   }
 
