--- a/src/sidecar/gate/Gate.ts
+++ b/src/sidecar/gate/Gate.ts
@@ -280,9 +280,13 @@
     }
   }
 
-  /** Records the end of a streamed response, whose run has ended with its start. */
-  recordStreamEnd(outcome: AttemptOutcome): void {
-    this.#grants.recordStreamEnd(outcome);
+  /**
+   * Records the end of a streamed response, whose run has ended with its start.
+   *
+   * @param ms time from the start of the run to the end of the response, ms; undefined if unknown
+   */
+  recordStreamEnd(outcome: AttemptOutcome, ms?: number): void {
+    this.#grants.recordStreamEnd(outcome, ms);
   }
 
   /** Whether a grant is neither used nor expired. */
--- a/src/sidecar/gate/ServiceTime.ts
+++ b/src/sidecar/gate/ServiceTime.ts
@@ -13,6 +13,8 @@
   #meanMs = INITIAL_MS;
   readonly #repeatable = new LongestDuration();
   readonly #unrepeatable = new LongestDuration();
+  /** Durations of runs to the ends of their streamed responses; 0 for each run, so that they are forgotten with those. */
+  readonly #streams = new LongestDuration();
 
   /** Mean time for which a run uses its slot, ms. */
   get meanMs(): number {
@@ -23,6 +25,12 @@
   record(ms: number, { isIdempotent }: Pick<SlotRequest, "isIdempotent">): void {
     this.#meanMs += SMOOTHING * (ms - this.#meanMs);
     this.#longestOf(isIdempotent).add(ms);
+    this.#streams.add(0);
+  }
+
+  /** Records that a streamed response has ended `ms` after its run began. */
+  recordStream(ms: number): void {
+    this.#streams.add(ms);
   }
 
   /** Typical time of a run of the request, or the mean service time if that is unknown, ms. */
--- a/src/sidecar/gate/SlotGrants.ts
+++ b/src/sidecar/gate/SlotGrants.ts
@@ -138,8 +138,13 @@
   /**
    * Records the end of a streamed response, whose run has ended with its start. It counts against the target only if
    * the response exceeded a limit: any other may have failed for its reader's sake.
+   *
+   * @param ms time from the start of the run to the end of the response, ms; undefined if unknown
    */
-  recordStreamEnd(outcome: AttemptOutcome): void {
+  recordStreamEnd(outcome: AttemptOutcome, ms?: number): void {
+    if (ms !== undefined) {
+      this.#deps.serviceTime.recordStream(ms);
+    }
     if (outcome === AttemptOutcome.InvalidResponse) {
       this.#deps.health.recordEnd({ outcome, ms: 0, typicalMs: 0, wasOverdue: false });
     }
--- a/src/sidecar/gate/plannedStop.test.ts
+++ b/src/sidecar/gate/plannedStop.test.ts
@@ -26,7 +26,10 @@
 interface Kind {
   readonly name: string;
   readonly request: Partial<Omit<SlotRequest, "attempt" | "target">>;
+  /** Time until the response, or the start of a streamed one, has been read, ms. */
   readonly workMs: (random: () => number) => number;
+  /** Time from then until a streamed response has ended, ms. */
+  readonly streamMs?: (random: () => number) => number;
 }
 
 /** Returns a log-normally distributed time of the given mean, ms, at most `maxMs`. */
@@ -46,6 +49,13 @@
   workMs: heavyTailed(920, 5400),
 };
 
+const DOWNLOAD: Kind = {
+  name: "download",
+  request: { isIdempotent: true, isRetryable: true, remainingMs: 20_000 },
+  workMs: heavyTailed(300, 1000),
+  streamMs: heavyTailed(2000, 4000),
+};
+
 /** A target that is kept busy until its stopped sidecar exits, on a fake clock. */
 class StoppedTarget {
   readonly #clock = new FakeClock();
@@ -114,11 +124,18 @@
   }
 
   #run(grant: Parameters<Gate["redeem"]>[0], isAfterStop: boolean): void {
+    const { workMs, streamMs } = this.#kind;
+    const startedAt = this.#clock.now();
     this.#gate.redeem(grant);
-    this.#clock.after(this.#kind.workMs(this.#random), () => {
+    this.#clock.after(workMs(this.#random), () => {
       this.#gate.end(grant, AttemptOutcome.Ok);
-      this.#count(isAfterStop, -1);
       this.#requestSlot();
+      this.#clock.after(streamMs?.(this.#random) ?? 0, () => {
+        if (streamMs) {
+          this.#gate.recordStreamEnd(AttemptOutcome.Ok, this.#clock.now() - startedAt);
+        }
+        this.#count(isAfterStop, -1);
+      });
     });
   }
 
@@ -147,6 +164,7 @@
   { kind: BOOKING, sender: "knows the median", typicalMs: 334, upMs: 3000 },
   { kind: BOOKING, sender: "has restarted", typicalMs: 500, upMs: 0 },
   { kind: SLOW_BOOKING, sender: "knows the median", typicalMs: 334, upMs: 60_000 },
+  { kind: DOWNLOAD, sender: "knows the median", typicalMs: 220, upMs: 60_000 },
 ];
 
 for (const { kind, sender, typicalMs, upMs } of cases) {
