Reserve the time of a streamed response at a gate whose sidecar is being stopped

A group of downloads was closed when the sidecar beside their target exited in a planned stop. The run of a response of over 1 MB ends for the gate when its start has been read, so the gate of a stopping sidecar granted a download whose body takes 4 s as if it took 0.3 s.

A stopping gate now also reserves the time of the longest streamed response of the last 256 runs and streams, with the same margin as for a long run, at most until the deadline. It applies to requests that can be retried too, since a response can no longer be retried once its start has been passed on. It takes effect where the caller of Gate.recordStreamEnd states the time.

New cases show that work of at most 0.3 s (bookings) and 1.5 s (downloads) is still granted until twice that time before the exit, and that an old stream is forgotten.

--- a/src/sidecar/gate/Gate.test.ts
+++ b/src/sidecar/gate/Gate.test.ts
@@ -194,6 +194,51 @@
   });
 }
 
+/** Requests of 1 s or 10 s to a target whose sidecar exits in 3 s, after runs of which some had streamed responses. */
+const streamCases: readonly {
+  what: string;
+  streamMs: readonly number[];
+  laterRuns: number;
+  remainingMs: number;
+  expected: string;
+}[] = [
+  { what: "none", streamMs: [], laterRuns: 64, remainingMs: 10_000, expected: "granted" },
+  { what: "short ones", streamMs: [900], laterRuns: 64, remainingMs: 10_000, expected: "granted" },
+  { what: "long ones", streamMs: [4000], laterRuns: 64, remainingMs: 10_000, expected: "leaving" },
+  {
+    what: "long ones, none lately",
+    streamMs: [4000],
+    laterRuns: 256,
+    remainingMs: 10_000,
+    expected: "granted",
+  },
+  {
+    what: "long ones, but a close deadline",
+    streamMs: [4000],
+    laterRuns: 64,
+    remainingMs: 1000,
+    expected: "granted",
+  },
+];
+
+for (const { what, streamMs, laterRuns, remainingMs, expected } of streamCases) {
+  test(`gate: while the sidecar is being stopped, a lookup after streamed responses (${what}) gets the reply "${expected}"`, async (t) => {
+    // Guards against a stop that cuts a response while it is streamed, and against a target that idles for an old one.
+    const { clock, gate, requestSlot, run, replyTo } = rig(1);
+    streamMs.forEach((ms) => {
+      gate.recordStreamEnd(AttemptOutcome.Ok, ms);
+    });
+    for (let n = 0; n < laterRuns; n++) {
+      requestSlot(`earlier-${n}`);
+      run(`earlier-${n}`, 100);
+      await clock.advance(100);
+    }
+    gate.closeBy(clock.now() + 3000);
+    requestSlot("a", { remainingMs });
+    t.is(replyTo("a"), expected);
+  });
+}
+
 test("gate: refuses queued requests as soon as they cannot end before the sidecar exits", async (t) => {
   const { clock, gate, requestSlot, run, replyTo } = rig(1);
   gate.closeBy(4000);
--- a/src/sidecar/gate/ServiceTime.ts
+++ b/src/sidecar/gate/ServiceTime.ts
@@ -40,15 +40,14 @@
 
   /**
    * Time to reserve for a run before this sidecar exits, ms; at most until its deadline, when it ends anyway. A run that
-   * cannot be retried needs the time of a long one, since the exit would leave its outcome unknown.
+   * cannot be retried needs the time of a long one, since the exit would leave its outcome unknown. Any run may have a
+   * streamed response, which cannot be retried either once its start has been passed on.
    */
   allowanceMs(request: SlotRequest): number {
     const { remainingMs, isRetryable } = request;
     const typicalMs = runAllowanceMs(this.typicalMs(request), isRetryable);
-    return Math.min(
-      remainingMs,
-      isRetryable ? typicalMs : Math.max(typicalMs, this.#longMs(request)),
-    );
+    const longMs = isRetryable ? 0 : this.#longMs(request);
+    return Math.min(remainingMs, Math.max(typicalMs, longMs, this.#streams.upperMs ?? 0));
   }
 
   /** Duration of a long run, ms; before any has ended, infinite for work that must not be repeated. */
--- a/src/sidecar/gate/plannedStop.test.ts
+++ b/src/sidecar/gate/plannedStop.test.ts
@@ -56,6 +56,23 @@
   streamMs: heavyTailed(2000, 4000),
 };
 
+/** Kinds whose longest run takes `longestMs`, so short that a target can do such work for most of a stop. */
+const SHORT_KINDS: readonly { kind: Kind; longestMs: number }[] = [
+  {
+    kind: { name: "short booking", request: ONCE, workMs: heavyTailed(60, 300) },
+    longestMs: 300,
+  },
+  {
+    kind: {
+      ...DOWNLOAD,
+      name: "short download",
+      workMs: heavyTailed(100, 500),
+      streamMs: heavyTailed(300, 1000),
+    },
+    longestMs: 1500,
+  },
+];
+
 /** A target that is kept busy until its stopped sidecar exits, on a fake clock. */
 class StoppedTarget {
   readonly #clock = new FakeClock();
@@ -68,6 +85,8 @@
   /** Runs granted after SIGTERM, and those of them that have not ended. */
   granted = 0;
   open = 0;
+  /** Time from SIGTERM to the last grant, ms. */
+  lastGrantMs = 0;
 
   constructor(kind: Kind, typicalMs: number, random: () => number) {
     this.#kind = kind;
@@ -111,6 +130,7 @@
     const isAfterStop = this.#stoppedAt < Infinity;
     this.#gate.requestSlot(request, (reply) => {
       if (reply.kind === "granted") {
+        this.lastGrantMs = this.#clock.now() - this.#stoppedAt;
         this.#count(isAfterStop, 1);
         this.#clock.after(START_MS, () => {
           this.#run(reply.grant, isAfterStop);
@@ -182,3 +202,16 @@
     t.is(total.cut, 0);
   });
 }
+
+for (const { kind, longestMs } of SHORT_KINDS) {
+  test(`planned stop: a target gets each ${kind.name} that surely ends before the exit, and none is cut`, async (t) => {
+    // Guards against a healthy target that idles in a rolling stop.
+    for (let seed = 1; seed <= STOPS; seed++) {
+      const stopped = new StoppedTarget(kind, 50, seededRandom(seed));
+      const { open, lastGrantMs } = await stopped.play(60_000);
+      t.is(open, 0);
+      // Twice the longest run: a run may be in progress at each slot before.
+      t.true(lastGrantMs >= EXIT_AFTER_MS - 2 * longestMs, `${lastGrantMs} ms`);
+    }
+  });
+}
