--- a/src/sidecar/routing/policies.test.ts
+++ b/src/sidecar/routing/policies.test.ts
@@ -516,6 +516,53 @@
   });
 }
 
+/** Requests for which a local target with a stopping sidecar and a free slot competes with targets in another zone. */
+const preferenceCases: readonly {
+  name: string;
+  isRetryable: boolean;
+  farLoad?: Partial<GateLoad>;
+  isNear: boolean;
+}[] = [
+  { name: "others of unknown load", isRetryable: false, isNear: false },
+  { name: "others with a free slot", isRetryable: false, farLoad: { busy: 3 }, isNear: false },
+  { name: "full others", isRetryable: false, farLoad: { busy: 4, queued: 3 }, isNear: true },
+  {
+    name: "others that their limit holds up",
+    isRetryable: false,
+    farLoad: { limitWaitMs: 900 },
+    isNear: true,
+  },
+  {
+    name: "others that are being stopped too",
+    isRetryable: false,
+    farLoad: { endsInMs: 5000 },
+    isNear: true,
+  },
+  {
+    name: "others with a free slot, if it can be retried",
+    isRetryable: true,
+    farLoad: { busy: 3 },
+    isNear: true,
+  },
+];
+
+for (const { name, isRetryable, farLoad, isNear } of preferenceCases) {
+  test(`a booking goes to a target whose sidecar is being stopped: ${isNear ? "" : "not "}beside ${name}`, (t) => {
+    // Guards against a booking that is cut by the exit of a sidecar while another target had room for it.
+    const { policy, route, table } = zonesRig({ endsInMs: 5000 });
+    for (const target of table.allTargets()) {
+      if (farLoad && target.id !== TargetId("near")) {
+        policy.recordQueued(target, { ...idleLoad, slots: 4, serviceMs: 400, ...farLoad });
+      }
+    }
+    const picks = Array.from(
+      { length: 50 },
+      () => policy.pick({ route, isRetryable }, new Set())?.target.id,
+    );
+    t.is(picks.filter((id) => id === TargetId("near")).length, isNear ? 50 : 0);
+  });
+}
+
 test("a target whose sidecar is being stopped is picked once a few runs have shown that they are short", async (t) => {
   // Guards against a target that stays idle through a stop, as its runs are assumed to take a third of a long objective.
   const { clock, policy, route, table } = zonesRig({ endsInMs: 9000 });
