Prefer targets whose sidecars go on running for requests that cannot be retried

Callers got a 502 for bookings that were cut by the exit of the sidecar beside their target, while other targets had room. A target beside a stopping sidecar was picked like any other, as long as the estimated time of a run was left.

For a request that cannot be retried, the policy now picks among the targets whose sidecars are not being stopped while at least one of them has a free slot or an unknown load. If none has, the others are picked as before, so that targets do not idle in a rolling stop; their gates then decide whether a long run would end in time.

--- a/src/sidecar/routing/AdaptivePolicy.ts
+++ b/src/sidecar/routing/AdaptivePolicy.ts
@@ -133,8 +133,11 @@
     if (request.hedgeOf) {
       return this.#pickForHedge(snapshot, reachable, request.hedgeOf.zone);
     }
-    const local = this.#localCandidates(snapshot, preferred);
-    const tier = local.length > 0 ? local : preferred;
+    const lasting = request.isRetryable
+      ? preferred
+      : this.#assessor.preferLasting(snapshot, preferred);
+    const local = this.#localCandidates(snapshot, lasting);
+    const tier = local.length > 0 ? local : lasting;
     const picked = this.#choose(tier, (c) => this.#cost(snapshot, c), random);
     return picked && { target: picked.target };
   }
--- a/src/sidecar/routing/TargetAssessor.ts
+++ b/src/sidecar/routing/TargetAssessor.ts
@@ -44,18 +44,22 @@
     return load.busy < load.slots && limitWaitMs === 0 ? "free" : "full";
   }
 
-  /**
-   * Whether the co-located sidecar is being stopped and will exit before the request would end. After the
-   * announced exit it may have restarted, so the target may be picked again.
-   */
+  /** Whether the co-located sidecar is being stopped and will exit before the request would end. */
   stopsTooSoon({ now, route, isRetryable }: PickSnapshot, { target, view }: Candidate): boolean {
-    const { load, loadReceivedAt } = view;
-    if (load?.endsInMs === undefined) {
-      return false;
-    }
-    const remainingMs = load.endsInMs - (now - loadReceivedAt);
     const typicalMs = this.#deps.typicalMs(route, target);
-    return remainingMs > 0 && remainingMs < runAllowanceMs(typicalMs, isRetryable);
+    return exitsInMs(now, view) < runAllowanceMs(typicalMs, isRetryable);
+  }
+
+  /**
+   * The candidates to choose from for a request whose run must not be cut short: while any other may have room, none
+   * whose co-located sidecar is being stopped.
+   */
+  preferLasting(snapshot: PickSnapshot, candidates: readonly Candidate[]): readonly Candidate[] {
+    const lasting = candidates.filter(({ view }) => exitsInMs(snapshot.now, view) === Infinity);
+    const mayHaveRoom = lasting.some((c) =>
+      ["free", "unknown"].includes(this.beliefAbout(snapshot, c)),
+    );
+    return mayHaveRoom ? lasting : candidates;
   }
 
   /** Whether to avoid the target: it is ejected or, for a request that can't be retried, suspect. */
@@ -91,3 +95,15 @@
 function limitWaitAt(now: number, { load, loadReceivedAt }: TargetView): number {
   return Math.max(0, (load?.limitWaitMs ?? 0) - (now - loadReceivedAt));
 }
+
+/**
+ * Time until the co-located sidecar exits, ms; infinite unless it is being stopped. After the announced exit it may have
+ * restarted, so the target may be picked again.
+ */
+function exitsInMs(now: number, { load, loadReceivedAt }: TargetView): number {
+  if (load?.endsInMs === undefined) {
+    return Infinity;
+  }
+  const remainingMs = load.endsInMs - (now - loadReceivedAt);
+  return remainingMs > 0 ? remainingMs : Infinity;
+}
