--- a/experiment/Scenario.ts
+++ b/experiment/Scenario.ts
@@ -41,6 +41,14 @@
   readonly perS: number;
 }
 
+/** The log-normal distribution of the work times of a kind of request. */
+export interface WorkTimes {
+  /** Standard deviation of the logarithm of work times. */
+  readonly sigma: number;
+  /** Longest work time, as a multiple of the kind's mean. */
+  readonly maxFactor: number;
+}
+
 /** A period with a higher request rate. */
 export interface Burst {
   readonly fromMs: number;
@@ -99,6 +107,8 @@
   };
   readonly grayPeriods?: readonly GrayPeriod[];
   readonly limits?: readonly LimitPeriod[];
+  /** How far runs last longer or shorter than others of their kind; by default as measured at the users' services. */
+  readonly workTimes?: WorkTimes;
   /** Share of requests that healthy targets fail; by default as measured at the users' services. */
   readonly baseErrorRate?: number;
   readonly bursts?: readonly Burst[];
--- a/experiment/SimFleet.ts
+++ b/experiment/SimFleet.ts
@@ -48,6 +48,19 @@
   readonly wasHealthy: boolean;
 }
 
+/** A run in progress at a target. */
+interface OpenRun {
+  readonly attempt: string;
+  readonly target: string;
+  readonly sentAt: number;
+  readonly deadlineAt: number;
+}
+
+/** A run during which the sidecar beside its target has exited, before its deadline. */
+interface CutRun extends OpenRun {
+  readonly cutAt: number;
+}
+
 /** The sender of a request: a caller, or a target that makes a nested call. */
 interface Caller {
   /** Name of the VM whose sidecar gets the request. */
@@ -72,6 +85,9 @@
   readonly #ejected = new Set<string>();
   readonly #ejections: Ejection[] = [];
   readonly #crashTimes: number[] = [];
+  /** Runs that must not be repeated, in progress now, and those of them that the exit of a sidecar has cut. */
+  readonly #openRuns = new Set<OpenRun>();
+  readonly #cutRuns: CutRun[] = [];
   /** Number of incarnations of each VM's sidecar so far. */
   readonly #incarnations = new Map<string, number>();
   #attemptCount = 0;
@@ -94,7 +110,8 @@
       })),
     );
     for (const { name } of this.#vms) {
-      this.#targets.set(name, new SimTarget(clock, random, scenario.baseErrorRate));
+      const { baseErrorRate, workTimes } = scenario;
+      this.#targets.set(name, new SimTarget(clock, random, baseErrorRate, workTimes));
     }
     this.#vms.forEach((vm) => {
       this.#sidecars.set(vm.name, this.#createSidecar(vm));
@@ -125,6 +142,11 @@
     return this.#crashTimes;
   }
 
+  /** Runs of work that must not be repeated during which the sidecar beside the target has exited, before their deadlines. */
+  get cutRuns(): readonly CutRun[] {
+    return this.#cutRuns;
+  }
+
   /** The fleet's retry budget. */
   get budget(): RetryBudgetRule {
     return { ...RETRY_BUDGET, slack: this.#scenario.retrySlack ?? RETRY_BUDGET.slack };
@@ -308,6 +330,7 @@
   async #restart(vm: SimVm): Promise<void> {
     const old = this.#sidecars.get(vm.name);
     await old?.stop();
+    this.#recordCutRuns(vm);
     this.#slotRequests += old?.hop.slotRequests ?? 0;
     this.#sidecars.delete(vm.name);
     this.#clock.after(RESTART_MS + ANNOUNCE_MS, () => {
@@ -320,6 +343,12 @@
     });
   }
 
+  #recordCutRuns({ name }: SimVm): void {
+    const cutAt = this.#clock.now();
+    const cut = [...this.#openRuns].filter((run) => run.target === name && run.deadlineAt > cutAt);
+    this.#cutRuns.push(...cut.map((run) => ({ ...run, cutAt })));
+  }
+
   #scheduleNextArrival(kind: RequestKind): void {
     const rateFactor = this.#rateFactorAt(this.#clock.now());
     const wait = exponential(1000 / (kind.perSecond * rateFactor), this.#random);
@@ -424,7 +453,12 @@
     const sentAt = this.#clock.now();
     const { limitPerS } = target;
     const makeNestedCalls = () => this.#makeNestedCalls(kind, caller, deadlineAt);
+    const run = { attempt, target: vm.name, sentAt, deadlineAt };
+    if (!idempotent) {
+      this.#openRuns.add(run);
+    }
     const outcome = await target.run(kind.workMs, makeNestedCalls, cancelled);
+    this.#openRuns.delete(run);
     this.#targetMs += this.#clock.now() - sentAt;
     // A response names the limit of the time at which its run began.
     this.#sidecars.get(vm.name)?.recordLimit(limitPerS, sentAt);
--- a/experiment/SimTarget.ts
+++ b/experiment/SimTarget.ts
@@ -1,3 +1,4 @@
+import type { WorkTimes } from "./Scenario.ts";
 import type { Clock } from "../src/common/lifecycle/Clock.ts";
 
 /**
@@ -13,8 +14,8 @@
 /** Time after which a gray target fails a request, ms. */
 const GRAY_FAILURE_MS = 1;
 
-/** Standard deviation of the logarithm of work times. */
-const WORK_TIME_SIGMA = 0.5;
+/** Work times as measured at the users' services. */
+const MEASURED: WorkTimes = { sigma: 0.5, maxFactor: Infinity };
 
 /** A period in which the target fails requests, sheds them, or is slow; times in ms. */
 interface GrayInterval {
@@ -39,6 +40,7 @@
   readonly #clock: Clock;
   readonly #random: () => number;
   readonly #baseErrorRate: number;
+  readonly #workTimes: WorkTimes;
   readonly #grayIntervals: GrayInterval[] = [];
   readonly #limits: LimitInterval[] = [];
   /** Constant factor on this target's work times, which differs between targets. */
@@ -50,7 +52,13 @@
   /** Ends the runs in progress when the process crashes. */
   readonly #activeRuns = new Set<() => void>();
 
-  constructor(clock: Clock, random: () => number, baseErrorRate = BASE_ERROR_RATE) {
+  constructor(
+    clock: Clock,
+    random: () => number,
+    baseErrorRate = BASE_ERROR_RATE,
+    workTimes = MEASURED,
+  ) {
+    this.#workTimes = workTimes;
     this.#clock = clock;
     this.#random = random;
     this.#baseErrorRate = baseErrorRate;
@@ -140,7 +148,9 @@
       await this.#wait(GRAY_FAILURE_MS);
       return "failed";
     }
-    const ms = workMs * this.#workTimeFactor * (interval?.slowdown ?? 1) * logNormal(this.#random);
+    const { sigma, maxFactor } = this.#workTimes;
+    const factor = this.#workTimeFactor * logNormal(this.#random, sigma);
+    const ms = workMs * Math.min(maxFactor, factor) * (interval?.slowdown ?? 1);
     await this.#wait(ms / 2);
     if (!(await makeNestedCalls())) {
       return "call-failed";
@@ -162,7 +172,7 @@
 }
 
 /** A log-normally distributed factor with mean 1. */
-function logNormal(random: () => number): number {
+function logNormal(random: () => number, sigma: number): number {
   const normal = Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
-  return Math.exp(WORK_TIME_SIGMA * normal - (WORK_TIME_SIGMA * WORK_TIME_SIGMA) / 2);
+  return Math.exp(sigma * normal - (sigma * sigma) / 2);
 }
