Test that a stopping gate remembers a long run at a target that sheds load

Requests that the target refuses use their slots for a moment. 300 of them displace every run from the window that the gate of a stopping sidecar takes the longest from. The test fails: a booking is granted 2.5 s before the exit, although one has taken 3 s.

--- a/src/sidecar/gate/Gate.test.ts
+++ b/src/sidecar/gate/Gate.test.ts
@@ -239,6 +239,24 @@
   });
 }
 
+test("gate: while the sidecar is being stopped, it knows of a long run although the target has refused many requests since", async (t) => {
+  // Guards against a stop that cuts a booking at a target that sheds load.
+  const { clock, gate, requestSlot, grantOf, run, replyTo } = rig(1);
+  const booking = { isIdempotent: false, isRetryable: false, remainingMs: 10_000 };
+  requestSlot("long", booking);
+  run("long", 3000);
+  await clock.advance(3000);
+  for (let n = 0; n < 300; n++) {
+    requestSlot(`refused-${n}`, booking);
+    gate.redeem(grantOf(`refused-${n}`));
+    gate.end(grantOf(`refused-${n}`), AttemptOutcome.Shed);
+    await clock.advance(1000);
+  }
+  gate.closeBy(clock.now() + 2500);
+  requestSlot("a", booking);
+  t.is(replyTo("a"), "leaving");
+});
+
 test("gate: refuses queued requests as soon as they cannot end before the sidecar exits", async (t) => {
   const { clock, gate, requestSlot, run, replyTo } = rig(1);
   gate.closeBy(4000);
