Leave refused requests out of the longest runs that a stopping gate goes by

A booking at a target that sheds load could be cut by the exit of the stopping sidecar beside it: its gate took the longest run from the last 256 uses of slots, and those of refused requests, which take a moment, had displaced the runs. Only requests that the target has not refused count now.

--- a/src/sidecar/gate/ServiceTime.ts
+++ b/src/sidecar/gate/ServiceTime.ts
@@ -21,9 +21,13 @@
     return this.#meanMs;
   }
 
-  /** Records that a run of the request has used its slot for `ms`. */
-  record(ms: number, { isIdempotent }: Pick<SlotRequest, "isIdempotent">): void {
+  /** Records that a request has used its slot for `ms`. */
+  record(ms: number): void {
     this.#meanMs += SMOOTHING * (ms - this.#meanMs);
+  }
+
+  /** Records that a run of the request has taken `ms`; the target did not refuse it. */
+  recordRun(ms: number, { isIdempotent }: Pick<SlotRequest, "isIdempotent">): void {
     this.#longestOf(isIdempotent).add(ms);
     this.#streams.add(0);
   }
--- a/src/sidecar/gate/SlotGrants.ts
+++ b/src/sidecar/gate/SlotGrants.ts
@@ -131,7 +131,10 @@
       demand.recordFailure();
     }
     health.recordEnd({ outcome, ms, typicalMs: request.typicalMs, wasOverdue });
-    serviceTime.record(ms, request);
+    serviceTime.record(ms);
+    if (outcome !== AttemptOutcome.Shed) {
+      serviceTime.recordRun(ms, request);
+    }
     return true;
   }
 
