Compute the time to reserve for a run only while the sidecar is being stopped

The longest of the recent runs was looked for with each slot request, although it decides nothing unless the sidecar is being stopped. Behaviour is unchanged.

--- a/src/sidecar/gate/AdmissionRule.ts
+++ b/src/sidecar/gate/AdmissionRule.ts
@@ -71,13 +71,12 @@
    * @param wait its expected wait for a grant
    */
   refusalReason(request: SlotRequest, wait: ExpectedWait): RefusalReason | undefined {
-    const { serviceTime, clock } = this.#deps;
+    const { serviceTime } = this.#deps;
     const target = this.#deps.target();
     if (!target) {
       return RefusalReason.NoTarget;
     }
-    const endsTooSoon = clock.now() + wait.ms + serviceTime.allowanceMs(request) > this.#shutdownAt;
-    if (this.#isClosed || !target.acceptsRequests || endsTooSoon) {
+    if (this.#isClosed || !target.acceptsRequests || this.#endsTooLate(request, wait)) {
       return RefusalReason.Leaving;
     }
     if (!this.#admits(request)) {
@@ -102,6 +101,15 @@
     return length >= most ? fullReason(wait) : undefined;
   }
 
+  /** Whether a run of the request may still be in progress when the sidecar exits. */
+  #endsTooLate(request: SlotRequest, wait: ExpectedWait): boolean {
+    const { serviceTime, clock } = this.#deps;
+    return (
+      this.#shutdownAt < Infinity &&
+      clock.now() + wait.ms + serviceTime.allowanceMs(request) > this.#shutdownAt
+    );
+  }
+
   /**
    * Whether the target can hold the request's body: together with those that it holds if the request would be granted
    * now, otherwise alone. One that does not fit is not queued until it does, as another target may have room.
