--- a/src/sidecar/gate/SlotGrants.ts
+++ b/src/sidecar/gate/SlotGrants.ts
@@ -132,14 +132,22 @@
     }
     health.recordEnd({ outcome, ms, typicalMs: request.typicalMs, wasOverdue });
     serviceTime.record(ms);
+    if (outcome !== AttemptOutcome.Shed) {
+      serviceTime.recordRun(ms, request);
+    }
     return true;
   }
 
   /**
    * Records the end of a streamed response, whose run has ended with its start. It counts against the target only if
    * the response exceeded a limit: any other may have failed for its reader's sake.
+   *
+   * @param ms time from the start of the run to the end of the response, ms; undefined if unknown
    */
-  recordStreamEnd(outcome: AttemptOutcome): void {
+  recordStreamEnd(outcome: AttemptOutcome, ms?: number): void {
+    if (ms !== undefined) {
+      this.#deps.serviceTime.recordStream(ms);
+    }
     if (outcome === AttemptOutcome.InvalidResponse) {
       this.#deps.health.recordEnd({ outcome, ms: 0, typicalMs: 0, wasOverdue: false });
     }
