Reproduce responses and requests lost when a caller's connection is closed

- A request that arrives behind a response with Connection: close is passed on to a target, and its connection is closed without a response to it.
- A socket is closed while its caller still has part of the response to receive.
- A response that was ready behind an unfinished one is counted as held for good once its caller has disconnected.

--- a/src/sidecar/ingress/CallerServer.test.ts
+++ b/src/sidecar/ingress/CallerServer.test.ts
@@ -182,6 +182,66 @@
   t.true(socket.readableEnded);
 });
 
+/** More than the kernel buffers between two loopback sockets can hold: such a response takes as long as its caller reads. */
+const LARGE_BYTES = 24 << 20;
+
+const largeResponses: readonly {
+  name: string;
+  body: () => Buffer | Readable;
+  isUnread: boolean;
+}[] = [
+  { name: "buffered", body: () => Buffer.alloc(LARGE_BYTES, "x"), isUnread: true },
+  {
+    name: "streamed",
+    body: () => new PassThrough().end(Buffer.alloc(LARGE_BYTES, "x")),
+    isUnread: false,
+  },
+];
+
+for (const { name, body, isUnread } of largeResponses) {
+  // Guards against requests that are passed on to a target although their connection is closed before their responses.
+  test(`stop: requests behind a large ${name} response that closes their connection are not dispatched`, async (t) => {
+    const { server, socket, dispatched, received } = await openConnection(t);
+    const connection = once(server.server, "connection") as Promise<[Socket]>;
+    await pipeline(socket, dispatched, ["/a"]);
+    const [serverSocket] = await connection;
+    const bytesBefore = serverSocket.bytesRead;
+    server.beginStop();
+    socket.pause();
+    const result = { ...done(""), body: body(), headers: { "content-length": `${LARGE_BYTES}` } };
+    dispatched.get("/a")?.settle({ ...result, ended: Promise.resolve(AttemptOutcome.Ok) });
+    await eventually(() => serverSocket.bytesWritten > 0);
+    for (const path of ["/b", "/c"]) {
+      socket.write(`GET ${path} HTTP/1.1\r\nhost: a\r\n\r\n`);
+      await sleep(50);
+    }
+    const { bytesRead } = serverSocket;
+    socket.resume();
+    await eventually(() => socket.readableEnded || socket.closed);
+    t.deepEqual([...dispatched.keys()], ["/a"]);
+    t.is(responsesIn(received())[0]?.length, LARGE_BYTES);
+    t.is(received().match(/connection: close/gi)?.length, 1);
+    t.is(bytesRead === bytesBefore, isUnread, "not read while the response is being sent");
+  });
+}
+
+// Guards against an upload that is passed on to a target and cut off by the close that a late head before it has caused.
+test("a request after a head that was too late is not dispatched on the connection that is closed", async (t) => {
+  const { server, socket, dispatched, received } = await openConnection(t);
+  const connection = once(server.server, "connection") as Promise<[Socket]>;
+  await pipeline(socket, dispatched, ["/a"]);
+  const [serverSocket] = await connection;
+  const err = Object.assign(new Error("timeout"), { code: "ERR_HTTP_REQUEST_TIMEOUT" });
+  server.server.emit("clientError", err, serverSocket);
+  await sleep(50);
+  socket.write(`POST /b HTTP/1.1\r\nhost: a\r\ncontent-length: ${2 << 20}\r\n\r\nx`);
+  await sleep(50);
+  dispatched.get("/a")?.settle(done("first"));
+  await eventually(() => socket.closed);
+  t.deepEqual([...dispatched.keys()], ["/a"]);
+  t.deepEqual(responsesIn(received()), ["first"]);
+});
+
 // The first of several pipelined responses is truncated, and the connection is closed so that the
 // caller can see it. The caller treats the requests after it as not received and sends them again,
 // so they must not continue here.
@@ -489,3 +549,18 @@
   await eventually(() => memory.heldBytes[MemoryHolder.SlowCallers] === 0);
   t.is(memory.heldBytes[MemoryHolder.SlowCallers], 0);
 });
+
+// Guards against bytes of responses that are counted for good, until the sidecar refuses all requests at its memory limit.
+test("caller server: a response behind an unfinished one isn't counted after its caller has disconnected", async (t) => {
+  const memory = new MemoryAccount({ maxHeldBytes: () => 100 });
+  const { server, socket, dispatched } = await openConnection(t, {}, true, undefined, memory);
+  await pipeline(socket, dispatched, ["/a", "/b", "/c"]);
+  dispatched.get("/b")?.settle(done("ready"));
+  await eventually(() => memory.heldBytes[MemoryHolder.SlowCallers] === "ready".length);
+  socket.destroy();
+  await eventually(() => dispatched.get("/a")?.req.disconnected.aborted === true);
+  dispatched.get("/a")?.settle(notRun);
+  dispatched.get("/c")?.settle(done("late"));
+  await sleep(50);
+  t.deepEqual([memory.heldBytes[MemoryHolder.SlowCallers], server.openRequests.count], [0, 0]);
+});
