Linger before closing a connection, so that no response is cut off

Callers that had more requests under way when their sidecar closed the connection got part of a response and then the end of the connection: around a planned stop, and after any response with Connection: close.

Cause: closing a socket while input is unread, or when more input arrives later, makes the kernel reset the connection and discard what is still in its send buffer. Node also stops reading a connection with much pending output, so pipelined requests stay unread.

An upload that was refused with Connection: close failed with EPIPE.

A connection is now closed in stages: its output is ended, its input is discarded until the caller closes or a second has passed since the last output was handed to the kernel, and then the socket is closed. Connections that have been idle for a second are closed at once as before.

The committed test of the two closes counted the bytes of a chunked encoding; it now sends a content-length, and checks the length and the error together.

--- a/src/common/http/OpenConnections.ts
+++ b/src/common/http/OpenConnections.ts
@@ -1,6 +1,7 @@
 import type { Server } from "node:http";
 import type { Socket } from "node:net";
 import { afterPendingInput } from "../lifecycle/afterPendingInput.ts";
+import { lingerAndClose } from "./lingerAndClose.ts";
 
 /** State of one connection. */
 interface Connection {
@@ -8,12 +9,15 @@
   pendingRequests: number;
   /** Bytes that had been read when the last response ended; any more belong to the next request. */
   bytesReadAtLastResponse: number;
+  /** When the last response was handed over, ms on the clock of `performance.now`. */
+  lastResponseAt: number;
   /** Whether the connection was idle at the previous check. */
   wasIdle: boolean;
 }
 
 /**
- * Tracks the connections of an HTTP server, to close idle ones during shutdown. It
+ * Tracks the connections of an HTTP server, to close idle ones during shutdown, and to
+ * close each without a reset while its last response may still be on its way. It
  * replaces Node's `closeIdleConnections`, which `close` also calls: that one treats a
  * connection as idle as soon as the program has written the response, although
  * megabytes of it may still be buffered, and also when a request has arrived but has
@@ -28,11 +32,16 @@
       this.#connections.set(socket, {
         pendingRequests: 0,
         bytesReadAtLastResponse: 0,
+        lastResponseAt: -Infinity,
         wasIdle: false,
       });
       socket.once("close", () => {
         this.#connections.delete(socket);
       });
+      // Node calls this after a response with `Connection: close`.
+      socket.destroySoon = () => {
+        lingerAndClose(socket);
+      };
     });
     server.on("request", ({ socket }, res) => {
       const connection = this.#connections.get(socket);
@@ -43,6 +52,7 @@
       res.once("close", () => {
         connection.pendingRequests -= 1;
         connection.bytesReadAtLastResponse = socket.bytesRead;
+        connection.lastResponseAt = performance.now();
       });
     });
     server.closeIdleConnections = () => {
@@ -72,13 +82,16 @@
   }
 
   #closeIfIdle(socket: Socket, connection: Connection): void {
-    const { pendingRequests, bytesReadAtLastResponse, wasIdle } = connection;
+    const { pendingRequests, bytesReadAtLastResponse, lastResponseAt, wasIdle } = connection;
+    if (socket.writableEnded) {
+      return; // It is being closed.
+    }
     const isIdle =
       pendingRequests === 0 &&
       socket.bytesRead === bytesReadAtLastResponse &&
       socket.writableLength === 0;
     if (isIdle && wasIdle) {
-      socket.destroy();
+      lingerAndClose(socket, performance.now() - lastResponseAt);
     }
     connection.wasIdle = isIdle;
   }
--- a/src/common/http/lingeringClose.test.ts
+++ b/src/common/http/lingeringClose.test.ts
@@ -10,7 +10,7 @@
 const RESPONSE_BYTES = 540_000;
 
 /** More than the kernel buffers between two loopback sockets can hold. */
-const UPLOAD_BYTES = 24 << 20;
+const LARGE_BYTES = 24 << 20;
 
 /** Time in which a stop has to close idle connections whose callers keep them open, ms; the linger time is 1 s. */
 const MAX_STOP_MS = 2500;
@@ -54,7 +54,8 @@
     let requests = 0;
     const { server, socket, serverSocket, received } = await startAndConnect(t, (_req, res) => {
       requests += 1;
-      res.writeHead(200, headers).end(Buffer.alloc(RESPONSE_BYTES, "x"));
+      res.writeHead(200, { ...headers, "content-length": RESPONSE_BYTES });
+      res.end(Buffer.alloc(RESPONSE_BYTES, "x"));
     });
     socket.write(GET);
     await eventually(() => requests === 1);
@@ -70,13 +71,37 @@
   });
 }
 
+// Guards against a reset, or a wait for the linger time, because Node stops reading a connection with much pending output.
+test("a response with Connection: close reaches a caller that pipelines requests while it is being sent", async (t) => {
+  let requests = 0;
+  const { socket, serverSocket, received } = await startAndConnect(t, (_req, res) => {
+    requests += 1;
+    if (requests === 1) {
+      res.writeHead(200, { connection: "close", "content-length": LARGE_BYTES });
+      res.end(Buffer.alloc(LARGE_BYTES, "x"));
+    }
+  });
+  socket.write(GET);
+  await eventually(() => requests === 1);
+  for (let behind = 0; behind < 3; behind += 1) {
+    socket.write(GET);
+    await sleep(50);
+  }
+  socket.resume();
+  await eventually(() => socket.readableEnded || socket.closed);
+  const endedAt = performance.now();
+  t.deepEqual([bodyOf(received).length, received.error], [LARGE_BYTES, undefined]);
+  await eventually(() => serverSocket.closed);
+  t.true(performance.now() - endedAt < 500);
+});
+
 // Guards against a reset that discards the response to an upload which is refused before all of it has arrived.
 test("a response with Connection: close reaches a caller that reads it after its upload", async (t) => {
   const { socket, received } = await startAndConnect(t, (_req, res) => {
     res.writeHead(413, { connection: "close" }).end();
   });
-  socket.write(`POST / HTTP/1.1\r\nhost: a\r\ncontent-length: ${UPLOAD_BYTES}\r\n\r\n`);
-  socket.write(Buffer.alloc(UPLOAD_BYTES), () => {
+  socket.write(`POST / HTTP/1.1\r\nhost: a\r\ncontent-length: ${LARGE_BYTES}\r\n\r\n`);
+  socket.write(Buffer.alloc(LARGE_BYTES), () => {
     socket.resume();
   });
   await eventually(() => socket.readableEnded || socket.closed);
