Linger before closing the connection of an upload refused as late

Callers whose upload had not arrived by its deadline got a reset connection in place of the 408 while they went on sending, so they could not tell that the request had not run.

Cause: the refusal destroyed its request once it had been handed to the kernel, which closes the socket at once; the next bytes of the upload reset the connection.

Node closes the connection after the response anyway, now in stages, as the response carries Connection: close. The request is destroyed only once its connection has closed: this ends the wait for its body, as Node no longer does that for a request that has its response (without it, the test of the late body still counts the bytes of its buffer).

--- a/src/sidecar/ingress/CallerServer.test.ts
+++ b/src/sidecar/ingress/CallerServer.test.ts
@@ -8,6 +8,7 @@
 import { makeRoute } from "../../../test/fixtures/makeRoute.ts";
 import { makeService } from "../../../test/fixtures/makeService.ts";
 import { Limits } from "../../common/document/Limits.ts";
+import { OpenConnections } from "../../common/http/OpenConnections.ts";
 import { TargetId } from "../../common/ids/TargetId.ts";
 import { WorkspaceName } from "../../common/ids/WorkspaceName.ts";
 import { SystemClock } from "../../common/lifecycle/SystemClock.ts";
@@ -82,6 +83,7 @@
     clock: SystemClock,
     log: bunyan.createLogger({ name: "test", level: "fatal" }),
   });
+  new OpenConnections(server.server);
   await new Promise<void>((resolve) => server.server.listen(0, "127.0.0.1", resolve));
   const socket = connect((server.server.address() as AddressInfo).port, "127.0.0.1");
   t.teardown(() => {
@@ -498,6 +500,9 @@
   });
 }
 
+/** Within the limit on buffered bodies. */
+const LATE_UPLOAD_BYTES = 1_000_000;
+
 const sized = (maxRequestBytes: number): Admission => ({
   ...admitted,
   route: makeRoute({ service: makeService({ maxRequestBytes }), timeoutMs: 300 }),
@@ -537,6 +542,26 @@
   });
 }
 
+// Guards against a reset that discards the refusal of a late upload while its caller goes on sending.
+test("caller server: a refusal of a late upload reaches a caller that reads it after its upload", async (t) => {
+  const admit = () => Promise.resolve(sized(LATE_UPLOAD_BYTES));
+  const { server, socket, received } = await openConnection(t, {}, true, admit);
+  const connection = once(server.server, "connection") as Promise<[Socket]>;
+  socket.pause();
+  socket.write(`POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: ${LATE_UPLOAD_BYTES}\r\n\r\nx`);
+  const [serverSocket] = await connection;
+  await eventually(() => serverSocket.bytesWritten > 0);
+  await sleep(50);
+  for (let sent = 1; sent < LATE_UPLOAD_BYTES; sent += LATE_UPLOAD_BYTES / 10) {
+    socket.write("x".repeat(LATE_UPLOAD_BYTES / 10));
+    await sleep(20);
+  }
+  t.is(socket.errored, null);
+  socket.resume();
+  await eventually(() => socket.closed);
+  t.deepEqual(responsesIn(received()), ["408"]);
+});
+
 test("caller server: a ready response is delivered over the memory limit, and counted until it is sent", async (t) => {
   const memory = new MemoryAccount({ maxHeldBytes: () => 100 });
   const { socket, dispatched, received } = await openConnection(t, {}, true, undefined, memory);
--- a/src/sidecar/ingress/CallerServer.ts
+++ b/src/sidecar/ingress/CallerServer.ts
@@ -268,7 +268,8 @@
       log.info({ attempt, limit: "the route's timeout for a request's body" }, "limit exceeded");
       if (!res.destroyed && !res.headersSent) {
         res.setHeader("connection", "close");
-        res.once("finish", () => res.req.destroy());
+        // Ends the wait for the body, which Node no longer does for a request that has its response.
+        res.req.socket.once("close", () => res.req.destroy());
         this.#refuse(ctx, "the request's body did not arrive in time", 408);
       }
     });
