Dispatch no requests on a connection that is being closed

Callers of a stopping sidecar had requests closed without a response after a target had got them: the requests that they had pipelined behind a large response.

Cause: the response to the last request read so far carries Connection: close, and takes as long as its caller reads. Requests that arrive meanwhile were read and dispatched, and then Node closed their connection. The same held for a request after a head that was too late, where its connection is closed after the responses to earlier requests.

Once a response that closes its connection has begun, or a connection is otherwise marked as closing, later requests on it are logged and dropped: their caller can resend them. While a buffered response is sent, its connection is not read at all, so that they remain unread. Requests whose dispatch had begun before are waited for as before, since Connection: close is set only when no other request on the connection is without a whole response.

Another test plays several downloads and a HEAD in a stop.

--- a/src/sidecar/ingress/CallerConnections.ts
+++ b/src/sidecar/ingress/CallerConnections.ts
@@ -21,6 +21,8 @@
   readonly #pending = new WeakMap<Socket, PendingRequests>();
   /** Connections that are closed after the response to the last request that was read whole. */
   readonly #closing = new WeakSet<Socket>();
+  /** Connections on which the response that closes them has begun. */
+  readonly #endedByResponse = new WeakSet<Socket>();
 
   /** Adds a request that has arrived; it stays until its response is written or the connection closes. */
   track(res: ServerResponse): TrackedRequest {
@@ -55,6 +57,27 @@
     this.#closing.add(socket);
   }
 
+  /** Makes `res`, of which nothing has been sent yet, the last response on its connection. */
+  closeWith(res: ServerResponse): void {
+    res.setHeader("connection", "close");
+    this.#endedByResponse.add(res.req.socket);
+  }
+
+  /**
+   * Stops reading the connection that `res` closes until it has been sent: the requests behind it remain unread. Not for
+   * a response that its target is still sending, as the caller's disconnect would not be noticed either.
+   */
+  pauseBehind({ req }: ServerResponse): void {
+    if (req.complete && this.#endedByResponse.has(req.socket)) {
+      req.socket.pause();
+    }
+  }
+
+  /** Whether a request that arrives on `socket` now would get no response. */
+  isClosing(socket: Socket): boolean {
+    return this.#closing.has(socket) || this.#endedByResponse.has(socket);
+  }
+
   #responsesOn(socket: Socket): readonly ServerResponse[] {
     return [...(this.#pending.get(socket)?.values() ?? [])];
   }
--- a/src/sidecar/ingress/CallerServer.test.ts
+++ b/src/sidecar/ingress/CallerServer.test.ts
@@ -184,9 +184,40 @@
   t.true(socket.readableEnded);
 });
 
+// Guards against downloads that were under way in a stop and are cut off by a request that their caller has sent later.
+test("stop: a slow reader gets each of its pipelined downloads whole, also if it sends another request", async (t) => {
+  const { server, socket, dispatched, received } = await openConnection(t);
+  socket.pause();
+  socket.write("GET /a HTTP/1.1\r\nhost: a\r\n\r\nHEAD /b HTTP/1.1\r\nhost: a\r\n\r\n");
+  await pipeline(socket, dispatched, ["/c", "/d"]);
+  server.beginStop();
+  const download = done("x".repeat(DOWNLOAD_BYTES));
+  const out = { ...download, headers: { "content-length": `${DOWNLOAD_BYTES}` } };
+  for (const path of ["/c", "/b", "/a"]) {
+    dispatched.get(path)?.settle(out);
+    await sleep(20);
+  }
+  await eventually(() => server.openRequests.count === 1);
+  dispatched.get("/d")?.settle(out);
+  await eventually(() => server.openRequests.count === 0);
+  socket.write("GET /e HTTP/1.1\r\nhost: a\r\n\r\n");
+  await sleep(100);
+  socket.resume();
+  await eventually(() => socket.readableEnded || socket.closed);
+  const lengths = responsesIn(received()).map((body) => body?.length);
+  t.deepEqual(lengths, [DOWNLOAD_BYTES, 0, DOWNLOAD_BYTES, DOWNLOAD_BYTES]);
+  t.false(dispatched.has("/e"));
+});
+
+/** Three of them fit into the kernel's send buffer, and not into the receive buffer of a caller that does not read. */
+const DOWNLOAD_BYTES = 200_000;
+
 /** More than the kernel buffers between two loopback sockets can hold: such a response takes as long as its caller reads. */
 const LARGE_BYTES = 24 << 20;
 
+/** Number of turns of the event loop in which pending input has been processed: more than `afterPendingInput` waits for. */
+const PENDING_INPUT_TURNS = 20;
+
 const largeResponses: readonly {
   name: string;
   body: () => Buffer | Readable;
@@ -235,7 +266,9 @@
   const [serverSocket] = await connection;
   const err = Object.assign(new Error("timeout"), { code: "ERR_HTTP_REQUEST_TIMEOUT" });
   server.server.emit("clientError", err, serverSocket);
-  await sleep(50);
+  for (let turn = 0; turn < PENDING_INPUT_TURNS; turn += 1) {
+    await new Promise(setImmediate);
+  }
   socket.write(`POST /b HTTP/1.1\r\nhost: a\r\ncontent-length: ${2 << 20}\r\n\r\nx`);
   await sleep(50);
   dispatched.get("/a")?.settle(done("first"));
--- a/src/sidecar/ingress/CallerServer.ts
+++ b/src/sidecar/ingress/CallerServer.ts
@@ -175,7 +175,19 @@
     }
   }
 
+  /** Drops a request whose connection closes before its response; as it is not passed on, its caller can resend it. */
+  #drop(req: IncomingMessage): void {
+    const metadata = this.#deps.dialect.readCaller(req.headers);
+    const attempt = typeof metadata === "string" ? undefined : metadata.attempt;
+    this.#deps.log.info({ attempt, url: req.url }, "request dropped: its connection is closing");
+    req.resume();
+  }
+
   async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    if (this.#connections.isClosing(req.socket)) {
+      this.#drop(req);
+      return;
+    }
     const startedAt = this.#deps.clock.now();
     const { disconnected, isLast } = this.#connections.track(res);
     if (!this.#deps.config()) {
@@ -267,7 +279,7 @@
       const { res, attempt } = ctx;
       log.info({ attempt, limit: "the route's timeout for a request's body" }, "limit exceeded");
       if (!res.destroyed && !res.headersSent) {
-        res.setHeader("connection", "close");
+        this.#connections.closeWith(res);
         // Ends the wait for the body, which Node no longer does for a request that has its response.
         res.req.socket.once("close", () => res.req.destroy());
         this.#refuse(ctx, "the request's body did not arrive in time", 408);
@@ -386,7 +398,7 @@
     // The log lines of all processes about this request contain this id.
     res.setHeader("x-burdockpass-attempt", ctx.attempt);
     if (this.#isStopping && ctx.isLast()) {
-      res.setHeader("connection", "close");
+      this.#connections.closeWith(res);
     }
     if ("body" in result) {
       this.#deps.onResponse?.(result, ctx.startedAt);
@@ -419,6 +431,7 @@
       const isHead = res.req.method === "HEAD" && declared !== undefined;
       res.setHeader("content-length", isHead ? declared : body.length);
       holdUntilSent(this.#memory, MemoryHolder.SlowCallers, res, body.length);
+      this.#connections.pauseBehind(res);
       res.end(body);
       return;
     }
