Count a response behind an unfinished one only while its connection is open

A sidecar whose callers disconnect while pipelined responses wait for an earlier one counted the bytes of these responses for good. Near its memory limit it would refuse requests with 503 until it was started again, and the log of open requests at the end of a stop named requests that were long over.

Cause: when a connection closes, Node emits "close" only on the response at the front. The bytes held and the open requests are released in that event.

When a connection closes, the responses on it that are still behind another one are destroyed and get their "close" event, so that what waits for it is released, and a result that arrives later is not written to them.

--- a/src/sidecar/ingress/CallerConnections.ts
+++ b/src/sidecar/ingress/CallerConnections.ts
@@ -90,11 +90,20 @@
     const requests: PendingRequests = new Map();
     this.#pending.set(socket, requests);
     socket.once("close", () => {
-      for (const controller of requests.keys()) {
+      for (const [controller, res] of requests) {
         controller.abort();
+        closeUnsent(res);
       }
       requests.clear();
     });
     return requests;
   }
 }
+
+/** Closes a response of a closed connection that is still behind another one: Node closes only the first of them. */
+function closeUnsent(res: ServerResponse): void {
+  if (!res.socket) {
+    res.destroy();
+    res.emit("close");
+  }
+}
