Read pending input before a lingering connection is closed

A sidecar that was not scheduled for a second while a closed connection lingered cut off the response to a caller that had sent another request meanwhile: the timer was due before the socket was read, and closing a socket with unread input resets the connection.

Evidence: with the event loop blocked for 1.2 s in the linger time, 195,485 of 540,000 bytes arrived, in each of three runs.

When the linger time has passed, the input that the kernel has received by then is now processed before the socket is closed.

--- a/src/common/http/lingerAndClose.ts
+++ b/src/common/http/lingerAndClose.ts
@@ -1,4 +1,5 @@
 import type { Socket } from "node:net";
+import { afterPendingInput } from "../lifecycle/afterPendingInput.ts";
 
 /** Maximum time for which a connection's input is still read after its last output has been handed to the kernel, ms. */
 const LINGER_MS = 1000;
@@ -22,7 +23,8 @@
   discardInput(socket);
   socket.end(() => {
     const timer = setTimeout(() => {
-      socket.destroy();
+      // After a pause of the process, the timer is due before the input that has arrived meanwhile is read.
+      afterPendingInput(() => socket.destroy());
     }, LINGER_MS - idleMs);
     socket.once("close", () => {
       clearTimeout(timer);
--- a/src/common/http/lingeringClose.test.ts
+++ b/src/common/http/lingeringClose.test.ts
@@ -3,6 +3,7 @@
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import test, { type ExecutionContext } from "ava";
+import { blockEventLoop } from "../../../test/fixtures/blockEventLoop.ts";
 import { eventually } from "../../../test/fixtures/eventually.ts";
 import { startHttpServer } from "./startHttpServer.ts";
 
@@ -43,32 +44,53 @@
 
 const bodyOf = ({ text }: Received) => text.slice(text.indexOf("\r\n\r\n") + 4);
 
-const closes: readonly { name: string; headers: Record<string, string>; isStop: boolean }[] = [
-  { name: "a response with Connection: close", headers: { connection: "close" }, isStop: false },
-  { name: "a stop that closes its idle connection", headers: {}, isStop: true },
+const closes: readonly {
+  name: string;
+  headers: Record<string, string>;
+  isStop: boolean;
+  /** Time for which the event loop is blocked when the other request has been sent, ms. */
+  blockMs: number;
+}[] = [
+  {
+    name: "a response with Connection: close",
+    headers: { connection: "close" },
+    isStop: false,
+    blockMs: 0,
+  },
+  {
+    name: "a response with Connection: close, the event loop blocked for the linger time",
+    headers: { connection: "close" },
+    isStop: false,
+    blockMs: 1200,
+  },
+  { name: "a stop that closes its idle connection", headers: {}, isStop: true, blockMs: 0 },
 ];
 
-for (const { name, headers, isStop } of closes) {
+for (const { name, headers, isStop, blockMs } of closes) {
   // Guards against a reset that discards the part of a response that the kernel has not sent yet.
-  test(`${name}: the response reaches a slow reader that has sent another request`, async (t) => {
-    let requests = 0;
-    const { server, socket, serverSocket, received } = await startAndConnect(t, (_req, res) => {
-      requests += 1;
-      res.writeHead(200, { ...headers, "content-length": RESPONSE_BYTES });
-      res.end(Buffer.alloc(RESPONSE_BYTES, "x"));
-    });
-    socket.write(GET);
-    await eventually(() => requests === 1);
-    const stopped = isStop ? server.dispose() : undefined;
-    await eventually(() => serverSocket.writableFinished || serverSocket.destroyed);
-    socket.write(GET);
-    await sleep(100);
-    socket.resume();
-    await eventually(() => socket.readableEnded || socket.closed);
-    t.deepEqual([bodyOf(received).length, received.error], [RESPONSE_BYTES, undefined]);
-    t.is(requests, 1);
-    await stopped;
-  });
+  test.serial(
+    `${name}: the response reaches a slow reader that has sent another request`,
+    async (t) => {
+      let requests = 0;
+      const { server, socket, serverSocket, received } = await startAndConnect(t, (_req, res) => {
+        requests += 1;
+        res.writeHead(200, { ...headers, "content-length": RESPONSE_BYTES });
+        res.end(Buffer.alloc(RESPONSE_BYTES, "x"));
+      });
+      socket.write(GET);
+      await eventually(() => requests === 1);
+      const stopped = isStop ? server.dispose() : undefined;
+      await eventually(() => serverSocket.writableFinished || serverSocket.destroyed);
+      socket.write(GET);
+      blockEventLoop(blockMs);
+      await sleep(100);
+      socket.resume();
+      await eventually(() => socket.readableEnded || socket.closed);
+      t.deepEqual([bodyOf(received).length, received.error], [RESPONSE_BYTES, undefined]);
+      t.is(requests, 1);
+      await stopped;
+    },
+  );
 }
 
 // Guards against a reset, or a wait for the linger time, because Node stops reading a connection with much pending output.
