--- a/src/common/http/lingerAndClose.ts
+++ b/src/common/http/lingerAndClose.ts
@@ -1,7 +1,10 @@
 import type { Socket } from "node:net";
 import { afterPendingInput } from "../lifecycle/afterPendingInput.ts";
 
-/** Maximum time for which a connection's input is still read after its last output has been handed to the kernel, ms. */
+/**
+ * Maximum time for which a connection's input is still read after its last output has been handed to the kernel, ms. A
+ * caller that does not close its connection holds up a stop for as long.
+ */
 const LINGER_MS = 1000;
 
 /**
