--- a/src/sidecar/ingress/CallerServer.test.ts
+++ b/src/sidecar/ingress/CallerServer.test.ts
@@ -8,6 +8,7 @@
 import { makeRoute } from "../../../test/fixtures/makeRoute.ts";
 import { makeService } from "../../../test/fixtures/makeService.ts";
 import { Limits } from "../../common/document/Limits.ts";
+import { OpenConnections } from "../../common/http/OpenConnections.ts";
 import { TargetId } from "../../common/ids/TargetId.ts";
 import { WorkspaceName } from "../../common/ids/WorkspaceName.ts";
 import { SystemClock } from "../../common/lifecycle/SystemClock.ts";
@@ -82,6 +83,7 @@
     clock: SystemClock,
     log: bunyan.createLogger({ name: "test", level: "fatal" }),
   });
+  new OpenConnections(server.server);
   await new Promise<void>((resolve) => server.server.listen(0, "127.0.0.1", resolve));
   const socket = connect((server.server.address() as AddressInfo).port, "127.0.0.1");
   t.teardown(() => {
@@ -182,6 +184,99 @@
   t.true(socket.readableEnded);
 });
 
+// Guards against downloads that were under way in a stop and are cut off by a request that their caller has sent later.
+test("stop: a slow reader gets each of its pipelined downloads whole, also if it sends another request", async (t) => {
+  const { server, socket, dispatched, received } = await openConnection(t);
+  socket.pause();
+  socket.write("GET /a HTTP/1.1\r\nhost: a\r\n\r\nHEAD /b HTTP/1.1\r\nhost: a\r\n\r\n");
+  await pipeline(socket, dispatched, ["/c", "/d"]);
+  server.beginStop();
+  const download = done("x".repeat(DOWNLOAD_BYTES));
+  const out = { ...download, headers: { "content-length": `${DOWNLOAD_BYTES}` } };
+  for (const path of ["/c", "/b", "/a"]) {
+    dispatched.get(path)?.settle(out);
+    await sleep(20);
+  }
+  await eventually(() => server.openRequests.count === 1);
+  dispatched.get("/d")?.settle(out);
+  await eventually(() => server.openRequests.count === 0);
+  socket.write("GET /e HTTP/1.1\r\nhost: a\r\n\r\n");
+  await sleep(100);
+  socket.resume();
+  await eventually(() => socket.readableEnded || socket.closed);
+  const lengths = responsesIn(received()).map((body) => body?.length);
+  t.deepEqual(lengths, [DOWNLOAD_BYTES, 0, DOWNLOAD_BYTES, DOWNLOAD_BYTES]);
+  t.false(dispatched.has("/e"));
+});
+
+/** Three of them fit into the kernel's send buffer, and not into the receive buffer of a caller that does not read. */
+const DOWNLOAD_BYTES = 200_000;
+
+/** More than the kernel buffers between two loopback sockets can hold: such a response takes as long as its caller reads. */
+const LARGE_BYTES = 24 << 20;
+
+/** Number of turns of the event loop in which pending input has been processed: more than `afterPendingInput` waits for. */
+const PENDING_INPUT_TURNS = 20;
+
+const largeResponses: readonly {
+  name: string;
+  body: () => Buffer | Readable;
+  isUnread: boolean;
+}[] = [
+  { name: "buffered", body: () => Buffer.alloc(LARGE_BYTES, "x"), isUnread: true },
+  {
+    name: "streamed",
+    body: () => new PassThrough().end(Buffer.alloc(LARGE_BYTES, "x")),
+    isUnread: false,
+  },
+];
+
+for (const { name, body, isUnread } of largeResponses) {
+  // Guards against requests that are passed on to a target although their connection is closed before their responses.
+  test(`stop: requests behind a large ${name} response that closes their connection are not dispatched`, async (t) => {
+    const { server, socket, dispatched, received } = await openConnection(t);
+    const connection = once(server.server, "connection") as Promise<[Socket]>;
+    await pipeline(socket, dispatched, ["/a"]);
+    const [serverSocket] = await connection;
+    const bytesBefore = serverSocket.bytesRead;
+    server.beginStop();
+    socket.pause();
+    const result = { ...done(""), body: body(), headers: { "content-length": `${LARGE_BYTES}` } };
+    dispatched.get("/a")?.settle({ ...result, ended: Promise.resolve(AttemptOutcome.Ok) });
+    await eventually(() => serverSocket.bytesWritten > 0);
+    for (const path of ["/b", "/c"]) {
+      socket.write(`GET ${path} HTTP/1.1\r\nhost: a\r\n\r\n`);
+      await sleep(50);
+    }
+    const { bytesRead } = serverSocket;
+    socket.resume();
+    await eventually(() => socket.readableEnded || socket.closed);
+    t.deepEqual([...dispatched.keys()], ["/a"]);
+    t.is(responsesIn(received())[0]?.length, LARGE_BYTES);
+    t.is(received().match(/connection: close/gi)?.length, 1);
+    t.is(bytesRead === bytesBefore, isUnread, "not read while the response is being sent");
+  });
+}
+
+// Guards against an upload that is passed on to a target and cut off by the close that a late head before it has caused.
+test("a request after a head that was too late is not dispatched on the connection that is closed", async (t) => {
+  const { server, socket, dispatched, received } = await openConnection(t);
+  const connection = once(server.server, "connection") as Promise<[Socket]>;
+  await pipeline(socket, dispatched, ["/a"]);
+  const [serverSocket] = await connection;
+  const err = Object.assign(new Error("timeout"), { code: "ERR_HTTP_REQUEST_TIMEOUT" });
+  server.server.emit("clientError", err, serverSocket);
+  for (let turn = 0; turn < PENDING_INPUT_TURNS; turn += 1) {
+    await new Promise(setImmediate);
+  }
+  socket.write(`POST /b HTTP/1.1\r\nhost: a\r\ncontent-length: ${2 << 20}\r\n\r\nx`);
+  await sleep(50);
+  dispatched.get("/a")?.settle(done("first"));
+  await eventually(() => socket.closed);
+  t.deepEqual([...dispatched.keys()], ["/a"]);
+  t.deepEqual(responsesIn(received()), ["first"]);
+});
+
 // The first of several pipelined responses is truncated, and the connection is closed so that the
 // caller can see it. The caller treats the requests after it as not received and sends them again,
 // so they must not continue here.
@@ -438,6 +533,9 @@
   });
 }
 
+/** Within the limit on buffered bodies. */
+const LATE_UPLOAD_BYTES = 900_000;
+
 const sized = (maxRequestBytes: number): Admission => ({
   ...admitted,
   route: makeRoute({ service: makeService({ maxRequestBytes }), timeoutMs: 300 }),
@@ -477,6 +575,26 @@
   });
 }
 
+// Guards against a reset that discards the refusal of a late upload while its caller goes on sending.
+test("caller server: a refusal of a late upload reaches a caller that reads it after its upload", async (t) => {
+  const admit = () => Promise.resolve(sized(LATE_UPLOAD_BYTES));
+  const { server, socket, received } = await openConnection(t, {}, true, admit);
+  const connection = once(server.server, "connection") as Promise<[Socket]>;
+  socket.pause();
+  socket.write(`POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: ${LATE_UPLOAD_BYTES}\r\n\r\n`);
+  const [serverSocket] = await connection;
+  await eventually(() => serverSocket.bytesWritten > 0);
+  await sleep(50);
+  for (let part = 0; part < 3; part += 1) {
+    socket.write("x".repeat(LATE_UPLOAD_BYTES / 3));
+    await sleep(20);
+  }
+  t.is(socket.errored, null);
+  socket.resume();
+  await eventually(() => socket.closed);
+  t.deepEqual(responsesIn(received()), ["408"]);
+});
+
 test("caller server: a ready response is delivered over the memory limit, and counted until it is sent", async (t) => {
   const memory = new MemoryAccount({ maxHeldBytes: () => 100 });
   const { socket, dispatched, received } = await openConnection(t, {}, true, undefined, memory);
@@ -489,3 +607,18 @@
   await eventually(() => memory.heldBytes[MemoryHolder.SlowCallers] === 0);
   t.is(memory.heldBytes[MemoryHolder.SlowCallers], 0);
 });
+
+// Guards against bytes of responses that are counted for good, until the sidecar refuses all requests at its memory limit.
+test("caller server: a response behind an unfinished one isn't counted after its caller has disconnected", async (t) => {
+  const memory = new MemoryAccount({ maxHeldBytes: () => 100 });
+  const { server, socket, dispatched } = await openConnection(t, {}, true, undefined, memory);
+  await pipeline(socket, dispatched, ["/a", "/b", "/c"]);
+  dispatched.get("/b")?.settle(done("ready"));
+  await eventually(() => memory.heldBytes[MemoryHolder.SlowCallers] === "ready".length);
+  socket.destroy();
+  await eventually(() => dispatched.get("/a")?.req.disconnected.aborted === true);
+  dispatched.get("/a")?.settle(notRun);
+  dispatched.get("/c")?.settle(done("late"));
+  await sleep(50);
+  t.deepEqual([memory.heldBytes[MemoryHolder.SlowCallers], server.openRequests.count], [0, 0]);
+});
