Soak: add downloads, long runs and rolling stops

The soak's responses were small, its runs short and equally long, and stops of several sidecars seldom overlapped, so that it could not show what a stop does to downloads and long bookings. Plans by seed without `--stops` are unchanged.

A link proxy now waits for a receiver that does not read; it buffered whole bodies before, so that the sending sidecar was never held up.

--- a/soak/FaultPlayer.ts
+++ b/soak/FaultPlayer.ts
@@ -76,6 +76,8 @@
   /** By process: its latest stop or restart. Other faults that hit it meanwhile are injected without waiting. */
   readonly #restarts = new Map<string, Promise<void>>();
   #fatalRequests = 0;
+  /** Time after its SIGTERM at which a process that is still there is killed, ms; undefined to wait. */
+  #killMs: number | undefined;
   /** Headers that targets add to their responses. */
   readonly #headers = new Map<string, Readonly<Record<string, string | undefined>>>();
 
@@ -94,7 +96,8 @@
    * Injects all faults at their times; resolves once the last one is over, every process runs again, and every document
    * change has its outcome.
    */
-  async play({ faults }: SoakPlan): Promise<void> {
+  async play({ faults, killMs }: SoakPlan): Promise<void> {
+    this.#killMs = killMs;
     await Promise.all(
       faults.map(async (fault) => {
         await sleep(fault.atS * 1000 - this.#fleet.now);
@@ -320,6 +323,12 @@
     const at = this.#fleet.now;
     const exited = this.#fleet.waitForExit(on);
     this.#fleet.signal(on, "SIGTERM");
+    const killTimer =
+      this.#killMs === undefined
+        ? undefined
+        : setTimeout(() => {
+            this.#fleet.signal(on, "SIGKILL");
+          }, this.#killMs);
     if (kind === FaultKind.StopTwice) {
       for (const signal of ["SIGHUP", "SIGTERM"] as const) {
         await sleep(SIGNAL_GAP_MS);
@@ -327,6 +336,7 @@
       }
     }
     const code = await exited;
+    clearTimeout(killTimer);
     if (!this.blackouts.some((b) => b.at >= at)) {
       this.stops.push({ on, at, endedAt: this.#fleet.now, code });
     }
--- a/soak/History.ts
+++ b/soak/History.ts
@@ -31,8 +31,10 @@
   readonly target: string;
   readonly service: string;
   readonly tag: string;
-  /** The request arrived, its run took effect, it was refused without a run, or it ended the target's process. */
-  readonly event: "arrived" | "ran" | "shed" | "crashed";
+  /** The request arrived, its run took effect, failed, was refused without a run, or ended the target's process. */
+  readonly event: "arrived" | "ran" | "failed" | "shed" | "crashed";
+  /** In the record of its arrival, the sidecars' id of the request. */
+  readonly attempt?: string;
 }
 
 /** A planned stop of a process, from its first SIGTERM until its exit. */
@@ -141,6 +143,8 @@
 /** Everything that was observed of a soak run, from outside the processes. */
 export interface History {
   readonly calls: readonly CallRecord[];
+  /** Pipelined requests behind a response that closed the connection, which no target may have got. */
+  readonly unread: readonly CallRecord[];
   readonly targets: readonly TargetRecord[];
   readonly stops: readonly StopRecord[];
   readonly configs: readonly ConfigRecord[];
--- a/soak/LinkProxy.ts
+++ b/soak/LinkProxy.ts
@@ -81,7 +81,13 @@
   #forward(from: Socket, to: Socket, direction: "in" | "out"): void {
     this.#sockets.add(from);
     from.on("data", (chunk) => {
-      this.#deliver(direction, () => to.write(chunk));
+      this.#deliver(direction, () => {
+        // Without this, the proxy would hold what the receiver does not read, and the sender would never wait for it.
+        if (!to.write(chunk)) {
+          from.pause();
+          to.once("drain", () => from.resume());
+        }
+      });
     });
     from.on("end", () => {
       this.#deliver(direction, () => to.end());
--- a/soak/SoakFleet.ts
+++ b/soak/SoakFleet.ts
@@ -56,7 +56,7 @@
       advertise: (id, addresses) => this.#openLinks(id, addresses),
       sidecarSettings: {
         retryBudget: { ratio, windowMs, slack },
-        stop: { callersMs: CALLERS_DRAIN_MS, graceMs: STOP_GRACE_MS },
+        stop: plan.stop ?? { callersMs: CALLERS_DRAIN_MS, graceMs: STOP_GRACE_MS },
         gossipIntervalMs: 500,
         memory: { maxHeldBytes: 64 << 20 },
       },
@@ -273,13 +273,14 @@
 
   #standInArgs(id: string, ports: Record<string, number>): string[] {
     const journal = `--journal=${join(this.dir, `${id}.journal`)}`;
+    const tail = `--work-tail=${this.#plan.workTail ?? 1}`;
     const fatal = `--crash-path=/${id.split("-")[0] ?? ""}/${FATAL_REQUEST}`;
     const calls = [
       "--call-path=/ledger/entry",
       `--call-port=${ports.caller ?? 0}`,
       `--call-share=${NESTED_CALL_SHARE}`,
     ];
-    return id.startsWith("desk") ? [journal, fatal, ...calls] : [journal, fatal];
+    return id.startsWith("desk") ? [journal, fatal, tail, ...calls] : [journal, fatal, tail];
   }
 
   /** Resolves with whether the stand-in has responded. */
--- a/soak/SoakPlan.ts
+++ b/soak/SoakPlan.ts
@@ -10,6 +10,8 @@
   KeyedBooking = "keyed-booking",
   /** A booking with a body of several hundred KB. */
   Upload = "upload",
+  /** A lookup with a large response; some are pipelined, and some are read with pauses. */
+  Download = "download",
 }
 
 /** Faults that are injected into a process from outside, and document changes. */
@@ -100,9 +102,17 @@
   readonly zones: number;
   readonly controls: number;
   readonly services: readonly SoakService[];
-  /** Requests per second, by kind. */
-  readonly rates: Readonly<Record<CallKind, number>>;
+  /** Requests per second, by kind; 0 for those left out. */
+  readonly rates: Readonly<Partial<Record<CallKind, number>>>;
   readonly faults: readonly PlannedFault[];
   /** Whether sidecars keep their document on disk; by default they do. */
   readonly sidecarDisks?: boolean;
+  /** Largest work time of a run, as a multiple of the mean; by default all runs of a service take equally long. */
+  readonly workTail?: number;
+  /** The routes' timeout, ms. */
+  readonly timeoutMs?: number;
+  /** The sidecars' setting `stop`, ms. */
+  readonly stop?: { readonly callersMs: number; readonly graceMs: number };
+  /** A sidecar that still runs this long after its SIGTERM is killed, ms; by default none is. */
+  readonly killMs?: number;
 }
--- a/soak/checks/checks.test.ts
+++ b/soak/checks/checks.test.ts
@@ -34,6 +34,7 @@
 
 const EMPTY: History = {
   calls: [],
+  unread: [],
   targets: [],
   stops: [],
   configs: [],
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -3,6 +3,7 @@
 import { defineCommand, runMain } from "citty";
 import { minimizeSoak } from "./minimizeSoak.ts";
 import { planSoak } from "./planSoak.ts";
+import { planStops } from "./planStops.ts";
 import { playSoak } from "./playSoak.ts";
 import { plotSoak } from "./plotSoak.ts";
 import { allHeld, renderSoak } from "./renderSoak.ts";
@@ -36,6 +37,11 @@
       "Injects random faults into a fleet of real processes and checks the product's guarantees.",
   },
   args: {
+    stops: {
+      type: "boolean",
+      default: false,
+      description: "Plan rolling stops of sidecars only, with long runs and downloads",
+    },
     seed: { type: "string", default: "1", description: "The first seed" },
     seeds: { type: "string", default: "1", description: "Number of successive seeds to play" },
     minutes: {
@@ -64,7 +70,7 @@
     const plans = args.plan
       ? [JSON.parse(readFileSync(args.plan, "utf8")) as SoakPlan]
       : Array.from({ length: Number(args.seeds) }, (_, n) =>
-          planSoak(
+          (args.stops ? planStops : planSoak)(
             Number(args.seed) + n,
             Math.round(Number(args.minutes) * 60),
             Number(args.processes),
--- a/soak/planSoak.test.ts
+++ b/soak/planSoak.test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import { planSoak, vmNames } from "./planSoak.ts";
+import { planStops } from "./planStops.ts";
 import { FaultKind } from "./SoakPlan.ts";
 
 test("plan: the same seed gives the same plan, another seed a different one", (t) => {
@@ -28,3 +29,14 @@
   }
   t.deepEqual([...seen].sort(), [...Object.values(FaultKind)].sort());
 });
+
+test("plan of stops: the same seed gives the same plan, and stops of several sidecars overlap", (t) => {
+  for (let seed = 1; seed <= 20; seed++) {
+    const plan = planStops(seed, 60, 24);
+    const graceMs = plan.stop?.graceMs ?? 0;
+    const stops = plan.faults.filter((f) => f.kind === FaultKind.PlannedStop);
+    t.deepEqual(planStops(seed, 60, 24), plan);
+    t.true(stops.some((f, n) => n > 0 && f.atS - (stops[n - 1]?.atS ?? 0) < graceMs / 1000));
+    t.true(plan.faults.every((f) => f.atS >= 3 && f.atS + f.forS <= plan.seconds - 10 + 1e-9));
+  }
+});
--- a/soak/planSoak.ts
+++ b/soak/planSoak.ts
@@ -112,7 +112,7 @@
   }));
 }
 
-function planRates(rng: Rng, services: readonly SoakService[]): Record<CallKind, number> {
+function planRates(rng: Rng, services: readonly SoakService[]): SoakPlan["rates"] {
   const capacity = (name: string) => {
     const s = services.find((service) => service.name === name);
     return s ? (MEAN_UTILIZATION * s.targets * s.slots * 1000) / s.workMs : 0;
--- a/soak/playSoak.ts
+++ b/soak/playSoak.ts
@@ -63,6 +63,7 @@
   await accounts.stop();
   return {
     calls: callers.records,
+    unread: callers.unread,
     targets: await fleet.targetRecords(),
     stops: faultPlayer.stops,
     configs: operator.records,
--- a/soak/sendPipelined.test.ts
+++ b/soak/sendPipelined.test.ts
@@ -12,6 +12,7 @@
   name: string;
   behave: (socket: Socket, n: number) => void;
   bodies: readonly string[];
+  gapMs?: number;
   hadBegun?: boolean;
   hasTimedOut?: boolean;
 }[] = [
@@ -24,6 +25,24 @@
     },
     bodies: ["body 1", "body 2", "body 3"],
   },
+  {
+    name: "chunked responses are answered whole, whatever the pieces",
+    behave: (s, n) => {
+      const text = `HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nbody \r\n1\r\n${n}\r\n0\r\n\r\n`;
+      for (const piece of text.match(/[^]{1,7}/g) ?? []) {
+        s.write(piece);
+      }
+    },
+    bodies: ["body 1", "body 2", "body 3"],
+  },
+  {
+    name: "requests written at intervals are answered",
+    behave: (s, n) => {
+      s.write(response(`body ${n}`));
+    },
+    gapMs: 20,
+    bodies: ["body 1", "body 2", "body 3"],
+  },
   {
     name: "the second response closes the connection",
     behave: (s, n) => {
@@ -53,13 +72,13 @@
   },
 ];
 
-for (const { name, behave, bodies, hadBegun = false, hasTimedOut = false } of cases) {
+for (const { name, behave, gapMs, bodies, hadBegun = false, hasTimedOut = false } of cases) {
   test(`pipelined requests: ${name}`, async (t) => {
     const target = new RawTarget((socket, _head, n) => {
       behave(socket, n);
     });
     const port = Number(new URL(await target.start()).port);
-    const result = await sendPipelined(port, requests, 300, () => 7);
+    const result = await sendPipelined(port, requests, 300, () => 7, { gapMs, pauseMs: gapMs });
     target.stop();
     t.deepEqual(
       result.responses.map((r) => r.body),
--- a/soak/soakDocument.ts
+++ b/soak/soakDocument.ts
@@ -2,8 +2,8 @@
 import { SOAK_WORKSPACES } from "./SOAK_WORKSPACES.ts";
 import type { SoakPlan } from "./SoakPlan.ts";
 
-/** The routes' timeout for a request, ms. */
-const TIMEOUT_MS = 2500;
+/** The routes' timeout for a request by default, ms. */
+export const DEFAULT_TIMEOUT_MS = 2500;
 
 /** Path prefix of the route that only the document of change number `change` has. */
 export const changePath = (change: number): string => `/v${change}-ledger/`;
@@ -19,7 +19,10 @@
   change === 1 ? "desk" : (["ledger", "bookings"][change % 2] ?? "");
 
 /** The document that change number `change` applies to a soak run's fleet. */
-export function soakDocument({ services }: SoakPlan, change: number): string {
+export function soakDocument(
+  { services, timeoutMs = DEFAULT_TIMEOUT_MS }: SoakPlan,
+  change: number,
+): string {
   const kinds = {
     desk: [{ kind: "check", method: "GET", pathPrefix: "/desk", idempotent: true }],
     bookings: [{ kind: "booking", method: "POST", pathPrefix: "/bookings", idempotent: false }],
@@ -42,7 +45,7 @@
       public: true,
       requests: kinds[name as keyof typeof kinds],
       floor: 0.5,
-      timeoutMs: TIMEOUT_MS,
+      timeoutMs,
       retry: { attempts: 3, budgetRatio: 0.2 },
       detection: { threshold: 6, ejectMs: 3000, maxEjectMs: 6000 },
       echoHeader: "x-burdockpass-request",
@@ -53,7 +56,7 @@
         prefix: SOAK_WORKSPACES.path,
         service: SOAK_WORKSPACES.service,
         idempotent: true,
-        timeoutMs: TIMEOUT_MS,
+        timeoutMs,
         attempts: 3,
       },
       {
@@ -62,7 +65,7 @@
         service: movedService(change),
         public: true,
         idempotent: true,
-        timeoutMs: TIMEOUT_MS,
+        timeoutMs,
         attempts: 3,
       },
     ],
--- a/src/standin/StandInOptions.ts
+++ b/src/standin/StandInOptions.ts
@@ -12,6 +12,11 @@
   readonly slots: number;
   /** Work time of one request when healthy, ms. */
   readonly workMs: number;
+  /**
+   * Largest work time, as a multiple of `workMs`, which is the mean: work times are then distributed exponentially.
+   * 1 for the same work time each time.
+   */
+  readonly workTail: number;
   /** Time after the start during which the target announces itself as `cold`, ms. */
   readonly coldMs: number;
   /** Share of responses, 0 to 1, that are wrong in the `wrong` mode and errors in the `error` mode. */
--- a/src/standin/StandInTarget.ts
+++ b/src/standin/StandInTarget.ts
@@ -252,7 +252,7 @@
       this.#arrivals.shift();
     }
     const tag = String(req.headers["x-caller-tag"] ?? "");
-    this.#journal.record(tag, "arrived");
+    this.#journal.record(tag, "arrived", req.headers[this.#opts.echoHeader]);
     const body = await readText(req);
     const connectedBeforeFault = (this.#connectedAt.get(req.socket) ?? 0) < this.#faultSetAt;
     if (
@@ -270,6 +270,7 @@
     }
     if (this.#mode === FaultMode.Gray && Math.random() < GRAY_SHARE) {
       this.#journal.record(tag, "ran");
+      this.#journal.record(tag, "failed");
       sendError(res);
       return;
     }
@@ -306,6 +307,7 @@
       }
       this.#journal.record(tag, "ran");
       if (!(await this.#makeNestedCallIfNeeded(tag))) {
+        this.#journal.record(tag, "failed");
         sendError(res);
         return;
       }
@@ -409,9 +411,18 @@
     const warming = Date.now() < this.#warmUpUntil;
     return (
       this.#opts.netMs +
-      this.#opts.workMs * (slow ? SLOW_FACTOR : 1) * (warming ? WARM_UP_FACTOR : 1)
+      this.#opts.workMs *
+        this.#tailFactor() *
+        (slow ? SLOW_FACTOR : 1) *
+        (warming ? WARM_UP_FACTOR : 1)
     );
   }
+
+  /** This run's work time as a multiple of the mean. */
+  #tailFactor(): number {
+    const { workTail } = this.#opts;
+    return workTail <= 1 ? 1 : Math.min(workTail, -Math.log(1 - Math.random()));
+  }
 }
 
 function sendError(res: ServerResponse): void {
--- a/src/standin/WorkJournal.ts
+++ b/src/standin/WorkJournal.ts
@@ -1,7 +1,7 @@
 import { appendFileSync } from "node:fs";
 
 /** A step in a stand-in target's handling of a request. */
-type WorkEvent = "arrived" | "ran" | "shed" | "crashed";
+type WorkEvent = "arrived" | "ran" | "failed" | "shed" | "crashed";
 
 /**
  * Records every request that reached a stand-in target and how the target handled it, from the
@@ -17,9 +17,10 @@
     this.#targetFields = targetFields;
   }
 
-  record(tag: string, event: WorkEvent): void {
+  /** @param attempt the value of the echoed header, which finds the request in the sidecars' logs */
+  record(tag: string, event: WorkEvent, attempt?: string | string[]): void {
     if (this.#file !== undefined) {
-      const line = { at: Date.now(), ...this.#targetFields, tag, event };
+      const line = { at: Date.now(), ...this.#targetFields, tag, event, attempt };
       appendFileSync(this.#file, `${JSON.stringify(line)}\n`);
     }
   }
