Soak: check that a planned stop breaks off no run

A request that was passed on to a target and then ends without a whole response, or with a response of our own before its timeout, was not counted when it had a status. The new check counts these from the SIGTERM of the sidecar that took the request until its exit, pipelined requests behind a close among them. Runs still at work 5 s after the SIGTERM, sent within its first 3 s, are allowed; so are failures of the target and other disturbances of the caller's sidecar.

--- a/soak/checks/allChecks.ts
+++ b/soak/checks/allChecks.ts
@@ -19,10 +19,16 @@
 import { runsAtMostOnce } from "./runsAtMostOnce.ts";
 import { recoversAfterFaults } from "./recoversAfterFaults.ts";
 import { stopsAbortNothing } from "./stopsAbortNothing.ts";
+import { stopsBreakOffNoRun } from "./stopsBreakOffNoRun.ts";
 import { stopsEndInTime } from "./stopsEndInTime.ts";
 
-/** Returns the checks of all guarantees; `budget` is the retry budget of the soak run's fleet. */
-export const allChecks = (budget: FleetRetryBudget): readonly Check[] => [
+/**
+ * Returns the checks of all guarantees.
+ *
+ * @param budget the retry budget of the soak run's fleet
+ * @param timeoutMs the routes' timeout, ms
+ */
+export const allChecks = (budget: FleetRetryBudget, timeoutMs: number): readonly Check[] => [
   responsesMatchRequests,
   notRunNeverRan,
   runsAtMostOnce,
@@ -36,6 +42,7 @@
   validKeysAreAdmitted,
   quotaIsKept,
   stopsAbortNothing,
+  stopsBreakOffNoRun(timeoutMs),
   stopsEndInTime,
   documentIsApplied,
   nothingOlderAfterBlackouts,
--- a/soak/checks/checks.test.ts
+++ b/soak/checks/checks.test.ts
@@ -3,6 +3,8 @@
 import { CallKind } from "../SoakPlan.ts";
 import { allChecks } from "./allChecks.ts";
 
+const TIMEOUT_MS = 6000;
+
 const BUDGET = { ratio: 0.2, windowMs: 5000, slack: 2 };
 
 /** A served booking; `over` replaces fields. */
@@ -329,6 +331,58 @@
       { stops: [stop], calls: [call({ status: 0, sentAt: 12_950, endedAt: 13_000 })] },
     ],
   },
+  {
+    guarantee: /breaks off no run/,
+    satisfying: {
+      stops: [stop],
+      calls: [
+        ...[
+          // Not passed on, or refused by the target.
+          { tag: "booking-2", status: 502, verdict: "may-have-run" },
+          { tag: "booking-3", status: 503, verdict: "not-run" },
+          // Responses of the target, in full.
+          { status: 500 },
+          // Its deadline has passed, or its caller has left.
+          { sentAt: 4400, endedAt: 10_400, status: 504, verdict: "may-have-run" },
+          { status: 0, verdict: "left" },
+          // Sent to another sidecar, and after the stop.
+          { via: "desk-1", status: 0, verdict: "" },
+          { sentAt: 13_000, endedAt: 13_100, status: 0, verdict: "" },
+        ].map(call),
+        // Still at work 5 s after the SIGTERM.
+        call({ tag: "booking-4", sentAt: 13_000, endedAt: 15_000, status: 502, verdict: "" }),
+        call({ tag: "booking-5", sentAt: 11_000, endedAt: 12_000, status: 502, verdict: "" }),
+        call({ tag: "booking-6", via: "desk-2", status: 502, verdict: "" }),
+      ],
+      targets: [
+        targetRecord({ event: "arrived" }),
+        targetRecord({ tag: "booking-3", event: "arrived" }),
+        targetRecord({ tag: "booking-3", event: "shed" }),
+        targetRecord({ tag: "booking-4", event: "arrived", at: 13_100 }),
+        targetRecord({ tag: "booking-5", event: "arrived", target: "bookings-1" }),
+        targetRecord({ tag: "booking-6", event: "arrived" }),
+      ],
+      disturbances: [
+        { on: "bookings-1", kind: "target-gray", from: 11_000, until: 12_000 },
+        { on: "desk-2", kind: "link-reset", from: 9000, until: 10_100 },
+      ],
+    },
+    violating: [
+      { status: 502, verdict: "may-have-run", endedAt: 12_000 },
+      { status: 504, verdict: "may-have-run", sentAt: 9000 },
+      { status: 0, verdict: "", hadBegun: false, sentAt: 12_950, endedAt: 13_000 },
+      // Sent too late in the stop to be allowed to be at work until its last part.
+      { status: 502, verdict: "may-have-run", sentAt: 13_100, endedAt: 15_100 },
+    ].map((over) => ({
+      stops: [{ ...stop, endedAt: 15_500 }],
+      calls: [call(over)],
+      targets: [targetRecord({ event: "arrived" })],
+      disturbances: [
+        { on: "desk-0", kind: "down", from: 12_999, until: 16_000 },
+        { on: "bookings-0", kind: "link-reset", from: 9000, until: 10_100 },
+      ],
+    })),
+  },
   {
     guarantee: /stop ends/,
     satisfying: { stops: [stop] },
@@ -416,7 +470,7 @@
   },
 ];
 
-const checks = allChecks(BUDGET);
+const checks = allChecks(BUDGET, TIMEOUT_MS);
 
 test("checks: every guarantee has a history that violates it", (t) => {
   const covered = checks.filter((c) => cases.some(({ guarantee }) => guarantee.test(c.guarantee)));
--- a/soak/playSoak.ts
+++ b/soak/playSoak.ts
@@ -9,6 +9,7 @@
 import { SoakOperator } from "./SoakOperator.ts";
 import type { SoakPlan } from "./SoakPlan.ts";
 import { SoakMonitor } from "./SoakMonitor.ts";
+import { DEFAULT_TIMEOUT_MS } from "./soakDocument.ts";
 
 /** Result of a soak run. */
 export interface SoakResult {
@@ -30,7 +31,8 @@
   process.once("SIGTERM", stopAll);
   try {
     const history = await recordHistory(fleet, plan);
-    const results = allChecks(SOAK_BUDGET).map(({ guarantee, isTimed, run }) => ({
+    const timeoutMs = plan.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+    const results = allChecks(SOAK_BUDGET, timeoutMs).map(({ guarantee, isTimed, run }) => ({
       guarantee,
       isTimed,
       ...run(history),
