Soak: add a plan in which a stop's close loses downloads

Callers saw a group of downloads closed around the SIGTERM of the sidecar that had taken them. In this plan, 22 s of downloads through three sidecars that are stopped in turn, the close of a stopping sidecar meets a pipelined request: the reset that follows discards what the caller has not read yet.

--- a/soak/soak.test.ts
+++ b/soak/soak.test.ts
@@ -12,6 +12,10 @@
     file: "not-run-after-a-run",
     cause: "a lookup that failed at one target and was refused by the next is reported as not run",
   },
+  {
+    file: "pipelined-behind-a-close",
+    cause: "a stopping sidecar's close loses downloads that were passed on",
+  },
 ];
 
 const SHORT = { seconds: 35, processes: 18 };
