Avoid a stopping target only where a long run may outlast it

For a request that cannot be retried, targets beside stopping sidecars were avoided for the whole stop while others had room, also where runs take 40 ms and four seconds are left.

--- a/src/sidecar/routing/TargetAssessor.ts
+++ b/src/sidecar/routing/TargetAssessor.ts
@@ -1,4 +1,5 @@
 import type { TargetInfo } from "../../membership/TargetInfo.ts";
+import { LONG_RUN_FACTOR } from "../gate/LONG_RUN_FACTOR.ts";
 import { runAllowanceMs } from "../gate/runAllowanceMs.ts";
 import type { Candidate } from "./Candidate.ts";
 import { expectedWaitMs } from "./expectedWaitMs.ts";
@@ -52,10 +53,14 @@
 
   /**
    * The candidates to choose from for a request whose run must not be cut short: while any other may have room, none
-   * whose co-located sidecar is being stopped.
+   * whose co-located sidecar exits in less than {@link LONG_RUN_FACTOR} times the time reserved for a run.
    */
   preferLasting(snapshot: PickSnapshot, candidates: readonly Candidate[]): readonly Candidate[] {
-    const lasting = candidates.filter(({ view }) => exitsInMs(snapshot.now, view) === Infinity);
+    const { now, route, isRetryable } = snapshot;
+    const lasting = candidates.filter(({ target, view }) => {
+      const typicalMs = this.#deps.typicalMs(route, target);
+      return exitsInMs(now, view) >= LONG_RUN_FACTOR * runAllowanceMs(typicalMs, isRetryable);
+    });
     const mayHaveRoom = lasting.some((c) =>
       ["free", "unknown"].includes(this.beliefAbout(snapshot, c)),
     );
