Record the time of a streamed response from the start of its run to its end

The gate knew only how long the starts of large responses take. It records the time to their ends now, with which a stopping sidecar refuses the downloads that would outlast it.

The new test fails without the change: the recorded time is undefined.

--- a/src/sidecar/gate/TargetRunner.test.ts
+++ b/src/sidecar/gate/TargetRunner.test.ts
@@ -1,3 +1,4 @@
+import { Readable } from "node:stream";
 import test from "ava";
 import bunyan from "bunyan";
 import { FakeClock } from "../../../test/fixtures/FakeClock.ts";
@@ -185,6 +186,24 @@
   t.is(gate.load.busy, 0);
 });
 
+test("target runner: the time of a streamed response counts from the start of its run to its end", async (t) => {
+  // Guards against a stopping sidecar that is granted downloads which outlast it, as only their starts were timed.
+  const { clock, requestGrant, run, end, gate } = rig();
+  const recorded: (number | undefined)[] = [];
+  gate.recordStreamEnd = (_outcome, ms) => recorded.push(ms);
+  const running = run(requestGrant());
+  await clock.advance(300);
+  let endStream: (outcome: AttemptOutcome) => void = () => undefined;
+  const ended = new Promise<AttemptOutcome>((resolve) => (endStream = resolve));
+  end({ ...results.done, body: Readable.from([]), ended });
+  await running;
+  await clock.advance(2000);
+  t.deepEqual(recorded, []);
+  endStream(AttemptOutcome.Ok);
+  await clock.advance(0);
+  t.deepEqual(recorded, [2300]);
+});
+
 test("run table: old runs are removed", async (t) => {
   const { clock, requestGrant, run, end, runs } = rig();
   const ref = requestGrant();
--- a/src/sidecar/gate/TargetRunner.ts
+++ b/src/sidecar/gate/TargetRunner.ts
@@ -129,7 +129,7 @@
       outcome = this.#detectorOutcome(result, activeRun, { attempt, target: target.id });
       if ("ended" in result) {
         void result.ended?.then((streamOutcome) => {
-          gate.recordStreamEnd(streamOutcome);
+          gate.recordStreamEnd(streamOutcome, clock.now() - startedAt);
         });
       }
       return { ...result, calls: activeRuns.callMeans };
