Close the gates of a stopping sidecar before its target can no longer make nested calls

Callers saw: a run that a stopping sidecar granted after callersMs could fail with its nested call, although the sidecar lived on for a caller.

Cause: if the gates were idle at callersMs, the port was closed while the open gates went on granting slots until the last caller had its response.

Connections are accepted until neither a caller waits nor a run is in progress, and the gates are closed before the port.

--- a/src/sidecar/drainSidecar.test.ts
+++ b/src/sidecar/drainSidecar.test.ts
@@ -322,6 +322,13 @@
     gatesClosedAt: CALLERS_MS,
     callersClosedAt: 4000,
   },
+  {
+    name: "a caller that waits",
+    callersUntil: 3500,
+    runsUntil: 0,
+    gatesClosedAt: 3500,
+    callersClosedAt: 3500,
+  },
   {
     name: "a run and a caller that waits",
     callersUntil: 3500,
--- a/src/sidecar/drainSidecar.ts
+++ b/src/sidecar/drainSidecar.ts
@@ -64,19 +64,19 @@
   parts.gates.closeBy(endAt);
   parts.callers.closeBy({ callersUntil: beganAt + callersMs, endAt });
   await sleep(callersMs);
-  // The runs at the local target make nested calls, for which they open connections.
-  while (parts.gates.isBusy && clock.now() < endAt - CLOSE_CALLERS_MS) {
-    if (parts.openRequests().callers.count === 0) {
+  // A run at the local target may open connections for nested calls, so they are accepted while any run can begin.
+  while (isNeeded(parts) && clock.now() < endAt - CLOSE_CALLERS_MS) {
+    if (!hasCallers(parts)) {
       parts.gates.close();
     }
     await sleep(IDLE_CHECK_INTERVAL_MS);
   }
+  parts.gates.close();
   log.info(
     { busy: parts.gates.isBusy, leftMs: endAt - clock.now() },
     "drain: no longer accepting callers",
   );
   await Promise.race([parts.closeCallers(), sleep(endAt - clock.now())]);
-  parts.gates.close();
   while (parts.gates.isBusy && clock.now() < endAt) {
     await sleep(IDLE_CHECK_INTERVAL_MS);
   }
@@ -87,3 +87,13 @@
     log.warn({ ...open }, "drain: open requests are cut off");
   }
 }
+
+/** Whether a caller waits for a response. */
+function hasCallers({ openRequests }: DrainedParts): boolean {
+  return openRequests().callers.count > 0;
+}
+
+/** Whether a caller waits, or a run is in progress at a local target. */
+function isNeeded(parts: DrainedParts): boolean {
+  return parts.gates.isBusy || hasCallers(parts);
+}
