--- a/src/common/http/startHttpServer.ts
+++ b/src/common/http/startHttpServer.ts
@@ -4,7 +4,10 @@
 import { acceptPending } from "./acceptPending.ts";
 import { OpenConnections } from "./OpenConnections.ts";
 
-/** A listening HTTP server. Disposing it stops accepting connections and waits for open requests. */
+/**
+ * A listening HTTP server. Disposing it stops accepting connections, and waits for open requests and until their
+ * connections have been closed in stages: see `lingerAndClose`.
+ */
 interface StartedHttpServer extends IDisposable {
   readonly port: number;
 }
--- a/src/sidecar/gate/LongestDuration.ts
+++ b/src/sidecar/gate/LongestDuration.ts
@@ -2,8 +2,8 @@
 const WINDOW = 256;
 
 /**
- * Of `n` durations, the longest is exceeded by this many `n`-ths of it: the fewer have been seen, the further the longest
- * possible one may lie above them.
+ * The upper end is taken as the longest of `n` durations times 1 + MARGIN / n: the fewer have been seen, the further the
+ * longest possible one may lie above them.
  */
 const MARGIN = 64;
 
--- a/src/sidecar/gate/ServiceTime.ts
+++ b/src/sidecar/gate/ServiceTime.ts
@@ -14,7 +14,7 @@
   #meanMs = INITIAL_MS;
   readonly #repeatable = new LongestDuration();
   readonly #unrepeatable = new LongestDuration();
-  /** Durations of runs to the ends of their streamed responses; 0 for each run, so that they are forgotten with those. */
+  /** Durations of runs to the ends of their streamed responses. Each run adds a 0, so that old streams leave the window. */
   readonly #streams = new LongestDuration();
 
   /** Mean time for which a run uses its slot, ms. */
