Let a fleet's kill return at once if the process has already ended

Cause: a busy machine starts a killed target again only after the next kill is due. The kill then waited for an exit event that had been emitted before. In the hung process, no timer and no socket was left, and two of its 21 processes had ended.

--- a/scripts/FleetProcesses.ts
+++ b/scripts/FleetProcesses.ts
@@ -85,6 +85,9 @@
 
   /** Kills a process (SIGKILL), like a crash; resolves once it has ended. */
   async kill({ proc }: FleetProcess): Promise<void> {
+    if (hasEnded(proc)) {
+      return;
+    }
     const exited = new Promise((resolve) => proc.once("exit", resolve));
     proc.kill("SIGKILL");
     await exited;
@@ -120,9 +123,13 @@
   return join(BIN_DIR, `${name}.cjs`);
 }
 
+function hasEnded({ exitCode, signalCode }: ChildProcess): boolean {
+  return exitCode !== null || signalCode !== null;
+}
+
 function stopProcess(proc: ChildProcess): Promise<void> {
   return new Promise((resolve) => {
-    if (proc.exitCode !== null || proc.signalCode !== null) {
+    if (hasEnded(proc)) {
       resolve();
       return;
     }
