Refuse a booking that has waited for a slot until a long run no longer fits into a stop

A caller got a closed connection, and an unknown outcome, for a booking that had waited 3.9 s for a slot at a sidecar being stopped, was passed on 555 ms before the exit, and took 1.1 s.

Cause: a request that arrived while new connections were accepted was sent as long as 1.5 times its typical time was left, at least 500 ms, however long it had waited.

The small reserve now holds for work that must not be repeated only until new connections are no longer accepted. A test that had the refusal of a booking of 1 s at 3,600 ms now has it at 2,700 ms, the earlier moment, for this reason.

--- a/src/sidecar/drainSidecar.test.ts
+++ b/src/sidecar/drainSidecar.test.ts
@@ -276,9 +276,32 @@
   });
 }
 
+test("planned stop: a booking that has waited for a slot is not passed on if a long run would be cut off", async (t) => {
+  // Guards against an unknown outcome of a booking that could still have been refused as not run.
+  const cutOff: object[] = [];
+  for (const typicalMs of typicalTimes) {
+    for (const [sentAt, waitMs] of [
+      [0, 4000],
+      [600, 3900],
+      [1000, 2000],
+      [2000, 2000],
+      [2600, 300],
+    ]) {
+      for (const factor of [1, 3, 5]) {
+        const c = { sentAt: sentAt ?? 0, typicalMs, factor };
+        const { end } = await play({ ...booking, onSlotRequest: grantAfter(waitMs ?? 0) }, c);
+        if (end !== "served" && end !== "refused") {
+          cutOff.push({ ...c, waitMs, end });
+        }
+      }
+    }
+  }
+  t.deepEqual(cutOff, []);
+});
+
 for (const { sentAt, typicalMs, refusedAt } of [
   { sentAt: 0, typicalMs: 20, refusedAt: END_MS - 500 },
-  { sentAt: 2600, typicalMs: 1000, refusedAt: END_MS - 1500 },
+  { sentAt: 2600, typicalMs: 1000, refusedAt: CALLERS_MS },
   { sentAt: 3100, typicalMs: 200, refusedAt: END_MS - 1100 },
 ]) {
   test(`planned stop: a booking of ${typicalMs} ms that gets no slot is held no longer than a run still fits`, async (t) => {
--- a/src/sidecar/routing/StopLimit.ts
+++ b/src/sidecar/routing/StopLimit.ts
@@ -13,7 +13,8 @@
 /**
  * Multiple of its typical time that is reserved for the run of a request that arrived while new connections were
  * accepted. Its caller may not know of the stop yet and have no other sidecar to go to, so most requests that would be
- * refused with a larger reserve are better served here.
+ * refused with a larger reserve are better served here. One that must not be repeated is sent with this reserve only
+ * until then: after a wait for a slot, a refusal is better for its caller than a run that may be cut off.
  */
 const EARLY_ALLOWANCE_FACTOR = 1.5;
 
@@ -134,17 +135,22 @@
   /** Time, by the clock, from which a request is refused instead of sent, ms; Infinity unless a stop is announced. */
   lastSendAt(route: RouteMatch, { startedAt, deadlineAt }: CallerRequest): number {
     const { callersUntil, endAt } = this.#stop;
-    // A run ends at its deadline at the latest.
-    const endsInTime = deadlineAt <= endAt;
-    const allowanceMs = endsInTime ? 0 : this.#allowanceMs(route, startedAt <= callersUntil);
-    return endAt - Math.max(REFUSAL_MS, allowanceMs);
+    const lastRefusalAt = endAt - REFUSAL_MS;
+    if (deadlineAt <= endAt) {
+      return lastRefusalAt; // A run ends at its deadline at the latest.
+    }
+    const typicalMs = this.#typicalMs(route);
+    // With the process, the chance of another attempt ends too, so none is taken into account.
+    const cautiousAt = endAt - runAllowanceMs(typicalMs, false);
+    const earlyAt = endAt - typicalMs * EARLY_ALLOWANCE_FACTOR;
+    const earlyUntil = route.idempotent ? earlyAt : Math.min(earlyAt, callersUntil);
+    const lastSendAt = startedAt <= callersUntil ? Math.max(cautiousAt, earlyUntil) : cautiousAt;
+    return Math.min(lastRefusalAt, lastSendAt);
   }
 
-  #allowanceMs(route: RouteMatch, isEarly: boolean): number {
+  #typicalMs(route: RouteMatch): number {
     // On other routes, a streamed response is an exception that says nothing about the next request.
     const streamMs = route.bulk ? this.streams.typicalMs(route) : 0;
-    const typicalMs = Math.max(this.#deps.policy.typicalMs(route), streamMs);
-    // With the process, the chance of another attempt ends too, so none is taken into account.
-    return isEarly ? typicalMs * EARLY_ALLOWANCE_FACTOR : runAllowanceMs(typicalMs, false);
+    return Math.max(this.#deps.policy.typicalMs(route), streamMs);
   }
 }
