Keep acknowledged departures of targets over a kill of their sidecar

What callers saw: a target withdrew, its sidecar acknowledged that and was killed 0.2 s later.

Cause: what one process had acknowledged was known to that process only. LocalTargets kept withdrawals and sequence numbers in its memory; the members that had been sent the sidecar's entry knew only that the target was no longer in it, and dropped that entry for the first one of the new process. So any first announcement after a start counted as that of a live target. Ruled out: an old entry of other members that comes back (the new process announced the target itself), and grants from before the kill (each late run had a grant of the new process). The same happened to a target whose draining had been acknowledged, if no further draining announcement arrived before the late one.

Change: a sidecar's entry carries the targets that have withdrawn or are draining, for a minute. Before it acknowledges a departure, the sidecar sends its entry to five other members, chosen as record holders are, and waits for all but one of them; otherwise the target is asked to repeat the call (503), and gets no new requests meanwhile. Members keep the departures of an entry that a later incarnation replaces, and return them to it.

--- a/experiment/SimSidecar.ts
+++ b/experiment/SimSidecar.ts
@@ -209,6 +209,7 @@
       gone: isGone,
       control: false,
       stopping: false,
+      departed: [],
       targets: isGone || this.#isTargetGone ? [] : [target],
     };
   }
--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -147,7 +147,10 @@
     hop_address: string;
     control: boolean;
     stopping: boolean;
+    departed: ProtoTypes["Departure"][];
   };
+  Departure: { target_id: string; born: number; sequence: number; left: boolean };
+  Predecessor: { incarnation: number; departed: ProtoTypes["Departure"][] };
   News: {
     sender: string;
     members: ProtoTypes["Member"][];
@@ -156,6 +159,7 @@
     known: number[];
     evidence: ProtoTypes["CrashEvidence"][];
     known_evidence: number[];
+    predecessor: ProtoTypes["Predecessor"] | null;
   };
   Members: { members: ProtoTypes["Member"][]; evidence: ProtoTypes["CrashEvidence"][] };
   CrashEvidence: {
--- a/src/common/rpc/proto/BURDOCKPASS_SCHEMA.ts
+++ b/src/common/rpc/proto/BURDOCKPASS_SCHEMA.ts
@@ -193,6 +193,11 @@
       { name: "known", id: 5, type: "uint32", repeated: true },
       { name: "evidence", id: 6, type: "CrashEvidence", repeated: true },
       { name: "known_evidence", id: 7, type: "uint32", repeated: true },
+      { name: "predecessor", id: 8, type: "Predecessor" },
+    ],
+    Predecessor: [
+      { name: "incarnation", id: 1, type: "uint64" },
+      { name: "departed", id: 2, type: "Departure", repeated: true },
     ],
     Members: [
       { name: "members", id: 1, type: "Member", repeated: true },
@@ -218,6 +223,13 @@
       { name: "hop_address", id: 8, type: "string" },
       { name: "control", id: 9, type: "bool" },
       { name: "stopping", id: 10, type: "bool" },
+      { name: "departed", id: 11, type: "Departure", repeated: true },
+    ],
+    Departure: [
+      { name: "target_id", id: 1, type: "string" },
+      { name: "born", id: 2, type: "uint64" },
+      { name: "sequence", id: 3, type: "uint64" },
+      { name: "left", id: 4, type: "bool" },
     ],
     Target: [
       { name: "target_id", id: 1, type: "string" },
--- a/src/membership/DatagramLink.test.ts
+++ b/src/membership/DatagramLink.test.ts
@@ -11,6 +11,7 @@
   known: [],
   evidence: [],
   known_evidence: [],
+  predecessor: null,
 };
 
 /** A link on a free port whose handlers reply with no membership updates, and the requests that it has handled. */
--- a/src/membership/LocalTargets.ts
+++ b/src/membership/LocalTargets.ts
@@ -1,14 +1,24 @@
 import type { ProtoTypes } from "../common/rpc/ProtoTypes.ts";
-import type { TargetId } from "../common/ids/TargetId.ts";
+import { TargetId } from "../common/ids/TargetId.ts";
 import type { AnnouncedTarget } from "./AnnouncedTarget.ts";
 import type { TargetInfo } from "./TargetInfo.ts";
 import { TargetState } from "./TargetState.ts";
 
 type Target = ProtoTypes["Target"];
+type Departure = ProtoTypes["Departure"];
 
 /** Number of entries above which former targets are dropped: room for one per restart, over this many restarts. */
 const MAX_ENTRIES = 64;
 
+/**
+ * Time for which a target's withdrawal or draining is published, ms. Announcements that are delayed for longer than that
+ * over a restart of this sidecar are not guarded against.
+ */
+const DEPARTURE_RETENTION_MS = 60_000;
+
+/** Maximum number of published departures, some 40 bytes each, so that an entry fits into a datagram; the newest count. */
+const MAX_PUBLISHED_DEPARTURES = 16;
+
 /** What is known of one current or former target on this VM. */
 interface TargetEntry {
   /** Its last announcement; undefined if only its withdrawal was received. */
@@ -21,11 +31,13 @@
   sequence: number;
   /**
    * `here`: live while it announces itself in time. `replaced`: another target uses its address, or none does. `left`: it
-   * was withdrawn.
+   * was withdrawn. `held`: it may have left before this sidecar was restarted; see {@link LocalTargets.beginRecovery}.
    */
-  state: "here" | "replaced" | "left";
-  /** Announcements received since it was replaced or withdrawn. */
+  state: "here" | "replaced" | "left" | "held";
+  /** Announcements received since it was replaced, withdrawn or held. */
   repeats: number;
+  /** That it has withdrawn or announces itself as draining; undefined while it does neither. */
+  departure: (Pick<Departure, "sequence" | "left"> & { readonly at: number }) | undefined;
   /** When it last said in a response that it is leaving, ms; undefined if it did not. */
   leavingAt: number | undefined;
   /** See `Target.resumed`. */
@@ -38,12 +50,12 @@
 /** Identifies an incarnation of a target. */
 type TargetRef = Pick<TargetInfo, "id" | "born">;
 
-/** A replaced target is live again after this many new announcements, since a single one may have been delayed. */
+/** A replaced or held target is live after this many new announcements, since a single one may have been delayed. */
 const RETURN_AFTER_REPEATS = 2;
 
 /**
- * A target that was withdrawn without its start time is considered restarted after this many announcements,
- * since two may have been in flight when it left.
+ * A target that was withdrawn without its start time, or of which only its draining is known, is considered restarted
+ * after this many announcements, since two may have been in flight when it left.
  */
 const RESTART_AFTER_REPEATS = 3;
 
@@ -53,11 +65,15 @@
  * one, uses its address. So only the newest incarnation of each target counts, and its newest
  * sequence number. An incarnation that has left never comes back, and a target whose address
  * was taken by another one must announce itself twice to be live again.
+ *
+ * A restarted sidecar does not know which targets have left before. It therefore holds targets that announce themselves as
+ * ready until other members have returned what its earlier incarnation published: see docs/design/departures.md.
  */
 export class LocalTargets {
   readonly #now: () => number;
   readonly #timeoutMs: number;
   readonly #known = new Map<string, TargetEntry>();
+  #isRecovering = false;
 
   /**
    * @param now monotonic clock, ms
@@ -68,6 +84,30 @@
     this.#timeoutMs = timeoutMs;
   }
 
+  /** Whether it is still unknown which targets have left before this sidecar was restarted. */
+  get isRecovering(): boolean {
+    return this.#isRecovering;
+  }
+
+  /**
+   * Holds targets that announce themselves as ready until {@link endRecovery}, or until they have done so twice: a
+   * single announcement may be a delayed one of a target that has left before this sidecar was restarted.
+   */
+  beginRecovery(): void {
+    this.#isRecovering = true;
+  }
+
+  /** Makes the held targets live. */
+  endRecovery(): void {
+    this.#isRecovering = false;
+    for (const known of this.#known.values()) {
+      if (known.state === "held" && known.target) {
+        this.#replaceOthersAt(known.target);
+        known.state = "here";
+      }
+    }
+  }
+
   /** Records an announcement; false if it is outdated or not yet to be trusted. */
   announce(target: AnnouncedTarget, sequence: number): boolean {
     const known = this.#known.get(target.target_id);
@@ -75,7 +115,7 @@
     if (known && !isSameIncarnation && this.#isOlderIncarnation(target, known)) {
       return false;
     }
-    if (known && isSameIncarnation && (known.state === "left" || sequence < known.sequence)) {
+    if (known && isSameIncarnation && (known.state === "left" || isOutdated(known, sequence))) {
       return false;
     }
     const isUnconfirmed =
@@ -85,26 +125,33 @@
     if (isUnconfirmed) {
       return false;
     }
-    this.#replaceOthersAt(target);
-    const { leavingAt, resumed } = isSameIncarnation ? known : NEVER_LEFT;
-    this.#store(target.target_id, {
+    const same = isSameIncarnation ? known : undefined;
+    const { leavingAt, resumed } = same ?? NEVER_LEFT;
+    const entry = {
       target,
       born: target.born,
       announcedAt: this.#now(),
       sequence,
-      state: "here",
-      repeats: 0,
+      departure: this.#departureIn(target, sequence, same),
       leavingAt,
       resumed,
-    });
+    };
+    if (this.#mustHold(target, sequence, same)) {
+      this.#store(target.target_id, { ...entry, state: "held", repeats: 1 });
+      return false;
+    }
+    this.#replaceOthersAt(target);
+    this.#store(target.target_id, { ...entry, state: "here", repeats: 0 });
     return true;
   }
 
   /** Records that a target has left. `born` is the start time of the incarnation that left; 0 if not given. */
   withdraw(id: TargetId, born = 0): void {
     const known = this.#known.get(id);
+    const departure = { sequence: 0, left: true, at: this.#now() };
     if (known && (born === 0 || born === known.born)) {
       known.state = "left";
+      known.departure = departure;
       return;
     }
     if (known && born < known.born) {
@@ -119,8 +166,68 @@
       sequence: Infinity,
       state: "left",
       repeats: 0,
+      departure,
+      ...NEVER_LEFT,
+    });
+  }
+
+  /** The targets that have lately withdrawn, or that are draining. */
+  departed(): Departure[] {
+    const cutoff = this.#now() - DEPARTURE_RETENTION_MS;
+    return [...this.#known]
+      .flatMap(([target_id, { born, departure }]) =>
+        departure && departure.at >= cutoff ? [{ target_id, born, ...departure }] : [],
+      )
+      .sort((a, b) => b.at - a.at)
+      .slice(0, MAX_PUBLISHED_DEPARTURES)
+      .map(({ target_id, born, sequence, left }) => ({ target_id, born, sequence, left }));
+  }
+
+  /**
+   * Records the departures that this sidecar's earlier incarnation has published; true if that changes anything. Those
+   * that arrive after the recovery are ignored, since a target may have started again under its id.
+   */
+  restore(departures: readonly Departure[]): boolean {
+    return this.#isRecovering && departures.filter((d) => this.#restoreOne(d)).length > 0;
+  }
+
+  #restoreOne({ target_id: id, born, sequence, left }: Departure): boolean {
+    const known = this.#known.get(id);
+    if (left && born === 0 && known?.state === "held") {
+      this.#known.delete(id); // It withdrew without its start time, so the announcement may be an older one.
+    } else if (known && (known.born > born || (known.born === born && known.state === "left"))) {
+      return false;
+    }
+    if (left) {
+      this.withdraw(TargetId(id), born);
+      return true;
+    }
+    if (known?.born === born) {
+      return this.#restoreDraining(known, sequence);
+    }
+    this.#store(id, {
+      target: undefined,
+      born,
+      announcedAt: this.#now(),
+      sequence,
+      state: "here",
+      repeats: 0,
+      departure: { sequence, left: false, at: this.#now() },
       ...NEVER_LEFT,
     });
+    return true;
+  }
+
+  /** Marks a target as draining unless it has announced something newer. */
+  #restoreDraining(known: TargetEntry, sequence: number): boolean {
+    if (known.sequence >= sequence) {
+      return false;
+    }
+    known.sequence = sequence;
+    known.target = known.target && { ...known.target, state: TargetState.Draining };
+    known.departure = { sequence, left: false, at: this.#now() };
+    known.state = known.state === "held" ? "here" : known.state;
+    return true;
   }
 
   /** Records that another target responds at the address of `id`. */
@@ -204,6 +311,30 @@
     }
   }
 
+  /** The departure that an announcement contains. */
+  #departureIn(
+    { state }: AnnouncedTarget,
+    sequence: number,
+    same: TargetEntry | undefined,
+  ): TargetEntry["departure"] {
+    const isDraining = state === (TargetState.Draining as string);
+    return isDraining
+      ? { sequence: same?.departure?.sequence ?? sequence, left: false, at: this.#now() }
+      : undefined;
+  }
+
+  /** Whether a target that announces itself may be one that has left before this sidecar was restarted. */
+  #mustHold({ state }: AnnouncedTarget, sequence: number, same: TargetEntry | undefined): boolean {
+    if (!this.#isRecovering || state === (TargetState.Draining as string)) {
+      return false;
+    }
+    if (same?.state !== "held") {
+      return same === undefined;
+    }
+    const isRepeated = sequence > same.sequence || sequence === 0;
+    return !isRepeated || same.repeats + 1 < RETURN_AFTER_REPEATS;
+  }
+
   #isFresh({ announcedAt }: TargetEntry): boolean {
     return announcedAt >= this.#now() - this.#timeoutMs;
   }
@@ -234,6 +365,7 @@
         sequence,
         state: "replaced",
         repeats: 0,
+        departure: undefined,
         ...NEVER_LEFT,
       });
       return false;
@@ -284,3 +416,14 @@
 function isUnconfirmedRestart(known: TargetEntry): boolean {
   return known.state === "left" && known.born === 0 && ++known.repeats < RESTART_AFTER_REPEATS;
 }
+
+/**
+ * Whether an announcement is older than the newest one. Of a target whose draining is known from before a restart of this
+ * sidecar, nothing shows that its process has ended; if it is started again, its sequence numbers begin anew.
+ */
+function isOutdated(known: TargetEntry, sequence: number): boolean {
+  if (sequence >= known.sequence) {
+    return false;
+  }
+  return known.target !== undefined || ++known.repeats < RESTART_AFTER_REPEATS;
+}
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -84,6 +84,8 @@
   readonly random: () => number;
   /** Called with the changed entries of other members; entries that arrived together are passed together. */
   readonly onMemberUpdates?: (members: readonly Member[]) => void;
+  /** Called when another member has returned departures of local targets from before a restart of this one. */
+  readonly onDeparturesRestored?: () => void;
 }
 
 /**
@@ -196,7 +198,13 @@
     const theirs = new Set(gossip.members.map((m) => m.sidecar_id));
     const known_evidence = this.#evidence.receive(gossip.evidence);
     const evidence = this.#evidence.take(gossip.evidence);
-    return this.#message(this.#entriesToSend(stale, theirs), { known, evidence, known_evidence });
+    const predecessor = this.#deps.table.predecessorOf(gossip.sender);
+    return this.#message(this.#entriesToSend(stale, theirs), {
+      known,
+      evidence,
+      known_evidence,
+      predecessor,
+    });
   }
 
   /** Returns local entries where this member's view differs from the view with these digests. */
@@ -212,6 +220,11 @@
     return this.#view;
   }
 
+  /** Sends this member's own entry to the member at `address`; resolves with its reply, which shows that it has the entry. */
+  sendOwnEntry(address: string): Promise<GossipMessage> {
+    return this.#exchange(address, [this.#deps.table.selfId]);
+  }
+
   /** Probes the member at `address` on behalf of another member; rejects when it does not reply. */
   async onProbe(address: string): Promise<void> {
     await this.#exchange(address);
@@ -235,6 +248,9 @@
       this.#evidence.noteKnown(evidence[index], distance);
     }
     this.#evidence.receive(reply.evidence);
+    if (this.#deps.table.restoreDepartures(reply.predecessor?.departed ?? [])) {
+      this.#deps.onDeparturesRestored?.();
+    }
     return reply;
   }
 
@@ -439,12 +455,14 @@
       known = [],
       evidence = [],
       known_evidence = [],
-    }: Partial<Pick<GossipMessage, "known" | "evidence" | "known_evidence">> = {},
+      predecessor = null,
+    }: Partial<Pick<GossipMessage, "known" | "evidence" | "known_evidence" | "predecessor">> = {},
   ): GossipMessage {
     const { table, documents } = this.#deps;
     const { selfId: sender, checksum } = table;
     const config_version = documents.version;
-    return { sender, members, checksum, config_version, known, evidence, known_evidence };
+    const gossip = { sender, members, checksum, config_version };
+    return { ...gossip, known, evidence, known_evidence, predecessor };
   }
 
   /** This member's whole view. */
--- a/src/membership/TargetTable.test.ts
+++ b/src/membership/TargetTable.test.ts
@@ -34,6 +34,7 @@
   hop_address: `127.0.0.2:${id.length}`,
   control: false,
   stopping: false,
+  departed: [],
 });
 
 const setUp = () => {
--- a/src/membership/TargetTable.ts
+++ b/src/membership/TargetTable.ts
@@ -4,6 +4,7 @@
 import { TargetId } from "../common/ids/TargetId.ts";
 import { ZoneName } from "../common/ids/ZoneName.ts";
 import type { AnnouncedTarget } from "./AnnouncedTarget.ts";
+import { Predecessors } from "./departures/Predecessors.ts";
 import { entryDigest } from "./entryDigest.ts";
 import { memberAddress } from "./memberAddress.ts";
 import { memberTargets } from "./memberTargets.ts";
@@ -14,6 +15,8 @@
 import { TargetState } from "./TargetState.ts";
 
 type Member = ProtoTypes["Member"];
+type Departure = ProtoTypes["Departure"];
+type Predecessor = ProtoTypes["Predecessor"];
 
 /**
  * Time after which a target that has not announced itself again is considered gone, ms.
@@ -78,7 +81,8 @@
   readonly #now: () => number;
   readonly #local: LocalTargets;
   readonly #remote = new Map<string, KnownMember>();
-  #ownContent = "[]";
+  readonly #predecessors: Predecessors;
+  #ownContent = "[[],[]]";
   #leaving = false;
   #resumedCount = 0;
   #checksum: number;
@@ -100,6 +104,7 @@
   ) {
     this.#now = now;
     this.#local = new LocalTargets(() => now() - stalledMs(), announceTimeoutMs);
+    this.#predecessors = new Predecessors(now);
     this.#self = {
       sidecar_id: self.id,
       peer_address: self.peerAddress,
@@ -111,6 +116,7 @@
       hop_address: memberAddress.shorten(self.hopAddress ?? "", self.peerAddress),
       control: self.hopAddress === undefined,
       stopping: false,
+      departed: [],
     };
     this.#checksum = entryDigest(this.#self);
   }
@@ -160,6 +166,44 @@
     this.#indexOwn();
   }
 
+  /** Holds local targets that announce themselves as ready until {@link endRecovery}; see {@link LocalTargets}. */
+  beginRecovery(): void {
+    this.#local.beginRecovery();
+  }
+
+  /** Makes the held local targets live. */
+  endRecovery(): void {
+    this.#local.endRecovery();
+    this.#indexOwn();
+  }
+
+  /** Whether it is still unknown which local targets have left before this process was started. */
+  get isRecovering(): boolean {
+    return this.#local.isRecovering;
+  }
+
+  /** Whether this member is leaving, so that announcements are no longer recorded. */
+  get isLeaving(): boolean {
+    return this.#leaving;
+  }
+
+  /** The local targets that have lately withdrawn, or that are draining. */
+  departed(): Departure[] {
+    return this.#local.departed();
+  }
+
+  /** Records departures that earlier incarnations of this member have published; true if that changes anything. */
+  restoreDepartures(departures: readonly Departure[]): boolean {
+    const isChanged = this.#local.restore(departures);
+    this.#indexOwn();
+    return isChanged;
+  }
+
+  /** What is known of the incarnations of member `id` before its present one. */
+  predecessorOf(id: string): Predecessor | null {
+    return this.#predecessors.of(id);
+  }
+
   /** Records that another target responds at the address of a local one. */
   noteReplaced(targetId: TargetId): void {
     this.#local.noteReplaced(targetId);
@@ -207,7 +251,8 @@
   /** Updates this member's own entry; true if it changed, so that peers must be informed. */
   refreshOwn(): boolean {
     const targets = this.#leaving ? [] : this.#local.live();
-    const content = JSON.stringify(targets);
+    const departed = this.#local.departed();
+    const content = JSON.stringify([targets, departed]);
     if (content === this.#ownContent) {
       return false;
     }
@@ -215,6 +260,7 @@
     this.#indexOwn();
     this.#reviseOwn({
       targets: targets.map(memberTargets.publish),
+      departed,
       revision: this.#self.revision + 1,
     });
     return true;
@@ -373,6 +419,9 @@
     if (known && !isNewer(member, known.member)) {
       return false;
     }
+    if (known && member.incarnation > known.member.incarnation) {
+      this.#predecessors.note(known.member);
+    }
     const digest = entryDigest(member);
     this.#remote.set(member.sidecar_id, { member, digest, aliveAt: this.#now() });
     this.#live = undefined;
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -164,6 +164,7 @@
     const catchUp = { peers, config: configFollower, clock: SystemClock, log: this.#log };
     const documents = this.register(new DocumentCatchUp(catchUp));
     const evidence = new EvidenceStore(SystemClock);
+    const targets: { side?: TargetSide } = {};
     const membership = this.register(
       new Membership({
         evidence,
@@ -174,6 +175,9 @@
         clock: SystemClock,
         random: Math.random,
         onMemberUpdates: logMemberUpdates(this.#log),
+        onDeparturesRestored: () => {
+          targets.side?.noteDeparturesRestored();
+        },
       }),
     );
     const quarantine = new Quarantine({
@@ -205,6 +209,7 @@
         log: this.#log,
       }),
     );
+    targets.side = targetSide;
     const callerSide = this.register(
       new CallerSide({
         cfg: () => this.#cfg,
@@ -258,6 +263,7 @@
     const hopPort = this.register(await startHttpServer(targetSide.gateServer.server, cfg.hop));
     this.#ports.hop = hopPort.port;
     membership.start(cfg.gossipIntervalMs);
+    targetSide.startRecovery();
     configFollower.start();
 
     callerSide.start();
--- a/src/sidecar/TargetAnnouncements.ts
+++ b/src/sidecar/TargetAnnouncements.ts
@@ -14,4 +14,9 @@
    * @param born start time of the incarnation that withdraws, as in its announcements; 0 if not given
    */
   withdraw(target: TargetId, born: number): void;
+  /**
+   * Resolves with whether the withdrawals and the draining recorded so far may be acknowledged: they are kept also if this
+   * sidecar's process is killed. If not, the target is to repeat its call; it gets no new requests meanwhile.
+   */
+  secureDepartures(): Promise<boolean>;
 }
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -38,6 +38,9 @@
 import { RunTable } from "./gate/RunTable.ts";
 import { TargetGates } from "./gate/TargetGates.ts";
 import { TargetRunner } from "./gate/TargetRunner.ts";
+import { chooseDepartureHolders } from "./departures/chooseDepartureHolders.ts";
+import { DepartureCopies } from "./departures/DepartureCopies.ts";
+import { DepartureRecovery } from "./departures/DepartureRecovery.ts";
 import { sendRecordCopies } from "./records/sendRecordCopies.ts";
 import { RECORD_GROUP_SIZE } from "./records/RECORD_GROUP_SIZE.ts";
 import type { RecordPeer } from "./records/RecordPeer.ts";
@@ -104,6 +107,7 @@
   readonly #records: RunRecords;
   readonly #refusalConfirmer: RefusalConfirmer;
   readonly gateServer: GateServer;
+  readonly #departureCopies: DepartureCopies;
   /** The runs in progress at the local targets. */
   readonly runs: ActiveRuns;
   /** Receives the slot requests that other sidecars and this one send to the local gates. */
@@ -213,6 +217,7 @@
     );
     this.register(every(UNUSED_CHECK_INTERVAL_MS, () => void signals.checkUnused()));
     this.#startHandover();
+    this.#departureCopies = new DepartureCopies(this.#departureDeps());
   }
 
   announce(...args: Parameters<TargetAnnouncements["announce"]>): string | undefined {
@@ -225,7 +230,8 @@
     }
     const before = this.#stateOf(target);
     if (!table.announce(...args)) {
-      log.info({ target, state, sequence, born }, "announcement ignored");
+      const isHeld = table.isRecovering;
+      log.info({ target, state, sequence, born, isHeld }, "announcement ignored");
       return undefined;
     }
     if (this.#stateOf(target) !== before) {
@@ -241,6 +247,27 @@
     this.#onTargetsChanged();
   }
 
+  secureDepartures(): Promise<boolean> {
+    return this.#departureCopies.secure();
+  }
+
+  /**
+   * Starts to recover the departures that an earlier process of this sidecar has acknowledged, if other members may know of
+   * any.
+   */
+  startRecovery(): void {
+    const deps = this.#departureDeps();
+    if (deps.hasPeers()) {
+      this.register(new DepartureRecovery(deps)).start();
+    }
+  }
+
+  /** Notes that members have returned departures of local targets from before this process was started. */
+  noteDeparturesRestored(): void {
+    this.#deps.log.info({ departed: this.#deps.table.departed() }, "departures restored");
+    this.#onTargetsChanged();
+  }
+
   /**
    * Confirms that a request whose attempt is refused has not been run by an earlier attempt with its idempotency key;
    * see {@link RefusalConfirmer}. A request without a key, or that may be repeated, has no earlier attempts.
@@ -323,6 +350,20 @@
     this.#deps.membership.noteLocalChange();
   }
 
+  #departureDeps() {
+    const { cfg, table, membership, clock, log } = this.#deps;
+    return {
+      table,
+      holders: () => chooseDepartureHolders(table, membership),
+      hasPeers: () => cfg.seeds.some((seed) => seed !== table.selfAddress),
+      onTargetsChanged: () => {
+        this.#onTargetsChanged();
+      },
+      clock,
+      log,
+    };
+  }
+
   #createDetector(target: TargetInfo): HealthDetector {
     const { cfg, clock, log, metrics } = this.#deps;
     if (cfg.policy === "naive") {
--- a/src/sidecar/admin/AdminServer.ts
+++ b/src/sidecar/admin/AdminServer.ts
@@ -112,6 +112,10 @@
       sendJson(res, 422, { error: problem });
       return;
     }
+    if (target.state === TargetState.Draining) {
+      await this.#acknowledgeDeparture(res);
+      return;
+    }
     res.writeHead(204).end();
   }
 
@@ -135,7 +139,16 @@
     }
     const { targetId, born } = parsed.value;
     this.#deps.announcements.withdraw(TargetId(targetId), born);
-    res.writeHead(204).end();
+    await this.#acknowledgeDeparture(res);
+  }
+
+  /** Acknowledges that a target leaves, once that is kept over a kill of this process; otherwise asks for a repeat. */
+  async #acknowledgeDeparture(res: ServerResponse): Promise<void> {
+    if (await this.#deps.announcements.secureDepartures()) {
+      res.writeHead(204).end();
+    } else {
+      sendJson(res, 503, { error: "too few other members hold this yet; repeat the call" });
+    }
   }
 }
 
--- a/src/sidecar/routing/policies.test.ts
+++ b/src/sidecar/routing/policies.test.ts
@@ -379,6 +379,7 @@
       gone: false,
       control: false,
       stopping: false,
+      departed: [],
       targets: ["f0", "f1", "f2"].map((id) => ({
         target_id: id,
         service: "svc",
