Reset the connection of an HTTP/1.0 caller whose streamed body is cut short

A caller that speaks HTTP/1.0 got a streamed body (over 1 MB) without a length that ended with an orderly close of its connection, which reads as the end of such a body.

Cause: to HTTP/1.0 a body without a length ends with its connection. When the target's body fails, pipeline destroys the response, and Node closes the connection in an orderly way unless input is unread.

Change: the connection is reset in that case. Bodies with a length, and chunked ones to HTTP/1.1, show their early end by their framing and are unchanged.

--- a/src/sidecar/ingress/CallerServer.test.ts
+++ b/src/sidecar/ingress/CallerServer.test.ts
@@ -622,3 +622,32 @@
   await sleep(50);
   t.deepEqual([memory.heldBytes[MemoryHolder.SlowCallers], server.openRequests.count], [0, 0]);
 });
+
+for (const { version, length } of [
+  { version: "1.0", length: undefined },
+  { version: "1.0", length: "100" },
+  { version: "1.1", length: undefined },
+  { version: "1.1", length: "100" },
+]) {
+  const framing = length === undefined ? "without a length" : "with a length";
+  test(`caller server: a streamed body ${framing} that is cut short does not look whole to HTTP/${version}`, async (t) => {
+    // Guards against bodies that end with their connection, whose orderly close reads as their end.
+    const { socket, dispatched, received } = await openConnection(t);
+    let isReset = false;
+    socket.once("error", () => (isReset = true));
+    socket.write(`GET /a HTTP/${version}\r\nhost: a\r\n\r\n`);
+    await eventually(() => dispatched.has("/a"));
+    const body = new PassThrough();
+    const headers = length === undefined ? {} : { "content-length": length };
+    dispatched
+      .get("/a")
+      ?.settle({ ...done(""), headers, body, ended: Promise.resolve(AttemptOutcome.Ok) });
+    body.write("the first part");
+    await eventually(() => received().includes("the first part"));
+    body.destroy(new Error("cut short"));
+    await eventually(() => socket.closed);
+    const isFramed = length !== undefined || /transfer-encoding: chunked/i.test(received());
+    t.false(received().endsWith("0\r\n\r\n"));
+    t.true(isFramed || isReset);
+  });
+}
--- a/src/sidecar/ingress/CallerServer.ts
+++ b/src/sidecar/ingress/CallerServer.ts
@@ -438,6 +438,12 @@
     if (declared !== undefined) {
       res.setHeader("content-length", declared);
     }
+    if (declared === undefined && res.req.httpVersion === "1.0") {
+      // The body ends with its connection: an orderly close would read as its end.
+      body.once("error", () => {
+        res.socket?.resetAndDestroy();
+      });
+    }
     // When the target truncates the body, pipeline also destroys the caller's connection, so
     // that the caller can see that the response is incomplete.
     pipeline(body, res, (err) => {
