--- a/src/membership/LocalTargets.ts
+++ b/src/membership/LocalTargets.ts
@@ -419,7 +419,7 @@
 
 /**
  * Whether an announcement is older than the newest one. Of a target whose draining is known from before a restart of this
- * sidecar, nothing shows that its process has ended; if it is started again, its sequence numbers begin anew.
+ * sidecar, nothing shows that its process has ended; if it is started again, its sequence numbers begin at 1 again.
  */
 function isOutdated(known: TargetEntry, sequence: number): boolean {
   if (sequence >= known.sequence) {
