--- a/src/sidecar/records/SyncedJournal.ts
+++ b/src/common/storage/SyncedJournal.ts
@@ -1,8 +1,8 @@
-import type { AsyncFile } from "../../common/storage/AsyncFile.ts";
-import type { Disk } from "../../common/storage/Disk.ts";
-import { StorageError } from "../../common/storage/StorageError.ts";
-import { systemDisk } from "../../common/storage/systemDisk.ts";
-import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
+import type { AsyncFile } from "./AsyncFile.ts";
+import type { Disk } from "./Disk.ts";
+import { StorageError } from "./StorageError.ts";
+import { systemDisk } from "./systemDisk.ts";
+import type { IDisposable } from "../lifecycle/IDisposable.ts";
 
 /** Appended to the path of a journal with corrupt lines, for the copy that is kept of it. */
 const DAMAGED_SUFFIX = ".damaged";
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -52,7 +52,7 @@
 import { RecordService } from "./records/RecordService.ts";
 import { RemoteRecordPeer } from "./records/RemoteRecordPeer.ts";
 import { RunRecords } from "./records/RunRecords.ts";
-import { SyncedJournal } from "./records/SyncedJournal.ts";
+import { SyncedJournal } from "../common/storage/SyncedJournal.ts";
 import { LocalTargetSignals } from "./signals/LocalTargetSignals.ts";
 import type { CallerRequest } from "./routing/CallerRequest.ts";
 import type { RouteMatch } from "./routing/RouteMatch.ts";
--- a/src/sidecar/records/RunRecords.test.ts
+++ b/src/sidecar/records/RunRecords.test.ts
@@ -7,7 +7,7 @@
 import { StorageError } from "../../common/storage/StorageError.ts";
 import { RunRecords } from "./RunRecords.ts";
 import type { RunRecord } from "./RunRecord.ts";
-import { SyncedJournal } from "./SyncedJournal.ts";
+import { SyncedJournal } from "../../common/storage/SyncedJournal.ts";
 
 const claimed = (attempt: string): RunRecord => ({
   state: "claimed",
--- a/src/sidecar/records/RunRecords.ts
+++ b/src/sidecar/records/RunRecords.ts
@@ -4,7 +4,7 @@
 import { recordAttempt } from "./recordAttempt.ts";
 import { RefusedKeys } from "./RefusedKeys.ts";
 import type { RunRecord } from "./RunRecord.ts";
-import type { SyncedJournal } from "./SyncedJournal.ts";
+import type { SyncedJournal } from "../../common/storage/SyncedJournal.ts";
 
 /** One line of the journal. Without a record, the key was released. */
 interface JournalEntry {
