Hold targets after a restart until their departures are proved known, and store departures on control disks

What callers saw: a target withdrew, its sidecar acknowledged that, and all processes were killed 0.2 s later.

Cause: a restarted sidecar released its targets without a proof that none had left. Three ways led there: - Two announcements of a target were enough, three for a draining one, though late ones come in numbers too. - The recovery ended once a majority of the members known so far had replied. A process that has just started knows one or two members, which never were asked to keep a copy. - A member counted if it knew an earlier incarnation, or was older by the wall clock. A member that was itself restarted learns the earlier incarnation from others, possibly without the departure, and wall clocks step. Copies were in memory only, so a loss of all processes lost them.

Change: a departure is acknowledged once a majority of the control voters have it on disk, and all but one of five sidecars hold a copy. The voters are those that the replicas themselves name, so no partial view makes a majority. A restarted sidecar holds ready targets, however often they announce themselves, until a majority of the voters, or all but one of the sidecars, have shown what they have. Both meet every acknowledged copy. A replica whose disk was lost counts after ten seconds, a sidecar only if it has been running for ten seconds longer than this one and has the same view. With neither in ten seconds, the next announcement makes a target live: nothing sent before the start is on its way any more. A process of less than ten seconds acknowledges only with a view that another member shares.

Two expectations of departureOrders.test.ts have changed, as they were the fault: that a second announcement makes a held target ready, and that a third one does so for a draining target. Both now need ten seconds since the start, or a proof.

--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -46,7 +46,18 @@
     lease: ProtoTypes["Lease"] | null;
     credit_ask: ProtoTypes["CreditAsk"] | null;
     credit: ProtoTypes["Credit"] | null;
+    departure_ask: ProtoTypes["DepartureAsk"] | null;
+    departures: ProtoTypes["DepartureReply"] | null;
+  };
+  DepartureAsk: { sidecar_id: string; departed: ProtoTypes["Departure"][] };
+  DepartureReply: {
+    replica: string;
+    voters: ProtoTypes["DepartureVoter"][];
+    group_index: number;
+    complete: boolean;
+    departed: ProtoTypes["Departure"][];
   };
+  DepartureVoter: { id: string; address: string };
   AdmissionAsk: { workspace: string; returned: boolean; can_lease: boolean };
   LeaseAsk: {
     workspace: string;
@@ -160,6 +171,7 @@
     evidence: ProtoTypes["CrashEvidence"][];
     known_evidence: number[];
     predecessor: ProtoTypes["Predecessor"] | null;
+    running_ms: number;
   };
   Members: { members: ProtoTypes["Member"][]; evidence: ProtoTypes["CrashEvidence"][] };
   CrashEvidence: {
--- a/src/common/rpc/proto/BURDOCKPASS_SCHEMA.ts
+++ b/src/common/rpc/proto/BURDOCKPASS_SCHEMA.ts
@@ -46,6 +46,23 @@
       { name: "lease", id: 11, type: "Lease" },
       { name: "credit_ask", id: 12, type: "CreditAsk" },
       { name: "credit", id: 13, type: "Credit" },
+      { name: "departure_ask", id: 14, type: "DepartureAsk" },
+      { name: "departures", id: 15, type: "DepartureReply" },
+    ],
+    DepartureAsk: [
+      { name: "sidecar_id", id: 1, type: "string" },
+      { name: "departed", id: 2, type: "Departure", repeated: true },
+    ],
+    DepartureReply: [
+      { name: "replica", id: 1, type: "string" },
+      { name: "voters", id: 2, type: "DepartureVoter", repeated: true },
+      { name: "group_index", id: 3, type: "uint64" },
+      { name: "complete", id: 4, type: "bool" },
+      { name: "departed", id: 5, type: "Departure", repeated: true },
+    ],
+    DepartureVoter: [
+      { name: "id", id: 1, type: "string" },
+      { name: "address", id: 2, type: "string" },
     ],
     LeaseAsk: [
       { name: "workspace", id: 1, type: "string" },
@@ -194,6 +211,7 @@
       { name: "evidence", id: 6, type: "CrashEvidence", repeated: true },
       { name: "known_evidence", id: 7, type: "uint32", repeated: true },
       { name: "predecessor", id: 8, type: "Predecessor" },
+      { name: "running_ms", id: 9, type: "uint64" },
     ],
     Predecessor: [
       { name: "incarnation", id: 1, type: "uint64" },
--- a/src/control/ControlRole.ts
+++ b/src/control/ControlRole.ts
@@ -1,4 +1,5 @@
 import { createServer } from "node:http";
+import { join } from "node:path";
 import * as grpc from "@grpc/grpc-js";
 import type bunyan from "bunyan";
 import { admissionCodec } from "../common/rpc/admissionCodec.ts";
@@ -18,6 +19,7 @@
 import { loadProto } from "../common/rpc/loadProto.ts";
 import { startGrpcServer } from "../common/rpc/startGrpcServer.ts";
 import type { ControlSettings } from "../common/settings/ControlSettings.ts";
+import { SyncedJournal } from "../common/storage/SyncedJournal.ts";
 import { renderMetrics } from "../common/telemetry/renderMetrics.ts";
 import { DatagramLink } from "../membership/DatagramLink.ts";
 import { EvidenceStore } from "../membership/evidence/EvidenceStore.ts";
@@ -28,6 +30,7 @@
 import { peerHandlers } from "../membership/peerHandlers.ts";
 import { TargetTable } from "../membership/TargetTable.ts";
 import { ControlMetrics } from "./ControlMetrics.ts";
+import { DepartureStore } from "./departures/DepartureStore.ts";
 import { FileReplicaStore } from "./log/FileReplicaStore.ts";
 import { GrpcReplicaLink } from "./link/GrpcReplicaLink.ts";
 import { QuotaLeases } from "./quota/QuotaLeases.ts";
@@ -68,6 +71,9 @@
   leftMs: 1000,
 };
 
+/** File name of the departures of targets in the data folder. */
+const DEPARTURES_FILE = "departures.jsonl";
+
 /** Maximum time that a stop waits for open calls, such as document watches, to end, ms. */
 const STOP_GRACE_MS = 500;
 
@@ -113,6 +119,7 @@
     const watchers = new DocumentWatchers(replica, this.#log);
     const quotas = this.#createQuotas(replica);
     const leases = this.#createLeases(quotas);
+    const departures = this.#createDepartureStore();
     const proto = loadProto();
     const peerService = proto.Peer.service;
     const link = new DatagramLink(SystemClock, () => undefined);
@@ -141,6 +148,16 @@
           ageMs: replica.inTouch ? replica.stateAgeMs : undefined,
           credit: workspace === "" ? undefined : takeCredit(workspace, can_lease),
         }),
+      onDepartureAsk: async ({ sidecar_id: sidecar, departed }) => {
+        await departures.store(sidecar, departed);
+        return {
+          replica: replica.id,
+          voters: replica.voters.map(({ id, address }) => ({ id, address })),
+          group_index: replica.groupIndex,
+          complete: departures.isComplete,
+          departed: departures.of(sidecar),
+        };
+      },
       onLeaseAsk: (ask) =>
         leaseCodec.encodeReply(leases?.ask(leaseCodec.decodeAsk(ask)) ?? LEASES_DISABLED),
       onLeaseReleased: (ask) => {
@@ -220,6 +237,21 @@
     );
   }
 
+  #createDepartureStore(): DepartureStore {
+    const { dataDir, listen } = this.#cfg;
+    const store = this.register(
+      new DepartureStore({
+        journal: new SyncedJournal(join(dataDir, DEPARTURES_FILE)),
+        // A replica that joins the group later was not sent what the first voters were.
+        isFirstStart: this.#isFirstStart && this.#initialGroup.includes(listen),
+        clock: SystemClock,
+        log: this.#log,
+      }),
+    );
+    store.open();
+    return store;
+  }
+
   #createQuotas(replica: Replica): WorkspaceQuotas {
     const { bootstrap, quotaLeases } = this.#cfg;
     const leaseTermMs = quotaLeases?.termMs ?? 0;
--- a/src/control/replica/Replica.ts
+++ b/src/control/replica/Replica.ts
@@ -181,6 +181,11 @@
     return membersOf(this.#log.group);
   }
 
+  /** Index of the log entry that {@link voters} are from; it rises with each change of the group. */
+  get groupIndex(): number {
+    return this.#log.groupIndex;
+  }
+
   /**
    * The committed document, its version, and the recently accepted change requests, as far as this replica knows: after
    * a restart the state of its last snapshot, until a leader has told what is committed. See {@link currentState}.
--- a/src/membership/DatagramLink.test.ts
+++ b/src/membership/DatagramLink.test.ts
@@ -12,6 +12,7 @@
   evidence: [],
   known_evidence: [],
   predecessor: null,
+  running_ms: 0,
 };
 
 /** A link on a free port whose handlers reply with no membership updates, and the requests that it has handled. */
--- a/src/membership/DatagramLink.ts
+++ b/src/membership/DatagramLink.ts
@@ -17,6 +17,8 @@
 type Lease = ProtoTypes["Lease"];
 type CreditAsk = ProtoTypes["CreditAsk"];
 type Credit = ProtoTypes["Credit"];
+type DepartureAsk = ProtoTypes["DepartureAsk"];
+type DepartureReply = ProtoTypes["DepartureReply"];
 
 /** A request without a reply is resent once after this long, ms, since datagrams get lost. */
 const RESEND_AFTER_MS = 120;
@@ -30,6 +32,9 @@
 /** Timeout of a request for a confirmation or a credit, ms; the sender asks other members meanwhile. */
 const ADMISSION_TIMEOUT_MS = 300;
 
+/** Timeout of a request for departures, ms: longer than a control replica's disk usually takes to store some. */
+const DEPARTURE_TIMEOUT_MS = 400;
+
 /** Handlers for the requests and messages of other members. */
 export interface DatagramHandlers {
   /** Handles a probe and the gossip that it carries; returns the reply. */
@@ -52,6 +57,8 @@
   onCreditAsk?(ask: CreditAsk): Promise<Credit>;
   /** Takes back a credit of a quota holder that was not used. */
   onLeasedCreditReturned?(ask: CreditAsk): void;
+  /** Stores departures, and replies with all of that sidecar once they are on disk; rejects if they can't be stored. */
+  onDepartureAsk?(ask: DepartureAsk): Promise<DepartureReply>;
 }
 
 /** A request that waits for its reply. */
@@ -74,6 +81,8 @@
   lease: null,
   credit_ask: null,
   credit: null,
+  departure_ask: null,
+  departures: null,
 };
 
 /**
@@ -197,6 +206,16 @@
     this.#send(datagramCodec.encode({ ...EMPTY_DATAGRAM, id: 0, credit_ask }), address);
   }
 
+  /** Stores departures at the control replica at `address`, and asks for those that it has; rejects when it does not reply in time. */
+  async askDepartures(address: string, departure_ask: DepartureAsk): Promise<DepartureReply> {
+    const message = { ...EMPTY_DATAGRAM, departure_ask };
+    const { departures } = await this.#request(address, message, DEPARTURE_TIMEOUT_MS);
+    if (!departures) {
+      throw new Error("reply without departures");
+    }
+    return departures;
+  }
+
   /** Closes the socket; pending and later requests are rejected. */
   dispose(): void {
     if (this.#closed) {
@@ -247,7 +266,7 @@
     if (!message) {
       return; // Not a datagram of this protocol.
     }
-    const { id, answer, reached, gate, admission, lease, credit } = message;
+    const { id, answer, reached, gate, admission, lease, credit, departures } = message;
     const { admission_ask: ask, lease_ask: leaseAsk, credit_ask: creditAsk } = message;
     if (gate) {
       this.#handlers?.onGate?.(gate, from);
@@ -257,7 +276,7 @@
       this.#handlers?.onLeaseReleased?.(leaseAsk);
     } else if (creditAsk && creditAsk.returned !== "") {
       this.#handlers?.onLeasedCreditReturned?.(creditAsk);
-    } else if (answer || reached || admission || lease || credit) {
+    } else if (answer || reached || admission || lease || credit || departures) {
       this.#pending.get(id)?.complete(message);
     } else {
       this.#receiveRequest(message, from);
@@ -288,6 +307,13 @@
       }
     } else if (request.lease_ask ?? request.credit_ask) {
       this.#handleQuota(request, from);
+    } else if (request.departure_ask) {
+      this.#handlers?.onDepartureAsk?.(request.departure_ask).then(
+        (departures) => {
+          this.#reply(from, { id, departures });
+        },
+        () => undefined, // No reply is sent, so the requester asks again.
+      );
     } else if (target !== "") {
       this.#handlers?.onProbeFor(target).then(
         () => {
--- a/src/membership/LocalTargets.ts
+++ b/src/membership/LocalTargets.ts
@@ -1,6 +1,7 @@
 import type { ProtoTypes } from "../common/rpc/ProtoTypes.ts";
 import { TargetId } from "../common/ids/TargetId.ts";
 import type { AnnouncedTarget } from "./AnnouncedTarget.ts";
+import { MAX_ANNOUNCEMENT_DELAY_MS } from "./departures/MAX_ANNOUNCEMENT_DELAY_MS.ts";
 import type { TargetInfo } from "./TargetInfo.ts";
 import { TargetState } from "./TargetState.ts";
 
@@ -34,7 +35,7 @@
    * was withdrawn. `held`: it may have left before this sidecar was restarted; see {@link LocalTargets.beginRecovery}.
    */
   state: "here" | "replaced" | "left" | "held";
-  /** Announcements received since it was replaced, withdrawn or held. */
+  /** Announcements received since it was replaced or withdrawn. */
   repeats: number;
   /** That it has withdrawn or announces itself as draining; undefined while it does neither. */
   departure: (Pick<Departure, "sequence" | "left"> & { readonly at: number }) | undefined;
@@ -50,12 +51,12 @@
 /** Identifies an incarnation of a target. */
 type TargetRef = Pick<TargetInfo, "id" | "born">;
 
-/** A replaced or held target is live after this many new announcements, since a single one may have been delayed. */
+/** A replaced target is live after this many new announcements, since a single one may have been delayed. */
 const RETURN_AFTER_REPEATS = 2;
 
 /**
- * A target that was withdrawn without its start time, or of which only its draining is known, is considered restarted
- * after this many announcements, since two may have been in flight when it left.
+ * A target that was withdrawn without its start time is considered restarted after this many announcements with one,
+ * since two may have been in flight when it left.
  */
 const RESTART_AFTER_REPEATS = 3;
 
@@ -67,12 +68,14 @@
  * was taken by another one must announce itself twice to be live again.
  *
  * A restarted sidecar does not know which targets have left before. It therefore holds targets that announce themselves as
- * ready until other members have returned what its earlier incarnation published: see docs/design/departures.md.
+ * ready, however often, until other members have shown which departures its earlier incarnations have acknowledged, or
+ * until no announcement from before its start can be on its way any more: see docs/design/departures.md.
  */
 export class LocalTargets {
   readonly #now: () => number;
   readonly #timeoutMs: number;
   readonly #known = new Map<string, TargetEntry>();
+  readonly #startedAt: number;
   #isRecovering = false;
 
   /**
@@ -82,6 +85,7 @@
   constructor(now: () => number, timeoutMs: number) {
     this.#now = now;
     this.#timeoutMs = timeoutMs;
+    this.#startedAt = now();
   }
 
   /** Whether it is still unknown which targets have left before this sidecar was restarted. */
@@ -89,15 +93,30 @@
     return this.#isRecovering;
   }
 
-  /**
-   * Holds targets that announce themselves as ready until {@link endRecovery}, or until they have done so twice: a
-   * single announcement may be a delayed one of a target that has left before this sidecar was restarted.
-   */
+  /** Time since this process was started, without times in which it was stalled, ms. */
+  get runningMs(): number {
+    return this.#now() - this.#startedAt;
+  }
+
+  /** Holds targets that announce themselves as ready until {@link endRecovery} or {@link expireRecovery}. */
   beginRecovery(): void {
     this.#isRecovering = true;
   }
 
-  /** Makes the held targets live. */
+  /**
+   * Ends the recovery without knowledge of the departures before the start, once {@link MAX_ANNOUNCEMENT_DELAY_MS} have
+   * passed. A held target may be one that has left, so only its next announcement makes it live.
+   */
+  expireRecovery(): void {
+    this.#isRecovering = false;
+    for (const [id, { state }] of this.#known) {
+      if (state === "held") {
+        this.#known.delete(id);
+      }
+    }
+  }
+
+  /** Makes the held targets live: all departures that were acknowledged before the start are known. */
   endRecovery(): void {
     this.#isRecovering = false;
     for (const known of this.#known.values()) {
@@ -115,7 +134,11 @@
     if (known && !isSameIncarnation && this.#isOlderIncarnation(target, known)) {
       return false;
     }
-    if (known && isSameIncarnation && (known.state === "left" || isOutdated(known, sequence))) {
+    if (
+      known &&
+      isSameIncarnation &&
+      (known.state === "left" || this.#isOutdated(known, sequence))
+    ) {
       return false;
     }
     const isUnconfirmed =
@@ -136,8 +159,8 @@
       leavingAt,
       resumed,
     };
-    if (this.#mustHold(target, sequence, same)) {
-      this.#store(target.target_id, { ...entry, state: "held", repeats: 1 });
+    if (this.#mustHold(target, same)) {
+      this.#store(target.target_id, { ...entry, state: "held", repeats: 0 });
       return false;
     }
     this.#replaceOthersAt(target);
@@ -324,15 +347,20 @@
   }
 
   /** Whether a target that announces itself may be one that has left before this sidecar was restarted. */
-  #mustHold({ state }: AnnouncedTarget, sequence: number, same: TargetEntry | undefined): boolean {
-    if (!this.#isRecovering || state === (TargetState.Draining as string)) {
-      return false;
-    }
-    if (same?.state !== "held") {
-      return same === undefined;
-    }
-    const isRepeated = sequence > same.sequence || sequence === 0;
-    return !isRepeated || same.repeats + 1 < RETURN_AFTER_REPEATS;
+  #mustHold({ state }: AnnouncedTarget, same: TargetEntry | undefined): boolean {
+    const isDraining = state === (TargetState.Draining as string);
+    return this.#isRecovering && !isDraining && (!same || same.state === "held");
+  }
+
+  /**
+   * Whether an announcement is older than the newest one. Of a target whose draining is known from before a restart of
+   * this sidecar, nothing shows that its process has ended; if it is started again, its sequence numbers begin at 1 again.
+   */
+  #isOutdated(known: TargetEntry, sequence: number): boolean {
+    const isFromBefore = known.target === undefined;
+    return (
+      sequence < known.sequence && !(isFromBefore && this.runningMs >= MAX_ANNOUNCEMENT_DELAY_MS)
+    );
   }
 
   #isFresh({ announcedAt }: TargetEntry): boolean {
@@ -416,14 +444,3 @@
 function isUnconfirmedRestart(known: TargetEntry): boolean {
   return known.state === "left" && known.born === 0 && ++known.repeats < RESTART_AFTER_REPEATS;
 }
-
-/**
- * Whether an announcement is older than the newest one. Of a target whose draining is known from before a restart of this
- * sidecar, nothing shows that its process has ended; if it is started again, its sequence numbers begin at 1 again.
- */
-function isOutdated(known: TargetEntry, sequence: number): boolean {
-  if (sequence >= known.sequence) {
-    return false;
-  }
-  return known.target !== undefined || ++known.repeats < RESTART_AFTER_REPEATS;
-}
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -198,12 +198,13 @@
     const theirs = new Set(gossip.members.map((m) => m.sidecar_id));
     const known_evidence = this.#evidence.receive(gossip.evidence);
     const evidence = this.#evidence.take(gossip.evidence);
-    const predecessor = this.#deps.table.predecessorOf(gossip.sender);
+    const { table } = this.#deps;
     return this.#message(this.#entriesToSend(stale, theirs), {
       known,
       evidence,
       known_evidence,
-      predecessor,
+      predecessor: table.predecessorOf(gossip.sender),
+      running_ms: theirs.has(gossip.sender) ? Math.floor(table.runningMs) : 0,
     });
   }
 
@@ -456,13 +457,16 @@
       evidence = [],
       known_evidence = [],
       predecessor = null,
-    }: Partial<Pick<GossipMessage, "known" | "evidence" | "known_evidence" | "predecessor">> = {},
+      running_ms = 0,
+    }: Partial<
+      Pick<GossipMessage, "known" | "evidence" | "known_evidence" | "predecessor" | "running_ms">
+    > = {},
   ): GossipMessage {
     const { table, documents } = this.#deps;
     const { selfId: sender, checksum } = table;
     const config_version = documents.version;
     const gossip = { sender, members, checksum, config_version };
-    return { ...gossip, known, evidence, known_evidence, predecessor };
+    return { ...gossip, known, evidence, known_evidence, predecessor, running_ms };
   }
 
   /** This member's whole view. */
--- a/src/membership/TargetTable.ts
+++ b/src/membership/TargetTable.ts
@@ -166,11 +166,21 @@
     this.#indexOwn();
   }
 
-  /** Holds local targets that announce themselves as ready until {@link endRecovery}; see {@link LocalTargets}. */
+  /** Holds local targets that announce themselves as ready until the recovery ends; see {@link LocalTargets}. */
   beginRecovery(): void {
     this.#local.beginRecovery();
   }
 
+  /** Ends the recovery after its longest time; see {@link LocalTargets.expireRecovery}. */
+  expireRecovery(): void {
+    this.#local.expireRecovery();
+  }
+
+  /** Time since this process was started, without times in which it was stalled, ms. */
+  get runningMs(): number {
+    return this.#local.runningMs;
+  }
+
   /** Makes the held local targets live. */
   endRecovery(): void {
     this.#local.endRecovery();
--- a/src/membership/departures/departureOrders.test.ts
+++ b/src/membership/departures/departureOrders.test.ts
@@ -4,12 +4,14 @@
 import { ZoneName } from "../../common/ids/ZoneName.ts";
 import { TargetState } from "../TargetState.ts";
 import { TargetTable } from "../TargetTable.ts";
+import { MAX_ANNOUNCEMENT_DELAY_MS } from "./MAX_ANNOUNCEMENT_DELAY_MS.ts";
 
 /**
  * `ready`: an announcement that was sent before the target left, or by a sound target. `restart`: the sidecar is killed and
- * started again. `contact`: the other member gets the sidecar's entry, and replies.
+ * started again. `contact`: the other member gets the sidecar's entry, and replies. `wait`: announcements from before the
+ * departure can no longer be on their way.
  */
-type Event = "ready" | "restart" | "contact";
+type Event = "ready" | "restart" | "contact" | "wait";
 
 /** A sidecar that can be restarted, and another member, on a fake clock. */
 class Pair {
@@ -37,6 +39,10 @@
         this.copy();
         this.#table.restoreDepartures(this.#witness.predecessorOf("self")?.departed ?? []);
         this.#table.endRecovery();
+        return;
+      case "wait":
+        this.#now += MAX_ANNOUNCEMENT_DELAY_MS;
+        this.#table.expireRecovery();
     }
   }
 
@@ -96,11 +102,14 @@
 
 for (const { name, leave } of departures) {
   for (const born of [0, 700]) {
-    const title = `acknowledged ${name} ${born > 0 ? "with" : "without"} a start time: no order of a late announcement`;
+    const title = `acknowledged ${name} ${born > 0 ? "with" : "without"} a start time: no order of late announcements`;
     test(`${title}, restarts and contacts makes the target ready again`, (t) => {
       // Guards against departures that only the process knows which has acknowledged them.
-      const orders = ordersOf(["ready", "restart", "contact", "restart", "contact"]);
-      t.true(orders.length > 10);
+      const orders = [
+        ...ordersOf(["ready", "restart", "contact", "restart", "contact"]),
+        ...ordersOf(["ready", "ready", "ready", "restart", "contact", "restart"]),
+      ];
+      t.true(orders.length > 60);
       for (const order of orders) {
         const pair = new Pair(born);
         pair.apply("ready");
@@ -118,7 +127,9 @@
 for (const { events, readyAfter } of [
   { events: "restart contact ready", readyAfter: 2 },
   { events: "restart ready contact", readyAfter: 2 },
-  { events: "restart ready ready", readyAfter: 2 },
+  { events: "restart ready ready contact", readyAfter: 3 },
+  { events: "restart wait ready", readyAfter: 2 },
+  { events: "restart ready wait ready", readyAfter: 3 },
   { events: "restart restart contact ready", readyAfter: 3 },
 ]) {
   test(`sound target after ${events}: it is ready at once`, (t) => {
@@ -144,7 +155,9 @@
   pair.apply("contact");
   pair.apply("ready");
   pair.apply("ready");
+  pair.apply("ready");
   t.false(pair.isReady);
+  pair.apply("wait");
   pair.apply("ready");
   t.true(pair.isReady);
 });
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -194,6 +194,11 @@
     const targetSide = this.register(
       new TargetSide({
         quarantine,
+        departureControl: {
+          addresses: () => this.#possibleControlAddresses(table),
+          ask: (address, departed) =>
+            link.askDepartures(address, { sidecar_id: cfg.id, departed: [...departed] }),
+        },
         isStarting: () => this.#isStarting,
         cfg,
         table,
@@ -376,6 +381,17 @@
     return [...members, ...others.map((address) => ({ address, zone: undefined }))];
   }
 
+  /** Addresses of known control replicas, and of seeds, which may be some: before it joins, a sidecar knows no others. */
+  #possibleControlAddresses(table: TargetTable): string[] {
+    const { control, seeds } = this.#cfg;
+    const known = table.controlReplicas().map((c) => c.address);
+    const isSidecar = new Set(
+      table.liveMembers().flatMap((m) => (m.control ? [] : [m.peer_address])),
+    );
+    const addresses = [...known, ...control, ...seeds].filter((a) => a !== table.selfAddress);
+    return [...new Set(addresses)].filter((address) => !isSidecar.has(address));
+  }
+
   #status(
     table: TargetTable,
     configFollower: ConfigFollower,
--- a/src/sidecar/TargetSide.ts
+++ b/src/sidecar/TargetSide.ts
@@ -39,7 +39,9 @@
 import { TargetGates } from "./gate/TargetGates.ts";
 import { TargetRunner } from "./gate/TargetRunner.ts";
 import { chooseDepartureHolders } from "./departures/chooseDepartureHolders.ts";
+import type { DepartureControl } from "./departures/DepartureControl.ts";
 import { DepartureCopies } from "./departures/DepartureCopies.ts";
+import type { DepartureHolder } from "./departures/DepartureHolder.ts";
 import { DepartureRecovery } from "./departures/DepartureRecovery.ts";
 import { sendRecordCopies } from "./records/sendRecordCopies.ts";
 import { RECORD_GROUP_SIZE } from "./records/RECORD_GROUP_SIZE.ts";
@@ -89,6 +91,8 @@
   readonly memory: MemoryAccount;
   /** Knows the requests that crash the targets that run them. */
   readonly quarantine: Quarantine;
+  /** The control replicas, which store the departures of local targets. */
+  readonly departureControl: DepartureControl;
   /** Whether this sidecar has started recently, and may not know all members yet. */
   readonly isStarting: () => boolean;
   /** Sends a datagram, which may be lost. */
@@ -217,7 +221,10 @@
     );
     this.register(every(UNUSED_CHECK_INTERVAL_MS, () => void signals.checkUnused()));
     this.#startHandover();
-    this.#departureCopies = new DepartureCopies(this.#departureDeps());
+    this.#departureCopies = new DepartureCopies({
+      ...this.#departureDeps(),
+      holders: () => this.#departureHolders(table.liveMembers()),
+    });
   }
 
   announce(...args: Parameters<TargetAnnouncements["announce"]>): string | undefined {
@@ -256,9 +263,12 @@
    * any.
    */
   startRecovery(): void {
+    const { table } = this.#deps;
     const deps = this.#departureDeps();
-    if (deps.hasPeers()) {
-      this.register(new DepartureRecovery(deps)).start();
+    if (deps.hasPeers() || deps.control.addresses().length > 0) {
+      const holders = () =>
+        this.#departureHolders([...table.liveMembers(), ...table.goneMembers()]);
+      this.register(new DepartureRecovery({ ...deps, holders })).start();
     }
   }
 
@@ -351,10 +361,10 @@
   }
 
   #departureDeps() {
-    const { cfg, table, membership, clock, log } = this.#deps;
+    const { cfg, table, departureControl: control, clock, log } = this.#deps;
     return {
       table,
-      holders: () => chooseDepartureHolders(table, membership),
+      control,
       hasPeers: () => cfg.seeds.some((seed) => seed !== table.selfAddress),
       onTargetsChanged: () => {
         this.#onTargetsChanged();
@@ -364,6 +374,13 @@
     };
   }
 
+  /** Control replicas are left out, as they store all departures. */
+  #departureHolders(members: readonly ProtoTypes["Member"][]): DepartureHolder[] {
+    const { table, membership } = this.#deps;
+    const sidecars = members.filter((m) => !m.control);
+    return chooseDepartureHolders(table.selfId, sidecars, membership);
+  }
+
   #createDetector(target: TargetInfo): HealthDetector {
     const { cfg, clock, log, metrics } = this.#deps;
     if (cfg.policy === "naive") {
--- a/src/sidecar/departures/DepartureHolder.ts
+++ b/src/sidecar/departures/DepartureHolder.ts
@@ -3,8 +3,6 @@
 /** A member that keeps copies of the departures of this sidecar's targets. */
 export interface DepartureHolder {
   readonly id: string;
-  /** Start time of its process by its wall clock, ms. */
-  readonly incarnation: number;
   /** Sends it this sidecar's own entry; rejects if it does not reply in time. */
-  readonly send: () => Promise<Pick<ProtoTypes["News"], "predecessor">>;
+  readonly send: () => Promise<Pick<ProtoTypes["News"], "checksum" | "running_ms">>;
 }
--- a/src/sidecar/departures/DepartureRecovery.test.ts
+++ b/src/sidecar/departures/DepartureRecovery.test.ts
@@ -1,88 +1,129 @@
 import test from "ava";
 import bunyan from "bunyan";
-import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
+import type { Clock } from "../../common/lifecycle/Clock.ts";
 import { DepartureRecovery } from "./DepartureRecovery.ts";
 
 const log = bunyan.createLogger({ name: "test", level: "fatal" });
 
-/** Start time of the recovering sidecar, ms. */
-const STARTED_AT = 100_000;
+const DEPARTURE = { target_id: "t", born: 0, sequence: 0, left: true };
+
+const NEVER: Clock = {
+  now: () => 0,
+  after: () => ({ cancel: () => undefined }),
+  timeout: () => ({ cancel: () => undefined }),
+};
 
 interface Holder {
-  /** It has returned the entry of an earlier incarnation. */
-  readonly knowsPredecessor?: boolean;
-  /** Time for which it has been running, ms. */
-  readonly ageMs?: number;
+  /** Time for which its process has been running, ms; this sidecar's runs for one second. */
+  readonly runningMs?: number;
+  readonly hasSameView?: boolean;
   readonly isDown?: boolean;
 }
 
-const witness: Holder = { knowsPredecessor: true };
-const restarted: Holder = { ageMs: 500 };
-const old: Holder = { ageMs: 60_000 };
-const down: Holder = { isDown: true };
+/** A control replica; one that lost its disk lately is not complete. */
+interface Voter {
+  readonly isComplete?: boolean;
+  readonly isDown?: boolean;
+  readonly hasDeparture?: boolean;
+}
+
+type State = "held" | "released" | "expired";
+
+const old: Holder = { runningMs: 11_000, hasSameView: true };
+const restarted: Holder = { runningMs: 1500, hasSameView: true };
+const elsewhere: Holder = { runningMs: 60_000, hasSameView: false };
+const downHolder: Holder = { isDown: true };
+const complete: Voter = { isComplete: true };
+const wiped: Voter = { isComplete: false };
+const down: Voter = { isDown: true };
 
 const cases: readonly {
   name: string;
-  holders: readonly Holder[];
-  /** Time since the start, ms. */
-  elapsedMs?: number;
-  ends: boolean;
+  holders?: readonly Holder[];
+  voters?: readonly Voter[];
+  runningMs?: number;
+  expected: State;
 }[] = [
-  { name: "a majority of witnesses", holders: [witness, witness, witness, down, down], ends: true },
-  { name: "old members that never knew it", holders: [old, old, old], ends: true },
-  { name: "too few witnesses", holders: [witness, witness, down, down], ends: false },
   {
-    name: "members that were restarted with it",
-    holders: [witness, restarted, restarted],
-    ends: false,
+    name: "a majority of the control replicas",
+    voters: [complete, complete, down],
+    expected: "released",
+  },
+  { name: "one of three control replicas", voters: [complete, down, down], expected: "held" },
+  {
+    name: "control replicas that lost their disks",
+    voters: [complete, wiped, wiped],
+    expected: "held",
+  },
+  { name: "all holders but one", holders: [old, old, old, old, downHolder], expected: "released" },
+  {
+    name: "a majority of the holders",
+    holders: [old, old, old, downHolder, downHolder],
+    expected: "held",
   },
-  { name: "no member yet", holders: [], ends: false },
   {
-    name: "no witness in ten seconds",
-    holders: [restarted, down, down],
-    elapsedMs: 10_000,
-    ends: true,
+    name: "holders that were restarted too",
+    holders: [old, old, old, restarted, restarted],
+    expected: "held",
+  },
+  {
+    name: "the only member known so far, with another view",
+    holders: [elsewhere],
+    expected: "held",
+  },
+  { name: "no member yet", expected: "held" },
+  {
+    name: "nobody in ten seconds",
+    holders: [downHolder],
+    voters: [down],
+    runningMs: 10_000,
+    expected: "expired",
   },
 ];
 
-for (const { name, holders, elapsedMs = 0, ends } of cases) {
-  test(`departure recovery: ${name}: targets are ${ends ? "no longer" : "still"} held`, async (t) => {
-    // Guards against trust in members that have lost their copies, and against targets that are held for ever.
-    let isRecovering = true;
-    const clock = { at: 0 };
+for (const { name, holders = [], voters = [], runningMs = 1000, expected } of cases) {
+  test(`departure recovery: ${name}: targets are ${expected}`, async (t) => {
+    // Guards against trust in members that never had a copy, or have lost it, and against targets that are held for ever.
+    const targets: { state: State } = { state: "held" };
+    const group = voters.map((_, n) => ({ id: `c${n}`, address: `c${n}` }));
     const recovery = new DepartureRecovery({
       table: {
         beginRecovery: () => undefined,
-        endRecovery: () => {
-          isRecovering = false;
-        },
+        endRecovery: () => (targets.state = "released"),
+        expireRecovery: () => (targets.state = "expired"),
         get isRecovering() {
-          return isRecovering;
+          return targets.state === "held";
         },
+        restoreDepartures: () => false,
         departed: () => [],
-        own: { incarnation: STARTED_AT } as ProtoTypes["Member"],
+        checksum: 1,
+        runningMs,
+      },
+      control: {
+        addresses: () => group.slice(0, 1).map((v) => v.address),
+        ask: (address) => {
+          const { isComplete = false, isDown } = voters[Number(address.slice(1))] ?? {};
+          const reply = { replica: address, voters: group, group_index: 1, complete: isComplete };
+          return isDown
+            ? Promise.reject(new Error("unreachable"))
+            : Promise.resolve({ ...reply, departed: [DEPARTURE] });
+        },
       },
       holders: () =>
-        holders.map(({ knowsPredecessor, ageMs = 0, isDown }, n) => ({
+        holders.map(({ isDown, hasSameView, runningMs: running_ms = 0 }, n) => ({
           id: `s${n}`,
-          incarnation: STARTED_AT - ageMs,
           send: () =>
             isDown
               ? Promise.reject(new Error("unreachable"))
-              : Promise.resolve({
-                  predecessor: knowsPredecessor ? { incarnation: 1, departed: [] } : null,
-                }),
+              : Promise.resolve({ checksum: hasSameView ? 1 : 2, running_ms }),
         })),
       onTargetsChanged: () => undefined,
-      clock: {
-        now: () => clock.at,
-        after: () => ({ cancel: () => undefined }),
-        timeout: () => ({ cancel: () => undefined }),
-      },
+      clock: NEVER,
       log,
     });
-    clock.at = elapsedMs;
+    void recovery.askControl();
+    await new Promise((resolve) => setImmediate(resolve));
     await recovery.step();
-    t.is(!isRecovering, ends);
+    t.is(targets.state, expected);
   });
 }
--- a/src/sidecar/departures/DepartureRecovery.ts
+++ b/src/sidecar/departures/DepartureRecovery.ts
@@ -2,114 +2,124 @@
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import { Disposable } from "../../common/lifecycle/Disposable.ts";
 import { every } from "../../common/lifecycle/every.ts";
+import { MAX_ANNOUNCEMENT_DELAY_MS } from "../../membership/departures/MAX_ANNOUNCEMENT_DELAY_MS.ts";
 import type { TargetTable } from "../../membership/TargetTable.ts";
+import { claimQuorum } from "../records/claimQuorum.ts";
+import { askVoters } from "./askVoters.ts";
+import type { DepartureControl } from "./DepartureControl.ts";
 import type { DepartureHolder } from "./DepartureHolder.ts";
 
-/** Interval at which holders that have not replied are asked, ms. */
-const ASK_INTERVAL_MS = 100;
-
-/**
- * Time after which the recovery ends without enough replies, ms. Targets that announce themselves repeatedly have not
- * waited for it; announcements are not expected to be delayed for longer.
- */
-const MAX_RECOVERY_MS = 10_000;
-
-/**
- * A holder that does not know this sidecar's earlier incarnation shows that there was none if its process is older than
- * this one by this time, ms. It may otherwise have been restarted at the same time, and have lost its copies.
- */
-const MIN_HOLDER_AGE_MS = 10_000;
+/** Interval at which holders that are not yet witnesses are asked, ms. */
+const ASK_INTERVAL_MS = 200;
 
 interface DepartureRecoveryDeps {
   readonly table: Pick<
     TargetTable,
-    "beginRecovery" | "endRecovery" | "isRecovering" | "departed" | "own"
+    | "beginRecovery"
+    | "endRecovery"
+    | "expireRecovery"
+    | "isRecovering"
+    | "runningMs"
+    | "restoreDepartures"
+    | "departed"
+    | "checksum"
   >;
-  /** The members that hold this sidecar's departures, among those known so far. */
+  readonly control: DepartureControl;
+  /** The members that hold this sidecar's departures, dead ones included, among those known so far. */
   readonly holders: () => readonly DepartureHolder[];
-  /** Called when held targets may have become live. */
+  /** Called when held targets may have become live, or departures were restored. */
   readonly onTargetsChanged: () => void;
   readonly clock: Clock;
   readonly log: bunyan;
 }
 
 /**
- * Recovers, after a start, the departures of local targets that this sidecar's earlier incarnation has acknowledged. They
- * come with the replies of the members that hold them (see Membership); this class asks those until a majority has
- * replied. Until then, local targets are held.
+ * Recovers, after a start, the departures of local targets that this sidecar's earlier incarnations have acknowledged. Each
+ * was stored by a majority of the control replicas, and copied to all but one of a group of members. So the recovery ends
+ * once either a majority of the control replicas, or all but one of the group, have shown what they have. If neither
+ * can be reached, it ends when no announcement from before the start can be on its way any more.
  */
 export class DepartureRecovery extends Disposable {
   readonly #deps: DepartureRecoveryDeps;
-  readonly #startedAt: number;
-  /** The holders that have replied or are being asked. */
+  /** Holders that are being asked. */
   readonly #asked = new Set<string>();
-  /** The holders whose replies contained all departures that they were ever sent. */
+  /** Holders that have had every copy that matters since before this process was started. */
   readonly #witnesses = new Set<string>();
 
   constructor(deps: DepartureRecoveryDeps) {
     super();
     this.#deps = deps;
-    this.#startedAt = deps.clock.now();
   }
 
   start(): void {
     this.#deps.table.beginRecovery();
+    void this.askControl();
     this.register(every(ASK_INTERVAL_MS, () => void this.step()));
   }
 
-  /** Asks the holders that have not replied yet; ends the recovery once a majority are witnesses, or after its time. */
+  /** Asks the control replicas until a majority have replied. */
+  async askControl(): Promise<void> {
+    const { table, control, clock, onTargetsChanged } = this.#deps;
+    const hasMajority = await askVoters({
+      addresses: control.addresses,
+      ask: (address) => control.ask(address, []),
+      counts: (reply) => reply.complete,
+      onReply: ({ departed }) => {
+        if (table.restoreDepartures(departed)) {
+          onTargetsChanged();
+        }
+      },
+      isCancelled: () => this.isDisposed || !table.isRecovering,
+      timeoutMs: MAX_ANNOUNCEMENT_DELAY_MS,
+      clock,
+    });
+    if (hasMajority && table.isRecovering) {
+      this.#end("control");
+    }
+  }
+
+  /** Asks the holders that are not yet witnesses; ends the recovery once enough are, or after its longest time. */
   async step(): Promise<void> {
-    const { table, holders } = this.#deps;
+    const { table, holders, log } = this.#deps;
     if (!table.isRecovering) {
       return;
     }
-    if (this.#elapsedMs >= MAX_RECOVERY_MS) {
-      this.#end(0);
+    if (table.runningMs >= MAX_ANNOUNCEMENT_DELAY_MS) {
+      log.warn(
+        "departures from before the start are unknown; targets are held until they announce again",
+      );
+      table.expireRecovery();
       return;
     }
-    const due = holders().filter((h) => !this.#asked.has(keyOf(h)));
+    const due = holders().filter(({ id }) => !this.#asked.has(id) && !this.#witnesses.has(id));
     await Promise.all(due.map((h) => this.#ask(h)));
   }
 
   async #ask(holder: DepartureHolder): Promise<void> {
-    const key = keyOf(holder);
-    this.#asked.add(key);
+    const { table } = this.#deps;
+    this.#asked.add(holder.id);
     try {
-      const { predecessor } = await holder.send();
-      if (predecessor !== null || this.#isOlderThanThis(holder)) {
-        this.#witnesses.add(key);
+      const { checksum, running_ms: runningMs } = await holder.send();
+      // With equal views, the group is the one that it would choose too.
+      if (checksum === table.checksum && runningMs >= table.runningMs + MAX_ANNOUNCEMENT_DELAY_MS) {
+        this.#witnesses.add(holder.id);
       }
     } catch {
-      this.#asked.delete(key); // It has not replied; it is asked again.
+      // It has not replied; it is asked again.
     }
-    this.#endIfComplete();
-  }
-
-  #endIfComplete(): void {
+    this.#asked.delete(holder.id);
     const group = this.#deps.holders();
-    const witnesses = group.filter((h) => this.#witnesses.has(keyOf(h)));
-    if (this.#deps.table.isRecovering && witnesses.length > group.length / 2) {
-      this.#end(witnesses.length);
+    const count = group.filter((h) => this.#witnesses.has(h.id)).length;
+    if (table.isRecovering && count > 0 && count >= claimQuorum(group.length)) {
+      this.#end("members");
     }
   }
 
-  #isOlderThanThis({ incarnation }: DepartureHolder): boolean {
-    return incarnation <= this.#deps.table.own.incarnation - MIN_HOLDER_AGE_MS;
-  }
-
-  #end(witnesses: number): void {
+  #end(by: "control" | "members"): void {
     const { table, onTargetsChanged, log } = this.#deps;
-    const ms = Math.round(this.#elapsedMs);
-    log.info({ departed: table.departed(), witnesses, ms }, "departures recovered");
+    const ms = Math.round(table.runningMs);
+    log.info({ departed: table.departed(), by, ms }, "departures recovered");
     table.endRecovery();
     onTargetsChanged();
   }
-
-  get #elapsedMs(): number {
-    return this.#deps.clock.now() - this.#startedAt;
-  }
-}
-
-function keyOf({ id, incarnation }: DepartureHolder): string {
-  return `${id}@${incarnation}`;
 }
--- a/test/departures.test.ts
+++ b/test/departures.test.ts
@@ -43,45 +43,115 @@
 
 type Guest = Awaited<ReturnType<typeof startGuest>>;
 
-const cases: readonly { name: string; leave: (guest: Guest) => Promise<number> }[] = [
-  { name: "withdrawn", leave: (guest) => guest.withdraw() },
-  { name: "draining", leave: (guest) => guest.announce("draining", 9) },
+/** Kills processes of the fleet right after the acknowledgement, and starts them again; resolves once the sidecar runs. */
+type Disruption = (fleet: LocalFleet) => Promise<void>;
+
+const restartSidecar: Disruption = async (fleet) => {
+  await fleet.killSidecar("avail-0");
+  await fleet.restartSidecar("avail-0");
+};
+
+/** The control replicas are away until long after the late announcements. */
+const restartSidecarWithoutControl: Disruption = async (fleet) => {
+  const controls = [...fleet.controls.keys()];
+  await Promise.all([...controls.map((id) => fleet.killControl(id)), fleet.killSidecar("avail-0")]);
+  await fleet.restartSidecar("avail-0");
+};
+
+const restartAll: Disruption = async (fleet) => {
+  const controls = [...fleet.controls.keys()];
+  await Promise.all([
+    ...controls.map((id) => fleet.killControl(id)),
+    ...IDS.map((id) => fleet.killSidecar(id)),
+  ]);
+  await Promise.all([
+    ...controls.map((id) => fleet.restartControl(id)),
+    ...IDS.map((id) => fleet.restartSidecar(id)),
+  ]);
+};
+
+const withdraw = (guest: Guest) => guest.withdraw();
+const drain = (guest: Guest) => guest.announce("draining", 9);
+
+const cases: readonly {
+  name: string;
+  leave: (guest: Guest) => Promise<number>;
+  disrupt: Disruption;
+  /** Announcements from before the departure that arrive after the start, 100 ms apart. */
+  late: number;
+}[] = [
+  {
+    name: "a withdrawn target gets no requests after its sidecar was killed and an announcement arrives late",
+    leave: withdraw,
+    disrupt: restartSidecar,
+    late: 1,
+  },
+  {
+    name: "a draining target gets no requests after its sidecar was killed and an announcement arrives late",
+    leave: drain,
+    disrupt: restartSidecar,
+    late: 1,
+  },
+  {
+    name: "a draining target gets no requests after its sidecar was killed and several announcements arrive late",
+    leave: drain,
+    disrupt: restartSidecar,
+    late: 4,
+  },
+  {
+    name: "a withdrawn target gets no requests after its sidecar and all control replicas were killed and several announcements arrive late",
+    leave: withdraw,
+    disrupt: restartSidecarWithoutControl,
+    late: 3,
+  },
+  {
+    name: "a withdrawn target gets no requests after all processes were killed and several announcements arrive late",
+    leave: withdraw,
+    disrupt: restartAll,
+    late: 3,
+  },
+  {
+    name: "a draining target gets no requests after all processes were killed and several announcements arrive late",
+    leave: drain,
+    disrupt: restartAll,
+    late: 4,
+  },
 ];
 
-for (const { name, leave } of cases) {
-  test.serial(
-    `a ${name} target gets no requests after its sidecar was killed and an announcement arrives late`,
-    async (t) => {
-      // Guards against a restarted sidecar that takes a late announcement for one of a live target.
-      const common = { service: SERVICE, zone: "zone-a", slots: 4, workMs: 20 };
-      await withFleet(
-        IDS.map((id) => ({ id, ...common })),
-        async (fleet) => {
-          const guest = await startGuest(fleet);
-          const ports = IDS.slice(1).map((id) => fleet.sidecars.get(id)?.ports.caller ?? 0);
-          const lookups = startLookups(ports, 60);
-          let sequence = 0;
-          await eventually(async () => {
-            await guest.announce("ready", Math.min(++sequence, 7));
-            return guest.arrivals.length > 0;
-          });
-          t.true(guest.arrivals.length > 0);
-          t.is(await leave(guest), 204);
-          await fleet.killSidecar("avail-0");
-          const from = Date.now();
-          await fleet.restartSidecar("avail-0");
-          t.is(await guest.announce("ready", 8), 204);
-          await new Promise((r) => setTimeout(r, OBSERVED_MS));
-          await lookups.stop();
-          guest.close();
-          t.deepEqual(
-            guest.arrivals.filter((at) => at >= from),
-            [],
-          );
-        },
-      );
-    },
-  );
+for (const { name, leave, disrupt, late } of cases) {
+  test.serial(name, async (t) => {
+    // Guards against a restarted sidecar that takes late announcements for those of a live target.
+    const common = { service: SERVICE, zone: "zone-a", slots: 4, workMs: 20 };
+    await withFleet(
+      IDS.map((id) => ({ id, ...common })),
+      async (fleet) => {
+        const guest = await startGuest(fleet);
+        const ports = IDS.slice(1).map((id) => fleet.sidecars.get(id)?.ports.caller ?? 0);
+        const lookups = startLookups(ports, 60);
+        let sequence = 0;
+        await eventually(async () => {
+          await guest.announce("ready", Math.min(++sequence, 5));
+          return guest.arrivals.length > 0;
+        });
+        t.true(guest.arrivals.length > 0);
+        t.is(await leave(guest), 204);
+        await disrupt(fleet);
+        const from = Date.now();
+        for (let n = 0; n < late; n++) {
+          t.is(await guest.announce("ready", 5 + n), 204);
+          await new Promise((r) => setTimeout(r, 100));
+        }
+        await new Promise((r) => setTimeout(r, OBSERVED_MS));
+        await lookups.stop();
+        guest.close();
+        t.deepEqual(
+          guest.arrivals.filter((at) => at >= from),
+          [],
+        );
+      },
+      { controls: 3, joinsThroughControl: true },
+    );
+  });
 }
 
 test.serial(
