Join through a member that probes a sidecar whose seeds are all down

What callers saw: while all control replicas were away, a sidecar that was restarted knew no other member until one of them was back.

Cause: a member joins through its seeds only. Other members probe it, and learn of it from its replies, but their probes do not contain their own entries, and a comparison of views returns only what the probed member has.

Change: a member that knows no live member joins through the one that probes it.

Evidence: the new test in Membership.test.ts failed before (one member instead of six).

--- a/src/control/ControlRole.ts
+++ b/src/control/ControlRole.ts
@@ -139,7 +139,7 @@
     const takeCredit = (workspace: string, canLease: boolean): CreditOutcome =>
       leases ? leases.takeCredit(workspace, canLease) : quotas.take(workspace);
     await link.listen(listen, {
-      onProbe: (updates) => membership.onExchange(updates),
+      onProbe: (updates, from) => membership.onExchange(updates, from),
       onCompare: (digests) => membership.onCompare(digests),
       onProbeFor: (address) => membership.onProbe(address),
       onAdmissionAsk: ({ workspace, can_lease }) =>
--- a/src/membership/DatagramLink.ts
+++ b/src/membership/DatagramLink.ts
@@ -37,8 +37,8 @@
 
 /** Handlers for the requests and messages of other members. */
 export interface DatagramHandlers {
-  /** Handles a probe and the gossip that it carries; returns the reply. */
-  onProbe(gossip: GossipMessage): GossipMessage;
+  /** Handles a probe from a member at `from`, and the gossip that it carries; returns the reply. */
+  onProbe(gossip: GossipMessage, from: string): GossipMessage;
   /** Returns the entries in which the local view differs from the view with these digests. */
   onCompare(digests: readonly number[]): GossipMessage;
   /** Probes the member at `address` on behalf of another member; rejects when it does not reply. */
@@ -297,7 +297,7 @@
   #handle(request: Datagram, from: string): void {
     const { id, probe, probe_for: target, compare, admission_ask: ask } = request;
     if (probe && this.#handlers) {
-      this.#reply(from, { id, answer: this.#handlers.onProbe(probe) });
+      this.#reply(from, { id, answer: this.#handlers.onProbe(probe, from) });
     } else if (compare && this.#handlers) {
       this.#reply(from, { id, answer: this.#handlers.onCompare(compare.digests) });
     } else if (ask) {
--- a/src/membership/Membership.test.ts
+++ b/src/membership/Membership.test.ts
@@ -161,6 +161,19 @@
   t.deepEqual([...fleet.statesSeen("s4")], ["gone"]);
 });
 
+test("a restarted sidecar whose seeds are all down joins through a member that probes it", async (t) => {
+  // Guards against sidecars that know nobody, and refuse their callers, for as long as the control replicas are away.
+  const fleet = new MemberFleet(8);
+  await fleet.run(4000);
+  fleet.up.delete("s0");
+  fleet.up.delete("s1");
+  await fleet.run(4000);
+  fleet.up.delete("s4");
+  fleet.start("s4");
+  await fleet.run(3000);
+  t.deepEqual(fleet.memberCounts(), all(6));
+});
+
 test("newer document reaches all sidecars through their peers", async (t) => {
   const fleet = new MemberFleet(8);
   await fleet.run(2000);
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -114,6 +114,8 @@
   #lastRoundAt = -Infinity;
   #started = false;
   #earlyRoundScheduled = false;
+  /** Whether it is joining through a member that has probed it. */
+  #isJoining = false;
   #earlyRoundTimer: Timer | undefined;
   #zoneSplit: { live: readonly Member[] } & Record<Distance, readonly Member[]> = {
     live: [],
@@ -187,9 +189,17 @@
     ]);
   }
 
-  /** Handles a probe by another member; returns the reply. */
-  onExchange(gossip: GossipMessage): GossipMessage {
+  /**
+   * Handles a probe by another member; returns the reply.
+   *
+   * @param from address of that member; this one joins through it if it knows no other, as when all its seeds are down
+   */
+  onExchange(gossip: GossipMessage, from?: string): GossipMessage {
     const { fresh, stale } = this.#applyGossip(gossip);
+    if (from !== undefined && this.#deps.table.memberCount === 1 && !this.#isJoining) {
+      this.#isJoining = true;
+      void this.#tryJoin(from).finally(() => (this.#isJoining = false));
+    }
     const sender = this.#deps.table.entry(gossip.sender);
     if (sender) {
       this.#deps.documents.noteVersion(sender.peer_address, gossip.config_version);
--- a/src/sidecar/SidecarRole.ts
+++ b/src/sidecar/SidecarRole.ts
@@ -251,7 +251,7 @@
     const peerPort = await startGrpcServer(peerServer, cfg.peer, PEER_GRACE_MS);
     this.#ports.peer = this.register(peerPort).port;
     await link.listen(cfg.peer, {
-      onProbe: (gossip) => membership.onExchange(gossip),
+      onProbe: (gossip, from) => membership.onExchange(gossip, from),
       onCompare: (digests) => membership.onCompare(digests),
       onProbeFor: (address) => membership.onProbe(address),
       onGate: (message, from) => {
