Ignore announcements of earlier incarnations for ten seconds after a withdrawal

What callers could have seen: requests to a withdrawn target, under the id of the process that used its address before. Shown on a fake clock only.

Cause: a withdrawn incarnation that had been silent for the timeout gave way to an earlier one, since clocks may be set back between two. Of a target known only from a withdrawal without a start time, the third announcement with one was trusted, though late announcements come in numbers.

Change: within ten seconds of a withdrawal, the longest delay that is guarded against, both are ignored.

One expectation has changed, as it was the fault: three announcements right after such a withdrawal no longer make the target live; one does ten seconds later.

--- a/src/membership/LocalTargets.test.ts
+++ b/src/membership/LocalTargets.test.ts
@@ -171,15 +171,33 @@
     live: [],
   },
   {
-    name: "target that keeps announcing itself after a withdrawal without a start time has restarted",
+    // Guards against a target that is known only from its withdrawal, and is revived by announcements from before.
+    name: "late announcements with a start time do not bring back a target that was withdrawn without one",
     steps: [
       { withdraw: "a" },
       { announce: "a", sequence: 1, born: 100 },
       { announce: "a", sequence: 2, born: 100 },
       { announce: "a", sequence: 3, born: 100 },
     ],
+    live: [],
+  },
+  {
+    name: "target that announces itself long after a withdrawal without a start time has restarted",
+    steps: [{ withdraw: "a" }, { wait: 10_001 }, { announce: "a", sequence: 1, born: 100 }],
     live: ["a@100"],
   },
+  {
+    // Guards against requests to a withdrawn target under the id of the process that used its address before.
+    name: "late announcement of an incarnation before a withdrawn one is ignored, also when that one has been silent",
+    steps: [
+      { announce: "a", sequence: 8, born: 100 },
+      { announce: "a", sequence: 1, born: 200 },
+      { withdraw: "a", born: 200 },
+      { wait: 1600 },
+      { announce: "a", sequence: 9, born: 100 },
+    ],
+    live: [],
+  },
   {
     // The sidecar was restarted and knows only the live target; an announcement of its crashed
     // predecessor was delayed on its way.
--- a/src/membership/LocalTargets.ts
+++ b/src/membership/LocalTargets.ts
@@ -35,7 +35,7 @@
    * was withdrawn. `held`: it may have left before this sidecar was restarted; see {@link LocalTargets.beginRecovery}.
    */
   state: "here" | "replaced" | "left" | "held";
-  /** Announcements received since it was replaced or withdrawn. */
+  /** Announcements received since it was replaced. */
   repeats: number;
   /** That it has withdrawn or announces itself as draining; undefined while it does neither. */
   departure: (Pick<Departure, "sequence" | "left"> & { readonly at: number }) | undefined;
@@ -54,12 +54,6 @@
 /** A replaced target is live after this many new announcements, since a single one may have been delayed. */
 const RETURN_AFTER_REPEATS = 2;
 
-/**
- * A target that was withdrawn without its start time is considered restarted after this many announcements with one,
- * since two may have been in flight when it left.
- */
-const RESTART_AFTER_REPEATS = 3;
-
 /**
  * The targets on this sidecar's VM, from their announcements. An announcement may arrive
  * late, after its sender has ended and another target, or a new incarnation of the same
@@ -143,7 +137,7 @@
     }
     const isUnconfirmed =
       known && !isSameIncarnation
-        ? isUnconfirmedRestart(known)
+        ? known.born === 0 && this.#hasLeftLately(known)
         : !this.#isConfirmed(target, sequence, known);
     if (isUnconfirmed) {
       return false;
@@ -376,7 +370,13 @@
     if (target.born === 0) {
       return known.state === "left" || this.#isFresh(known);
     }
-    return target.born < known.born && this.#isFresh(known);
+    return target.born < known.born && (this.#isFresh(known) || this.#hasLeftLately(known));
+  }
+
+  /** Whether a target has withdrawn so lately that announcements from before may be on their way. */
+  #hasLeftLately({ state, departure }: TargetEntry): boolean {
+    const cutoff = this.#now() - MAX_ANNOUNCEMENT_DELAY_MS;
+    return state === "left" && departure !== undefined && departure.at >= cutoff;
   }
 
   /** Whether to accept an announcement; if another target uses its address, it must be repeated first. */
@@ -436,11 +436,3 @@
     }
   }
 }
-
-/**
- * Counts an announcement after a withdrawal without a start time; true while it may be a delayed one of the
- * incarnation that left.
- */
-function isUnconfirmedRestart(known: TargetEntry): boolean {
-  return known.state === "left" && known.born === 0 && ++known.repeats < RESTART_AFTER_REPEATS;
-}
