Take the control group from replies that name one, and need a majority of both sets while it changes

What callers saw: after all power and two control disks were lost, restarted sidecars held their targets for ten seconds.

Cause: a control replica on an empty disk has the group index -1, which its reply carries as 2^64-1, and no voters. Its reply counted as that of the newest group for good, so no majority was found. Logged replies of a local play of the same faults show it. Two smaller gaps on the way: while two replicas are replaced, a majority of the union of both sets was needed, and a replica that got no departure never noted on disk that it had become complete.

Change: only replies that name voters tell the group; a majority of each set of voters is needed during a change; replicas are asked again until there is a majority, since the group may have changed; completeness is written when it is reached. A sidecar that gives up logs what the replicas replied.

--- a/src/common/rpc/ProtoTypes.ts
+++ b/src/common/rpc/ProtoTypes.ts
@@ -53,6 +53,7 @@
   DepartureReply: {
     replica: string;
     voters: ProtoTypes["DepartureVoter"][];
+    next_voters: ProtoTypes["DepartureVoter"][];
     group_index: number;
     complete: boolean;
     departed: ProtoTypes["Departure"][];
--- a/src/common/rpc/proto/BURDOCKPASS_SCHEMA.ts
+++ b/src/common/rpc/proto/BURDOCKPASS_SCHEMA.ts
@@ -56,6 +56,7 @@
     DepartureReply: [
       { name: "replica", id: 1, type: "string" },
       { name: "voters", id: 2, type: "DepartureVoter", repeated: true },
+      { name: "next_voters", id: 6, type: "DepartureVoter", repeated: true },
       { name: "group_index", id: 3, type: "uint64" },
       { name: "complete", id: 4, type: "bool" },
       { name: "departed", id: 5, type: "Departure", repeated: true },
--- a/src/control/ControlRole.ts
+++ b/src/control/ControlRole.ts
@@ -152,8 +152,9 @@
         await departures.store(sidecar, departed);
         return {
           replica: replica.id,
-          voters: replica.voters.map(({ id, address }) => ({ id, address })),
-          group_index: replica.groupIndex,
+          voters: replica.group.voters.map(({ id, address }) => ({ id, address })),
+          next_voters: (replica.group.next ?? []).map(({ id, address }) => ({ id, address })),
+          group_index: Math.max(0, replica.groupIndex),
           complete: departures.isComplete,
           departed: departures.of(sidecar),
         };
--- a/src/control/departures/DepartureStore.test.ts
+++ b/src/control/departures/DepartureStore.test.ts
@@ -15,9 +15,14 @@
 class Disk {
   readonly path = join(mkdtempSync(join(tmpdir(), "burdockpass-departures-")), "departures.jsonl");
   #now = 0;
+  #timers: { due: number; callback: () => void }[] = [];
 
   start(isFirstStart: boolean): DepartureStore {
-    const clock = { now: () => this.#now } as Clock;
+    const after: Clock["after"] = (ms, callback) => {
+      this.#timers.push({ due: this.#now + ms, callback });
+      return { cancel: () => undefined };
+    };
+    const clock = { now: () => this.#now, after, timeout: after };
     const journal = new SyncedJournal<never>(this.path);
     const store = new DepartureStore({ journal, isFirstStart, clock, log });
     store.open();
@@ -26,6 +31,16 @@
 
   wait(ms: number): void {
     this.#now += ms;
+    const due = this.#timers.filter((timer) => timer.due <= this.#now);
+    this.#timers = this.#timers.filter((timer) => timer.due > this.#now);
+    due.forEach(({ callback }) => {
+      callback();
+    });
+  }
+
+  /** The process is killed. */
+  kill(): void {
+    this.#timers = [];
   }
 }
 
@@ -72,10 +87,21 @@
     run: (disk) => {
       disk.start(false);
       disk.wait(9000);
+      disk.kill();
       return disk.start(false);
     },
     isComplete: false,
   },
+  {
+    name: "an empty disk, ten seconds without a departure, and a kill",
+    run: (disk) => {
+      disk.start(false);
+      disk.wait(10_000);
+      disk.kill();
+      return disk.start(false);
+    },
+    isComplete: true,
+  },
   {
     name: "a kill",
     run: (disk) => {
--- a/src/control/departures/DepartureStore.ts
+++ b/src/control/departures/DepartureStore.ts
@@ -1,6 +1,7 @@
 import type bunyan from "bunyan";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import type { IDisposable } from "../../common/lifecycle/IDisposable.ts";
+import type { Timer } from "../../common/lifecycle/Timer.ts";
 import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
 import type { SyncedJournal } from "../../common/storage/SyncedJournal.ts";
 import { MAX_ANNOUNCEMENT_DELAY_MS } from "../../membership/departures/MAX_ANNOUNCEMENT_DELAY_MS.ts";
@@ -43,6 +44,7 @@
   /** Whether the file says that this disk has all departures that matter. */
   #isMarked: boolean;
   #lines = 0;
+  #timer: Timer | undefined;
 
   /** @throws StorageError if the file can't be read */
   constructor(deps: DepartureStoreDeps) {
@@ -93,19 +95,32 @@
     }
   }
 
-  /** Writes the file, if it can be written; the next departure tries it again if not. */
+  /** Writes the file, and once more when this replica becomes complete. */
   open(): void {
-    try {
-      this.#rewrite();
-    } catch (err) {
-      this.#deps.log.warn({ err }, "departures: the file can't be written");
+    const { clock, log } = this.#deps;
+    log.info({ isComplete: this.isComplete, departures: this.#entries.size }, "departures loaded");
+    this.#tryRewrite();
+    if (!this.#isMarked) {
+      this.#timer = clock.after(MAX_ANNOUNCEMENT_DELAY_MS, () => {
+        this.#tryRewrite();
+      });
     }
   }
 
   dispose(): Promise<void> {
+    this.#timer?.cancel();
     return this.#deps.journal.dispose();
   }
 
+  /** If the file can't be written, the next departure tries it again. */
+  #tryRewrite(): void {
+    try {
+      this.#rewrite();
+    } catch (err) {
+      this.#deps.log.warn({ err }, "departures: the file can't be written");
+    }
+  }
+
   #rewrite(): void {
     const cutoff = this.#deps.clock.now() - RETENTION_MS;
     for (const [key, { at }] of this.#entries) {
--- a/src/control/replica/Replica.ts
+++ b/src/control/replica/Replica.ts
@@ -9,6 +9,7 @@
 import { JoinRequests } from "./JoinRequests.ts";
 import { LeaderContact } from "./LeaderContact.ts";
 import { LeaderTerm } from "./LeaderTerm.ts";
+import type { ControlGroup } from "../log/ControlGroup.ts";
 import { membersOf } from "../log/membersOf.ts";
 import type { ProposalDecision } from "./ProposalDecision.ts";
 import type { ProposalOutcome } from "./ProposalOutcome.ts";
@@ -181,7 +182,12 @@
     return membersOf(this.#log.group);
   }
 
-  /** Index of the log entry that {@link voters} are from; it rises with each change of the group. */
+  /** The control group, according to this replica's log. */
+  get group(): ControlGroup {
+    return this.#log.group;
+  }
+
+  /** Index of the log entry that {@link group} is from; it rises with each change of the group. */
   get groupIndex(): number {
     return this.#log.groupIndex;
   }
--- a/src/sidecar/departures/DepartureCopies.test.ts
+++ b/src/sidecar/departures/DepartureCopies.test.ts
@@ -24,7 +24,7 @@
     ask: (address, departed) =>
       Number(address.slice(1)) < reachable
         ? Promise.resolve({
-            ...{ replica: address, voters, group_index: 1, complete: false },
+            ...{ replica: address, voters, next_voters: [], group_index: 1, complete: false },
             departed: [...departed],
           })
         : Promise.reject(new Error("unreachable")),
--- a/src/sidecar/departures/DepartureRecovery.test.ts
+++ b/src/sidecar/departures/DepartureRecovery.test.ts
@@ -103,7 +103,13 @@
         addresses: () => group.slice(0, 1).map((v) => v.address),
         ask: (address) => {
           const { isComplete = false, isDown } = voters[Number(address.slice(1))] ?? {};
-          const reply = { replica: address, voters: group, group_index: 1, complete: isComplete };
+          const reply = {
+            replica: address,
+            voters: group,
+            next_voters: [],
+            group_index: 1,
+            complete: isComplete,
+          };
           return isDown
             ? Promise.reject(new Error("unreachable"))
             : Promise.resolve({ ...reply, departed: [DEPARTURE] });
--- a/src/sidecar/departures/DepartureRecovery.ts
+++ b/src/sidecar/departures/DepartureRecovery.ts
@@ -1,6 +1,7 @@
 import type bunyan from "bunyan";
 import type { Clock } from "../../common/lifecycle/Clock.ts";
 import { Disposable } from "../../common/lifecycle/Disposable.ts";
+import type { ProtoTypes } from "../../common/rpc/ProtoTypes.ts";
 import { every } from "../../common/lifecycle/every.ts";
 import { MAX_ANNOUNCEMENT_DELAY_MS } from "../../membership/departures/MAX_ANNOUNCEMENT_DELAY_MS.ts";
 import type { TargetTable } from "../../membership/TargetTable.ts";
@@ -9,6 +10,8 @@
 import type { DepartureControl } from "./DepartureControl.ts";
 import type { DepartureHolder } from "./DepartureHolder.ts";
 
+type ControlReply = Omit<ProtoTypes["DepartureReply"], "departed">;
+
 /** Interval at which holders that are not yet witnesses are asked, ms. */
 const ASK_INTERVAL_MS = 200;
 
@@ -45,6 +48,8 @@
   readonly #asked = new Set<string>();
   /** Holders that have had every copy that matters since before this process was started. */
   readonly #witnesses = new Set<string>();
+  /** The last reply of each control replica, for the log. */
+  readonly #controlReplies = new Map<string, object>();
 
   constructor(deps: DepartureRecoveryDeps) {
     super();
@@ -64,7 +69,8 @@
       addresses: control.addresses,
       ask: (address) => control.ask(address, []),
       counts: (reply) => reply.complete,
-      onReply: ({ departed }) => {
+      onReply: ({ departed, ...reply }) => {
+        this.#noteReply(reply);
         if (table.restoreDepartures(departed)) {
           onTargetsChanged();
         }
@@ -86,6 +92,7 @@
     }
     if (table.runningMs >= MAX_ANNOUNCEMENT_DELAY_MS) {
       log.warn(
+        { control: [...this.#controlReplies.values()], witnesses: [...this.#witnesses] },
         "departures from before the start are unknown; targets are held until they announce again",
       );
       table.expireRecovery();
@@ -115,6 +122,11 @@
     }
   }
 
+  #noteReply({ replica, complete, group_index: groupIndex, ...group }: ControlReply): void {
+    const [voters, next] = [group.voters, group.next_voters].map((set) => set.map((v) => v.id));
+    this.#controlReplies.set(replica, { replica, complete, groupIndex, voters, next });
+  }
+
   #end(by: "control" | "members"): void {
     const { table, onTargetsChanged, log } = this.#deps;
     const ms = Math.round(table.runningMs);
--- a/src/sidecar/departures/askVoters.ts
+++ b/src/sidecar/departures/askVoters.ts
@@ -4,7 +4,7 @@
 
 type DepartureReply = ProtoTypes["DepartureReply"];
 
-/** Time after which a replica that did not reply, or whose reply does not count, is asked again, ms. */
+/** Time after which a replica is asked again while there is no majority, ms: the group may have changed meanwhile. */
 const RETRY_MS = 100;
 
 /** A question to the control replicas. */
@@ -13,7 +13,7 @@
   readonly addresses: () => readonly string[];
   /** Asks the replica at an address; rejects if it does not reply in time. */
   readonly ask: (address: string) => Promise<DepartureReply>;
-  /** Whether a reply counts toward the majority; the replica is asked again if not. */
+  /** Whether a reply counts toward the majority. */
   readonly counts: (reply: DepartureReply) => boolean;
   readonly onReply?: (reply: DepartureReply) => void;
   /** Whether the result is no longer needed. */
@@ -54,8 +54,6 @@
         askOthers();
         if (replies.hasMajority) {
           end(true);
-        } else if (reply && counts(reply)) {
-          return;
         }
         await new Promise<void>((wake) => clock.after(RETRY_MS, wake));
       }
